--- /dev/null
+++ b/internal/edge/commander/commander.go
@@ -0,0 +1,117 @@
+// Package commander is the client of an engine's control interface: orders,
+// reports and cache events.
+package commander
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusring/crocusring/internal/state/keeper"
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+	"github.com/crocusring/crocusring/internal/wire/poster"
+)
+
+var (
+	// ErrNotApplied tells that an order did not take effect and never will.
+	ErrNotApplied = errors.New("order not applied")
+	// ErrOldFence tells that the engine refused an order for its old fencing number.
+	ErrOldFence = errors.New("order refused: old fencing number")
+	// ErrUnknownOutcome tells that an order may have taken effect or may still do so.
+	ErrUnknownOutcome = errors.New("outcome of order unknown")
+	// ErrNoReport tells that an engine gave no report.
+	ErrNoReport = errors.New("no report from engine")
+)
+
+// Kinds of order.
+const (
+	Load   = "Load"
+	Unload = "Unload"
+)
+
+const callTimeout = time.Second
+
+// Client talks to engines.
+type Client struct {
+	poster *poster.Client
+}
+
+// New returns a client.
+func New(p *poster.Client) *Client {
+	return &Client{poster: p}
+}
+
+// Send sends an order to the engine at address. The error is ErrNotApplied,
+// ErrOldFence or ErrUnknownOutcome.
+func (c *Client) Send(address string, order messenger.EngineOrder) error {
+	var result messenger.EngineOrderResult
+	err := c.poster.Do(poster.Call{
+		Method:   fasthttp.MethodPost,
+		URL:      "http://" + address + "/v1/orders",
+		In:       order,
+		Out:      &result,
+		Deadline: time.Now().Add(callTimeout),
+	})
+	switch {
+	case errors.Is(err, poster.ErrNotSent):
+		return errors.Wrap(ErrNotApplied, err.Error())
+	case err != nil:
+		return errors.Wrap(ErrUnknownOutcome, err.Error())
+	case result.Refusal == "OldFence":
+		return ErrOldFence
+	case !result.Applied:
+		return errors.Wrap(ErrNotApplied, result.Refusal)
+	}
+	return nil
+}
+
+// Report reads the state of the engine at address, with now as the time of the report.
+func (c *Client) Report(address string, now time.Time) (keeper.Report, error) {
+	var report messenger.EngineReport
+	err := c.poster.Do(poster.Call{
+		Method:   fasthttp.MethodGet,
+		URL:      "http://" + address + "/v1/report",
+		Out:      &report,
+		Deadline: time.Now().Add(callTimeout),
+	})
+	if err != nil {
+		return keeper.Report{}, errors.Wrap(ErrNoReport, err.Error())
+	}
+	holdings := make([]keeper.Holding, 0, len(report.Holdings))
+	for _, h := range report.Holdings {
+		holdings = append(holdings, keeper.Holding{
+			Name:  keeper.Name{Model: h.Model, Adapter: h.Adapter, Version: h.Version},
+			Bytes: h.Bytes,
+			State: keeper.State(h.State),
+		})
+	}
+	return keeper.Report{
+		Incarnation:   report.Incarnation,
+		MemoryBytes:   report.MemoryBytes,
+		UsedBytes:     report.UsedBytes,
+		Running:       report.Running,
+		Queued:        report.Queued,
+		HighestFence:  report.HighestFence,
+		Holdings:      holdings,
+		AppliedOrders: report.AppliedOrders,
+		SaysLeaving:   report.Leaving,
+		ReportedAt:    now,
+	}, nil
+}
+
+// Events reads the cache events after a sequence number.
+func (c *Client) Events(address string, since int64) (messenger.CacheEvents, error) {
+	var events messenger.CacheEvents
+	err := c.poster.Do(poster.Call{
+		Method:   fasthttp.MethodGet,
+		URL:      "http://" + address + "/v1/events?since=" + strconv.FormatInt(since, 10),
+		Out:      &events,
+		Deadline: time.Now().Add(callTimeout),
+	})
+	if err != nil {
+		return events, errors.Wrap(ErrNoReport, err.Error())
+	}
+	return events, nil
+}
--- /dev/null
+++ b/internal/edge/connector/answer.go
@@ -0,0 +1,141 @@
+package connector
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http/httputil"
+	"syscall"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Content lengths with a meaning of their own in fasthttp.
+const lengthChunked = -1
+
+// Answer is an answer whose head was read. Its body is read through Read until
+// io.EOF, which comes only if the body is whole as HTTP sees it.
+type Answer struct {
+	Header fasthttp.ResponseHeader
+
+	pool  *Pool
+	conn  *conn
+	body  io.Reader
+	whole bool
+}
+
+func (a *Answer) readHead() error {
+	if err := a.Header.Read(a.conn.reader); err != nil {
+		return err
+	}
+	switch length := a.Header.ContentLength(); {
+	case length >= 0:
+		a.body = &exactReader{reader: a.conn.reader, left: length}
+	case length == lengthChunked:
+		a.body = &chunkedBody{reader: httputil.NewChunkedReader(a.conn.reader), tail: a.conn.reader}
+	default:
+		// Without a length the end of the connection ends the body, which
+		// cannot be told from a cut.
+		a.body = a.conn.reader
+		a.Header.SetConnectionClose()
+	}
+	return nil
+}
+
+// Read reads the body. The error is io.EOF, ErrSilent or ErrCut.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.body.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	if err == io.EOF {
+		a.whole = true
+		return n, io.EOF
+	}
+	return n, a.pool.readError(err)
+}
+
+// Close ends the use of the answer. Its connection is pooled only if the body
+// was read to its end; it is closed otherwise, which cancels a running request.
+func (a *Answer) Close() {
+	if a.conn == nil {
+		return
+	}
+	if a.whole && !a.Header.ConnectionClose() {
+		a.pool.put(a.conn)
+	} else {
+		a.conn.Close()
+	}
+	a.conn = nil
+}
+
+// Discard ends the use of the answer and closes its connection.
+func (a *Answer) Discard() {
+	a.whole = false
+	a.Close()
+}
+
+// exactReader reads a body of known length. A shorter body is an error.
+type exactReader struct {
+	reader *bufio.Reader
+	left   int
+}
+
+func (r *exactReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	if len(p) > r.left {
+		p = p[:r.left]
+	}
+	n, err := r.reader.Read(p)
+	r.left -= n
+	if err == io.EOF && r.left > 0 {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// chunkedBody reads a chunked body together with the empty line that ends it,
+// so that the connection can be used again.
+type chunkedBody struct {
+	reader io.Reader
+	tail   *bufio.Reader
+}
+
+func (r *chunkedBody) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	line, tailErr := r.tail.ReadSlice('\n')
+	if tailErr != nil {
+		return n, io.ErrUnexpectedEOF
+	}
+	if len(line) > len("\r\n") {
+		return n, errors.New("trailers after a chunked body are not supported")
+	}
+	return n, io.EOF
+}
+
+// isOpen reports whether the other end of an idle connection has neither closed
+// it nor sent anything that nobody asked for.
+func isOpen(c net.Conn) bool {
+	sys, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var buf [1]byte
+		_, _, recvErr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = recvErr == syscall.EAGAIN || recvErr == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && open
+}
--- /dev/null
+++ b/internal/edge/connector/connector.go
@@ -0,0 +1,229 @@
+// Package connector sends one HTTP request at a time over a TCP connection to a
+// target and tells exactly how far it came. It repeats nothing, checks that a
+// pooled connection is still open before it uses it, and pools only those
+// connections whose answer was read to its end.
+package connector
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+)
+
+var (
+	// ErrNotSent tells that no byte of the request left this process.
+	ErrNotSent = errors.New("request not sent to target")
+	// ErrSilent tells that a target sent nothing until a deadline.
+	ErrSilent = errors.New("target is silent")
+	// ErrCut tells that a connection ended before the whole answer came.
+	ErrCut = errors.New("connection to target was cut")
+)
+
+const (
+	dialTimeout     = 500 * time.Millisecond
+	mostIdle        = 64 // pooled connections for each target
+	idleLife        = 15 * time.Second
+	readBufferSize  = 8 << 10
+	writeBufferSize = 8 << 10
+)
+
+// Pool holds connections to one target. The zero value is not usable; see New.
+type Pool struct {
+	address string
+	dial    func(address string, timeout time.Duration) (net.Conn, error)
+	now     func() time.Time
+
+	mu   sync.Mutex
+	idle []*conn
+	// epoch is raised when the pooled connections are distrusted; connections
+	// of an earlier epoch are closed and not pooled.
+	epoch int
+}
+
+// Option configures a Pool.
+type Option func(*Pool)
+
+// WithDial replaces the function that opens connections.
+func WithDial(dial func(address string, timeout time.Duration) (net.Conn, error)) Option {
+	return func(p *Pool) { p.dial = dial }
+}
+
+// New returns an empty pool of connections to address.
+func New(address string, opts ...Option) *Pool {
+	p := &Pool{address: address, dial: dialTCP, now: time.Now}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+func dialTCP(address string, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", address, timeout)
+}
+
+// conn is one connection with its buffers.
+type conn struct {
+	timedConn
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	epoch   int
+	expires time.Time
+}
+
+// timedConn bounds every read by the nearer of a gap from now and a deadline.
+type timedConn struct {
+	net.Conn
+	gap     time.Duration
+	until   time.Time
+	written int
+}
+
+func (c *timedConn) Read(p []byte) (int, error) {
+	limit := c.until
+	if c.gap > 0 {
+		if next := time.Now().Add(c.gap); next.Before(limit) {
+			limit = next
+		}
+	}
+	if err := c.SetReadDeadline(limit); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+func (c *timedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += n
+	return n, err
+}
+
+// Call describes one request.
+type Call struct {
+	Request *fasthttp.Request
+	// Fresh asks for a new connection. A request that may not be repeated needs
+	// one, since a pooled connection can end just as it is used.
+	Fresh bool
+	// FirstByte is the deadline for the head of the answer.
+	FirstByte time.Time
+	// Until is the deadline for the whole answer.
+	Until time.Time
+	// Gap bounds the time between two reads of the body; 0 for no bound.
+	Gap time.Duration
+}
+
+// Do sends a request and reads the head of the answer. The error is
+// ErrNotSent, ErrSilent or ErrCut. The caller must close the answer.
+func (p *Pool) Do(call Call) (*Answer, error) {
+	c, err := p.take(call.Fresh)
+	if err != nil {
+		return nil, err
+	}
+	c.written = 0
+	c.gap = 0
+	c.until = call.FirstByte
+	if err := c.send(call); err != nil {
+		c.Close()
+		if c.written == 0 {
+			return nil, errors.Wrap(ErrNotSent, err.Error())
+		}
+		return nil, errors.Wrap(ErrCut, err.Error())
+	}
+	a := &Answer{pool: p, conn: c}
+	if err := a.readHead(); err != nil {
+		c.Close()
+		return nil, p.readError(err)
+	}
+	c.until = call.Until
+	c.gap = call.Gap
+	return a, nil
+}
+
+func (c *conn) send(call Call) error {
+	if err := c.SetWriteDeadline(call.FirstByte); err != nil {
+		return err
+	}
+	if err := call.Request.Write(c.writer); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+// readError sorts an error of a read. A silent connection makes its pooled
+// siblings suspect, since what lost track of it may have lost them as well.
+func (p *Pool) readError(err error) error {
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		p.Distrust()
+		return errors.Wrap(ErrSilent, p.address)
+	}
+	return errors.Wrapf(ErrCut, "%s: %v", p.address, err)
+}
+
+// Distrust closes the pooled connections and keeps those now in use from being pooled.
+func (p *Pool) Distrust() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.epoch++
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+func (p *Pool) take(fresh bool) (*conn, error) {
+	for !fresh {
+		c := p.pop()
+		if c == nil {
+			break
+		}
+		if p.now().Before(c.expires) && isOpen(c.Conn) {
+			return c, nil
+		}
+		c.Close()
+	}
+	raw, err := p.dial(p.address, dialTimeout)
+	if err != nil {
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
+	p.mu.Lock()
+	epoch := p.epoch
+	p.mu.Unlock()
+	c := &conn{timedConn: timedConn{Conn: raw}, epoch: epoch}
+	c.reader = bufio.NewReaderSize(&c.timedConn, readBufferSize)
+	c.writer = bufio.NewWriterSize(&c.timedConn, writeBufferSize)
+	return c, nil
+}
+
+func (p *Pool) pop() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return c
+}
+
+func (p *Pool) put(c *conn) {
+	// An expired read deadline would make isOpen fail.
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		c.Close()
+		return
+	}
+	c.expires = p.now().Add(idleLife)
+	p.mu.Lock()
+	keep := c.epoch == p.epoch && len(p.idle) < mostIdle && c.reader.Buffered() == 0
+	if keep {
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if !keep {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/internal/edge/forwarder/forwarder.go
@@ -0,0 +1,109 @@
+// Package forwarder is the client of plain services. It sends a request as the
+// caller made it and returns the answer only when it is whole.
+package forwarder
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusring/crocusring/internal/edge/connector"
+)
+
+var (
+	// ErrTooLarge tells that an answer is larger than the system relays.
+	ErrTooLarge = errors.New("answer of service too large")
+	// ErrCrossed tells that an answer names another request.
+	ErrCrossed = errors.New("answer of service belongs to another request")
+)
+
+const (
+	headerRequestID  = "X-Request-Id"
+	headerRequestKey = "X-Request-Key"
+	maxAnswerBytes   = 32 << 20
+)
+
+// Call describes one request to a service.
+type Call struct {
+	ID          string
+	Key         string
+	Method      string
+	PathQuery   string
+	ContentType string
+	Body        []byte
+	Fresh       bool
+	Until       time.Time
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Client talks to services over one connection pool for each target.
+type Client struct {
+	mu    sync.Mutex
+	pools map[string]*connector.Pool
+}
+
+// New returns a client.
+func New() *Client {
+	return &Client{pools: map[string]*connector.Pool{}}
+}
+
+func (c *Client) pool(address string) *connector.Pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pool := c.pools[address]
+	if pool == nil {
+		pool = connector.New(address)
+		c.pools[address] = pool
+	}
+	return pool
+}
+
+// Do sends a request to the service at address. The error is ErrTooLarge,
+// ErrCrossed or one of the connector's.
+func (c *Client) Do(address string, call Call) (Answer, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(call.Method)
+	req.SetRequestURI("http://" + address + call.PathQuery)
+	if call.ContentType != "" {
+		req.Header.SetContentType(call.ContentType)
+	}
+	req.Header.Set(headerRequestID, call.ID)
+	if call.Key != "" {
+		req.Header.Set(headerRequestKey, call.Key)
+	}
+	req.SetBodyRaw(call.Body)
+	answer, err := c.pool(address).Do(connector.Call{
+		Request: req, Fresh: call.Fresh, FirstByte: call.Until, Until: call.Until,
+	})
+	if err != nil {
+		return Answer{}, err
+	}
+	defer answer.Close()
+	// A plain service need not echo the ID, but must not answer with another.
+	if id := answer.Header.Peek(headerRequestID); len(id) > 0 && string(id) != call.ID {
+		answer.Discard()
+		return Answer{}, errors.Wrapf(ErrCrossed, "want %q, got %q", call.ID, id)
+	}
+	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
+	if err != nil {
+		return Answer{}, err
+	}
+	if len(body) > maxAnswerBytes {
+		return Answer{}, ErrTooLarge
+	}
+	return Answer{
+		Status:      answer.Header.StatusCode(),
+		ContentType: string(answer.Header.ContentType()),
+		Body:        body,
+	}, nil
+}
--- /dev/null
+++ b/internal/edge/listener/listener.go
@@ -0,0 +1,183 @@
+// Package listener is the HTTP edge of an instance towards callers, operators
+// and peers.
+package listener
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusring/crocusring/internal/control/configurer"
+	"github.com/crocusring/crocusring/internal/edge/relayer"
+	"github.com/crocusring/crocusring/internal/peer/exchanger"
+	"github.com/crocusring/crocusring/internal/request/admitter"
+	"github.com/crocusring/crocusring/internal/request/deduper"
+	"github.com/crocusring/crocusring/internal/request/dispatcher"
+	"github.com/crocusring/crocusring/internal/state/keeper"
+	"github.com/crocusring/crocusring/internal/state/measurer"
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+)
+
+const (
+	maxBodyBytes    = 8 << 20
+	maxHeaderBytes  = 16 << 10
+	defaultDeadline = time.Minute
+	maxDeadline     = 10 * time.Minute
+	locateLife      = 10 * time.Second
+	headerRequestID = "X-Request-Id"
+	headerKey       = "X-Request-Key"
+	headerPriority  = "X-Priority"
+	headerDeadline  = "X-Deadline"
+	headerRepeat    = "X-Repeatable"
+	lowestPriority  = 0
+	highestPriority = 9
+	defaultPriority = 5
+	mostIDBytes     = 100
+)
+
+// Parts are what a listener works with. All fields must be set.
+type Parts struct {
+	Home           deduper.Home
+	DataCentre     string
+	OperatorDigest [32]byte
+	PeerCredential string
+	Tree           *configurer.Tree
+	Configurer     *configurer.Configurer
+	Fleet          *keeper.Fleet
+	Admitter       *admitter.Admitter
+	Dispatcher     *dispatcher.Dispatcher
+	Keys           *deduper.Table
+	Claimer        *deduper.Claimer
+	Exchanger      *exchanger.Exchanger
+	Measurer       *measurer.Measurer
+	Log            logr.Logger
+	// Ready returns why no requests are taken, or nil.
+	Ready func() error
+	// Leaving reports whether a planned stop has begun.
+	Leaving func() bool
+	// Accepted is called after a change of settings was accepted and returns the
+	// instances that have not confirmed it yet.
+	Accepted func(revision int64) []string
+	// Status returns the state of the system as this instance sees it.
+	Status func() messenger.StatusAnswer
+}
+
+// Listener serves HTTP.
+type Listener struct {
+	Parts
+
+	relay    *relayer.Client
+	server   *fasthttp.Server
+	inFlight atomic.Int64
+	now      func() time.Time
+}
+
+// New returns a listener.
+func New(parts Parts) *Listener {
+	l := &Listener{Parts: parts, relay: relayer.New(parts.Home.Instance), now: time.Now}
+	l.server = &fasthttp.Server{
+		Handler:               l.handle,
+		ErrorHandler:          handleReadError,
+		MaxRequestBodySize:    maxBodyBytes,
+		ReadBufferSize:        maxHeaderBytes,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		IdleTimeout:           time.Minute,
+	}
+	return l
+}
+
+// Serve answers requests on ln until Shutdown.
+func (l *Listener) Serve(ln net.Listener) error {
+	return l.server.Serve(ln)
+}
+
+// Shutdown stops taking connections and waits for running requests until ctx ends.
+func (l *Listener) Shutdown(ctx context.Context) error {
+	return l.server.ShutdownWithContext(ctx)
+}
+
+// InFlight returns the number of callers' requests that run now.
+func (l *Listener) InFlight() int {
+	return int(l.inFlight.Load())
+}
+
+func handleReadError(ctx *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		writeRefusal(ctx, fasthttp.StatusRequestEntityTooLarge, messenger.Refusal{
+			Code: CodeTooLarge, Message: err.Error(), NotRun: true,
+		})
+		return
+	}
+	refuse(ctx, "", errors.Wrap(errBadRequest, err.Error()))
+}
+
+const (
+	pathChat     = "/v1/chat/completions"
+	pathServices = "/v1/services/"
+	pathSettings = "/v1/settings"
+)
+
+func (l *Listener) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == pathChat && ctx.IsPost():
+		l.handleChat(ctx)
+	case strings.HasPrefix(path, pathServices):
+		l.handleService(ctx)
+	case path == "/v1/locate":
+		l.handleLocate(ctx)
+	case path == pathSettings && ctx.IsGet():
+		l.handleReadSettings(ctx)
+	case path == pathSettings && ctx.IsPost():
+		l.handleChangeSettings(ctx)
+	case path == "/v1/status":
+		l.handleStatus(ctx)
+	case path == "/healthz":
+		ctx.SetBodyString("ok\n")
+	case path == "/readyz":
+		l.handleReady(ctx)
+	case path == "/metrics":
+		l.handleMetrics(ctx)
+	case path == exchanger.PathHeartbeat:
+		l.handleHeartbeat(ctx)
+	case path == exchanger.PathSettings:
+		l.handlePeerSettings(ctx)
+	default:
+		refuse(ctx, "", errors.Wrap(errNoPath, path))
+	}
+}
+
+// requestID returns the caller's ID for a request if it is well formed, and a
+// fresh one otherwise.
+func requestID(ctx *fasthttp.RequestCtx) string {
+	given := ctx.Request.Header.Peek(headerRequestID)
+	if len(given) == 0 || len(given) > mostIDBytes {
+		return rand.Text()
+	}
+	for _, c := range given {
+		isWord := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_' || c == '.'
+		if !isWord {
+			return rand.Text()
+		}
+	}
+	return string(given)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		refuse(ctx, "", errors.Wrap(err, "encode answer"))
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/internal/edge/listener/refusal.go
@@ -0,0 +1,139 @@
+package listener
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusring/crocusring/internal/control/configurer"
+	"github.com/crocusring/crocusring/internal/edge/transactor"
+	"github.com/crocusring/crocusring/internal/request/admitter"
+	"github.com/crocusring/crocusring/internal/request/deduper"
+	"github.com/crocusring/crocusring/internal/request/dispatcher"
+	"github.com/crocusring/crocusring/internal/request/quarantiner"
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+)
+
+// Codes of refusals.
+const (
+	CodeBadRequest     = "BadRequest"
+	CodeUnauthorized   = "Unauthorized"
+	CodeForbidden      = "Forbidden"
+	CodeUnknownModel   = "UnknownModel"
+	CodeUnknownService = "UnknownService"
+	CodeNotFound       = "NotFound"
+	CodeTooLarge       = "TooLarge"
+	CodeOverLimit      = "OverLimit"
+	CodeQuarantined    = "Quarantined"
+	CodeDeadlinePassed = "DeadlinePassed"
+	CodeNotRun         = "NotRun"
+	CodeOutcomeUnknown = "OutcomeUnknown"
+	CodeKeyExpired     = "KeyExpired"
+	CodeStillRunning   = "StillRunning"
+	CodeConflict       = "Conflict"
+	CodeUnavailable    = "Unavailable"
+	CodeNotReady       = "NotReady"
+)
+
+var (
+	errBadRequest     = errors.New("bad request")
+	errUnauthorized   = errors.New("credential missing or not valid")
+	errUnknownModel   = errors.New("model is not configured")
+	errUnknownService = errors.New("service is not configured")
+	errNoPath         = errors.New("no such path")
+	errNotReady       = errors.New("instance does not take requests")
+	errHomeLost       = errors.New("the instance that may run this request is gone")
+)
+
+const (
+	headerNotRun     = "X-Not-Run"
+	retryUnavailable = time.Second
+)
+
+// refuse answers with the refusal that stands for an error.
+func refuse(ctx *fasthttp.RequestCtx, requestID string, err error) {
+	status, refusal := refusalOf(err, time.Now())
+	refusal.RequestID = requestID
+	writeRefusal(ctx, status, refusal)
+}
+
+func writeRefusal(ctx *fasthttp.RequestCtx, status int, refusal messenger.Refusal) {
+	if refusal.Addresses == nil {
+		refusal.Addresses = []string{}
+	}
+	ctx.Response.Reset()
+	ctx.SetStatusCode(status)
+	ctx.Response.Header.Set(headerNotRun, strconv.FormatBool(refusal.NotRun))
+	if refusal.RequestID != "" {
+		ctx.Response.Header.Set(headerRequestID, refusal.RequestID)
+	}
+	if refusal.RetryAfterMilliseconds > 0 {
+		seconds := (refusal.RetryAfterMilliseconds + 999) / 1000 // the header counts whole seconds
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
+	}
+	ctx.SetContentType("application/json")
+	body, err := json.Marshal(refusal)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetBody(body)
+}
+
+// refusalCase pairs an error with what it is answered with.
+type refusalCase struct {
+	err    error
+	status int
+	code   string
+	notRun bool
+	retry  time.Duration
+}
+
+// refusalCases is searched in order; the first match counts. What is said of a
+// request's run comes from dispatcher.FailureError where there is one.
+var refusalCases = []refusalCase{
+	{errBadRequest, fasthttp.StatusBadRequest, CodeBadRequest, true, 0},
+	{deduper.ErrBadKey, fasthttp.StatusBadRequest, CodeBadRequest, true, 0},
+	{errUnauthorized, fasthttp.StatusUnauthorized, CodeUnauthorized, true, 0},
+	{configurer.ErrForbidden, fasthttp.StatusForbidden, CodeForbidden, true, 0},
+	{configurer.ErrBadPath, fasthttp.StatusBadRequest, CodeBadRequest, true, 0},
+	{configurer.ErrBadValue, fasthttp.StatusBadRequest, CodeBadRequest, true, 0},
+	{configurer.ErrConflict, fasthttp.StatusConflict, CodeConflict, true, 0},
+	{configurer.ErrUnknownOutcome, fasthttp.StatusBadGateway, CodeOutcomeUnknown, false, 0},
+	{errUnknownModel, fasthttp.StatusNotFound, CodeUnknownModel, true, 0},
+	{errUnknownService, fasthttp.StatusNotFound, CodeUnknownService, true, 0},
+	{errNoPath, fasthttp.StatusNotFound, CodeNotFound, true, 0},
+	{errHomeLost, fasthttp.StatusBadGateway, CodeOutcomeUnknown, false, 0},
+	{deduper.ErrExpired, fasthttp.StatusConflict, CodeKeyExpired, false, 0},
+	{deduper.ErrWaitedTooLong, fasthttp.StatusConflict, CodeStillRunning, false, retryUnavailable},
+	{deduper.ErrFull, fasthttp.StatusServiceUnavailable, CodeUnavailable, true, retryUnavailable},
+	{deduper.ErrClaimUnavailable, fasthttp.StatusServiceUnavailable, CodeUnavailable, true, retryUnavailable},
+	{quarantiner.ErrConvicted, fasthttp.StatusUnprocessableEntity, CodeQuarantined, true, 0},
+	{dispatcher.ErrUnknown, fasthttp.StatusBadGateway, CodeOutcomeUnknown, false, 0},
+	{dispatcher.ErrDeadline, fasthttp.StatusGatewayTimeout, CodeDeadlinePassed, true, 0},
+	{dispatcher.ErrNotRun, fasthttp.StatusServiceUnavailable, CodeNotRun, true, retryUnavailable},
+	{errNotReady, fasthttp.StatusServiceUnavailable, CodeNotReady, true, retryUnavailable},
+	{transactor.ErrUnavailable, fasthttp.StatusServiceUnavailable, CodeUnavailable, true, retryUnavailable},
+}
+
+func refusalOf(err error, now time.Time) (int, messenger.Refusal) {
+	var over *admitter.OverLimitError
+	if errors.As(err, &over) {
+		wait := max(1, over.RetryAfter.Sub(now).Milliseconds())
+		return fasthttp.StatusTooManyRequests, messenger.Refusal{
+			Code: CodeOverLimit, Message: err.Error(), NotRun: true, RetryAfterMilliseconds: wait,
+		}
+	}
+	for _, c := range refusalCases {
+		if errors.Is(err, c.err) {
+			return c.status, messenger.Refusal{
+				Code: c.code, Message: err.Error(), RetryAfterMilliseconds: c.retry.Milliseconds(),
+				NotRun: c.notRun && !errors.Is(err, dispatcher.ErrUnknown),
+			}
+		}
+	}
+	return fasthttp.StatusInternalServerError, messenger.Refusal{Code: CodeOutcomeUnknown, Message: err.Error()}
+}
--- /dev/null
+++ b/internal/edge/listener/request.go
@@ -0,0 +1,119 @@
+package listener
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusring/crocusring/internal/request/deduper"
+	"github.com/crocusring/crocusring/internal/request/dispatcher"
+	"github.com/crocusring/crocusring/internal/state/keeper"
+	"github.com/crocusring/crocusring/internal/state/measurer"
+)
+
+const peerSilence = 1500 * time.Millisecond // after which a peer is not handed out
+
+// arrival is what the head of a caller's request says.
+type arrival struct {
+	id         string
+	team       keeper.Team
+	key        *deduper.Key
+	priority   int
+	deadline   time.Time
+	repeatable bool
+	at         time.Time
+}
+
+// arrive checks the head of a request. repeatable is what holds if the request
+// does not say.
+func (l *Listener) arrive(ctx *fasthttp.RequestCtx, id string, repeatable bool) (*arrival, error) {
+	if err := l.Ready(); err != nil {
+		return nil, err
+	}
+	team, err := l.team(ctx)
+	if err != nil {
+		return nil, err
+	}
+	now := l.now()
+	a := &arrival{id: id, team: team, at: now, priority: defaultPriority, deadline: now.Add(defaultDeadline), repeatable: repeatable}
+	header := &ctx.Request.Header
+	if text := string(header.Peek(headerKey)); text != "" {
+		key, err := deduper.ParseKey(text)
+		if err != nil {
+			return nil, err
+		}
+		a.key = &key
+	}
+	if err := a.readPriority(string(header.Peek(headerPriority))); err != nil {
+		return nil, err
+	}
+	if err := a.readDeadline(string(header.Peek(headerDeadline)), now); err != nil {
+		return nil, err
+	}
+	return a, a.readRepeatable(string(header.Peek(headerRepeat)))
+}
+
+func (a *arrival) readPriority(text string) error {
+	if text == "" {
+		return nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < lowestPriority || n > highestPriority {
+		return errors.Wrapf(errBadRequest, "%s must be from %d to %d", headerPriority, lowestPriority, highestPriority)
+	}
+	a.priority = n
+	return nil
+}
+
+func (a *arrival) readDeadline(text string, now time.Time) error {
+	if text == "" {
+		return nil
+	}
+	deadline, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return errors.Wrapf(errBadRequest, "%s must be an RFC 3339 time", headerDeadline)
+	}
+	if !now.Before(deadline) {
+		return errors.Wrap(dispatcher.ErrDeadline, text)
+	}
+	if latest := now.Add(maxDeadline); deadline.After(latest) {
+		deadline = latest
+	}
+	a.deadline = deadline
+	return nil
+}
+
+func (a *arrival) readRepeatable(text string) error {
+	if text == "" {
+		return nil
+	}
+	repeatable, err := strconv.ParseBool(text)
+	if err != nil {
+		return errors.Wrapf(errBadRequest, "%s must be true or false", headerRepeat)
+	}
+	a.repeatable = repeatable
+	return nil
+}
+
+// observe adds an ended request to the metrics and the log.
+func (l *Listener) observe(a *arrival, class string, first time.Time, err error) {
+	now := l.now()
+	r := measurer.Request{Team: a.team.Name, Class: class, Outcome: measurer.Answered, Took: now.Sub(a.at)}
+	if !first.IsZero() {
+		r.First = first.Sub(a.at)
+	}
+	switch {
+	case errors.Is(err, dispatcher.ErrUnknown):
+		r.Outcome = measurer.Unknown
+	case err != nil:
+		r.Outcome = measurer.Refused
+	}
+	l.Measurer.Observe(r)
+	if err != nil {
+		l.Log.Info("request failed", "request", a.id, "team", a.team.Name, "class", class, "reason", err.Error())
+		return
+	}
+	l.Log.V(1).Info("request answered", "request", a.id, "team", a.team.Name, "class", class, "microseconds", r.Took.Microseconds())
+}
--- /dev/null
+++ b/internal/edge/listener/settings.go
@@ -0,0 +1,106 @@
+package listener
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusring/crocusring/internal/control/configurer"
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+)
+
+// handleReadSettings answers with the settings below a prefix that the operator
+// may read: all of them, or those of the team and of the platform's models.
+func (l *Listener) handleReadSettings(ctx *fasthttp.RequestCtx) {
+	operator, err := l.operator(ctx)
+	if err != nil {
+		refuse(ctx, "", err)
+		return
+	}
+	answer := l.Tree.Below(string(ctx.QueryArgs().Peek("prefix")))
+	visible := make([]messenger.SettingEntry, 0, len(answer.Entries))
+	for _, e := range answer.Entries {
+		if mayRead(operator, e.Path) {
+			visible = append(visible, e)
+		}
+	}
+	answer.Entries = visible
+	writeJSON(ctx, answer)
+}
+
+func mayRead(operator configurer.Operator, path string) bool {
+	if operator.Team == "" {
+		return true
+	}
+	return strings.HasPrefix(path, "/teams/"+operator.Team+"/") ||
+		strings.HasPrefix(path, "/platform/models/") || strings.HasPrefix(path, "/platform/adapters/")
+}
+
+func (l *Listener) handleChangeSettings(ctx *fasthttp.RequestCtx) {
+	operator, err := l.operator(ctx)
+	if err != nil {
+		refuse(ctx, "", err)
+		return
+	}
+	var req messenger.ChangeRequest
+	dec := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&req); err != nil {
+		refuse(ctx, "", errors.Wrap(errBadRequest, err.Error()))
+		return
+	}
+	if req.OperationID == "" {
+		req.OperationID = rand.Text()
+	}
+	if err := configurer.Check(operator, req.Changes); err != nil {
+		refuse(ctx, "", err)
+		return
+	}
+	revision, err := l.Configurer.Change(req)
+	if err != nil {
+		l.refuseChange(ctx, err)
+		return
+	}
+	l.Log.Info("settings accepted", "revision", revision, "operation", req.OperationID, "team", operator.Team)
+	writeJSON(ctx, messenger.ChangeAnswer{Revision: revision, Pending: l.Accepted(revision)})
+}
+
+func (l *Listener) refuseChange(ctx *fasthttp.RequestCtx, err error) {
+	status, refusal := refusalOf(err, l.now())
+	var conflict *configurer.ConflictError
+	if errors.As(err, &conflict) {
+		refusal.Path = conflict.Path
+	}
+	writeRefusal(ctx, status, refusal)
+}
+
+func (l *Listener) handleHeartbeat(ctx *fasthttp.RequestCtx) {
+	if !l.isPeer(ctx) {
+		refuse(ctx, "", errUnauthorized)
+		return
+	}
+	var hb messenger.Heartbeat
+	if err := json.Unmarshal(ctx.PostBody(), &hb); err != nil {
+		refuse(ctx, "", errors.Wrap(errBadRequest, err.Error()))
+		return
+	}
+	writeJSON(ctx, l.Exchanger.Answer(hb))
+}
+
+func (l *Listener) handlePeerSettings(ctx *fasthttp.RequestCtx) {
+	if !l.isPeer(ctx) {
+		refuse(ctx, "", errUnauthorized)
+		return
+	}
+	since, err := strconv.ParseInt(string(ctx.QueryArgs().Peek("since")), 10, 64)
+	if err != nil {
+		refuse(ctx, "", errors.Wrap(errBadRequest, err.Error()))
+		return
+	}
+	writeJSON(ctx, l.Tree.Since(since))
+}
--- /dev/null
+++ b/internal/edge/streamer/streamer.go
@@ -0,0 +1,283 @@
+// Package streamer is the client of an engine's chat interface. It checks that
+// an answer belongs to its request before it hands out a byte of it, and tells
+// a whole answer from one that was cut.
+package streamer
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusring/crocusring/internal/edge/connector"
+)
+
+var (
+	// ErrRefused tells that the engine says that it ran no part of the request.
+	ErrRefused = errors.New("engine refused request")
+	// ErrFailed tells that the engine answered with an error of its own; the
+	// request may have run.
+	ErrFailed = errors.New("engine failed")
+	// ErrCrossed tells that an answer belongs to another request.
+	ErrCrossed = errors.New("answer belongs to another request")
+	// ErrTruncated tells that an answer ended without its end marker.
+	ErrTruncated = errors.New("answer has no end marker")
+)
+
+// RejectedError is an engine's final answer to a request that it finds faulty.
+type RejectedError struct {
+	Status int
+	Body   []byte
+}
+
+func (e *RejectedError) Error() string {
+	return "engine rejected request with status " + strconv.Itoa(e.Status)
+}
+
+const (
+	headerRequestID  = "X-Request-Id"
+	headerRequestKey = "X-Request-Key"
+	headerPriority   = "X-Priority"
+	headerNotRun     = "X-Not-Run"
+	headerResume     = "Last-Event-ID"
+	pathChat         = "/v1/chat/completions"
+	maxWholeBytes    = 32 << 20
+	eventBufferBytes = 4 << 10
+	maxEventBytes    = 1 << 20
+)
+
+// Call describes one request to an engine.
+type Call struct {
+	ID       string
+	Key      string
+	Body     []byte
+	Priority int
+	// Next is the index of the first token wanted; tokens before it were
+	// received from an earlier stream.
+	Next int
+	// Fresh asks for a connection of its own.
+	Fresh bool
+	// FirstByte, Until and Gap are as in connector.Call.
+	FirstByte time.Time
+	Until     time.Time
+	Gap       time.Duration
+}
+
+// Client talks to engines over one connection pool for each.
+type Client struct {
+	mu    sync.Mutex
+	pools map[string]*connector.Pool
+}
+
+// New returns a client.
+func New() *Client {
+	return &Client{pools: map[string]*connector.Pool{}}
+}
+
+// Pool returns the connection pool for an address.
+func (c *Client) Pool(address string) *connector.Pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pool := c.pools[address]
+	if pool == nil {
+		pool = connector.New(address)
+		c.pools[address] = pool
+	}
+	return pool
+}
+
+// Whole sends a request that is answered in one piece and returns the body.
+func (c *Client) Whole(address string, call Call) ([]byte, error) {
+	answer, err := c.send(address, call)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(io.LimitReader(answer, maxWholeBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxWholeBytes {
+		return nil, errors.Wrap(ErrFailed, "answer too large")
+	}
+	return body, nil
+}
+
+// Start sends a request that is answered by a stream of events. The caller must
+// close the stream.
+func (c *Client) Start(address string, call Call) (*Stream, error) {
+	answer, err := c.send(address, call)
+	if err != nil {
+		return nil, err
+	}
+	return &Stream{
+		id:     []byte(call.ID),
+		next:   call.Next,
+		answer: answer,
+		reader: bufio.NewReaderSize(answer, eventBufferBytes),
+	}, nil
+}
+
+func (c *Client) send(address string, call Call) (*connector.Answer, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + address + pathChat)
+	req.Header.SetContentType("application/json")
+	req.Header.Set(headerRequestID, call.ID)
+	req.Header.Set(headerPriority, strconv.Itoa(call.Priority))
+	if call.Key != "" {
+		req.Header.Set(headerRequestKey, call.Key)
+	}
+	if call.Next > 0 {
+		req.Header.Set(headerResume, call.ID+":"+strconv.Itoa(call.Next-1))
+	}
+	req.SetBodyRaw(call.Body)
+	answer, err := c.Pool(address).Do(connector.Call{
+		Request: req, Fresh: call.Fresh, FirstByte: call.FirstByte, Until: call.Until, Gap: call.Gap,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := check(answer, call.ID); err != nil {
+		answer.Discard()
+		return nil, err
+	}
+	return answer, nil
+}
+
+// check tells whether the head of an answer is that of a running request.
+func check(answer *connector.Answer, id string) error {
+	if string(answer.Header.Peek(headerRequestID)) != id {
+		return errors.Wrapf(ErrCrossed, "want %q, got %q", id, answer.Header.Peek(headerRequestID))
+	}
+	status := answer.Header.StatusCode()
+	switch {
+	case status == fasthttp.StatusOK:
+		return nil
+	case string(answer.Header.Peek(headerNotRun)) == "true":
+		return errors.Wrapf(ErrRefused, "status %d", status)
+	case status >= fasthttp.StatusBadRequest && status < fasthttp.StatusInternalServerError:
+		body, err := io.ReadAll(io.LimitReader(answer, eventBufferBytes))
+		if err != nil {
+			return err
+		}
+		return &RejectedError{Status: status, Body: body}
+	default:
+		return errors.Wrapf(ErrFailed, "status %d", status)
+	}
+}
+
+// Event is one event of a stream. Data is the text of the event and is valid
+// until the next call of Next.
+type Event struct {
+	Index int
+	Data  []byte
+}
+
+// Stream is a running answer.
+type Stream struct {
+	id     []byte
+	next   int
+	answer *connector.Answer
+	reader *bufio.Reader
+	data   []byte
+}
+
+// endMarker is the text of the last event of a whole answer.
+var endMarker = []byte("[DONE]")
+
+// Next returns the next event that was not received before. The error is io.EOF
+// after the end marker, and ErrTruncated, ErrCrossed or one of the connector's
+// errors where the stream cannot go on.
+func (s *Stream) Next() (Event, error) {
+	for {
+		index, err := s.readEvent()
+		if err != nil {
+			return Event{}, err
+		}
+		switch {
+		case bytes.Equal(s.data, endMarker):
+			return Event{}, s.finish()
+		case index < s.next:
+			continue // a resumed stream may start early
+		case index > s.next:
+			return Event{}, errors.Wrapf(ErrTruncated, "token %d is missing", s.next)
+		}
+		s.next++
+		return Event{Index: index, Data: s.data}, nil
+	}
+}
+
+// finish reads the rest of the body, so that the connection can be used again.
+func (s *Stream) finish() error {
+	n, err := io.Copy(io.Discard, io.LimitReader(s.reader, eventBufferBytes))
+	if err != nil || n > 0 {
+		s.answer.Discard()
+	}
+	return io.EOF
+}
+
+// readEvent reads one event into data and returns its index.
+func (s *Stream) readEvent() (int, error) {
+	s.data = s.data[:0]
+	index := -1
+	for {
+		line, err := s.reader.ReadSlice('\n')
+		if err == io.EOF {
+			return 0, ErrTruncated
+		}
+		if err != nil {
+			return 0, err
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			if len(s.data) > 0 {
+				return index, nil
+			}
+			continue
+		}
+		if err := s.addLine(line, &index); err != nil {
+			return 0, err
+		}
+	}
+}
+
+func (s *Stream) addLine(line []byte, index *int) error {
+	field, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(field) {
+	case "id":
+		id, number, _ := bytes.Cut(value, []byte(":"))
+		if !bytes.Equal(id, s.id) {
+			return errors.Wrapf(ErrCrossed, "event of %q in the stream of %q", id, s.id)
+		}
+		n, err := strconv.Atoi(string(number))
+		if err != nil {
+			return errors.Wrapf(ErrTruncated, "event number %q", number)
+		}
+		*index = n
+	case "data":
+		if len(s.data)+len(value) > maxEventBytes {
+			return errors.Wrap(ErrFailed, "event too large")
+		}
+		s.data = append(s.data, value...)
+	}
+	return nil
+}
+
+// Buffered reports whether a further event has begun to arrive already.
+func (s *Stream) Buffered() bool {
+	return s.reader.Buffered() > 0
+}
+
+// Close ends the stream. A stream that has not come to its end marker is
+// cancelled at the engine by closing its connection.
+func (s *Stream) Close() {
+	s.answer.Close()
+}
--- /dev/null
+++ b/internal/fake/engineer/engineer.go
@@ -0,0 +1,393 @@
+// Package engineer is a small stand-in for a model engine, over HTTP. It
+// batches requests up to a number of slots by priority, keeps a bounded prefix
+// cache, takes orders with or without a look at their fencing numbers, reports
+// its load with a lag, and misbehaves on demand.
+package engineer
+
+import (
+	"cmp"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+)
+
+// States of a holding.
+const (
+	stateLoading = "Loading"
+	stateLoaded  = "Loaded"
+)
+
+// Kinds of order.
+const (
+	orderLoad   = "Load"
+	orderUnload = "Unload"
+	orderRole   = "Role"
+)
+
+const (
+	defaultSlots         = 16
+	defaultTokenInterval = time.Millisecond
+	defaultReportLag     = 100 * time.Millisecond
+	defaultLoadTime      = 50 * time.Millisecond
+	defaultRestartTime   = 300 * time.Millisecond
+	mostAppliedOrders    = 64 // order IDs kept for the report
+)
+
+// Fault says how the engine misbehaves at the moment.
+type Fault struct {
+	// LoseOrders is the number of following orders that are dropped without effect.
+	LoseOrders int
+	// LoseOrderAnswers is the number of following orders that take effect and
+	// whose answer is lost.
+	LoseOrderAnswers int
+	// DelayOrders is added before each order is carried out.
+	DelayOrders time.Duration
+	// CrossAnswers is the number of following chat answers that carry the ID of
+	// another request.
+	CrossAnswers int
+	// CutStreams is the number of following streams that are cut after half of their tokens.
+	CutStreams int
+	// ReadAndClose is the number of following chat requests that are read and
+	// then dropped with their connection.
+	ReadAndClose int
+	// SilentConnections makes connections open now silent for good; new ones work.
+	SilentConnections bool
+}
+
+// Execution is one start of a chat request at the engine.
+type Execution struct {
+	RequestID   string
+	Key         string
+	Model       string
+	From        int
+	Incarnation string
+}
+
+// Engine is the stand-in. Its methods may be called while it serves.
+type Engine struct {
+	mu sync.Mutex
+
+	id            string
+	generation    int
+	memoryBytes   int64
+	slots         int
+	tokenInterval time.Duration
+	reportLag     time.Duration
+	loadTime      time.Duration
+	restartTime   time.Duration
+	checksFencing bool
+	onCrash       func()
+
+	role       string
+	holdings   []messenger.EngineHolding
+	applied    []string
+	highest    int64
+	running    int
+	waiting    []*waiter
+	leaving    bool
+	crashed    bool
+	maxOver    int64
+	fault      Fault
+	cache      prefixCache
+	reports    []timedReport
+	executions []Execution
+
+	listener *trackedListener
+	server   *fasthttp.Server
+	quit     chan struct{}
+	quitOnce sync.Once
+}
+
+type timedReport struct {
+	at     time.Time
+	report messenger.EngineReport
+}
+
+// Option configures an Engine.
+type Option func(*Engine)
+
+// WithMemory sets the accelerator memory in bytes.
+func WithMemory(bytes int64) Option { return func(e *Engine) { e.memoryBytes = bytes } }
+
+// WithFencing makes the engine refuse orders with an old fencing number.
+func WithFencing(on bool) Option { return func(e *Engine) { e.checksFencing = on } }
+
+// WithTokenInterval sets the time between two tokens of a stream; 0 sends them at once.
+func WithTokenInterval(d time.Duration) Option { return func(e *Engine) { e.tokenInterval = d } }
+
+// WithSlots sets how many requests run at once.
+func WithSlots(n int) Option { return func(e *Engine) { e.slots = n } }
+
+// WithLoadTime sets how long a model takes to load.
+func WithLoadTime(d time.Duration) Option { return func(e *Engine) { e.loadTime = d } }
+
+// WithReportLag sets how old reports are.
+func WithReportLag(d time.Duration) Option { return func(e *Engine) { e.reportLag = d } }
+
+// WithCrash replaces the restart within the process that follows a crash.
+func WithCrash(f func()) Option { return func(e *Engine) { e.onCrash = f } }
+
+// New returns an engine that holds no model.
+func New(id string, opts ...Option) *Engine {
+	const gibibyte = 1 << 30
+	e := &Engine{
+		id:            id,
+		generation:    int(time.Now().UnixNano() % 1_000_000),
+		memoryBytes:   80 * gibibyte,
+		slots:         defaultSlots,
+		tokenInterval: defaultTokenInterval,
+		reportLag:     defaultReportLag,
+		loadTime:      defaultLoadTime,
+		restartTime:   defaultRestartTime,
+		role:          "Serve",
+		cache:         prefixCache{mostBytes: gibibyte},
+		quit:          make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(e)
+	}
+	e.server = &fasthttp.Server{Handler: e.handle, NoDefaultServerHeader: true, CloseOnShutdown: true}
+	return e
+}
+
+// Serve answers requests on ln until Close.
+func (e *Engine) Serve(ln net.Listener) error {
+	tracked := &trackedListener{Listener: ln}
+	e.mu.Lock()
+	e.listener = tracked
+	e.mu.Unlock()
+	return e.server.Serve(tracked)
+}
+
+// Close stops the stand-in at once.
+func (e *Engine) Close() error {
+	e.quitOnce.Do(func() { close(e.quit) })
+	e.mu.Lock()
+	ln := e.listener
+	e.mu.Unlock()
+	if ln == nil {
+		return nil
+	}
+	err := ln.Close()
+	ln.closeAll()
+	return err
+}
+
+// SetFault replaces the present fault.
+func (e *Engine) SetFault(f Fault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fault = f
+	if f.SilentConnections && e.listener != nil {
+		e.listener.silenceAll()
+	}
+}
+
+// SetLeaving makes the engine report that it leaves.
+func (e *Engine) SetLeaving(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = on
+}
+
+// Executions returns the chat requests started so far, in order.
+func (e *Engine) Executions() []Execution {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.executions)
+}
+
+// MaxOvercommit returns the largest number of bytes held beyond the memory.
+func (e *Engine) MaxOvercommit() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.maxOver
+}
+
+// Crash ends all connections and forgets all state, as a restart of the
+// process does.
+func (e *Engine) Crash() {
+	if e.onCrash != nil {
+		e.onCrash()
+		return
+	}
+	e.mu.Lock()
+	if e.crashed {
+		e.mu.Unlock()
+		return
+	}
+	e.crashed = true
+	e.generation++
+	e.holdings = nil
+	e.applied = nil
+	e.highest = 0
+	e.reports = nil
+	e.cache.clear()
+	ln := e.listener
+	e.mu.Unlock()
+	ln.refuse(true)
+	ln.closeAll()
+	time.AfterFunc(e.restartTime, func() {
+		e.mu.Lock()
+		e.crashed = false
+		e.mu.Unlock()
+		ln.refuse(false)
+	})
+}
+
+func (e *Engine) incarnation() string {
+	return fmt.Sprintf("%s-%d", e.id, e.generation)
+}
+
+func (e *Engine) usedBytes() int64 {
+	var used int64
+	for _, h := range e.holdings {
+		used += h.Bytes
+	}
+	return used
+}
+
+// report returns the newest report that is at least reportLag old, or the
+// oldest known.
+func (e *Engine) report(now time.Time) messenger.EngineReport {
+	e.reports = append(e.reports, timedReport{at: now, report: e.presentReport()})
+	limit := now.Add(-e.reportLag)
+	newest := 0
+	for i, r := range e.reports {
+		if !r.at.After(limit) {
+			newest = i
+		}
+	}
+	e.reports = e.reports[newest:]
+	return e.reports[0].report
+}
+
+func (e *Engine) presentReport() messenger.EngineReport {
+	return messenger.EngineReport{
+		Target:          e.id,
+		Incarnation:     e.incarnation(),
+		Role:            e.role,
+		MemoryBytes:     e.memoryBytes,
+		UsedBytes:       e.usedBytes(),
+		CacheBytes:      e.cache.bytes,
+		Running:         e.running,
+		Queued:          len(e.waiting),
+		Leaving:         e.leaving,
+		HighestFence:    e.highest,
+		OvercommitBytes: e.maxOver,
+		Holdings:        slices.Clone(e.holdings),
+		AppliedOrders:   slices.Clone(e.applied),
+		EventSequence:   e.cache.sequence,
+	}
+}
+
+// apply carries out an order and returns its result.
+func (e *Engine) apply(order messenger.EngineOrder) messenger.EngineOrderResult {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	result := messenger.EngineOrderResult{ID: order.ID, HighestFence: e.highest}
+	if e.checksFencing && order.Fence < e.highest {
+		result.Refusal = "OldFence"
+		return result
+	}
+	e.highest = max(e.highest, order.Fence)
+	result.HighestFence = e.highest
+	switch order.Kind {
+	case orderLoad:
+		e.load(order)
+	case orderUnload:
+		e.unload(order)
+	case orderRole:
+		e.role = order.Role
+	default:
+		result.Refusal = "UnknownKind"
+		return result
+	}
+	result.Applied = true
+	e.applied = append(e.applied, order.ID)
+	if len(e.applied) > mostAppliedOrders {
+		e.applied = e.applied[1:]
+	}
+	return result
+}
+
+func (e *Engine) find(model, adapter, version string) int {
+	return slices.IndexFunc(e.holdings, func(h messenger.EngineHolding) bool {
+		return h.Model == model && h.Adapter == adapter && h.Version == version
+	})
+}
+
+func (e *Engine) load(order messenger.EngineOrder) {
+	if e.find(order.Model, order.Adapter, order.Version) >= 0 {
+		return
+	}
+	e.holdings = append(e.holdings, messenger.EngineHolding{
+		Model: order.Model, Adapter: order.Adapter, Version: order.Version, Bytes: order.Bytes, State: stateLoading,
+	})
+	e.maxOver = max(e.maxOver, e.usedBytes()-e.memoryBytes)
+	generation := e.generation
+	wait := e.loadTime
+	if order.Adapter != "" {
+		const adapterShare = 10 // an adapter loads in a tenth of a model's time
+		wait /= adapterShare
+	}
+	time.AfterFunc(wait, func() { e.finishLoad(generation, order) })
+}
+
+func (e *Engine) finishLoad(generation int, order messenger.EngineOrder) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.generation != generation {
+		return
+	}
+	if i := e.find(order.Model, order.Adapter, order.Version); i >= 0 {
+		e.holdings[i].State = stateLoaded
+	}
+}
+
+func (e *Engine) unload(order messenger.EngineOrder) {
+	if i := e.find(order.Model, order.Adapter, order.Version); i >= 0 {
+		e.holdings = slices.Delete(e.holdings, i, i+1)
+	}
+}
+
+// waiter is a request that waits for a slot.
+type waiter struct {
+	priority int
+	ready    chan struct{}
+}
+
+// acquire waits for a slot, the highest priority first.
+func (e *Engine) acquire(priority int) {
+	e.mu.Lock()
+	if e.running < e.slots {
+		e.running++
+		e.mu.Unlock()
+		return
+	}
+	w := &waiter{priority: priority, ready: make(chan struct{})}
+	e.waiting = append(e.waiting, w)
+	slices.SortStableFunc(e.waiting, func(a, b *waiter) int { return cmp.Compare(b.priority, a.priority) })
+	e.mu.Unlock()
+	select {
+	case <-w.ready:
+	case <-e.quit:
+	}
+}
+
+func (e *Engine) release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.waiting) == 0 {
+		e.running--
+		return
+	}
+	close(e.waiting[0].ready)
+	e.waiting = e.waiting[1:]
+}
--- /dev/null
+++ b/internal/request/deduper/entry.go
@@ -0,0 +1,167 @@
+package deduper
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrNotRun tells that the request of an entry ended without having run.
+var ErrNotRun = errors.New("keyed request was not run")
+
+// Head is the head of a recorded answer.
+type Head struct {
+	Status      int
+	ContentType string
+}
+
+// Entry is one keyed request at its home. The one who runs the request records
+// the answer; all who sent it read the record from its start, so that each gets
+// the whole answer.
+type Entry struct {
+	deadline time.Time
+
+	mu      sync.Mutex
+	claimed bool
+	begun   bool
+	head    Head
+	body    []byte
+	ended   bool
+	// notRun holds the refusal of a request that was not run; a further send
+	// may start it again.
+	notRun  error
+	changed chan struct{}
+}
+
+// IsClaimed reports whether the table service binds the key to this home.
+func (e *Entry) IsClaimed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.claimed
+}
+
+// SetClaimed notes that the table service binds the key to this home.
+func (e *Entry) SetClaimed() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.claimed = true
+}
+
+// Begin records the head of the answer.
+func (e *Entry) Begin(head Head) {
+	e.change(func() {
+		e.head = head
+		e.begun = true
+	})
+}
+
+// Append records a part of the body.
+func (e *Entry) Append(part []byte) {
+	e.change(func() { e.body = append(e.body, part...) })
+}
+
+// End records that the answer is complete.
+func (e *Entry) End() {
+	e.change(func() { e.ended = true })
+}
+
+// Refuse records that the request was not run, for the reason err.
+func (e *Entry) Refuse(err error) {
+	e.change(func() {
+		e.ended = true
+		e.notRun = err
+	})
+}
+
+func (e *Entry) change(f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f()
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// restart makes an entry whose request was not run ready to be run again.
+func (e *Entry) restart() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.notRun == nil {
+		return false
+	}
+	e.notRun = nil
+	e.ended = false
+	return true
+}
+
+func (e *Entry) isEnded() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ended
+}
+
+// Reader reads the record of an entry from its start.
+type Reader struct {
+	entry *Entry
+	read  int
+}
+
+// Reader returns a reader at the start of the record.
+func (e *Entry) Reader() *Reader {
+	return &Reader{entry: e}
+}
+
+// ErrWaitedTooLong tells that the record did not go on until the deadline of the reader.
+var ErrWaitedTooLong = errors.New("keyed request still runs")
+
+// Head waits for the head of the answer until deadline. The error is the refusal
+// of a request that was not run, or ErrWaitedTooLong.
+func (r *Reader) Head(deadline time.Time) (Head, error) {
+	e := r.entry
+	for {
+		e.mu.Lock()
+		head, begun, refusal, changed := e.head, e.begun, e.notRun, e.changed
+		e.mu.Unlock()
+		if refusal != nil {
+			return Head{}, refusal
+		}
+		if begun {
+			return head, nil
+		}
+		if !wait(changed, deadline) {
+			return Head{}, ErrWaitedTooLong
+		}
+	}
+}
+
+// Next waits for the next part of the body until deadline. It returns nil at the
+// end of the answer. The error is ErrWaitedTooLong.
+func (r *Reader) Next(deadline time.Time) ([]byte, error) {
+	e := r.entry
+	for {
+		e.mu.Lock()
+		part, ended, changed := e.body[r.read:], e.ended, e.changed
+		e.mu.Unlock()
+		if len(part) > 0 {
+			r.read += len(part)
+			return part, nil
+		}
+		if ended {
+			return nil, nil
+		}
+		if !wait(changed, deadline) {
+			return nil, ErrWaitedTooLong
+		}
+	}
+}
+
+func wait(changed <-chan struct{}, deadline time.Time) bool {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/request/dispatcher/dispatcher.go
@@ -0,0 +1,319 @@
+// Package dispatcher carries one admitted request from its first target to its
+// whole answer: it sends, watches, resumes, and ends with the answer or with a
+// failure that says what is known about the request.
+package dispatcher
+
+import (
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/crocusring/crocusring/internal/edge/connector"
+	"github.com/crocusring/crocusring/internal/edge/forwarder"
+	"github.com/crocusring/crocusring/internal/edge/streamer"
+	"github.com/crocusring/crocusring/internal/request/quarantiner"
+	"github.com/crocusring/crocusring/internal/request/router"
+	"github.com/crocusring/crocusring/internal/state/keeper"
+)
+
+var (
+	// ErrNotRun tells that no target ran any part of the request.
+	ErrNotRun = errors.New("request was not run")
+	// ErrUnknown tells that a target may have run the request or a part of it.
+	ErrUnknown = errors.New("outcome of request unknown")
+	// ErrDeadline tells that the deadline of the request has passed.
+	ErrDeadline = errors.New("deadline of request passed")
+)
+
+// FailureError is the final word on a request that has no whole answer. It matches
+// ErrNotRun or ErrUnknown, and its cause.
+type FailureError struct {
+	Ran   bool
+	Cause error
+}
+
+func (e *FailureError) Error() string { return e.outcome().Error() + ": " + e.Cause.Error() }
+
+func (e *FailureError) outcome() error {
+	if e.Ran {
+		return ErrUnknown
+	}
+	return ErrNotRun
+}
+
+// Is reports whether target is the outcome that the failure tells.
+func (e *FailureError) Is(target error) bool { return target == e.outcome() }
+
+// Unwrap returns the cause.
+func (e *FailureError) Unwrap() error { return e.Cause }
+
+const (
+	mostAttempts   = 4
+	firstByteLimit = 5 * time.Second
+	gapLimit       = 2 * time.Second
+)
+
+// Job is one request to a model.
+type Job struct {
+	ID          string
+	Key         string
+	Name        keeper.Name
+	Body        []byte
+	Priority    int
+	Deadline    time.Time
+	Repeatable  bool
+	Fingerprint quarantiner.Fingerprint
+}
+
+// Dispatcher sends requests to targets.
+type Dispatcher struct {
+	fleet       *keeper.Fleet
+	engines     *streamer.Client
+	services    *forwarder.Client
+	quarantiner *quarantiner.Quarantiner
+	dataCentre  string
+	now         func() time.Time
+	firstByte   time.Duration
+	gap         time.Duration
+}
+
+// Option configures a Dispatcher.
+type Option func(*Dispatcher)
+
+// WithSilenceLimits bounds the wait for the head of an answer and the gap
+// between two tokens.
+func WithSilenceLimits(firstByte, gap time.Duration) Option {
+	return func(d *Dispatcher) {
+		d.firstByte = firstByte
+		d.gap = gap
+	}
+}
+
+// New returns a dispatcher of an instance in dataCentre.
+func New(fleet *keeper.Fleet, q *quarantiner.Quarantiner, dataCentre string, opts ...Option) *Dispatcher {
+	d := &Dispatcher{
+		fleet:       fleet,
+		engines:     streamer.New(),
+		services:    forwarder.New(),
+		quarantiner: q,
+		dataCentre:  dataCentre,
+		now:         time.Now,
+		firstByte:   firstByteLimit,
+		gap:         gapLimit,
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
+}
+
+// attempts is what a request has behind it.
+type attempts struct {
+	count int
+	tried []string
+	// ran is set once a target may have run any part of the request.
+	ran  bool
+	last error
+}
+
+func (a *attempts) failure() error {
+	cause := a.last
+	if cause == nil {
+		cause = router.ErrNoTarget
+	}
+	return &FailureError{Ran: a.ran, Cause: cause}
+}
+
+// note records the end of an attempt on a target and reports whether another
+// may follow.
+func (a *attempts) note(target string, err error, repeatable bool) bool {
+	a.count++
+	a.last = err
+	a.tried = append(a.tried, target)
+	if !isNotRun(err) {
+		a.ran = true
+	}
+	if a.ran && !repeatable {
+		return false
+	}
+	return a.count < mostAttempts
+}
+
+func isNotRun(err error) bool {
+	return errors.Is(err, connector.ErrNotSent) || errors.Is(err, streamer.ErrRefused)
+}
+
+func isCrash(err error) bool {
+	return errors.Is(err, connector.ErrCut)
+}
+
+// pick chooses a target and counts the request on it. The caller must call
+// leave.
+func (d *Dispatcher) pick(job *Job, a *attempts) (*keeper.Target, error) {
+	now := d.now()
+	if !now.Before(job.Deadline) {
+		return nil, ErrDeadline
+	}
+	if err := d.quarantiner.Check(now, job.Fingerprint); err != nil {
+		return nil, err
+	}
+	for {
+		target, err := router.Pick(now, d.fleet.View().Holders(job.Name), router.Ask{
+			Name: job.Name, DataCentre: d.dataCentre, Tried: a.tried, Seed: rand.Uint64(),
+		})
+		if err != nil {
+			return nil, err
+		}
+		if err := d.quarantiner.Begin(target.ID, job.Fingerprint); err != nil {
+			a.tried = append(a.tried, target.ID)
+			continue
+		}
+		target.Counter.InFlight.Add(1)
+		target.Counter.SentAfterReport.Add(1)
+		return target, nil
+	}
+}
+
+// leave ends the count of a request on a target. err is how the attempt ended.
+func (d *Dispatcher) leave(target *keeper.Target, job *Job, err error) {
+	if isCrash(err) {
+		d.quarantiner.Crashed(d.now(), target.ID, job.Fingerprint)
+	}
+	d.quarantiner.End(target.ID, job.Fingerprint)
+	target.Counter.InFlight.Add(-1)
+}
+
+func (d *Dispatcher) call(job *Job, next int) streamer.Call {
+	firstByte := d.now().Add(d.firstByte)
+	if job.Deadline.Before(firstByte) {
+		firstByte = job.Deadline
+	}
+	return streamer.Call{
+		ID: job.ID, Key: job.Key, Body: job.Body, Priority: job.Priority, Next: next,
+		Fresh: !job.Repeatable, FirstByte: firstByte, Until: job.Deadline, Gap: d.gap,
+	}
+}
+
+// Whole runs a request that is answered in one piece. The error is a *FailureError
+// or a *streamer.RejectedError.
+func (d *Dispatcher) Whole(job *Job) ([]byte, error) {
+	a := &attempts{}
+	for {
+		target, err := d.pick(job, a)
+		if err != nil {
+			return nil, a.giveUp(err)
+		}
+		call := d.call(job, 0)
+		// The head of an answer in one piece comes with its body.
+		call.FirstByte = job.Deadline
+		body, err := d.engines.Whole(target.Address, call)
+		d.leave(target, job, err)
+		if err == nil || isRejected(err) {
+			return body, err
+		}
+		if !a.note(target.ID, err, job.Repeatable) {
+			return nil, a.failure()
+		}
+	}
+}
+
+// giveUp returns the failure of a request for which no further target was found.
+func (a *attempts) giveUp(err error) error {
+	if a.last == nil || !errors.Is(err, router.ErrNoTarget) {
+		a.last = err
+	}
+	return a.failure()
+}
+
+func isRejected(err error) bool {
+	var rejected *streamer.RejectedError
+	return errors.As(err, &rejected)
+}
+
+// Stream is a running answer to a request, over as many targets as it takes.
+type Stream struct {
+	dispatcher *Dispatcher
+	job        *Job
+	attempts   attempts
+	target     *keeper.Target
+	stream     *streamer.Stream
+	next       int
+}
+
+// Start runs a request that is answered by a stream. The caller must close it.
+// The error is a *FailureError or a *streamer.RejectedError.
+func (d *Dispatcher) Start(job *Job) (*Stream, error) {
+	s := &Stream{dispatcher: d, job: job}
+	if err := s.connect(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// connect starts or resumes the request on a target.
+func (s *Stream) connect() error {
+	d := s.dispatcher
+	for {
+		target, err := d.pick(s.job, &s.attempts)
+		if err != nil {
+			return s.attempts.giveUp(err)
+		}
+		stream, err := d.engines.Start(target.Address, d.call(s.job, s.next))
+		if err == nil {
+			s.target = target
+			s.stream = stream
+			return nil
+		}
+		d.leave(target, s.job, err)
+		if isRejected(err) {
+			return err
+		}
+		if !s.attempts.note(target.ID, err, s.job.Repeatable) {
+			return s.attempts.failure()
+		}
+	}
+}
+
+// Next returns the text of the next event, valid until the next call. The error
+// is io.EOF after a whole answer and a *FailureError otherwise. A stream that was cut
+// goes on at the next token on another target if the request may be repeated.
+func (s *Stream) Next() ([]byte, error) {
+	for {
+		event, err := s.stream.Next()
+		if err == nil {
+			s.next++
+			return event.Data, nil
+		}
+		s.disconnect(err)
+		if errors.Is(err, io.EOF) {
+			return nil, io.EOF
+		}
+		if !s.attempts.note(s.targetID(), err, s.job.Repeatable) {
+			return nil, s.attempts.failure()
+		}
+		if err := s.connect(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (s *Stream) targetID() string { return s.target.ID }
+
+// Buffered reports whether a further event has begun to arrive already.
+func (s *Stream) Buffered() bool { return s.stream != nil && s.stream.Buffered() }
+
+func (s *Stream) disconnect(err error) {
+	if s.stream == nil {
+		return
+	}
+	s.stream.Close()
+	s.stream = nil
+	s.dispatcher.leave(s.target, s.job, err)
+}
+
+// Close ends the request. One that is not answered in full is cancelled.
+func (s *Stream) Close() {
+	s.disconnect(nil)
+}
--- /dev/null
+++ b/internal/wire/poster/poster.go
@@ -0,0 +1,130 @@
+// Package poster exchanges JSON messages over HTTP with the platform, engines
+// and peers. It never repeats a request by itself: a caller that may repeat one
+// has to decide so.
+package poster
+
+import (
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+)
+
+var (
+	// ErrNotSent tells that no connection was made, so that the request cannot
+	// have taken effect.
+	ErrNotSent = errors.New("request not sent")
+	// ErrNoAnswer tells that the request may have been sent and that no whole
+	// answer came back, so that it may or may not have taken effect.
+	ErrNoAnswer = errors.New("no answer")
+)
+
+// StatusError is an answer whose status is not 200.
+type StatusError struct {
+	URL    string
+	Status int
+	Body   []byte
+}
+
+func (e *StatusError) Error() string {
+	const most = 200 // bytes of the body shown
+	body := e.Body
+	if len(body) > most {
+		body = body[:most]
+	}
+	return errors.Errorf("%s: status %d: %s", e.URL, e.Status, body).Error()
+}
+
+// Client sends JSON requests. The zero value is not usable; see New.
+type Client struct {
+	http *fasthttp.Client
+}
+
+const (
+	dialTimeout      = 500 * time.Millisecond
+	idleConnection   = 5 * time.Second
+	maxAnswerBytes   = 64 << 20
+	maxConnections   = 64
+	defaultUserAgent = "crocusring"
+)
+
+// New returns a client that repeats nothing.
+func New() *Client {
+	return &Client{http: &fasthttp.Client{
+		Name: defaultUserAgent,
+		Dial: func(addr string) (net.Conn, error) {
+			conn, err := fasthttp.DialTimeout(addr, dialTimeout)
+			if err != nil {
+				return nil, errors.Wrap(ErrNotSent, err.Error())
+			}
+			return conn, nil
+		},
+		MaxConnsPerHost:           maxConnections,
+		MaxIdleConnDuration:       idleConnection,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
+			return false, false
+		},
+		MaxResponseBodySize: maxAnswerBytes,
+	}}
+}
+
+// Call describes one exchange. In is encoded as the body if it is not nil; Out
+// is decoded from the answer if it is not nil. Token, if set, is sent as bearer
+// token. The exchange ends by Deadline.
+type Call struct {
+	Method   string
+	URL      string
+	Token    string
+	In       any
+	Out      any
+	Deadline time.Time
+}
+
+// Do performs the exchange. The error is ErrNotSent, ErrNoAnswer or a
+// *StatusError, wrapped.
+func (c *Client) Do(call Call) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(call.Method)
+	req.SetRequestURI(call.URL)
+	if call.Token != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+call.Token)
+	}
+	if call.In != nil {
+		body, err := json.Marshal(call.In)
+		if err != nil {
+			return errors.Wrapf(ErrNotSent, "encode request to %s: %v", call.URL, err)
+		}
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(body)
+	}
+	if !time.Now().Before(call.Deadline) {
+		return errors.Wrapf(ErrNotSent, "%s: deadline passed", call.URL)
+	}
+	if err := c.http.DoDeadline(req, resp, call.Deadline); err != nil {
+		return classify(call.URL, err)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		body := append([]byte(nil), resp.Body()...)
+		return &StatusError{URL: call.URL, Status: resp.StatusCode(), Body: body}
+	}
+	if call.Out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(resp.Body(), call.Out); err != nil {
+		return errors.Wrapf(ErrNoAnswer, "decode answer of %s: %v", call.URL, err)
+	}
+	return nil
+}
+
+func classify(url string, err error) error {
+	if errors.Is(err, ErrNotSent) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return errors.Wrapf(ErrNotSent, "%s: %v", url, err)
+	}
+	return errors.Wrapf(ErrNoAnswer, "%s: %v", url, err)
+}
