Plan over an index, with standby copies and divided demand

What: groups and targets are indexed once; first copies, standby copies in other data centres, then copies that relieve overloaded targets; victims by class. Excluded: per-model copy counts from the rate alone, as copies share a target.

--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -4,14 +4,14 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
 	"github.com/crocusring/crocusring/internal/state/keeper"
 )
 
-// Slot is a name that counts against the memory of a target.
+// Slot is a name that counts against the memory of a target. One that is neither
+// stable nor arriving has an open order to unload it.
 type Slot struct {
 	Name  keeper.Name
 	Bytes int64
@@ -33,43 +33,19 @@
 	Usable bool
 }
 
-func (t *Target) freeBytes() int64 {
-	free := t.MemoryBytes
-	for _, s := range t.Slots {
-		free -= s.Bytes
-	}
-	return free
-}
-
-func (t *Target) slot(name keeper.Name) *Slot {
-	for i := range t.Slots {
-		if t.Slots[i].Name == name {
-			return &t.Slots[i]
-		}
-	}
-	return nil
-}
-
-// Policy holds what operators set.
-type Policy struct {
-	// RequestsPerCopy is the rate that one copy of a model serves well.
-	RequestsPerCopy float64
-	// MostMoves bounds the loads and unloads of models that one plan orders.
-	MostMoves int
-}
-
-// DefaultPolicy is used where the settings say nothing.
-func DefaultPolicy() Policy {
-	return Policy{RequestsPerCopy: 8, MostMoves: 4}
-}
-
-// Input is all that a plan depends on. Rates are requests per second by model name.
+// Input is all that a plan depends on.
 type Input struct {
 	Now     time.Time
 	Catalog *keeper.Catalog
 	Targets []Target
-	Rates   map[string]float64
-	Policy  Policy
+	// Rates are the requests per second expected for each model, and for each
+	// adapter under the name MODEL:ADAPTER.
+	Rates map[string]float64
+	// Floors are the requests per second by model that copies are kept for. A
+	// model without a floor has that of its rate.
+	Floors map[string]float64
+	Pace   Pace
+	Policy Policy
 }
 
 // Kind says what a move does.
@@ -91,193 +67,91 @@
 
 // plan is the working state of one run.
 type plan struct {
-	in    Input
-	moves []Move
-	left  int // moves of models that may still be ordered
-}
-
-// Plan returns the moves to order now. No move takes the last copy of a
-// configured model, and no target is given more than its memory.
+	in          Input
+	nodes       []*node // usable targets in the order of their IDs
+	groups      map[keeper.Name]*group
+	models      []*group // configured models, the most demanded first
+	dataCentres int      // with usable targets
+	moves       []Move
+	moveBudget  int // moves of models that may still be ordered
+	loadBudget  int // loads of models that may still be ordered
+	adapters    int // loads of adapters that may still be ordered
+	// reservations are those for adapters, until these are placed.
+	reservations []reservation
+}
+
+// Plan returns the moves to order now, the most valuable first. No move takes
+// the last copy of a configured model or adapter, and no target is given more
+// than its memory.
 func Plan(in Input) []Move {
-	p := &plan{in: in, left: in.Policy.MostMoves}
-	p.in.Targets = cloneTargets(in.Targets)
-	names := slices.Sorted(maps.Keys(in.Catalog.Models))
-	for _, name := range names {
-		p.ensureCopies(in.Catalog.Models[name], 1)
-	}
-	for _, name := range names {
-		p.ensureCopies(in.Catalog.Models[name], in.Catalog.Models[name].Copies)
-	}
-	for _, name := range names {
-		p.ensureCopies(in.Catalog.Models[name], p.wanted(in.Catalog.Models[name]))
+	p := newPlan(in)
+	p.unloadReplaced()
+	p.reserveAdapters()
+	for _, g := range p.models {
+		p.ensureFirst(g)
+	}
+	for copies := 2; copies <= p.mostLeast(); copies++ {
+		for _, g := range p.models {
+			p.ensureStandby(g, min(copies, g.least))
+		}
 	}
-	for _, name := range names {
-		p.placeAdapters(in.Catalog.Models[name])
+	for _, g := range p.models {
+		p.ensureSpread(g)
 	}
-	p.unloadStrangers()
+	p.placeAdapters()
+	p.serveDemand()
 	return p.moves
 }
 
-func cloneTargets(targets []Target) []Target {
-	out := slices.Clone(targets)
-	for i := range out {
-		out[i].Slots = slices.Clone(out[i].Slots)
+// mostLeast is the largest number of copies that any model must have.
+func (p *plan) mostLeast() int {
+	most := 0
+	for _, g := range p.models {
+		most = max(most, g.least)
 	}
-	slices.SortFunc(out, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
-	return out
+	return most
 }
 
-func nameOf(m keeper.Model) keeper.Name {
-	return keeper.Name{Model: m.Name, Version: m.Version}
+// order appends a move.
+func (p *plan) order(kind Kind, n *node, g *group) {
+	p.moves = append(p.moves, Move{Kind: kind, Target: n.target.ID, Name: g.name, Bytes: g.bytesOn(n)})
 }
 
-// wanted is the number of copies that the demand asks for.
-func (p *plan) wanted(m keeper.Model) int {
-	copies := m.Copies
-	if p.in.Policy.RequestsPerCopy > 0 {
-		copies = max(copies, int(p.in.Rates[m.Name]/p.in.Policy.RequestsPerCopy)+1)
-	}
-	if m.MaximumCopies > 0 {
-		copies = min(copies, m.MaximumCopies)
+// load orders a load of a model, or only reserves its memory when no load may be
+// ordered now. Either way the copy counts as coming.
+func (p *plan) load(n *node, g *group) {
+	if n.now >= g.bytes && p.loadBudget > 0 && p.moveBudget > 0 {
+		p.order(Load, n, g)
+		p.loadBudget--
+		p.moveBudget--
+		n.now -= g.bytes
 	}
-	return copies
+	n.later -= g.bytes
+	g.add(n, &Slot{Name: g.name, Bytes: g.bytes, Arriving: true})
 }
 
-// ensureCopies loads a model until it has the copies wanted, in other data
-// centres first. A first copy may displace a spare copy of another model.
-func (p *plan) ensureCopies(m keeper.Model, wanted int) {
-	name := nameOf(m)
-	for p.left > 0 && p.copies(name, true) < wanted {
-		t := p.roomiest(name, m.Bytes)
-		if t == nil {
-			if p.copies(name, true) == 0 {
-				p.displace(m)
-			}
-			return
-		}
-		p.load(t, name, m.Bytes)
-		p.left--
+// unload orders the unload of a copy of a model with its adapters there.
+func (p *plan) unload(n *node, g *group) {
+	for _, a := range n.adaptersOf(g.name) {
+		p.unloadOne(n, p.groups[a.Name])
 	}
+	p.unloadOne(n, g)
 }
 
-// copies counts the targets that hold a name, with or without those that load it.
-func (p *plan) copies(name keeper.Name, arriving bool) int {
-	n := 0
-	for i := range p.in.Targets {
-		s := p.in.Targets[i].slot(name)
-		if s != nil && p.in.Targets[i].Usable && (s.Stable || (arriving && s.Arriving)) {
-			n++
-		}
+func (p *plan) unloadOne(n *node, g *group) {
+	s := n.slots[g.name]
+	if s == nil || !s.Stable {
+		return
 	}
-	return n
-}
-
-func (p *plan) load(t *Target, name keeper.Name, bytes int64) {
-	t.Slots = append(t.Slots, Slot{Name: name, Bytes: bytes, Arriving: true})
-	p.moves = append(p.moves, Move{Kind: Load, Target: t.ID, Name: name, Bytes: bytes})
-}
-
-func (p *plan) unload(t *Target, s *Slot) {
+	p.order(Unload, n, g)
+	n.later += s.Bytes
+	g.remove(n)
 	s.Stable = false
-	p.moves = append(p.moves, Move{Kind: Unload, Target: t.ID, Name: s.Name, Bytes: s.Bytes})
-}
-
-// roomiest returns the target with the most free memory that can take a name,
-// one in a data centre without a copy before others.
-func (p *plan) roomiest(name keeper.Name, bytes int64) *Target {
-	covered := map[string]bool{}
-	for i := range p.in.Targets {
-		if p.in.Targets[i].Usable && p.in.Targets[i].slot(name) != nil {
-			covered[p.in.Targets[i].DataCentre] = true
-		}
-	}
-	var best *Target
-	for i := range p.in.Targets {
-		t := &p.in.Targets[i]
-		if !t.Usable || t.slot(name) != nil || t.freeBytes() < bytes {
-			continue
-		}
-		if best == nil || isBetter(t, best, covered) {
-			best = t
-		}
-	}
-	return best
-}
-
-func isBetter(a, b *Target, covered map[string]bool) bool {
-	if covered[a.DataCentre] != covered[b.DataCentre] {
-		return !covered[a.DataCentre]
-	}
-	return a.freeBytes() > b.freeBytes()
-}
-
-// displace orders the unload of a spare copy, so that a later plan finds room.
-func (p *plan) displace(m keeper.Model) {
-	for i := range p.in.Targets {
-		t := &p.in.Targets[i]
-		if !t.Usable {
-			continue
-		}
-		for j := range t.Slots {
-			s := &t.Slots[j]
-			if s.Stable && s.Name.Adapter == "" && t.freeBytes()+s.Bytes >= m.Bytes && p.copies(s.Name, false) > 1 {
-				p.unload(t, s)
-				p.left--
-				return
-			}
-		}
-	}
-}
-
-// placeAdapters loads the adapters of a model wherever it is and room permits.
-func (p *plan) placeAdapters(m keeper.Model) {
-	base := nameOf(m)
-	for i := range p.in.Targets {
-		t := &p.in.Targets[i]
-		s := t.slot(base)
-		if !t.Usable || s == nil || !s.Stable {
-			continue
-		}
-		for _, a := range p.in.Catalog.Adapters[m.Name] {
-			name := keeper.Name{Model: m.Name, Adapter: a.FullName(), Version: m.Version}
-			if t.slot(name) == nil && t.freeBytes() >= a.Bytes {
-				p.load(t, name, a.Bytes)
-			}
-		}
-	}
 }
 
-// unloadStrangers unloads what is no longer configured. An old version of a
-// model stays until the configured one is loaded somewhere.
-func (p *plan) unloadStrangers() {
-	for i := range p.in.Targets {
-		t := &p.in.Targets[i]
-		if !t.Usable {
-			continue
-		}
-		for j := range t.Slots {
-			s := &t.Slots[j]
-			if s.Stable && !p.isConfigured(s.Name) && p.isReplaced(s.Name) {
-				p.unload(t, s)
-			}
-		}
-	}
-}
-
-func (p *plan) isConfigured(name keeper.Name) bool {
-	m, ok := p.in.Catalog.Models[name.Model]
-	if !ok || m.Version != name.Version {
-		return false
-	}
-	if name.Adapter == "" {
-		return true
-	}
-	return slices.ContainsFunc(p.in.Catalog.Adapters[name.Model], func(a keeper.Adapter) bool {
-		return a.FullName() == name.Adapter
+// sortModels puts the most demanded models first.
+func sortModels(models []*group) {
+	slices.SortFunc(models, func(a, b *group) int {
+		return cmp.Or(cmp.Compare(b.rate, a.rate), cmp.Compare(a.name.Model, b.name.Model))
 	})
 }
-
-func (p *plan) isReplaced(name keeper.Name) bool {
-	m, ok := p.in.Catalog.Models[name.Model]
-	return !ok || p.copies(nameOf(m), false) > 0
-}
--- /dev/null
+++ b/internal/control/planner/policy.go
@@ -0,0 +1,75 @@
+package planner
+
+import (
+	"math"
+	"time"
+)
+
+// Policy holds what operators set.
+type Policy struct {
+	// RequestsPerCopy is the rate that one copy of a model serves well while it
+	// is alone on its target. Copies on one target share it.
+	RequestsPerCopy float64
+	// MostMoves bounds the loads and unloads of models that one plan orders.
+	MostMoves int
+	// StandbyCopies is the least number of copies of each model where memory
+	// permits, in as many data centres.
+	StandbyCopies int
+	// MinimumGain is the rate in requests per second that a further copy must
+	// relieve overloaded targets of.
+	MinimumGain float64
+	// LoadsAtOnce bounds the loads of models that are under way, and
+	// LoadsPerSecond their rate. Zero does not bound.
+	LoadsAtOnce    int
+	LoadsPerSecond float64
+	// AdaptersAtOnce bounds the loads of adapters that are under way. Zero does
+	// not bound.
+	AdaptersAtOnce int
+	// AdapterShare is the part of a target's memory that adapters beyond their
+	// least number of copies may fill.
+	AdapterShare float64
+}
+
+// DefaultPolicy is used where the settings say nothing.
+func DefaultPolicy() Policy {
+	return Policy{
+		RequestsPerCopy: 8, MostMoves: 4, StandbyCopies: 2, MinimumGain: 1,
+		LoadsAtOnce: 2, LoadsPerSecond: 1.5, AdaptersAtOnce: 16, AdapterShare: 0.1,
+	}
+}
+
+const unbounded = math.MaxInt32
+
+// Pace bounds the rate of loads. Its zero value is that of a store that was not
+// used of late.
+type Pace struct {
+	// FullAt is when the store may again take a whole second's loads at once.
+	FullAt time.Time
+}
+
+// left returns the number of loads that may start now.
+func (p Pace) left(now time.Time, perSecond float64) int {
+	if perSecond <= 0 {
+		return unbounded
+	}
+	used := max(0, p.FullAt.Sub(now).Seconds()*perSecond)
+	return max(0, int(math.Ceil(perSecond)-used))
+}
+
+// After returns the pace after loads of models that started now.
+func (p Pace) After(now time.Time, moves []Move, policy Policy) Pace {
+	if policy.LoadsPerSecond <= 0 {
+		return p
+	}
+	loads := 0
+	for _, m := range moves {
+		if m.Kind == Load && m.Name.Adapter == "" {
+			loads++
+		}
+	}
+	from := p.FullAt
+	if from.Before(now) {
+		from = now
+	}
+	return Pace{FullAt: from.Add(time.Duration(float64(loads) / policy.LoadsPerSecond * float64(time.Second)))}
+}
