--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -64,14 +64,14 @@
 	done    chan struct{}
 }
 
-func (p *process) signal(t *testing.T, sig syscall.Signal) {
+func (p *process) signal(t testing.TB, sig syscall.Signal) {
 	t.Helper()
 	require.NoError(t, p.command.Process.Signal(sig))
 }
 
 // cluster is the whole system as separate processes.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	platform *process
 	engines  []*process
 	service  *process
@@ -79,7 +79,7 @@
 	client   *http.Client
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -87,7 +87,7 @@
 	return ln.Addr().String()
 }
 
-func start(t *testing.T, id, address, program string, args ...string) *process {
+func start(t testing.TB, id, address, program string, args ...string) *process {
 	t.Helper()
 	p := &process{id: id, address: address, log: &bytes.Buffer{}, done: make(chan struct{})}
 	p.command = exec.Command(filepath.Join(binaries, program), args...)
@@ -107,7 +107,7 @@
 	return p
 }
 
-func newCluster(t *testing.T, engines, entries int, engineArgs ...string) *cluster {
+func newCluster(t testing.TB, engines, entries int, engineArgs ...string) *cluster {
 	t.Helper()
 	c := &cluster{t: t, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	address := freeAddress(t)
@@ -225,7 +225,7 @@
 	return r.err == nil && r.status == http.StatusOK && strings.HasSuffix(r.body, "data: [DONE]\n\n")
 }
 
-func (r reply) refusal(t *testing.T) messenger.Refusal {
+func (r reply) refusal(t testing.TB) messenger.Refusal {
 	t.Helper()
 	var refusal messenger.Refusal
 	require.NoError(t, json.Unmarshal([]byte(r.body), &refusal), r.body)
