Break connections of instances as of engines

Cause: the demo kills an entry instance inside one process, and only the engine stand-in could reset its open connections. What: the tracked listener moves to internal/fake/breaker and serves both. Excluded: a copy of it. Before and after: TestPathOverProcesses passes. Conclusion: an assembled instance can be killed with its connections.

--- a/internal/fake/assembler/assembler.go
+++ b/internal/fake/assembler/assembler.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/crocusring/crocusring/internal/edge/lister"
+	"github.com/crocusring/crocusring/internal/fake/breaker"
 	"github.com/crocusring/crocusring/internal/fake/engineer"
 	"github.com/crocusring/crocusring/internal/fake/platformer"
 	"github.com/crocusring/crocusring/internal/fake/servicer"
@@ -40,12 +41,19 @@
 	Node    *runner.Node
 	stop    context.CancelFunc
 	done    chan struct{}
-	ln      net.Listener
+	ln      *breaker.Listener
 }
 
 // Stop begins a planned stop. Done is closed once it has ended.
 func (n *Node) Stop() { n.stop() }
 
+// Kill ends the instance and its connections at once, as a crash does.
+func (n *Node) Kill() {
+	n.ln.Refuse(true)
+	n.ln.CloseAll()
+	n.Node.Kill()
+}
+
 // Done is closed once the instance has stopped.
 func (n *Node) Done() <-chan struct{} { return n.done }
 
@@ -187,14 +195,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	node := &Node{
 		ID: settings.Instance, Address: settings.Listen, Node: runner.New(settings, s.log),
-		stop: cancel, done: make(chan struct{}), ln: ln,
+		stop: cancel, done: make(chan struct{}), ln: breaker.New(ln),
 	}
 	s.Platform.SetInstance(messenger.ListedInstance{
 		ID: node.ID, Kind: lister.KindEntry, Address: node.Address, DataCentre: settings.DataCentre, State: stateLive,
 	})
 	s.group.Go(func() error {
 		defer close(node.done)
-		return node.Node.Serve(ctx, ln)
+		return node.Node.Serve(ctx, node.ln)
 	})
 	s.Nodes = append(s.Nodes, node)
 	return node, nil
@@ -231,7 +239,7 @@
 	}
 	_ = s.Platform.Close()
 	for _, n := range s.Nodes {
-		n.Node.Kill()
+		n.Kill()
 	}
 	_ = s.group.Wait()
 }
--- /dev/null
+++ b/internal/fake/breaker/breaker.go
@@ -0,0 +1,105 @@
+// Package breaker breaks connections on demand: it closes them as the crash of a
+// process does, or makes them silent for good while new ones work.
+package breaker
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Listener knows its open connections. See New.
+type Listener struct {
+	net.Listener
+
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	refusing atomic.Bool
+}
+
+// Accept waits for the next connection that is not refused.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.refusing.Load() {
+			accepted.Close()
+			continue
+		}
+		tracked := &conn{Conn: accepted, listener: l, closed: make(chan struct{})}
+		l.mu.Lock()
+		l.conns[tracked] = struct{}{}
+		l.mu.Unlock()
+		return tracked, nil
+	}
+}
+
+// New returns a listener that accepts from ln.
+func New(ln net.Listener) *Listener {
+	return &Listener{Listener: ln, conns: map[*conn]struct{}{}}
+}
+
+// Refuse makes the listener close new connections at once, or take them again.
+func (l *Listener) Refuse(on bool) { l.refusing.Store(on) }
+
+func (l *Listener) all() []*conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conns := make([]*conn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// CloseAll resets all open connections.
+func (l *Listener) CloseAll() {
+	for _, c := range l.all() {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+// SilenceAll makes all open connections silent for good.
+func (l *Listener) SilenceAll() {
+	for _, c := range l.all() {
+		c.silent.Store(true)
+	}
+}
+
+// conn swallows what is written and blocks reads while it is silent.
+type conn struct {
+	net.Conn
+	listener *Listener
+	silent   atomic.Bool
+	once     sync.Once
+	closed   chan struct{}
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.silent.Load() && err == nil {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/internal/fake/engineer/engineer.go
+++ b/internal/fake/engineer/engineer.go
@@ -14,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/crocusring/crocusring/internal/fake/breaker"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
@@ -98,7 +99,7 @@
 	reports    []timedReport
 	executions []Execution
 
-	listener *trackedListener
+	listener *breaker.Listener
 	server   *fasthttp.Server
 	quit     chan struct{}
 	quitOnce sync.Once
@@ -158,7 +159,7 @@
 
 // Serve answers requests on ln until Close.
 func (e *Engine) Serve(ln net.Listener) error {
-	tracked := &trackedListener{Listener: ln}
+	tracked := breaker.New(ln)
 	e.mu.Lock()
 	e.listener = tracked
 	e.mu.Unlock()
@@ -175,7 +176,7 @@
 		return nil
 	}
 	err := ln.Close()
-	ln.closeAll()
+	ln.CloseAll()
 	return err
 }
 
@@ -185,7 +186,7 @@
 	defer e.mu.Unlock()
 	e.fault = f
 	if f.SilentConnections && e.listener != nil {
-		e.listener.silenceAll()
+		e.listener.SilenceAll()
 	}
 }
 
@@ -231,13 +232,13 @@
 	e.cache.clear()
 	ln := e.listener
 	e.mu.Unlock()
-	ln.refuse(true)
-	ln.closeAll()
+	ln.Refuse(true)
+	ln.CloseAll()
 	time.AfterFunc(e.restartTime, func() {
 		e.mu.Lock()
 		e.crashed = false
 		e.mu.Unlock()
-		ln.refuse(false)
+		ln.Refuse(false)
 	})
 }
 
