--- a/cmd/crocusring/main.go
+++ b/cmd/crocusring/main.go
@@ -40,6 +40,7 @@
 type arguments struct {
 	Serve   *serveCommand   `arg:"subcommand:serve" help:"run an entry instance"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check a settings file and report all faults"`
+	Demo    *demoCommand    `arg:"subcommand:demo" help:"run the whole system in one process and show it"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
 
@@ -62,6 +63,8 @@
 		return serve(a.Serve)
 	case a.Check != nil:
 		return check(a.Check)
+	case a.Demo != nil:
+		return demo(a.Demo)
 	case a.Version != nil:
 		fmt.Println("crocusring", version)
 		return exitOK
