Hold the control lease at one instance under pauses and lost answers

Cause: a contender counted the life of the lease from before the read that showed it, so that one paused in between took over while the holder still held it. A renewal whose answer was lost and whose read back failed met its own version at the next renewal and gave the lease up; an acquisition whose answer was lost waited out its own lease. Release and a renewal could cross. Excluded: comparing clocks of instances, and moving the deadline at a read back. Conclusion: one holder at a time, fences rise, transactions of an earlier holder fail. Function fields get and transact are the new seams of leaser.

--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -39,8 +39,11 @@
 type Leaser struct {
 	instance    string
 	incarnation string
-	tables      *transactor.Client
 	now         func() time.Time
+	get         func(table, key string) (messenger.Row, error)
+	transact    func(messenger.TransactRequest) error
+
+	turn sync.Mutex // held by Tick and Release, over their calls to the table service
 
 	mu           sync.Mutex
 	record       Record
@@ -51,11 +54,14 @@
 	// heldUntil is the deadline until which this instance may act as holder.
 	heldUntil time.Time
 	renewAt   time.Time
+	released  bool
 }
 
 // New returns a leaser that holds nothing.
 func New(instance, incarnation string, tables *transactor.Client) *Leaser {
-	return &Leaser{instance: instance, incarnation: incarnation, tables: tables, now: time.Now}
+	return &Leaser{
+		instance: instance, incarnation: incarnation, now: time.Now, get: tables.Get, transact: tables.Transact,
+	}
 }
 
 // Grant is the right to act as holder until Deadline. Conditions of a
@@ -91,18 +97,21 @@
 
 // Tick renews the lease, or follows it and takes it over once it has lapsed.
 func (l *Leaser) Tick() error {
+	l.turn.Lock()
+	defer l.turn.Unlock()
 	now := l.now()
 	l.mu.Lock()
 	held := now.Before(l.heldUntil)
 	due := !now.Before(l.renewAt)
+	released := l.released
 	l.mu.Unlock()
 	switch {
-	case held && !due:
+	case released || (held && !due):
 		return nil
 	case held:
 		return l.renew(now)
 	default:
-		return l.contend(now)
+		return l.contend()
 	}
 }
 
@@ -118,30 +127,33 @@
 	case err == nil:
 		l.take(now, next, version+1)
 		return nil
-	case errors.Is(err, transactor.ErrUnknownOutcome):
-		return l.settleRenewal(next, err)
-	case errors.Is(err, transactor.ErrConflict):
-		l.drop()
+	case errors.Is(err, transactor.ErrUnknownOutcome), errors.Is(err, transactor.ErrConflict):
+		return l.settleRenewal(err)
 	}
 	return err
 }
 
-// settleRenewal reads back a renewal whose answer was lost. A renewal that took
-// effect changes the version that the next one must name; the deadline is not
-// moved by it.
-func (l *Leaser) settleRenewal(next Record, cause error) error {
+// settleRenewal reads the row after a renewal whose answer was lost, or that met
+// the version of such an earlier one. While the row names this grant, nobody
+// else has taken it; the deadline is not moved by it.
+func (l *Leaser) settleRenewal(cause error) error {
 	row, record, err := l.read()
 	if err != nil {
 		return cause
 	}
-	if record == next {
-		l.mu.Lock()
-		l.record = record
-		l.version = row.Version
-		l.mu.Unlock()
-		return nil
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.isOwn(record) || record.Fence != l.record.Fence {
+		l.heldUntil = time.Time{}
+		return cause
 	}
-	return cause
+	l.record = record
+	l.version = row.Version
+	return nil
+}
+
+func (l *Leaser) isOwn(record Record) bool {
+	return record.Holder == l.instance && record.Incarnation == l.incarnation
 }
 
 func (l *Leaser) take(now time.Time, record Record, version int64) {
@@ -154,34 +166,33 @@
 	l.renewAt = now.Add(renewAfter)
 }
 
-func (l *Leaser) drop() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.heldUntil = time.Time{}
-}
-
-// contend follows the row and takes the lease once it did not change for its life.
-func (l *Leaser) contend(now time.Time) error {
+// contend follows the row and takes the lease once it did not change for its
+// life. A change counts from after the read that showed it: a contender that is
+// paused before its read sees a row that its holder may have renewed since.
+func (l *Leaser) contend() error {
 	row, record, err := l.read()
 	if err != nil {
 		return err
 	}
+	now := l.now()
 	l.mu.Lock()
 	if row.Version != l.version || l.seenAt.IsZero() {
 		l.seenAt = now
 	}
 	l.version = row.Version
 	l.record = record
-	lapsed := row.Version == 0 || record.Released || !now.Before(l.seenAt.Add(leaseLife))
+	lapsed := row.Version == 0 || record.Released || l.isOwn(record) || !now.Before(l.seenAt.Add(leaseLife))
 	l.mu.Unlock()
 	if !lapsed {
 		return nil
 	}
-	return l.acquire(now, row.Version, record)
+	return l.acquire(row.Version, record)
 }
 
-func (l *Leaser) acquire(now time.Time, version int64, old Record) error {
-	fence, err := l.tables.Get(leaseTable, fenceKey)
+// acquire takes the lease with the next fence. The deadline counts from before
+// the write.
+func (l *Leaser) acquire(version int64, old Record) error {
+	fence, err := l.get(leaseTable, fenceKey)
 	if err != nil {
 		return err
 	}
@@ -194,7 +205,11 @@
 	if err != nil {
 		return errors.Wrap(err, "encode fence")
 	}
+	now := l.now()
 	err = l.write(next, conditions, []messenger.Write{{Table: leaseTable, Key: fenceKey, Value: value}})
+	if errors.Is(err, transactor.ErrUnknownOutcome) {
+		err = l.settleAcquisition(next, err)
+	}
 	if err != nil {
 		return err
 	}
@@ -205,13 +220,26 @@
 	return nil
 }
 
-// Release gives the lease up, so that another instance takes it at once.
+// settleAcquisition reads the row after an acquisition whose answer was lost; it
+// returns nil if the acquisition took effect.
+func (l *Leaser) settleAcquisition(next Record, cause error) error {
+	_, record, err := l.read()
+	if err != nil || record != next {
+		return cause
+	}
+	return nil
+}
+
+// Release gives the lease up for good, so that another instance takes it at once.
 func (l *Leaser) Release() error {
+	l.turn.Lock()
+	defer l.turn.Unlock()
 	l.mu.Lock()
 	held := l.now().Before(l.heldUntil)
 	next := l.record
 	version := l.version
 	l.heldUntil = time.Time{}
+	l.released = true
 	l.mu.Unlock()
 	if !held {
 		return nil
@@ -226,11 +254,11 @@
 		return errors.Wrap(err, "encode lease")
 	}
 	writes := append([]messenger.Write{{Table: leaseTable, Key: leaseKey, Value: value}}, more...)
-	return l.tables.Transact(messenger.TransactRequest{Conditions: conditions, Writes: writes})
+	return l.transact(messenger.TransactRequest{Conditions: conditions, Writes: writes})
 }
 
 func (l *Leaser) read() (messenger.Row, Record, error) {
-	row, err := l.tables.Get(leaseTable, leaseKey)
+	row, err := l.get(leaseTable, leaseKey)
 	if err != nil || row.Version == 0 {
 		return row, Record{}, err
 	}
