Decide membership and leaving targets over stored deadlines

Cause: membership was the instance list plus the age of the last heartbeat; an entry that a flapping list dropped lost its row, and with it the leaving mark, and a heartbeat of an earlier incarnation replaced that of its successor. A frozen engine held up the reports of all others for its timeout.

internal/peer/detector decides alive, suspected or gone over rows of the fleet from heartbeats (ordered by incarnation and sequence), what peers heard, and the list. Leaving marks name an incarnation (an address for plain services), are told to peers and survive removal. A peer counts as heard only once its newer settings were fetched.

Excluded: ordering incarnations by start time alone; clocks of two machines differ, so it counts only while the known incarnation is alive.

--- a/internal/edge/listener/request.go
+++ b/internal/edge/listener/request.go
@@ -13,8 +13,6 @@
 	"github.com/crocusring/crocusring/internal/state/measurer"
 )
 
-const peerSilence = 1500 * time.Millisecond // after which a peer is not handed out
-
 // arrival is what the head of a caller's request says.
 type arrival struct {
 	id         string
--- a/internal/edge/listener/status.go
+++ b/internal/edge/listener/status.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/crocusring/crocusring/internal/peer/detector"
 	"github.com/crocusring/crocusring/internal/request/deduper"
 	"github.com/crocusring/crocusring/internal/state/keeper"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
@@ -28,8 +29,8 @@
 	now := l.now()
 	list := []*keeper.Instance{}
 	for id, in := range l.Fleet.View().Instances {
-		isHeard := id == l.Home.Instance || now.Sub(in.HeardAt) < peerSilence
-		if in.Leaving || !isHeard || (id == l.Home.Instance && l.Leaving()) {
+		isAlive := id == l.Home.Instance || detector.Judge(now, in) == detector.Alive
+		if in.Leaving || !isAlive || (id == l.Home.Instance && l.Leaving()) {
 			continue
 		}
 		list = append(list, in)
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -75,6 +75,8 @@
 	listener    *listener.Listener
 	quarantiner *quarantiner.Quarantiner
 
+	startedAt   time.Time
+	sequence    atomic.Int64
 	leaving     atomic.Bool
 	killed      context.Context
 	kill        context.CancelFunc
@@ -86,15 +88,16 @@
 func New(settings loader.Settings, log logr.Logger) *Node {
 	const incarnationLength = 10
 	n := &Node{
-		settings: settings,
-		home:     deduper.Home{Instance: settings.Instance, Incarnation: strings.ToLower(rand.Text()[:incarnationLength])},
-		log:      log.WithValues("instance", settings.Instance),
-		now:      time.Now,
-		fleet:    keeper.NewFleet(),
-		tree:     configurer.NewTree(),
-		admitter: admitter.New(),
-		keys:     deduper.New(),
-		measurer: measurer.New(time.Now()),
+		settings:  settings,
+		home:      deduper.Home{Instance: settings.Instance, Incarnation: strings.ToLower(rand.Text()[:incarnationLength])},
+		log:       log.WithValues("instance", settings.Instance),
+		now:       time.Now,
+		startedAt: time.Now(),
+		fleet:     keeper.NewFleet(),
+		tree:      configurer.NewTree(),
+		admitter:  admitter.New(),
+		keys:      deduper.New(),
+		measurer:  measurer.New(time.Now()),
 	}
 	n.rates.Store(&map[string]float64{})
 	n.killed, n.kill = context.WithCancel(context.Background())
@@ -108,9 +111,11 @@
 	n.watcher = watcher.New(lister.New(settings.Platform, client), engines, n.fleet)
 	n.dispatcher = dispatcher.New(n.fleet, n.quarantiner, settings.DataCentre)
 	n.exchanger = exchanger.New(client, settings.PeerCredential, settings.Instance, n.fleet, exchanger.Seams{
-		Compose:  n.heartbeat,
-		Merge:    func(s messenger.SettingsSince) { n.tree.Merge(s.Entries, s.Revision) },
-		Revision: n.tree.Revision,
+		Compose:     n.heartbeat,
+		Merge:       func(s messenger.SettingsSince) { n.tree.Merge(s.Entries, s.Revision) },
+		Revision:    n.tree.Revision,
+		HearTargets: n.watcher.Hear,
+		Answered:    func(messenger.Heartbeat, time.Time) {},
 	})
 	n.listener = listener.New(n.parts(tables))
 	return n
@@ -264,30 +269,6 @@
 	return total
 }
 
-// heartbeat returns what this instance tells its peers.
-func (n *Node) heartbeat() messenger.Heartbeat {
-	now := n.now()
-	holder := n.leaser.Holder()
-	hb := messenger.Heartbeat{
-		Instance: n.home.Instance, Incarnation: n.home.Incarnation, Address: n.settings.Listen,
-		DataCentre: n.settings.DataCentre, Revision: n.tree.Revision(), Leaving: n.leaving.Load(),
-		InFlight: n.listener.InFlight(), Holder: holder.Holder, Fence: holder.Fence,
-		Demands: []messenger.Demand{}, Shares: []messenger.Share{}, LeavingTargets: []string{}, Verdicts: []messenger.Verdict{},
-	}
-	if seen := n.storeSeenAt.Load(); seen != nil {
-		hb.StoreAgeMilliseconds = now.Sub(*seen).Milliseconds()
-	}
-	for model, rate := range *n.rates.Load() {
-		hb.Demands = append(hb.Demands, messenger.Demand{Model: model, Rate: rate})
-	}
-	for id, t := range n.fleet.View().Targets {
-		if t.Leaving {
-			hb.LeavingTargets = append(hb.LeavingTargets, id)
-		}
-	}
-	return hb
-}
-
 // ready reports why this instance takes no requests, or nil.
 func (n *Node) ready() error {
 	if n.tree.Revision() == 0 {
@@ -307,7 +288,7 @@
 // push tells the peers of a new revision and returns those that have not
 // confirmed it.
 func (n *Node) push(revision int64) []string {
-	n.exchanger.Tick()
+	n.exchanger.TickAndWait()
 	pending := []string{}
 	for id, in := range n.fleet.View().Instances {
 		if id != n.home.Instance && in.Revision < revision {
--- a/internal/node/runner/stop.go
+++ b/internal/node/runner/stop.go
@@ -25,7 +25,7 @@
 	if err := n.leaser.Release(); err != nil {
 		n.log.Info("lease not released", "reason", err.Error())
 	}
-	n.exchanger.Tick()
+	n.exchanger.TickAndWait()
 	quiet := n.now().Add(drainTime)
 	limit := n.now().Add(drainLimit)
 	for n.now().Before(quiet) || (n.listener.InFlight() > 0 && n.now().Before(limit)) {
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/crocusring/crocusring/internal/peer/detector"
 	"github.com/crocusring/crocusring/internal/state/keeper"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 	"github.com/crocusring/crocusring/internal/wire/poster"
@@ -23,25 +24,21 @@
 
 const (
 	callTimeout = time.Second
-	mostAtOnce  = 16 // peers asked at once
+	mostAtOnce  = 64 // peers asked at once
 )
 
-// Exchanger exchanges heartbeats with all peers that the fleet lists.
+// Exchanger exchanges heartbeats with all peers that the fleet knows.
 type Exchanger struct {
 	poster     *poster.Client
 	credential string
 	instance   string
 	fleet      *keeper.Fleet
 	now        func() time.Time
-	// compose returns the heartbeat of this instance.
-	compose func() messenger.Heartbeat
-	// merge takes over settings of a peer.
-	merge func(messenger.SettingsSince)
-	// revision returns the settings revision of this instance.
-	revision func() int64
+	seams      Seams
 
 	mu     sync.Mutex
 	latest map[string]Heard
+	asked  map[string]bool // peers whose answer is awaited
 }
 
 // Heard is the last heartbeat of a peer.
@@ -52,92 +49,188 @@
 
 // Seams are the functions that an exchanger calls.
 type Seams struct {
-	Compose  func() messenger.Heartbeat
-	Merge    func(messenger.SettingsSince)
+	// Compose returns the heartbeat of this instance.
+	Compose func() messenger.Heartbeat
+	// Merge takes over settings of a peer.
+	Merge func(messenger.SettingsSince)
+	// Revision returns the settings revision of this instance.
 	Revision func() int64
+	// HearTargets takes what a peer says of leaving targets.
+	HearTargets func([]messenger.LeavingTarget)
+	// Answered takes the answer to a heartbeat that was sent at sentAt.
+	Answered func(hb messenger.Heartbeat, sentAt time.Time)
 }
 
 // New returns an exchanger for instance.
 func New(p *poster.Client, credential, instance string, fleet *keeper.Fleet, seams Seams) *Exchanger {
 	return &Exchanger{
 		poster: p, credential: credential, instance: instance, fleet: fleet, now: time.Now,
-		compose: seams.Compose, merge: seams.Merge, revision: seams.Revision,
-		latest: map[string]Heard{},
+		seams: seams, latest: map[string]Heard{}, asked: map[string]bool{},
 	}
 }
 
-// Tick exchanges one heartbeat with each peer.
+// Tick sends one heartbeat to each peer, except those that still owe an answer.
+// It does not wait, so that a frozen peer does not hold up the others.
 func (x *Exchanger) Tick() {
-	var group errgroup.Group
-	group.SetLimit(mostAtOnce)
-	for id, in := range x.fleet.View().Instances {
-		if id == x.instance {
+	for _, address := range x.addresses() {
+		if !x.begin(address) {
 			continue
 		}
+		go func() {
+			defer x.end(address)
+			x.exchange(address)
+		}()
+	}
+}
+
+// TickAndWait sends one heartbeat to each peer and waits for the answers.
+func (x *Exchanger) TickAndWait() {
+	var group errgroup.Group
+	group.SetLimit(mostAtOnce)
+	for _, address := range x.addresses() {
 		group.Go(func() error {
-			x.exchange(in.Address)
+			x.exchange(address)
 			return nil
 		})
 	}
 	_ = group.Wait()
 }
 
+// addresses returns where to send heartbeats to. A peer that is not heard may
+// have come back at the address that the list has.
+func (x *Exchanger) addresses() []string {
+	now := x.now()
+	list := []string{}
+	for id, in := range x.fleet.View().Instances {
+		state := detector.Judge(now, in)
+		if id == x.instance || (state == detector.Gone && !in.Listed) {
+			continue
+		}
+		list = append(list, in.Address)
+		if state != detector.Alive && in.ListedAddress != "" && in.ListedAddress != in.Address {
+			list = append(list, in.ListedAddress)
+		}
+	}
+	return list
+}
+
+func (x *Exchanger) begin(address string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.asked[address] {
+		return false
+	}
+	x.asked[address] = true
+	return true
+}
+
+func (x *Exchanger) end(address string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.asked, address)
+}
+
 func (x *Exchanger) exchange(address string) {
 	var answer messenger.HeartbeatAnswer
+	sentAt := x.now()
 	err := x.poster.Do(poster.Call{
 		Method: fasthttp.MethodPost, URL: "http://" + address + PathHeartbeat, Token: x.credential,
-		In: x.compose(), Out: &answer, Deadline: x.now().Add(callTimeout),
+		In: x.seams.Compose(), Out: &answer, Deadline: sentAt.Add(callTimeout),
 	})
-	if err == nil {
-		x.Absorb(answer.Heartbeat)
+	if err == nil && x.Absorb(answer.Heartbeat) {
+		x.seams.Answered(answer.Heartbeat, sentAt)
 	}
 }
 
 // Answer takes the heartbeat of a peer and returns that of this instance.
 func (x *Exchanger) Answer(hb messenger.Heartbeat) messenger.HeartbeatAnswer {
 	x.Absorb(hb)
-	return messenger.HeartbeatAnswer{Heartbeat: x.compose()}
+	return messenger.HeartbeatAnswer{Heartbeat: x.seams.Compose()}
 }
 
-// Absorb takes the heartbeat of a peer into the fleet and fetches its settings
-// if they are newer.
-func (x *Exchanger) Absorb(hb messenger.Heartbeat) {
+// Absorb takes the heartbeat of a peer into the fleet and reports whether it
+// counted. Newer settings are fetched first, so that an instance which was cut
+// off does not count a peer as heard before it has that peer's settings.
+func (x *Exchanger) Absorb(hb messenger.Heartbeat) bool {
 	if hb.Instance == x.instance || hb.Instance == "" {
-		return
+		return false
+	}
+	if hb.Revision > x.seams.Revision() && !x.fetch(hb.Address) {
+		return false
 	}
 	now := x.now()
+	counted := false
+	x.fleet.ChangeInstance(hb.Instance, func(in *keeper.Instance) {
+		counted = detector.Hear(now, in, newsOf(hb, now))
+		if counted {
+			in.Revision = hb.Revision
+			in.InFlight = hb.InFlight
+		}
+	})
+	if !counted {
+		return false
+	}
 	x.mu.Lock()
 	x.latest[hb.Instance] = Heard{Heartbeat: hb, At: now}
 	x.mu.Unlock()
-	x.fleet.ChangeInstance(hb.Instance, func(in *keeper.Instance) {
-		in.Incarnation = hb.Incarnation
-		in.Address = hb.Address
-		in.DataCentre = hb.DataCentre
-		in.Leaving = hb.Leaving
-		in.Revision = hb.Revision
-		in.InFlight = hb.InFlight
-		in.HeardAt = now
-	})
-	for _, id := range hb.LeavingTargets {
-		if x.fleet.View().Targets[id] != nil {
-			x.fleet.ChangeTarget(id, func(t *keeper.Target) { t.Leaving = true })
+	x.hearPeers(now, hb.Peers)
+	x.seams.HearTargets(hb.LeavingTargets)
+	return true
+}
+
+func newsOf(hb messenger.Heartbeat, now time.Time) detector.News {
+	return detector.News{
+		Incarnation: hb.Incarnation, StartedAt: time.UnixMilli(hb.StartedAtMilliseconds),
+		Address: hb.Address, DataCentre: hb.DataCentre, Leaving: hb.Leaving,
+		Sequence: hb.Sequence, HeardAt: now,
+	}
+}
+
+// hearPeers takes what a peer heard of others. Its clock is not compared with
+// that of this instance: news tell their age.
+func (x *Exchanger) hearPeers(now time.Time, peers []messenger.PeerNews) {
+	for _, p := range peers {
+		if p.Instance == x.instance || p.Instance == "" || p.AgeMilliseconds < 0 {
+			continue
 		}
+		news := detector.News{
+			Incarnation: p.Incarnation, StartedAt: time.UnixMilli(p.StartedAtMilliseconds),
+			Address: p.Address, DataCentre: p.DataCentre, Leaving: p.Leaving,
+			HeardAt: now.Add(-time.Duration(p.AgeMilliseconds) * time.Millisecond),
+		}
+		x.fleet.ChangeInstance(p.Instance, func(in *keeper.Instance) { detector.Hear(now, in, news) })
 	}
-	if hb.Revision > x.revision() {
-		x.fetch(hb.Address)
+}
+
+// Peers returns what this instance heard itself of the peers that are not gone.
+func (x *Exchanger) Peers() []messenger.PeerNews {
+	now := x.now()
+	list := []messenger.PeerNews{}
+	for id, in := range x.fleet.View().Instances {
+		if id == x.instance || in.HeardAt.IsZero() || detector.Judge(now, in) == detector.Gone {
+			continue
+		}
+		list = append(list, messenger.PeerNews{
+			Instance: id, Incarnation: in.Incarnation, StartedAtMilliseconds: in.StartedAt.UnixMilli(),
+			Address: in.Address, DataCentre: in.DataCentre, Leaving: in.MarkedLeaving,
+			AgeMilliseconds: now.Sub(in.HeardAt).Milliseconds(),
+		})
 	}
+	return list
 }
 
-func (x *Exchanger) fetch(address string) {
+func (x *Exchanger) fetch(address string) bool {
 	var since messenger.SettingsSince
 	err := x.poster.Do(poster.Call{
 		Method: fasthttp.MethodGet,
-		URL:    "http://" + address + PathSettings + "?since=" + strconv.FormatInt(x.revision(), 10),
+		URL:    "http://" + address + PathSettings + "?since=" + strconv.FormatInt(x.seams.Revision(), 10),
 		Token:  x.credential, Out: &since, Deadline: x.now().Add(callTimeout),
 	})
-	if err == nil {
-		x.merge(since)
+	if err != nil {
+		return false
 	}
+	x.seams.Merge(since)
+	return true
 }
 
 // Heard returns the last heartbeats of the peers that were heard since.
--- a/internal/state/keeper/fleet.go
+++ b/internal/state/keeper/fleet.go
@@ -61,9 +61,18 @@
 	DataCentre    string
 	Kind          Kind
 	ChecksFencing bool
-	// Leaving stays set for as long as the target is known under its ID, so that
-	// a flapping list does not bring it back.
-	Leaving bool
+	// Leaving tells that the target takes no new work: the list says so now, or
+	// anyone said so before of this incarnation.
+	Leaving       bool
+	ListedLeaving bool
+	// Marks are the incarnations that were said to leave. They stay, so that a
+	// flapping list does not bring a target back.
+	Marks []LeavingMark
+	// RemoveAt is when a target that is no longer listed is removed; zero for a
+	// listed one.
+	RemoveAt time.Time
+	// Silent tells that reports are missing, so that the target takes no new work.
+	Silent bool
 	// Counter counts the requests of this instance on the target. It is shared
 	// by all views.
 	Counter *Counter
@@ -91,13 +100,28 @@
 type Instance struct {
 	ID          string
 	Incarnation string
+	StartedAt   time.Time
 	Address     string
-	PeerAddress string
 	DataCentre  string
 	Leaving     bool
 	Revision    int64
 	InFlight    int
-	HeardAt     time.Time
+	// HeardAt is when the last heartbeat of the instance itself came.
+	HeardAt time.Time
+	// Sequence is that of the last heartbeat.
+	Sequence int64
+	// AliveUntil, GoneAt and ForgetAt are the deadlines of the failure detector.
+	AliveUntil time.Time
+	GoneAt     time.Time
+	ForgetAt   time.Time
+	// Listed, ListedAddress and ListedLeaving are what the platform's list says.
+	Listed        bool
+	ListedAddress string
+	ListedLeaving bool
+	// MarkedLeaving tells that this incarnation was said to leave.
+	MarkedLeaving bool
+	// Retired are earlier incarnations.
+	Retired []string
 }
 
 // View is the fleet at one moment. It must not be changed.
@@ -107,7 +131,7 @@
 	holders   map[Name][]*Target
 }
 
-// Holders returns the targets that hold a name, leaving ones excluded.
+// Holders returns the targets that hold a name, leaving and silent ones excluded.
 func (v *View) Holders(name Name) []*Target {
 	return v.holders[name]
 }
@@ -118,11 +142,13 @@
 type Fleet struct {
 	mu   sync.Mutex
 	view atomic.Pointer[View]
+	// marks keeps the leaving marks of removed targets.
+	marks map[string][]LeavingMark
 }
 
 // NewFleet returns an empty fleet.
 func NewFleet() *Fleet {
-	f := &Fleet{}
+	f := &Fleet{marks: map[string][]LeavingMark{}}
 	f.view.Store(&View{Targets: map[string]*Target{}, Instances: map[string]*Instance{}})
 	return f
 }
@@ -137,22 +163,28 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.view.Load()
-	t := Target{ID: id, Counter: &Counter{}}
+	t := Target{ID: id, Counter: &Counter{}, Marks: f.marks[id]}
 	if known := old.Targets[id]; known != nil {
 		t = *known
 	}
 	change(&t)
+	t.settle()
+	delete(f.marks, id)
 	targets := maps.Clone(old.Targets)
 	targets[id] = &t
 	f.view.Store(newView(targets, old.Instances))
 }
 
-// RemoveTarget removes a target.
+// RemoveTarget removes a target. Its leaving marks are kept, in case that the
+// list names it again.
 func (f *Fleet) RemoveTarget(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.view.Load()
 	targets := maps.Clone(old.Targets)
+	if known := targets[id]; known != nil && len(known.Marks) > 0 {
+		f.marks[id] = known.Marks
+	}
 	delete(targets, id)
 	f.view.Store(newView(targets, old.Instances))
 }
@@ -186,7 +218,7 @@
 	v := &View{Targets: targets, Instances: instances, holders: map[Name][]*Target{}}
 	for _, id := range slices.Sorted(maps.Keys(targets)) {
 		t := targets[id]
-		if t.Leaving {
+		if t.Leaving || t.Silent {
 			continue
 		}
 		for _, h := range t.Holdings {
--- a/internal/state/watcher/watcher.go
+++ b/internal/state/watcher/watcher.go
@@ -1,64 +1,69 @@
-// Package watcher fills the fleet from the platform's instance list and from
-// the reports of engines.
+// Package watcher fills the fleet from the platform's instance list, from the
+// reports of engines and from what peers say of targets.
 package watcher
 
 import (
+	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/crocusring/crocusring/internal/edge/commander"
 	"github.com/crocusring/crocusring/internal/edge/lister"
+	"github.com/crocusring/crocusring/internal/peer/detector"
 	"github.com/crocusring/crocusring/internal/state/keeper"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-const mostAtOnce = 32 // engines asked at once
+const (
+	mostAtOnce = 64 // engines asked at once
+	// unlistedTime is how long a target stays in use that the list no longer
+	// names. It is shorter than the time in which a leaving target must be out of use.
+	unlistedTime = 2 * time.Second
+	// silenceTime is how long after its last report an engine gets no new work.
+	silenceTime = 2 * time.Second
+)
 
 // Watcher follows the instance list and the engines.
 type Watcher struct {
-	list    *lister.Client
-	engines *commander.Client
-	fleet   *keeper.Fleet
-	now     func() time.Time
+	list   func() ([]messenger.ListedInstance, error)
+	report func(address string, now time.Time) (keeper.Report, error)
+	fleet  *keeper.Fleet
+	now    func() time.Time
+	slots  chan struct{}
+
+	mu    sync.Mutex
+	asked map[string]bool // engines whose report is awaited
 }
 
 // New returns a watcher that fills fleet.
 func New(list *lister.Client, engines *commander.Client, fleet *keeper.Fleet) *Watcher {
-	return &Watcher{list: list, engines: engines, fleet: fleet, now: time.Now}
+	return &Watcher{
+		list: list.List, report: engines.Report, fleet: fleet, now: time.Now,
+		slots: make(chan struct{}, mostAtOnce), asked: map[string]bool{},
+	}
 }
 
 // TickList takes the instance list into the fleet.
 func (w *Watcher) TickList() error {
-	list, err := w.list.List()
+	list, err := w.list()
 	if err != nil {
 		return err
 	}
+	now := w.now()
 	listed := map[string]bool{}
 	for _, in := range list {
 		listed[in.ID] = true
-		w.take(in)
-	}
-	view := w.fleet.View()
-	for id := range view.Targets {
-		if !listed[id] {
-			w.fleet.RemoveTarget(id)
-		}
-	}
-	for id := range view.Instances {
-		if !listed[id] {
-			w.fleet.RemoveInstance(id)
-		}
+		w.take(now, in)
 	}
+	w.dropTargets(now, listed)
+	w.dropInstances(now, listed)
 	return nil
 }
 
-func (w *Watcher) take(in messenger.ListedInstance) {
+func (w *Watcher) take(now time.Time, in messenger.ListedInstance) {
+	leaving := in.State == lister.StateLeaving
 	if in.Kind == lister.KindEntry {
 		w.fleet.ChangeInstance(in.ID, func(known *keeper.Instance) {
-			known.Address = in.Address
-			known.DataCentre = in.DataCentre
-			known.Leaving = known.Leaving || in.State == lister.StateLeaving
+			detector.List(now, known, in.Address, in.DataCentre, leaving)
 		})
 		return
 	}
@@ -67,37 +72,92 @@
 		t.DataCentre = in.DataCentre
 		t.Kind = keeper.Kind(in.Kind)
 		t.ChecksFencing = in.ChecksFencing
-		// A lagging list may still call a target live that said that it leaves.
-		t.Leaving = t.Leaving || in.State == lister.StateLeaving
+		t.RemoveAt = time.Time{}
+		t.TakeListedLeaving(leaving)
 	})
 }
 
-// TickReports asks every engine for its report.
+// dropTargets removes the targets that the list has not named for a while.
+func (w *Watcher) dropTargets(now time.Time, listed map[string]bool) {
+	for id, t := range w.fleet.View().Targets {
+		switch {
+		case listed[id]:
+		case t.RemoveAt.IsZero():
+			w.fleet.ChangeTarget(id, func(t *keeper.Target) { t.RemoveAt = now.Add(unlistedTime) })
+		case !now.Before(t.RemoveAt):
+			w.fleet.RemoveTarget(id)
+		}
+	}
+}
+
+func (w *Watcher) dropInstances(now time.Time, listed map[string]bool) {
+	for id, in := range w.fleet.View().Instances {
+		if listed[id] {
+			continue
+		}
+		if detector.IsForgotten(now, in) {
+			w.fleet.RemoveInstance(id)
+			continue
+		}
+		w.fleet.ChangeInstance(id, detector.Unlist)
+	}
+}
+
+// TickReports asks every engine for its report, except those that still owe one.
+// It does not wait, so that a frozen engine does not hold up the others.
 func (w *Watcher) TickReports() {
-	var group errgroup.Group
-	group.SetLimit(mostAtOnce)
+	now := w.now()
 	for id, t := range w.fleet.View().Targets {
 		if t.Kind != keeper.Engine {
 			continue
 		}
-		group.Go(func() error {
-			w.report(id, t)
-			return nil
-		})
+		silent := !now.Before(t.ReportedAt.Add(silenceTime))
+		if silent != t.Silent {
+			w.fleet.ChangeTarget(id, func(t *keeper.Target) { t.Silent = silent })
+		}
+		if w.begin(id) {
+			go w.ask(id, t)
+		}
 	}
-	_ = group.Wait()
 }
 
-func (w *Watcher) report(id string, t *keeper.Target) {
+func (w *Watcher) begin(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.asked[id] {
+		return false
+	}
+	w.asked[id] = true
+	return true
+}
+
+func (w *Watcher) ask(id string, t *keeper.Target) {
+	w.slots <- struct{}{}
+	defer func() {
+		<-w.slots
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.asked, id)
+	}()
 	now := w.now()
 	sent := t.Counter.SentAfterReport.Load()
-	report, err := w.engines.Report(t.Address, now)
-	if err != nil {
+	report, err := w.report(t.Address, now)
+	if err != nil || w.fleet.View().Targets[id] == nil {
 		return
 	}
 	t.Counter.SentAfterReport.Add(-sent)
 	w.fleet.ChangeTarget(id, func(t *keeper.Target) {
 		t.Report = report
-		t.Leaving = t.Leaving || report.SaysLeaving
+		t.Silent = false
 	})
 }
+
+// Hear takes what a peer says of leaving targets.
+func (w *Watcher) Hear(targets []messenger.LeavingTarget) {
+	for _, said := range targets {
+		mark := keeper.LeavingMark{Incarnation: said.Incarnation, Address: said.Address}
+		if w.fleet.View().Targets[said.Target] != nil {
+			w.fleet.ChangeTarget(said.Target, func(t *keeper.Target) { t.MarkLeaving(mark) })
+		}
+	}
+}
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -225,17 +225,24 @@
 	Leaving bool `json:"Leaving"`
 
 	// LeavingTargets corresponds to the JSON schema field "LeavingTargets".
-	LeavingTargets []string `json:"LeavingTargets"`
+	LeavingTargets []LeavingTarget `json:"LeavingTargets"`
 
-	// PeerAddress corresponds to the JSON schema field "PeerAddress".
-	PeerAddress string `json:"PeerAddress"`
+	// Peers corresponds to the JSON schema field "Peers".
+	Peers []PeerNews `json:"Peers"`
 
 	// Revision corresponds to the JSON schema field "Revision".
 	Revision int64 `json:"Revision"`
 
+	// Sequence corresponds to the JSON schema field "Sequence".
+	Sequence int64 `json:"Sequence"`
+
 	// Shares corresponds to the JSON schema field "Shares".
 	Shares []Share `json:"Shares"`
 
+	// StartedAtMilliseconds corresponds to the JSON schema field
+	// "StartedAtMilliseconds".
+	StartedAtMilliseconds int64 `json:"StartedAtMilliseconds"`
+
 	// StoreAgeMilliseconds corresponds to the JSON schema field
 	// "StoreAgeMilliseconds".
 	StoreAgeMilliseconds int64 `json:"StoreAgeMilliseconds"`
@@ -277,6 +284,19 @@
 	Revision int64 `json:"Revision"`
 }
 
+// LeavingTarget is a target that was said to leave. An engine is told apart from
+// its successors by Incarnation, a plain service by Address.
+type LeavingTarget struct {
+	// Address corresponds to the JSON schema field "Address".
+	Address string `json:"Address"`
+
+	// Incarnation corresponds to the JSON schema field "Incarnation".
+	Incarnation string `json:"Incarnation"`
+
+	// Target corresponds to the JSON schema field "Target".
+	Target string `json:"Target"`
+}
+
 // LimitSetting is the limit that a team sets for itself under /teams/TEAM/limits;
 // the lower of it and the platform's limit holds.
 type LimitSetting struct {
@@ -356,6 +376,32 @@
 	Wanted int `json:"Wanted"`
 }
 
+// PeerNews is what an instance knows of another one, which it heard
+// AgeMilliseconds ago.
+type PeerNews struct {
+	// Address corresponds to the JSON schema field "Address".
+	Address string `json:"Address"`
+
+	// AgeMilliseconds corresponds to the JSON schema field "AgeMilliseconds".
+	AgeMilliseconds int64 `json:"AgeMilliseconds"`
+
+	// DataCentre corresponds to the JSON schema field "DataCentre".
+	DataCentre string `json:"DataCentre"`
+
+	// Incarnation corresponds to the JSON schema field "Incarnation".
+	Incarnation string `json:"Incarnation"`
+
+	// Instance corresponds to the JSON schema field "Instance".
+	Instance string `json:"Instance"`
+
+	// Leaving corresponds to the JSON schema field "Leaving".
+	Leaving bool `json:"Leaving"`
+
+	// StartedAtMilliseconds corresponds to the JSON schema field
+	// "StartedAtMilliseconds".
+	StartedAtMilliseconds int64 `json:"StartedAtMilliseconds"`
+}
+
 // Refusal is the error answer to callers and operators. Code is one of the
 // documented codes; NotRun tells that no target ran any part of the request.
 type Refusal struct {
