--- a/internal/control/planner/copies.go
+++ b/internal/control/planner/copies.go
@@ -181,7 +181,7 @@
 // isSpare reports whether the copy of a model on a target may go for a copy of
 // the class.
 func (p *plan) isSpare(g *group, n *node, c class) bool {
-	if !p.keepsAdapters(g, n) {
+	if g.pinned || !p.keepsAdapters(g, n) {
 		return false
 	}
 	if !g.configured {
@@ -233,7 +233,8 @@
 				continue
 			}
 			if len(v.holders) > 1 {
-				return // a copy is under way already
+				v.pinned = true // until the copy here can go
+				return
 			}
 			if to := p.roomiest(v, v.wholeBytes()); to != nil {
 				p.load(to, v)
--- a/internal/control/planner/index.go
+++ b/internal/control/planner/index.go
@@ -56,6 +56,8 @@
 	floor      float64
 	holders    []holder
 	stable     int // copies that are loaded, no order open
+	// pinned tells that a copy is being moved to another target.
+	pinned bool
 }
 
 func (g *group) on(n *node) bool {
--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -132,17 +132,16 @@
 
 // unload orders the unload of a copy of a model with its adapters there.
 func (p *plan) unload(n *node, g *group) {
-	for _, a := range n.adaptersOf(g.name) {
-		p.unloadOne(n, p.groups[a.Name])
+	for _, s := range n.adaptersOf(g.name) {
+		if s.Stable {
+			p.unloadOne(n, p.groups[s.Name])
+		}
 	}
 	p.unloadOne(n, g)
 }
 
 func (p *plan) unloadOne(n *node, g *group) {
 	s := n.slots[g.name]
-	if s == nil || !s.Stable {
-		return
-	}
 	p.order(Unload, n, g)
 	n.later += s.Bytes
 	g.remove(n)
