Let urgent demand take the place of standby copies

Cause: standby copies filled the memory, so hot models stayed at two copies. What: demand whose relief is worth StandbyGain goes before standby copies, and other demand after them; what the demand needs is not taken for standby copies.

--- a/internal/control/planner/copies.go
+++ b/internal/control/planner/copies.go
@@ -11,10 +11,12 @@
 const (
 	// first may take any copy but the last of its model.
 	first class = iota
-	// standby may take copies beyond the least number.
+	// standby may take copies beyond the least number that the demand does not need.
 	standby
-	// demanded may take copies that neither the least number nor the demand needs.
+	// demanded is as standby, for a copy beyond the least number.
 	demanded
+	// urgent may take standby copies too, for a gain of Policy.StandbyGain each.
+	urgent
 )
 
 // ensureFirst sees to it that a model has a copy.
@@ -109,6 +111,9 @@
 			continue
 		}
 		set, ok := p.victims(n, bytes-n.later, c)
+		if c == standby && set.loss > p.in.Policy.MinimumGain/2 {
+			continue
+		}
 		if !ok || (best != nil && !isCheaper(g, n, set, best, bestSet)) {
 			continue
 		}
@@ -160,7 +165,7 @@
 			continue
 		}
 		if g := p.groups[s.Name]; p.isSpare(g, n, c) {
-			candidates = append(candidates, candidate{g, s.Bytes, p.lossWithout(g, n)})
+			candidates = append(candidates, candidate{g, s.Bytes, p.lossOf(g, n)})
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
@@ -191,12 +196,23 @@
 	if c == first {
 		return g.stable > 1
 	}
-	least := g.least
-	if c == demanded {
-		least = max(least, p.copiesFor(g.floor))
-	}
+	return g.stable > p.copiesFor(g.floor) && (p.isBeyondLeast(g, n) || c == urgent)
+}
+
+// isBeyondLeast reports whether a model keeps its least number of copies and
+// their spread over data centres without the copy on a target.
+func (p *plan) isBeyondLeast(g *group, n *node) bool {
 	spread := g.centres(nil)
-	return g.stable > least && (spread > g.least || g.centres(n) == spread)
+	return g.stable > g.least && (spread > g.least || g.centres(n) == spread)
+}
+
+// lossOf is the rate in requests per second that the unload of a copy costs.
+func (p *plan) lossOf(g *group, n *node) float64 {
+	loss := p.lossWithout(g, n)
+	if g.configured && !p.isBeyondLeast(g, n) {
+		loss += p.in.Policy.StandbyGain
+	}
+	return loss
 }
 
 // keepsAdapters reports whether each configured adapter of a model has a copy on
@@ -217,7 +233,7 @@
 // copiesFor is the number of copies that serve a rate.
 func (p *plan) copiesFor(rate float64) int {
 	if p.in.Policy.RequestsPerCopy <= 0 {
-		return 0
+		return 1
 	}
 	return int(rate/p.in.Policy.RequestsPerCopy) + 1
 }
--- a/internal/control/planner/demand.go
+++ b/internal/control/planner/demand.go
@@ -13,22 +13,24 @@
 )
 
 // serveDemand loads further copies of models whose targets are expected to be
-// overloaded, the copy that relieves most first.
-func (p *plan) serveDemand() {
+// overloaded, the copy that relieves most first, for as long as one relieves at
+// least gain. The copies may take the place of standby copies if overStandby is set.
+func (p *plan) serveDemand(gain float64, overStandby bool) {
 	if p.in.Policy.RequestsPerCopy <= 0 {
 		return
 	}
-	p.divideEvenly()
-	for range sweeps {
-		p.level()
+	c := demanded
+	if overStandby {
+		c = urgent
 	}
-	for p.moveBudget > 0 && p.loadBudget > 0 && p.relieve() {
+	p.level()
+	for p.moveBudget > 0 && p.loadBudget > 0 && p.relieve(gain, c) {
 		p.level()
 	}
 }
 
-// divideEvenly gives each copy of a model the same share of its demand.
-func (p *plan) divideEvenly() {
+// divide divides the demand for each model over its copies.
+func (p *plan) divide() {
 	for _, g := range p.models {
 		for i := range g.holders {
 			h := &g.holders[i]
@@ -36,13 +38,16 @@
 			h.node.load += h.share
 		}
 	}
+	for range sweeps {
+		p.level()
+	}
 }
 
 // level divides the demand for each model again, so that the loads of its
 // targets become as equal as the other models allow.
 func (p *plan) level() {
 	for _, g := range p.models {
-		if len(g.holders) > 1 && g.rate > 0 {
+		if len(g.holders) > 0 && g.rate > 0 {
 			g.pour()
 		}
 	}
@@ -90,27 +95,27 @@
 
 // relieve orders the load that takes most from overloaded targets, or the unloads
 // that make room for it. It reports whether it found one worth its cost.
-func (p *plan) relieve() bool {
+func (p *plan) relieve(gain float64, c class) bool {
 	type choice struct {
 		group    *group
 		overflow float64
 	}
 	choices := []choice{}
 	for _, g := range p.models {
-		if over := p.overflow(g); over >= p.in.Policy.MinimumGain && over > 0 && p.mayGrow(g) {
+		if over := p.overflow(g); over >= gain && over > 0 && p.mayGrow(g) {
 			choices = append(choices, choice{g, over})
 		}
 	}
 	slices.SortStableFunc(choices, func(a, b choice) int { return cmp.Compare(b.overflow, a.overflow) })
-	for _, c := range choices[:min(len(choices), mostTried)] {
-		if p.relieveGroup(c.group, c.overflow) {
+	for _, ch := range choices[:min(len(choices), mostTried)] {
+		if p.relieveGroup(ch.group, ch.overflow, gain, c) {
 			return true
 		}
 	}
 	return false
 }
 
-func (p *plan) relieveGroup(g *group, overflow float64) bool {
+func (p *plan) relieveGroup(g *group, overflow, least float64, c class) bool {
 	var best *node
 	var bestSet victims
 	bestGain := 0.0
@@ -119,13 +124,13 @@
 			continue
 		}
 		gain := min(overflow, p.in.Policy.RequestsPerCopy-n.load)
-		if gain < p.in.Policy.MinimumGain || gain <= bestGain {
+		if gain < least || gain <= bestGain {
 			continue
 		}
 		set := victims{}
 		if n.later < g.wholeBytes() {
 			var ok bool
-			set, ok = p.victims(n, g.wholeBytes()-n.later, demanded)
+			set, ok = p.victims(n, g.wholeBytes()-n.later, c)
 			gain -= set.loss
 			if !ok || gain < p.in.Policy.MinimumGain || gain <= bestGain {
 				continue
--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -87,9 +87,13 @@
 	p := newPlan(in)
 	p.unloadReplaced()
 	p.reserveAdapters()
+	p.divide()
 	for _, g := range p.models {
 		p.ensureFirst(g)
 	}
+	if gain := p.in.Policy.StandbyGain; gain > 0 {
+		p.serveDemand(gain+p.in.Policy.MinimumGain/2, true)
+	}
 	for copies := 2; copies <= p.mostLeast(); copies++ {
 		for _, g := range p.models {
 			p.ensureStandby(g, min(copies, g.least))
@@ -98,8 +102,8 @@
 	for _, g := range p.models {
 		p.ensureSpread(g)
 	}
+	p.serveDemand(p.in.Policy.MinimumGain, false)
 	p.placeAdapters()
-	p.serveDemand()
 	return p.moves
 }
 
--- a/internal/control/planner/policy.go
+++ b/internal/control/planner/policy.go
@@ -18,6 +18,9 @@
 	// MinimumGain is the rate in requests per second that a further copy must
 	// relieve overloaded targets of.
 	MinimumGain float64
+	// StandbyGain is the rate that a further copy must relieve in addition before
+	// it may take the place of a standby copy. At zero it never may.
+	StandbyGain float64
 	// LoadsAtOnce bounds the loads of models that are under way, and
 	// LoadsPerSecond their rate. Zero does not bound.
 	LoadsAtOnce    int
@@ -33,7 +36,7 @@
 // DefaultPolicy is used where the settings say nothing.
 func DefaultPolicy() Policy {
 	return Policy{
-		RequestsPerCopy: 8, MostMoves: 4, StandbyCopies: 2, MinimumGain: 1,
+		RequestsPerCopy: 8, MostMoves: 4, StandbyCopies: 2, MinimumGain: 1, StandbyGain: 2,
 		LoadsAtOnce: 2, LoadsPerSecond: 1.5, AdaptersAtOnce: 16, AdapterShare: 0.1,
 	}
 }
--- a/internal/control/planner/property_test.go
+++ b/internal/control/planner/property_test.go
@@ -52,6 +52,7 @@
 	p.StandbyCopies = rapid.IntRange(0, 3).Draw(t, "standby")
 	p.LoadsPerSecond = 0
 	p.LoadsAtOnce = rapid.IntRange(0, 4).Draw(t, "loads at once")
+	p.StandbyGain = rapid.Float64Range(0, 4).Draw(t, "standby gain")
 	p.MinimumGain = rapid.Float64Range(0.5, 4).Draw(t, "gain")
 	return p
 }
