Follow the demand by level, trend and held peak

Cause: plans followed the noise of rates smoothed over three seconds. What: package forecaster; the planner takes expected rates and floors from it. Excluded: hold times by copy (a deadline for each model's peak is enough).

--- a/internal/control/planner/bench_test.go
+++ b/internal/control/planner/bench_test.go
@@ -8,12 +8,25 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/crocusring/crocusring/internal/control/forecaster"
 	"github.com/crocusring/crocusring/internal/control/planner"
 )
 
-func wilgenrandPolicy() planner.Policy { return planner.DefaultPolicy() }
+func wilgenrandPolicy() planner.Policy {
+	p := planner.DefaultPolicy()
+	p.LoadsAtOnce, p.LoadsPerSecond, p.AdaptersAtOnce = 3, 2, 24
+	return p
+}
+
+func vereinPolicy() planner.Policy {
+	p := planner.DefaultPolicy()
+	p.LoadsAtOnce, p.LoadsPerSecond, p.AdaptersAtOnce = 2, 1.5, 16
+	return p
+}
+
+func wilgenrandForecast() forecaster.Settings { return forecaster.Default() }
 
-func vereinPolicy() planner.Policy { return planner.DefaultPolicy() }
+func vereinForecast() forecaster.Settings { return forecaster.Default() }
 
 // outcome holds the scores of all strategies on one trace and seed.
 type outcome struct {
--- a/internal/control/planner/bench_traces_test.go
+++ b/internal/control/planner/bench_traces_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 
+	"github.com/crocusring/crocusring/internal/control/forecaster"
 	"github.com/crocusring/crocusring/internal/control/planner"
 	"github.com/crocusring/crocusring/internal/state/keeper"
 )
@@ -36,6 +37,7 @@
 	LoadsAtOnce    int
 	AdaptersAtOnce int
 	Policy         planner.Policy
+	Forecast       forecaster.Settings
 	// MostMoveShare is the accepted share of the moves of the baseline with LRU loading.
 	MostMoveShare float64
 }
@@ -44,11 +46,11 @@
 	return []deployment{
 		{
 			Name: "Wilgenrand", Targets: 18, Models: 30, Adapters: 95, LoadsPerSecond: 2, LoadsAtOnce: 3,
-			AdaptersAtOnce: 24, Policy: wilgenrandPolicy(), MostMoveShare: 0.25,
+			AdaptersAtOnce: 24, Policy: wilgenrandPolicy(), Forecast: wilgenrandForecast(), MostMoveShare: 0.25,
 		},
 		{
 			Name: "Verein", Targets: 12, Models: 15, Adapters: 75, LoadsPerSecond: 1.5, LoadsAtOnce: 2,
-			AdaptersAtOnce: 16, Policy: vereinPolicy(), MostMoveShare: 0.5,
+			AdaptersAtOnce: 16, Policy: vereinPolicy(), Forecast: vereinForecast(), MostMoveShare: 0.5,
 		},
 	}
 }
