Place standby copies largest first on the tightest target

Cause: 180 GB lay free in pieces while models had no second copy. What: the standby stage goes by size and takes the tightest target. Excluded: roomiest target (one model more without a standby copy), tightest for first copies (hot models would share targets).

--- a/internal/control/planner/copies.go
+++ b/internal/control/planner/copies.go
@@ -97,6 +97,9 @@
 	if fa, fb := a.now >= g.bytes, b.now >= g.bytes; fa != fb {
 		return fa
 	}
+	if len(g.holders) > 0 {
+		return a.later < b.later
+	}
 	return a.later > b.later
 }
 
--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -95,7 +95,7 @@
 		p.serveDemand(gain+p.in.Policy.MinimumGain/2, true)
 	}
 	for copies := 2; copies <= p.mostLeast(); copies++ {
-		for _, g := range p.models {
+		for _, g := range p.largest() {
 			p.ensureStandby(g, min(copies, g.least))
 		}
 	}
@@ -158,3 +158,11 @@
 		return cmp.Or(cmp.Compare(b.rate, a.rate), cmp.Compare(a.name.Model, b.name.Model))
 	})
 }
+
+// largest returns the models, those that take most memory first, since they fit
+// in the fewest places.
+func (p *plan) largest() []*group {
+	models := slices.Clone(p.models)
+	slices.SortStableFunc(models, func(a, b *group) int { return cmp.Compare(b.wholeBytes(), a.wholeBytes()) })
+	return models
+}
