Tell whole answers from cut, crossed and silent ones at the connection

Cause: the head of an answer is read by fasthttp, which replaces a passed read deadline by an error of its own, so that a target silent before the head counted as a cut one (and so as crashed). The deadline of a request was taken for silence and closed all pooled siblings. Lines above 4 KiB ended a stream; lines of one event were joined without a line feed; events without a number were dropped without a word, so that tokens could go missing; an error event was passed over. An interim answer, or one without a body (204, 304, HEAD), left the connection misread; a body that ends with its connection passed for whole.

Excluded: retries by the client library (each script sees one request).

Also: a context ends a call at once by closing its connection; the path of a request to a service goes out byte by byte.

Conclusion: an answer is whole, or ends with an error that says how.

--- a/internal/edge/connector/answer.go
+++ b/internal/edge/connector/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http/httputil"
@@ -21,15 +22,42 @@
 
 	pool  *Pool
 	conn  *conn
+	call  Call
 	body  io.Reader
 	whole bool
+	// framed tells that the end of the body can be told from a cut.
+	framed bool
+	// unwatch ends the wait for the context of the call; nil without one.
+	unwatch func() bool
 }
 
+// watch closes the connection as soon as the context of the call is done.
+func (a *Answer) watch() {
+	if a.call.Context == nil {
+		return
+	}
+	raw := a.conn.Conn
+	a.unwatch = context.AfterFunc(a.call.Context, func() { _ = raw.Close() })
+}
+
+// IsFramed reports whether the head of the answer tells where its body ends. The
+// body of any other answer ends with the connection, which a cut does as well.
+func (a *Answer) IsFramed() bool { return a.framed }
+
+// readHead reads the head of the final answer, past those of interim ones.
 func (a *Answer) readHead() error {
-	if err := a.Header.Read(a.conn.reader); err != nil {
-		return err
+	for {
+		if err := a.Header.Read(a.conn.reader); err != nil {
+			return err
+		}
+		if a.Header.StatusCode() >= fasthttp.StatusOK {
+			break
+		}
 	}
+	a.framed = true
 	switch length := a.Header.ContentLength(); {
+	case a.hasNoBody():
+		a.body = eofReader{}
 	case length >= 0:
 		a.body = &exactReader{reader: a.conn.reader, left: length}
 	case length == lengthChunked:
@@ -37,13 +65,25 @@
 	default:
 		// Without a length the end of the connection ends the body, which
 		// cannot be told from a cut.
+		a.framed = false
 		a.body = a.conn.reader
 		a.Header.SetConnectionClose()
 	}
 	return nil
 }
 
-// Read reads the body. The error is io.EOF, ErrSilent or ErrCut.
+// hasNoBody reports whether an answer ends with its head, whatever its head says.
+func (a *Answer) hasNoBody() bool {
+	status := a.Header.StatusCode()
+	return a.call.Request.Header.IsHead() || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// eofReader reads an empty body.
+type eofReader struct{}
+
+func (eofReader) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Read reads the body. The error is io.EOF or one of those of Do.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
 	if err == nil {
@@ -53,7 +93,7 @@
 		a.whole = true
 		return n, io.EOF
 	}
-	return n, a.pool.readError(err)
+	return n, a.readError(err)
 }
 
 // Close ends the use of the answer. Its connection is pooled only if the body
@@ -62,7 +102,9 @@
 	if a.conn == nil {
 		return
 	}
-	if a.whole && !a.Header.ConnectionClose() {
+	// A context that is done closes the connection, perhaps right now.
+	isCalm := a.unwatch == nil || a.unwatch()
+	if a.whole && isCalm && !a.Header.ConnectionClose() {
 		a.pool.put(a.conn)
 	} else {
 		a.conn.Close()
--- a/internal/edge/connector/connector.go
+++ b/internal/edge/connector/connector.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -17,14 +18,22 @@
 var (
 	// ErrNotSent tells that no byte of the request left this process.
 	ErrNotSent = errors.New("request not sent to target")
-	// ErrSilent tells that a target sent nothing until a deadline.
+	// ErrSilent tells that a target sent nothing for longer than a limit.
 	ErrSilent = errors.New("target is silent")
+	// ErrDeadline tells that the deadline of the request passed before the whole
+	// answer came. It says nothing about the target.
+	ErrDeadline = errors.New("deadline passed during request to target")
+	// ErrCanceled tells that the context of the request ended.
+	ErrCanceled = errors.New("request to target canceled")
 	// ErrCut tells that a connection ended before the whole answer came.
 	ErrCut = errors.New("connection to target was cut")
 )
 
 const (
-	dialTimeout     = 500 * time.Millisecond
+	dialTimeout = 500 * time.Millisecond
+	// silentLimit is how long a connection that has carried nothing at the
+	// deadline of its request must have waited to make its siblings suspect.
+	silentLimit     = 2 * time.Second
 	mostIdle        = 64 // pooled connections for each target
 	idleLife        = 15 * time.Second
 	readBufferSize  = 8 << 10
@@ -80,6 +89,8 @@
 	gap     time.Duration
 	until   time.Time
 	written int
+	// heardAt is when the connection last carried a byte, or its request was sent.
+	heardAt time.Time
 }
 
 func (c *timedConn) Read(p []byte) (int, error) {
@@ -92,7 +103,11 @@
 	if err := c.SetReadDeadline(limit); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heardAt = time.Now()
+	}
+	return n, err
 }
 
 func (c *timedConn) Write(p []byte) (int, error) {
@@ -104,6 +119,9 @@
 // Call describes one request.
 type Call struct {
 	Request *fasthttp.Request
+	// Context ends the call when it is done, by closing the connection; nil for
+	// a call that is not canceled.
+	Context context.Context
 	// Fresh asks for a new connection. A request that may not be repeated needs
 	// one, since a pooled connection can end just as it is used.
 	Fresh bool
@@ -115,35 +133,51 @@
 	Gap time.Duration
 }
 
-// Do sends a request and reads the head of the answer. The error is
-// ErrNotSent, ErrSilent or ErrCut. The caller must close the answer.
+func (c Call) isCanceled() bool { return c.Context != nil && c.Context.Err() != nil }
+
+// Do sends a request and reads the head of the answer. The error is ErrNotSent,
+// ErrSilent, ErrDeadline, ErrCanceled or ErrCut. The caller must close the answer.
 func (p *Pool) Do(call Call) (*Answer, error) {
-	c, err := p.take(call.Fresh)
+	if call.isCanceled() {
+		return nil, errors.Wrap(ErrNotSent, ErrCanceled.Error())
+	}
+	c, err := p.take(call)
 	if err != nil {
 		return nil, err
 	}
+	a := &Answer{pool: p, conn: c, call: call}
+	a.watch()
 	c.written = 0
 	c.gap = 0
-	c.until = call.FirstByte
+	c.until = earlier(call.FirstByte, call.Until)
+	c.heardAt = time.Now()
 	if err := c.send(call); err != nil {
-		c.Close()
+		sorted := a.readError(err)
+		a.Discard()
 		if c.written == 0 {
 			return nil, errors.Wrap(ErrNotSent, err.Error())
 		}
-		return nil, errors.Wrap(ErrCut, err.Error())
+		return nil, sorted
 	}
-	a := &Answer{pool: p, conn: c}
 	if err := a.readHead(); err != nil {
-		c.Close()
-		return nil, p.readError(err)
+		err = a.readError(err)
+		a.Discard()
+		return nil, err
 	}
 	c.until = call.Until
 	c.gap = call.Gap
 	return a, nil
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (c *conn) send(call Call) error {
-	if err := c.SetWriteDeadline(call.FirstByte); err != nil {
+	if err := c.SetWriteDeadline(c.until); err != nil {
 		return err
 	}
 	if err := call.Request.Write(c.writer); err != nil {
@@ -152,15 +186,32 @@
 	return c.writer.Flush()
 }
 
-// readError sorts an error of a read. A silent connection makes its pooled
-// siblings suspect, since what lost track of it may have lost them as well.
-func (p *Pool) readError(err error) error {
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
-		p.Distrust()
-		return errors.Wrap(ErrSilent, p.address)
+// readError sorts an error of an exchange. A silent connection makes its pooled
+// siblings suspect, since what lost track of it may have lost them as well. The
+// deadline of a request alone does not.
+func (a *Answer) readError(err error) error {
+	if a.call.isCanceled() {
+		return errors.Wrap(ErrCanceled, a.pool.address)
+	}
+	if !isTimeout(err) {
+		return errors.Wrapf(ErrCut, "%s: %v", a.pool.address, err)
 	}
-	return errors.Wrapf(ErrCut, "%s: %v", p.address, err)
+	now := time.Now()
+	if now.Before(a.call.Until) {
+		a.pool.Distrust()
+		return errors.Wrap(ErrSilent, a.pool.address)
+	}
+	if now.Sub(a.conn.heardAt) >= silentLimit {
+		a.pool.Distrust()
+	}
+	return errors.Wrap(ErrDeadline, a.pool.address)
+}
+
+// isTimeout reports whether err is that of a passed read or write deadline. The
+// head is read by fasthttp, which replaces the error of the connection.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, fasthttp.ErrTimeout) || (errors.As(err, &netErr) && netErr.Timeout())
 }
 
 // Distrust closes the pooled connections and keeps those now in use from being pooled.
@@ -175,8 +226,8 @@
 	}
 }
 
-func (p *Pool) take(fresh bool) (*conn, error) {
-	for !fresh {
+func (p *Pool) take(call Call) (*conn, error) {
+	for !call.Fresh {
 		c := p.pop()
 		if c == nil {
 			break
@@ -186,13 +237,17 @@
 		}
 		c.Close()
 	}
-	raw, err := p.dial(p.address, dialTimeout)
-	if err != nil {
-		return nil, errors.Wrap(ErrNotSent, err.Error())
-	}
 	p.mu.Lock()
 	epoch := p.epoch
 	p.mu.Unlock()
+	timeout := min(dialTimeout, call.Until.Sub(p.now()))
+	if timeout <= 0 {
+		return nil, errors.Wrap(ErrNotSent, ErrDeadline.Error())
+	}
+	raw, err := p.dial(p.address, timeout)
+	if err != nil {
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
 	c := &conn{timedConn: timedConn{Conn: raw}, epoch: epoch}
 	c.reader = bufio.NewReaderSize(&c.timedConn, readBufferSize)
 	c.writer = bufio.NewWriterSize(&c.timedConn, writeBufferSize)
--- /dev/null
+++ b/internal/edge/connector/connector_test.go
@@ -0,0 +1,145 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusring/crocusring/internal/edge/connector"
+)
+
+// server answers with a script per path; an empty script means silence.
+func server(t *testing.T, scripts map[string]string) (string, *atomic.Int64) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	open := &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			open.Add(1)
+			go func() {
+				defer open.Add(-1)
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					req, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, scripts[req.URL.Path])
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String(), open
+}
+
+func do(ctx context.Context, pool *connector.Pool, method, path string, limit, until time.Duration) (string, error) {
+	req := &fasthttp.Request{}
+	req.Header.SetMethod(method)
+	req.Header.SetHost("target")
+	req.Header.SetRequestURI(path)
+	now := time.Now()
+	answer, err := pool.Do(connector.Call{Request: req, Context: ctx, FirstByte: now.Add(limit), Until: now.Add(until)})
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer)
+	return string(body), err
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func TestSilenceAndDeadlineAreToldApart(t *testing.T) {
+	const short, long = 50 * time.Millisecond, 5 * time.Second
+	address, open := server(t, map[string]string{"/": okAnswer})
+	// warm fills the pool with one connection and leaves another one in use.
+	warm := func(t *testing.T) *connector.Pool {
+		pool := connector.New(address)
+		_, err := do(nil, pool, "GET", "/", long, long)
+		require.NoError(t, err)
+		return pool
+	}
+	t.Run("the deadline of a request distrusts nothing", func(t *testing.T) {
+		pool := warm(t)
+		require.EqualValues(t, 1, open.Load())
+		req := &fasthttp.Request{}
+		req.Header.SetHost("target")
+		req.Header.SetRequestURI("/silent")
+		now := time.Now()
+		_, err := pool.Do(connector.Call{Request: req, Fresh: true, FirstByte: now.Add(short), Until: now.Add(short)})
+		assert.ErrorIs(t, err, connector.ErrDeadline)
+		assert.Eventually(t, func() bool { return open.Load() == 1 }, long, time.Millisecond, "its own connection is closed")
+		_, err = do(nil, pool, "GET", "/", long, long)
+		assert.NoError(t, err)
+		assert.EqualValues(t, 1, open.Load(), "the pooled sibling was used")
+		pool.Distrust()
+		assert.Eventually(t, func() bool { return open.Load() == 0 }, long, time.Millisecond)
+	})
+	t.Run("silence distrusts the siblings but not the target", func(t *testing.T) {
+		pool := warm(t)
+		req := &fasthttp.Request{}
+		req.Header.SetHost("target")
+		req.Header.SetRequestURI("/silent")
+		now := time.Now()
+		_, err := pool.Do(connector.Call{Request: req, Fresh: true, FirstByte: now.Add(short), Until: now.Add(long)})
+		assert.ErrorIs(t, err, connector.ErrSilent)
+		assert.Eventually(t, func() bool { return open.Load() == 0 }, long, time.Millisecond, "all are closed")
+		body, err := do(nil, pool, "GET", "/", long, long)
+		assert.NoError(t, err)
+		assert.Equal(t, "ok", body)
+		pool.Distrust()
+	})
+	t.Run("a passed deadline sends nothing", func(t *testing.T) {
+		_, err := do(nil, connector.New(address), "GET", "/", 0, 0)
+		assert.ErrorIs(t, err, connector.ErrNotSent)
+	})
+}
+
+func TestContextEndsACallAtOnce(t *testing.T) {
+	address, open := server(t, map[string]string{"/half": "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"})
+	for _, path := range []string{"/silent", "/half"} {
+		t.Run(path, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			time.AfterFunc(20*time.Millisecond, cancel)
+			_, err := do(ctx, connector.New(address), "GET", path, time.Minute, time.Minute)
+			assert.ErrorIs(t, err, connector.ErrCanceled)
+			assert.Eventually(t, func() bool { return open.Load() == 0 }, time.Second, time.Millisecond)
+		})
+	}
+	t.Run("before the start", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := do(ctx, connector.New(address), "GET", "/", time.Minute, time.Minute)
+		assert.ErrorIs(t, err, connector.ErrNotSent)
+	})
+}
+
+func TestAnswersWithoutABodyEndAtTheirHead(t *testing.T) {
+	address, open := server(t, map[string]string{
+		"/204": "HTTP/1.1 204 No Content\r\n\r\n", "/304": "HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n",
+		"/head": "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n",
+	})
+	pool := connector.New(address)
+	for path, method := range map[string]string{"/204": "POST", "/304": "GET", "/head": "HEAD"} {
+		body, err := do(nil, pool, method, path, time.Second, time.Second)
+		assert.NoError(t, err, path)
+		assert.Empty(t, body)
+	}
+	assert.EqualValues(t, 1, open.Load(), "one connection served all")
+}
--- a/internal/edge/forwarder/forwarder.go
+++ b/internal/edge/forwarder/forwarder.go
@@ -3,6 +3,7 @@
 package forwarder
 
 import (
+	"context"
 	"io"
 	"sync"
 	"time"
@@ -18,6 +19,9 @@
 	ErrTooLarge = errors.New("answer of service too large")
 	// ErrCrossed tells that an answer names another request.
 	ErrCrossed = errors.New("answer of service belongs to another request")
+	// ErrUnframed tells that an answer does not say where it ends, so that it
+	// cannot be told from a part of it.
+	ErrUnframed = errors.New("answer of service has no length")
 )
 
 const (
@@ -36,6 +40,8 @@
 	Body        []byte
 	Fresh       bool
 	Until       time.Time
+	// Context ends the call when it is done; it may be nil.
+	Context context.Context
 }
 
 // Answer is a whole answer.
@@ -67,13 +73,16 @@
 	return pool
 }
 
-// Do sends a request to the service at address. The error is ErrTooLarge,
-// ErrCrossed or one of the connector's.
+// Do sends a request to the service at address. Path and query go out byte by
+// byte as they are. The error is ErrTooLarge, ErrCrossed, ErrUnframed or one of
+// the connector's.
 func (c *Client) Do(address string, call Call) (Answer, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(call.Method)
-	req.SetRequestURI("http://" + address + call.PathQuery)
+	// The URI of the request itself would be normalized, that of its header is not.
+	req.Header.SetHost(address)
+	req.Header.SetRequestURI(call.PathQuery)
 	if call.ContentType != "" {
 		req.Header.SetContentType(call.ContentType)
 	}
@@ -83,7 +92,7 @@
 	}
 	req.SetBodyRaw(call.Body)
 	answer, err := c.pool(address).Do(connector.Call{
-		Request: req, Fresh: call.Fresh, FirstByte: call.Until, Until: call.Until,
+		Request: req, Fresh: call.Fresh, FirstByte: call.Until, Until: call.Until, Context: call.Context,
 	})
 	if err != nil {
 		return Answer{}, err
@@ -94,6 +103,10 @@
 		answer.Discard()
 		return Answer{}, errors.Wrapf(ErrCrossed, "want %q, got %q", call.ID, id)
 	}
+	if !answer.IsFramed() {
+		answer.Discard()
+		return Answer{}, ErrUnframed
+	}
 	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, err
--- /dev/null
+++ b/internal/edge/streamer/stream.go
@@ -0,0 +1,180 @@
+package streamer
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/go-faster/errors"
+
+	"github.com/crocusring/crocusring/internal/edge/connector"
+)
+
+// Event is one event of a stream. Data is the text of the event and is valid
+// until the next call of Next.
+type Event struct {
+	Index int
+	Data  []byte
+}
+
+// Stream is a running answer.
+type Stream struct {
+	next   int
+	answer *connector.Answer
+	events eventReader
+	ended  bool
+}
+
+// endMarker is the text of the last event of a whole answer.
+var endMarker = []byte("[DONE]")
+
+// Next returns the next event that was not received before. The error is io.EOF
+// after the end marker, and ErrTruncated, ErrCrossed, ErrFailed, ErrMalformed or
+// one of the connector's errors where the stream cannot go on.
+func (s *Stream) Next() (Event, error) {
+	if s.ended {
+		return Event{}, io.EOF
+	}
+	for {
+		index, err := s.events.read()
+		if err != nil {
+			return Event{}, err
+		}
+		switch {
+		case bytes.Equal(s.events.data, endMarker):
+			s.ended = true
+			return Event{}, io.EOF
+		case index < 0:
+			return Event{}, errors.Wrap(ErrMalformed, "event has no number")
+		case index < s.next:
+			continue // a resumed stream may start early
+		case index > s.next:
+			return Event{}, errors.Wrapf(ErrTruncated, "token %d is missing", s.next)
+		}
+		s.next++
+		return Event{Index: index, Data: s.events.data}, nil
+	}
+}
+
+// Buffered reports whether a further event has begun to arrive already.
+func (s *Stream) Buffered() bool {
+	return s.events.lines.Buffered() > 0
+}
+
+// Close ends the stream. The rest of the body is read after the end marker, so
+// that the connection can be used again. A stream that has not come to its end
+// marker is cancelled at the engine by closing its connection.
+func (s *Stream) Close() {
+	if !s.ended {
+		s.answer.Discard()
+		return
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(s.events.lines, eventBufferBytes))
+	if err != nil || n > 0 {
+		s.answer.Discard()
+		return
+	}
+	s.answer.Close()
+}
+
+// eventReader reads server-sent events that belong to the request id.
+type eventReader struct {
+	id    []byte
+	lines *bufio.Reader
+	// data is the text of the last event; long holds a line that is longer than
+	// the buffer of lines.
+	data []byte
+	long []byte
+}
+
+// read reads one event into data and returns its number, -1 for one without.
+func (r *eventReader) read() (int, error) {
+	r.data = r.data[:0]
+	index := -1
+	hasData := false
+	for {
+		line, err := r.readLine()
+		if err == io.EOF {
+			return 0, ErrTruncated
+		}
+		if err != nil {
+			return 0, err
+		}
+		if len(line) == 0 {
+			if hasData {
+				return index, nil
+			}
+			index = -1
+			continue
+		}
+		field, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(field) {
+		case "id":
+			index, err = r.number(value)
+		case "event":
+			err = checkKind(value)
+		case "data":
+			err = r.add(value, hasData)
+			hasData = true
+		}
+		if err != nil {
+			return 0, err
+		}
+	}
+}
+
+// readLine returns the next line without its end, valid until the next call.
+func (r *eventReader) readLine() ([]byte, error) {
+	line, err := r.lines.ReadSlice('\n')
+	if err == bufio.ErrBufferFull {
+		r.long = r.long[:0]
+		for err == bufio.ErrBufferFull {
+			r.long = append(r.long, line...)
+			if len(r.long) > maxEventBytes {
+				return nil, errors.Wrap(ErrFailed, "event too large")
+			}
+			line, err = r.lines.ReadSlice('\n')
+		}
+		r.long = append(r.long, line...)
+		line = r.long
+	}
+	if err != nil {
+		return nil, err
+	}
+	line = line[:len(line)-1]
+	return bytes.TrimSuffix(line, []byte("\r")), nil
+}
+
+// number returns the number of an event from its ID, REQUEST:NUMBER.
+func (r *eventReader) number(value []byte) (int, error) {
+	id, number, _ := bytes.Cut(value, []byte(":"))
+	if !bytes.Equal(id, r.id) {
+		return 0, errors.Wrapf(ErrCrossed, "event of %q in the stream of %q", id, r.id)
+	}
+	n, err := strconv.Atoi(string(number))
+	if err != nil || n < 0 {
+		return 0, errors.Wrapf(ErrMalformed, "event number %q", number)
+	}
+	return n, nil
+}
+
+func checkKind(value []byte) error {
+	if string(value) == "error" {
+		return errors.Wrap(ErrFailed, "error event")
+	}
+	return nil
+}
+
+// add appends one line of data; lines of one event are joined by a line feed.
+func (r *eventReader) add(value []byte, follows bool) error {
+	if len(r.data)+len(value)+1 > maxEventBytes {
+		return errors.Wrap(ErrFailed, "event too large")
+	}
+	if follows {
+		r.data = append(r.data, '\n')
+	}
+	r.data = append(r.data, value...)
+	return nil
+}
--- a/internal/edge/streamer/streamer.go
+++ b/internal/edge/streamer/streamer.go
@@ -5,7 +5,7 @@
 
 import (
 	"bufio"
-	"bytes"
+	"context"
 	"io"
 	"strconv"
 	"sync"
@@ -27,6 +27,8 @@
 	ErrCrossed = errors.New("answer belongs to another request")
 	// ErrTruncated tells that an answer ended without its end marker.
 	ErrTruncated = errors.New("answer has no end marker")
+	// ErrMalformed tells that an answer does not follow the interface.
+	ErrMalformed = errors.New("malformed answer")
 )
 
 // RejectedError is an engine's final answer to a request that it finds faulty.
@@ -66,6 +68,8 @@
 	FirstByte time.Time
 	Until     time.Time
 	Gap       time.Duration
+	// Context ends the call when it is done; it may be nil.
+	Context context.Context
 }
 
 // Client talks to engines over one connection pool for each.
@@ -98,6 +102,10 @@
 		return nil, err
 	}
 	defer answer.Close()
+	if !answer.IsFramed() {
+		answer.Discard()
+		return nil, errors.Wrap(ErrTruncated, "answer has no length")
+	}
 	body, err := io.ReadAll(io.LimitReader(answer, maxWholeBytes+1))
 	if err != nil {
 		return nil, err
@@ -116,10 +124,9 @@
 		return nil, err
 	}
 	return &Stream{
-		id:     []byte(call.ID),
 		next:   call.Next,
 		answer: answer,
-		reader: bufio.NewReaderSize(answer, eventBufferBytes),
+		events: eventReader{id: []byte(call.ID), lines: bufio.NewReaderSize(answer, eventBufferBytes)},
 	}, nil
 }
 
@@ -139,7 +146,7 @@
 	}
 	req.SetBodyRaw(call.Body)
 	answer, err := c.Pool(address).Do(connector.Call{
-		Request: req, Fresh: call.Fresh, FirstByte: call.FirstByte, Until: call.Until, Gap: call.Gap,
+		Request: req, Fresh: call.Fresh, FirstByte: call.FirstByte, Until: call.Until, Gap: call.Gap, Context: call.Context,
 	})
 	if err != nil {
 		return nil, err
@@ -172,112 +179,3 @@
 		return errors.Wrapf(ErrFailed, "status %d", status)
 	}
 }
-
-// Event is one event of a stream. Data is the text of the event and is valid
-// until the next call of Next.
-type Event struct {
-	Index int
-	Data  []byte
-}
-
-// Stream is a running answer.
-type Stream struct {
-	id     []byte
-	next   int
-	answer *connector.Answer
-	reader *bufio.Reader
-	data   []byte
-}
-
-// endMarker is the text of the last event of a whole answer.
-var endMarker = []byte("[DONE]")
-
-// Next returns the next event that was not received before. The error is io.EOF
-// after the end marker, and ErrTruncated, ErrCrossed or one of the connector's
-// errors where the stream cannot go on.
-func (s *Stream) Next() (Event, error) {
-	for {
-		index, err := s.readEvent()
-		if err != nil {
-			return Event{}, err
-		}
-		switch {
-		case bytes.Equal(s.data, endMarker):
-			return Event{}, s.finish()
-		case index < s.next:
-			continue // a resumed stream may start early
-		case index > s.next:
-			return Event{}, errors.Wrapf(ErrTruncated, "token %d is missing", s.next)
-		}
-		s.next++
-		return Event{Index: index, Data: s.data}, nil
-	}
-}
-
-// finish reads the rest of the body, so that the connection can be used again.
-func (s *Stream) finish() error {
-	n, err := io.Copy(io.Discard, io.LimitReader(s.reader, eventBufferBytes))
-	if err != nil || n > 0 {
-		s.answer.Discard()
-	}
-	return io.EOF
-}
-
-// readEvent reads one event into data and returns its index.
-func (s *Stream) readEvent() (int, error) {
-	s.data = s.data[:0]
-	index := -1
-	for {
-		line, err := s.reader.ReadSlice('\n')
-		if err == io.EOF {
-			return 0, ErrTruncated
-		}
-		if err != nil {
-			return 0, err
-		}
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 {
-			if len(s.data) > 0 {
-				return index, nil
-			}
-			continue
-		}
-		if err := s.addLine(line, &index); err != nil {
-			return 0, err
-		}
-	}
-}
-
-func (s *Stream) addLine(line []byte, index *int) error {
-	field, value, _ := bytes.Cut(line, []byte(":"))
-	value = bytes.TrimPrefix(value, []byte(" "))
-	switch string(field) {
-	case "id":
-		id, number, _ := bytes.Cut(value, []byte(":"))
-		if !bytes.Equal(id, s.id) {
-			return errors.Wrapf(ErrCrossed, "event of %q in the stream of %q", id, s.id)
-		}
-		n, err := strconv.Atoi(string(number))
-		if err != nil {
-			return errors.Wrapf(ErrTruncated, "event number %q", number)
-		}
-		*index = n
-	case "data":
-		if len(s.data)+len(value) > maxEventBytes {
-			return errors.Wrap(ErrFailed, "event too large")
-		}
-		s.data = append(s.data, value...)
-	}
-	return nil
-}
-
-// Buffered reports whether a further event has begun to arrive already.
-func (s *Stream) Buffered() bool {
-	return s.reader.Buffered() > 0
-}
-
-// Close ends the stream. A stream that has not come to its end marker is
-// cancelled at the engine by closing its connection.
-func (s *Stream) Close() {
-	s.answer.Close()
-}
