Run a keyed request at most once and say 'not run' only where it holds

Cause: a claim was named by the caller's request ID, so that a resend with the same ID after its entry was pruned was taken for the first one and ran again. A claim whose answers were all lost made the key unusable at its own home. Refusals of keyed requests said 'not run' though another copy could run at the home (not ready, model gone, claim unavailable). Recorded and relayed answers that could not be completed ended as whole HTTP bodies. Relayed copies were sent with a normalized path and without the ID, so that the echo could not be checked. A service path with dot segments named another service.

Now: entries name their claims; keys are bound to a print of the request; own keys are UUIDs of version 7 whose time bounds the life of claims, which the holder of the control lease prunes; recorded answers have a budget; a body that cannot be completed closes its connection; callers who leave are noticed at once.

Excluded: free-form own keys, since a pruned claim of one could run again.

Conclusion: the window is one hour and clocks may differ by five minutes.

--- a/internal/edge/listener/chat.go
+++ b/internal/edge/listener/chat.go
@@ -1,9 +1,7 @@
 package listener
 
 import (
-	"bufio"
 	"encoding/json"
-	"io"
 	"strings"
 	"time"
 
@@ -15,7 +13,6 @@
 	"github.com/crocusring/crocusring/internal/request/dispatcher"
 	"github.com/crocusring/crocusring/internal/request/quarantiner"
 	"github.com/crocusring/crocusring/internal/state/keeper"
-	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
 // chat is a chat-completion request whose model has been resolved.
@@ -94,7 +91,7 @@
 		return
 	}
 	job.Key = a.key.Text
-	entry, mine := l.settleHome(ctx, a)
+	entry, mine := l.settleHome(ctx, a, deduper.PrintOf([]byte(pathChat), ctx.PostBody()))
 	if entry == nil {
 		return
 	}
@@ -119,14 +116,18 @@
 	l.inFlight.Add(-1)
 }
 
-// runChat runs a request without a key and relays the answer as it comes.
+// runChat runs a request without a key and relays the answer as it comes. It is
+// cancelled at the engine when its caller leaves.
 func (l *Listener) runChat(ctx *fasthttp.RequestCtx, a *arrival, c *chat, job *dispatcher.Job) {
 	if err := l.enter(a, c.name.Model); err != nil {
 		refuse(ctx, a.id, err)
 		return
 	}
+	caller := watchCaller(ctx.Conn())
+	job.Context = caller.context
 	if !c.stream {
 		defer l.leave(a)
+		defer caller.stop()
 		body, err := l.Dispatcher.Whole(job)
 		l.observe(a, c.name.Model, l.now(), err)
 		answerWhole(ctx, a, body, err)
@@ -134,6 +135,7 @@
 	}
 	stream, err := l.Dispatcher.Start(job)
 	if err != nil {
+		caller.stop()
 		l.leave(a)
 		l.observe(a, c.name.Model, time.Time{}, err)
 		answerWhole(ctx, a, nil, err)
@@ -141,76 +143,13 @@
 	}
 	ctx.SetContentType(typeEvents)
 	ctx.Response.Header.Set(headerRequestID, a.id)
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer l.leave(a)
-		defer stream.Close()
-		var first time.Time
-		err := copyEvents(stream, func(part []byte, more bool) error {
-			if first.IsZero() {
-				first = l.now()
-			}
-			return writePart(w, part, more)
-		})
-		l.observe(a, c.name.Model, first, err)
-	})
-}
-
-const typeEvents = "text/event-stream"
-
-func writePart(w *bufio.Writer, part []byte, more bool) error {
-	if _, err := w.Write(part); err != nil {
-		return err
-	}
-	if more {
-		return nil
-	}
-	return w.Flush()
-}
-
-// errCallerGone tells that the caller no longer reads its answer.
-var errCallerGone = errors.New("caller is gone")
-
-// copyEvents writes the events of a stream to its end marker, or to an error
-// event if it cannot be completed. more tells that a further part follows at once.
-func copyEvents(stream *dispatcher.Stream, write func(part []byte, more bool) error) error {
-	var part []byte
-	for {
-		data, err := stream.Next()
-		if err != nil {
-			return endEvents(err, write)
-		}
-		part = append(part[:0], "data: "...)
-		part = append(part, data...)
-		part = append(part, "\n\n"...)
-		if err := write(part, stream.Buffered()); err != nil {
-			return errCallerGone
-		}
-	}
-}
-
-func endEvents(err error, write func(part []byte, more bool) error) error {
-	if errors.Is(err, io.EOF) {
-		if write([]byte("data: [DONE]\n\n"), false) != nil {
-			return errCallerGone
-		}
-		return nil
-	}
-	_, refusal := refusalOf(err, time.Now())
-	refusal.NotRun = false
-	event := append([]byte("event: error\ndata: "), encodeRefusal(refusal)...)
-	_ = write(append(event, "\n\n"...), false)
-	return err
-}
-
-func encodeRefusal(refusal messenger.Refusal) []byte {
-	if refusal.Addresses == nil {
-		refusal.Addresses = []string{}
-	}
-	body, err := json.Marshal(refusal)
-	if err != nil {
-		return []byte("{}")
+	body := &eventBody{stream: stream}
+	body.closed = func(err error) {
+		caller.stop()
+		l.leave(a)
+		l.observe(a, c.name.Model, body.first, err)
 	}
-	return body
+	ctx.SetBodyStream(body, unknownSize)
 }
 
 // answerWhole answers with a body, with what an engine rejected a request with,
@@ -225,7 +164,7 @@
 		refuse(ctx, a.id, err)
 		return
 	}
-	ctx.SetContentType("application/json")
+	ctx.SetContentType(typeJSON)
 	ctx.Response.Header.Set(headerRequestID, a.id)
 	ctx.SetBody(body)
 }
@@ -252,12 +191,16 @@
 	}
 	defer stream.Close()
 	entry.Begin(deduper.Head{Status: fasthttp.StatusOK, ContentType: typeEvents})
-	err = copyEvents(stream, func(part []byte, _ bool) error {
+	body := &eventBody{stream: stream}
+	for {
+		part, err := body.next()
+		if err != nil {
+			break
+		}
 		entry.Append(part)
-		return nil
-	})
+	}
 	entry.End()
-	l.observe(a, c.name.Model, time.Time{}, err)
+	l.observe(a, c.name.Model, body.first, body.failure)
 }
 
 func recordWhole(entry *deduper.Entry, body []byte, err error) {
@@ -271,7 +214,5 @@
 		record(entry, err)
 		return
 	}
-	entry.Begin(deduper.Head{Status: status, ContentType: "application/json"})
-	entry.Append(body)
-	entry.End()
+	entry.Answer(deduper.Head{Status: status, ContentType: typeJSON}, body)
 }
--- a/internal/edge/listener/keyed.go
+++ b/internal/edge/listener/keyed.go
@@ -1,7 +1,6 @@
 package listener
 
 import (
-	"bufio"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,12 +15,12 @@
 // settleHome finds the home of a keyed request. It returns the entry to read
 // the answer from and whether this call has to run the request; a nil entry
 // means that the request was answered here already.
-func (l *Listener) settleHome(ctx *fasthttp.RequestCtx, a *arrival) (*deduper.Entry, bool) {
+func (l *Listener) settleHome(ctx *fasthttp.RequestCtx, a *arrival, content deduper.Print) (*deduper.Entry, bool) {
 	if a.key.IsIssued() && a.key.Home != l.Home {
 		l.relayTo(ctx, a, a.key.Home)
 		return nil, false
 	}
-	entry, mine, err := l.Keys.Begin(a.team.Name, *a.key, a.at)
+	entry, mine, err := l.Keys.Begin(a.team.Name, *a.key, content, a.at)
 	if err != nil {
 		refuse(ctx, a.id, err)
 		return nil, false
@@ -34,7 +33,7 @@
 
 // claim binds a caller's own key to a home before its request starts.
 func (l *Listener) claim(ctx *fasthttp.RequestCtx, a *arrival, entry *deduper.Entry) (*deduper.Entry, bool) {
-	claimed, err := l.Claimer.Claim(a.team.Name, *a.key, a.id+l.Home.Incarnation)
+	claimed, err := l.Claimer.Claim(a.team.Name, *a.key, entry.OperationID())
 	switch {
 	case err != nil:
 		entry.Refuse(err)
@@ -43,7 +42,8 @@
 		entry.SetClaimed()
 		return entry, true
 	case claimed.Home == l.Home:
-		// The key was used and its entry has been pruned since.
+		// The claim is that of an earlier entry, which is gone: what became of its
+		// request is not known.
 		entry.Refuse(deduper.ErrExpired)
 		l.Keys.Forget(a.team.Name, *a.key)
 		refuse(ctx, a.id, deduper.ErrExpired)
@@ -55,18 +55,22 @@
 	return nil, false
 }
 
-// relayTo sends a request on to its home. If the home is gone, nothing else may
-// run the request, since it may have run there.
+// relayTo sends a request on to its home. Nothing else may run the request,
+// since it may have run there. The home tells by itself whether it is the right
+// incarnation.
 func (l *Listener) relayTo(ctx *fasthttp.RequestCtx, a *arrival, home deduper.Home) {
-	in := l.Fleet.View().Instances[home.Instance]
-	isRelayed := len(ctx.Request.Header.Peek(relayer.HeaderRelayed)) > 0
-	if in == nil || in.Incarnation != home.Incarnation || isRelayed {
+	if len(ctx.Request.Header.Peek(relayer.HeaderRelayed)) > 0 || home.Instance == l.Home.Instance {
 		refuse(ctx, a.id, errHomeLost)
 		return
 	}
-	answer, err := l.relay.Do(in.Address, &ctx.Request, a.deadline)
+	in := l.Fleet.View().Instances[home.Instance]
+	if in == nil {
+		refuse(ctx, a.id, errHomeUnreachable)
+		return
+	}
+	answer, err := l.relay.Do(in.Address, relayer.Copy{Request: &ctx.Request, ID: a.id, Until: a.deadline})
 	if err != nil {
-		refuse(ctx, a.id, errors.Wrap(errHomeLost, err.Error()))
+		refuse(ctx, a.id, errors.Wrap(errHomeUnreachable, err.Error()))
 		return
 	}
 	ctx.SetStatusCode(answer.Header.StatusCode())
@@ -76,24 +80,23 @@
 			ctx.Response.Header.SetBytesV(name, value)
 		}
 	}
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { copyAnswer(w, answer) })
+	l.inFlight.Add(1)
+	ctx.SetBodyStream(&relayedBody{answer: answer, closed: func() { l.inFlight.Add(-1) }}, max(unknownSize, answer.Header.ContentLength()))
 }
 
-// copyAnswer copies a relayed body as it comes. If the home's answer is cut, the
-// end marker is missing in the copy too.
-func copyAnswer(w *bufio.Writer, answer *connector.Answer) {
-	defer answer.Close()
-	const partBytes = 4 << 10
-	part := make([]byte, partBytes)
-	for {
-		n, err := answer.Read(part)
-		if _, writeErr := w.Write(part[:n]); writeErr != nil || w.Flush() != nil {
-			return
-		}
-		if err != nil {
-			return
-		}
-	}
+// relayedBody is the body of a home's answer. If that is cut, so is the copy.
+type relayedBody struct {
+	answer *connector.Answer
+	closed func()
+}
+
+func (b *relayedBody) Read(p []byte) (int, error) { return b.answer.Read(p) }
+
+// Close ends the use of the answer.
+func (b *relayedBody) Close() error {
+	b.answer.Close()
+	b.closed()
+	return nil
 }
 
 // record notes in an entry how its request ended before its answer began.
@@ -103,31 +106,27 @@
 		return
 	}
 	status, refusal := refusalOf(err, time.Now())
-	entry.Begin(deduper.Head{Status: status, ContentType: "application/json"})
-	entry.Append(encodeRefusal(refusal))
-	entry.End()
+	// A further send of the key would get this same answer.
+	refusal.RetryAfterMilliseconds = 0
+	entry.Answer(deduper.Head{Status: status, ContentType: typeJSON, IsRefusal: true}, encodeRefusal(refusal))
 }
 
 // replay answers from the record of an entry.
 func (l *Listener) replay(ctx *fasthttp.RequestCtx, a *arrival, entry *deduper.Entry) {
+	l.inFlight.Add(1)
+	leave := func() { l.inFlight.Add(-1) }
 	reader := entry.Reader()
 	head, err := reader.Head(a.deadline)
 	if err != nil {
-		refuse(ctx, a.id, err)
+		leave()
+		refuseSettled(ctx, a.id, err)
 		return
 	}
 	ctx.SetStatusCode(head.Status)
 	ctx.SetContentType(head.ContentType)
 	ctx.Response.Header.Set(headerRequestID, a.id)
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		for {
-			part, err := reader.Next(a.deadline)
-			if err != nil || part == nil {
-				return
-			}
-			if _, err := w.Write(part); err != nil || w.Flush() != nil {
-				return
-			}
-		}
-	})
+	if head.IsRefusal {
+		ctx.Response.Header.Set(headerNotRun, "false")
+	}
+	ctx.SetBodyStream(&recordBody{reader: reader, deadline: a.deadline, closed: leave}, unknownSize)
 }
--- a/internal/edge/listener/refusal.go
+++ b/internal/edge/listener/refusal.go
@@ -32,6 +32,8 @@
 	CodeNotRun         = "NotRun"
 	CodeOutcomeUnknown = "OutcomeUnknown"
 	CodeKeyExpired     = "KeyExpired"
+	CodeKeyReused      = "KeyReused"
+	CodeNotKept        = "AnswerNotKept"
 	CodeStillRunning   = "StillRunning"
 	CodeConflict       = "Conflict"
 	CodeUnavailable    = "Unavailable"
@@ -46,6 +48,8 @@
 	errNoPath         = errors.New("no such path")
 	errNotReady       = errors.New("instance does not take requests")
 	errHomeLost       = errors.New("the instance that may run this request is gone")
+	// errHomeUnreachable tells that the home of a request gave no answer now.
+	errHomeUnreachable = errors.New("the instance that may run this request does not answer")
 )
 
 const (
@@ -53,8 +57,22 @@
 	retryUnavailable = time.Second
 )
 
-// refuse answers with the refusal that stands for an error.
+// refuse answers with the refusal that stands for an error. Of a keyed request
+// it does not say that it was not run, since another copy of it may have run at
+// its home.
 func refuse(ctx *fasthttp.RequestCtx, requestID string, err error) {
+	status, refusal := refusalOf(err, time.Now())
+	isKeyed := len(ctx.Request.Header.Peek(headerKey)) > 0
+	if isKeyed && !errors.Is(err, deduper.ErrBadKey) {
+		refusal.NotRun = false
+	}
+	refusal.RequestID = requestID
+	writeRefusal(ctx, status, refusal)
+}
+
+// refuseSettled refuses a keyed request for a reason that its home recorded,
+// which speaks for all copies of the request.
+func refuseSettled(ctx *fasthttp.RequestCtx, requestID string, err error) {
 	status, refusal := refusalOf(err, time.Now())
 	refusal.RequestID = requestID
 	writeRefusal(ctx, status, refusal)
@@ -107,13 +125,17 @@
 	{errUnknownService, fasthttp.StatusNotFound, CodeUnknownService, true, 0},
 	{errNoPath, fasthttp.StatusNotFound, CodeNotFound, true, 0},
 	{errHomeLost, fasthttp.StatusBadGateway, CodeOutcomeUnknown, false, 0},
+	{errHomeUnreachable, fasthttp.StatusBadGateway, CodeOutcomeUnknown, false, retryUnavailable},
 	{deduper.ErrExpired, fasthttp.StatusConflict, CodeKeyExpired, false, 0},
+	{deduper.ErrReused, fasthttp.StatusUnprocessableEntity, CodeKeyReused, false, 0},
+	{deduper.ErrNotKept, fasthttp.StatusConflict, CodeNotKept, false, 0},
 	{deduper.ErrWaitedTooLong, fasthttp.StatusConflict, CodeStillRunning, false, retryUnavailable},
 	{deduper.ErrFull, fasthttp.StatusServiceUnavailable, CodeUnavailable, true, retryUnavailable},
-	{deduper.ErrClaimUnavailable, fasthttp.StatusServiceUnavailable, CodeUnavailable, true, retryUnavailable},
+	// Another instance may hold the claim and run the request.
+	{deduper.ErrClaimUnavailable, fasthttp.StatusServiceUnavailable, CodeUnavailable, false, retryUnavailable},
 	{quarantiner.ErrConvicted, fasthttp.StatusUnprocessableEntity, CodeQuarantined, true, 0},
 	{dispatcher.ErrUnknown, fasthttp.StatusBadGateway, CodeOutcomeUnknown, false, 0},
-	{dispatcher.ErrDeadline, fasthttp.StatusGatewayTimeout, CodeDeadlinePassed, true, 0},
+	{dispatcher.ErrDeadline, fasthttp.StatusGatewayTimeout, CodeDeadlinePassed, true, retryUnavailable},
 	{dispatcher.ErrNotRun, fasthttp.StatusServiceUnavailable, CodeNotRun, true, retryUnavailable},
 	{errNotReady, fasthttp.StatusServiceUnavailable, CodeNotReady, true, retryUnavailable},
 	{transactor.ErrUnavailable, fasthttp.StatusServiceUnavailable, CodeUnavailable, true, retryUnavailable},
@@ -129,11 +151,21 @@
 	}
 	for _, c := range refusalCases {
 		if errors.Is(err, c.err) {
-			return c.status, messenger.Refusal{
+			refusal := messenger.Refusal{
 				Code: c.code, Message: err.Error(), RetryAfterMilliseconds: c.retry.Milliseconds(),
 				NotRun: c.notRun && !errors.Is(err, dispatcher.ErrUnknown),
 			}
+			var failure *dispatcher.FailureError
+			if errors.As(err, &failure) && failure.Ran && failure.Repeatable && !isFinal(err) {
+				refusal.RetryAfterMilliseconds = retryUnavailable.Milliseconds()
+			}
+			return c.status, refusal
 		}
 	}
 	return fasthttp.StatusInternalServerError, messenger.Refusal{Code: CodeOutcomeUnknown, Message: err.Error()}
 }
+
+// isFinal reports whether a later send of the request would end the same way.
+func isFinal(err error) bool {
+	return errors.Is(err, quarantiner.ErrConvicted)
+}
--- a/internal/edge/listener/service.go
+++ b/internal/edge/listener/service.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"net/url"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -11,11 +12,60 @@
 	"github.com/crocusring/crocusring/internal/request/dispatcher"
 )
 
+// splitServicePath takes apart the target of a request line as the caller wrote
+// it: the name of a service, and path and query of the request to the service,
+// which are not changed in any way. Targets that a service might take for a path
+// outside of its own, or that name a service in another spelling, are refused.
+func splitServicePath(target string) (name, pathQuery string, err error) {
+	rest, isBelow := strings.CutPrefix(target, pathServices)
+	if !isBelow {
+		return "", "", errors.Wrap(errBadRequest, "path must begin with "+pathServices)
+	}
+	for _, c := range []byte(target) {
+		if c <= ' ' || c >= 0x7f || c == '#' || c == '\\' {
+			return "", "", errors.Wrap(errBadRequest, "path has a character that must be encoded")
+		}
+	}
+	end := strings.IndexAny(rest, "/?")
+	if end < 0 {
+		end = len(rest)
+	}
+	name, pathQuery = rest[:end], rest[end:]
+	if strings.Contains(name, "%") || isDotSegment(name) {
+		return "", "", errors.Wrap(errBadRequest, "name of service must not be encoded")
+	}
+	if !strings.HasPrefix(pathQuery, "/") {
+		pathQuery = "/" + pathQuery
+	}
+	path, _, _ := strings.Cut(pathQuery, "?")
+	decoded, err := url.PathUnescape(path)
+	if err != nil {
+		return "", "", errors.Wrap(errBadRequest, err.Error())
+	}
+	for _, segment := range strings.FieldsFunc(decoded, func(c rune) bool { return c == '/' || c == '\\' }) {
+		if isDotSegment(segment) {
+			return "", "", errors.Wrap(errBadRequest, "path must not have dot segments")
+		}
+	}
+	return name, pathQuery, nil
+}
+
+// isDotSegment reports whether a segment is "." or "..", with or without
+// parameters, which some servers cut off before they resolve the path.
+func isDotSegment(segment string) bool {
+	segment, _, _ = strings.Cut(segment, ";")
+	return segment == "." || segment == ".."
+}
+
 // handleService routes a request to a plain service. The part of the path after
 // the name of the service is that of the request to the service.
 func (l *Listener) handleService(ctx *fasthttp.RequestCtx) {
 	id := requestID(ctx)
-	name, rest, _ := strings.Cut(strings.TrimPrefix(string(ctx.Path()), pathServices), "/")
+	name, pathQuery, err := splitServicePath(string(ctx.Request.Header.RequestURI()))
+	if err != nil {
+		refuse(ctx, id, err)
+		return
+	}
 	service, known := l.Tree.Catalog().Services[name]
 	a, err := l.arrive(ctx, id, service.Repeatable)
 	if err != nil {
@@ -26,10 +76,6 @@
 		refuse(ctx, id, errors.Wrapf(errUnknownService, "%.80q", name))
 		return
 	}
-	pathQuery := "/" + rest
-	if query := ctx.URI().QueryString(); len(query) > 0 {
-		pathQuery += "?" + string(query)
-	}
 	job := &dispatcher.ServiceJob{
 		ID: id, Service: service, Method: string(ctx.Method()), PathQuery: pathQuery,
 		ContentType: string(ctx.Request.Header.ContentType()), Body: append([]byte(nil), ctx.PostBody()...),
@@ -38,6 +84,12 @@
 		Repeatable: a.repeatable && service.Repeatable,
 	}
 	if a.key == nil {
+		// A call that may not be repeated is not cut off midway.
+		if job.Repeatable {
+			caller := watchCaller(ctx.Conn())
+			defer caller.stop()
+			job.Context = caller.context
+		}
 		answer, err := l.runService(a, job)
 		if err != nil {
 			refuse(ctx, id, err)
@@ -50,7 +102,8 @@
 		return
 	}
 	job.Key = a.key.Text
-	entry, mine := l.settleHome(ctx, a)
+	content := deduper.PrintOf([]byte(job.Method), []byte(name+pathQuery), job.Body)
+	entry, mine := l.settleHome(ctx, a, content)
 	if entry == nil {
 		return
 	}
@@ -76,7 +129,5 @@
 		record(entry, err)
 		return
 	}
-	entry.Begin(deduper.Head{Status: answer.Status, ContentType: answer.ContentType})
-	entry.Append(answer.Body)
-	entry.End()
+	entry.Answer(deduper.Head{Status: answer.Status, ContentType: answer.ContentType}, answer.Body)
 }
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -70,6 +70,7 @@
 	admitter    *admitter.Admitter
 	dispatcher  *dispatcher.Dispatcher
 	keys        *deduper.Table
+	claimer     *deduper.Claimer
 	measurer    *measurer.Measurer
 	exchanger   *exchanger.Exchanger
 	listener    *listener.Listener
@@ -102,6 +103,7 @@
 	tables := transactor.New(settings.Platform, client)
 	engines := commander.New(client)
 	n.quarantiner = quarantiner.New()
+	n.claimer = deduper.NewClaimer(n.home, tables)
 	n.configurer = configurer.New(tables, n.tree)
 	n.leaser = leaser.New(settings.Instance, n.home.Incarnation, tables)
 	n.orderer = orderer.New(tables, engines, n.fleet, n.tree.Catalog, n.totalRates, n.policy())
@@ -121,7 +123,7 @@
 		Home: n.home, DataCentre: n.settings.DataCentre,
 		OperatorDigest: n.settings.Digest(), PeerCredential: n.settings.PeerCredential,
 		Tree: n.tree, Configurer: n.configurer, Fleet: n.fleet, Admitter: n.admitter,
-		Dispatcher: n.dispatcher, Keys: n.keys, Claimer: deduper.NewClaimer(n.home, tables),
+		Dispatcher: n.dispatcher, Keys: n.keys, Claimer: n.claimer,
 		Exchanger: n.exchanger, Measurer: n.measurer, Log: n.log,
 		Ready: n.ready, Leaving: n.leaving.Load, Accepted: n.push, Status: n.status,
 	}
@@ -187,6 +189,7 @@
 		{"orders", orderEvery, n.tickOrders},
 		{"rates", rateEvery, n.tickRates},
 		{"prune", pruneEvery, func() error { n.keys.Prune(n.now()); return nil }},
+		{"claims", pruneEvery, n.pruneClaims},
 	}
 	for _, l := range loops {
 		group.Go(func() error {
@@ -243,6 +246,16 @@
 	return n.orderer.Tick(now, grant)
 }
 
+// pruneClaims is the task of the holder of the control lease alone, to spare the
+// table service.
+func (n *Node) pruneClaims() error {
+	now := n.now()
+	if _, held := n.leaser.Held(now); !held {
+		return nil
+	}
+	return n.claimer.Prune(now)
+}
+
 func (n *Node) tickRates() error {
 	rates := n.measurer.Rates(n.now())
 	n.rates.Store(&rates)
--- a/internal/request/deduper/entry.go
+++ b/internal/request/deduper/entry.go
@@ -7,20 +7,32 @@
 	"github.com/go-faster/errors"
 )
 
-// ErrNotRun tells that the request of an entry ended without having run.
-var ErrNotRun = errors.New("keyed request was not run")
+var (
+	// ErrNotKept tells that the request of an entry ran and that its answer was
+	// too large to be kept.
+	ErrNotKept = errors.New("answer of keyed request is not kept")
+	// ErrWaitedTooLong tells that the record did not go on until the deadline of
+	// the reader.
+	ErrWaitedTooLong = errors.New("keyed request still runs")
+)
 
 // Head is the head of a recorded answer.
 type Head struct {
 	Status      int
 	ContentType string
+	// IsRefusal tells that the answer is a refusal of this system.
+	IsRefusal bool
 }
 
 // Entry is one keyed request at its home. The one who runs the request records
 // the answer; all who sent it read the record from its start, so that each gets
 // the whole answer.
 type Entry struct {
-	deadline time.Time
+	budget      *budget
+	counted     int64 // bytes counted by budget, and guarded by it
+	deadline    time.Time
+	content     Print
+	operationID string
 
 	mu      sync.Mutex
 	claimed bool
@@ -28,12 +40,16 @@
 	head    Head
 	body    []byte
 	ended   bool
+	dropped bool
 	// notRun holds the refusal of a request that was not run; a further send
 	// may start it again.
 	notRun  error
 	changed chan struct{}
 }
 
+// OperationID names the claim of this entry; no other entry has it.
+func (e *Entry) OperationID() string { return e.operationID }
+
 // IsClaimed reports whether the table service binds the key to this home.
 func (e *Entry) IsClaimed() bool {
 	e.mu.Lock()
@@ -58,12 +74,38 @@
 
 // Append records a part of the body.
 func (e *Entry) Append(part []byte) {
-	e.change(func() { e.body = append(e.body, part...) })
+	kept := false
+	e.change(func() {
+		if e.dropped {
+			return
+		}
+		e.body = append(e.body, part...)
+		kept = true
+	})
+	if kept {
+		e.budget.grow(e, len(part))
+	}
+}
+
+// Answer records a whole answer.
+func (e *Entry) Answer(head Head, body []byte) {
+	e.Begin(head)
+	e.Append(body)
+	e.End()
 }
 
 // End records that the answer is complete.
 func (e *Entry) End() {
 	e.change(func() { e.ended = true })
+	e.budget.end(e)
+}
+
+// drop gives the record up. The entry stays, so that its request is not run again.
+func (e *Entry) drop() {
+	e.change(func() {
+		e.dropped = true
+		e.body = nil
+	})
 }
 
 // Refuse records that the request was not run, for the reason err.
@@ -111,20 +153,20 @@
 	return &Reader{entry: e}
 }
 
-// ErrWaitedTooLong tells that the record did not go on until the deadline of the reader.
-var ErrWaitedTooLong = errors.New("keyed request still runs")
-
 // Head waits for the head of the answer until deadline. The error is the refusal
-// of a request that was not run, or ErrWaitedTooLong.
+// of a request that was not run, ErrNotKept or ErrWaitedTooLong.
 func (r *Reader) Head(deadline time.Time) (Head, error) {
 	e := r.entry
 	for {
 		e.mu.Lock()
-		head, begun, refusal, changed := e.head, e.begun, e.notRun, e.changed
+		head, begun, dropped, refusal, changed := e.head, e.begun, e.dropped, e.notRun, e.changed
 		e.mu.Unlock()
 		if refusal != nil {
 			return Head{}, refusal
 		}
+		if dropped {
+			return Head{}, ErrNotKept
+		}
 		if begun {
 			return head, nil
 		}
@@ -135,11 +177,15 @@
 }
 
 // Next waits for the next part of the body until deadline. It returns nil at the
-// end of the answer. The error is ErrWaitedTooLong.
+// end of the answer. The error is ErrNotKept or ErrWaitedTooLong.
 func (r *Reader) Next(deadline time.Time) ([]byte, error) {
 	e := r.entry
 	for {
 		e.mu.Lock()
+		if e.dropped {
+			e.mu.Unlock()
+			return nil, ErrNotKept
+		}
 		part, ended, changed := e.body[r.read:], e.ended, e.changed
 		e.mu.Unlock()
 		if len(part) > 0 {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 package dispatcher
 
 import (
+	"context"
 	"io"
 	"math/rand/v2"
 	"time"
@@ -25,13 +26,17 @@
 	ErrUnknown = errors.New("outcome of request unknown")
 	// ErrDeadline tells that the deadline of the request has passed.
 	ErrDeadline = errors.New("deadline of request passed")
+	// ErrCanceled tells that the caller gave its request up.
+	ErrCanceled = errors.New("request canceled by its caller")
 )
 
 // FailureError is the final word on a request that has no whole answer. It matches
 // ErrNotRun or ErrUnknown, and its cause.
 type FailureError struct {
-	Ran   bool
-	Cause error
+	Ran bool
+	// Repeatable tells that the request may be sent again although it may have run.
+	Repeatable bool
+	Cause      error
 }
 
 func (e *FailureError) Error() string { return e.outcome().Error() + ": " + e.Cause.Error() }
@@ -65,6 +70,9 @@
 	Deadline    time.Time
 	Repeatable  bool
 	Fingerprint quarantiner.Fingerprint
+	// Context ends the request when it is done, by cancelling it at the engine;
+	// nil for a request that goes on without its caller.
+	Context context.Context
 }
 
 // Dispatcher sends requests to targets.
@@ -111,6 +119,8 @@
 
 // attempts is what a request has behind it.
 type attempts struct {
+	repeatable bool
+
 	count int
 	tried []string
 	// ran is set once a target may have run any part of the request.
@@ -123,19 +133,23 @@
 	if cause == nil {
 		cause = router.ErrNoTarget
 	}
-	return &FailureError{Ran: a.ran, Cause: cause}
+	return &FailureError{Ran: a.ran, Repeatable: a.repeatable, Cause: cause}
 }
 
 // note records the end of an attempt on a target and reports whether another
 // may follow.
-func (a *attempts) note(target string, err error, repeatable bool) bool {
+func (a *attempts) note(target string, err error) bool {
 	a.count++
 	a.last = err
 	a.tried = append(a.tried, target)
 	if !isNotRun(err) {
 		a.ran = true
 	}
-	if a.ran && !repeatable {
+	if a.ran && !a.repeatable {
+		return false
+	}
+	if errors.Is(err, connector.ErrCanceled) {
+		a.last = ErrCanceled
 		return false
 	}
 	return a.count < mostAttempts
@@ -149,12 +163,23 @@
 	return errors.Is(err, connector.ErrCut)
 }
 
+// checkTime returns why a request is out of time, or nil.
+func checkTime(now, deadline time.Time, ctx context.Context) error {
+	if ctx != nil && ctx.Err() != nil {
+		return ErrCanceled
+	}
+	if !now.Before(deadline) {
+		return ErrDeadline
+	}
+	return nil
+}
+
 // pick chooses a target and counts the request on it. The caller must call
 // leave.
 func (d *Dispatcher) pick(job *Job, a *attempts) (*keeper.Target, error) {
 	now := d.now()
-	if !now.Before(job.Deadline) {
-		return nil, ErrDeadline
+	if err := checkTime(now, job.Deadline, job.Context); err != nil {
+		return nil, err
 	}
 	if err := d.quarantiner.Check(now, job.Fingerprint); err != nil {
 		return nil, err
@@ -192,14 +217,14 @@
 	}
 	return streamer.Call{
 		ID: job.ID, Key: job.Key, Body: job.Body, Priority: job.Priority, Next: next,
-		Fresh: !job.Repeatable, FirstByte: firstByte, Until: job.Deadline, Gap: d.gap,
+		Fresh: !job.Repeatable, FirstByte: firstByte, Until: job.Deadline, Gap: d.gap, Context: job.Context,
 	}
 }
 
 // Whole runs a request that is answered in one piece. The error is a *FailureError
 // or a *streamer.RejectedError.
 func (d *Dispatcher) Whole(job *Job) ([]byte, error) {
-	a := &attempts{}
+	a := &attempts{repeatable: job.Repeatable}
 	for {
 		target, err := d.pick(job, a)
 		if err != nil {
@@ -208,12 +233,15 @@
 		call := d.call(job, 0)
 		// The head of an answer in one piece comes with its body.
 		call.FirstByte = job.Deadline
+		// Nothing tells a long answer from a silent connection, so that a pooled
+		// connection that may have gone silent is not used.
+		call.Fresh = true
 		body, err := d.engines.Whole(target.Address, call)
 		d.leave(target, job, err)
 		if err == nil || isRejected(err) {
 			return body, err
 		}
-		if !a.note(target.ID, err, job.Repeatable) {
+		if !a.note(target.ID, err) {
 			return nil, a.failure()
 		}
 	}
@@ -245,7 +273,7 @@
 // Start runs a request that is answered by a stream. The caller must close it.
 // The error is a *FailureError or a *streamer.RejectedError.
 func (d *Dispatcher) Start(job *Job) (*Stream, error) {
-	s := &Stream{dispatcher: d, job: job}
+	s := &Stream{dispatcher: d, job: job, attempts: attempts{repeatable: job.Repeatable}}
 	if err := s.connect(); err != nil {
 		return nil, err
 	}
@@ -270,7 +298,7 @@
 		if isRejected(err) {
 			return err
 		}
-		if !s.attempts.note(target.ID, err, s.job.Repeatable) {
+		if !s.attempts.note(target.ID, err) {
 			return s.attempts.failure()
 		}
 	}
@@ -286,20 +314,27 @@
 			s.next++
 			return event.Data, nil
 		}
-		s.disconnect(err)
 		if errors.Is(err, io.EOF) {
 			return nil, io.EOF
 		}
-		if !s.attempts.note(s.targetID(), err, s.job.Repeatable) {
+		s.disconnect(err)
+		if !s.attempts.note(s.target.ID, err) {
 			return nil, s.attempts.failure()
 		}
 		if err := s.connect(); err != nil {
-			return nil, err
+			return nil, s.unfinished(err)
 		}
 	}
 }
 
-func (s *Stream) targetID() string { return s.target.ID }
+// unfinished returns the failure of a stream that has begun and cannot go on.
+func (s *Stream) unfinished(err error) error {
+	var failure *FailureError
+	if errors.As(err, &failure) {
+		return err
+	}
+	return &FailureError{Ran: true, Repeatable: s.job.Repeatable, Cause: err}
+}
 
 // Buffered reports whether a further event has begun to arrive already.
 func (s *Stream) Buffered() bool { return s.stream != nil && s.stream.Buffered() }
--- a/internal/request/dispatcher/service.go
+++ b/internal/request/dispatcher/service.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -22,11 +23,13 @@
 	Body        []byte
 	Deadline    time.Time
 	Repeatable  bool
+	// Context is as in Job.
+	Context context.Context
 }
 
-// Forward runs a request to a plain service. The error is a *Failure.
+// Forward runs a request to a plain service. The error is a *FailureError.
 func (d *Dispatcher) Forward(job *ServiceJob) (forwarder.Answer, error) {
-	a := &attempts{}
+	a := &attempts{repeatable: job.Repeatable}
 	for {
 		target, err := d.pickService(job, a)
 		if err != nil {
@@ -34,13 +37,15 @@
 		}
 		answer, err := d.services.Do(target.Address, forwarder.Call{
 			ID: job.ID, Key: job.Key, Method: job.Method, PathQuery: job.PathQuery,
-			ContentType: job.ContentType, Body: job.Body, Fresh: !job.Repeatable, Until: job.Deadline,
+			ContentType: job.ContentType, Body: job.Body, Until: job.Deadline, Context: job.Context,
+			// As for a model's answer in one piece; see Whole.
+			Fresh: true,
 		})
 		target.Counter.InFlight.Add(-1)
 		if err == nil {
 			return answer, nil
 		}
-		if !a.note(target.ID, err, job.Repeatable) {
+		if !a.note(target.ID, err) {
 			return forwarder.Answer{}, a.failure()
 		}
 	}
@@ -48,8 +53,8 @@
 
 func (d *Dispatcher) pickService(job *ServiceJob, a *attempts) (*keeper.Target, error) {
 	now := d.now()
-	if !now.Before(job.Deadline) {
-		return nil, ErrDeadline
+	if err := checkTime(now, job.Deadline, job.Context); err != nil {
+		return nil, err
 	}
 	target, err := router.Pick(now, serviceTargets(d.fleet.View(), job.Service), router.Ask{
 		DataCentre: d.dataCentre, Tried: a.tried, Seed: rand.Uint64(),
