Keep an answer that was read to its end at its end

Cause: the demo hung in 'send orders': a relayed answer was read once more after its end, and the chunked body then took the next line of the connection, which never comes, for its tail. Found by a goroutine dump of a hanging demo. Excluded: the record of the entry and the relay's copy, which were complete. Conclusion: the fault stood in the first connector; a body must know its end.

--- a/internal/edge/connector/answer.go
+++ b/internal/edge/connector/answer.go
@@ -85,6 +85,10 @@
 
 // Read reads the body. The error is io.EOF or one of those of Do.
 func (a *Answer) Read(p []byte) (int, error) {
+	if a.whole {
+		// What follows on the connection belongs to the next answer.
+		return 0, io.EOF
+	}
 	n, err := a.body.Read(p)
 	if err == nil {
 		return n, nil
