Report every fault of a JSON text with key and line

Cause: json.Decoder takes keys of another case, repeated keys, null and trailing data, and reports one fault at a time. Excluded: checking with json.Decoder tokens, which lose the place of comments.

--- /dev/null
+++ b/internal/wire/inspector/inspector.go
@@ -0,0 +1,236 @@
+// Package inspector decodes JSON, with or without comments, and reports all that
+// does not fit the type it is decoded into: unknown and repeated keys, null and
+// values of another kind, each with its key and line.
+package inspector
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/tailscale/hujson"
+)
+
+// ErrInvalid tells that a text does not fit its type.
+var ErrInvalid = errors.New("invalid JSON")
+
+// FaultError is one fault with its place. Key is a path of keys with dots, "-"
+// for the document as a whole.
+type FaultError struct {
+	Line    int
+	Key     string
+	Message string
+}
+
+func (e *FaultError) Error() string { return fmt.Sprintf("%s: %s", e.Key, e.Message) }
+
+// Is reports whether target is ErrInvalid.
+func (e *FaultError) Is(target error) bool { return target == ErrInvalid }
+
+// wholeDocument is the key of faults that no key has.
+const wholeDocument = "-"
+
+// Document is an inspected text.
+type Document struct {
+	// Faults are in the order of the text.
+	Faults []*FaultError
+	// Standard is the text without comments, with the same lines.
+	Standard []byte
+	lines    map[string]int
+}
+
+// Line returns the line of a key, or that of the nearest key above it.
+func (d *Document) Line(key string) int {
+	for key != "" {
+		if line, ok := d.lines[key]; ok {
+			return line
+		}
+		key = key[:max(0, strings.LastIndexAny(key, ".["))]
+	}
+	return 1
+}
+
+// Err returns all faults joined, or nil.
+func (d *Document) Err() error {
+	faults := make([]error, 0, len(d.Faults))
+	for _, f := range d.Faults {
+		faults = append(faults, f)
+	}
+	return errors.Join(faults...)
+}
+
+// Decode decodes plain JSON into out, a pointer. The error holds all faults.
+func Decode(text []byte, out any) error {
+	// The scanner of the standard library bounds the depth of a text.
+	if !json.Valid(text) {
+		var ignored json.RawMessage
+		return &FaultError{Line: 1, Key: wholeDocument, Message: fmt.Sprint(json.Unmarshal(text, &ignored))}
+	}
+	return DecodeCommented(text, out).Err()
+}
+
+// DecodeCommented decodes JSON with comments and trailing commas into out, a
+// pointer. out is filled only if there are no faults.
+func DecodeCommented(text []byte, out any) *Document {
+	doc := Inspect(text, reflect.TypeOf(out).Elem())
+	if len(doc.Faults) > 0 {
+		return doc
+	}
+	if err := json.Unmarshal(doc.Standard, out); err != nil {
+		doc.Faults = append(doc.Faults, decodeFault(doc.Standard, err))
+	}
+	return doc
+}
+
+// decodeFault is a fault that only decoding shows, such as a number out of range.
+func decodeFault(text []byte, err error) *FaultError {
+	fault := &FaultError{Line: 1, Key: wholeDocument, Message: err.Error()}
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		fault.Line = lineAt(text, int(typeErr.Offset))
+		fault.Message = "value is out of range"
+		if typeErr.Field != "" {
+			fault.Key = typeErr.Field
+		}
+	}
+	return fault
+}
+
+func lineAt(text []byte, offset int) int {
+	return 1 + bytes.Count(text[:min(offset, len(text))], []byte("\n"))
+}
+
+// Inspect compares JSON with comments to a type.
+func Inspect(text []byte, typ reflect.Type) *Document {
+	doc := &Document{lines: map[string]int{}}
+	value, err := hujson.Parse(bytes.Clone(text)) // Standardize writes into its input
+	if err != nil {
+		doc.Faults = append(doc.Faults, syntaxFault(err))
+		return doc
+	}
+	w := walk{doc: doc, text: text}
+	w.value(value, typ, "")
+	value.Standardize()
+	doc.Standard = value.Pack()
+	return doc
+}
+
+func syntaxFault(err error) *FaultError {
+	fault := &FaultError{Line: 1, Key: wholeDocument, Message: strings.TrimPrefix(err.Error(), "hujson: ")}
+	var column int
+	if _, scanErr := fmt.Sscanf(err.Error(), "hujson: line %d, column %d:", &fault.Line, &column); scanErr != nil {
+		fault.Line = 1
+	}
+	return fault
+}
+
+// walk goes through a document along its type.
+type walk struct {
+	doc  *Document
+	text []byte
+}
+
+func (w *walk) fault(at int, key, message string) {
+	if key == "" {
+		key = wholeDocument
+	}
+	w.doc.Faults = append(w.doc.Faults, &FaultError{Line: lineAt(w.text, at), Key: key, Message: message})
+}
+
+var rawMessage = reflect.TypeFor[json.RawMessage]()
+
+func (w *walk) value(v hujson.Value, typ reflect.Type, key string) {
+	if typ == rawMessage {
+		return
+	}
+	if v.Value.Kind() == 'n' {
+		w.fault(v.StartOffset, key, "must not be null")
+		return
+	}
+	switch typ.Kind() {
+	case reflect.Struct, reflect.Map:
+		if object, ok := v.Value.(*hujson.Object); ok {
+			w.object(object, typ, key)
+			return
+		}
+		w.fault(v.StartOffset, key, "must be an object")
+	case reflect.Slice:
+		array, ok := v.Value.(*hujson.Array)
+		if !ok {
+			w.fault(v.StartOffset, key, "must be a list")
+			return
+		}
+		for i, element := range array.Elements {
+			w.value(element, typ.Elem(), fmt.Sprintf("%s[%d]", key, i))
+		}
+	default:
+		w.literal(v, typ, key)
+	}
+}
+
+func (w *walk) object(object *hujson.Object, typ reflect.Type, key string) {
+	seen := map[string]bool{}
+	for _, member := range object.Members {
+		literal, ok := member.Name.Value.(hujson.Literal)
+		if !ok {
+			continue
+		}
+		name := literal.String()
+		full := name
+		if key != "" {
+			full = key + "." + name
+		}
+		at := member.Name.StartOffset
+		if seen[name] {
+			w.fault(at, full, "key is repeated")
+			continue
+		}
+		seen[name] = true
+		w.doc.lines[full] = lineAt(w.text, at)
+		if memberType, known := typeOfMember(typ, name); known {
+			w.value(member.Value, memberType, full)
+		} else {
+			w.fault(at, full, "unknown key")
+		}
+	}
+}
+
+// typeOfMember returns the type of a member. Names are compared exactly.
+func typeOfMember(typ reflect.Type, name string) (reflect.Type, bool) {
+	if typ.Kind() == reflect.Map {
+		return typ.Elem(), true
+	}
+	for i := range typ.NumField() {
+		field := typ.Field(i)
+		tag, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		if tag == name || (tag == "" && field.Name == name) {
+			return field.Type, true
+		}
+	}
+	return nil, false
+}
+
+func (w *walk) literal(v hujson.Value, typ reflect.Type, key string) {
+	kind := v.Value.Kind()
+	switch typ.Kind() {
+	case reflect.String:
+		w.expect(kind == '"', v, key, "must be a string")
+	case reflect.Bool:
+		w.expect(kind == 't' || kind == 'f', v, key, "must be true or false")
+	case reflect.Float64:
+		w.expect(kind == '0', v, key, "must be a number")
+	default:
+		literal, ok := v.Value.(hujson.Literal)
+		isWhole := ok && kind == '0' && !bytes.ContainsAny(literal, ".eE")
+		w.expect(isWhole, v, key, "must be a whole number")
+	}
+}
+
+func (w *walk) expect(holds bool, v hujson.Value, key, message string) {
+	if !holds {
+		w.fault(v.StartOffset, key, message)
+	}
+}
