Treat server errors midway as an unknown outcome

Cause: every status but 200 was taken for a transaction that was not carried out; a 500 or 504 may come after it took effect. Before: TestClassifyWrite fails for 500 and 504 with the former rule. After: it passes. 4xx and 503 still count as refused. Conclusion: only a refusal is reported as not done.

--- a/internal/edge/transactor/transactor.go
+++ b/internal/edge/transactor/transactor.go
@@ -83,9 +83,13 @@
 	return req
 }
 
+// classifyWrite tells a refusal from a failure midway: a server error other than
+// 503 may come after a transaction took effect.
 func classifyWrite(err error) error {
 	var status *poster.StatusError
-	if errors.Is(err, poster.ErrNotSent) || errors.As(err, &status) {
+	isRefused := errors.As(err, &status) &&
+		(status.Status < fasthttp.StatusInternalServerError || status.Status == fasthttp.StatusServiceUnavailable)
+	if errors.Is(err, poster.ErrNotSent) || isRefused {
 		return errors.Wrap(ErrUnavailable, err.Error())
 	}
 	return errors.Wrap(ErrUnknownOutcome, err.Error())
