Accept changes of settings once, and never call one undone that took effect

Cause, each seen failing in TestChange on the former code: an accepted change was reported as not run if the tree could not be read afterwards; a repeated send of a change that another one followed got a conflict; a lost answer that another change followed became an unknown outcome; an operation ID stood for any change. Each change now writes a row for its operation ID and one for its revision in the same transaction; the latest 1000 are kept. Polling: an instance that is up to 16 changes behind reads one row per change instead of the whole tree (TestPollReadsOnlyWhatChanged, first seen failing): one read for a poll without change, two with one change. Merging: a set names the revision that it begins after, and one that would leave a gap is refused (TestTreeProperties fails without that check). Admission: the arbiter decides by the age of the last confirmation, which travels over peers, and by whether most listed instances are heard. Before, an island of two instances without the table service went on for ever. References between settings are checked: an adapter needs its model, a subtree its team, and two adapters of a model may not share a name at engines. Names of teams have no dot, since a credential is TEAM.SECRET.

--- a/internal/control/configurer/catalog.go
+++ b/internal/control/configurer/catalog.go
@@ -1,20 +1,14 @@
 package configurer
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 
-	"github.com/go-faster/errors"
-
 	"github.com/crocusring/crocusring/internal/state/keeper"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// ErrBadValue tells that a value is not valid at its path.
-var ErrBadValue = errors.New("invalid settings value")
-
 // buildCatalog makes the catalog of entries. Entries were checked when they were
 // accepted; one that is not valid all the same is left out.
 func buildCatalog(entries []messenger.SettingEntry, revision int64) *keeper.Catalog {
@@ -110,87 +104,11 @@
 	return digest
 }
 
-func decodeStrict(value json.RawMessage, out any) error {
-	dec := json.NewDecoder(bytes.NewReader(value))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(out); err != nil {
-		return errors.Wrap(ErrBadValue, err.Error())
-	}
-	return nil
-}
-
-const maxModelBytes = 1 << 44
-
-// CheckValue reports why a value is not valid at a path. The error is ErrBadValue.
-func CheckValue(path Path, value json.RawMessage) error {
-	switch path.Kind {
-	case KindModel:
-		var s messenger.ModelSetting
-		if err := decodeStrict(value, &s); err != nil {
-			return err
-		}
-		return checkModel(s)
-	case KindAdapter:
-		var s messenger.AdapterSetting
-		if err := decodeStrict(value, &s); err != nil {
-			return err
-		}
-		return firstFault(checkVersion(s.Version), checkBytes(s.Bytes))
-	case KindService:
-		var s messenger.ServiceSetting
-		return decodeStrict(value, &s)
-	case KindTeam:
-		var s messenger.TeamSetting
-		if err := decodeStrict(value, &s); err != nil {
-			return err
-		}
-		if raw, err := hex.DecodeString(s.CredentialDigest); err != nil || len(raw) != sha256.Size {
-			return errors.Wrap(ErrBadValue, "CredentialDigest must be 64 hexadecimal digits")
-		}
-		return checkLimit(s.RequestsPerSecond, s.Burst, s.InFlight)
-	case KindLimit:
-		var s messenger.LimitSetting
-		if err := decodeStrict(value, &s); err != nil {
-			return err
-		}
-		return checkLimit(s.RequestsPerSecond, s.Burst, s.InFlight)
-	}
-	return errors.Wrapf(ErrBadValue, "kind %q", path.Kind)
-}
-
-func checkModel(s messenger.ModelSetting) error {
-	if s.Copies < 0 || s.MaximumCopies < 0 || (s.MaximumCopies > 0 && s.MaximumCopies < s.Copies) {
-		return errors.Wrap(ErrBadValue, "Copies and MaximumCopies must be 0 or more, and MaximumCopies 0 or at least Copies")
-	}
-	return firstFault(checkVersion(s.Version), checkBytes(s.Bytes))
-}
-
-func checkVersion(version string) error {
-	if !segment.MatchString(version) {
-		return errors.Wrapf(ErrBadValue, "Version %.40q", version)
-	}
-	return nil
-}
-
-func checkBytes(n int64) error {
-	if n <= 0 || n > maxModelBytes {
-		return errors.Wrapf(ErrBadValue, "Bytes %d", n)
-	}
-	return nil
-}
-
-func checkLimit(rate float64, burst, inFlight int) error {
-	if rate < 0 || burst < 0 || inFlight < 0 {
-		return errors.Wrap(ErrBadValue, "limits must be 0 or more")
-	}
-	return nil
-}
-
-func firstFault(faults ...error) error {
-	for _, err := range faults {
-		if err != nil {
-			return err
-		}
+// adapterName returns the name of an adapter at engines.
+func adapterName(value json.RawMessage, name string) string {
+	var s messenger.AdapterSetting
+	if decodeStrict(value, &s) != nil {
+		return ""
 	}
-	return nil
+	return keeper.Adapter{Name: name, Version: s.Version}.FullName()
 }
--- a/internal/control/configurer/configurer.go
+++ b/internal/control/configurer/configurer.go
@@ -1,10 +1,17 @@
 // Package configurer keeps the settings tree: it accepts changes by conditional
 // transactions in the table service, and brings the accepted revision into
 // force at this instance.
+//
+// The table service holds one row for the revision of the tree, one for each
+// path, one for each of the latest changes, so that an instance that is a few
+// changes behind reads only those, and one for the operation ID of each of the
+// latest changes, so that a change whose answer was lost is found again.
 package configurer
 
 import (
 	"encoding/json"
+	"fmt"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -26,7 +33,9 @@
 	Version int64
 }
 
-func (e *ConflictError) Error() string { return "settings path " + e.Path + " has another version" }
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("settings path %s has version %d", e.Path, e.Version)
+}
 
 // Is reports whether target is ErrConflict.
 func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
@@ -34,16 +43,20 @@
 const (
 	settingsTable  = "settings"
 	revisionTable  = "settings-revision"
+	changeTable    = "settings-change"
+	operationTable = "settings-operation"
 	revisionKey    = "revision"
-	changeAttempts = 8
+	// changesKept is the number of changes whose row and operation ID are kept.
+	changesKept = 1000
+	// mostFollowed is the number of changes up to which they are read one by one.
+	mostFollowed = 16
 )
 
 // stored is the value of a settings row.
 type stored struct {
-	Revision    int64
-	OperationID string
-	Deleted     bool
-	Value       json.RawMessage
+	Revision int64
+	Deleted  bool
+	Value    json.RawMessage
 }
 
 // storedRevision is the value of the revision row.
@@ -51,31 +64,112 @@
 	Revision int64
 }
 
+// storedChange is the value of the row of one change.
+type storedChange struct {
+	OperationID string
+	Entries     []messenger.SettingEntry
+}
+
+// storedOperation is the value of the row of an operation ID. Digest is that of
+// the changes, so that an operation ID stands for them alone.
+type storedOperation struct {
+	Revision int64
+	Digest   string
+}
+
 // Configurer changes and follows the settings in the table service.
 type Configurer struct {
-	tables *transactor.Client
-	tree   *Tree
+	tree     *Tree
+	get      func(table, key string) (messenger.Row, error)
+	scan     func(table, prefix string) ([]messenger.Row, error)
+	transact func(messenger.TransactRequest) error
+	now      func() time.Time
+	sleep    func(time.Duration)
+	// inTouch reports whether this instance may accept changes.
+	inTouch func() bool
+}
+
+// Option configures a Configurer.
+type Option func(*Configurer)
+
+// WithInTouch sets the condition for accepting changes: that this instance hears
+// enough of its peers.
+func WithInTouch(inTouch func() bool) Option {
+	return func(c *Configurer) { c.inTouch = inTouch }
 }
 
 // New returns a configurer that fills tree.
-func New(tables *transactor.Client, tree *Tree) *Configurer {
-	return &Configurer{tables: tables, tree: tree}
+func New(tables *transactor.Client, tree *Tree, opts ...Option) *Configurer {
+	c := &Configurer{
+		tree: tree, get: tables.Get, scan: tables.Scan, transact: tables.Transact,
+		now: time.Now, sleep: time.Sleep, inTouch: func() bool { return true },
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
-// Poll brings the tree up to the revision of the table service.
+// Poll brings the tree up to the revision of the table service. It reads one row
+// if nothing changed.
 func (c *Configurer) Poll() error {
 	revision, _, err := c.readRevision()
 	if err != nil {
 		return err
 	}
-	if revision <= c.tree.Revision() {
+	return c.follow(revision)
+}
+
+// follow brings the tree up to a revision of the table service.
+func (c *Configurer) follow(revision int64) error {
+	known := c.tree.Revision()
+	if revision <= known {
 		return nil
 	}
-	return c.reload()
+	if known == 0 || revision-known > mostFollowed {
+		return c.reload()
+	}
+	for r := known + 1; r <= revision; r++ {
+		followed, err := c.followOne(r)
+		if err != nil {
+			return err
+		}
+		if !followed {
+			return c.reload()
+		}
+	}
+	return nil
+}
+
+// followOne takes over one change and reports whether it could.
+func (c *Configurer) followOne(revision int64) (bool, error) {
+	var change storedChange
+	known, err := c.read(changeTable, changeKey(revision), &change)
+	if err != nil || !known {
+		return false, err
+	}
+	return c.tree.Merge(messenger.SettingsSince{After: revision - 1, Revision: revision, Entries: change.Entries}), nil
+}
+
+// changeKey has a fixed width, so that no key is the prefix of another.
+func changeKey(revision int64) string {
+	return fmt.Sprintf("%020d", revision)
+}
+
+// read decodes a row into out and reports whether the row exists.
+func (c *Configurer) read(table, key string, out any) (bool, error) {
+	row, err := c.get(table, key)
+	if err != nil || row.Version == 0 {
+		return false, err
+	}
+	if err := json.Unmarshal(row.Value, out); err != nil {
+		return false, errors.Wrapf(err, "row %s of table %s", key, table)
+	}
+	return true, nil
 }
 
 func (c *Configurer) readRevision() (revision, version int64, err error) {
-	row, err := c.tables.Get(revisionTable, revisionKey)
+	row, err := c.get(revisionTable, revisionKey)
 	if err != nil || row.Version == 0 {
 		return 0, 0, err
 	}
@@ -89,21 +183,20 @@
 // reload reads the whole tree. Each change writes its revision into at least one
 // entry, so that the highest revision of a scan is the revision of the tree.
 func (c *Configurer) reload() error {
-	rows, err := c.tables.Scan(settingsTable, "")
+	rows, err := c.scan(settingsTable, "")
 	if err != nil {
 		return err
 	}
-	entries := make([]messenger.SettingEntry, 0, len(rows))
-	var revision int64
+	set := messenger.SettingsSince{Entries: make([]messenger.SettingEntry, 0, len(rows))}
 	for _, row := range rows {
 		entry, err := decodeRow(row)
 		if err != nil {
 			return err
 		}
-		revision = max(revision, entry.Revision)
-		entries = append(entries, entry)
+		set.Revision = max(set.Revision, entry.Revision)
+		set.Entries = append(set.Entries, entry)
 	}
-	c.tree.Merge(entries, revision)
+	c.tree.Merge(set)
 	return nil
 }
 
@@ -116,121 +209,3 @@
 		Path: row.Key, Version: row.Version, Revision: s.Revision, Deleted: s.Deleted, Value: s.Value,
 	}, nil
 }
-
-// Check reports what is wrong with a change that an operator asks for. The
-// error is ErrBadPath, ErrForbidden or ErrBadValue.
-func Check(operator Operator, changes []messenger.SettingChange) error {
-	if len(changes) == 0 {
-		return errors.Wrap(ErrBadValue, "no changes")
-	}
-	seen := map[string]bool{}
-	for _, change := range changes {
-		path, err := ParsePath(change.Path)
-		if err != nil {
-			return err
-		}
-		if !operator.MayChange(path) {
-			return errors.Wrap(ErrForbidden, change.Path)
-		}
-		if seen[change.Path] {
-			return errors.Wrapf(ErrBadValue, "%s is changed twice", change.Path)
-		}
-		seen[change.Path] = true
-		if change.Delete {
-			continue
-		}
-		if err := CheckValue(path, change.Value); err != nil {
-			return errors.Wrap(err, change.Path)
-		}
-	}
-	return nil
-}
-
-// Change accepts checked changes together or not at all and returns their
-// revision. The error is ErrConflict, ErrUnknownOutcome or
-// transactor.ErrUnavailable.
-func (c *Configurer) Change(req messenger.ChangeRequest) (int64, error) {
-	unknown := false
-	for range changeAttempts {
-		revision, err := c.try(req)
-		switch {
-		case err == nil:
-			return revision, c.reload()
-		case errors.Is(err, transactor.ErrConflict):
-			continue // another operator was first; the versions decide
-		case errors.Is(err, transactor.ErrUnknownOutcome):
-			unknown = true
-			continue
-		case unknown:
-			return 0, errors.Wrap(ErrUnknownOutcome, err.Error())
-		default:
-			return 0, err
-		}
-	}
-	if unknown {
-		return 0, ErrUnknownOutcome
-	}
-	return 0, errors.Wrap(transactor.ErrUnavailable, "too many changes at once")
-}
-
-// try makes one attempt at a change. An earlier attempt that took effect is
-// found by its operation ID.
-func (c *Configurer) try(req messenger.ChangeRequest) (int64, error) {
-	revision, version, err := c.readRevision()
-	if err != nil {
-		return 0, err
-	}
-	tx := messenger.TransactRequest{
-		OperationID: req.OperationID,
-		Conditions:  []messenger.Condition{{Table: revisionTable, Key: revisionKey, Version: version}},
-	}
-	for _, change := range req.Changes {
-		row, err := c.tables.Get(settingsTable, change.Path)
-		if err != nil {
-			return 0, err
-		}
-		present, err := c.visible(row)
-		if err != nil {
-			return 0, err
-		}
-		if present.OperationID == req.OperationID && row.Version > 0 {
-			return present.Revision, nil
-		}
-		if visibleVersion(row, present) != change.Version {
-			return 0, &ConflictError{Path: change.Path, Version: visibleVersion(row, present)}
-		}
-		tx.Conditions = append(tx.Conditions, messenger.Condition{Table: settingsTable, Key: change.Path, Version: row.Version})
-		value, err := json.Marshal(stored{
-			Revision: revision + 1, OperationID: req.OperationID, Deleted: change.Delete, Value: change.Value,
-		})
-		if err != nil {
-			return 0, errors.Wrap(ErrBadValue, err.Error())
-		}
-		tx.Writes = append(tx.Writes, messenger.Write{Table: settingsTable, Key: change.Path, Value: value})
-	}
-	value, err := json.Marshal(storedRevision{Revision: revision + 1})
-	if err != nil {
-		return 0, errors.Wrap(ErrBadValue, err.Error())
-	}
-	tx.Writes = append(tx.Writes, messenger.Write{Table: revisionTable, Key: revisionKey, Value: value})
-	return revision + 1, c.tables.Transact(tx)
-}
-
-func (c *Configurer) visible(row messenger.Row) (stored, error) {
-	var s stored
-	if row.Version == 0 {
-		return s, nil
-	}
-	if err := json.Unmarshal(row.Value, &s); err != nil {
-		return s, errors.Wrapf(err, "settings row %s", row.Key)
-	}
-	return s, nil
-}
-
-// visibleVersion is the version that an operator names: 0 for a deleted path.
-func visibleVersion(row messenger.Row, s stored) int64 {
-	if s.Deleted {
-		return 0
-	}
-	return row.Version
-}
--- a/internal/control/configurer/path.go
+++ b/internal/control/configurer/path.go
@@ -36,7 +36,18 @@
 	Name  string
 }
 
-const mostPathBytes = 200
+const (
+	mostPathBytes    = 200
+	mostSegmentBytes = 100
+)
+
+// subtree returns the prefix of the paths of the path's owner.
+func (p Path) subtree() string {
+	if p.Owner == "" {
+		return "/platform"
+	}
+	return "/teams/" + p.Owner
+}
 
 // segment holds what a path may be made of. There is one way to write a path:
 // nothing is decoded, folded or cleaned, so that no other spelling can name a
@@ -59,7 +70,7 @@
 	switch {
 	case len(rest) > 1 && rest[0] == "platform":
 		rest = rest[1:]
-	case len(rest) > 2 && rest[0] == "teams":
+	case len(rest) > 2 && rest[0] == "teams" && isTeamName(rest[1]):
 		p.Owner = rest[1]
 		rest = rest[2:]
 	default:
@@ -81,7 +92,7 @@
 		p.Model = rest[1]
 	case len(rest) == 2 && rest[0] == "services" && p.Owner == "":
 		p.Kind = KindService
-	case len(rest) == 2 && rest[0] == "teams" && p.Owner == "":
+	case len(rest) == 2 && rest[0] == "teams" && p.Owner == "" && isTeamName(rest[1]):
 		p.Kind = KindTeam
 	case len(rest) == 1 && rest[0] == "limits" && p.Owner != "":
 		p.Kind = KindLimit
@@ -92,6 +103,12 @@
 	return true
 }
 
+// isTeamName reports whether a segment can name a team. A credential is
+// TEAM.SECRET, so that a team's name has no dot.
+func isTeamName(name string) bool {
+	return !strings.Contains(name, ".")
+}
+
 // Operator is the one who asks for a change: the team of that name, or the
 // platform's operators if Team is empty.
 type Operator struct {
--- a/internal/control/configurer/tree.go
+++ b/internal/control/configurer/tree.go
@@ -16,13 +16,16 @@
 type Tree struct {
 	mu       sync.Mutex
 	revision int64
-	entries  map[string]messenger.SettingEntry
+	entries  entries // replaced, never changed
 	catalog  atomic.Pointer[keeper.Catalog]
 }
 
+// entries are settings by path, deleted ones included.
+type entries map[string]messenger.SettingEntry
+
 // NewTree returns an empty tree.
 func NewTree() *Tree {
-	t := &Tree{entries: map[string]messenger.SettingEntry{}}
+	t := &Tree{entries: entries{}}
 	t.catalog.Store(keeper.NewCatalog())
 	return t
 }
@@ -37,53 +40,81 @@
 	return t.Catalog().Revision
 }
 
-// Merge takes over entries that are complete up to revision.
-func (t *Tree) Merge(entries []messenger.SettingEntry, revision int64) {
+// Merge takes over a set of entries and reports whether the tree is at its
+// revision or beyond. A set that begins after the tree's own revision would
+// leave a gap and is not taken.
+func (t *Tree) Merge(set messenger.SettingsSince) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, e := range entries {
-		if known, ok := t.entries[e.Path]; ok && known.Revision >= e.Revision {
+	if set.Revision <= t.revision {
+		return true
+	}
+	if set.After > t.revision {
+		return false
+	}
+	merged := maps.Clone(t.entries)
+	for _, e := range set.Entries {
+		known, isKnown := merged[e.Path]
+		if e.Revision > set.Revision || (isKnown && known.Revision >= e.Revision) {
 			continue
 		}
-		t.entries[e.Path] = e
+		merged[e.Path] = e
 	}
-	if revision <= t.revision {
-		return
-	}
-	t.revision = revision
-	t.catalog.Store(buildCatalog(t.sorted(), revision))
+	t.entries = merged
+	t.revision = set.Revision
+	t.catalog.Store(buildCatalog(merged.sorted(), set.Revision))
+	return true
 }
 
-// Since returns the entries changed after a revision, deleted ones included.
-func (t *Tree) Since(revision int64) messenger.SettingsSince {
+// snapshot returns the entries at one revision.
+func (t *Tree) snapshot() (entries, int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	entries := []messenger.SettingEntry{}
-	for _, e := range t.sorted() {
+	return t.entries, t.revision
+}
+
+// Since returns the entries changed after a revision, deleted ones included.
+func (t *Tree) Since(revision int64) messenger.SettingsSince {
+	known, present := t.snapshot()
+	changed := []messenger.SettingEntry{}
+	for _, e := range known.sorted() {
 		if e.Revision > revision {
-			entries = append(entries, e)
+			changed = append(changed, e)
 		}
 	}
-	return messenger.SettingsSince{Revision: t.revision, Complete: true, Entries: entries}
+	return messenger.SettingsSince{After: revision, Revision: present, Entries: changed}
 }
 
 // Below returns the entries whose path starts with prefix, deleted ones excluded.
 func (t *Tree) Below(prefix string) messenger.SettingsAnswer {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	entries := []messenger.SettingEntry{}
-	for _, e := range t.sorted() {
+	known, revision := t.snapshot()
+	below := []messenger.SettingEntry{}
+	for _, e := range known.sorted() {
 		if !e.Deleted && strings.HasPrefix(e.Path, prefix) {
-			entries = append(entries, e)
+			below = append(below, e)
 		}
 	}
-	return messenger.SettingsAnswer{Revision: t.revision, Entries: entries}
+	return messenger.SettingsAnswer{Revision: revision, Entries: below}
 }
 
-func (t *Tree) sorted() []messenger.SettingEntry {
-	list := make([]messenger.SettingEntry, 0, len(t.entries))
-	for _, path := range slices.Sorted(maps.Keys(t.entries)) {
-		list = append(list, t.entries[path])
+func (e entries) sorted() []messenger.SettingEntry {
+	list := make([]messenger.SettingEntry, 0, len(e))
+	for _, path := range slices.Sorted(maps.Keys(e)) {
+		list = append(list, e[path])
 	}
 	return list
 }
+
+// has reports whether a path is set.
+func (e entries) has(path string) bool {
+	entry, ok := e[path]
+	return ok && !entry.Deleted
+}
+
+// version is the version that an operator names: 0 for a path that is not set.
+func (e entries) version(path string) int64 {
+	if !e.has(path) {
+		return 0
+	}
+	return e[path].Version
+}
--- a/internal/edge/listener/settings.go
+++ b/internal/edge/listener/settings.go
@@ -1,7 +1,6 @@
 package listener
 
 import (
-	"bytes"
 	"crypto/rand"
 	"encoding/json"
 	"strconv"
@@ -11,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusring/crocusring/internal/control/configurer"
+	"github.com/crocusring/crocusring/internal/wire/inspector"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
@@ -42,36 +42,42 @@
 }
 
 func (l *Listener) handleChangeSettings(ctx *fasthttp.RequestCtx) {
+	if l.Leaving() {
+		// Peers count on it that an instance that leaves accepts no change.
+		refuse(ctx, "", errNotReady)
+		return
+	}
 	operator, err := l.operator(ctx)
 	if err != nil {
 		refuse(ctx, "", err)
 		return
 	}
 	var req messenger.ChangeRequest
-	dec := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&req); err != nil {
+	if err := inspector.Decode(ctx.PostBody(), &req); err != nil {
 		refuse(ctx, "", errors.Wrap(errBadRequest, err.Error()))
 		return
 	}
 	if req.OperationID == "" {
 		req.OperationID = rand.Text()
 	}
-	if err := configurer.Check(operator, req.Changes); err != nil {
+	if err := configurer.Check(operator, req); err != nil {
 		refuse(ctx, "", err)
 		return
 	}
 	revision, err := l.Configurer.Change(req)
 	if err != nil {
-		l.refuseChange(ctx, err)
+		l.refuseChange(ctx, req.OperationID, err)
 		return
 	}
 	l.Log.Info("settings accepted", "revision", revision, "operation", req.OperationID, "team", operator.Team)
 	writeJSON(ctx, messenger.ChangeAnswer{Revision: revision, Pending: l.Accepted(revision)})
 }
 
-func (l *Listener) refuseChange(ctx *fasthttp.RequestCtx, err error) {
+// refuseChange answers with the operation ID as the request ID, so that the
+// operator can send the same change again and learn its outcome.
+func (l *Listener) refuseChange(ctx *fasthttp.RequestCtx, operationID string, err error) {
 	status, refusal := refusalOf(err, l.now())
+	refusal.RequestID = operationID
 	var conflict *configurer.ConflictError
 	if errors.As(err, &conflict) {
 		refusal.Path = conflict.Path
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/crocusring/crocusring/internal/control/arbiter"
 	"github.com/crocusring/crocusring/internal/control/configurer"
 	"github.com/crocusring/crocusring/internal/control/leaser"
 	"github.com/crocusring/crocusring/internal/control/orderer"
@@ -44,14 +45,6 @@
 	rateEvery      = time.Second
 	pruneEvery     = 10 * time.Second
 	peerTrust      = 5 * time.Second
-	// isolationLimit is how long an instance that reaches neither the table
-	// service nor a peer goes on with the settings that it has.
-	isolationLimit = 3 * time.Second
-)
-
-var (
-	errNoSettings = errors.New("no settings were read yet")
-	errIsolated   = errors.New("neither the table service nor a peer can be reached")
 )
 
 // Node is one entry instance.
@@ -75,11 +68,12 @@
 	listener    *listener.Listener
 	quarantiner *quarantiner.Quarantiner
 
-	leaving     atomic.Bool
-	killed      context.Context
-	kill        context.CancelFunc
-	storeSeenAt atomic.Pointer[time.Time]
-	rates       atomic.Pointer[map[string]float64]
+	leaving atomic.Bool
+	killed  context.Context
+	kill    context.CancelFunc
+	arbiter *arbiter.Arbiter
+	verdict atomic.Pointer[verdict]
+	rates   atomic.Pointer[map[string]float64]
 }
 
 // New returns an instance that does not run yet.
@@ -92,6 +86,7 @@
 		now:      time.Now,
 		fleet:    keeper.NewFleet(),
 		tree:     configurer.NewTree(),
+		arbiter:  arbiter.New(),
 		admitter: admitter.New(),
 		keys:     deduper.New(),
 		measurer: measurer.New(time.Now()),
@@ -102,15 +97,16 @@
 	tables := transactor.New(settings.Platform, client)
 	engines := commander.New(client)
 	n.quarantiner = quarantiner.New()
-	n.configurer = configurer.New(tables, n.tree)
+	n.configurer = configurer.New(tables, n.tree, configurer.WithInTouch(n.inTouch))
 	n.leaser = leaser.New(settings.Instance, n.home.Incarnation, tables)
 	n.orderer = orderer.New(tables, engines, n.fleet, n.tree.Catalog, n.totalRates, n.policy())
 	n.watcher = watcher.New(lister.New(settings.Platform, client), engines, n.fleet)
 	n.dispatcher = dispatcher.New(n.fleet, n.quarantiner, settings.DataCentre)
 	n.exchanger = exchanger.New(client, settings.PeerCredential, settings.Instance, n.fleet, exchanger.Seams{
 		Compose:  n.heartbeat,
-		Merge:    func(s messenger.SettingsSince) { n.tree.Merge(s.Entries, s.Revision) },
+		Merge:    func(s messenger.SettingsSince) { n.tree.Merge(s) },
 		Revision: n.tree.Revision,
+		Answered: n.confirm,
 	})
 	n.listener = listener.New(n.parts(tables))
 	return n
@@ -218,15 +214,6 @@
 	}
 }
 
-func (n *Node) pollSettings() error {
-	before := n.now()
-	if err := n.configurer.Poll(); err != nil {
-		return err
-	}
-	n.storeSeenAt.Store(&before)
-	return nil
-}
-
 func (n *Node) tickLease() error {
 	if n.leaving.Load() {
 		return nil
@@ -274,9 +261,7 @@
 		InFlight: n.listener.InFlight(), Holder: holder.Holder, Fence: holder.Fence,
 		Demands: []messenger.Demand{}, Shares: []messenger.Share{}, LeavingTargets: []string{}, Verdicts: []messenger.Verdict{},
 	}
-	if seen := n.storeSeenAt.Load(); seen != nil {
-		hb.StoreAgeMilliseconds = now.Sub(*seen).Milliseconds()
-	}
+	hb.StoreAgeMilliseconds = n.settingsAge(now)
 	for model, rate := range *n.rates.Load() {
 		hb.Demands = append(hb.Demands, messenger.Demand{Model: model, Rate: rate})
 	}
@@ -287,32 +272,3 @@
 	}
 	return hb
 }
-
-// ready reports why this instance takes no requests, or nil.
-func (n *Node) ready() error {
-	if n.tree.Revision() == 0 {
-		return errNoSettings
-	}
-	now := n.now()
-	seen := n.storeSeenAt.Load()
-	if seen != nil && now.Sub(*seen) < isolationLimit {
-		return nil
-	}
-	if len(n.exchanger.Heard(now.Add(-isolationLimit))) == 0 {
-		return errIsolated
-	}
-	return nil
-}
-
-// push tells the peers of a new revision and returns those that have not
-// confirmed it.
-func (n *Node) push(revision int64) []string {
-	n.exchanger.Tick()
-	pending := []string{}
-	for id, in := range n.fleet.View().Instances {
-		if id != n.home.Instance && in.Revision < revision {
-			pending = append(pending, id)
-		}
-	}
-	return pending
-}
--- /dev/null
+++ b/internal/node/runner/settings.go
@@ -0,0 +1,100 @@
+package runner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/crocusring/crocusring/internal/control/arbiter"
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+)
+
+// verdictLife is how long a verdict on the settings is kept, so that it is not
+// found again for each request.
+const verdictLife = 100 * time.Millisecond
+
+// verdict is why this instance takes no requests, or a nil error, as of a moment.
+type verdict struct {
+	err error
+	at  time.Time
+}
+
+func (n *Node) pollSettings() error {
+	before := n.now()
+	if err := n.configurer.Poll(); err != nil {
+		return err
+	}
+	n.arbiter.Confirm(before)
+	return nil
+}
+
+// confirm takes what a peer answered to a heartbeat: that no revision newer than
+// its own was in the table service at a moment. The moment is counted from the
+// sending of the heartbeat, so that it is never later than the peer's own reading,
+// over however many peers it came.
+func (n *Node) confirm(hb messenger.Heartbeat, sentAt time.Time) {
+	if hb.StoreAgeMilliseconds >= 0 && n.tree.Revision() >= hb.Revision {
+		n.arbiter.Confirm(sentAt.Add(-time.Duration(hb.StoreAgeMilliseconds) * time.Millisecond))
+	}
+}
+
+// settingsAge returns the age of the latest confirmation in milliseconds, -1 if
+// there was none.
+func (n *Node) settingsAge(now time.Time) int64 {
+	at := n.arbiter.ConfirmedAt()
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds() + 1 // rounded up
+}
+
+// evidence returns what this instance knows about its settings.
+func (n *Node) evidence(now time.Time) arbiter.Evidence {
+	e := arbiter.Evidence{Now: now, Revision: n.tree.Revision(), Listed: 1, Heard: 1}
+	for id, in := range n.fleet.View().Instances {
+		if id != n.home.Instance && !in.Leaving {
+			e.Listed++
+		}
+	}
+	for _, heard := range n.exchanger.Heard(now.Add(-arbiter.Limit)) {
+		e.Highest = max(e.Highest, heard.Heartbeat.Revision)
+		if !heard.Heartbeat.Leaving {
+			e.Heard++
+		}
+	}
+	return e
+}
+
+// inTouch reports whether this instance may accept changes of settings.
+func (n *Node) inTouch() bool {
+	return n.evidence(n.now()).HearsMost()
+}
+
+// ready reports why this instance takes no requests, or nil.
+func (n *Node) ready() error {
+	now := n.now()
+	known := n.verdict.Load()
+	if known != nil && known.err == nil && now.Sub(known.at) < verdictLife {
+		return nil
+	}
+	err := n.arbiter.Judge(n.evidence(now))
+	n.verdict.Store(&verdict{err: err, at: now})
+	return err
+}
+
+// push tells the peers of a new revision and returns the instances that have not
+// confirmed it.
+func (n *Node) push(revision int64) []string {
+	n.exchanger.Tick()
+	pending := []string{}
+	for id, in := range n.fleet.View().Instances {
+		known := in.Revision
+		if id == n.home.Instance {
+			known = n.tree.Revision()
+		}
+		if known < revision {
+			pending = append(pending, id)
+		}
+	}
+	slices.Sort(pending)
+	return pending
+}
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -39,6 +39,7 @@
 	merge func(messenger.SettingsSince)
 	// revision returns the settings revision of this instance.
 	revision func() int64
+	answered func(hb messenger.Heartbeat, sentAt time.Time)
 
 	mu     sync.Mutex
 	latest map[string]Heard
@@ -55,13 +56,15 @@
 	Compose  func() messenger.Heartbeat
 	Merge    func(messenger.SettingsSince)
 	Revision func() int64
+	// Answered takes the answer to a heartbeat that was sent at sentAt.
+	Answered func(hb messenger.Heartbeat, sentAt time.Time)
 }
 
 // New returns an exchanger for instance.
 func New(p *poster.Client, credential, instance string, fleet *keeper.Fleet, seams Seams) *Exchanger {
 	return &Exchanger{
 		poster: p, credential: credential, instance: instance, fleet: fleet, now: time.Now,
-		compose: seams.Compose, merge: seams.Merge, revision: seams.Revision,
+		compose: seams.Compose, merge: seams.Merge, revision: seams.Revision, answered: seams.Answered,
 		latest: map[string]Heard{},
 	}
 }
@@ -84,12 +87,14 @@
 
 func (x *Exchanger) exchange(address string) {
 	var answer messenger.HeartbeatAnswer
+	sentAt := x.now()
 	err := x.poster.Do(poster.Call{
 		Method: fasthttp.MethodPost, URL: "http://" + address + PathHeartbeat, Token: x.credential,
-		In: x.compose(), Out: &answer, Deadline: x.now().Add(callTimeout),
+		In: x.compose(), Out: &answer, Deadline: sentAt.Add(callTimeout),
 	})
 	if err == nil {
 		x.Absorb(answer.Heartbeat)
+		x.answered(answer.Heartbeat, sentAt)
 	}
 }
 
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -457,10 +457,11 @@
 	Revision int64 `json:"Revision"`
 }
 
-// SettingsSince holds the settings changed after a revision.
+// SettingsSince holds every setting changed after revision After and up to
+// Revision.
 type SettingsSince struct {
-	// Complete corresponds to the JSON schema field "Complete".
-	Complete bool `json:"Complete"`
+	// After corresponds to the JSON schema field "After".
+	After int64 `json:"After"`
 
 	// Entries corresponds to the JSON schema field "Entries".
 	Entries []SettingEntry `json:"Entries"`
