--- a/internal/control/configurer/catalog.go
+++ b/internal/control/configurer/catalog.go
@@ -35,7 +35,7 @@
 	switch path.Kind {
 	case KindModel:
 		var s messenger.ModelSetting
-		if decodeStrict(value, &s) == nil {
+		if json.Unmarshal(value, &s) == nil {
 			name := ownedName(path.Owner, path.Name)
 			c.Models[name] = keeper.Model{
 				Name: name, Version: s.Version, Bytes: s.Bytes, Copies: max(1, s.Copies), MaximumCopies: s.MaximumCopies,
@@ -43,7 +43,7 @@
 		}
 	case KindAdapter:
 		var s messenger.AdapterSetting
-		if decodeStrict(value, &s) == nil {
+		if json.Unmarshal(value, &s) == nil {
 			model := ownedName(path.Owner, path.Model)
 			c.Adapters[model] = append(c.Adapters[model], keeper.Adapter{
 				Model: model, Name: path.Name, Version: s.Version, Bytes: s.Bytes,
@@ -51,19 +51,19 @@
 		}
 	case KindService:
 		var s messenger.ServiceSetting
-		if decodeStrict(value, &s) == nil {
+		if json.Unmarshal(value, &s) == nil {
 			c.Services[path.Name] = keeper.Service{Name: path.Name, Repeatable: s.Repeatable, Targets: s.Targets}
 		}
 	case KindTeam:
 		var s messenger.TeamSetting
-		if decodeStrict(value, &s) == nil {
+		if json.Unmarshal(value, &s) == nil {
 			c.Teams[path.Name] = keeper.Team{Name: path.Name, Digest: decodeDigest(s.CredentialDigest), Limit: keeper.Limit{
 				RequestsPerSecond: s.RequestsPerSecond, Burst: s.Burst, InFlight: s.InFlight,
 			}}
 		}
 	case KindLimit:
 		var s messenger.LimitSetting
-		if decodeStrict(value, &s) == nil {
+		if json.Unmarshal(value, &s) == nil {
 			limits[path.Owner] = keeper.Limit{RequestsPerSecond: s.RequestsPerSecond, Burst: s.Burst, InFlight: s.InFlight}
 		}
 	}
@@ -107,7 +107,7 @@
 // adapterName returns the name of an adapter at engines.
 func adapterName(value json.RawMessage, name string) string {
 	var s messenger.AdapterSetting
-	if decodeStrict(value, &s) != nil {
+	if json.Unmarshal(value, &s) != nil {
 		return ""
 	}
 	return keeper.Adapter{Name: name, Version: s.Version}.FullName()
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -63,33 +63,37 @@
 	admitter    *admitter.Admitter
 	dispatcher  *dispatcher.Dispatcher
 	keys        *deduper.Table
+	claimer     *deduper.Claimer
 	measurer    *measurer.Measurer
 	exchanger   *exchanger.Exchanger
 	listener    *listener.Listener
 	quarantiner *quarantiner.Quarantiner
 
-	leaving atomic.Bool
-	killed  context.Context
-	kill    context.CancelFunc
-	arbiter *arbiter.Arbiter
-	verdict atomic.Pointer[verdict]
-	rates   atomic.Pointer[map[string]float64]
+	startedAt time.Time
+	sequence  atomic.Int64
+	leaving   atomic.Bool
+	killed    context.Context
+	kill      context.CancelFunc
+	arbiter   *arbiter.Arbiter
+	verdict   atomic.Pointer[verdict]
+	rates     atomic.Pointer[map[string]float64]
 }
 
 // New returns an instance that does not run yet.
 func New(settings loader.Settings, log logr.Logger) *Node {
 	const incarnationLength = 10
 	n := &Node{
-		settings: settings,
-		home:     deduper.Home{Instance: settings.Instance, Incarnation: strings.ToLower(rand.Text()[:incarnationLength])},
-		log:      log.WithValues("instance", settings.Instance),
-		now:      time.Now,
-		fleet:    keeper.NewFleet(),
-		tree:     configurer.NewTree(),
-		arbiter:  arbiter.New(),
-		admitter: admitter.New(),
-		keys:     deduper.New(),
-		measurer: measurer.New(time.Now()),
+		settings:  settings,
+		home:      deduper.Home{Instance: settings.Instance, Incarnation: strings.ToLower(rand.Text()[:incarnationLength])},
+		log:       log.WithValues("instance", settings.Instance),
+		now:       time.Now,
+		startedAt: time.Now(),
+		fleet:     keeper.NewFleet(),
+		tree:      configurer.NewTree(),
+		arbiter:   arbiter.New(),
+		admitter:  admitter.New(),
+		keys:      deduper.New(),
+		measurer:  measurer.New(time.Now()),
 	}
 	n.rates.Store(&map[string]float64{})
 	n.killed, n.kill = context.WithCancel(context.Background())
@@ -97,16 +101,18 @@
 	tables := transactor.New(settings.Platform, client)
 	engines := commander.New(client)
 	n.quarantiner = quarantiner.New()
+	n.claimer = deduper.NewClaimer(n.home, tables)
 	n.configurer = configurer.New(tables, n.tree, configurer.WithInTouch(n.inTouch))
 	n.leaser = leaser.New(settings.Instance, n.home.Incarnation, tables)
 	n.orderer = orderer.New(tables, engines, n.fleet, n.tree.Catalog, n.totalRates, n.policy())
 	n.watcher = watcher.New(lister.New(settings.Platform, client), engines, n.fleet)
 	n.dispatcher = dispatcher.New(n.fleet, n.quarantiner, settings.DataCentre)
 	n.exchanger = exchanger.New(client, settings.PeerCredential, settings.Instance, n.fleet, exchanger.Seams{
-		Compose:  n.heartbeat,
-		Merge:    func(s messenger.SettingsSince) { n.tree.Merge(s) },
-		Revision: n.tree.Revision,
-		Answered: n.confirm,
+		Compose:     n.heartbeat,
+		Merge:       func(s messenger.SettingsSince) { n.tree.Merge(s) },
+		Revision:    n.tree.Revision,
+		HearTargets: n.watcher.Hear,
+		Answered:    n.confirm,
 	})
 	n.listener = listener.New(n.parts(tables))
 	return n
@@ -117,7 +123,7 @@
 		Home: n.home, DataCentre: n.settings.DataCentre,
 		OperatorDigest: n.settings.Digest(), PeerCredential: n.settings.PeerCredential,
 		Tree: n.tree, Configurer: n.configurer, Fleet: n.fleet, Admitter: n.admitter,
-		Dispatcher: n.dispatcher, Keys: n.keys, Claimer: deduper.NewClaimer(n.home, tables),
+		Dispatcher: n.dispatcher, Keys: n.keys, Claimer: n.claimer,
 		Exchanger: n.exchanger, Measurer: n.measurer, Log: n.log,
 		Ready: n.ready, Leaving: n.leaving.Load, Accepted: n.push, Status: n.status,
 	}
@@ -183,6 +189,7 @@
 		{"orders", orderEvery, n.tickOrders},
 		{"rates", rateEvery, n.tickRates},
 		{"prune", pruneEvery, func() error { n.keys.Prune(n.now()); return nil }},
+		{"claims", pruneEvery, n.pruneClaims},
 	}
 	for _, l := range loops {
 		group.Go(func() error {
@@ -230,6 +237,16 @@
 	return n.orderer.Tick(now, grant)
 }
 
+// pruneClaims is the task of the holder of the control lease alone, to spare the
+// table service.
+func (n *Node) pruneClaims() error {
+	now := n.now()
+	if _, held := n.leaser.Held(now); !held {
+		return nil
+	}
+	return n.claimer.Prune(now)
+}
+
 func (n *Node) tickRates() error {
 	rates := n.measurer.Rates(n.now())
 	n.rates.Store(&rates)
@@ -250,25 +267,3 @@
 	}
 	return total
 }
-
-// heartbeat returns what this instance tells its peers.
-func (n *Node) heartbeat() messenger.Heartbeat {
-	now := n.now()
-	holder := n.leaser.Holder()
-	hb := messenger.Heartbeat{
-		Instance: n.home.Instance, Incarnation: n.home.Incarnation, Address: n.settings.Listen,
-		DataCentre: n.settings.DataCentre, Revision: n.tree.Revision(), Leaving: n.leaving.Load(),
-		InFlight: n.listener.InFlight(), Holder: holder.Holder, Fence: holder.Fence,
-		Demands: []messenger.Demand{}, Shares: []messenger.Share{}, LeavingTargets: []string{}, Verdicts: []messenger.Verdict{},
-	}
-	hb.StoreAgeMilliseconds = n.settingsAge(now)
-	for model, rate := range *n.rates.Load() {
-		hb.Demands = append(hb.Demands, messenger.Demand{Model: model, Rate: rate})
-	}
-	for id, t := range n.fleet.View().Targets {
-		if t.Leaving {
-			hb.LeavingTargets = append(hb.LeavingTargets, id)
-		}
-	}
-	return hb
-}
--- a/internal/node/runner/settings.go
+++ b/internal/node/runner/settings.go
@@ -47,17 +47,21 @@
 	return now.Sub(at).Milliseconds() + 1 // rounded up
 }
 
-// evidence returns what this instance knows about its settings.
+// evidence returns what this instance knows about its settings. Only peers that
+// it heard itself count as heard.
 func (n *Node) evidence(now time.Time) arbiter.Evidence {
 	e := arbiter.Evidence{Now: now, Revision: n.tree.Revision(), Listed: 1, Heard: 1}
+	heard := map[string]bool{}
+	for _, h := range n.exchanger.Heard(now.Add(-arbiter.Limit)) {
+		e.Highest = max(e.Highest, h.Heartbeat.Revision)
+		heard[h.Heartbeat.Instance] = true
+	}
 	for id, in := range n.fleet.View().Instances {
-		if id != n.home.Instance && !in.Leaving {
-			e.Listed++
+		if id == n.home.Instance || in.Leaving || (!in.Listed && !heard[id]) {
+			continue
 		}
-	}
-	for _, heard := range n.exchanger.Heard(now.Add(-arbiter.Limit)) {
-		e.Highest = max(e.Highest, heard.Heartbeat.Revision)
-		if !heard.Heartbeat.Leaving {
+		e.Listed++
+		if heard[id] {
 			e.Heard++
 		}
 	}
@@ -84,7 +88,7 @@
 // push tells the peers of a new revision and returns the instances that have not
 // confirmed it.
 func (n *Node) push(revision int64) []string {
-	n.exchanger.Tick()
+	n.exchanger.TickAndWait()
 	pending := []string{}
 	for id, in := range n.fleet.View().Instances {
 		known := in.Revision
