Accept a change of settings only once most instances have it

Cause: TestAcceptedIsInForce, random cuts in virtual time, found an instance that accepted a change, lost its peers before the next heartbeat, and left a majority without the table service that went on with older settings. A committed change that most instances have not confirmed within 2 s is answered with OutcomeUnknown; the same operation ID sent again learns the outcome. Excluded: restarts in the machine. An instance that confirmed a change, restarts, and then finds only older settings in a majority without the table service goes on with them; three faults at once are needed.

--- a/internal/control/arbiter/arbiter.go
+++ b/internal/control/arbiter/arbiter.go
@@ -4,9 +4,9 @@
 // An instance may go on while its settings were confirmed less than Limit ago: it
 // read the table service, or a peer that holds no newer revision did so. Without
 // a confirmation it may go on while it hears most of the listed instances, since
-// a change is accepted only by an instance that hears most of them. A total outage
-// of the table service therefore stops nobody, and an instance or a minority
-// that is cut off from the others and from the table service stops.
+// a change counts as accepted only once most of them have it. A total outage of
+// the table service therefore stops nobody, and an instance or a minority that is
+// cut off from the others and from the table service stops.
 package arbiter
 
 import (
--- a/internal/edge/listener/listener.go
+++ b/internal/edge/listener/listener.go
@@ -63,9 +63,9 @@
 	Ready func() error
 	// Leaving reports whether a planned stop has begun.
 	Leaving func() bool
-	// Accepted is called after a change of settings was accepted and returns the
-	// instances that have not confirmed it yet.
-	Accepted func(revision int64) []string
+	// Accepted is called after a change of settings was committed. It returns the
+	// instances that are not known to have it in force, and whether most instances have.
+	Accepted func(revision int64) (pending []string, confirmed bool)
 	// Status returns the state of the system as this instance sees it.
 	Status func() messenger.StatusAnswer
 }
--- a/internal/edge/listener/settings.go
+++ b/internal/edge/listener/settings.go
@@ -69,8 +69,15 @@
 		l.refuseChange(ctx, req.OperationID, err)
 		return
 	}
+	pending, confirmed := l.Accepted(revision)
+	if !confirmed {
+		// Without most instances an island that does not know of it may go on.
+		l.refuseChange(ctx, req.OperationID, errors.Wrapf(
+			configurer.ErrUnknownOutcome, "committed as revision %d, but most instances have not confirmed it: %v", revision, pending))
+		return
+	}
 	l.Log.Info("settings accepted", "revision", revision, "operation", req.OperationID, "team", operator.Team)
-	writeJSON(ctx, messenger.ChangeAnswer{Revision: revision, Pending: l.Accepted(revision)})
+	writeJSON(ctx, messenger.ChangeAnswer{Revision: revision, Pending: pending})
 }
 
 // refuseChange answers with the operation ID as the request ID, so that the
--- a/internal/node/runner/settings.go
+++ b/internal/node/runner/settings.go
@@ -85,20 +85,41 @@
 	return err
 }
 
-// push tells the peers of a new revision and returns the instances that have not
-// confirmed it.
-func (n *Node) push(revision int64) []string {
-	n.exchanger.TickAndWait()
-	pending := []string{}
+// confirmTime bounds how long an accepted change waits until most instances have it.
+const confirmTime = 2 * time.Second
+
+// push tells the peers of a new revision. It returns the instances that have not
+// confirmed it and whether most have.
+func (n *Node) push(revision int64) (pending []string, confirmed bool) {
+	deadline := n.now().Add(confirmTime)
+	for {
+		n.exchanger.TickAndWait()
+		pending, confirmed = n.unconfirmed(revision)
+		if confirmed || !n.now().Before(deadline) {
+			return pending, confirmed
+		}
+		time.Sleep(verdictLife)
+	}
+}
+
+func (n *Node) unconfirmed(revision int64) (pending []string, confirmed bool) {
+	pending = []string{}
+	holders := arbiter.Evidence{}
 	for id, in := range n.fleet.View().Instances {
+		if in.Leaving || (!in.Listed && id != n.home.Instance) {
+			continue
+		}
 		known := in.Revision
 		if id == n.home.Instance {
 			known = n.tree.Revision()
 		}
-		if known < revision {
-			pending = append(pending, id)
+		holders.Listed++
+		if known >= revision {
+			holders.Heard++
+			continue
 		}
+		pending = append(pending, id)
 	}
 	slices.Sort(pending)
-	return pending
+	return pending, holders.HearsMost() || holders.Listed == 0
 }
