--- a/internal/node/runner/heartbeat.go
+++ b/internal/node/runner/heartbeat.go
@@ -17,9 +17,7 @@
 		Demands: []messenger.Demand{}, Shares: []messenger.Share{}, Verdicts: []messenger.Verdict{},
 		LeavingTargets: leavingTargets(n.fleet.View()), Peers: n.exchanger.Peers(),
 	}
-	if seen := n.storeSeenAt.Load(); seen != nil {
-		hb.StoreAgeMilliseconds = now.Sub(*seen).Milliseconds()
-	}
+	hb.StoreAgeMilliseconds = n.settingsAge(now)
 	for model, rate := range *n.rates.Load() {
 		hb.Demands = append(hb.Demands, messenger.Demand{Model: model, Rate: rate})
 	}
