--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -87,9 +87,13 @@
 	p := newPlan(in)
 	p.unloadReplaced()
 	p.reserveAdapters()
+	p.divide()
 	for _, g := range p.models {
 		p.ensureFirst(g)
 	}
+	if gain := p.in.Policy.StandbyGain; gain > 0 {
+		p.serveDemand(gain+p.in.Policy.MinimumGain/2, true)
+	}
 	for copies := 2; copies <= p.mostLeast(); copies++ {
 		for _, g := range p.models {
 			p.ensureStandby(g, min(copies, g.least))
@@ -98,8 +102,8 @@
 	for _, g := range p.models {
 		p.ensureSpread(g)
 	}
+	p.serveDemand(p.in.Policy.MinimumGain, false)
 	p.placeAdapters()
-	p.serveDemand()
 	return p.moves
 }
 
@@ -132,17 +136,16 @@
 
 // unload orders the unload of a copy of a model with its adapters there.
 func (p *plan) unload(n *node, g *group) {
-	for _, a := range n.adaptersOf(g.name) {
-		p.unloadOne(n, p.groups[a.Name])
+	for _, s := range n.adaptersOf(g.name) {
+		if s.Stable {
+			p.unloadOne(n, p.groups[s.Name])
+		}
 	}
 	p.unloadOne(n, g)
 }
 
 func (p *plan) unloadOne(n *node, g *group) {
 	s := n.slots[g.name]
-	if s == nil || !s.Stable {
-		return
-	}
 	p.order(Unload, n, g)
 	n.later += s.Bytes
 	g.remove(n)
