--- /dev/null
+++ b/internal/node/runner/settings.go
@@ -0,0 +1,125 @@
+package runner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/crocusring/crocusring/internal/control/arbiter"
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+)
+
+// verdictLife is how long a verdict on the settings is kept, so that it is not
+// found again for each request.
+const verdictLife = 100 * time.Millisecond
+
+// verdict is why this instance takes no requests, or a nil error, as of a moment.
+type verdict struct {
+	err error
+	at  time.Time
+}
+
+func (n *Node) pollSettings() error {
+	before := n.now()
+	if err := n.configurer.Poll(); err != nil {
+		return err
+	}
+	n.arbiter.Confirm(before)
+	return nil
+}
+
+// confirm takes what a peer answered to a heartbeat: that no revision newer than
+// its own was in the table service at a moment. The moment is counted from the
+// sending of the heartbeat, so that it is never later than the peer's own reading,
+// over however many peers it came.
+func (n *Node) confirm(hb messenger.Heartbeat, sentAt time.Time) {
+	if hb.StoreAgeMilliseconds >= 0 && n.tree.Revision() >= hb.Revision {
+		n.arbiter.Confirm(sentAt.Add(-time.Duration(hb.StoreAgeMilliseconds) * time.Millisecond))
+	}
+}
+
+// settingsAge returns the age of the latest confirmation in milliseconds, -1 if
+// there was none.
+func (n *Node) settingsAge(now time.Time) int64 {
+	at := n.arbiter.ConfirmedAt()
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds() + 1 // rounded up
+}
+
+// evidence returns what this instance knows about its settings. Only peers that
+// it heard itself count as heard.
+func (n *Node) evidence(now time.Time) arbiter.Evidence {
+	e := arbiter.Evidence{Now: now, Revision: n.tree.Revision(), Listed: 1, Heard: 1}
+	heard := map[string]bool{}
+	for _, h := range n.exchanger.Heard(now.Add(-arbiter.Limit)) {
+		e.Highest = max(e.Highest, h.Heartbeat.Revision)
+		heard[h.Heartbeat.Instance] = true
+	}
+	for id, in := range n.fleet.View().Instances {
+		if id == n.home.Instance || in.Leaving || (!in.Listed && !heard[id]) {
+			continue
+		}
+		e.Listed++
+		if heard[id] {
+			e.Heard++
+		}
+	}
+	return e
+}
+
+// inTouch reports whether this instance may accept changes of settings.
+func (n *Node) inTouch() bool {
+	return n.evidence(n.now()).HearsMost()
+}
+
+// ready reports why this instance takes no requests, or nil.
+func (n *Node) ready() error {
+	now := n.now()
+	known := n.verdict.Load()
+	if known != nil && known.err == nil && now.Sub(known.at) < verdictLife {
+		return nil
+	}
+	err := n.arbiter.Judge(n.evidence(now))
+	n.verdict.Store(&verdict{err: err, at: now})
+	return err
+}
+
+// confirmTime bounds how long an accepted change waits until most instances have it.
+const confirmTime = 2 * time.Second
+
+// push tells the peers of a new revision. It returns the instances that have not
+// confirmed it and whether most have.
+func (n *Node) push(revision int64) (pending []string, confirmed bool) {
+	deadline := n.now().Add(confirmTime)
+	for {
+		n.exchanger.TickAndWait()
+		pending, confirmed = n.unconfirmed(revision)
+		if confirmed || !n.now().Before(deadline) {
+			return pending, confirmed
+		}
+		time.Sleep(verdictLife)
+	}
+}
+
+func (n *Node) unconfirmed(revision int64) (pending []string, confirmed bool) {
+	pending = []string{}
+	holders := arbiter.Evidence{}
+	for id, in := range n.fleet.View().Instances {
+		if in.Leaving || (!in.Listed && id != n.home.Instance) {
+			continue
+		}
+		known := in.Revision
+		if id == n.home.Instance {
+			known = n.tree.Revision()
+		}
+		holders.Listed++
+		if known >= revision {
+			holders.Heard++
+			continue
+		}
+		pending = append(pending, id)
+	}
+	slices.Sort(pending)
+	return pending, holders.HearsMost() || holders.Listed == 0
+}
