Benchmark a plan at six sizes

Cause: the cost of a planner tick at the size to design for was not known. What: BenchmarkPlan, BenchmarkPlanLoss and BenchmarkInputBytes.

--- /dev/null
+++ b/internal/control/planner/cost_test.go
@@ -0,0 +1,90 @@
+package planner_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/crocusring/crocusring/internal/control/planner"
+	"github.com/crocusring/crocusring/internal/state/keeper"
+)
+
+// settledInput returns tables in which each target holds four models with two
+// adapters each, spread evenly.
+func settledInput(models, targets int) planner.Input {
+	const slots, adapters, bytes, small = 4, 2, 16 * gibibyte, 256 << 20
+	c := keeper.NewCatalog()
+	in := planner.Input{Now: epoch, Catalog: c, Rates: map[string]float64{}, Policy: planner.DefaultPolicy()}
+	for i := range models {
+		name := fmt.Sprintf("model-%03d", i)
+		c.Models[name] = keeper.Model{Name: name, Version: "v1", Bytes: bytes, Copies: 2}
+		for j := range adapters {
+			c.Adapters[name] = append(c.Adapters[name], keeper.Adapter{Model: name, Name: fmt.Sprintf("a%d", j), Version: "v1", Bytes: small})
+		}
+		in.Rates[name] = float64(targets) / float64(models) * float64(1+i%7)
+	}
+	for i := range targets {
+		t := planner.Target{ID: fmt.Sprintf("target-%05d", i), DataCentre: fmt.Sprintf("dc-%d", i%dataCentres), MemoryBytes: engineMemory, Usable: true}
+		for j := range slots {
+			model := fmt.Sprintf("model-%03d", (i*slots+j)%models)
+			t.Slots = append(t.Slots, planner.Slot{Name: keeper.Name{Model: model, Version: "v1"}, Bytes: bytes, Stable: true})
+			for _, a := range c.Adapters[model] {
+				name := keeper.Name{Model: model, Version: "v1", Adapter: a.FullName()}
+				t.Slots = append(t.Slots, planner.Slot{Name: name, Bytes: small, Stable: true})
+			}
+		}
+		in.Targets = append(in.Targets, t)
+	}
+	return in
+}
+
+// planSizes are models and targets: both deployments, a data centre of the size
+// to design for, three times that, and all of it.
+var planSizes = []struct{ models, targets int }{{30, 18}, {60, 75}, {200, 300}, {810, 925}, {810, 2775}, {810, 12000}}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range planSizes {
+		in := settledInput(size.models, size.targets)
+		b.Run(fmt.Sprintf("%dx%d", size.models, size.targets), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				planner.Plan(in)
+			}
+		})
+	}
+}
+
+// BenchmarkPlanLoss plans after a third of the targets is gone.
+func BenchmarkPlanLoss(b *testing.B) {
+	for _, size := range planSizes {
+		in := settledInput(size.models, size.targets)
+		for i := range in.Targets {
+			in.Targets[i].Usable = i%dataCentres != 1
+		}
+		b.Run(fmt.Sprintf("%dx%d", size.models, size.targets), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				planner.Plan(in)
+			}
+		})
+	}
+}
+
+// BenchmarkInputBytes reports the memory of the tables that a plan reads.
+func BenchmarkInputBytes(b *testing.B) {
+	for _, size := range planSizes {
+		b.Run(fmt.Sprintf("%dx%d", size.models, size.targets), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				in := settledInput(size.models, size.targets)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(in)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(size.targets), "B/target")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
