--- a/internal/control/planner/policy.go
+++ b/internal/control/planner/policy.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/crocusring/crocusring/internal/control/forecaster"
 )
 
 // Policy holds what operators set.
@@ -31,13 +33,15 @@
 	// AdapterShare is the part of a target's memory that adapters beyond their
 	// least number of copies may fill.
 	AdapterShare float64
+	// Forecast says how History follows the demand.
+	Forecast forecaster.Settings
 }
 
 // DefaultPolicy is used where the settings say nothing.
 func DefaultPolicy() Policy {
 	return Policy{
 		RequestsPerCopy: 8, MostMoves: 4, StandbyCopies: 2, MinimumGain: 1, StandbyGain: 2,
-		LoadsAtOnce: 2, LoadsPerSecond: 1.5, AdaptersAtOnce: 16, AdapterShare: 0.1,
+		LoadsAtOnce: 2, LoadsPerSecond: 1.5, AdaptersAtOnce: 16, AdapterShare: 0.1, Forecast: forecaster.Default(),
 	}
 }
 
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -39,8 +39,17 @@
 
 // Policy holds the settings of the planner. Zero fields take the default.
 type Policy struct {
-	RequestsPerCopy float64
-	MostMoves       int
+	RequestsPerCopy  float64
+	MostMoves        int
+	StandbyCopies    int
+	MinimumGain      float64
+	StandbyGain      float64
+	LoadsAtOnce      int
+	LoadsPerSecond   float64
+	AdaptersAtOnce   int
+	AdapterShare     float64
+	LeadMilliseconds int
+	HoldMilliseconds int
 }
 
 // FaultError is one fault with its place.
@@ -152,9 +161,23 @@
 	add(s.LogLevel < 0 || s.LogLevel > 1, "LogLevel", "must be 0 or 1")
 	add(s.Policy.RequestsPerCopy < 0, "Policy.RequestsPerCopy", "must be 0 or more")
 	add(s.Policy.MostMoves < 0, "Policy.MostMoves", "must be 0 or more")
+	s.Policy.addFaults(add)
 	return faults
 }
 
+func (p *Policy) addFaults(add func(bad bool, key, message string)) {
+	const message = "must be 0 or more"
+	add(p.StandbyCopies < 0, "Policy.StandbyCopies", message)
+	add(p.MinimumGain < 0, "Policy.MinimumGain", message)
+	add(p.StandbyGain < 0, "Policy.StandbyGain", message)
+	add(p.LoadsAtOnce < 0, "Policy.LoadsAtOnce", message)
+	add(p.LoadsPerSecond < 0, "Policy.LoadsPerSecond", message)
+	add(p.AdaptersAtOnce < 0, "Policy.AdaptersAtOnce", message)
+	add(p.AdapterShare < 0 || p.AdapterShare > 1, "Policy.AdapterShare", "must be from 0 to 1")
+	add(p.LeadMilliseconds < 0, "Policy.LeadMilliseconds", message)
+	add(p.HoldMilliseconds < 0, "Policy.HoldMilliseconds", message)
+}
+
 const (
 	leastCredential = 16 // characters
 	digestBytes     = 32
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -17,7 +17,6 @@
 	"github.com/crocusring/crocusring/internal/control/configurer"
 	"github.com/crocusring/crocusring/internal/control/leaser"
 	"github.com/crocusring/crocusring/internal/control/orderer"
-	"github.com/crocusring/crocusring/internal/control/planner"
 	"github.com/crocusring/crocusring/internal/edge/commander"
 	"github.com/crocusring/crocusring/internal/edge/listener"
 	"github.com/crocusring/crocusring/internal/edge/lister"
@@ -104,7 +103,7 @@
 	n.claimer = deduper.NewClaimer(n.home, tables)
 	n.configurer = configurer.New(tables, n.tree, configurer.WithInTouch(n.inTouch))
 	n.leaser = leaser.New(settings.Instance, n.home.Incarnation, tables)
-	n.orderer = orderer.New(tables, engines, n.fleet, n.tree.Catalog, n.totalRates, n.policy())
+	n.orderer = orderer.New(tables, engines, n.fleet, n.tree.Catalog, n.totalRates, policyOf(settings.Policy))
 	n.watcher = watcher.New(lister.New(settings.Platform, client), engines, n.fleet)
 	n.dispatcher = dispatcher.New(n.fleet, n.quarantiner, settings.DataCentre)
 	n.exchanger = exchanger.New(client, settings.PeerCredential, settings.Instance, n.fleet, exchanger.Seams{
@@ -129,17 +128,6 @@
 	}
 }
 
-func (n *Node) policy() planner.Policy {
-	p := planner.DefaultPolicy()
-	if n.settings.Policy.RequestsPerCopy > 0 {
-		p.RequestsPerCopy = n.settings.Policy.RequestsPerCopy
-	}
-	if n.settings.Policy.MostMoves > 0 {
-		p.MostMoves = n.settings.Policy.MostMoves
-	}
-	return p
-}
-
 // Run serves until ctx ends and then stops without cutting off a request.
 func (n *Node) Run(ctx context.Context) error {
 	ln, err := net.Listen("tcp", n.settings.Listen)
