Ask quiet engines for reports less often, and read the list only when it changed

What: an engine that neither works for this instance nor changes its holdings is asked every 800 ms; the list is read with If-None-Match where the platform tags it. Excluded: slower reports of engines in use, since target choice needs them.

--- a/internal/edge/lister/lister.go
+++ b/internal/edge/lister/lister.go
@@ -2,6 +2,7 @@
 package lister
 
 import (
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,6 +29,10 @@
 type Client struct {
 	base   string
 	poster *poster.Client
+
+	mu   sync.Mutex
+	tag  string
+	last []messenger.ListedInstance
 }
 
 // New returns a client for the platform at base, an HTTP URL without path.
@@ -35,17 +40,27 @@
 	return &Client{base: base, poster: p}
 }
 
-// List returns the present list. The error is ErrUnavailable.
+// List returns the present list, which must not be changed. A list that is still
+// the one read before is not sent again by a platform that tags its answers. The
+// error is ErrUnavailable.
 func (c *Client) List() ([]messenger.ListedInstance, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var list messenger.InstanceList
-	err := c.poster.Do(poster.Call{
+	tag, err := c.poster.DoTagged(poster.Call{
 		Method:   fasthttp.MethodGet,
 		URL:      c.base + "/v1/instances",
 		Out:      &list,
 		Deadline: time.Now().Add(callTimeout),
+		Tag:      c.tag,
 	})
+	if errors.Is(err, poster.ErrNotModified) {
+		return c.last, nil
+	}
 	if err != nil {
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
+	c.tag = tag
+	c.last = list.Instances
 	return list.Instances, nil
 }
--- a/internal/fake/platformer/platformer.go
+++ b/internal/fake/platformer/platformer.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"slices"
 	"sort"
@@ -12,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
@@ -225,6 +227,11 @@
 	list := slices.Clone(p.listed)
 	p.mu.Unlock()
 	writeJSON(ctx, messenger.InstanceList{Instances: list})
+	tag := fmt.Sprintf("%q", fmt.Sprintf("%x", xxhash.Sum64(ctx.Response.Body())))
+	ctx.Response.Header.Set(fasthttp.HeaderETag, tag)
+	if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == tag {
+		ctx.NotModified()
+	}
 }
 
 func (p *Platform) handleSetInstance(ctx *fasthttp.RequestCtx) {
--- a/internal/state/keeper/fleet.go
+++ b/internal/state/keeper/fleet.go
@@ -73,6 +73,8 @@
 	RemoveAt time.Time
 	// Silent tells that reports are missing, so that the target takes no new work.
 	Silent bool
+	// ChangingUntil is the deadline until which its holdings are expected to change.
+	ChangingUntil time.Time
 	// Counter counts the requests of this instance on the target. It is shared
 	// by all views.
 	Counter *Counter
--- a/internal/state/watcher/watcher.go
+++ b/internal/state/watcher/watcher.go
@@ -3,6 +3,7 @@
 package watcher
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,12 @@
 	unlistedTime = 2 * time.Second
 	// silenceTime is how long after its last report an engine gets no new work.
 	silenceTime = 2 * time.Second
+	// quietInterval is the time between two reports of an engine that neither
+	// works for this instance nor changes what it holds.
+	quietInterval = 800 * time.Millisecond
+	// changingTime is how long after a change of its holdings an engine is asked
+	// at every tick, since one change seldom comes alone.
+	changingTime = 2 * time.Second
 )
 
 // Watcher follows the instance list and the engines.
@@ -103,8 +110,9 @@
 	}
 }
 
-// TickReports asks every engine for its report, except those that still owe one.
-// It does not wait, so that a frozen engine does not hold up the others.
+// TickReports asks engines for their reports: those that are in use or change at
+// every tick, others less often, and none that still owes one. It does not wait,
+// so that a frozen engine does not hold up the others.
 func (w *Watcher) TickReports() {
 	now := w.now()
 	for id, t := range w.fleet.View().Targets {
@@ -115,12 +123,27 @@
 		if silent != t.Silent {
 			w.fleet.ChangeTarget(id, func(t *keeper.Target) { t.Silent = silent })
 		}
-		if w.begin(id) {
+		if isDue(now, t) && w.begin(id) {
 			go w.ask(id, t)
 		}
 	}
 }
 
+// isDue reports whether an engine is to be asked for its report at now.
+func isDue(now time.Time, t *keeper.Target) bool {
+	isInUse := t.Counter.InFlight.Load() > 0 || t.Counter.SentAfterReport.Load() > 0
+	return isInUse || now.Before(t.ChangingUntil) || !now.Before(t.ReportedAt.Add(quietInterval))
+}
+
+// isChanging reports whether the holdings of an engine differ between two
+// reports, or are about to.
+func isChanging(before, after keeper.Report) bool {
+	if before.Incarnation != after.Incarnation || !slices.Equal(before.Holdings, after.Holdings) {
+		return true
+	}
+	return slices.ContainsFunc(after.Holdings, func(h keeper.Holding) bool { return h.State != keeper.Loaded })
+}
+
 func (w *Watcher) begin(id string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -147,6 +170,9 @@
 	}
 	t.Counter.SentAfterReport.Add(-sent)
 	w.fleet.ChangeTarget(id, func(t *keeper.Target) {
+		if isChanging(t.Report, report) {
+			t.ChangingUntil = now.Add(changingTime)
+		}
 		t.Report = report
 		t.Silent = false
 	})
--- a/internal/state/watcher/watcher_test.go
+++ b/internal/state/watcher/watcher_test.go
@@ -148,3 +148,43 @@
 	b.step("Live", addressA)
 	b.assertTakesWork(true)
 }
+
+func TestReportsAreAskedForAsOftenAsTheyMatter(t *testing.T) {
+	count := func(t *testing.T, prepare func(*bench)) int {
+		b := newBench(t, lister.KindEngine)
+		settle := func() { assert.Eventually(t, func() bool { return b.isIdle() }, time.Second, time.Millisecond) }
+		settle()
+		b.clock = b.clock.Add(changingTime + tick)
+		b.TickReports()
+		settle()
+		asked := 0
+		report := b.Watcher.report
+		b.Watcher.report = func(address string, now time.Time) (keeper.Report, error) {
+			asked++
+			return report(address, now)
+		}
+		prepare(b)
+		const ticks, interval = 20, 200 * time.Millisecond
+		for range ticks {
+			b.clock = b.clock.Add(interval)
+			b.TickReports()
+			settle()
+		}
+		return asked
+	}
+	t.Run("a quiet engine", func(t *testing.T) {
+		assert.Equal(t, 5, count(t, func(*bench) {}))
+	})
+	t.Run("an engine that works for this instance", func(t *testing.T) {
+		assert.Equal(t, 20, count(t, func(b *bench) { b.fleet.View().Targets[target].Counter.InFlight.Add(1) }))
+	})
+	t.Run("an engine that loads, from the first report that shows it", func(t *testing.T) {
+		assert.Equal(t, 17, count(t, func(b *bench) { b.report.Holdings = []keeper.Holding{{Name: name, State: keeper.Loading}} }))
+	})
+}
+
+func (b *bench) isIdle() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.asked) == 0
+}
--- a/internal/wire/poster/poster.go
+++ b/internal/wire/poster/poster.go
@@ -81,11 +81,24 @@
 	In       any
 	Out      any
 	Deadline time.Time
+	// Tag is the entity tag of the answer that the caller has already, if any.
+	Tag string
 }
 
+// ErrNotModified tells that the answer that the caller has is the present one.
+var ErrNotModified = errors.New("not modified")
+
 // Do performs the exchange. The error is ErrNotSent, ErrNoAnswer or a
 // *StatusError, wrapped.
 func (c *Client) Do(call Call) error {
+	_, err := c.DoTagged(call)
+	return err
+}
+
+// DoTagged performs the exchange and returns the entity tag of the answer, empty
+// if it has none. The error is as of Do, or ErrNotModified if Tag is that of the
+// present answer.
+func (c *Client) DoTagged(call Call) (tag string, err error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
@@ -95,31 +108,38 @@
 	if call.Token != "" {
 		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+call.Token)
 	}
+	if call.Tag != "" {
+		req.Header.Set(fasthttp.HeaderIfNoneMatch, call.Tag)
+	}
 	if call.In != nil {
 		body, err := json.Marshal(call.In)
 		if err != nil {
-			return errors.Wrapf(ErrNotSent, "encode request to %s: %v", call.URL, err)
+			return "", errors.Wrapf(ErrNotSent, "encode request to %s: %v", call.URL, err)
 		}
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(body)
 	}
 	if !time.Now().Before(call.Deadline) {
-		return errors.Wrapf(ErrNotSent, "%s: deadline passed", call.URL)
+		return "", errors.Wrapf(ErrNotSent, "%s: deadline passed", call.URL)
 	}
 	if err := c.http.DoDeadline(req, resp, call.Deadline); err != nil {
-		return classify(call.URL, err)
+		return "", classify(call.URL, err)
+	}
+	tag = string(resp.Header.Peek(fasthttp.HeaderETag))
+	if call.Tag != "" && resp.StatusCode() == fasthttp.StatusNotModified {
+		return tag, ErrNotModified
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		body := append([]byte(nil), resp.Body()...)
-		return &StatusError{URL: call.URL, Status: resp.StatusCode(), Body: body}
+		return "", &StatusError{URL: call.URL, Status: resp.StatusCode(), Body: body}
 	}
 	if call.Out == nil {
-		return nil
+		return tag, nil
 	}
 	if err := json.Unmarshal(resp.Body(), call.Out); err != nil {
-		return errors.Wrapf(ErrNoAnswer, "decode answer of %s: %v", call.URL, err)
+		return "", errors.Wrapf(ErrNoAnswer, "decode answer of %s: %v", call.URL, err)
 	}
-	return nil
+	return tag, nil
 }
 
 func classify(url string, err error) error {
