Let the stand-in engine cut unloaded streams and get orders late or twice

Cause: an unload under a running stream went unseen, and orders could be lost but neither late nor doubled. What: streams end without their end marker once their model is gone (Cuts counts them); holdings report the requests that run on them; faults LateOrders and DuplicateOrders. Excluded: slower loads beyond the parallelism of the weight store, since one engine does not know of the others. Conclusion: tests can see an unload that is not graceful.

--- a/internal/edge/commander/commander.go
+++ b/internal/edge/commander/commander.go
@@ -29,6 +29,7 @@
 const (
 	Load   = "Load"
 	Unload = "Unload"
+	Role   = "Role"
 )
 
 const callTimeout = time.Second
@@ -84,11 +85,12 @@
 		holdings = append(holdings, keeper.Holding{
 			Name:  keeper.Name{Model: h.Model, Adapter: h.Adapter, Version: h.Version},
 			Bytes: h.Bytes,
-			State: keeper.State(h.State),
+			State: keeper.State(h.State), Running: h.Running,
 		})
 	}
 	return keeper.Report{
 		Incarnation:   report.Incarnation,
+		Role:          report.Role,
 		MemoryBytes:   report.MemoryBytes,
 		UsedBytes:     report.UsedBytes,
 		Running:       report.Running,
--- a/internal/fake/engineer/engineer.go
+++ b/internal/fake/engineer/engineer.go
@@ -49,6 +49,14 @@
 	LoseOrderAnswers int
 	// DelayOrders is added before each order is carried out.
 	DelayOrders time.Duration
+	// LateOrders is the number of following orders whose connection is closed
+	// without an answer and that take effect after LateBy, if the engine still runs.
+	LateOrders int
+	// DuplicateOrders is the number of following orders that take effect a second
+	// time after LateBy.
+	DuplicateOrders int
+	// LateBy is the delay of late and duplicate orders.
+	LateBy time.Duration
 	// CrossAnswers is the number of following chat answers that carry the ID of
 	// another request.
 	CrossAnswers int
@@ -90,6 +98,8 @@
 	applied    []string
 	highest    int64
 	running    int
+	work       map[string]int // requests that run or wait, by model as asked for
+	cuts       int            // streams cut since their model was unloaded
 	waiting    []*waiter
 	leaving    bool
 	crashed    bool
@@ -148,6 +158,7 @@
 		restartTime:   defaultRestartTime,
 		role:          "Serve",
 		cache:         prefixCache{mostBytes: gibibyte},
+		work:          map[string]int{},
 		quit:          make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -211,6 +222,13 @@
 	return e.maxOver
 }
 
+// Cuts returns the number of streams that were cut since their model was unloaded.
+func (e *Engine) Cuts() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cuts
+}
+
 // Crash ends all connections and forgets all state, as a restart of the
 // process does.
 func (e *Engine) Crash() {
@@ -282,12 +300,42 @@
 		Leaving:         e.leaving,
 		HighestFence:    e.highest,
 		OvercommitBytes: e.maxOver,
-		Holdings:        slices.Clone(e.holdings),
+		Holdings:        e.presentHoldings(),
 		AppliedOrders:   slices.Clone(e.applied),
 		EventSequence:   e.cache.sequence,
 	}
 }
 
+func (e *Engine) presentHoldings() []messenger.EngineHolding {
+	holdings := slices.Clone(e.holdings)
+	for i := range holdings {
+		h := &holdings[i]
+		for model, n := range e.work {
+			base, adapter, version := splitModel(model)
+			if base == h.Model && version == h.Version && (h.Adapter == "" || h.Adapter == adapter) {
+				h.Running += n
+			}
+		}
+	}
+	return holdings
+}
+
+// applyLater carries out an order once more after a delay, unless the engine
+// restarts before.
+func (e *Engine) applyLater(order messenger.EngineOrder, delay time.Duration) {
+	e.mu.Lock()
+	generation := e.generation
+	e.mu.Unlock()
+	time.AfterFunc(delay, func() {
+		e.mu.Lock()
+		restarted := e.generation != generation
+		e.mu.Unlock()
+		if !restarted {
+			e.apply(order)
+		}
+	})
+}
+
 // apply carries out an order and returns its result.
 func (e *Engine) apply(order messenger.EngineOrder) messenger.EngineOrderResult {
 	e.mu.Lock()
@@ -382,9 +430,14 @@
 	}
 }
 
-func (e *Engine) release() {
+// release ends a request for model and hands its slot on.
+func (e *Engine) release(model string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.work[model]--
+	if e.work[model] == 0 {
+		delete(e.work, model)
+	}
 	if len(e.waiting) == 0 {
 		e.running--
 		return
--- a/internal/fake/engineer/handler.go
+++ b/internal/fake/engineer/handler.go
@@ -83,10 +83,16 @@
 	e.mu.Lock()
 	delay := e.fault.DelayOrders
 	lose := takeOne(&e.fault.LoseOrders)
-	loseAnswer := !lose && takeOne(&e.fault.LoseOrderAnswers)
+	late := !lose && takeOne(&e.fault.LateOrders)
+	duplicate := !lose && !late && takeOne(&e.fault.DuplicateOrders)
+	loseAnswer := !lose && !late && takeOne(&e.fault.LoseOrderAnswers)
+	lateBy := e.fault.LateBy
 	e.mu.Unlock()
 	time.Sleep(delay)
-	if lose {
+	if late || duplicate {
+		e.applyLater(order, lateBy)
+	}
+	if lose || late {
 		dropConnection(ctx)
 		return
 	}
@@ -122,7 +128,7 @@
 		req.MaxTokens = defaultMaxTokens
 	}
 	id := string(ctx.Request.Header.Peek(headerRequestID))
-	if reason := e.refusal(req.Model); reason != "" {
+	if reason := e.admit(req.Model); reason != "" {
 		ctx.Error(reason, fasthttp.StatusServiceUnavailable)
 		ctx.Response.Header.Set(headerNotRun, "true")
 		ctx.Response.Header.Set(headerRequestID, id)
@@ -135,13 +141,13 @@
 		return
 	}
 	if strings.Contains(prompt, CrashMarker) {
-		e.release()
+		e.release(req.Model)
 		e.Crash()
 		dropConnection(ctx)
 		return
 	}
 	if stream.dropAtOnce {
-		e.release()
+		e.release(req.Model)
 		dropConnection(ctx)
 		return
 	}
@@ -177,10 +183,19 @@
 	return s, true
 }
 
-// refusal returns why the engine does not run a request for model, or nothing.
-func (e *Engine) refusal(model string) string {
+// admit counts a request for model, or returns why the engine does not run it.
+func (e *Engine) admit(model string) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	reason := e.refusal(model)
+	if reason == "" {
+		e.work[model]++
+	}
+	return reason
+}
+
+// refusal returns why the engine does not run a request for model, or nothing.
+func (e *Engine) refusal(model string) string {
 	if e.crashed {
 		return "restarting"
 	}
@@ -251,7 +266,7 @@
 }
 
 func (s *stream) write(w *bufio.Writer) {
-	defer s.engine.release()
+	defer s.engine.release(s.model)
 	for i := s.from; i < s.until; i++ {
 		if s.cutAt > 0 && i >= s.cutAt {
 			// The HTTP body ends here and the end marker of the events is missing.
@@ -259,6 +274,10 @@
 			return
 		}
 		s.pause()
+		if s.isUnloaded() {
+			_ = w.Flush()
+			return
+		}
 		fmt.Fprintf(w, "id: %s:%d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"model\":%q,"+
 			"\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n",
 			s.answerID, i, s.answerID, s.model, Token(s.prompt, i))
@@ -270,6 +289,19 @@
 	_ = w.Flush()
 }
 
+// isUnloaded reports whether the model was unloaded under the stream, which
+// counts as a cut.
+func (s *stream) isUnloaded() bool {
+	e := s.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.generation != s.generation || e.refusal(s.model) == "" {
+		return false
+	}
+	e.cuts++
+	return true
+}
+
 func (s *stream) pause() {
 	if s.engine.tokenInterval > 0 {
 		time.Sleep(s.engine.tokenInterval)
@@ -277,7 +309,7 @@
 }
 
 func (s *stream) writeWhole(ctx *fasthttp.RequestCtx) {
-	defer s.engine.release()
+	defer s.engine.release(s.model)
 	var text strings.Builder
 	for i := s.from; i < s.until; i++ {
 		s.pause()
--- a/internal/state/keeper/fleet.go
+++ b/internal/state/keeper/fleet.go
@@ -35,12 +35,15 @@
 	Name  Name
 	Bytes int64
 	State State
+	// Running counts the requests that run or wait for it.
+	Running int
 }
 
 // Report is the state of an engine as it told at ReportedAt; the zero time
 // means that it never told.
 type Report struct {
 	Incarnation   string
+	Role          string
 	MemoryBytes   int64
 	UsedBytes     int64
 	Running       int
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -88,8 +88,25 @@
 	Refused float64 `json:"Refused"`
 }
 
+// Draining tells, from the holder of the control lease, that a name on a target
+// takes no new requests, since it is to be unloaded.
+type Draining struct {
+	// Adapter corresponds to the JSON schema field "Adapter".
+	Adapter string `json:"Adapter"`
+
+	// Model corresponds to the JSON schema field "Model".
+	Model string `json:"Model"`
+
+	// Target corresponds to the JSON schema field "Target".
+	Target string `json:"Target"`
+
+	// Version corresponds to the JSON schema field "Version".
+	Version string `json:"Version"`
+}
+
 // EngineHolding is a model or adapter in the memory of an engine. State is
-// Loading, Loaded or Unloading.
+// Loading, Loaded or Unloading; Running counts the requests that run or wait for
+// it.
 type EngineHolding struct {
 	// Adapter corresponds to the JSON schema field "Adapter".
 	Adapter string `json:"Adapter"`
@@ -100,6 +117,9 @@
 	// Model corresponds to the JSON schema field "Model".
 	Model string `json:"Model"`
 
+	// Running corresponds to the JSON schema field "Running".
+	Running int `json:"Running"`
+
 	// State corresponds to the JSON schema field "State".
 	State string `json:"State"`
 
@@ -206,6 +226,9 @@
 	// Demands corresponds to the JSON schema field "Demands".
 	Demands []Demand `json:"Demands"`
 
+	// Drainings corresponds to the JSON schema field "Drainings".
+	Drainings []Draining `json:"Drainings"`
+
 	// Fence corresponds to the JSON schema field "Fence".
 	Fence int64 `json:"Fence"`
 
