Count every order that may still take effect against memory

Cause: the ledger knew one order for each name, believed lost orders dead after a restart of the target, never repeated an order, and unloaded at once. What: entries (what is wanted and shown) and sends (orders whose fate is open) apart; a fence for each order; a send leaves only by what is shown; memory is bounded for the present incarnation and for any later one; lost orders are repeated with a deadline; on engines with fencing an order that changes nothing raises the fence over strays; unloads drain first and are called off for a last copy; loads are paced over the whole system. The decision is a pure round; the orderer stores and sends it, engines in parallel. Excluded: see the comment at Ledger (lease check before sending, a time after which an order counts as lost, forgetting orders at a restart). The checker allows an unload of a last copy only if an engine restarted after the reports that the holder had, as nobody can know of it yet. Conclusion: memory holds under these faults; on engines without fencing a duplicate is covered for 5 s and a lost order keeps its memory reserved.

--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -67,6 +67,8 @@
 // Grant is the right to act as holder until Deadline. Conditions of a
 // transaction that acts for the holder include FenceCondition.
 type Grant struct {
+	Instance       string
+	Incarnation    string
 	Fence          int64
 	Deadline       time.Time
 	FenceCondition messenger.Condition
@@ -80,8 +82,10 @@
 		return Grant{}, false
 	}
 	return Grant{
-		Fence:    l.record.Fence,
-		Deadline: l.heldUntil,
+		Instance:    l.instance,
+		Incarnation: l.incarnation,
+		Fence:       l.record.Fence,
+		Deadline:    l.heldUntil,
 		FenceCondition: messenger.Condition{
 			Table: leaseTable, Key: fenceKey, Version: l.fenceVersion,
 		},
--- a/internal/control/orderer/orderer.go
+++ b/internal/control/orderer/orderer.go
@@ -1,16 +1,19 @@
 // Package orderer carries out plans. It records each order in the table service
 // in a transaction that requires the fencing number of the control lease, and
-// only then sends it.
+// only then sends it. See Ledger for why that keeps memory from being
+// overcommitted.
 package orderer
 
 import (
 	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/crocusring/crocusring/internal/control/leaser"
 	"github.com/crocusring/crocusring/internal/control/planner"
@@ -26,51 +29,105 @@
 	reportTrust = 5 * time.Second
 	// cacheShare is the part of a target's memory that is left to its prefix cache.
 	cacheShare = 0.1
+	mostAtOnce = 32   // engines sent to at once
+	mostFates  = 4096 // fates of own orders that are remembered
 )
 
 // Orderer acts for the holder of the control lease. It is used by one goroutine.
 type Orderer struct {
-	tables  *transactor.Client
-	engines *commander.Client
 	fleet   *keeper.Fleet
 	catalog func() *keeper.Catalog
 	rates   func() map[string]float64
 	policy  planner.Policy
+	limits  Limits
 
-	fence   int64 // that the ledgers were read under; 0 if they were not read
+	now      func() time.Time
+	scan     func(table, prefix string) ([]messenger.Row, error)
+	transact func(messenger.TransactRequest) error
+	order    func(address string, order messenger.EngineOrder) error
+	atOnce   int
+
+	fence   int64     // that the ledgers were read under; 0 if they were not read
+	readAt  time.Time // after the ledgers were read
 	ledgers map[string]*Ledger
+	weights *rate.Limiter
+	ticks   int64
+
+	mu    sync.Mutex
+	fates map[string]fate // by order ID
+	known []string        // order IDs in fates, oldest first
+	// replaced is since when processes are known to have ended.
+	replaced map[string]time.Time
+}
+
+// fate is what this process knows about an order of its own.
+type fate struct {
+	// dead tells that the order was not sent, or was refused.
+	dead    bool
+	endedAt time.Time
+}
+
+// Option configures an Orderer.
+type Option func(*Orderer)
+
+// WithLimits replaces the limits on what is under way.
+func WithLimits(l Limits) Option { return func(o *Orderer) { o.limits = l } }
+
+// DefaultLimits are used where no others are given.
+func DefaultLimits() Limits {
+	return Limits{
+		WeightLoads:  3,
+		WeightRate:   2,
+		AdapterLoads: 16,
+		OrderWait:    3 * time.Second,
+		DrainGrace:   1500 * time.Millisecond,
+		DrainLimit:   time.Minute,
+		StrayHold:    5 * time.Second,
+	}
 }
 
 // New returns an orderer. catalog returns the configuration in force and rates
 // the requests per second by model over all instances.
 func New(
 	tables *transactor.Client, engines *commander.Client, fleet *keeper.Fleet,
-	catalog func() *keeper.Catalog, rates func() map[string]float64, policy planner.Policy,
+	catalog func() *keeper.Catalog, rates func() map[string]float64, policy planner.Policy, opts ...Option,
 ) *Orderer {
-	return &Orderer{tables: tables, engines: engines, fleet: fleet, catalog: catalog, rates: rates, policy: policy}
+	o := &Orderer{
+		fleet: fleet, catalog: catalog, rates: rates, policy: policy, limits: DefaultLimits(),
+		now: time.Now, scan: tables.Scan, transact: tables.Transact, order: engines.Send, atOnce: mostAtOnce,
+		fates: map[string]fate{}, replaced: map[string]time.Time{},
+	}
+	for _, opt := range opts {
+		opt(o)
+	}
+	return o
 }
 
 // Tick reconciles the ledgers with the reports, plans, records the orders and
 // sends them.
 func (o *Orderer) Tick(now time.Time, grant leaser.Grant) error {
 	if o.fence != grant.Fence {
-		if err := o.readLedgers(grant); err != nil {
+		if err := o.readLedgers(now, grant); err != nil {
 			return err
 		}
 	}
-	view := o.fleet.View()
-	if err := o.reconcile(now, view, grant); err != nil {
-		return err
-	}
-	moves := planner.Plan(planner.Input{
-		Now: now, Catalog: o.catalog(), Targets: o.targets(now, view), Rates: o.rates(), Policy: o.policy,
+	o.ticks++
+	r := o.newRound(now, grant)
+	r.run(func(targets []planner.Target) []planner.Move {
+		return planner.Plan(planner.Input{
+			Now: now, Catalog: r.catalog, Targets: targets, Rates: o.rates(), Policy: o.policy,
+		})
 	})
-	return o.carryOut(view, moves, grant)
+	recorded, err := o.record(r, grant)
+	o.publish(r)
+	o.send(recorded, grant)
+	return err
 }
 
-// readLedgers reads what earlier holders recorded.
-func (o *Orderer) readLedgers(grant leaser.Grant) error {
-	rows, err := o.tables.Scan(ledgerTable, "")
+// readLedgers reads what earlier holders recorded. Since it is not known when
+// they last loaded a model, the pace begins without a load in hand.
+func (o *Orderer) readLedgers(now time.Time, grant leaser.Grant) error {
+	rows, err := o.scan(ledgerTable, "")
 	if err != nil {
 		return err
 	}
@@ -84,44 +141,68 @@
 		ledgers[row.Key] = l
 	}
 	o.ledgers = ledgers
+	o.readAt = o.now()
 	o.fence = grant.Fence
+	if o.weights == nil {
+		o.weights = rate.NewLimiter(rate.Limit(o.limits.WeightRate), 1)
+	}
+	o.weights.AllowN(now, 1)
 	return nil
 }
 
-func (o *Orderer) ledger(target string) *Ledger {
-	l := o.ledgers[target]
-	if l == nil {
-		l = &Ledger{Target: target}
-		o.ledgers[target] = l
+func (o *Orderer) newRound(now time.Time, grant leaser.Grant) *round {
+	view := o.fleet.View()
+	r := &round{
+		now:     now,
+		by:      sender{instance: grant.Instance, process: grant.Incarnation, fence: grant.Fence, tick: o.ticks},
+		limits:  o.limits,
+		weights: o.weights,
+		catalog: o.catalog(),
+		dead:    o.isDead,
 	}
-	return l
-}
-
-func (o *Orderer) reconcile(now time.Time, view *keeper.View, grant leaser.Grant) error {
+	r.endedAt = func(s Send) time.Time { return o.endedAt(s, r, view) }
 	for _, id := range slices.Sorted(maps.Keys(view.Targets)) {
 		t := view.Targets[id]
-		if t.Kind != keeper.Engine || now.Sub(t.ReportedAt) > reportTrust {
+		if t.Kind != keeper.Engine {
 			continue
 		}
-		next := o.ledger(id).clone()
-		if !next.reconcile(t.Report) {
+		l := &Ledger{Target: id}
+		if known := o.ledgers[id]; known != nil {
+			l = known.clone()
+		}
+		l.checks = t.ChecksFencing
+		fresh := t.ReportedAt.After(o.readAt) && now.Sub(t.ReportedAt) <= reportTrust
+		r.sites = append(r.sites, &site{target: t, ledger: l, fresh: fresh})
+	}
+	return r
+}
+
+// record stores the changed ledgers and returns the sites whose orders may be
+// sent. After an unknown outcome all ledgers are read again.
+func (o *Orderer) record(r *round, grant leaser.Grant) ([]*site, error) {
+	recorded := []*site{}
+	for i, s := range r.sites {
+		if !s.changed {
 			continue
 		}
-		if err := o.write(next, grant); err != nil {
-			return err
+		if err := o.write(s.ledger, grant); err != nil {
+			o.fence = 0
+			for _, left := range r.sites[i:] {
+				o.dropOrders(left.orders)
+			}
+			return recorded, err
 		}
+		recorded = append(recorded, s)
 	}
-	return nil
+	return recorded, nil
 }
 
-// write stores a ledger and keeps it once it is stored. After an unknown outcome
-// all ledgers are read again.
 func (o *Orderer) write(l *Ledger, grant leaser.Grant) error {
 	value, err := json.Marshal(l)
 	if err != nil {
 		return errors.Wrap(err, "encode ledger")
 	}
-	err = o.tables.Transact(messenger.TransactRequest{
+	err = o.transact(messenger.TransactRequest{
 		Conditions: []messenger.Condition{
 			grant.FenceCondition,
 			{Table: ledgerTable, Key: l.Target, Version: l.version},
@@ -129,7 +210,6 @@
 		Writes: []messenger.Write{{Table: ledgerTable, Key: l.Target, Value: value}},
 	})
 	if err != nil {
-		o.fence = 0
 		return err
 	}
 	l.version++
@@ -137,71 +217,87 @@
 	return nil
 }
 
-// targets returns the engines as the planner sees them.
-func (o *Orderer) targets(now time.Time, view *keeper.View) []planner.Target {
-	targets := []planner.Target{}
-	for _, id := range slices.Sorted(maps.Keys(view.Targets)) {
-		t := view.Targets[id]
-		if t.Kind != keeper.Engine {
-			continue
+// publish tells the request path which holdings take no new requests.
+func (o *Orderer) publish(r *round) {
+	for _, s := range r.sites {
+		names := s.ledger.draining()
+		if !slices.Equal(names, s.target.Draining) {
+			o.fleet.ChangeTarget(s.target.ID, func(t *keeper.Target) { t.Draining = names })
 		}
-		targets = append(targets, planner.Target{
-			ID:          id,
-			DataCentre:  t.DataCentre,
-			MemoryBytes: int64(float64(t.MemoryBytes) * (1 - cacheShare)),
-			Slots:       o.ledger(id).slots(),
-			Usable:      !t.Leaving && now.Sub(t.ReportedAt) <= reportTrust,
-		})
 	}
-	return targets
 }
 
-// carryOut records the moves of each target together, then sends them.
-func (o *Orderer) carryOut(view *keeper.View, moves []planner.Move, grant leaser.Grant) error {
-	byTarget := map[string][]planner.Move{}
-	for _, m := range moves {
-		byTarget[m.Target] = append(byTarget[m.Target], m)
-	}
-	for _, id := range slices.Sorted(maps.Keys(byTarget)) {
-		t := view.Targets[id]
-		next := o.ledger(id).clone()
-		orders := record(next, byTarget[id], t.Incarnation, grant.Fence)
-		if err := o.write(next, grant); err != nil {
-			return err
-		}
-		o.send(t, orders)
+// send sends recorded orders, those for one target in order.
+func (o *Orderer) send(sites []*site, grant leaser.Grant) {
+	var group errgroup.Group
+	group.SetLimit(o.atOnce)
+	for _, s := range sites {
+		group.Go(func() error {
+			o.sendTo(s.target.Address, s.orders, grant)
+			return nil
+		})
 	}
-	return nil
+	_ = group.Wait()
 }
 
-// record enters moves into a ledger and returns the orders for them.
-func record(l *Ledger, moves []planner.Move, incarnation string, fence int64) []messenger.EngineOrder {
-	orders := make([]messenger.EngineOrder, 0, len(moves))
-	for _, m := range moves {
-		l.orders++
-		id := fmt.Sprintf("%s.%d.%d.%d", l.Target, fence, l.version, l.orders)
-		state := LoadOpen
-		if m.Kind == planner.Unload {
-			state = UnloadOpen
+// sendTo sends orders to one target up to the first that fails. The check of the
+// deadline spares the successor an open order; nothing depends on it.
+func (o *Orderer) sendTo(address string, orders []messenger.EngineOrder, grant leaser.Grant) {
+	for i, order := range orders {
+		if !o.now().Before(grant.Deadline) {
+			o.dropOrders(orders[i:])
+			return
 		}
-		entry := Entry{Name: m.Name, Bytes: m.Bytes, State: state, OrderID: id, Fence: fence, Incarnation: incarnation}
-		if known := l.find(m.Name); known != nil {
-			*known = entry
-		} else {
-			l.Entries = append(l.Entries, entry)
+		err := o.order(address, order)
+		isDead := errors.Is(err, commander.ErrNotApplied) || errors.Is(err, commander.ErrOldFence)
+		o.setFate(order.ID, fate{dead: isDead, endedAt: o.now()})
+		if err != nil {
+			o.dropOrders(orders[i+1:])
+			return
 		}
-		orders = append(orders, messenger.EngineOrder{
-			ID: id, Kind: string(m.Kind), Model: m.Name.Model, Adapter: m.Name.Adapter,
-			Version: m.Name.Version, Bytes: m.Bytes, Fence: fence,
-		})
 	}
-	return orders
 }
 
-// send sends recorded orders. An order that failed stays open in the ledger
-// until the engine shows what became of it.
-func (o *Orderer) send(t *keeper.Target, orders []messenger.EngineOrder) {
+// dropOrders notes that orders were not sent.
+func (o *Orderer) dropOrders(orders []messenger.EngineOrder) {
 	for _, order := range orders {
-		_ = o.engines.Send(t.Address, order)
+		o.setFate(order.ID, fate{dead: true, endedAt: o.now()})
+	}
+}
+
+func (o *Orderer) setFate(orderID string, f fate) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.known) >= mostFates {
+		delete(o.fates, o.known[0])
+		o.known = o.known[1:]
+	}
+	o.fates[orderID] = f
+	o.known = append(o.known, orderID)
+}
+
+func (o *Orderer) isDead(orderID string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.fates[orderID].dead
+}
+
+// endedAt returns since when the sender of an order is known not to be sending
+// it any more: its call returned, or its process was replaced by another of the
+// same instance.
+func (o *Orderer) endedAt(s Send, r *round, view *keeper.View) time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if f, ok := o.fates[s.OrderID]; ok {
+		return f.endedAt
+	}
+	in := view.Instances[s.Instance]
+	isOwn := s.Instance == r.by.instance && s.Process != r.by.process
+	if !isOwn && (in == nil || !slices.Contains(in.Retired, s.Process)) {
+		return time.Time{}
+	}
+	if _, known := o.replaced[s.Process]; !known {
+		o.replaced[s.Process] = r.now
 	}
+	return o.replaced[s.Process]
 }
