--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -3,17 +3,16 @@
 package loader
 
 import (
-	"bytes"
 	"encoding/hex"
 	"encoding/json"
-	"net"
+	"net/netip"
 	"net/url"
 	"os"
-	"reflect"
 	"strings"
 
 	"github.com/go-faster/errors"
-	"github.com/tailscale/hujson"
+
+	"github.com/crocusring/crocusring/internal/wire/inspector"
 )
 
 // ErrInvalid tells that settings are not valid. All faults are joined.
@@ -67,67 +66,36 @@
 	return Parse(file, text)
 }
 
-// Parse checks settings text that came from file.
+// Parse checks settings text that came from file and reports all faults.
 func Parse(file string, text []byte) (Settings, error) {
 	var s Settings
-	std, err := hujson.Standardize(bytes.Clone(text))
-	if err != nil {
-		return s, &FaultError{File: file, Line: 1, Key: "-", Message: err.Error()}
-	}
-	faults := unknownKeys(file, std, reflect.TypeFor[Settings]())
-	if err := json.Unmarshal(std, &s); err != nil {
-		faults = append(faults, decodeFault(file, std, err))
-		return s, errors.Join(faults...)
-	}
-	for _, f := range s.faults() {
-		faults = append(faults, &FaultError{File: file, Line: lineOf(std, f.Key), Key: f.Key, Message: f.Message})
+	doc := inspector.DecodeCommented(text, &s)
+	faults := make([]error, 0, len(doc.Faults))
+	broken := map[string]bool{}
+	for _, f := range doc.Faults {
+		faults = append(faults, &FaultError{File: file, Line: f.Line, Key: f.Key, Message: f.Message})
+		broken[f.Key] = true
 	}
-	return s, errors.Join(faults...)
-}
-
-func decodeFault(file string, text []byte, err error) error {
-	fault := &FaultError{File: file, Line: 1, Key: "-", Message: err.Error()}
-	var typeErr *json.UnmarshalTypeError
-	var syntaxErr *json.SyntaxError
-	switch {
-	case errors.As(err, &typeErr):
-		fault.Key = typeErr.Field
-		fault.Line = 1 + bytes.Count(text[:typeErr.Offset], []byte("\n"))
-	case errors.As(err, &syntaxErr):
-		fault.Line = 1 + bytes.Count(text[:syntaxErr.Offset], []byte("\n"))
+	if len(faults) > 0 {
+		// The values that do fit are checked too, so that one run shows all faults.
+		s = decodeRest(doc.Standard)
 	}
-	return fault
-}
-
-// unknownKeys returns a fault for each key that the type does not have. Keys are
-// compared exactly.
-func unknownKeys(file string, text []byte, typ reflect.Type) []error {
-	var members map[string]json.RawMessage
-	if json.Unmarshal(text, &members) != nil {
-		return nil
-	}
-	faults := []error{}
-	for key, value := range members {
-		field, ok := typ.FieldByName(key)
-		if !ok {
-			faults = append(faults, &FaultError{File: file, Line: lineOf(text, key), Key: key, Message: "unknown key"})
-			continue
-		}
-		if field.Type.Kind() == reflect.Struct {
-			faults = append(faults, unknownKeys(file, value, field.Type)...)
+	if len(doc.Standard) > 0 {
+		for _, f := range s.faults() {
+			if !broken[f.Key] {
+				faults = append(faults, &FaultError{File: file, Line: doc.Line(f.Key), Key: f.Key, Message: f.Message})
+			}
 		}
 	}
-	return faults
+	return s, errors.Join(faults...)
 }
 
-// lineOf returns the line of a key, given as a path with dots.
-func lineOf(text []byte, key string) int {
-	last := key[strings.LastIndexByte(key, '.')+1:]
-	i := bytes.Index(text, []byte(`"`+last+`"`))
-	if i < 0 {
-		return 1
-	}
-	return 1 + bytes.Count(text[:i], []byte("\n"))
+// decodeRest decodes the values that fit their fields; those that do not are
+// reported already.
+func decodeRest(text []byte) Settings {
+	var s Settings
+	_ = json.Unmarshal(text, &s)
+	return s
 }
 
 // fault is a fault before its place is known.
@@ -165,13 +133,13 @@
 }
 
 func isAddress(s string) bool {
-	host, _, err := net.SplitHostPort(s)
-	return err == nil && net.ParseIP(host) != nil
+	address, err := netip.ParseAddrPort(s)
+	return err == nil && !address.Addr().IsUnspecified() && address.Port() > 0
 }
 
 func isBaseURL(s string) bool {
 	u, err := url.Parse(s)
-	return err == nil && u.Scheme == "http" && u.Host != "" && u.Path == ""
+	return err == nil && u.Scheme == "http" && u.Host != "" && *u == url.URL{Scheme: u.Scheme, Host: u.Host}
 }
 
 func isDigest(s string) bool {
