--- a/internal/control/configurer/path.go
+++ b/internal/control/configurer/path.go
@@ -119,3 +119,9 @@
 func (o Operator) MayChange(p Path) bool {
 	return o.Team == "" || o.Team == p.Owner
 }
+
+// Subtree returns the prefix of the paths that the operator owns. The platform's
+// operators may change all paths; those of the teams are the teams' own.
+func (o Operator) Subtree() string {
+	return Path{Owner: o.Team}.subtree() + "/"
+}
--- a/internal/edge/listener/settings.go
+++ b/internal/edge/listener/settings.go
@@ -30,6 +30,7 @@
 		}
 	}
 	answer.Entries = visible
+	answer.Subtree = operator.Subtree()
 	writeJSON(ctx, answer)
 }
 
--- /dev/null
+++ b/internal/tool/applier/declarations.go
@@ -0,0 +1,161 @@
+// Package applier compares declarations, settings kept in files, to the settings
+// in force and works out the changes between them.
+package applier
+
+import (
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"github.com/crocusring/crocusring/internal/control/configurer"
+	"github.com/crocusring/crocusring/internal/wire/inspector"
+)
+
+// ErrInvalid tells that declarations are not valid. All faults are joined.
+var ErrInvalid = errors.New("invalid declarations")
+
+// FaultError is one fault with its place.
+type FaultError struct {
+	File    string
+	Line    int
+	Key     string
+	Message string
+}
+
+func (e *FaultError) Error() string {
+	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Key, e.Message)
+}
+
+// Is reports whether target is ErrInvalid.
+func (e *FaultError) Is(target error) bool { return target == ErrInvalid }
+
+// Declaration is the value that a path shall have.
+type Declaration struct {
+	Path  configurer.Path
+	Value json.RawMessage
+	File  string
+	Line  int
+}
+
+// Set holds declarations by path.
+type Set map[string]Declaration
+
+// Load reads the declarations in files and in the folders among names, whose
+// files ending in .json and .hujson are read. The error holds all faults.
+func Load(names []string) (Set, error) {
+	files, err := list(names)
+	if err != nil {
+		return nil, err
+	}
+	all := Set{}
+	faults := []error{}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return nil, errors.Wrap(err, "read declarations")
+		}
+		set, err := Parse(file, text)
+		if err != nil {
+			faults = append(faults, err)
+		}
+		faults = append(faults, all.add(set)...)
+	}
+	return all, errors.Join(faults...)
+}
+
+func list(names []string) ([]string, error) {
+	files := []string{}
+	for _, name := range names {
+		err := filepath.WalkDir(name, func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() {
+				return err
+			}
+			if path == name || slices.Contains([]string{".json", ".hujson"}, filepath.Ext(path)) {
+				files = append(files, path)
+			}
+			return nil
+		})
+		if err != nil {
+			return nil, errors.Wrap(err, "list declarations")
+		}
+	}
+	return files, nil
+}
+
+// add takes over the declarations of another file and returns the faults of
+// paths that are declared in both.
+func (s Set) add(other Set) []error {
+	faults := []error{}
+	for _, d := range other.sorted() {
+		if first, known := s[d.Path.Text]; known {
+			faults = append(faults, &FaultError{
+				File: d.File, Line: d.Line, Key: d.Path.Text, Message: fmt.Sprintf("declared at %s:%d too", first.File, first.Line),
+			})
+			continue
+		}
+		s[d.Path.Text] = d
+	}
+	return faults
+}
+
+func (s Set) sorted() []Declaration {
+	list := make([]Declaration, 0, len(s))
+	for _, d := range s {
+		list = append(list, d)
+	}
+	slices.SortFunc(list, func(a, b Declaration) int { return strings.Compare(a.Path.Text, b.Path.Text) })
+	return list
+}
+
+// Parse checks declarations, an object from path to value in JSON with comments,
+// that came from file.
+func Parse(file string, text []byte) (Set, error) {
+	doc := inspector.InspectMap(text, typeAt)
+	faults := make([]error, 0, len(doc.Faults))
+	for _, f := range doc.Faults {
+		faults = append(faults, &FaultError{File: file, Line: f.Line, Key: f.Key, Message: f.Message})
+	}
+	var values map[string]json.RawMessage
+	if len(doc.Standard) > 0 && json.Unmarshal(doc.Standard, &values) != nil {
+		return nil, errors.Join(faults...)
+	}
+	set := Set{}
+	for text, value := range values {
+		d := Declaration{Value: value, File: file, Line: doc.Line(text)}
+		var err error
+		d.Path, err = configurer.ParsePath(text)
+		if err == nil && !isBroken(doc.Faults, text) {
+			err = configurer.CheckValue(d.Path, value)
+		}
+		if err != nil {
+			faults = append(faults, &FaultError{File: file, Line: d.Line, Key: text, Message: err.Error()})
+			continue
+		}
+		set[text] = d
+	}
+	slices.SortFunc(faults, func(a, b error) int { return strings.Compare(a.Error(), b.Error()) })
+	return set, errors.Join(faults...)
+}
+
+// isBroken reports whether a fault is in the value of a path, so that it is not
+// reported once more.
+func isBroken(faults []*inspector.FaultError, path string) bool {
+	return slices.ContainsFunc(faults, func(f *inspector.FaultError) bool {
+		return f.Key == path || strings.HasPrefix(f.Key, path+".")
+	})
+}
+
+func typeAt(text string) (reflect.Type, bool) {
+	path, err := configurer.ParsePath(text)
+	if err != nil {
+		return nil, false
+	}
+	return configurer.ValueType(path.Kind), true
+}
--- a/internal/wire/inspector/inspector.go
+++ b/internal/wire/inspector/inspector.go
@@ -105,13 +105,23 @@
 
 // Inspect compares JSON with comments to a type.
 func Inspect(text []byte, typ reflect.Type) *Document {
+	return inspect(text, typ, nil)
+}
+
+// InspectMap compares JSON with comments, an object, to types that depend on the
+// key of its members. A member whose key has no type is not compared.
+func InspectMap(text []byte, typeOf func(key string) (reflect.Type, bool)) *Document {
+	return inspect(text, reflect.TypeFor[map[string]json.RawMessage](), typeOf)
+}
+
+func inspect(text []byte, typ reflect.Type, typeOf func(key string) (reflect.Type, bool)) *Document {
 	doc := &Document{lines: map[string]int{}}
 	value, err := hujson.Parse(bytes.Clone(text)) // Standardize writes into its input
 	if err != nil {
 		doc.Faults = append(doc.Faults, syntaxFault(err))
 		return doc
 	}
-	w := walk{doc: doc, text: text}
+	w := walk{doc: doc, text: text, typeOf: typeOf}
 	w.value(value, typ, "")
 	value.Standardize()
 	doc.Standard = value.Pack()
@@ -131,6 +141,8 @@
 type walk struct {
 	doc  *Document
 	text []byte
+	// typeOf, if set, gives the types of the members of the whole document.
+	typeOf func(key string) (reflect.Type, bool)
 }
 
 func (w *walk) fault(at int, key, message string) {
@@ -190,7 +202,7 @@
 		}
 		seen[name] = true
 		w.doc.lines[full] = lineAt(w.text, at)
-		if memberType, known := typeOfMember(typ, name); known {
+		if memberType, known := w.typeOfMember(typ, key, name); known {
 			w.value(member.Value, memberType, full)
 		} else {
 			w.fault(at, full, "unknown key")
@@ -199,7 +211,12 @@
 }
 
 // typeOfMember returns the type of a member. Names are compared exactly.
-func typeOfMember(typ reflect.Type, name string) (reflect.Type, bool) {
+func (w *walk) typeOfMember(typ reflect.Type, key, name string) (reflect.Type, bool) {
+	if key == "" && w.typeOf != nil {
+		if member, known := w.typeOf(name); known {
+			return member, true
+		}
+	}
 	if typ.Kind() == reflect.Map {
 		return typ.Elem(), true
 	}
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -494,13 +494,17 @@
 	Version int64 `json:"Version"`
 }
 
-// SettingsAnswer holds the settings below a path.
+// SettingsAnswer holds the settings below a path. Subtree is the prefix of the
+// paths that the operator owns.
 type SettingsAnswer struct {
 	// Entries corresponds to the JSON schema field "Entries".
 	Entries []SettingEntry `json:"Entries"`
 
 	// Revision corresponds to the JSON schema field "Revision".
 	Revision int64 `json:"Revision"`
+
+	// Subtree corresponds to the JSON schema field "Subtree".
+	Subtree string `json:"Subtree"`
 }
 
 // SettingsSince holds every setting changed after revision After and up to
