--- a/internal/state/keeper/fleet.go
+++ b/internal/state/keeper/fleet.go
@@ -35,12 +35,15 @@
 	Name  Name
 	Bytes int64
 	State State
+	// Running counts the requests that run or wait for it.
+	Running int
 }
 
 // Report is the state of an engine as it told at ReportedAt; the zero time
 // means that it never told.
 type Report struct {
 	Incarnation   string
+	Role          string
 	MemoryBytes   int64
 	UsedBytes     int64
 	Running       int
@@ -73,6 +76,8 @@
 	RemoveAt time.Time
 	// Silent tells that reports are missing, so that the target takes no new work.
 	Silent bool
+	// ChangingUntil is the deadline until which its holdings are expected to change.
+	ChangingUntil time.Time
 	// Counter counts the requests of this instance on the target. It is shared
 	// by all views.
 	Counter *Counter
