Choose among eight drawn candidates by what others have in flight

Cause: a choice scanned all candidates, instances with the same reports chose the same target, and requests sent and ended since the report counted as load. What: a bounded draw from the seed, own requests in flight plus those that the report shows of others, a guess at what peers send, expected wait against the deadline for requests without priority, and room for prefix locality. Excluded: weighted choice among all (cost grows with the candidates).

--- a/internal/control/planner/bench_replay_test.go
+++ b/internal/control/planner/bench_replay_test.go
@@ -235,6 +235,7 @@
 // noteReport does to a counter what the watcher does when a report arrives.
 func noteReport(c *keeper.Counter) {
 	c.SentAfterReport.Store(0)
+	c.InFlightAtReport.Store(c.InFlight.Load())
 }
 
 func (r *replay) route(m *moment) {
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -10,8 +10,13 @@
 	"github.com/crocusring/crocusring/internal/state/keeper"
 )
 
-// ErrNoTarget tells that no target can take the request now.
-var ErrNoTarget = errors.New("no target holds the model")
+var (
+	// ErrNoTarget tells that no target can take the request now.
+	ErrNoTarget = errors.New("no target holds the model")
+	// ErrTooLate tells that no target is expected to begin the request before its
+	// deadline.
+	ErrTooLate = errors.New("no target is expected to be free before the deadline")
+)
 
 // Ask describes what is looked for.
 type Ask struct {
@@ -23,53 +28,152 @@
 	Tried []string
 	// Seed spreads equal choices. Callers use a value that differs between requests.
 	Seed uint64
+	// Cached are targets whose prefix cache is likely to hold the prompt; empty
+	// strings stand for none.
+	Cached [2]string
+	// PeerRate is what other instances send for the name, in requests per second.
+	PeerRate float64
+	// Priority is that of the request. One above 0 passes those that wait.
+	Priority int
+	// Deadline is the latest useful start and WaitPerRequest how long a request
+	// waits for each one queued before it. If either is zero, no wait is too long.
+	Deadline       time.Time
+	WaitPerRequest time.Duration
 }
 
 const (
 	otherDataCentrePenalty = 0.5 // requests
 	reportTrust            = 2 * time.Second
+	// mostCompared bounds the candidates that one choice compares. They are drawn
+	// at random, which also keeps instances with the same reports from choosing
+	// the same target.
+	mostCompared = 8
+	// cachedGain is how many more requests a target may have than the least
+	// loaded one and still be chosen for its prefix cache.
+	cachedGain = 3
 )
 
 // Pick returns the candidate with the least expected load: what its report
-// tells, what this instance sent since, and a guess at what others sent. The
-// error is ErrNoTarget.
+// tells, what this instance has in flight since, and a guess at what others
+// sent. A candidate that is likely to have the prompt cached goes first if it has
+// little more. The error is ErrNoTarget or ErrTooLate.
 func Pick(now time.Time, candidates []*keeper.Target, ask Ask) (*keeper.Target, error) {
-	var best *keeper.Target
-	var bestLoad float64
-	n := len(candidates)
-	if n == 0 {
+	c := chooser{now: now, ask: ask, peers: ask.PeerRate / float64(max(1, len(candidates)))}
+	if len(candidates) <= mostCompared {
+		c.compareAll(candidates)
+	} else {
+		c.compareSome(candidates)
+	}
+	if c.best == nil {
 		return nil, ErrNoTarget
 	}
-	start := int(ask.Seed % uint64(n))
+	if c.isTooLate() {
+		return nil, ErrTooLate
+	}
+	return c.best, nil
+}
+
+// chooser is the state of one choice.
+type chooser struct {
+	now   time.Time
+	ask   Ask
+	peers float64 // requests per second that peers send to each candidate
+	best  *keeper.Target
+	score float64
+}
+
+func (c *chooser) compareAll(candidates []*keeper.Target) {
+	n := uint64(len(candidates))
 	for i := range n {
-		t := candidates[(start+i)%n]
-		if t.Leaving || isTried(t.ID, ask.Tried) {
+		c.compare(candidates[(c.ask.Seed+i)%n])
+	}
+}
+
+// compareSome compares candidates drawn at random and those with the prompt
+// cached. It falls back to all if none of them may be chosen.
+func (c *chooser) compareSome(candidates []*keeper.Target) {
+	state := c.ask.Seed
+	for range mostCompared {
+		state = mix(state)
+		c.compare(candidates[state%uint64(len(candidates))])
+	}
+	for _, id := range c.ask.Cached {
+		if id == "" {
 			continue
 		}
-		load := expectedLoad(now, t)
-		if t.DataCentre != ask.DataCentre {
-			load += otherDataCentrePenalty
+		if t := find(candidates, id); t != nil {
+			c.compare(t)
 		}
-		if best == nil || load < bestLoad {
-			best = t
-			bestLoad = load
+	}
+	if c.best == nil {
+		c.compareAll(candidates)
+	}
+}
+
+// find returns the candidate with an ID. Candidates are in the order of their IDs.
+func find(candidates []*keeper.Target, id string) *keeper.Target {
+	low, high := 0, len(candidates)
+	for low < high {
+		middle := int(uint(low+high) >> 1)
+		if candidates[middle].ID < id {
+			low = middle + 1
+		} else {
+			high = middle
 		}
 	}
-	if best == nil {
-		return nil, ErrNoTarget
+	if low < len(candidates) && candidates[low].ID == id {
+		return candidates[low]
+	}
+	return nil
+}
+
+// mix returns the next number of a sequence without visible order (SplitMix64).
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (c *chooser) compare(t *keeper.Target) {
+	if t.Leaving || isTried(t.ID, c.ask.Tried) {
+		return
+	}
+	score := expectedLoad(c.now, t, c.peers)
+	if t.DataCentre != c.ask.DataCentre {
+		score += otherDataCentrePenalty
+	}
+	if t.ID == c.ask.Cached[0] || t.ID == c.ask.Cached[1] {
+		score -= cachedGain
+	}
+	if c.best == nil || score < c.score {
+		c.best = t
+		c.score = score
+	}
+}
+
+// isTooLate reports whether the chosen target is not expected to begin the
+// request in time.
+func (c *chooser) isTooLate() bool {
+	if c.ask.Deadline.IsZero() || c.ask.WaitPerRequest <= 0 || c.ask.Priority > 0 {
+		return false
 	}
-	return best, nil
+	ahead := max(0, expectedLoad(c.now, c.best, c.peers)-float64(c.best.Running))
+	wait := time.Duration(ahead * float64(c.ask.WaitPerRequest))
+	return c.now.Add(wait).After(c.ask.Deadline)
 }
 
-// expectedLoad is in requests. A stale report is not trusted beyond what this
+// expectedLoad is in requests. What the report shows beyond the requests of this
+// instance is that of others. A stale report is not trusted beyond what this
 // instance knows by itself.
-func expectedLoad(now time.Time, t *keeper.Target) float64 {
+func expectedLoad(now time.Time, t *keeper.Target, peers float64) float64 {
 	own := float64(t.Counter.InFlight.Load())
-	if now.Sub(t.ReportedAt) > reportTrust {
+	age := now.Sub(t.ReportedAt)
+	if age > reportTrust {
 		return own
 	}
-	reported := float64(t.Running+t.Queued) + float64(t.Counter.SentAfterReport.Load())
-	return max(own, reported)
+	others := float64(int64(t.Running+t.Queued) - t.Counter.InFlightAtReport.Load())
+	return own + max(0, others) + peers*age.Seconds()
 }
 
 func isTried(id string, tried []string) bool {
--- a/internal/state/keeper/fleet.go
+++ b/internal/state/keeper/fleet.go
@@ -91,6 +91,8 @@
 	InFlight atomic.Int64
 	// SentAfterReport counts the requests sent since the last report.
 	SentAfterReport atomic.Int64
+	// InFlightAtReport is InFlight as it was when the last report was asked for.
+	InFlightAtReport atomic.Int64
 }
 
 // Holds reports whether the target has the name loaded and not draining.
--- a/internal/state/watcher/watcher.go
+++ b/internal/state/watcher/watcher.go
@@ -164,11 +164,13 @@
 	}()
 	now := w.now()
 	sent := t.Counter.SentAfterReport.Load()
+	inFlight := t.Counter.InFlight.Load()
 	report, err := w.report(t.Address, now)
 	if err != nil || w.fleet.View().Targets[id] == nil {
 		return
 	}
 	t.Counter.SentAfterReport.Add(-sent)
+	t.Counter.InFlightAtReport.Store(inFlight)
 	w.fleet.ChangeTarget(id, func(t *keeper.Target) {
 		if isChanging(t.Report, report) {
 			t.ChangingUntil = now.Add(changingTime)
