--- a/internal/control/planner/bench_replay_test.go
+++ b/internal/control/planner/bench_replay_test.go
@@ -31,10 +31,10 @@
 
 // cacheEvent tells that a prefix entered the cache of an engine.
 type cacheEvent struct {
-	target string
-	model  string
-	prefix uint64
-	tick   int
+	target  string
+	key     prefixKey
+	removed bool
+	tick    int // of its publication
 }
 
 type prefixKey struct {
@@ -85,6 +85,8 @@
 	choose func(r *replay, q *request) int
 	// tick orders loads and unloads, when records are possible.
 	tick func(r *replay)
+	// events takes a cache event, if the strategy wants them.
+	events func(now time.Time, e cacheEvent)
 }
 
 // score is the outcome of a replay after the warm-up.
@@ -155,6 +157,7 @@
 		r.speed = m.StoreSpeed
 		r.fail(m)
 		r.report()
+		r.deliver()
 		r.route(m)
 		r.serve()
 		if !m.StoreDown {
@@ -324,11 +327,30 @@
 			}
 		}
 		delete(e.cache, oldest)
+		r.tell(cacheEvent{target: e.id, key: oldest, removed: true})
 	}
+	r.tell(cacheEvent{target: e.id, key: key})
+}
+
+// tell queues a cache event, but for those that are lost.
+func (r *replay) tell(e cacheEvent) {
 	r.sequence++
 	if r.sequence%eventGapEvery != 0 {
-		r.events = append(r.events, cacheEvent{e.id, key.model, key.prefix, r.tick + eventLagTicks})
+		e.tick = r.tick + eventLagTicks
+		r.events = append(r.events, e)
+	}
+}
+
+// deliver brings the cache events that are due.
+func (r *replay) deliver() {
+	due := 0
+	for due < len(r.events) && r.events[due].tick <= r.tick {
+		if r.strategy.events != nil {
+			r.strategy.events(r.now(), r.events[due])
+		}
+		due++
 	}
+	r.events = r.events[due:]
 }
 
 func (r *replay) leave(i int, q *request, attained bool) {
--- a/internal/control/planner/bench_strategies_test.go
+++ b/internal/control/planner/bench_strategies_test.go
@@ -5,8 +5,11 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
+	"time"
 
 	"github.com/crocusring/crocusring/internal/control/planner"
+	"github.com/crocusring/crocusring/internal/request/prefixer"
 	"github.com/crocusring/crocusring/internal/request/router"
 	"github.com/crocusring/crocusring/internal/state/keeper"
 )
@@ -240,17 +243,32 @@
 func newPolicy(d deployment) strategy {
 	rates := map[string]float64{}
 	history := planner.History{}
+	caches := [entries]*prefixer.Table{}
+	for n := range caches {
+		caches[n] = prefixer.New()
+	}
 	return strategy{
 		name: "policy",
 		choose: func(r *replay, q *request) int {
 			t, err := router.Pick(r.now(), r.candidates(q.Entry, q.Name), router.Ask{
-				Name: q.Name, DataCentre: r.entryCentre(q.Entry), Seed: r.seed(q),
+				Name: q.Name, DataCentre: r.entryCentre(q.Entry), Seed: r.seed(q), Cached: caches[q.Entry].Targets(r.now(), keyOf(q)),
 			})
 			if err != nil {
 				return -1
 			}
+			caches[q.Entry].Stored(r.now(), t.ID, keyOf(q))
 			return r.number(q.Entry, t)
 		},
+		events: func(now time.Time, e cacheEvent) {
+			key := prefixer.KeyOf(e.key.model, strconv.FormatUint(e.key.prefix, 10))
+			for _, c := range caches {
+				if e.removed {
+					c.Removed(e.target, key)
+				} else {
+					c.Stored(now, e.target, key)
+				}
+			}
+		},
 		tick: func(r *replay) {
 			smooth(rates, r.counts)
 			moves := history.Plan(planner.Input{
@@ -263,6 +281,10 @@
 	}
 }
 
+func keyOf(q *request) prefixer.Key {
+	return prefixer.KeyOf(q.Name.Model, strconv.FormatUint(q.Prefix, 10))
+}
+
 // smooth brings rates up to the arrivals of a tick, as the measurer does.
 func smooth(rates map[string]float64, counts map[string]int) {
 	const decay = 0.7
--- /dev/null
+++ b/internal/request/prefixer/prefixer_test.go
@@ -0,0 +1,70 @@
+package prefixer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/crocusring/crocusring/internal/request/prefixer"
+)
+
+var now = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+func TestTable(t *testing.T) {
+	key := prefixer.KeyOf("oak", "Summarise the notes of")
+	t.Run("the last two targets are told, the latest first", func(t *testing.T) {
+		table := prefixer.New()
+		for _, target := range []string{"a", "b", "c", "b"} {
+			table.Stored(now, target, key)
+		}
+		assert.Equal(t, [2]string{"b", "c"}, table.Targets(now, key))
+	})
+	t.Run("a removal is taken over", func(t *testing.T) {
+		table := prefixer.New()
+		table.Stored(now, "a", key)
+		table.Stored(now, "b", key)
+		table.Removed("b", key)
+		assert.Equal(t, [2]string{"a"}, table.Targets(now, key))
+		table.Removed("a", key)
+		assert.Zero(t, table.Len())
+	})
+	t.Run("a place whose removal was lost is not trusted for long", func(t *testing.T) {
+		table := prefixer.New()
+		table.Stored(now, "a", key)
+		assert.Equal(t, [2]string{}, table.Targets(now.Add(time.Hour), key))
+	})
+	t.Run("a restarted target is forgotten", func(t *testing.T) {
+		table := prefixer.New()
+		table.Stored(now, "a", key)
+		table.Stored(now, "b", key)
+		table.Forget("b")
+		assert.Equal(t, [2]string{"a"}, table.Targets(now, key))
+	})
+	t.Run("models do not share prefixes", func(t *testing.T) {
+		assert.NotEqual(t, prefixer.KeyOf("oak", "x"), prefixer.KeyOf("oa", "kx"))
+	})
+	t.Run("the table is bounded", func(t *testing.T) {
+		table := prefixer.New()
+		for i := range 150_000 {
+			table.Stored(now, "a", prefixer.Key(i))
+		}
+		assert.Equal(t, 100_000, table.Len())
+	})
+}
+
+func BenchmarkTargets(b *testing.B) {
+	for _, n := range []int{100, 10_000, 100_000} {
+		table := prefixer.New()
+		for i := range n {
+			table.Stored(now, "a", prefixer.KeyOf("oak", fmt.Sprint(i)))
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Targets(now, prefixer.KeyOf("oak", "77"))
+			}
+		})
+	}
+}
