Run the system by declarations from the command line

Cause: operators had no client. After: TestCommands applies the Verein's declarations to an assembled system of three instances; a second apply changes nothing, diff tells exactly what apply changes, prune deletes, refusals change nothing; each exit code is asserted. Conclusion: check, apply, diff, get, locate, status and version are in place.

--- /dev/null
+++ b/cmd/crocusring/locate.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+type locateCommand struct {
+	connection
+}
+
+func locate(c *locateCommand, out io.Writer) int {
+	client, err := c.client()
+	if err != nil {
+		return fail(err)
+	}
+	answer, err := client.Locate()
+	if err != nil {
+		return fail(err)
+	}
+	_, _ = fmt.Fprintln(out, strings.Join(answer.Addresses, "\n"))
+	_, _ = fmt.Fprintln(out, "until", answer.Deadline.Format(time.RFC3339Nano))
+	return exitOK
+}
--- a/cmd/crocusring/main.go
+++ b/cmd/crocusring/main.go
@@ -3,52 +3,46 @@
 package main
 
 import (
-	"context"
 	"fmt"
+	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alexflint/go-arg"
 	"github.com/go-faster/errors"
 
 	"github.com/crocusring/crocusring/internal/node/loader"
-	"github.com/crocusring/crocusring/internal/node/runner"
+	"github.com/crocusring/crocusring/internal/tool/applier"
+	"github.com/crocusring/crocusring/internal/tool/requester"
 )
 
-// version is set by the build.
-var version = "devel"
-
 // Exit codes.
 const (
 	exitOK      = 0
-	exitFailed  = 1
+	exitFailed  = 1 // nothing was changed: no instance answers, or a file cannot be read
 	exitUsage   = 2
-	exitInvalid = 3
+	exitInvalid = 3 // settings or declarations have faults
+	exitDiffers = 4 // diff found differences
+	exitRefused = 5 // an instance refused; nothing was changed
+	exitUnknown = 6 // a change may have been accepted
 )
 
-type serveCommand struct {
-	Settings string `arg:"positional,required" help:"settings file, JSON with comments"`
-}
-
-type checkCommand struct {
-	Settings string `arg:"positional,required" help:"settings file to check"`
-}
-
-type versionCommand struct{}
-
 type arguments struct {
 	Serve   *serveCommand   `arg:"subcommand:serve" help:"run an entry instance"`
-	Check   *checkCommand   `arg:"subcommand:check" help:"check a settings file and report all faults"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"check files and report all faults"`
+	Apply   *applyCommand   `arg:"subcommand:apply" help:"make the settings what the declarations say"`
+	Diff    *diffCommand    `arg:"subcommand:diff" help:"show what apply would change"`
+	Get     *getCommand     `arg:"subcommand:get" help:"print settings as declarations"`
+	Locate  *locateCommand  `arg:"subcommand:locate" help:"print the addresses that a caller is to use"`
+	Status  *statusCommand  `arg:"subcommand:status" help:"print the state of the system as an instance sees it"`
 	Demo    *demoCommand    `arg:"subcommand:demo" help:"run the whole system in one process and show it"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
 
 func main() {
-	os.Exit(run(os.Args[1:]))
+	os.Exit(run(os.Args[1:], os.Stdout))
 }
 
-func run(args []string) int {
+func run(args []string, out io.Writer) int {
 	var a arguments
 	parser, err := arg.NewParser(arg.Config{Program: "crocusring", Out: os.Stderr}, &a)
 	if err != nil {
@@ -58,16 +52,29 @@
 	if err := parser.Parse(args); err != nil {
 		return explain(parser, err)
 	}
+	return dispatch(&a, parser, out)
+}
+
+func dispatch(a *arguments, parser *arg.Parser, out io.Writer) int {
 	switch {
 	case a.Serve != nil:
 		return serve(a.Serve)
 	case a.Check != nil:
-		return check(a.Check)
+		return check(a.Check, out)
+	case a.Apply != nil:
+		return apply(a.Apply, out)
+	case a.Diff != nil:
+		return diff(a.Diff, out)
+	case a.Get != nil:
+		return get(a.Get, out)
+	case a.Locate != nil:
+		return locate(a.Locate, out)
+	case a.Status != nil:
+		return status(a.Status, out)
 	case a.Demo != nil:
 		return demo(a.Demo)
 	case a.Version != nil:
-		fmt.Println("crocusring", version)
-		return exitOK
+		return printVersion(out)
 	default:
 		parser.WriteHelp(os.Stderr)
 		return exitUsage
@@ -85,27 +92,17 @@
 	return exitUsage
 }
 
-func serve(c *serveCommand) int {
-	settings, err := loader.Load(c.Settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+// fail reports an error and returns the exit code that stands for it.
+func fail(err error) int {
+	fmt.Fprintln(os.Stderr, "error:", err)
+	switch {
+	case errors.Is(err, loader.ErrInvalid), errors.Is(err, applier.ErrInvalid):
 		return exitInvalid
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	log := newLog(os.Stderr, settings.LogLevel)
-	if err := runner.New(settings, log).Run(ctx); err != nil {
-		log.Error(err, "instance failed")
+	case errors.Is(err, requester.ErrRefused):
+		return exitRefused
+	case errors.Is(err, requester.ErrUnknownOutcome):
+		return exitUnknown
+	default:
 		return exitFailed
 	}
-	return exitOK
-}
-
-func check(c *checkCommand) int {
-	if _, err := loader.Load(c.Settings); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitInvalid
-	}
-	fmt.Println(c.Settings, "is valid")
-	return exitOK
 }
--- /dev/null
+++ b/cmd/crocusring/status.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+type statusCommand struct {
+	connection
+}
+
+func status(c *statusCommand, out io.Writer) int {
+	client, err := c.client()
+	if err != nil {
+		return fail(err)
+	}
+	answer, err := client.Status()
+	if err != nil {
+		return fail(err)
+	}
+	text, err := json.MarshalIndent(answer, "", "\t")
+	if err != nil {
+		return fail(err)
+	}
+	_, _ = fmt.Fprintln(out, string(text))
+	return exitOK
+}
--- a/internal/tool/requester/requester.go
+++ b/internal/tool/requester/requester.go
@@ -101,7 +101,7 @@
 // call asks each instance until one answers. A request that may have been carried
 // out is not sent on to another one.
 func (c *Client) call(method, path string, in, out any) error {
-	last := error(ErrUnreachable)
+	last := ErrUnreachable
 	for _, address := range c.addresses {
 		err := c.do(poster.Call{
 			Method: method, URL: "http://" + address + path, Token: c.credential, In: in, Out: out, Deadline: c.now().Add(callTimeout),
