Answer NotReady from an instance that does not take requests

Cause: the reason of an instance that is not ready matched no case of refusals, so that it was answered with 500 OutcomeUnknown although nothing had run. Before: TestCutOffInstanceStops, first run: expected 503, actual 500, NotRun false. After: 503 NotReady, NotRun true. TestSettingsUnderFailure over separate processes passes: lost answer, slow store, outage, start during the outage.

--- a/internal/edge/listener/request.go
+++ b/internal/edge/listener/request.go
@@ -27,7 +27,7 @@
 // arrive checks the head of a request. repeatable is what holds if the request
 // does not say.
 func (l *Listener) arrive(ctx *fasthttp.RequestCtx, id string, repeatable bool) (*arrival, error) {
-	if err := l.Ready(); err != nil {
+	if err := l.checkReady(); err != nil {
 		return nil, err
 	}
 	team, err := l.team(ctx)
--- a/internal/edge/listener/status.go
+++ b/internal/edge/listener/status.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusring/crocusring/internal/peer/detector"
@@ -65,7 +66,7 @@
 }
 
 func (l *Listener) handleReady(ctx *fasthttp.RequestCtx) {
-	if err := l.Ready(); err != nil {
+	if err := l.checkReady(); err != nil {
 		refuse(ctx, "", err)
 		return
 	}
@@ -78,3 +79,11 @@
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 	}
 }
+
+// checkReady returns why no requests are taken as errNotReady, or nil.
+func (l *Listener) checkReady() error {
+	if err := l.Ready(); err != nil {
+		return errors.Wrap(errNotReady, err.Error())
+	}
+	return nil
+}
