--- a/internal/edge/connector/answer.go
+++ b/internal/edge/connector/answer.go
@@ -85,6 +85,9 @@
 
 // Read reads the body. The error is io.EOF or one of those of Do.
 func (a *Answer) Read(p []byte) (int, error) {
+	if a.whole {
+		return 0, io.EOF // a further read would wait for the next answer
+	}
 	n, err := a.body.Read(p)
 	if err == nil {
 		return n, nil
--- a/internal/edge/connector/connector_test.go
+++ b/internal/edge/connector/connector_test.go
@@ -71,7 +71,7 @@
 	// warm fills the pool with one connection and leaves another one in use.
 	warm := func(t *testing.T) *connector.Pool {
 		pool := connector.New(address)
-		_, err := do(nil, pool, "GET", "/", long, long)
+		_, err := do(context.Background(), pool, "GET", "/", long, long)
 		require.NoError(t, err)
 		return pool
 	}
@@ -85,7 +85,7 @@
 		_, err := pool.Do(connector.Call{Request: req, Fresh: true, FirstByte: now.Add(short), Until: now.Add(short)})
 		assert.ErrorIs(t, err, connector.ErrDeadline)
 		assert.Eventually(t, func() bool { return open.Load() == 1 }, long, time.Millisecond, "its own connection is closed")
-		_, err = do(nil, pool, "GET", "/", long, long)
+		_, err = do(context.Background(), pool, "GET", "/", long, long)
 		assert.NoError(t, err)
 		assert.EqualValues(t, 1, open.Load(), "the pooled sibling was used")
 		pool.Distrust()
@@ -100,13 +100,13 @@
 		_, err := pool.Do(connector.Call{Request: req, Fresh: true, FirstByte: now.Add(short), Until: now.Add(long)})
 		assert.ErrorIs(t, err, connector.ErrSilent)
 		assert.Eventually(t, func() bool { return open.Load() == 0 }, long, time.Millisecond, "all are closed")
-		body, err := do(nil, pool, "GET", "/", long, long)
+		body, err := do(context.Background(), pool, "GET", "/", long, long)
 		assert.NoError(t, err)
 		assert.Equal(t, "ok", body)
 		pool.Distrust()
 	})
 	t.Run("a passed deadline sends nothing", func(t *testing.T) {
-		_, err := do(nil, connector.New(address), "GET", "/", 0, 0)
+		_, err := do(context.Background(), connector.New(address), "GET", "/", 0, 0)
 		assert.ErrorIs(t, err, connector.ErrNotSent)
 	})
 }
@@ -137,9 +137,23 @@
 	})
 	pool := connector.New(address)
 	for path, method := range map[string]string{"/204": "POST", "/304": "GET", "/head": "HEAD"} {
-		body, err := do(nil, pool, method, path, time.Second, time.Second)
+		body, err := do(context.Background(), pool, method, path, time.Second, time.Second)
 		assert.NoError(t, err, path)
 		assert.Empty(t, body)
 	}
 	assert.EqualValues(t, 1, open.Load(), "one connection served all")
 }
+
+func TestAReadAfterTheEndDoesNotWait(t *testing.T) {
+	address, _ := server(t, map[string]string{"/": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"})
+	req := &fasthttp.Request{}
+	req.Header.SetHost("target")
+	now := time.Now()
+	answer, err := connector.New(address).Do(connector.Call{Request: req, FirstByte: now.Add(time.Second), Until: now.Add(time.Second)})
+	require.NoError(t, err)
+	defer answer.Close()
+	_, err = io.ReadAll(answer)
+	require.NoError(t, err)
+	_, err = answer.Read(make([]byte, 1))
+	assert.Equal(t, io.EOF, err)
+}
--- a/internal/edge/listener/body.go
+++ b/internal/edge/listener/body.go
@@ -65,8 +65,8 @@
 	b.failure = err
 	_, refusal := refusalOf(err, time.Now())
 	refusal.NotRun = false
-	event := append(b.event[:0], "event: error\n"...)
-	return appendData(event, encodeRefusal(refusal))
+	b.event = append(b.event[:0], "event: error\n"...)
+	return appendData(b.event, encodeRefusal(refusal))
 }
 
 // appendData appends an event with the lines of data.
--- a/internal/edge/streamer/stream.go
+++ b/internal/edge/streamer/stream.go
@@ -95,7 +95,7 @@
 	hasData := false
 	for {
 		line, err := r.readLine()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return 0, ErrTruncated
 		}
 		if err != nil {
@@ -128,9 +128,9 @@
 // readLine returns the next line without its end, valid until the next call.
 func (r *eventReader) readLine() ([]byte, error) {
 	line, err := r.lines.ReadSlice('\n')
-	if err == bufio.ErrBufferFull {
+	if errors.Is(err, bufio.ErrBufferFull) {
 		r.long = r.long[:0]
-		for err == bufio.ErrBufferFull {
+		for errors.Is(err, bufio.ErrBufferFull) {
 			r.long = append(r.long, line...)
 			if len(r.long) > maxEventBytes {
 				return nil, errors.Wrap(ErrFailed, "event too large")
--- a/internal/fake/servicer/servicer.go
+++ b/internal/fake/servicer/servicer.go
@@ -17,6 +17,8 @@
 	RequestID string
 	Key       string
 	Path      string
+	// Target is that of the request line as it came.
+	Target string
 }
 
 // Service is the stand-in. Its methods may be called while it serves.
@@ -65,6 +67,7 @@
 		RequestID: string(ctx.Request.Header.Peek("X-Request-Id")),
 		Key:       string(ctx.Request.Header.Peek("X-Request-Key")),
 		Path:      string(ctx.Path()),
+		Target:    string(ctx.Request.Header.RequestURI()),
 	})
 	drop := s.drop > 0
 	if drop {
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -119,11 +119,11 @@
 		HearTargets: n.watcher.Hear,
 		Answered:    func(messenger.Heartbeat, time.Time) {},
 	})
-	n.listener = listener.New(n.parts(tables))
+	n.listener = listener.New(n.parts())
 	return n
 }
 
-func (n *Node) parts(tables *transactor.Client) listener.Parts {
+func (n *Node) parts() listener.Parts {
 	return listener.Parts{
 		Home: n.home, DataCentre: n.settings.DataCentre,
 		OperatorDigest: n.settings.Digest(), PeerCredential: n.settings.PeerCredential,
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -164,7 +164,7 @@
 }
 
 // checkTime returns why a request is out of time, or nil.
-func checkTime(now, deadline time.Time, ctx context.Context) error {
+func checkTime(ctx context.Context, now, deadline time.Time) error {
 	if ctx != nil && ctx.Err() != nil {
 		return ErrCanceled
 	}
@@ -178,7 +178,7 @@
 // leave.
 func (d *Dispatcher) pick(job *Job, a *attempts) (*keeper.Target, error) {
 	now := d.now()
-	if err := checkTime(now, job.Deadline, job.Context); err != nil {
+	if err := checkTime(job.Context, now, job.Deadline); err != nil {
 		return nil, err
 	}
 	if err := d.quarantiner.Check(now, job.Fingerprint); err != nil {
--- a/internal/request/dispatcher/service.go
+++ b/internal/request/dispatcher/service.go
@@ -53,7 +53,7 @@
 
 func (d *Dispatcher) pickService(job *ServiceJob, a *attempts) (*keeper.Target, error) {
 	now := d.now()
-	if err := checkTime(now, job.Deadline, job.Context); err != nil {
+	if err := checkTime(job.Context, now, job.Deadline); err != nil {
 		return nil, err
 	}
 	target, err := router.Pick(now, serviceTargets(d.fleet.View(), job.Service), router.Ask{
