Plan through a history in the orderer and give it the settings

Cause: the orderer passed raw rates, and both it and the planner paced loads. What: planner.History in the orderer; its limits follow the settings of the policy; the planner's own pace is removed. Excluded: a pace in the planner alone, as the orderer's limiter outlives plans. Tests of control, node and tool pass. Conclusion: one place for each limit.

--- a/internal/control/orderer/orderer.go
+++ b/internal/control/orderer/orderer.go
@@ -39,6 +39,7 @@
 	catalog func() *keeper.Catalog
 	rates   func() map[string]float64
 	policy  planner.Policy
+	history planner.History
 	limits  Limits
 
 	now      func() time.Time
@@ -114,7 +115,7 @@
 	o.ticks++
 	r := o.newRound(now, grant)
 	r.run(func(targets []planner.Target) []planner.Move {
-		return planner.Plan(planner.Input{
+		return o.history.Plan(planner.Input{
 			Now: now, Catalog: r.catalog, Targets: targets, Rates: o.rates(), Policy: o.policy,
 		})
 	})
--- a/internal/control/planner/bench_test.go
+++ b/internal/control/planner/bench_test.go
@@ -14,7 +14,7 @@
 // wilgenrandPolicy weighs moves more.
 func wilgenrandPolicy() planner.Policy {
 	p := planner.DefaultPolicy()
-	p.LoadsAtOnce, p.LoadsPerSecond, p.AdaptersAtOnce = 3, 2, 24
+	p.LoadsAtOnce, p.AdaptersAtOnce = 3, 24
 	p.MinimumGain, p.Forecast.LeadTime = 2, 0
 	return p
 }
@@ -22,7 +22,7 @@
 // vereinPolicy weighs attainment more.
 func vereinPolicy() planner.Policy {
 	p := planner.DefaultPolicy()
-	p.LoadsAtOnce, p.LoadsPerSecond, p.AdaptersAtOnce = 2, 1.5, 16
+	p.LoadsAtOnce, p.AdaptersAtOnce = 2, 16
 	return p
 }
 
--- a/internal/control/planner/history.go
+++ b/internal/control/planner/history.go
@@ -6,17 +6,13 @@
 // that of a caller that just began.
 type History struct {
 	Demand forecaster.Table
-	Pace   Pace
 }
 
 // Plan takes the rates of in, as observed, into the history and plans for the
-// demand that is expected. The moves count as ordered.
+// demand that is expected.
 func (h *History) Plan(in Input) []Move {
 	h.Demand.Update(in.Now, in.Rates, in.Policy.Forecast)
 	in.Rates = h.Demand.Expected(in.Policy.Forecast)
 	in.Floors = h.Demand.Floors()
-	in.Pace = h.Pace
-	moves := Plan(in)
-	h.Pace = h.Pace.After(in.Now, moves, in.Policy)
-	return moves
+	return Plan(in)
 }
--- a/internal/control/planner/index.go
+++ b/internal/control/planner/index.go
@@ -124,9 +124,9 @@
 	p.addCatalog()
 	loading, adaptersLoading := p.addTargets()
 	sortModels(p.models)
-	p.loadBudget = in.Pace.left(in.Now, in.Policy.LoadsPerSecond)
+	p.loadBudget = unbounded
 	if in.Policy.LoadsAtOnce > 0 {
-		p.loadBudget = min(p.loadBudget, in.Policy.LoadsAtOnce-loading)
+		p.loadBudget = in.Policy.LoadsAtOnce - loading
 	}
 	p.adapters = unbounded
 	if in.Policy.AdaptersAtOnce > 0 {
--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -44,7 +44,6 @@
 	// Floors are the requests per second by model that copies are kept for. A
 	// model without a floor has that of its rate.
 	Floors map[string]float64
-	Pace   Pace
 	Policy Policy
 }
 
--- a/internal/control/planner/policy.go
+++ b/internal/control/planner/policy.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"github.com/crocusring/crocusring/internal/control/forecaster"
 )
@@ -23,10 +22,9 @@
 	// StandbyGain is the rate that a further copy must relieve in addition before
 	// it may take the place of a standby copy. At zero it never may.
 	StandbyGain float64
-	// LoadsAtOnce bounds the loads of models that are under way, and
-	// LoadsPerSecond their rate. Zero does not bound.
-	LoadsAtOnce    int
-	LoadsPerSecond float64
+	// LoadsAtOnce bounds the loads of models that are under way. Zero does not
+	// bound.
+	LoadsAtOnce int
 	// AdaptersAtOnce bounds the loads of adapters that are under way. Zero does
 	// not bound.
 	AdaptersAtOnce int
@@ -41,42 +39,8 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		RequestsPerCopy: 8, MostMoves: 4, StandbyCopies: 2, MinimumGain: 1, StandbyGain: 2,
-		LoadsAtOnce: 2, LoadsPerSecond: 1.5, AdaptersAtOnce: 16, AdapterShare: 0.1, Forecast: forecaster.Default(),
+		LoadsAtOnce: 2, AdaptersAtOnce: 16, AdapterShare: 0.1, Forecast: forecaster.Default(),
 	}
 }
 
 const unbounded = math.MaxInt32
-
-// Pace bounds the rate of loads. Its zero value is that of a store that was not
-// used of late.
-type Pace struct {
-	// FullAt is when the store may again take a whole second's loads at once.
-	FullAt time.Time
-}
-
-// left returns the number of loads that may start now.
-func (p Pace) left(now time.Time, perSecond float64) int {
-	if perSecond <= 0 {
-		return unbounded
-	}
-	used := max(0, p.FullAt.Sub(now).Seconds()*perSecond)
-	return max(0, int(math.Ceil(perSecond)-used))
-}
-
-// After returns the pace after loads of models that started now.
-func (p Pace) After(now time.Time, moves []Move, policy Policy) Pace {
-	if policy.LoadsPerSecond <= 0 {
-		return p
-	}
-	loads := 0
-	for _, m := range moves {
-		if m.Kind == Load && m.Name.Adapter == "" {
-			loads++
-		}
-	}
-	from := p.FullAt
-	if from.Before(now) {
-		from = now
-	}
-	return Pace{FullAt: from.Add(time.Duration(float64(loads) / policy.LoadsPerSecond * float64(time.Second)))}
-}
--- a/internal/control/planner/property_test.go
+++ b/internal/control/planner/property_test.go
@@ -50,7 +50,6 @@
 	p := planner.DefaultPolicy()
 	p.MostMoves = rapid.IntRange(1, 8).Draw(t, "most moves")
 	p.StandbyCopies = rapid.IntRange(0, 3).Draw(t, "standby")
-	p.LoadsPerSecond = 0
 	p.LoadsAtOnce = rapid.IntRange(0, 4).Draw(t, "loads at once")
 	p.StandbyGain = rapid.Float64Range(0, 4).Draw(t, "standby gain")
 	p.MinimumGain = rapid.Float64Range(0.5, 4).Draw(t, "gain")
--- a/internal/node/runner/policy.go
+++ b/internal/node/runner/policy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/crocusring/crocusring/internal/control/orderer"
 	"github.com/crocusring/crocusring/internal/control/planner"
 	"github.com/crocusring/crocusring/internal/node/loader"
 )
@@ -17,7 +18,6 @@
 	override(&p.MinimumGain, s.MinimumGain)
 	override(&p.StandbyGain, s.StandbyGain)
 	override(&p.LoadsAtOnce, s.LoadsAtOnce)
-	override(&p.LoadsPerSecond, s.LoadsPerSecond)
 	override(&p.AdaptersAtOnce, s.AdaptersAtOnce)
 	override(&p.AdapterShare, s.AdapterShare)
 	override(&p.Forecast.LeadTime, time.Duration(s.LeadMilliseconds)*time.Millisecond)
@@ -25,6 +25,16 @@
 	return p
 }
 
+// limitsOf returns the limits of the weight store that settings ask for, with the
+// default for each field that is zero.
+func limitsOf(s loader.Policy) orderer.Limits {
+	l := orderer.DefaultLimits()
+	override(&l.WeightLoads, s.LoadsAtOnce)
+	override(&l.WeightRate, s.LoadsPerSecond)
+	override(&l.AdapterLoads, s.AdaptersAtOnce)
+	return l
+}
+
 func override[T comparable](field *T, value T) {
 	var zero T
 	if value != zero {
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -103,7 +103,8 @@
 	n.claimer = deduper.NewClaimer(n.home, tables)
 	n.configurer = configurer.New(tables, n.tree, configurer.WithInTouch(n.inTouch))
 	n.leaser = leaser.New(settings.Instance, n.home.Incarnation, tables)
-	n.orderer = orderer.New(tables, engines, n.fleet, n.tree.Catalog, n.totalRates, policyOf(settings.Policy))
+	n.orderer = orderer.New(tables, engines, n.fleet, n.tree.Catalog, n.totalRates, policyOf(settings.Policy),
+		orderer.WithLimits(limitsOf(settings.Policy)))
 	n.watcher = watcher.New(lister.New(settings.Platform, client), engines, n.fleet)
 	n.dispatcher = dispatcher.New(n.fleet, n.quarantiner, settings.DataCentre)
 	n.exchanger = exchanger.New(client, settings.PeerCredential, settings.Instance, n.fleet, exchanger.Seams{
