Feed the router with cache events and the planner with adapter demand

Cause: cache events were not read, and demand was counted by model alone. What: a follower reads the events of each engine into the prefix table; the dispatcher passes its guess to the router; the listener counts adapters too. Excluded: more than the first 64 bytes of a prompt (what engines here name). Package tests pass.

--- a/internal/edge/listener/chat.go
+++ b/internal/edge/listener/chat.go
@@ -11,6 +11,7 @@
 	"github.com/crocusring/crocusring/internal/edge/streamer"
 	"github.com/crocusring/crocusring/internal/request/deduper"
 	"github.com/crocusring/crocusring/internal/request/dispatcher"
+	"github.com/crocusring/crocusring/internal/request/prefixer"
 	"github.com/crocusring/crocusring/internal/request/quarantiner"
 	"github.com/crocusring/crocusring/internal/state/keeper"
 )
@@ -23,6 +24,8 @@
 	body []byte
 	// fingerprint is that of the content, so that it is the same for each send.
 	fingerprint quarantiner.Fingerprint
+	// prefix is that of the beginning of the prompt.
+	prefix prefixer.Key
 }
 
 // parseChat checks the body of a chat-completion request and puts the full name
@@ -67,6 +70,7 @@
 		return nil, errors.Wrap(errBadRequest, err.Error())
 	}
 	c.fingerprint = quarantiner.Of(name.String(), c.body)
+	c.prefix = prefixKey(name.String(), messages)
 	return c, nil
 }
 
@@ -84,7 +88,7 @@
 	}
 	job := &dispatcher.Job{
 		ID: id, Name: c.name, Body: c.body, Priority: a.priority,
-		Deadline: a.deadline, Repeatable: a.repeatable, Fingerprint: c.fingerprint,
+		Deadline: a.deadline, Repeatable: a.repeatable, Fingerprint: c.fingerprint, Prefix: c.prefix,
 	}
 	if a.key == nil {
 		l.runChat(ctx, a, c, job)
@@ -111,6 +115,18 @@
 	return nil
 }
 
+// enterChat admits a request to a model and counts it towards the demand for its
+// adapter too.
+func (l *Listener) enterChat(a *arrival, c *chat) error {
+	if err := l.enter(a, c.name.Model); err != nil {
+		return err
+	}
+	if c.name.Adapter != "" {
+		l.Measurer.Arrived(c.name.Model + ":" + c.name.Adapter)
+	}
+	return nil
+}
+
 func (l *Listener) leave(a *arrival) {
 	l.Admitter.Release(a.team.Name)
 	l.inFlight.Add(-1)
@@ -119,7 +135,7 @@
 // runChat runs a request without a key and relays the answer as it comes. It is
 // cancelled at the engine when its caller leaves.
 func (l *Listener) runChat(ctx *fasthttp.RequestCtx, a *arrival, c *chat, job *dispatcher.Job) {
-	if err := l.enter(a, c.name.Model); err != nil {
+	if err := l.enterChat(a, c); err != nil {
 		refuse(ctx, a.id, err)
 		return
 	}
@@ -172,7 +188,7 @@
 // recordChat runs a keyed request to its end, whether or not its caller stays,
 // so that a repeated send gets the same answer.
 func (l *Listener) recordChat(a *arrival, c *chat, job *dispatcher.Job, entry *deduper.Entry) {
-	if err := l.enter(a, c.name.Model); err != nil {
+	if err := l.enterChat(a, c); err != nil {
 		record(entry, err)
 		return
 	}
--- /dev/null
+++ b/internal/edge/listener/prefix.go
@@ -0,0 +1,30 @@
+package listener
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/crocusring/crocusring/internal/request/prefixer"
+)
+
+// prefixBytes is the part of a prompt by which engines name it in cache events.
+const prefixBytes = 64
+
+// prefixKey returns the key of the beginning of a prompt. Content that is not a
+// string counts as empty.
+func prefixKey(model string, messages []json.RawMessage) prefixer.Key {
+	var b strings.Builder
+	for _, raw := range messages {
+		var message struct {
+			Content string `json:"content"`
+		}
+		_ = json.Unmarshal(raw, &message)
+		b.WriteString(message.Content)
+		b.WriteByte('\n')
+		if b.Len() >= prefixBytes {
+			break
+		}
+	}
+	prompt := b.String()
+	return prefixer.KeyOf(model, prompt[:min(prefixBytes, len(prompt))])
+}
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -26,6 +26,7 @@
 	"github.com/crocusring/crocusring/internal/request/admitter"
 	"github.com/crocusring/crocusring/internal/request/deduper"
 	"github.com/crocusring/crocusring/internal/request/dispatcher"
+	"github.com/crocusring/crocusring/internal/request/prefixer"
 	"github.com/crocusring/crocusring/internal/request/quarantiner"
 	"github.com/crocusring/crocusring/internal/state/keeper"
 	"github.com/crocusring/crocusring/internal/state/measurer"
@@ -37,6 +38,7 @@
 const (
 	listEvery      = 500 * time.Millisecond
 	reportEvery    = 200 * time.Millisecond
+	eventsEvery    = time.Second
 	heartbeatEvery = 250 * time.Millisecond
 	settingsEvery  = time.Second
 	leaseEvery     = 250 * time.Millisecond
@@ -61,6 +63,7 @@
 	watcher     *watcher.Watcher
 	admitter    *admitter.Admitter
 	dispatcher  *dispatcher.Dispatcher
+	prefixes    *prefixer.Follower
 	keys        *deduper.Table
 	claimer     *deduper.Claimer
 	measurer    *measurer.Measurer
@@ -106,7 +109,9 @@
 	n.orderer = orderer.New(tables, engines, n.fleet, n.tree.Catalog, n.totalRates, policyOf(settings.Policy),
 		orderer.WithLimits(limitsOf(settings.Policy)))
 	n.watcher = watcher.New(lister.New(settings.Platform, client), engines, n.fleet)
-	n.dispatcher = dispatcher.New(n.fleet, n.quarantiner, settings.DataCentre)
+	prefixes := prefixer.New()
+	n.prefixes = prefixer.NewFollower(prefixes, n.fleet, engines.Events)
+	n.dispatcher = dispatcher.New(n.fleet, n.quarantiner, settings.DataCentre, dispatcher.WithPrefixes(prefixes))
 	n.exchanger = exchanger.New(client, settings.PeerCredential, settings.Instance, n.fleet, exchanger.Seams{
 		Compose:     n.heartbeat,
 		Merge:       func(s messenger.SettingsSince) { n.tree.Merge(s) },
@@ -172,6 +177,7 @@
 	loops := []loop{
 		{"list", listEvery, n.watcher.TickList},
 		{"reports", reportEvery, func() error { n.watcher.TickReports(); return nil }},
+		{"cache events", eventsEvery, func() error { n.prefixes.Tick(); return nil }},
 		{"heartbeats", heartbeatEvery, func() error { n.exchanger.Tick(); return nil }},
 		{"settings", settingsEvery, n.pollSettings},
 		{"lease", leaseEvery, n.tickLease},
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -14,6 +14,7 @@
 	"github.com/crocusring/crocusring/internal/edge/connector"
 	"github.com/crocusring/crocusring/internal/edge/forwarder"
 	"github.com/crocusring/crocusring/internal/edge/streamer"
+	"github.com/crocusring/crocusring/internal/request/prefixer"
 	"github.com/crocusring/crocusring/internal/request/quarantiner"
 	"github.com/crocusring/crocusring/internal/request/router"
 	"github.com/crocusring/crocusring/internal/state/keeper"
@@ -70,6 +71,8 @@
 	Deadline    time.Time
 	Repeatable  bool
 	Fingerprint quarantiner.Fingerprint
+	// Prefix is that of the beginning of the prompt.
+	Prefix prefixer.Key
 	// Context ends the request when it is done, by cancelling it at the engine;
 	// nil for a request that goes on without its caller.
 	Context context.Context
@@ -81,6 +84,7 @@
 	engines     *streamer.Client
 	services    *forwarder.Client
 	quarantiner *quarantiner.Quarantiner
+	prefixes    *prefixer.Table
 	dataCentre  string
 	now         func() time.Time
 	firstByte   time.Duration
@@ -99,6 +103,9 @@
 	}
 }
 
+// WithPrefixes sets the table of cached prefixes that the choice of targets uses.
+func WithPrefixes(t *prefixer.Table) Option { return func(d *Dispatcher) { d.prefixes = t } }
+
 // New returns a dispatcher of an instance in dataCentre.
 func New(fleet *keeper.Fleet, q *quarantiner.Quarantiner, dataCentre string, opts ...Option) *Dispatcher {
 	d := &Dispatcher{
@@ -106,6 +113,7 @@
 		engines:     streamer.New(),
 		services:    forwarder.New(),
 		quarantiner: q,
+		prefixes:    prefixer.New(),
 		dataCentre:  dataCentre,
 		now:         time.Now,
 		firstByte:   firstByteLimit,
@@ -187,6 +195,7 @@
 	for {
 		target, err := router.Pick(now, d.fleet.View().Holders(job.Name), router.Ask{
 			Name: job.Name, DataCentre: d.dataCentre, Tried: a.tried, Seed: rand.Uint64(),
+			Cached: d.prefixes.Targets(now, job.Prefix),
 		})
 		if err != nil {
 			return nil, err
@@ -197,6 +206,7 @@
 		}
 		target.Counter.InFlight.Add(1)
 		target.Counter.SentAfterReport.Add(1)
+		d.prefixes.Stored(now, target.ID, job.Prefix)
 		return target, nil
 	}
 }
--- a/internal/request/prefixer/prefixer.go
+++ b/internal/request/prefixer/prefixer.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Key names a prefix of a prompt to a model.
+// Key names a prefix of a prompt to a model. The zero key names none.
 type Key uint64
 
 // KeyOf returns the key of a prefix.
@@ -52,6 +52,9 @@
 // Stored notes that a target has a prefix: an event told so, or a request with
 // it was sent there.
 func (t *Table) Stored(now time.Time, target string, key Key) {
+	if key == 0 {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	entry, known := t.places[key]
--- a/internal/request/prefixer/prefixer_test.go
+++ b/internal/request/prefixer/prefixer_test.go
@@ -45,10 +45,15 @@
 	t.Run("models do not share prefixes", func(t *testing.T) {
 		assert.NotEqual(t, prefixer.KeyOf("oak", "x"), prefixer.KeyOf("oa", "kx"))
 	})
+	t.Run("the zero key names no prefix", func(t *testing.T) {
+		table := prefixer.New()
+		table.Stored(now, "a", 0)
+		assert.Zero(t, table.Len())
+	})
 	t.Run("the table is bounded", func(t *testing.T) {
 		table := prefixer.New()
 		for i := range 150_000 {
-			table.Stored(now, "a", prefixer.Key(i))
+			table.Stored(now, "a", prefixer.Key(i+1))
 		}
 		assert.Equal(t, 100_000, table.Len())
 	})
--- a/internal/state/measurer/measurer.go
+++ b/internal/state/measurer/measurer.go
@@ -72,7 +72,8 @@
 	}
 }
 
-// Arrived counts a request for a model towards its rate.
+// Arrived counts a request towards the rate of a model, or of an adapter under
+// the name MODEL:ADAPTER.
 func (m *Measurer) Arrived(model string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
