Serve the old version of a model until a target holds the new one

Cause: once a version was configured, requests named it although no target held it yet, so the model was unreachable for the time of its load. Excluded: resolving in the catalog (it does not know the targets). Before: no holder for oak@v2 while oak@v1 was loaded. Not measured over processes. Existing test changed: FuzzParseChat gives its listener an empty fleet, since parsing now reads it; its assertions are as before.

--- a/internal/edge/listener/chat.go
+++ b/internal/edge/listener/chat.go
@@ -50,10 +50,14 @@
 			return nil, errors.Wrap(errBadRequest, "stream must be true or false")
 		}
 	}
-	name, ok := l.Tree.Catalog().Resolve(team, keeper.ParseName(model))
+	asked := keeper.ParseName(model)
+	name, ok := l.Tree.Catalog().Resolve(team, asked)
 	if !ok {
 		return nil, errors.Wrapf(errUnknownModel, "%.80q", model)
 	}
+	if asked.Version == "" {
+		name = l.Fleet.View().Substitute(name)
+	}
 	c.name = name
 	for member := range members {
 		if strings.EqualFold(member, "model") {
--- a/internal/edge/listener/chat_fuzz_test.go
+++ b/internal/edge/listener/chat_fuzz_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusring/crocusring/internal/control/configurer"
+	"github.com/crocusring/crocusring/internal/state/keeper"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
@@ -24,7 +25,7 @@
 		Path: "/platform/models/oak", Revision: 1,
 		Value: json.RawMessage(`{"Version":"v1","Bytes":1,"Copies":1,"MaximumCopies":0}`),
 	}}})
-	l := &Listener{Parts: Parts{Tree: tree}}
+	l := &Listener{Parts: Parts{Fleet: keeper.NewFleet(), Tree: tree}}
 	_, err := l.parseChat("wil", []byte(`{"model":"oak","messages":[1]}`))
 	require.NoError(f, err)
 	f.Fuzz(func(t *testing.T, body []byte) {
--- /dev/null
+++ b/internal/state/keeper/substitute.go
@@ -0,0 +1,34 @@
+package keeper
+
+import (
+	"cmp"
+	"strings"
+)
+
+// Substitute returns the name to serve a configured name by: itself if a target
+// holds it, otherwise the version of the same model and adapter that most targets
+// hold. While a new version loads, requests so go on at the old one.
+func (v *View) Substitute(name Name) Name {
+	if len(v.holders[name]) > 0 {
+		return name
+	}
+	best := name
+	for held, targets := range v.holders {
+		if held.Model != name.Model || adapterOf(held) != adapterOf(name) {
+			continue
+		}
+		if cmp.Or(cmp.Compare(len(targets), len(v.holders[best])), strings.Compare(held.String(), best.String())) > 0 {
+			best = held
+		}
+	}
+	if len(v.holders[best]) == 0 {
+		return name
+	}
+	return best
+}
+
+// adapterOf is the name of an adapter without its version.
+func adapterOf(name Name) string {
+	i := strings.LastIndexByte(name.Adapter, '.')
+	return name.Adapter[:max(0, i)]
+}
