--- a/internal/control/planner/copies.go
+++ b/internal/control/planner/copies.go
@@ -17,8 +17,11 @@
 	demanded
 	// urgent may take standby copies too, for a gain of Policy.StandbyGain each.
 	urgent
+	classes = int(iota)
 )
 
+const notCounted = -1
+
 // ensureFirst sees to it that a model has a copy.
 func (p *plan) ensureFirst(g *group) {
 	if len(g.holders) > 0 {
@@ -154,6 +157,20 @@
 		cmp.Compare(a.load, b.load)) < 0
 }
 
+// mayFree reports whether copies that may go can free the bytes needed.
+func (p *plan) mayFree(n *node, need int64, c class) bool {
+	if n.spare[c] == notCounted {
+		n.spare[c] = 0
+		for i := range n.target.Slots {
+			s := &n.target.Slots[i]
+			if s.Name.Adapter == "" && s.Stable && p.isSpare(p.groups[s.Name], n, c) {
+				n.spare[c] += s.Bytes
+			}
+		}
+	}
+	return n.spare[c] >= need
+}
+
 // victims returns copies whose unload frees the bytes needed, the cheapest first.
 func (p *plan) victims(n *node, need int64, c class) (victims, bool) {
 	type candidate struct {
@@ -161,6 +178,9 @@
 		bytes int64
 		loss  float64
 	}
+	if !p.mayFree(n, need, c) {
+		return victims{}, false
+	}
 	candidates := []candidate{}
 	for i := range n.target.Slots {
 		s := &n.target.Slots[i]
--- a/internal/control/planner/cost_test.go
+++ b/internal/control/planner/cost_test.go
@@ -88,3 +88,36 @@
 		})
 	}
 }
+
+// crowdedInput returns tables without free memory, in which half of the models
+// have two copies and the others one.
+func crowdedInput(models, targets int) planner.Input {
+	in := settledInput(models, targets)
+	const slots = 4
+	next := 0
+	for i := range in.Targets {
+		t := &in.Targets[i]
+		t.MemoryBytes = slots * 16 * gibibyte
+		t.Slots = nil
+		for range slots {
+			name := keeper.Name{Model: fmt.Sprintf("model-%03d", next%models), Version: "v1"}
+			t.Slots = append(t.Slots, planner.Slot{Name: name, Bytes: 16 * gibibyte, Stable: true})
+			next++
+		}
+	}
+	in.Catalog.Adapters = map[string][]keeper.Adapter{}
+	return in
+}
+
+// BenchmarkPlanCrowded plans where models lack standby copies that fit nowhere.
+func BenchmarkPlanCrowded(b *testing.B) {
+	for _, size := range []struct{ models, targets int }{{48, 18}, {270, 100}, {810, 303}, {2430, 911}} {
+		in := crowdedInput(size.models, size.targets)
+		b.Run(fmt.Sprintf("%dx%d", size.models, size.targets), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				planner.Plan(in)
+			}
+		})
+	}
+}
--- a/internal/control/planner/index.go
+++ b/internal/control/planner/index.go
@@ -17,6 +17,9 @@
 	later int64
 	// load is the requests per second that the copies here are expected to serve.
 	load float64
+	// spare is the memory of copies that may go, by class, or notCounted. It is
+	// counted once; a copy that becomes spare meanwhile is seen by the next plan.
+	spare [classes]int64
 	// adapterBytes is the memory of the adapters here.
 	adapterBytes int64
 }
@@ -171,6 +174,9 @@
 		t.Slots = slices.Clone(t.Slots)
 		slices.SortFunc(t.Slots, func(a, b Slot) int { return compareNames(a.Name, b.Name) })
 		n := &node{target: t, now: t.MemoryBytes, later: t.MemoryBytes, slots: make(map[keeper.Name]*Slot, len(t.Slots))}
+		for c := range n.spare {
+			n.spare[c] = notCounted
+		}
 		centres[t.DataCentre] = true
 		p.nodes = append(p.nodes, n)
 		for j := range t.Slots {
