--- a/internal/fake/historian/caller.go
+++ b/internal/fake/historian/caller.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/crocusring/crocusring/internal/fake/engineer"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
@@ -103,6 +104,9 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+c.token)
 	req.Header.Set("X-Request-Id", s.ID)
+	if deadline, ok := ctx.Deadline(); ok {
+		req.Header.Set("X-Deadline", deadline.Format(time.RFC3339Nano))
+	}
 	if s.Key != "" {
 		req.Header.Set("X-Request-Key", s.Key)
 	}
--- a/internal/request/dispatcher/choice.go
+++ b/internal/request/dispatcher/choice.go
@@ -31,6 +31,7 @@
 		if err == nil {
 			target.Counter.InFlight.Add(1)
 			target.Counter.SentAfterReport.Add(1)
+			a.current.Store(target)
 			return target, nil
 		}
 		if !errors.Is(err, quarantiner.ErrWait) {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -130,6 +131,8 @@
 
 	count int
 	tried []string
+	// current is the target that runs the request now.
+	current atomic.Pointer[keeper.Target]
 	// waitUntil is when a suspect no longer waits for its turn.
 	waitUntil time.Time
 	// ran is set once a target may have run any part of the request.
@@ -190,33 +193,6 @@
 	}
 }
 
-// Whole runs a request that is answered in one piece. The error is a *FailureError
-// or a *streamer.RejectedError.
-func (d *Dispatcher) Whole(job *Job) ([]byte, error) {
-	a := &attempts{repeatable: job.Repeatable}
-	for {
-		target, err := d.pick(job, a)
-		if err != nil {
-			return nil, a.giveUp(err)
-		}
-		call := d.call(job, 0)
-		// The head of an answer in one piece comes with its body.
-		call.FirstByte = job.Deadline
-		// Nothing tells a long answer from a silent connection, so that a pooled
-		// connection that may have gone silent is not used.
-		call.Fresh = true
-		body, err := d.engines.Whole(target.Address, call)
-		d.leave(target, job, err)
-		if err == nil || isRejected(err) {
-			d.quarantiner.Clear(d.now(), job.Fingerprint)
-			return body, err
-		}
-		if !a.note(target.ID, err) {
-			return nil, a.failure()
-		}
-	}
-}
-
 // giveUp returns the failure of a request for which no further target was found.
 func (a *attempts) giveUp(err error) error {
 	if a.last == nil || !errors.Is(err, router.ErrNoTarget) {
--- /dev/null
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -0,0 +1,146 @@
+package dispatcher_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusring/crocusring/internal/request/dispatcher"
+	"github.com/crocusring/crocusring/internal/request/quarantiner"
+	"github.com/crocusring/crocusring/internal/state/keeper"
+)
+
+var name = keeper.Name{Model: "oak", Version: "v1"}
+
+// behaviour is what a target does with a chat request.
+type behaviour func(ctx *fasthttp.RequestCtx, id string)
+
+func silent(*fasthttp.RequestCtx, string) { time.Sleep(2 * time.Second) }
+
+func dropped(ctx *fasthttp.RequestCtx, _ string) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(net.Conn) {})
+}
+
+func refused(ctx *fasthttp.RequestCtx, id string) {
+	ctx.Response.Header.Set("X-Request-Id", id)
+	ctx.Response.Header.Set("X-Not-Run", "true")
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+}
+
+func rejected(ctx *fasthttp.RequestCtx, id string) {
+	ctx.Response.Header.Set("X-Request-Id", id)
+	ctx.SetStatusCode(fasthttp.StatusBadRequest)
+}
+
+func failed(ctx *fasthttp.RequestCtx, id string) {
+	ctx.Response.Header.Set("X-Request-Id", id)
+	ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+}
+
+func answered(ctx *fasthttp.RequestCtx, id string) {
+	ctx.Response.Header.Set("X-Request-Id", id)
+	ctx.SetBodyString("whole")
+}
+
+// newDispatcher returns a dispatcher to targets that are tried in order, each
+// busier than the one before it.
+func newDispatcher(t *testing.T, targets ...behaviour) *dispatcher.Dispatcher {
+	t.Helper()
+	fleet := keeper.NewFleet()
+	for i, run := range targets {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+			if string(ctx.Path()) == "/v1/report" {
+				ctx.SetBodyString(`{"Incarnation":"a"}`)
+				return
+			}
+			run(ctx, string(ctx.Request.Header.Peek("X-Request-Id")))
+		}}
+		go func() { _ = server.Serve(ln) }()
+		t.Cleanup(func() { _ = ln.Close() })
+		fleet.ChangeTarget(fmt.Sprintf("t%d", i), func(target *keeper.Target) {
+			target.Address = ln.Addr().String()
+			target.Kind = keeper.Engine
+			target.Incarnation = "a"
+			target.Running = 10 * i
+			target.ReportedAt = time.Now()
+			target.Holdings = []keeper.Holding{{Name: name, State: keeper.Loaded}}
+		})
+	}
+	return dispatcher.New(fleet, quarantiner.New("entry-1"), "dc-1",
+		dispatcher.WithSilenceLimits(50*time.Millisecond, 50*time.Millisecond))
+}
+
+func job(repeatable bool) *dispatcher.Job {
+	return &dispatcher.Job{
+		ID: "id", Name: name, Body: []byte("{}"), Deadline: time.Now().Add(600 * time.Millisecond), Repeatable: repeatable,
+	}
+}
+
+func TestWhatIsSaidOfTheRunIsTrue(t *testing.T) {
+	cases := []struct {
+		name       string
+		targets    []behaviour
+		repeatable bool
+		want       error // nil for an answer
+	}{
+		{"refused everywhere", []behaviour{refused, refused}, true, dispatcher.ErrNotRun},
+		{"refused, then answered", []behaviour{refused, answered}, false, nil},
+		{"no target", nil, true, dispatcher.ErrNotRun},
+		{"dropped, then refused", []behaviour{dropped, refused}, true, dispatcher.ErrUnknown},
+		{"dropped and not repeatable", []behaviour{dropped, answered}, false, dispatcher.ErrUnknown},
+		{"failed and not repeatable", []behaviour{failed, answered}, false, dispatcher.ErrUnknown},
+		{"dropped, then answered", []behaviour{dropped, answered}, true, nil},
+		{"failed, then answered", []behaviour{failed, answered}, true, nil},
+		{"silent, then answered", []behaviour{silent, answered}, true, nil},
+		{"silent, then refused", []behaviour{silent, refused}, true, dispatcher.ErrUnknown},
+		{"deadline during the attempt", []behaviour{silent}, true, dispatcher.ErrUnknown},
+		{"deadline of one that is not repeatable", []behaviour{silent, answered}, false, dispatcher.ErrUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			body, err := newDispatcher(t, c.targets...).Whole(job(c.repeatable))
+			if c.want == nil {
+				require.NoError(t, err)
+				assert.Equal(t, "whole", string(body))
+				return
+			}
+			assert.ErrorIs(t, err, c.want)
+			var failure *dispatcher.FailureError
+			require.ErrorAs(t, err, &failure)
+			assert.Equal(t, c.repeatable, failure.Repeatable)
+		})
+	}
+	t.Run("a passed deadline", func(t *testing.T) {
+		late := job(true)
+		late.Deadline = time.Now()
+		_, err := newDispatcher(t, answered).Whole(late)
+		assert.ErrorIs(t, err, dispatcher.ErrNotRun)
+		assert.ErrorIs(t, err, dispatcher.ErrDeadline)
+	})
+}
+
+func TestAStreamThatIsRejectedMidwayIsAFailure(t *testing.T) {
+	const event = "id: id:0\ndata: a\n\n"
+	begins := func(ctx *fasthttp.RequestCtx, id string) {
+		ctx.Response.Header.Set("X-Request-Id", id)
+		ctx.SetBodyString(event)
+	}
+	stream, err := newDispatcher(t, begins, rejected).Start(job(true))
+	require.NoError(t, err)
+	defer stream.Close()
+	data, err := stream.Next()
+	require.NoError(t, err)
+	assert.Equal(t, "a", string(data))
+	_, err = stream.Next()
+	assert.ErrorIs(t, err, dispatcher.ErrUnknown)
+	assert.NotErrorIs(t, err, io.EOF)
+}
