--- a/internal/edge/listener/settings_test.go
+++ b/internal/edge/listener/settings_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -48,3 +50,16 @@
 	assert.Contains(t, readSettings(t, s, assembler.Credential("ver"), "/teams/"), "/teams/ver/models/frost")
 	assert.Len(t, readSettings(t, s, assembler.OperatorCredential, ""), 5)
 }
+
+// TestSpecificationNamesEveryCode compares the codes of refusals to the page.
+func TestSpecificationNamesEveryCode(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/SPEC.md")
+	require.NoError(t, err)
+	source, err := os.ReadFile("refusal.go")
+	require.NoError(t, err)
+	codes := regexp.MustCompile(`\tCode\w+ += "(\w+)"`).FindAllStringSubmatch(string(source), -1)
+	require.NotEmpty(t, codes)
+	for _, code := range codes {
+		assert.Contains(t, string(page), "| `"+code[1]+"` |")
+	}
+}
--- a/test/settings_test.go
+++ b/test/settings_test.go
@@ -24,8 +24,8 @@
 	c.post("http://"+c.platform.address+"/fake/fault", "", f)
 }
 
-// change declares a model and returns the status and the revision.
-func (c *cluster) change(entry *process, model string) (int, int64) {
+// change declares a model and returns the status and the answer.
+func (c *cluster) change(entry *process, model string) (int, messenger.ChangeAnswer) {
 	c.t.Helper()
 	body, err := json.Marshal(messenger.ChangeRequest{OperationID: "declare-" + model, Changes: []messenger.SettingChange{{
 		Path: "/platform/models/" + model, Value: json.RawMessage(`{"Version":"v1","Bytes":1048576,"Copies":1,"MaximumCopies":0}`),
@@ -39,7 +39,7 @@
 	defer resp.Body.Close()
 	var answer messenger.ChangeAnswer
 	require.NoError(c.t, json.NewDecoder(resp.Body).Decode(&answer))
-	return resp.StatusCode, answer.Revision
+	return resp.StatusCode, answer
 }
 
 func (c *cluster) revision(entry *process) int64 {
@@ -78,25 +78,35 @@
 	last := c.revision(c.entries[0])
 
 	t.Run("a change is in force everywhere", func(t *testing.T) {
-		status, revision := c.change(c.entries[1], "elm")
+		status, answer := c.change(c.entries[1], "elm")
 		require.Equal(t, http.StatusOK, status)
-		c.assertInForce(revision, c.entries...)
-		last = revision
+		c.assertInForce(answer.Revision, c.entries...)
+		last = answer.Revision
 	})
 	t.Run("an answer of the table service is lost", func(t *testing.T) {
 		c.fault(platformer.Fault{LoseAnswers: 1})
-		status, revision := c.change(c.entries[2], "ash")
+		status, answer := c.change(c.entries[2], "ash")
 		require.Equal(t, http.StatusOK, status)
-		assert.Equal(t, last+1, revision)
-		c.assertInForce(revision, c.entries...)
-		last = revision
+		assert.Equal(t, last+1, answer.Revision)
+		c.assertInForce(answer.Revision, c.entries...)
+		last = answer.Revision
+	})
+	t.Run("an instance is frozen", func(t *testing.T) {
+		frozen := c.entries[3]
+		frozen.signal(t, syscall.SIGSTOP)
+		status, answer := c.change(c.entries[0], "bay")
+		frozen.signal(t, syscall.SIGCONT)
+		require.Equal(t, http.StatusOK, status)
+		assert.Equal(t, []string{frozen.id}, answer.Pending)
+		c.assertInForce(answer.Revision, c.entries...)
+		last = answer.Revision
 	})
 	t.Run("the table service is slow", func(t *testing.T) {
 		c.fault(platformer.Fault{Delay: 300 * time.Millisecond})
-		status, revision := c.change(c.entries[3], "yew")
+		status, answer := c.change(c.entries[3], "yew")
 		require.Equal(t, http.StatusOK, status)
-		c.assertInForce(revision, c.entries...)
-		last = revision
+		c.assertInForce(answer.Revision, c.entries...)
+		last = answer.Revision
 	})
 	t.Run("the table service is down", func(t *testing.T) {
 		c.fault(platformer.Fault{Down: true})
@@ -113,11 +123,11 @@
 	})
 	t.Run("the table service is back", func(t *testing.T) {
 		c.fault(platformer.Fault{})
-		status, revision := c.change(c.entries[4], "fir")
+		status, answer := c.change(c.entries[4], "fir")
 		require.Equal(t, http.StatusOK, status)
-		assert.Equal(t, last+1, revision, "the refused change left nothing")
-		c.assertInForce(revision, c.entries...)
-		last = revision
+		assert.Equal(t, last+1, answer.Revision, "the refused change left nothing")
+		c.assertInForce(answer.Revision, c.entries...)
+		last = answer.Revision
 	})
 }
 
