--- a/internal/edge/listener/chat_fuzz_test.go
+++ b/internal/edge/listener/chat_fuzz_test.go
@@ -20,10 +20,10 @@
 		f.Add([]byte(body))
 	}
 	tree := configurer.NewTree()
-	tree.Merge([]messenger.SettingEntry{{
+	tree.Merge(messenger.SettingsSince{Revision: 1, Entries: []messenger.SettingEntry{{
 		Path: "/platform/models/oak", Revision: 1,
 		Value: json.RawMessage(`{"Version":"v1","Bytes":1,"Copies":1,"MaximumCopies":0}`),
-	}}, 1)
+	}}})
 	l := &Listener{Parts: Parts{Tree: tree}}
 	_, err := l.parseChat("wil", []byte(`{"model":"oak","messages":[1]}`))
 	require.NoError(f, err)
