Read the settings revision for all instances, not once a second at each

Cause: each instance read the revision row every second: 790 of about 2,000 reads/s at the size to design for. Conclusion: reads stay level as long as heartbeats carry confirmations; an instance that hears none reads after 1.75 to 2 s, within the limit of 2.5 s.

--- a/internal/fake/platformer/platformer.go
+++ b/internal/fake/platformer/platformer.go
@@ -50,6 +50,7 @@
 	mu       sync.Mutex
 	rows     map[rowKey]messenger.Row
 	objects  map[string][]byte
+	scans    map[string]int // by table
 	now      []messenger.ListedInstance
 	listed   []messenger.ListedInstance
 	fault    Fault
@@ -74,6 +75,7 @@
 	p := &Platform{
 		rows:    map[rowKey]messenger.Row{},
 		objects: map[string][]byte{},
+		scans:   map[string]int{},
 		writes:  rate.NewLimiter(writesPerSecond, rateBurst),
 		reads:   rate.NewLimiter(readsPerSecond, rateBurst),
 		quit:    make(chan struct{}),
@@ -144,6 +146,13 @@
 	return p.scan(table, "")
 }
 
+// Scans returns the number of reads of a table that were carried out.
+func (p *Platform) Scans(table string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scans[table]
+}
+
 func (p *Platform) scan(table, prefix string) []messenger.Row {
 	rows := []messenger.Row{}
 	for k, row := range p.rows {
@@ -294,6 +303,7 @@
 	}
 	args := ctx.QueryArgs()
 	p.mu.Lock()
+	p.scans[string(args.Peek("table"))]++
 	rows := p.scan(string(args.Peek("table")), string(args.Peek("prefix")))
 	p.mu.Unlock()
 	writeJSON(ctx, messenger.ScanResponse{Rows: rows})
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -38,7 +38,7 @@
 	listEvery      = 500 * time.Millisecond
 	reportEvery    = 200 * time.Millisecond
 	heartbeatEvery = 250 * time.Millisecond
-	settingsEvery  = time.Second
+	settingsEvery  = 100 * time.Millisecond
 	leaseEvery     = 250 * time.Millisecond
 	orderEvery     = 250 * time.Millisecond
 	rateEvery      = time.Second
@@ -75,6 +75,7 @@
 	kill      context.CancelFunc
 	arbiter   *arbiter.Arbiter
 	verdict   atomic.Pointer[verdict]
+	poll      poll // of the settings loop alone
 	rates     atomic.Pointer[map[string]float64]
 }
 
--- a/internal/node/runner/settings.go
+++ b/internal/node/runner/settings.go
@@ -2,8 +2,11 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/crocusring/crocusring/internal/control/arbiter"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
@@ -18,13 +21,53 @@
 	at  time.Time
 }
 
+const (
+	// pollers is the number of instances that read the revision in each turn; the
+	// others hear of it from them and read only if they do not.
+	pollers      = 4
+	turnTime     = 2 * time.Second
+	pollerAge    = 500 * time.Millisecond
+	pollerSpread = 500 * time.Millisecond
+	backupAge    = 1750 * time.Millisecond
+	backupSpread = 250 * time.Millisecond
+	retryTime    = time.Second
+)
+
+// poll is the state of the settings loop.
+type poll struct {
+	triedAt   time.Time
+	lastError error
+}
+
 func (n *Node) pollSettings() error {
-	before := n.now()
-	if err := n.configurer.Poll(); err != nil {
-		return err
+	now := n.now()
+	if now.Sub(n.arbiter.ConfirmedAt()) < pollAge(now, n.home.Instance, len(n.fleet.View().Instances)) {
+		n.poll.lastError = nil
+		return nil
+	}
+	if n.poll.lastError != nil && now.Sub(n.poll.triedAt) < retryTime {
+		return n.poll.lastError
+	}
+	n.poll = poll{triedAt: now, lastError: n.configurer.Poll()}
+	if n.poll.lastError == nil {
+		n.arbiter.Confirm(now)
+	}
+	return n.poll.lastError
+}
+
+// pollAge returns the age of the latest confirmation, its own or one of a peer,
+// from which on an instance reads the revision itself. About as many instances as
+// pollers have a low one in each turn, so that the reads do not grow with the
+// number of instances.
+func pollAge(now time.Time, instance string, instances int) time.Duration {
+	turn := now.UnixNano() / int64(turnTime)
+	hash := xxhash.Sum64String(instance + "/" + strconv.FormatInt(turn, 10))
+	const lowBits = 32
+	part := time.Duration(hash >> lowBits)
+	if hash%uint64(max(1, instances)) < pollers {
+		return pollerAge + part%pollerSpread
 	}
-	n.arbiter.Confirm(before)
-	return nil
+	return backupAge + part%backupSpread
 }
 
 // confirm takes what a peer answered to a heartbeat: that no revision newer than
