Stop an instance as soon as nobody may still be told to use it

Cause: a planned stop always waited 11 s, counted only requests between admission and answer, and told strays nothing; relayed and repeated answers could be cut. A refusal of an instance that was not ready said that the outcome is unknown.

Each instance stores when its last locate answer lapses that names another one and tells it in its heartbeat; the stopping instance waits for the latest of them, for the keyed answers that may be asked for again, and for connections whose answer is not written yet. Strays get NotReady with addresses, NotRun where true. Test processes get addresses of their own: one run of three tests at once failed as a port was taken.

Excluded: bounding the first use of a key by the locate answer (deduper is not touched); handing recorded answers to peers.

--- a/internal/edge/listener/chat.go
+++ b/internal/edge/listener/chat.go
@@ -117,6 +117,9 @@
 func (l *Listener) leave(a *arrival) {
 	l.Admitter.Release(a.team.Name)
 	l.inFlight.Add(-1)
+	if a.key != nil {
+		l.noteKeyed(l.now())
+	}
 }
 
 // runChat runs a request without a key and relays the answer as it comes.
--- a/internal/edge/listener/listener.go
+++ b/internal/edge/listener/listener.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,7 +32,6 @@
 	maxHeaderBytes  = 16 << 10
 	defaultDeadline = time.Minute
 	maxDeadline     = 10 * time.Minute
-	locateLife      = 10 * time.Second
 	headerRequestID = "X-Request-Id"
 	headerKey       = "X-Request-Key"
 	headerPriority  = "X-Priority"
@@ -46,6 +46,7 @@
 // Parts are what a listener works with. All fields must be set.
 type Parts struct {
 	Home           deduper.Home
+	Address        string
 	DataCentre     string
 	OperatorDigest [32]byte
 	PeerCredential string
@@ -63,6 +64,9 @@
 	Ready func() error
 	// Leaving reports whether a planned stop has begun.
 	Leaving func() bool
+	// Drained reports whether the last locate answer that names this instance has
+	// lapsed in a planned stop, so that no caller is served who comes now.
+	Drained func() bool
 	// Accepted is called after a change of settings was accepted and returns the
 	// instances that have not confirmed it yet.
 	Accepted func(revision int64) []string
@@ -78,11 +82,24 @@
 	server   *fasthttp.Server
 	inFlight atomic.Int64
 	now      func() time.Time
+
+	namedMu sync.Mutex
+	// named holds by instance when the last locate answer lapses that names it.
+	named map[string]time.Time
+
+	busyMu sync.Mutex
+	// busy are the connections with a request whose answer is not written yet.
+	busy map[net.Conn]struct{}
+	// keyedUntil is until when the answers to keyed requests may be asked for again.
+	keyedUntil time.Time
 }
 
 // New returns a listener.
 func New(parts Parts) *Listener {
-	l := &Listener{Parts: parts, relay: relayer.New(parts.Home.Instance), now: time.Now}
+	l := &Listener{
+		Parts: parts, relay: relayer.New(parts.Home.Instance), now: time.Now,
+		named: map[string]time.Time{}, busy: map[net.Conn]struct{}{},
+	}
 	l.server = &fasthttp.Server{
 		Handler:               l.handle,
 		ErrorHandler:          handleReadError,
@@ -90,6 +107,7 @@
 		ReadBufferSize:        maxHeaderBytes,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
+		ConnState:             l.noteState,
 		IdleTimeout:           time.Minute,
 	}
 	return l
@@ -110,6 +128,38 @@
 	return int(l.inFlight.Load())
 }
 
+// Busy returns the number of connections with a request whose answer is not
+// written yet, relayed and repeated answers included.
+func (l *Listener) Busy() int {
+	l.busyMu.Lock()
+	defer l.busyMu.Unlock()
+	return len(l.busy)
+}
+
+func (l *Listener) noteState(conn net.Conn, state fasthttp.ConnState) {
+	l.busyMu.Lock()
+	defer l.busyMu.Unlock()
+	if state == fasthttp.StateActive {
+		l.busy[conn] = struct{}{}
+		return
+	}
+	delete(l.busy, conn)
+}
+
+// KeyedUntil returns until when the answers to keyed requests may be asked for again.
+func (l *Listener) KeyedUntil() time.Time {
+	l.busyMu.Lock()
+	defer l.busyMu.Unlock()
+	return l.keyedUntil
+}
+
+// noteKeyed notes that a keyed request ended at now.
+func (l *Listener) noteKeyed(now time.Time) {
+	l.busyMu.Lock()
+	defer l.busyMu.Unlock()
+	l.keyedUntil = now.Add(locateLife)
+}
+
 func handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		writeRefusal(ctx, fasthttp.StatusRequestEntityTooLarge, messenger.Refusal{
@@ -127,6 +177,13 @@
 )
 
 func (l *Listener) handle(ctx *fasthttp.RequestCtx) {
+	l.route(ctx)
+	if l.Leaving() {
+		ctx.Response.SetConnectionClose()
+	}
+}
+
+func (l *Listener) route(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
 	case path == pathChat && ctx.IsPost():
--- a/internal/edge/listener/refusal.go
+++ b/internal/edge/listener/refusal.go
@@ -45,6 +45,7 @@
 	errUnknownService = errors.New("service is not configured")
 	errNoPath         = errors.New("no such path")
 	errNotReady       = errors.New("instance does not take requests")
+	errLeaving        = errors.New("instance has left")
 	errHomeLost       = errors.New("the instance that may run this request is gone")
 )
 
@@ -127,6 +128,13 @@
 			Code: CodeOverLimit, Message: err.Error(), NotRun: true, RetryAfterMilliseconds: wait,
 		}
 	}
+	var elsewhere *elsewhereError
+	if errors.As(err, &elsewhere) {
+		return fasthttp.StatusServiceUnavailable, messenger.Refusal{
+			Code: CodeNotReady, Message: err.Error(), NotRun: elsewhere.notRun, Addresses: elsewhere.addresses,
+			RetryAfterMilliseconds: retryUnavailable.Milliseconds(),
+		}
+	}
 	for _, c := range refusalCases {
 		if errors.Is(err, c.err) {
 			return c.status, messenger.Refusal{
--- a/internal/edge/listener/request.go
+++ b/internal/edge/listener/request.go
@@ -27,7 +27,7 @@
 // arrive checks the head of a request. repeatable is what holds if the request
 // does not say.
 func (l *Listener) arrive(ctx *fasthttp.RequestCtx, id string, repeatable bool) (*arrival, error) {
-	if err := l.Ready(); err != nil {
+	if err := l.accepts(ctx); err != nil {
 		return nil, err
 	}
 	team, err := l.team(ctx)
@@ -53,6 +53,31 @@
 	return a, a.readRepeatable(string(header.Peek(headerRepeat)))
 }
 
+// accepts returns why this instance takes no requests now, or nil. A keyed
+// request may have run before, so that its home is asked in any case.
+func (l *Listener) accepts(ctx *fasthttp.RequestCtx) error {
+	keyed := len(ctx.Request.Header.Peek(headerKey)) > 0
+	if err := l.Ready(); err != nil {
+		return &elsewhereError{cause: err, addresses: l.addresses(), notRun: !keyed}
+	}
+	if l.Drained() && !keyed {
+		return &elsewhereError{cause: errLeaving, addresses: l.addresses(), notRun: true}
+	}
+	return nil
+}
+
+// elsewhereError is errNotReady with the addresses to go to instead.
+type elsewhereError struct {
+	cause     error
+	addresses []string
+	notRun    bool
+}
+
+func (e *elsewhereError) Error() string { return errNotReady.Error() + ": " + e.cause.Error() }
+
+// Is reports whether target is errNotReady.
+func (e *elsewhereError) Is(target error) bool { return target == errNotReady }
+
 func (a *arrival) readPriority(text string) error {
 	if text == "" {
 		return nil
--- a/internal/node/runner/heartbeat.go
+++ b/internal/node/runner/heartbeat.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"time"
+
 	"github.com/crocusring/crocusring/internal/state/keeper"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
@@ -15,7 +17,7 @@
 		DataCentre: n.settings.DataCentre, Revision: n.tree.Revision(), Leaving: n.leaving.Load(),
 		InFlight: n.listener.InFlight(), Holder: holder.Holder, Fence: holder.Fence,
 		Demands: []messenger.Demand{}, Shares: []messenger.Share{}, Verdicts: []messenger.Verdict{},
-		LeavingTargets: leavingTargets(n.fleet.View()), Peers: n.exchanger.Peers(),
+		LeavingTargets: leavingTargets(n.fleet.View()), Peers: n.peerNews(now),
 	}
 	if seen := n.storeSeenAt.Load(); seen != nil {
 		hb.StoreAgeMilliseconds = now.Sub(*seen).Milliseconds()
@@ -36,3 +38,20 @@
 	}
 	return list
 }
+
+// peerNews returns what this instance heard of its peers, and until when its
+// locate answers name them. The news are read first: a locate answer that is
+// given later takes account of them.
+func (n *Node) peerNews(now time.Time) []messenger.PeerNews {
+	news := n.exchanger.Peers()
+	for i := range news {
+		left := n.listener.NamedUntil(news[i].Instance).Sub(now)
+		news[i].NamedMilliseconds = max(0, left.Milliseconds())
+	}
+	return news
+}
+
+// answered takes the answer of a peer to a heartbeat that was sent at sentAt.
+func (n *Node) answered(hb messenger.Heartbeat, _ time.Time) {
+	n.drain.hear(n.now(), n.home.Instance, hb)
+}
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -78,6 +78,8 @@
 	startedAt   time.Time
 	sequence    atomic.Int64
 	leaving     atomic.Bool
+	drained     atomic.Bool
+	drain       *drain
 	killed      context.Context
 	kill        context.CancelFunc
 	storeSeenAt atomic.Pointer[time.Time]
@@ -93,6 +95,7 @@
 		log:       log.WithValues("instance", settings.Instance),
 		now:       time.Now,
 		startedAt: time.Now(),
+		drain:     newDrain(),
 		fleet:     keeper.NewFleet(),
 		tree:      configurer.NewTree(),
 		admitter:  admitter.New(),
@@ -115,7 +118,7 @@
 		Merge:       func(s messenger.SettingsSince) { n.tree.Merge(s.Entries, s.Revision) },
 		Revision:    n.tree.Revision,
 		HearTargets: n.watcher.Hear,
-		Answered:    func(messenger.Heartbeat, time.Time) {},
+		Answered:    n.answered,
 	})
 	n.listener = listener.New(n.parts(tables))
 	return n
@@ -123,12 +126,12 @@
 
 func (n *Node) parts(tables *transactor.Client) listener.Parts {
 	return listener.Parts{
-		Home: n.home, DataCentre: n.settings.DataCentre,
+		Home: n.home, Address: n.settings.Listen, DataCentre: n.settings.DataCentre,
 		OperatorDigest: n.settings.Digest(), PeerCredential: n.settings.PeerCredential,
 		Tree: n.tree, Configurer: n.configurer, Fleet: n.fleet, Admitter: n.admitter,
 		Dispatcher: n.dispatcher, Keys: n.keys, Claimer: deduper.NewClaimer(n.home, tables),
 		Exchanger: n.exchanger, Measurer: n.measurer, Log: n.log,
-		Ready: n.ready, Leaving: n.leaving.Load, Accepted: n.push, Status: n.status,
+		Ready: n.ready, Leaving: n.leaving.Load, Drained: n.drained.Load, Accepted: n.push, Status: n.status,
 	}
 }
 
--- a/internal/peer/detector/detector.go
+++ b/internal/peer/detector/detector.go
@@ -59,6 +59,11 @@
 	}
 }
 
+// IsHeard reports whether this instance itself heard another one of late.
+func IsHeard(now time.Time, in *keeper.Instance) bool {
+	return now.Before(in.HeardAt.Add(aliveTime))
+}
+
 // IsForgotten reports whether the row of an instance may be removed.
 func IsForgotten(now time.Time, in *keeper.Instance) bool {
 	return !in.Listed && !now.Before(in.ForgetAt)
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -377,7 +377,8 @@
 }
 
 // PeerNews is what an instance knows of another one, which it heard
-// AgeMilliseconds ago.
+// AgeMilliseconds ago. The last locate answer that it gave and that names that
+// instance lapses in NamedMilliseconds.
 type PeerNews struct {
 	// Address corresponds to the JSON schema field "Address".
 	Address string `json:"Address"`
@@ -397,6 +398,9 @@
 	// Leaving corresponds to the JSON schema field "Leaving".
 	Leaving bool `json:"Leaving"`
 
+	// NamedMilliseconds corresponds to the JSON schema field "NamedMilliseconds".
+	NamedMilliseconds int64 `json:"NamedMilliseconds"`
+
 	// StartedAtMilliseconds corresponds to the JSON schema field
 	// "StartedAtMilliseconds".
 	StartedAtMilliseconds int64 `json:"StartedAtMilliseconds"`
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -79,12 +80,22 @@
 	client   *http.Client
 }
 
+// addresses counts the addresses that were handed out.
+var addresses atomic.Int32
+
+// freeAddress returns a loopback address that no other process uses: the host
+// comes from the process ID, so that neither a test that runs at the same time
+// nor an outgoing connection takes the port before it is bound.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	const firstPort, hosts = 20000, 250
+	pid := os.Getpid()
+	port := firstPort + int(addresses.Add(1))
+	address := fmt.Sprintf("127.%d.%d.1:%d", pid/hosts%hosts+1, pid%hosts+1, port)
+	ln, err := net.Listen("tcp", address)
 	require.NoError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	require.NoError(t, ln.Close())
+	return address
 }
 
 func start(t testing.TB, id, address, program string, args ...string) *process {
@@ -239,7 +250,11 @@
 }
 
 func (c *cluster) send(entry *process, path, body string, header http.Header) reply {
-	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	return c.sendWithin(readyTimeout, entry, path, body, header)
+}
+
+func (c *cluster) sendWithin(limit time.Duration, entry *process, path, body string, header http.Header) reply {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.address+path, strings.NewReader(body))
 	if err != nil {
--- /dev/null
+++ b/test/stop_test.go
@@ -0,0 +1,62 @@
+package test
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// longStream starts a stream of some seconds at an instance and returns a channel
+// with its end.
+func (c *cluster) longStream(entry *process) <-chan reply {
+	const tokens = 800
+	done := make(chan reply, 1)
+	body := fmt.Sprintf(`{"model":"oak","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"long"}]}`, tokens)
+	go func() { done <- c.sendWithin(30*time.Second, entry, "/v1/chat/completions", body, nil) }()
+	return done
+}
+
+// TestPlannedStop sends SIGTERM to an instance under load. Callers keep their
+// addresses for as long as the locate answer says.
+func TestPlannedStop(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, 4, "--token-interval", "5ms")
+	c.configure("oak")
+	leaving := c.entries[0]
+	stream := c.longStream(leaving)
+	stopped := make(chan time.Time, 1)
+	time.AfterFunc(2*time.Second, func() {
+		leaving.signal(t, syscall.SIGTERM)
+		at := time.Now()
+		<-leaving.done
+		stopped <- at
+	})
+	history := c.runCallers(8, 70, 200*time.Millisecond)
+
+	assert.Empty(t, unanswered(history), "requests without a whole answer")
+	assert.Empty(t, turnedAway(history), "requests turned away before their address lapsed")
+	assert.Empty(t, misrun(history, c.executions()))
+	r := <-stream
+	assert.True(t, r.whole(), "the stream that ran at the stop: %v %d", r.err, strings.Count(r.body, "data:"))
+	at := <-stopped
+	assert.Less(t, time.Since(at), 30*time.Second)
+	assert.True(t, leaving.command.ProcessState.Success(), leaving.command.ProcessState.String())
+}
+
+// TestIdleStop stops an instance that was not handed out for a while: it has
+// nobody to wait for.
+func TestIdleStop(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1, 4)
+	c.await("settings at no instance", func() bool { return len(c.locate(c.entries[1]).Addresses) == 4 })
+	time.Sleep(11 * time.Second) // the life of a locate answer, and a second
+	at := time.Now()
+	c.entries[0].signal(t, syscall.SIGTERM)
+	<-c.entries[0].done
+	assert.Less(t, time.Since(at), 5*time.Second)
+	assert.NotContains(t, c.locate(c.entries[1]).Addresses, c.entries[0].address)
+}
