--- a/internal/control/configurer/tree_bench_test.go
+++ b/internal/control/configurer/tree_bench_test.go
@@ -36,7 +36,7 @@
 			runtime.GC()
 			runtime.ReadMemStats(&before)
 			tree := NewTree()
-			tree.Merge(entries, int64(len(entries)))
+			tree.Merge(messenger.SettingsSince{Revision: int64(len(entries)), Entries: entries})
 			runtime.GC()
 			runtime.ReadMemStats(&after)
 			held := after.HeapAlloc - before.HeapAlloc
@@ -46,7 +46,7 @@
 			for b.Loop() {
 				revision++
 				changed[0].Revision = revision
-				tree.Merge(changed, revision)
+				tree.Merge(messenger.SettingsSince{After: revision - 1, Revision: revision, Entries: changed})
 			}
 			sent, err := json.Marshal(tree.Since(revision - 1))
 			if err != nil {
--- a/internal/control/planner/bench_strategies_test.go
+++ b/internal/control/planner/bench_strategies_test.go
@@ -239,6 +239,7 @@
 // newPolicy returns the policy of the system.
 func newPolicy(d deployment) strategy {
 	rates := map[string]float64{}
+	history := planner.History{}
 	return strategy{
 		name: "policy",
 		choose: func(r *replay, q *request) int {
@@ -252,7 +253,7 @@
 		},
 		tick: func(r *replay) {
 			smooth(rates, r.counts)
-			moves := planner.Plan(planner.Input{
+			moves := history.Plan(planner.Input{
 				Now: r.now(), Catalog: r.trace.Catalog, Targets: r.plannerTargets(), Rates: rates, Policy: d.Policy,
 			})
 			for _, m := range moves {
--- a/internal/control/planner/bench_traces_test.go
+++ b/internal/control/planner/bench_traces_test.go
@@ -92,6 +92,7 @@
 func shapes() []shape {
 	return []shape{
 		{Name: "steady", Rates: steadyRates},
+		{Name: "crowded", Rates: crowdedRates},
 		{Name: "burst", Rates: burstRates},
 		{Name: "rotating", Rates: rotatingRates},
 		{Name: "frost", Rates: frostRates, Urgent: 0.4},
@@ -118,6 +119,11 @@
 	zipf(rates, 0.65*fleetRate(d))
 }
 
+// crowdedRates need prefix hits to be served.
+func crowdedRates(d deployment, _ int, rates []float64) {
+	zipf(rates, 1.2*fleetRate(d))
+}
+
 // ramp rises from 0 to 1 between two ticks.
 func ramp(tick, from, to int) float64 {
 	return min(1, max(0, float64(tick-from)/float64(to-from)))
--- a/internal/node/runner/heartbeat.go
+++ b/internal/node/runner/heartbeat.go
@@ -19,9 +19,7 @@
 		Demands: []messenger.Demand{}, Shares: []messenger.Share{}, Verdicts: []messenger.Verdict{},
 		LeavingTargets: leavingTargets(n.fleet.View()), Peers: n.peerNews(now),
 	}
-	if seen := n.storeSeenAt.Load(); seen != nil {
-		hb.StoreAgeMilliseconds = now.Sub(*seen).Milliseconds()
-	}
+	hb.StoreAgeMilliseconds = n.settingsAge(now)
 	for model, rate := range *n.rates.Load() {
 		hb.Demands = append(hb.Demands, messenger.Demand{Model: model, Rate: rate})
 	}
@@ -52,6 +50,7 @@
 }
 
 // answered takes the answer of a peer to a heartbeat that was sent at sentAt.
-func (n *Node) answered(hb messenger.Heartbeat, _ time.Time) {
+func (n *Node) answered(hb messenger.Heartbeat, sentAt time.Time) {
+	n.confirm(hb, sentAt)
 	n.drain.hear(n.now(), n.home.Instance, hb)
 }
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -13,10 +13,10 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/crocusring/crocusring/internal/control/arbiter"
 	"github.com/crocusring/crocusring/internal/control/configurer"
 	"github.com/crocusring/crocusring/internal/control/leaser"
 	"github.com/crocusring/crocusring/internal/control/orderer"
-	"github.com/crocusring/crocusring/internal/control/planner"
 	"github.com/crocusring/crocusring/internal/edge/commander"
 	"github.com/crocusring/crocusring/internal/edge/listener"
 	"github.com/crocusring/crocusring/internal/edge/lister"
@@ -44,14 +44,6 @@
 	rateEvery      = time.Second
 	pruneEvery     = 10 * time.Second
 	peerTrust      = 5 * time.Second
-	// isolationLimit is how long an instance that reaches neither the table
-	// service nor a peer goes on with the settings that it has.
-	isolationLimit = 3 * time.Second
-)
-
-var (
-	errNoSettings = errors.New("no settings were read yet")
-	errIsolated   = errors.New("neither the table service nor a peer can be reached")
 )
 
 // Node is one entry instance.
@@ -70,20 +62,22 @@
 	admitter    *admitter.Admitter
 	dispatcher  *dispatcher.Dispatcher
 	keys        *deduper.Table
+	claimer     *deduper.Claimer
 	measurer    *measurer.Measurer
 	exchanger   *exchanger.Exchanger
 	listener    *listener.Listener
 	quarantiner *quarantiner.Quarantiner
 
-	startedAt   time.Time
-	sequence    atomic.Int64
-	leaving     atomic.Bool
-	drained     atomic.Bool
-	drain       *drain
-	killed      context.Context
-	kill        context.CancelFunc
-	storeSeenAt atomic.Pointer[time.Time]
-	rates       atomic.Pointer[map[string]float64]
+	startedAt time.Time
+	sequence  atomic.Int64
+	leaving   atomic.Bool
+	drained   atomic.Bool
+	drain     *drain
+	killed    context.Context
+	kill      context.CancelFunc
+	arbiter   *arbiter.Arbiter
+	verdict   atomic.Pointer[verdict]
+	rates     atomic.Pointer[map[string]float64]
 }
 
 // New returns an instance that does not run yet.
@@ -98,6 +92,7 @@
 		drain:     newDrain(),
 		fleet:     keeper.NewFleet(),
 		tree:      configurer.NewTree(),
+		arbiter:   arbiter.New(),
 		admitter:  admitter.New(),
 		keys:      deduper.New(),
 		measurer:  measurer.New(time.Now()),
@@ -108,44 +103,34 @@
 	tables := transactor.New(settings.Platform, client)
 	engines := commander.New(client)
 	n.quarantiner = quarantiner.New()
-	n.configurer = configurer.New(tables, n.tree)
+	n.claimer = deduper.NewClaimer(n.home, tables)
+	n.configurer = configurer.New(tables, n.tree, configurer.WithInTouch(n.inTouch))
 	n.leaser = leaser.New(settings.Instance, n.home.Incarnation, tables)
-	n.orderer = orderer.New(tables, engines, n.fleet, n.tree.Catalog, n.totalRates, n.policy())
+	n.orderer = orderer.New(tables, engines, n.fleet, n.tree.Catalog, n.totalRates, policyOf(settings.Policy))
 	n.watcher = watcher.New(lister.New(settings.Platform, client), engines, n.fleet)
 	n.dispatcher = dispatcher.New(n.fleet, n.quarantiner, settings.DataCentre)
 	n.exchanger = exchanger.New(client, settings.PeerCredential, settings.Instance, n.fleet, exchanger.Seams{
 		Compose:     n.heartbeat,
-		Merge:       func(s messenger.SettingsSince) { n.tree.Merge(s.Entries, s.Revision) },
+		Merge:       func(s messenger.SettingsSince) { n.tree.Merge(s) },
 		Revision:    n.tree.Revision,
 		HearTargets: n.watcher.Hear,
 		Answered:    n.answered,
 	})
-	n.listener = listener.New(n.parts(tables))
+	n.listener = listener.New(n.parts())
 	return n
 }
 
-func (n *Node) parts(tables *transactor.Client) listener.Parts {
+func (n *Node) parts() listener.Parts {
 	return listener.Parts{
 		Home: n.home, Address: n.settings.Listen, DataCentre: n.settings.DataCentre,
 		OperatorDigest: n.settings.Digest(), PeerCredential: n.settings.PeerCredential,
 		Tree: n.tree, Configurer: n.configurer, Fleet: n.fleet, Admitter: n.admitter,
-		Dispatcher: n.dispatcher, Keys: n.keys, Claimer: deduper.NewClaimer(n.home, tables),
+		Dispatcher: n.dispatcher, Keys: n.keys, Claimer: n.claimer,
 		Exchanger: n.exchanger, Measurer: n.measurer, Log: n.log,
 		Ready: n.ready, Leaving: n.leaving.Load, Drained: n.drained.Load, Accepted: n.push, Status: n.status,
 	}
 }
 
-func (n *Node) policy() planner.Policy {
-	p := planner.DefaultPolicy()
-	if n.settings.Policy.RequestsPerCopy > 0 {
-		p.RequestsPerCopy = n.settings.Policy.RequestsPerCopy
-	}
-	if n.settings.Policy.MostMoves > 0 {
-		p.MostMoves = n.settings.Policy.MostMoves
-	}
-	return p
-}
-
 // Run serves until ctx ends and then stops without cutting off a request.
 func (n *Node) Run(ctx context.Context) error {
 	ln, err := net.Listen("tcp", n.settings.Listen)
@@ -195,6 +180,7 @@
 		{"orders", orderEvery, n.tickOrders},
 		{"rates", rateEvery, n.tickRates},
 		{"prune", pruneEvery, func() error { n.keys.Prune(n.now()); return nil }},
+		{"claims", pruneEvery, n.pruneClaims},
 	}
 	for _, l := range loops {
 		group.Go(func() error {
@@ -226,15 +212,6 @@
 	}
 }
 
-func (n *Node) pollSettings() error {
-	before := n.now()
-	if err := n.configurer.Poll(); err != nil {
-		return err
-	}
-	n.storeSeenAt.Store(&before)
-	return nil
-}
-
 func (n *Node) tickLease() error {
 	if n.leaving.Load() {
 		return nil
@@ -251,6 +228,16 @@
 	return n.orderer.Tick(now, grant)
 }
 
+// pruneClaims is the task of the holder of the control lease alone, to spare the
+// table service.
+func (n *Node) pruneClaims() error {
+	now := n.now()
+	if _, held := n.leaser.Held(now); !held {
+		return nil
+	}
+	return n.claimer.Prune(now)
+}
+
 func (n *Node) tickRates() error {
 	rates := n.measurer.Rates(n.now())
 	n.rates.Store(&rates)
@@ -271,32 +258,3 @@
 	}
 	return total
 }
-
-// ready reports why this instance takes no requests, or nil.
-func (n *Node) ready() error {
-	if n.tree.Revision() == 0 {
-		return errNoSettings
-	}
-	now := n.now()
-	seen := n.storeSeenAt.Load()
-	if seen != nil && now.Sub(*seen) < isolationLimit {
-		return nil
-	}
-	if len(n.exchanger.Heard(now.Add(-isolationLimit))) == 0 {
-		return errIsolated
-	}
-	return nil
-}
-
-// push tells the peers of a new revision and returns those that have not
-// confirmed it.
-func (n *Node) push(revision int64) []string {
-	n.exchanger.TickAndWait()
-	pending := []string{}
-	for id, in := range n.fleet.View().Instances {
-		if id != n.home.Instance && in.Revision < revision {
-			pending = append(pending, id)
-		}
-	}
-	return pending
-}
