--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -71,6 +71,8 @@
 	startedAt time.Time
 	sequence  atomic.Int64
 	leaving   atomic.Bool
+	drained   atomic.Bool
+	drain     *drain
 	killed    context.Context
 	kill      context.CancelFunc
 	arbiter   *arbiter.Arbiter
@@ -88,6 +90,7 @@
 		log:       log.WithValues("instance", settings.Instance),
 		now:       time.Now,
 		startedAt: time.Now(),
+		drain:     newDrain(),
 		fleet:     keeper.NewFleet(),
 		tree:      configurer.NewTree(),
 		arbiter:   arbiter.New(),
@@ -113,7 +116,7 @@
 		Revision:     n.tree.Revision,
 		HearTargets:  n.watcher.Hear,
 		HearVerdicts: n.hearVerdicts,
-		Answered:     n.confirm,
+		Answered:     n.answered,
 	})
 	n.listener = listener.New(n.parts())
 	return n
@@ -121,12 +124,12 @@
 
 func (n *Node) parts() listener.Parts {
 	return listener.Parts{
-		Home: n.home, DataCentre: n.settings.DataCentre,
+		Home: n.home, Address: n.settings.Listen, DataCentre: n.settings.DataCentre,
 		OperatorDigest: n.settings.Digest(), PeerCredential: n.settings.PeerCredential,
 		Tree: n.tree, Configurer: n.configurer, Fleet: n.fleet, Admitter: n.admitter,
 		Dispatcher: n.dispatcher, Keys: n.keys, Claimer: n.claimer,
 		Exchanger: n.exchanger, Measurer: n.measurer, Log: n.log,
-		Ready: n.ready, Leaving: n.leaving.Load, Accepted: n.push, Status: n.status,
+		Ready: n.ready, Leaving: n.leaving.Load, Drained: n.drained.Load, Accepted: n.push, Status: n.status,
 	}
 }
 
