--- a/internal/request/dispatcher/choice.go
+++ b/internal/request/dispatcher/choice.go
@@ -31,6 +31,7 @@
 		if err == nil {
 			target.Counter.InFlight.Add(1)
 			target.Counter.SentAfterReport.Add(1)
+			d.prefixes.Stored(d.now(), target.ID, job.Prefix)
 			a.current.Store(target)
 			return target, nil
 		}
@@ -82,6 +83,7 @@
 	for {
 		target, err := router.Pick(now, d.fleet.View().Holders(job.Name), router.Ask{
 			Name: job.Name, DataCentre: d.dataCentre, Tried: avoided, Seed: rand.Uint64(),
+			Cached: d.prefixes.Targets(now, job.Prefix),
 		})
 		if err != nil && busy != nil {
 			return nil, busy
