--- a/internal/edge/listener/refusal.go
+++ b/internal/edge/listener/refusal.go
@@ -47,6 +47,7 @@
 	errUnknownService = errors.New("service is not configured")
 	errNoPath         = errors.New("no such path")
 	errNotReady       = errors.New("instance does not take requests")
+	errLeaving        = errors.New("instance has left")
 	errHomeLost       = errors.New("the instance that may run this request is gone")
 	// errHomeUnreachable tells that the home of a request gave no answer now.
 	errHomeUnreachable = errors.New("the instance that may run this request does not answer")
@@ -135,6 +136,7 @@
 	{deduper.ErrClaimUnavailable, fasthttp.StatusServiceUnavailable, CodeUnavailable, false, retryUnavailable},
 	{quarantiner.ErrConvicted, fasthttp.StatusUnprocessableEntity, CodeQuarantined, true, 0},
 	{dispatcher.ErrUnknown, fasthttp.StatusBadGateway, CodeOutcomeUnknown, false, 0},
+	{quarantiner.ErrElsewhere, fasthttp.StatusServiceUnavailable, CodeNotRun, true, retryUnavailable},
 	{dispatcher.ErrDeadline, fasthttp.StatusGatewayTimeout, CodeDeadlinePassed, true, retryUnavailable},
 	{dispatcher.ErrNotRun, fasthttp.StatusServiceUnavailable, CodeNotRun, true, retryUnavailable},
 	{errNotReady, fasthttp.StatusServiceUnavailable, CodeNotReady, true, retryUnavailable},
@@ -149,6 +151,13 @@
 			Code: CodeOverLimit, Message: err.Error(), NotRun: true, RetryAfterMilliseconds: wait,
 		}
 	}
+	var elsewhere *elsewhereError
+	if errors.As(err, &elsewhere) {
+		return fasthttp.StatusServiceUnavailable, messenger.Refusal{
+			Code: CodeNotReady, Message: err.Error(), NotRun: elsewhere.notRun, Addresses: elsewhere.addresses,
+			RetryAfterMilliseconds: retryUnavailable.Milliseconds(),
+		}
+	}
 	for _, c := range refusalCases {
 		if errors.Is(err, c.err) {
 			refusal := messenger.Refusal{
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -40,7 +40,7 @@
 	reportEvery    = 200 * time.Millisecond
 	eventsEvery    = time.Second
 	heartbeatEvery = 250 * time.Millisecond
-	settingsEvery  = time.Second
+	settingsEvery  = 100 * time.Millisecond
 	leaseEvery     = 250 * time.Millisecond
 	orderEvery     = 250 * time.Millisecond
 	rateEvery      = time.Second
@@ -74,10 +74,13 @@
 	startedAt time.Time
 	sequence  atomic.Int64
 	leaving   atomic.Bool
+	drained   atomic.Bool
+	drain     *drain
 	killed    context.Context
 	kill      context.CancelFunc
 	arbiter   *arbiter.Arbiter
 	verdict   atomic.Pointer[verdict]
+	poll      poll // of the settings loop alone
 	rates     atomic.Pointer[map[string]float64]
 }
 
@@ -90,6 +93,7 @@
 		log:       log.WithValues("instance", settings.Instance),
 		now:       time.Now,
 		startedAt: time.Now(),
+		drain:     newDrain(),
 		fleet:     keeper.NewFleet(),
 		tree:      configurer.NewTree(),
 		arbiter:   arbiter.New(),
@@ -102,7 +106,7 @@
 	client := poster.New()
 	tables := transactor.New(settings.Platform, client)
 	engines := commander.New(client)
-	n.quarantiner = quarantiner.New()
+	n.quarantiner = quarantiner.New(settings.Instance, quarantiner.WithAlive(n.isHeard))
 	n.claimer = deduper.NewClaimer(n.home, tables)
 	n.configurer = configurer.New(tables, n.tree, configurer.WithInTouch(n.inTouch))
 	n.leaser = leaser.New(settings.Instance, n.home.Incarnation, tables)
@@ -111,13 +115,15 @@
 	n.watcher = watcher.New(lister.New(settings.Platform, client), engines, n.fleet)
 	prefixes := prefixer.New()
 	n.prefixes = prefixer.NewFollower(prefixes, n.fleet, engines.Events)
-	n.dispatcher = dispatcher.New(n.fleet, n.quarantiner, settings.DataCentre, dispatcher.WithPrefixes(prefixes))
+	n.dispatcher = dispatcher.New(n.fleet, n.quarantiner, settings.DataCentre,
+		dispatcher.WithAnnounce(n.announce), dispatcher.WithPrefixes(prefixes))
 	n.exchanger = exchanger.New(client, settings.PeerCredential, settings.Instance, n.fleet, exchanger.Seams{
-		Compose:     n.heartbeat,
-		Merge:       func(s messenger.SettingsSince) { n.tree.Merge(s) },
-		Revision:    n.tree.Revision,
-		HearTargets: n.watcher.Hear,
-		Answered:    n.confirm,
+		Compose:      n.heartbeat,
+		Merge:        func(s messenger.SettingsSince) { n.tree.Merge(s) },
+		Revision:     n.tree.Revision,
+		HearTargets:  n.watcher.Hear,
+		HearVerdicts: n.hearVerdicts,
+		Answered:     n.answered,
 	})
 	n.listener = listener.New(n.parts())
 	return n
@@ -125,12 +131,12 @@
 
 func (n *Node) parts() listener.Parts {
 	return listener.Parts{
-		Home: n.home, DataCentre: n.settings.DataCentre,
+		Home: n.home, Address: n.settings.Listen, DataCentre: n.settings.DataCentre,
 		OperatorDigest: n.settings.Digest(), PeerCredential: n.settings.PeerCredential,
 		Tree: n.tree, Configurer: n.configurer, Fleet: n.fleet, Admitter: n.admitter,
 		Dispatcher: n.dispatcher, Keys: n.keys, Claimer: n.claimer,
 		Exchanger: n.exchanger, Measurer: n.measurer, Log: n.log,
-		Ready: n.ready, Leaving: n.leaving.Load, Accepted: n.push, Status: n.status,
+		Ready: n.ready, Leaving: n.leaving.Load, Drained: n.drained.Load, Accepted: n.push, Status: n.status,
 	}
 }
 
