--- /dev/null
+++ b/internal/state/measurer/measurer_test.go
@@ -0,0 +1,70 @@
+package measurer_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusring/crocusring/internal/state/measurer"
+)
+
+var epoch = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+func TestRates(t *testing.T) {
+	t.Run("the rate comes near a constant demand", func(t *testing.T) {
+		m := measurer.New(epoch)
+		now := epoch
+		for range 20 {
+			for range 10 {
+				m.Arrived("oak")
+			}
+			now = now.Add(2 * time.Second)
+			m.Rates(now)
+		}
+		assert.InDelta(t, 5, m.Rates(now)["oak"], 0.1)
+	})
+	t.Run("a model without demand is forgotten", func(t *testing.T) {
+		m := measurer.New(epoch)
+		m.Arrived("oak")
+		now := epoch
+		for range 30 {
+			now = now.Add(time.Second)
+			m.Rates(now)
+		}
+		assert.Empty(t, m.Rates(now))
+	})
+	t.Run("a second call at one time keeps the count", func(t *testing.T) {
+		m := measurer.New(epoch)
+		m.Arrived("oak")
+		assert.Empty(t, m.Rates(epoch))
+		assert.InDelta(t, 0.3, m.Rates(epoch.Add(time.Second))["oak"], 0.001)
+	})
+}
+
+func TestObserve(t *testing.T) {
+	m := measurer.New(epoch)
+	const teams = 3000
+	for i := range teams {
+		m.Observe(measurer.Request{
+			Team: fmt.Sprint(i), Class: "oak", Outcome: measurer.Answered, Took: time.Second, First: time.Millisecond,
+		})
+	}
+	m.Observe(measurer.Request{Team: "1", Class: "oak", Outcome: measurer.Refused})
+	var text bytes.Buffer
+	require.NoError(t, m.WriteJSON(&text))
+	t.Run("histograms and outcomes by team and class", func(t *testing.T) {
+		for _, name := range []string{
+			`"Team.1.Microseconds"`, `"Team.1.FirstMicroseconds"`, `"Team.1.Refused"`, `"Class.oak.Microseconds"`,
+		} {
+			assert.Contains(t, text.String(), name)
+		}
+	})
+	t.Run("names are bounded", func(t *testing.T) {
+		assert.Contains(t, text.String(), `"other.Microseconds"`)
+		assert.NotContains(t, text.String(), `"Team.2999.Microseconds"`)
+	})
+}
