--- a/internal/request/dispatcher/choice.go
+++ b/internal/request/dispatcher/choice.go
@@ -81,9 +81,10 @@
 	avoided := slices.Clone(a.tried)
 	var busy error
 	for {
-		target, err := router.Pick(now, d.fleet.View().Holders(job.Name), router.Ask{
+		view := d.fleet.View()
+		target, err := router.Pick(now, view.Holders(job.Name), router.Ask{
 			Name: job.Name, DataCentre: d.dataCentre, Tried: avoided, Seed: rand.Uint64(),
-			Cached: d.prefixes.Targets(now, job.Prefix),
+			Cached: d.prefixes.Targets(now, job.Prefix), Peers: max(0, len(view.Instances)-1),
 		})
 		if err != nil && busy != nil {
 			return nil, busy
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -31,8 +31,8 @@
 	// Cached are targets whose prefix cache is likely to hold the prompt; empty
 	// strings stand for none.
 	Cached [2]string
-	// PeerRate is what other instances send for the name, in requests per second.
-	PeerRate float64
+	// Peers is the number of other instances that send to the candidates.
+	Peers int
 	// Priority is that of the request. One above 0 passes those that wait.
 	Priority int
 	// Deadline is the latest useful start and WaitPerRequest how long a request
@@ -53,12 +53,11 @@
 	cachedGain = 3
 )
 
-// Pick returns the candidate with the least expected load: what its report
-// tells, what this instance has in flight since, and a guess at what others
-// sent. A candidate that is likely to have the prompt cached goes first if it has
+// Pick returns the candidate with the least expected load: what this instance has
+// in flight and a guess at what others have. A candidate that is likely to have the prompt cached goes first if it has
 // little more. The error is ErrNoTarget or ErrTooLate.
 func Pick(now time.Time, candidates []*keeper.Target, ask Ask) (*keeper.Target, error) {
-	c := chooser{now: now, ask: ask, peers: ask.PeerRate / float64(max(1, len(candidates)))}
+	c := chooser{now: now, ask: ask}
 	if len(candidates) <= mostCompared {
 		c.compareAll(candidates)
 	} else {
@@ -77,7 +76,6 @@
 type chooser struct {
 	now   time.Time
 	ask   Ask
-	peers float64 // requests per second that peers send to each candidate
 	best  *keeper.Target
 	score float64
 }
@@ -139,7 +137,7 @@
 	if t.Leaving || isTried(t.ID, c.ask.Tried) {
 		return
 	}
-	score := expectedLoad(c.now, t, c.peers)
+	score := expectedLoad(c.now, t, c.ask.Peers)
 	if t.DataCentre != c.ask.DataCentre {
 		score += otherDataCentrePenalty
 	}
@@ -158,22 +156,26 @@
 	if c.ask.Deadline.IsZero() || c.ask.WaitPerRequest <= 0 || c.ask.Priority > 0 {
 		return false
 	}
-	ahead := max(0, expectedLoad(c.now, c.best, c.peers)-float64(c.best.Running))
+	ahead := max(0, expectedLoad(c.now, c.best, c.ask.Peers)-float64(c.best.Running))
 	wait := time.Duration(ahead * float64(c.ask.WaitPerRequest))
 	return c.now.Add(wait).After(c.ask.Deadline)
 }
 
-// expectedLoad is in requests. What the report shows beyond the requests of this
-// instance is that of others. A stale report is not trusted beyond what this
-// instance knows by itself.
-func expectedLoad(now time.Time, t *keeper.Target, peers float64) float64 {
+// expectedLoad is in requests. What others have in flight is guessed in two ways
+// that err differently: what the report, which lags, shows beyond the requests of
+// this instance; and that each peer has as much as this instance. The mean of
+// both is used, or the latter alone if the report is stale.
+func expectedLoad(now time.Time, t *keeper.Target, peers int) float64 {
 	own := float64(t.Counter.InFlight.Load())
-	age := now.Sub(t.ReportedAt)
-	if age > reportTrust {
-		return own
+	alike := own * float64(peers)
+	if now.Sub(t.ReportedAt) > reportTrust {
+		return own + alike
 	}
-	others := float64(int64(t.Running+t.Queued) - t.Counter.InFlightAtReport.Load())
-	return own + max(0, others) + peers*age.Seconds()
+	reported := max(0, float64(int64(t.Running+t.Queued)-t.Counter.InFlightAtReport.Load()))
+	if peers == 0 {
+		return own + reported
+	}
+	return own + (reported+alike)/2
 }
 
 func isTried(id string, tried []string) bool {
