Count what the table service is asked

Cause: docs/CAPACITY.md needs reads and writes a second. What: the platform stand-in counts them, BenchmarkIdleControl reports them. Excluded: counts in the instances, which would miss lost requests.

--- a/internal/fake/platformer/platformer.go
+++ b/internal/fake/platformer/platformer.go
@@ -57,6 +57,7 @@
 	listLag  time.Duration
 	writes   *rate.Limiter
 	reads    *rate.Limiter
+	counts   counters
 	server   *fasthttp.Server
 	quit     chan struct{}
 	quitOnce sync.Once
@@ -199,6 +200,8 @@
 		p.handleSetInstance(ctx)
 	case path == "/fake/fault":
 		p.handleFault(ctx)
+	case path == "/fake/counts":
+		writeJSON(ctx, p.Counts())
 	case p.isFailing(ctx):
 	case path == "/v1/tables/transact":
 		p.handleTransact(ctx)
@@ -273,6 +276,7 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
+	p.counts.Writes.Add(1)
 	if !p.writes.Allow() {
 		ctx.Error("write rate exceeded", fasthttp.StatusTooManyRequests)
 		return
@@ -297,6 +301,7 @@
 }
 
 func (p *Platform) handleScan(ctx *fasthttp.RequestCtx) {
+	p.counts.Reads.Add(1)
 	if !p.reads.Allow() {
 		ctx.Error("read rate exceeded", fasthttp.StatusTooManyRequests)
 		return
--- a/test/control_bench_test.go
+++ b/test/control_bench_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"strconv"
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/crocusring/crocusring/internal/fake/platformer"
 )
 
 // BenchmarkIdleControl reports what an instance spends on control alone, with
@@ -27,18 +30,31 @@
 			}
 			c.configure(models...)
 			for b.Loop() {
-				before := spentBy(b, c.entries)
+				before, asked := spentBy(b, c.entries), c.tableCounts()
 				time.Sleep(window)
-				after := spentBy(b, c.entries)
+				after, askedAfter := spentBy(b, c.entries), c.tableCounts()
 				perNode := window.Seconds() * entries
 				b.ReportMetric(100*(after.cpu-before.cpu).Seconds()/perNode, "%core/node")
 				b.ReportMetric(float64(after.bytes-before.bytes)/1024/perNode, "KiB/s/node")
 				b.ReportMetric(float64(after.resident)/entries/(1<<20), "MiB/node")
+				b.ReportMetric(float64(askedAfter.Reads-asked.Reads)/window.Seconds(), "reads/s")
+				b.ReportMetric(float64(askedAfter.Writes-asked.Writes)/window.Seconds(), "writes/s")
 			}
 		})
 	}
 }
 
+// tableCounts returns what the table service was asked so far, by all instances.
+func (c *cluster) tableCounts() platformer.Counts {
+	c.t.Helper()
+	resp, err := c.client.Get("http://" + c.platform.address + "/fake/counts")
+	require.NoError(c.t, err)
+	defer resp.Body.Close()
+	var counts platformer.Counts
+	require.NoError(c.t, json.NewDecoder(resp.Body).Decode(&counts))
+	return counts
+}
+
 // spent is what processes have used so far.
 type spent struct {
 	cpu      time.Duration
