--- a/internal/control/orderer/orderer.go
+++ b/internal/control/orderer/orderer.go
@@ -5,7 +5,6 @@
 package orderer
 
 import (
-	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -40,6 +39,7 @@
 	catalog func() *keeper.Catalog
 	rates   func() map[string]float64
 	policy  planner.Policy
+	history planner.History
 	limits  Limits
 
 	now      func() time.Time
@@ -88,14 +88,6 @@
 	}
 }
 
-// with returns the limits with those that a policy sets.
-func (l Limits) with(p planner.Policy) Limits {
-	l.WeightLoads = cmp.Or(p.LoadsAtOnce, l.WeightLoads)
-	l.WeightRate = cmp.Or(p.LoadsPerSecond, l.WeightRate)
-	l.AdapterLoads = cmp.Or(p.AdaptersAtOnce, l.AdapterLoads)
-	return l
-}
-
 // New returns an orderer. catalog returns the configuration in force and rates
 // the requests per second by model over all instances.
 func New(
@@ -103,10 +95,11 @@
 	catalog func() *keeper.Catalog, rates func() map[string]float64, policy planner.Policy, opts ...Option,
 ) *Orderer {
 	o := &Orderer{
-		fleet: fleet, catalog: catalog, rates: rates, policy: policy, limits: DefaultLimits().with(policy),
-		now: time.Now, plan: planner.Plan, scan: tables.Scan, transact: tables.Transact, order: engines.Send, atOnce: mostAtOnce,
+		fleet: fleet, catalog: catalog, rates: rates, policy: policy, limits: DefaultLimits(),
+		now: time.Now, scan: tables.Scan, transact: tables.Transact, order: engines.Send, atOnce: mostAtOnce,
 		fates: map[string]fate{}, replaced: map[string]time.Time{},
 	}
+	o.plan = o.history.Plan
 	for _, opt := range opts {
 		opt(o)
 	}
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -26,6 +26,7 @@
 	"github.com/crocusring/crocusring/internal/request/admitter"
 	"github.com/crocusring/crocusring/internal/request/deduper"
 	"github.com/crocusring/crocusring/internal/request/dispatcher"
+	"github.com/crocusring/crocusring/internal/request/prefixer"
 	"github.com/crocusring/crocusring/internal/request/quarantiner"
 	"github.com/crocusring/crocusring/internal/state/keeper"
 	"github.com/crocusring/crocusring/internal/state/measurer"
@@ -37,8 +38,9 @@
 const (
 	listEvery      = 500 * time.Millisecond
 	reportEvery    = 200 * time.Millisecond
+	eventsEvery    = time.Second
 	heartbeatEvery = 250 * time.Millisecond
-	settingsEvery  = time.Second
+	settingsEvery  = 100 * time.Millisecond
 	leaseEvery     = 250 * time.Millisecond
 	orderEvery     = 250 * time.Millisecond
 	drainingEvery  = 250 * time.Millisecond
@@ -62,6 +64,7 @@
 	watcher     *watcher.Watcher
 	admitter    *admitter.Admitter
 	dispatcher  *dispatcher.Dispatcher
+	prefixes    *prefixer.Follower
 	keys        *deduper.Table
 	claimer     *deduper.Claimer
 	measurer    *measurer.Measurer
@@ -72,10 +75,13 @@
 	startedAt time.Time
 	sequence  atomic.Int64
 	leaving   atomic.Bool
+	drained   atomic.Bool
+	drain     *drain
 	killed    context.Context
 	kill      context.CancelFunc
 	arbiter   *arbiter.Arbiter
 	verdict   atomic.Pointer[verdict]
+	poll      poll // of the settings loop alone
 	rates     atomic.Pointer[map[string]float64]
 }
 
@@ -88,6 +94,7 @@
 		log:       log.WithValues("instance", settings.Instance),
 		now:       time.Now,
 		startedAt: time.Now(),
+		drain:     newDrain(),
 		fleet:     keeper.NewFleet(),
 		tree:      configurer.NewTree(),
 		arbiter:   arbiter.New(),
@@ -100,19 +107,24 @@
 	client := poster.New()
 	tables := transactor.New(settings.Platform, client)
 	engines := commander.New(client)
-	n.quarantiner = quarantiner.New()
+	n.quarantiner = quarantiner.New(settings.Instance, quarantiner.WithAlive(n.isHeard))
 	n.claimer = deduper.NewClaimer(n.home, tables)
 	n.configurer = configurer.New(tables, n.tree, configurer.WithInTouch(n.inTouch))
 	n.leaser = leaser.New(settings.Instance, n.home.Incarnation, tables)
-	n.orderer = orderer.New(tables, engines, n.fleet, n.tree.Catalog, n.totalRates, policyOf(settings.Policy))
+	n.orderer = orderer.New(tables, engines, n.fleet, n.tree.Catalog, n.totalRates, policyOf(settings.Policy),
+		orderer.WithLimits(limitsOf(settings.Policy)))
 	n.watcher = watcher.New(lister.New(settings.Platform, client), engines, n.fleet)
-	n.dispatcher = dispatcher.New(n.fleet, n.quarantiner, settings.DataCentre)
+	prefixes := prefixer.New()
+	n.prefixes = prefixer.NewFollower(prefixes, n.fleet, engines.Events)
+	n.dispatcher = dispatcher.New(n.fleet, n.quarantiner, settings.DataCentre,
+		dispatcher.WithAnnounce(n.announce), dispatcher.WithPrefixes(prefixes))
 	n.exchanger = exchanger.New(client, settings.PeerCredential, settings.Instance, n.fleet, exchanger.Seams{
-		Compose:     n.heartbeat,
-		Merge:       func(s messenger.SettingsSince) { n.tree.Merge(s) },
-		Revision:    n.tree.Revision,
-		HearTargets: n.watcher.Hear,
-		Answered:    n.confirm,
+		Compose:      n.heartbeat,
+		Merge:        func(s messenger.SettingsSince) { n.tree.Merge(s) },
+		Revision:     n.tree.Revision,
+		HearTargets:  n.watcher.Hear,
+		HearVerdicts: n.hearVerdicts,
+		Answered:     n.answered,
 	})
 	n.listener = listener.New(n.parts())
 	return n
@@ -120,12 +132,12 @@
 
 func (n *Node) parts() listener.Parts {
 	return listener.Parts{
-		Home: n.home, DataCentre: n.settings.DataCentre,
+		Home: n.home, Address: n.settings.Listen, DataCentre: n.settings.DataCentre,
 		OperatorDigest: n.settings.Digest(), PeerCredential: n.settings.PeerCredential,
 		Tree: n.tree, Configurer: n.configurer, Fleet: n.fleet, Admitter: n.admitter,
 		Dispatcher: n.dispatcher, Keys: n.keys, Claimer: n.claimer,
 		Exchanger: n.exchanger, Measurer: n.measurer, Log: n.log,
-		Ready: n.ready, Leaving: n.leaving.Load, Accepted: n.push, Status: n.status,
+		Ready: n.ready, Leaving: n.leaving.Load, Drained: n.drained.Load, Accepted: n.push, Status: n.status,
 	}
 }
 
@@ -172,6 +184,7 @@
 	loops := []loop{
 		{"list", listEvery, n.watcher.TickList},
 		{"reports", reportEvery, func() error { n.watcher.TickReports(); return nil }},
+		{"cache events", eventsEvery, func() error { n.prefixes.Tick(); return nil }},
 		{"heartbeats", heartbeatEvery, func() error { n.exchanger.Tick(); return nil }},
 		{"settings", settingsEvery, n.pollSettings},
 		{"lease", leaseEvery, n.tickLease},
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -400,7 +400,8 @@
 }
 
 // PeerNews is what an instance knows of another one, which it heard
-// AgeMilliseconds ago.
+// AgeMilliseconds ago. The last locate answer that it gave and that names that
+// instance lapses in NamedMilliseconds.
 type PeerNews struct {
 	// Address corresponds to the JSON schema field "Address".
 	Address string `json:"Address"`
@@ -420,6 +421,9 @@
 	// Leaving corresponds to the JSON schema field "Leaving".
 	Leaving bool `json:"Leaving"`
 
+	// NamedMilliseconds corresponds to the JSON schema field "NamedMilliseconds".
+	NamedMilliseconds int64 `json:"NamedMilliseconds"`
+
 	// StartedAtMilliseconds corresponds to the JSON schema field
 	// "StartedAtMilliseconds".
 	StartedAtMilliseconds int64 `json:"StartedAtMilliseconds"`
@@ -658,7 +662,9 @@
 }
 
 // Verdict tells about a request fingerprint that was on a target when the target
-// crashed. State is Suspect or Convicted.
+// crashed. State is Suspect, Convicted or Cleared. Places are the crashed
+// incarnations, those that it is cleared of for Cleared. Owner is the instance
+// that may run it, of the highest Term, and Target where it runs.
 type Verdict struct {
 	// Crashes corresponds to the JSON schema field "Crashes".
 	Crashes int `json:"Crashes"`
@@ -669,8 +675,20 @@
 	// Fingerprint corresponds to the JSON schema field "Fingerprint".
 	Fingerprint string `json:"Fingerprint"`
 
+	// Owner corresponds to the JSON schema field "Owner".
+	Owner string `json:"Owner"`
+
+	// Places corresponds to the JSON schema field "Places".
+	Places []string `json:"Places"`
+
 	// State corresponds to the JSON schema field "State".
 	State string `json:"State"`
+
+	// Target corresponds to the JSON schema field "Target".
+	Target string `json:"Target"`
+
+	// Term corresponds to the JSON schema field "Term".
+	Term int `json:"Term"`
 }
 
 // Write sets or deletes one row.
