Let a former holder tell that its orders have ended

Cause: an order that was lost under a holder that lives on after it lost the lease stayed open for good, so that its bytes were counted against what a restart may bring back. What: the heartbeat's QuietFence says below which fence of the lease a process sends nothing more; with it, such an order dies once the engine refuses it or has restarted. The mark that a tick may be sending is set before the lease is read. Excluded: a row of each process in the table service, a write for each tick. Before: only a replaced process was known to send no more (TestHasEnded, "later fence", would fail). After: tests of orderer, exchanger, detector and runner pass. Change to tests: in the world of the property test a killed holder's successor takes the killed one's instance ID, and two live processes no longer share one. Conclusion: holds as long as fences of the lease rise (TestOneHolder).

--- a/internal/control/orderer/ledger.go
+++ b/internal/control/orderer/ledger.go
@@ -245,6 +245,9 @@
 	return l.Fence
 }
 
+// leaseFence is the fence of the lease that the order was recorded under.
+func (s Send) leaseFence() int64 { return s.Fence / fencesPerHolder }
+
 // orderID returns an ID that differs from those of orders that were decided in
 // other ticks under the same fence, since their ledger was not stored.
 func (by sender) orderID(target string, fence int64) string {
--- a/internal/control/orderer/ledger_test.go
+++ b/internal/control/orderer/ledger_test.go
@@ -219,6 +219,29 @@
 	}
 }
 
+// TestHasEnded checks what shows that the sender of an order sends no more.
+func TestHasEnded(t *testing.T) {
+	by := sender{instance: "entry-1", process: "new"}
+	send := Send{Instance: "entry-2", Process: "old", Fence: 3*fencesPerHolder + 7}
+	for name, c := range map[string]struct {
+		instance string
+		heard    *keeper.Instance
+		ended    bool
+	}{
+		"own earlier process": {"entry-1", nil, true},
+		"never heard":         {"entry-2", nil, false},
+		"same fence":          {"entry-2", &keeper.Instance{Incarnation: "old", QuietFence: 3}, false},
+		"later fence":         {"entry-2", &keeper.Instance{Incarnation: "old", QuietFence: 4}, true},
+		"other process":       {"entry-2", &keeper.Instance{Incarnation: "new", QuietFence: 4}, false},
+		"replaced":            {"entry-2", &keeper.Instance{Incarnation: "new", Retired: []string{"old"}}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			send.Instance = c.instance
+			assert.Equal(t, c.ended, hasEnded(send, by, c.heard))
+		})
+	}
+}
+
 // TestOlderReport gives a successor a report that it asked for before it read the
 // ledgers, from before a restart that its predecessor knew of.
 func TestOlderReport(t *testing.T) {
--- a/internal/control/orderer/orderer.go
+++ b/internal/control/orderer/orderer.go
@@ -56,10 +56,9 @@
 	ticks   int64
 
 	mu    sync.Mutex
-	fates map[string]fate // by order ID
-	known []string        // order IDs in fates, oldest first
-	// replaced is since when processes are known to have ended.
-	replaced map[string]time.Time
+	fates map[string]fate       // by order ID
+	known []string              // order IDs in fates, oldest first
+	ended map[grantID]time.Time // since when senders are known to send no more
 }
 
 // fate is what this process knows about an order of its own.
@@ -69,6 +68,12 @@
 	endedAt time.Time
 }
 
+// grantID names a grant of the lease to a process.
+type grantID struct {
+	process string
+	fence   int64
+}
+
 // Option configures an Orderer.
 type Option func(*Orderer)
 
@@ -97,7 +102,7 @@
 	o := &Orderer{
 		fleet: fleet, catalog: catalog, rates: rates, policy: policy, limits: DefaultLimits(),
 		now: time.Now, scan: tables.Scan, transact: tables.Transact, order: engines.Send, atOnce: mostAtOnce,
-		fates: map[string]fate{}, replaced: map[string]time.Time{},
+		fates: map[string]fate{}, ended: map[grantID]time.Time{},
 	}
 	o.plan = o.history.Plan
 	for _, opt := range opts {
@@ -286,21 +291,32 @@
 }
 
 // endedAt returns since when the sender of an order is known not to be sending
-// it any more: its call returned, or its process was replaced by another of the
-// same instance.
+// it any more: its call returned, its process said so, or its process was
+// replaced by another of the same instance.
 func (o *Orderer) endedAt(s Send, r *round, view *keeper.View) time.Time {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if f, ok := o.fates[s.OrderID]; ok {
 		return f.endedAt
 	}
-	in := view.Instances[s.Instance]
-	isOwn := s.Instance == r.by.instance && s.Process != r.by.process
-	if !isOwn && (in == nil || !slices.Contains(in.Retired, s.Process)) {
+	if !hasEnded(s, r.by, view.Instances[s.Instance]) {
 		return time.Time{}
 	}
-	if _, known := o.replaced[s.Process]; !known {
-		o.replaced[s.Process] = r.now
+	grant := grantID{process: s.Process, fence: s.leaseFence()}
+	if _, known := o.ended[grant]; !known {
+		o.ended[grant] = r.now
+	}
+	return o.ended[grant]
+}
+
+func hasEnded(s Send, by sender, in *keeper.Instance) bool {
+	switch {
+	case s.Instance == by.instance:
+		return s.Process != by.process
+	case in == nil:
+		return false
+	case s.Process == in.Incarnation:
+		return s.leaseFence() < in.QuietFence
 	}
-	return o.replaced[s.Process]
+	return slices.Contains(in.Retired, s.Process)
 }
--- a/internal/control/orderer/world_test.go
+++ b/internal/control/orderer/world_test.go
@@ -114,6 +114,7 @@
 	fence      int64
 	holder     *process
 	former     []*process // paused ones
+	killed     []*process
 	started    int
 	stopped    bool
 	next       delivery
@@ -154,19 +155,21 @@
 // takeOver makes a new process the holder; the former one stays paused wherever
 // it is, or is killed and known to be so.
 func (w *world) takeOver(killed bool) {
-	if w.holder != nil && !killed {
-		w.former = append(w.former, w.holder)
-	}
 	w.fence++
 	w.started++
+	instance := fmt.Sprintf("entry-%d", w.started)
+	switch {
+	case killed:
+		instance = w.holder.grant.Instance
+		w.killed = append(w.killed, w.holder)
+	case w.holder != nil:
+		w.former = append(w.former, w.holder)
+	}
 	p := &process{fleet: keeper.NewFleet(), resume: make(chan struct{}), yielded: make(chan struct{})}
 	p.grant = leaser.Grant{
-		Instance: "entry", Incarnation: fmt.Sprint(w.started), Fence: w.fence, Deadline: w.now.Add(time.Hour),
+		Instance: instance, Incarnation: fmt.Sprint(w.started), Fence: w.fence, Deadline: w.now.Add(time.Hour),
 		FenceCondition: messenger.Condition{Table: "lease", Key: "fence", Version: w.fence},
 	}
-	if !killed {
-		p.grant.Instance = fmt.Sprintf("entry-%d", w.started)
-	}
 	o := New(&transactor.Client{}, &commander.Client{}, p.fleet, func() *keeper.Catalog { return w.catalog },
 		func() map[string]float64 { return w.rates }, planner.DefaultPolicy())
 	o.now = func() time.Time { return w.now }
@@ -214,7 +217,7 @@
 
 func (w *world) stop() {
 	w.stopped = true
-	for _, p := range append(w.former, w.holder) {
+	for _, p := range slices.Concat(w.former, w.killed, []*process{w.holder}) {
 		w.step(p)
 		close(p.resume)
 	}
@@ -250,6 +253,14 @@
 		})
 		e.shown = e.present(w.now)
 	}
+	for _, p := range w.former {
+		w.holder.fleet.ChangeInstance(p.grant.Instance, func(in *keeper.Instance) {
+			in.Incarnation = p.grant.Incarnation
+			if in.QuietFence = w.fence; p.midTick {
+				in.QuietFence = 0
+			}
+		})
+	}
 }
 
 func (w *world) scan(string, string) ([]messenger.Row, error) {
--- a/internal/node/runner/control.go
+++ b/internal/node/runner/control.go
@@ -8,6 +8,30 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
+// tickOrders acts as holder of the control lease. The mark is set before the
+// lease is looked at; see quietFence.
+func (n *Node) tickOrders() error {
+	n.ordering.Store(true)
+	defer n.ordering.Store(false)
+	now := n.now()
+	grant, held := n.leaser.Held(now)
+	if !held {
+		return nil
+	}
+	return n.orderer.Tick(now, grant)
+}
+
+// quietFence returns a fence below which this process sends no order any more,
+// or 0 if a tick may be sending. A tick that begins after the mark was seen unset
+// holds a grant with the fence that was read before, or a later one.
+func (n *Node) quietFence() int64 {
+	fence := n.leaser.Holder().Fence
+	if n.ordering.Load() {
+		return 0
+	}
+	return fence
+}
+
 // drainings returns what this instance drains as the holder of the control lease.
 func (n *Node) drainings() []messenger.Draining {
 	list := []messenger.Draining{}
--- a/internal/node/runner/heartbeat.go
+++ b/internal/node/runner/heartbeat.go
@@ -15,7 +15,7 @@
 		Instance: n.home.Instance, Incarnation: n.home.Incarnation, Address: n.settings.Listen,
 		StartedAtMilliseconds: n.startedAt.UnixMilli(), Sequence: n.sequence.Add(1),
 		DataCentre: n.settings.DataCentre, Revision: n.tree.Revision(), Leaving: n.leaving.Load(),
-		InFlight: n.listener.InFlight(), Holder: holder.Holder, Fence: holder.Fence,
+		InFlight: n.listener.InFlight(), Holder: holder.Holder, Fence: holder.Fence, QuietFence: n.quietFence(),
 		Demands: []messenger.Demand{}, Shares: []messenger.Share{}, Verdicts: n.quarantiner.Verdicts(now),
 		LeavingTargets: leavingTargets(n.fleet.View()), Peers: n.peerNews(now),
 		Drainings: n.drainings(),
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -74,15 +74,17 @@
 
 	startedAt time.Time
 	sequence  atomic.Int64
-	leaving   atomic.Bool
-	drained   atomic.Bool
-	drain     *drain
-	killed    context.Context
-	kill      context.CancelFunc
-	arbiter   *arbiter.Arbiter
-	verdict   atomic.Pointer[verdict]
-	poll      poll // of the settings loop alone
-	rates     atomic.Pointer[map[string]float64]
+	// ordering tells that a tick of the orderer may be sending.
+	ordering atomic.Bool
+	leaving  atomic.Bool
+	drained  atomic.Bool
+	drain    *drain
+	killed   context.Context
+	kill     context.CancelFunc
+	arbiter  *arbiter.Arbiter
+	verdict  atomic.Pointer[verdict]
+	poll     poll // of the settings loop alone
+	rates    atomic.Pointer[map[string]float64]
 }
 
 // New returns an instance that does not run yet.
@@ -231,15 +233,6 @@
 	return n.leaser.Tick()
 }
 
-func (n *Node) tickOrders() error {
-	now := n.now()
-	grant, held := n.leaser.Held(now)
-	if !held {
-		return nil
-	}
-	return n.orderer.Tick(now, grant)
-}
-
 // pruneClaims is the task of the holder of the control lease alone, to spare the
 // table service.
 func (n *Node) pruneClaims() error {
--- a/internal/peer/detector/detector.go
+++ b/internal/peer/detector/detector.go
@@ -118,6 +118,7 @@
 	in.Incarnation = news.Incarnation
 	in.StartedAt = news.StartedAt
 	in.Sequence = 0
+	in.QuietFence = 0
 	in.Address = news.Address
 	in.DataCentre = news.DataCentre
 	in.MarkedLeaving = false
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -169,6 +169,7 @@
 		if counted {
 			in.Revision = hb.Revision
 			in.InFlight = hb.InFlight
+			in.QuietFence = hb.QuietFence
 		}
 	})
 	if !counted {
--- a/internal/state/keeper/fleet.go
+++ b/internal/state/keeper/fleet.go
@@ -113,6 +113,9 @@
 	Leaving     bool
 	Revision    int64
 	InFlight    int
+	// QuietFence is a fencing number of the control lease below which this
+	// incarnation sends no order any more.
+	QuietFence int64
 	// HeardAt is when the last heartbeat of the instance itself came.
 	HeardAt time.Time
 	// Sequence is that of the last heartbeat.
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -253,6 +253,10 @@
 	// Peers corresponds to the JSON schema field "Peers".
 	Peers []PeerNews `json:"Peers"`
 
+	// QuietFence is a fencing number of the control lease below which this process
+	// sends no order any more, or 0.
+	QuietFence int64 `json:"QuietFence"`
+
 	// Revision corresponds to the JSON schema field "Revision".
 	Revision int64 `json:"Revision"`
 
