--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -43,6 +43,7 @@
 	settingsEvery  = 100 * time.Millisecond
 	leaseEvery     = 250 * time.Millisecond
 	orderEvery     = 250 * time.Millisecond
+	drainingEvery  = 250 * time.Millisecond
 	rateEvery      = time.Second
 	pruneEvery     = 10 * time.Second
 	peerTrust      = 5 * time.Second
@@ -73,15 +74,17 @@
 
 	startedAt time.Time
 	sequence  atomic.Int64
-	leaving   atomic.Bool
-	drained   atomic.Bool
-	drain     *drain
-	killed    context.Context
-	kill      context.CancelFunc
-	arbiter   *arbiter.Arbiter
-	verdict   atomic.Pointer[verdict]
-	poll      poll // of the settings loop alone
-	rates     atomic.Pointer[map[string]float64]
+	// ordering tells that a tick of the orderer may be sending.
+	ordering atomic.Bool
+	leaving  atomic.Bool
+	drained  atomic.Bool
+	drain    *drain
+	killed   context.Context
+	kill     context.CancelFunc
+	arbiter  *arbiter.Arbiter
+	verdict  atomic.Pointer[verdict]
+	poll     poll // of the settings loop alone
+	rates    atomic.Pointer[map[string]float64]
 }
 
 // New returns an instance that does not run yet.
@@ -188,6 +191,7 @@
 		{"settings", settingsEvery, n.pollSettings},
 		{"lease", leaseEvery, n.tickLease},
 		{"orders", orderEvery, n.tickOrders},
+		{"drainings", drainingEvery, n.tickDrainings},
 		{"rates", rateEvery, n.tickRates},
 		{"prune", pruneEvery, func() error { n.keys.Prune(n.now()); return nil }},
 		{"claims", pruneEvery, n.pruneClaims},
@@ -229,15 +233,6 @@
 	return n.leaser.Tick()
 }
 
-func (n *Node) tickOrders() error {
-	now := n.now()
-	grant, held := n.leaser.Held(now)
-	if !held {
-		return nil
-	}
-	return n.orderer.Tick(now, grant)
-}
-
 // pruneClaims is the task of the holder of the control lease alone, to spare the
 // table service.
 func (n *Node) pruneClaims() error {
