--- a/cmd/crocusring/main.go
+++ b/cmd/crocusring/main.go
@@ -10,9 +10,8 @@
 	"github.com/alexflint/go-arg"
 	"github.com/go-faster/errors"
 
-	"github.com/crocusring/crocusring/internal/node/loader"
-	"github.com/crocusring/crocusring/internal/tool/applier"
 	"github.com/crocusring/crocusring/internal/tool/requester"
+	"github.com/crocusring/crocusring/internal/wire/inspector"
 )
 
 // Exit codes.
@@ -94,10 +93,12 @@
 
 // fail reports an error and returns the exit code that stands for it.
 func fail(err error) int {
+	if errors.Is(err, inspector.ErrInvalid) {
+		fmt.Fprintln(os.Stderr, err) // one line for each fault, with its place
+		return exitInvalid
+	}
 	fmt.Fprintln(os.Stderr, "error:", err)
 	switch {
-	case errors.Is(err, loader.ErrInvalid), errors.Is(err, applier.ErrInvalid):
-		return exitInvalid
 	case errors.Is(err, requester.ErrRefused):
 		return exitRefused
 	case errors.Is(err, requester.ErrUnknownOutcome):
--- a/internal/node/loader/loader.go
+++ b/internal/node/loader/loader.go
@@ -15,9 +15,6 @@
 	"github.com/crocusring/crocusring/internal/wire/inspector"
 )
 
-// ErrInvalid tells that settings are not valid. All faults are joined.
-var ErrInvalid = errors.New("invalid settings")
-
 // Settings are those of one process.
 type Settings struct {
 	// Instance is the ID of this instance in the platform's instance list.
@@ -51,21 +48,6 @@
 	HoldMilliseconds int
 }
 
-// FaultError is one fault with its place.
-type FaultError struct {
-	File    string
-	Line    int
-	Key     string
-	Message string
-}
-
-func (e *FaultError) Error() string {
-	return errors.Errorf("%s:%d: %s: %s", e.File, e.Line, e.Key, e.Message).Error()
-}
-
-// Is reports whether target is ErrInvalid.
-func (e *FaultError) Is(target error) bool { return target == ErrInvalid }
-
 // Load reads and checks the settings in a file.
 func Load(file string) (Settings, error) {
 	text, err := os.ReadFile(file)
@@ -75,28 +57,30 @@
 	return Parse(file, text)
 }
 
-// Parse checks settings text that came from file and reports all faults.
+// Parse checks settings text that came from file and reports all faults. The error
+// is inspector.ErrInvalid.
 func Parse(file string, text []byte) (Settings, error) {
 	var s Settings
 	doc := inspector.DecodeCommented(text, &s)
-	faults := make([]error, 0, len(doc.Faults))
+	faults := doc.Faults
 	broken := map[string]bool{}
-	for _, f := range doc.Faults {
-		faults = append(faults, &FaultError{File: file, Line: f.Line, Key: f.Key, Message: f.Message})
+	for _, f := range faults {
+		f.File = file
 		broken[f.Key] = true
 	}
 	if len(faults) > 0 {
 		// The values that do fit are checked too, so that one run shows all faults.
 		s = decodeRest(doc.Standard)
 	}
-	if len(doc.Standard) > 0 {
-		for _, f := range s.faults() {
-			if !broken[f.Key] {
-				faults = append(faults, &FaultError{File: file, Line: doc.Line(f.Key), Key: f.Key, Message: f.Message})
-			}
+	if len(doc.Standard) == 0 {
+		return s, inspector.Join(faults)
+	}
+	for _, f := range s.faults() {
+		if !broken[f.Key] {
+			faults = append(faults, &inspector.FaultError{File: file, Line: doc.Line(f.Key), Key: f.Key, Message: f.Message})
 		}
 	}
-	return s, errors.Join(faults...)
+	return s, inspector.Join(faults)
 }
 
 // decodeRest decodes the values that fit their fields; those that do not are
--- a/internal/node/loader/loader_test.go
+++ b/internal/node/loader/loader_test.go
@@ -10,6 +10,8 @@
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/crocusring/crocusring/internal/wire/inspector"
 )
 
 const valid = `{
@@ -82,7 +84,7 @@
 	f.Fuzz(func(t *testing.T, text []byte) {
 		s, err := Parse("f.json", text)
 		if err != nil {
-			assert.ErrorIs(t, err, ErrInvalid)
+			assert.ErrorIs(t, err, inspector.ErrInvalid)
 			return
 		}
 		assert.Empty(t, s.faults())
--- a/internal/tool/applier/applier_test.go
+++ b/internal/tool/applier/applier_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/crocusring/crocusring/internal/wire/inspector"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
@@ -23,7 +24,7 @@
 
 func assertFaults(t *testing.T, err error, want ...string) {
 	t.Helper()
-	require.ErrorIs(t, err, ErrInvalid)
+	require.ErrorIs(t, err, inspector.ErrInvalid)
 	for _, w := range want {
 		assert.Contains(t, err.Error(), w)
 	}
@@ -45,7 +46,7 @@
 	for name, text := range map[string]string{"syntax": "{", "list": "[]", "null": "null", "path twice": `{"x":1,"x":2}`} {
 		t.Run(name, func(t *testing.T) {
 			_, err := Parse("f.json", []byte(text))
-			assert.ErrorIs(t, err, ErrInvalid)
+			assert.ErrorIs(t, err, inspector.ErrInvalid)
 		})
 	}
 }
@@ -56,7 +57,7 @@
 		require.NoError(t, os.WriteFile(filepath.Join(dir, name), []byte(declarations), 0o600))
 	}
 	_, err := Load([]string{dir})
-	require.ErrorIs(t, err, ErrInvalid)
+	require.ErrorIs(t, err, inspector.ErrInvalid)
 	assert.Contains(t, err.Error(), "b.hujson:3: /platform/models/oak: declared at "+filepath.Join(dir, "a.json")+":3 too")
 	set, err := Load([]string{filepath.Join(dir, "a.json")})
 	require.NoError(t, err)
@@ -142,7 +143,7 @@
 	f.Fuzz(func(t *testing.T, text []byte) {
 		set, err := Parse("f.json", text)
 		if err != nil {
-			assert.ErrorIs(t, err, ErrInvalid)
+			assert.ErrorIs(t, err, inspector.ErrInvalid)
 			return
 		}
 		assert.Empty(t, Plan(set, messenger.SettingsAnswer{Entries: entriesOf(set)}, true))
--- a/internal/tool/applier/declarations.go
+++ b/internal/tool/applier/declarations.go
@@ -18,24 +18,6 @@
 	"github.com/crocusring/crocusring/internal/wire/inspector"
 )
 
-// ErrInvalid tells that declarations are not valid. All faults are joined.
-var ErrInvalid = errors.New("invalid declarations")
-
-// FaultError is one fault with its place.
-type FaultError struct {
-	File    string
-	Line    int
-	Key     string
-	Message string
-}
-
-func (e *FaultError) Error() string {
-	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Key, e.Message)
-}
-
-// Is reports whether target is ErrInvalid.
-func (e *FaultError) Is(target error) bool { return target == ErrInvalid }
-
 // Declaration is the value that a path shall have.
 type Declaration struct {
 	Path  configurer.Path
@@ -48,26 +30,25 @@
 type Set map[string]Declaration
 
 // Load reads the declarations in files and in the folders among names, whose
-// files ending in .json and .hujson are read. The error holds all faults.
+// files ending in .json and .hujson are read. The error holds all faults and is
+// inspector.ErrInvalid if there are some.
 func Load(names []string) (Set, error) {
 	files, err := list(names)
 	if err != nil {
 		return nil, err
 	}
 	all := Set{}
-	faults := []error{}
+	faults := []*inspector.FaultError{}
 	for _, file := range files {
 		text, err := os.ReadFile(file)
 		if err != nil {
 			return nil, errors.Wrap(err, "read declarations")
 		}
-		set, err := Parse(file, text)
-		if err != nil {
-			faults = append(faults, err)
-		}
+		set, found := parse(file, text)
+		faults = append(faults, found...)
 		faults = append(faults, all.add(set)...)
 	}
-	return all, errors.Join(faults...)
+	return all, inspector.Join(faults)
 }
 
 func list(names []string) ([]string, error) {
@@ -91,11 +72,11 @@
 
 // add takes over the declarations of another file and returns the faults of
 // paths that are declared in both.
-func (s Set) add(other Set) []error {
-	faults := []error{}
+func (s Set) add(other Set) []*inspector.FaultError {
+	faults := []*inspector.FaultError{}
 	for _, d := range other.sorted() {
 		if first, known := s[d.Path.Text]; known {
-			faults = append(faults, &FaultError{
+			faults = append(faults, &inspector.FaultError{
 				File: d.File, Line: d.Line, Key: d.Path.Text, Message: fmt.Sprintf("declared at %s:%d too", first.File, first.Line),
 			})
 			continue
@@ -115,18 +96,23 @@
 }
 
 // Parse checks declarations, an object from path to value in JSON with comments,
-// that came from file.
+// that came from file. The error is inspector.ErrInvalid.
 func Parse(file string, text []byte) (Set, error) {
+	set, faults := parse(file, text)
+	return set, inspector.Join(faults)
+}
+
+func parse(file string, text []byte) (Set, []*inspector.FaultError) {
 	doc := inspector.InspectMap(text, typeAt)
-	faults := make([]error, 0, len(doc.Faults))
-	for _, f := range doc.Faults {
-		faults = append(faults, &FaultError{File: file, Line: f.Line, Key: f.Key, Message: f.Message})
+	faults := doc.Faults
+	for _, f := range faults {
+		f.File = file
 	}
+	set := Set{}
 	var values map[string]json.RawMessage
-	if len(doc.Standard) > 0 && json.Unmarshal(doc.Standard, &values) != nil {
-		return nil, errors.Join(faults...)
+	if json.Unmarshal(doc.Standard, &values) != nil {
+		return set, faults // not an object, which is a fault already
 	}
-	set := Set{}
 	for text, value := range values {
 		d := Declaration{Value: value, File: file, Line: doc.Line(text)}
 		var err error
@@ -135,13 +121,12 @@
 			err = configurer.CheckValue(d.Path, value)
 		}
 		if err != nil {
-			faults = append(faults, &FaultError{File: file, Line: d.Line, Key: text, Message: err.Error()})
+			faults = append(faults, &inspector.FaultError{File: file, Line: d.Line, Key: text, Message: err.Error()})
 			continue
 		}
 		set[text] = d
 	}
-	slices.SortFunc(faults, func(a, b error) int { return strings.Compare(a.Error(), b.Error()) })
-	return set, errors.Join(faults...)
+	return set, faults
 }
 
 // isBroken reports whether a fault is in the value of a path, so that it is not
--- a/internal/wire/inspector/inspector.go
+++ b/internal/wire/inspector/inspector.go
@@ -5,9 +5,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -17,15 +19,21 @@
 // ErrInvalid tells that a text does not fit its type.
 var ErrInvalid = errors.New("invalid JSON")
 
-// FaultError is one fault with its place. Key is a path of keys with dots, "-"
-// for the document as a whole.
+// FaultError is one fault with its place. File is empty for a text that came from
+// no file; Key is a path of keys with dots, "-" for the document as a whole.
 type FaultError struct {
+	File    string
 	Line    int
 	Key     string
 	Message string
 }
 
-func (e *FaultError) Error() string { return fmt.Sprintf("%s: %s", e.Key, e.Message) }
+func (e *FaultError) Error() string {
+	if e.File == "" {
+		return e.Key + ": " + e.Message
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Key, e.Message)
+}
 
 // Is reports whether target is ErrInvalid.
 func (e *FaultError) Is(target error) bool { return target == ErrInvalid }
@@ -55,11 +63,19 @@
 
 // Err returns all faults joined, or nil.
 func (d *Document) Err() error {
-	faults := make([]error, 0, len(d.Faults))
-	for _, f := range d.Faults {
-		faults = append(faults, f)
+	return Join(d.Faults)
+}
+
+// Join joins faults in the order of their lines, or returns nil if there are none.
+func Join(faults []*FaultError) error {
+	slices.SortStableFunc(faults, func(a, b *FaultError) int {
+		return cmp.Or(strings.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), strings.Compare(a.Key, b.Key))
+	})
+	list := make([]error, 0, len(faults))
+	for _, f := range faults {
+		list = append(list, f)
 	}
-	return errors.Join(faults...)
+	return errors.Join(list...)
 }
 
 // Decode decodes plain JSON into out, a pointer. The error holds all faults.
