--- a/internal/control/configurer/history_test.go
+++ b/internal/control/configurer/history_test.go
@@ -29,44 +29,53 @@
 	unknown
 )
 
-// access is one read (an empty value) or conditional write of a path.
-type access struct {
-	path    string
+const pathCount = 2
+
+// register is the state of one path, and registers that of the tree.
+type register struct {
 	version int64
 	value   string
 }
 
-// seen is what an access returned.
-type seen struct {
-	outcome outcome
-	version int64
-	value   string
+type registers [pathCount]register
+
+// access is a read of the tree, or a conditional write of the paths that have a
+// value.
+type access struct {
+	versions [pathCount]int64
+	values   [pathCount]string
 }
 
-// register is the state of a path.
-type register struct {
+func (a access) isRead() bool { return a.values == [pathCount]string{} }
+
+// seen is what an access returned: the tree for a read, the path and its version
+// for a conflict.
+type seen struct {
+	outcome outcome
+	tree    registers
+	path    int
 	version int64
-	value   string
 }
 
-// stepRegister says whether an access may have returned what was seen. One with
-// an unknown outcome may have taken effect or not.
-func stepRegister(state, input, output any) []any {
-	r, in, out := state.(register), input.(access), output.(seen)
-	written := register{version: r.version + 1, value: in.value}
+// step says whether an access may have returned what was seen. One with an
+// unknown outcome may have taken effect or not.
+func step(state, input, output any) []any {
+	r, in, out := state.(registers), input.(access), output.(seen)
+	written, holds := write(r, in)
+	isConflict := in.values[out.path] != "" && in.versions[out.path] != r[out.path].version && out.version == r[out.path].version
 	switch {
-	case in.value == "":
-		if out.outcome == accepted && (out.version != r.version || out.value != r.value) {
+	case out.outcome == undone:
+		return []any{r}
+	case in.isRead():
+		if out.tree != r {
 			return nil
 		}
 		return []any{r}
-	case out.outcome == undone:
-		return []any{r}
-	case out.outcome == conflicted && in.version != r.version && out.version == r.version:
+	case out.outcome == conflicted && isConflict:
 		return []any{r}
-	case out.outcome == accepted && in.version == r.version:
+	case out.outcome == accepted && holds:
 		return []any{written}
-	case out.outcome == unknown && in.version == r.version:
+	case out.outcome == unknown && holds:
 		return []any{r, written}
 	case out.outcome == unknown:
 		return []any{r}
@@ -74,27 +83,28 @@
 	return nil
 }
 
-var registers = porcupine.NondeterministicModel{
-	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-		byPath := map[string][]porcupine.Operation{}
-		for _, op := range history {
-			path := op.Input.(access).path
-			byPath[path] = append(byPath[path], op)
+// write returns the tree after a write and whether its conditions hold.
+func write(r registers, in access) (written registers, holds bool) {
+	for i, value := range in.values {
+		if value == "" {
+			continue
 		}
-		parts := [][]porcupine.Operation{}
-		for _, part := range byPath {
-			parts = append(parts, part)
+		if in.versions[i] != r[i].version {
+			return r, false
 		}
-		return parts
-	},
-	Init:  func() []any { return []any{register{}} },
-	Step:  stepRegister,
+		r[i] = register{version: r[i].version + 1, value: value}
+	}
+	return r, true
+}
+
+var treeModel = porcupine.NondeterministicModel{
+	Init:  func() []any { return []any{registers{}} },
+	Step:  step,
 	Equal: func(a, b any) bool { return a == b },
 }
 
 func isLinearizable(history []porcupine.Operation) bool {
-	model := registers.ToModel()
-	return porcupine.CheckOperations(model, history)
+	return porcupine.CheckOperations(treeModel.ToModel(), history)
 }
 
 // client accesses the settings through one configurer and notes what it saw.
@@ -109,45 +119,60 @@
 
 const undonePause = 5 * time.Millisecond
 
-func (c *client) run(paths, accesses int) {
-	versions := map[string]int64{}
+// run makes accesses: reads, and writes of one path or of all.
+func (c *client) run(accesses int) {
+	var known registers
 	for i := range accesses {
-		in := access{path: fmt.Sprintf("/platform/models/m%d", c.rng.IntN(paths))}
-		if c.rng.IntN(3) > 0 {
-			in.version = versions[in.path]
-			in.value = fmt.Sprintf(`{"Version":"v%d","Bytes":%d,"Copies":1,"MaximumCopies":0}`, c.id, i+1)
+		in := access{}
+		for p := range pathCount {
+			in.versions[p] = known[p].version
+		}
+		value := fmt.Sprintf(`{"Version":"v%d","Bytes":%d,"Copies":1,"MaximumCopies":0}`, c.id, i+1)
+		switch kind := c.rng.IntN(pathCount + 2); {
+		case kind < pathCount:
+			in.values[kind] = value
+		case kind == pathCount:
+			in.values = [pathCount]string{value, value}
 		}
 		call := time.Since(c.started).Nanoseconds()
 		out := c.access(in, fmt.Sprintf("op-%d-%d", c.id, i))
-		if out.outcome == undone {
-			time.Sleep(undonePause)
-		} else {
-			versions[in.path] = out.version
-		}
-		c.counts[out.outcome]++
 		end := time.Since(c.started).Nanoseconds()
-		if out.outcome == unknown {
+		c.counts[out.outcome]++
+		switch {
+		case out.outcome == undone:
+			time.Sleep(undonePause)
+		case out.outcome == unknown:
 			end = time.Hour.Nanoseconds() // it may take effect at any later time
+		case out.outcome == conflicted:
+			known[out.path].version = out.version
+		case in.isRead():
+			known = out.tree
+		default:
+			known, _ = write(known, in)
 		}
 		c.history = append(c.history, porcupine.Operation{ClientId: c.id, Input: in, Call: call, Output: out, Return: end})
 	}
 }
 
+func pathOf(i int) string { return fmt.Sprintf("/platform/models/m%d", i) }
+
 func (c *client) access(in access, id string) seen {
-	if in.value == "" {
-		if c.configurer.Poll() != nil {
-			return seen{outcome: undone}
+	if in.isRead() {
+		return c.read()
+	}
+	req := messenger.ChangeRequest{OperationID: id}
+	for i, value := range in.values {
+		if value != "" {
+			req.Changes = append(req.Changes, messenger.SettingChange{Path: pathOf(i), Version: in.versions[i], Value: json.RawMessage(value)})
 		}
-		known, _ := c.configurer.tree.snapshot()
-		return seen{version: known.version(in.path), value: string(known[in.path].Value)}
 	}
-	_, err := c.configurer.Change(request(id, messenger.SettingChange{Path: in.path, Version: in.version, Value: json.RawMessage(in.value)}))
+	_, err := c.configurer.Change(req)
 	var conflict *ConflictError
 	switch {
 	case err == nil:
-		return seen{outcome: accepted, version: in.version + 1}
+		return seen{outcome: accepted}
 	case errors.As(err, &conflict):
-		return seen{outcome: conflicted, version: conflict.Version}
+		return seen{outcome: conflicted, path: int(conflict.Path[len(conflict.Path)-1] - '0'), version: conflict.Version}
 	case errors.Is(err, ErrUnknownOutcome):
 		return seen{outcome: unknown}
 	default:
@@ -155,6 +180,18 @@
 	}
 }
 
+func (c *client) read() seen {
+	if c.configurer.Poll() != nil {
+		return seen{outcome: undone}
+	}
+	known, _ := c.configurer.tree.snapshot()
+	out := seen{}
+	for i := range pathCount {
+		out.tree[i] = register{version: known.version(pathOf(i)), value: string(known[pathOf(i)].Value)}
+	}
+	return out
+}
+
 // disturb makes the store fail in ways that change until stop is closed.
 func disturb(platform *platformer.Platform, rng *rand.Rand, stop <-chan struct{}) {
 	const faultTime = 15 * time.Millisecond
@@ -175,7 +212,6 @@
 	const (
 		clients  = 4
 		accesses = 60
-		paths    = 2
 	)
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -193,7 +229,7 @@
 				tables := transactor.New("http://"+ln.Addr().String(), poster.New())
 				c := &client{id: i, configurer: New(tables, NewTree()), rng: rand.New(rand.NewPCG(seed, uint64(i+1))), started: started}
 				list = append(list, c)
-				group.Go(func() { c.run(paths, accesses) })
+				group.Go(func() { c.run(accesses) })
 			}
 			group.Wait()
 			close(stop)
@@ -217,20 +253,28 @@
 
 // TestHistoryChecker shows the checker bad histories.
 func TestHistoryChecker(t *testing.T) {
-	write := func(version int64, value string, out seen, call, end int64) porcupine.Operation {
-		return porcupine.Operation{Input: access{path: "p", version: version, value: value}, Output: out, Call: call, Return: end}
+	at := int64(0)
+	op := func(in access, out seen) porcupine.Operation {
+		at += 2
+		return porcupine.Operation{Input: in, Output: out, Call: at, Return: at + 1}
 	}
-	read := func(version int64, value string, call, end int64) porcupine.Operation {
-		return porcupine.Operation{Input: access{path: "p"}, Output: seen{version: version, value: value}, Call: call, Return: end}
+	set := func(version int64, values ...string) access {
+		in := access{versions: [pathCount]int64{version, version}}
+		copy(in.values[:], values)
+		return in
 	}
+	read := func(tree registers) porcupine.Operation { return op(access{}, seen{tree: tree}) }
+	a, b := register{1, "a"}, register{2, "b"}
 	for name, history := range map[string][]porcupine.Operation{
-		"lost update": {write(0, "a", seen{}, 0, 1), write(0, "b", seen{}, 2, 3)},
-		"reverted":    {write(0, "a", seen{}, 0, 1), write(1, "b", seen{}, 2, 3), read(1, "a", 4, 5)},
-		"called undone after it took effect": {
-			write(0, "a", seen{outcome: undone}, 0, 1), read(1, "a", 2, 3),
-		},
+		"lost update":                        {op(set(0, "a"), seen{}), op(set(0, "b"), seen{})},
+		"reverted":                           {op(set(0, "a"), seen{}), op(set(1, "b"), seen{}), read(registers{a})},
+		"called undone after it took effect": {op(set(0, "a"), seen{outcome: undone}), read(registers{a})},
+		"half of a change":                   {op(set(0, "a", "a"), seen{}), read(registers{a})},
+		"conflict without cause":             {op(set(0, "a"), seen{outcome: conflicted})},
 	} {
 		t.Run(name, func(t *testing.T) { assert.False(t, isLinearizable(history)) })
 	}
-	assert.True(t, isLinearizable([]porcupine.Operation{write(0, "a", seen{outcome: unknown}, 0, 9), read(0, "", 1, 2), read(1, "a", 3, 4)}))
+	late := op(set(0, "a"), seen{outcome: unknown})
+	late.Return = time.Hour.Nanoseconds()
+	assert.True(t, isLinearizable([]porcupine.Operation{late, read(registers{}), read(registers{a}), op(set(1, "b"), seen{}), read(registers{b})}))
 }
