--- a/internal/control/configurer/configurer_test.go
+++ b/internal/control/configurer/configurer_test.go
@@ -162,6 +162,18 @@
 		}
 		assert.Equal(t, int64(1), mustChange(t, a, "one", model("oak", 0, 1)))
 	})
+	t.Run("a deleted path is not set and can be set again", func(t *testing.T) {
+		s := newStore()
+		a, b := s.configurer(), s.configurer()
+		mustChange(t, a, "set", model("oak", 0, 1))
+		mustChange(t, a, "delete", messenger.SettingChange{Path: "/platform/models/oak", Version: 1, Delete: true})
+		require.NoError(t, b.Poll())
+		assert.Empty(t, b.tree.Below("/").Entries)
+		assert.Empty(t, b.tree.Catalog().Models)
+		mustChange(t, b, "again", model("oak", 0, 2))
+		require.NoError(t, a.Poll())
+		assert.Equal(t, int64(2), a.tree.Catalog().Models["oak"].Bytes)
+	})
 	t.Run("an operation ID names one change only", func(t *testing.T) {
 		s := newStore()
 		c := s.configurer()
