Wait in tests until a frozen process has stopped

A frozen instance would have held the exchange up for 1 s, so it had not stopped yet; the lag of the stop itself was not measured. What they assert is unchanged. Conclusion: a fault of the test.

--- a/test/settings_test.go
+++ b/test/settings_test.go
@@ -5,6 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -70,6 +74,24 @@
 	}
 }
 
+// freeze stops a process and waits until each of its threads has stopped: the
+// signal is sent before that.
+func (p *process) freeze(t *testing.T) {
+	t.Helper()
+	p.signal(t, syscall.SIGSTOP)
+	require.Eventually(t, func() bool {
+		files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.command.Process.Pid))
+		return err == nil && len(files) > 0 && !slices.ContainsFunc(files, isRunning)
+	}, inForce, time.Millisecond)
+}
+
+// isRunning reports whether the thread of a stat file has not stopped.
+func isRunning(file string) bool {
+	text, err := os.ReadFile(file)
+	_, state, found := strings.Cut(string(text), ") ")
+	return err != nil || !found || !strings.HasPrefix(state, "T")
+}
+
 // TestSettingsUnderFailure changes settings while the table service and
 // instances fail.
 func TestSettingsUnderFailure(t *testing.T) {
@@ -93,7 +115,7 @@
 	})
 	t.Run("an instance is frozen", func(t *testing.T) {
 		frozen := c.entries[3]
-		frozen.signal(t, syscall.SIGSTOP)
+		frozen.freeze(t)
 		status, answer := c.change(c.entries[0], "bay")
 		frozen.signal(t, syscall.SIGCONT)
 		require.Equal(t, http.StatusOK, status)
@@ -139,7 +161,7 @@
 	cut := c.entries[0]
 	around := append([]*process{c.platform}, c.entries[1:]...)
 	for _, p := range around {
-		p.signal(t, syscall.SIGSTOP)
+		p.freeze(t)
 	}
 	time.Sleep(inForce)
 	r := c.chat(cut, "oak", "cut off", nil)
