--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -17,7 +17,8 @@
 // announcement. Copies that are sent at the same time before the first crash are
 // not yet suspects and may each crash one target. A suspect that shares its
 // target with a request of another instance that crashes targets for the first
-// time is blamed in its stead.
+// time is blamed in its stead, and one that is on two targets that crash for
+// other reasons is convicted as well.
 package quarantiner
 
 import (
