Run a keyed request again that failed and may be repeated

Cause: the outcome 'unknown' was recorded for every keyed request, so that the same answer came back until the key expired, also where a repeat does no harm.

Excluded: doing so for requests that may not be repeated. A reader in the middle of the first run is told that its answer is not kept, and never gets the second.

Also: tests of whole systems run in parallel.

--- a/internal/edge/listener/chat.go
+++ b/internal/edge/listener/chat.go
@@ -202,7 +202,7 @@
 		}
 		entry.Append(part)
 	}
-	entry.End()
+	entry.Fail(mayRepeat(body.failure))
 	l.observe(a, c.name.Model, body.first, body.failure)
 }
 
--- a/internal/edge/listener/crash_test.go
+++ b/internal/edge/listener/crash_test.go
@@ -36,6 +36,7 @@
 // TestACrashingRequestLosesTwoTargets sends a request that crashes its targets
 // again and again, at one instance after the other, while others run.
 func TestACrashingRequestLosesTwoTargets(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, assembler.WithNodes(4), assembler.WithEngines(5, engineer.WithTokenInterval(5*time.Millisecond)))
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
@@ -78,6 +79,7 @@
 
 // TestACutConnectionIsNoCrash cuts the connections of one request at each target.
 func TestACutConnectionIsNoCrash(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, assembler.WithNodes(2), assembler.WithEngines(3))
 	for _, e := range s.Engines[:2] {
 		e.SetFault(engineer.Fault{ReadAndClose: 1})
--- a/internal/edge/listener/keyed.go
+++ b/internal/edge/listener/keyed.go
@@ -101,7 +101,7 @@
 
 // record notes in an entry how its request ended before its answer began.
 func record(entry *deduper.Entry, err error) {
-	if !errors.Is(err, dispatcher.ErrUnknown) {
+	if !errors.Is(err, dispatcher.ErrUnknown) || mayRepeat(err) {
 		entry.Refuse(err)
 		return
 	}
--- a/internal/edge/listener/keyed_test.go
+++ b/internal/edge/listener/keyed_test.go
@@ -21,6 +21,7 @@
 )
 
 func TestKeyedRequestsRunOnce(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, assembler.WithEngines(0), assembler.WithNodes(3), assembler.WithServices(2))
 	first, second, third := s.Nodes[0], s.Nodes[1], s.Nodes[2]
 	order := func(ctx context.Context, address, key, text string) historian.Send {
@@ -82,6 +83,17 @@
 		assert.True(t, order(ctx, second.Address, key, "parcel").Ended, "the key can still be used")
 		assert.Equal(t, 1, s.starts(key))
 	})
+	t.Run("a request that may be repeated runs again after it failed", func(t *testing.T) {
+		for _, service := range s.Services {
+			service.DropAnswers(1)
+		}
+		key := s.issueKey(first.Address)
+		note := historian.Order{Service: "notes", Path: "/note", Text: "parcel", Key: key, Repeatable: true}
+		r := s.caller.Order(ctx, second.Address, note)
+		assert.Equal(t, "OutcomeUnknown", r.Code)
+		assert.True(t, r.RetryAfter)
+		assert.True(t, s.caller.Order(ctx, second.Address, note).Ended)
+	})
 	t.Run("the caller leaves", func(t *testing.T) {
 		key := s.issueKey(first.Address)
 		gone, cancel := context.WithCancel(ctx)
@@ -119,6 +131,7 @@
 }
 
 func TestServicePathsGoOutAsWrittenOrNotAtAll(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, assembler.WithEngines(0), assembler.WithNodes(2), assembler.WithServices(1))
 	get := func(node *assembler.Node, target, key string) int {
 		conn, err := net.Dial("tcp", node.Address)
@@ -162,6 +175,7 @@
 }
 
 func TestAnAnswerThatCannotBeCompletedDoesNotEnd(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, assembler.WithNodes(2), assembler.WithEngines(1, engineer.WithTokenInterval(10*time.Millisecond)))
 	home, relay := s.Nodes[1], s.Nodes[0]
 	body := `{"model":"oak","stream":true,"max_tokens":1000,"messages":[{"role":"user","content":"long"}]}`
@@ -182,6 +196,7 @@
 }
 
 func TestARequestWhoseCallerLeftIsCancelledAtTheEngine(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, assembler.WithNodes(1), assembler.WithEngines(1, engineer.WithTokenInterval(10*time.Millisecond)))
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
--- a/internal/edge/listener/refusal.go
+++ b/internal/edge/listener/refusal.go
@@ -164,8 +164,7 @@
 				Code: c.code, Message: err.Error(), RetryAfterMilliseconds: c.retry.Milliseconds(),
 				NotRun: c.notRun && !errors.Is(err, dispatcher.ErrUnknown),
 			}
-			var failure *dispatcher.FailureError
-			if errors.As(err, &failure) && failure.Ran && failure.Repeatable && !isFinal(err) {
+			if mayRepeat(err) {
 				refusal.RetryAfterMilliseconds = retryUnavailable.Milliseconds()
 			}
 			return c.status, refusal
@@ -174,7 +173,9 @@
 	return fasthttp.StatusInternalServerError, messenger.Refusal{Code: CodeOutcomeUnknown, Message: err.Error()}
 }
 
-// isFinal reports whether a later send of the request would end the same way.
-func isFinal(err error) bool {
-	return errors.Is(err, quarantiner.ErrConvicted)
+// mayRepeat reports whether a request that may have run may be sent again, and
+// may then end in another way.
+func mayRepeat(err error) bool {
+	var failure *dispatcher.FailureError
+	return errors.As(err, &failure) && failure.Ran && failure.Repeatable && !errors.Is(err, quarantiner.ErrConvicted)
 }
--- a/internal/fake/historian/caller.go
+++ b/internal/fake/historian/caller.go
@@ -73,11 +73,14 @@
 	Path    string // with the query
 	Text    string
 	Key     string
+	// Repeatable tells that the service may run the request more than once.
+	Repeatable bool
 }
 
 // Order sends a request to the instance at address and returns its record.
 func (c *Caller) Order(ctx context.Context, address string, order Order) Send {
 	s := c.begin(order.Key, order.Text)
+	s.Repeatable = order.Repeatable
 	path, _, _ := strings.Cut(order.Path, "?")
 	s.Want = []string{"ran " + path + "\n" + order.Text}
 	c.send(ctx, "http://"+address+"/v1/services/"+order.Service+order.Path, order.Text, &s, func(answer io.Reader) {
--- a/internal/request/deduper/deduper.go
+++ b/internal/request/deduper/deduper.go
@@ -177,7 +177,11 @@
 		if e.content != content {
 			return nil, false, ErrReused
 		}
-		return e, e.restart(), nil
+		mine := e.restart()
+		if mine {
+			t.budget.release(e) // of the run before
+		}
+		return e, mine, nil
 	}
 	if !now.Before(key.Deadline) || !key.Deadline.After(t.pruned) {
 		return nil, false, ErrExpired
--- a/internal/request/deduper/deduper_test.go
+++ b/internal/request/deduper/deduper_test.go
@@ -111,6 +111,36 @@
 	})
 }
 
+func TestAFailedAnswerThatMayBeRepeatedRunsAgain(t *testing.T) {
+	table := deduper.New()
+	begin := func() (*deduper.Entry, bool) {
+		entry, mine, err := table.Begin("team", parse(t, ownKey(start, 1)), body, start)
+		require.NoError(t, err)
+		return entry, mine
+	}
+	soon := time.Now().Add(time.Second)
+	entry, _ := begin()
+	entry.Begin(deduper.Head{Status: 200})
+	entry.Append([]byte("par"))
+	slow := entry.Reader()
+	_, err := slow.Next(soon)
+	require.NoError(t, err)
+	entry.Fail(true)
+	entry, mine := begin()
+	require.True(t, mine)
+	_, err = slow.Next(soon)
+	assert.ErrorIs(t, err, deduper.ErrNotKept, "a reader of the first run does not get the second one")
+	entry.Answer(deduper.Head{Status: 200}, []byte("whole"))
+	text, err := read(t, entry)
+	assert.NoError(t, err)
+	assert.Equal(t, "whole", text)
+	_, mine = begin()
+	assert.False(t, mine)
+	entry.Fail(false)
+	_, mine = begin()
+	assert.False(t, mine)
+}
+
 func read(t require.TestingT, entry *deduper.Entry) (string, error) {
 	reader := entry.Reader()
 	soon := time.Now().Add(time.Second)
--- a/internal/request/deduper/entry.go
+++ b/internal/request/deduper/entry.go
@@ -41,6 +41,10 @@
 	body    []byte
 	ended   bool
 	dropped bool
+	// repeatable tells that the request failed and may run again; generation
+	// counts its runs.
+	repeatable bool
+	generation int
 	// notRun holds the refusal of a request that was not run; a further send
 	// may start it again.
 	notRun  error
@@ -108,6 +112,13 @@
 	})
 }
 
+// Fail records that the answer ends unfinished, and whether a further send may
+// run the request again.
+func (e *Entry) Fail(repeatable bool) {
+	e.change(func() { e.repeatable = repeatable })
+	e.End()
+}
+
 // Refuse records that the request was not run, for the reason err.
 func (e *Entry) Refuse(err error) {
 	e.change(func() {
@@ -124,13 +135,21 @@
 	e.changed = make(chan struct{})
 }
 
-// restart makes an entry whose request was not run ready to be run again.
+// restart makes an entry whose request was not run, or may run again, ready to
+// be run again.
 func (e *Entry) restart() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.notRun == nil {
+	if e.notRun == nil && !e.repeatable {
 		return false
 	}
+	if e.repeatable {
+		e.generation++
+		e.begun = false
+		e.body = nil
+		e.dropped = false
+		e.repeatable = false
+	}
 	e.notRun = nil
 	e.ended = false
 	return true
@@ -144,13 +163,16 @@
 
 // Reader reads the record of an entry from its start.
 type Reader struct {
-	entry *Entry
-	read  int
+	entry      *Entry
+	generation int
+	read       int
 }
 
 // Reader returns a reader at the start of the record.
 func (e *Entry) Reader() *Reader {
-	return &Reader{entry: e}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return &Reader{entry: e, generation: e.generation}
 }
 
 // Head waits for the head of the answer until deadline. The error is the refusal
@@ -159,7 +181,8 @@
 	e := r.entry
 	for {
 		e.mu.Lock()
-		head, begun, dropped, refusal, changed := e.head, e.begun, e.dropped, e.notRun, e.changed
+		head, begun, refusal, changed := e.head, e.begun, e.notRun, e.changed
+		dropped := e.dropped || e.generation != r.generation
 		e.mu.Unlock()
 		if refusal != nil {
 			return Head{}, refusal
@@ -182,7 +205,7 @@
 	e := r.entry
 	for {
 		e.mu.Lock()
-		if e.dropped {
+		if e.dropped || e.generation != r.generation {
 			e.mu.Unlock()
 			return nil, ErrNotKept
 		}
