Lend parts of team limits between instances by deadline

Cause: each instance spent 1/N of each limit by its own list. A team whose callers use one instance had a quarter of its limit, and instances that disagree on N together exceeded it.

internal/peer/lender: a roster in the table service, written by the lease holder under its fence when instances come or go, names the owners of equal parts. Owners lend what their demand leaves, for 1 s, in the answers to heartbeats; deadlines at the borrower count from before its request. An owner uses its part only while the table service or most members vouch that no later roster is known; parts grow once those who go by the roster before cannot vouch for each other. Demand moves shares without the table service. Buckets are filled at the smaller part of two moments, and start empty in a new incarnation, so that no tokens are minted.

Excluded: lending by the lease holder alone (no lender in a long outage of the table service), 1/N by the list (exceeds when lists differ).

A limit smaller than the number of instances counts as that number, as before.

--- a/internal/node/runner/heartbeat.go
+++ b/internal/node/runner/heartbeat.go
@@ -16,8 +16,9 @@
 		StartedAtMilliseconds: n.startedAt.UnixMilli(), Sequence: n.sequence.Add(1),
 		DataCentre: n.settings.DataCentre, Revision: n.tree.Revision(), Leaving: n.leaving.Load(),
 		InFlight: n.listener.InFlight(), Holder: holder.Holder, Fence: holder.Fence,
-		Demands: []messenger.Demand{}, Shares: []messenger.Share{}, Verdicts: []messenger.Verdict{},
+		Demands: []messenger.Demand{}, Wants: n.wants(), Verdicts: []messenger.Verdict{},
 		LeavingTargets: leavingTargets(n.fleet.View()), Peers: n.peerNews(now),
+		RosterNumber: n.sharer.lender.Roster().Number, RosterAcked: n.sharer.lender.Acked(now),
 	}
 	hb.StoreAgeMilliseconds = n.settingsAge(now)
 	for model, rate := range *n.rates.Load() {
@@ -50,7 +51,8 @@
 }
 
 // answered takes the answer of a peer to a heartbeat that was sent at sentAt.
-func (n *Node) answered(hb messenger.Heartbeat, sentAt time.Time) {
-	n.confirm(hb, sentAt)
-	n.drain.hear(n.now(), n.home.Instance, hb)
+func (n *Node) answered(answer messenger.HeartbeatAnswer, sentAt time.Time) {
+	n.confirm(answer.Heartbeat, sentAt)
+	n.drain.hear(n.now(), n.home.Instance, answer.Heartbeat)
+	n.borrow(answer, sentAt)
 }
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -23,6 +23,7 @@
 	"github.com/crocusring/crocusring/internal/edge/transactor"
 	"github.com/crocusring/crocusring/internal/node/loader"
 	"github.com/crocusring/crocusring/internal/peer/exchanger"
+	"github.com/crocusring/crocusring/internal/peer/lender"
 	"github.com/crocusring/crocusring/internal/request/admitter"
 	"github.com/crocusring/crocusring/internal/request/deduper"
 	"github.com/crocusring/crocusring/internal/request/dispatcher"
@@ -73,6 +74,8 @@
 	leaving   atomic.Bool
 	drained   atomic.Bool
 	drain     *drain
+	sharer    sharer
+	needs     atomic.Pointer[lender.Parts]
 	killed    context.Context
 	kill      context.CancelFunc
 	arbiter   *arbiter.Arbiter
@@ -93,11 +96,11 @@
 		fleet:     keeper.NewFleet(),
 		tree:      configurer.NewTree(),
 		arbiter:   arbiter.New(),
-		admitter:  admitter.New(),
 		keys:      deduper.New(),
 		measurer:  measurer.New(time.Now()),
 	}
 	n.rates.Store(&map[string]float64{})
+	n.needs.Store(&lender.Parts{})
 	n.killed, n.kill = context.WithCancel(context.Background())
 	client := poster.New()
 	tables := transactor.New(settings.Platform, client)
@@ -109,12 +112,15 @@
 	n.orderer = orderer.New(tables, engines, n.fleet, n.tree.Catalog, n.totalRates, policyOf(settings.Policy))
 	n.watcher = watcher.New(lister.New(settings.Platform, client), engines, n.fleet)
 	n.dispatcher = dispatcher.New(n.fleet, n.quarantiner, settings.DataCentre)
+	n.sharer = sharer{tables: tables, lender: lender.New(n.member())}
+	n.admitter = admitter.New(admitter.WithShare(n.sharer.lender.Share))
 	n.exchanger = exchanger.New(client, settings.PeerCredential, settings.Instance, n.fleet, exchanger.Seams{
 		Compose:     n.heartbeat,
 		Merge:       func(s messenger.SettingsSince) { n.tree.Merge(s) },
 		Revision:    n.tree.Revision,
 		HearTargets: n.watcher.Hear,
 		Answered:    n.answered,
+		Lend:        n.lend,
 	})
 	n.listener = listener.New(n.parts())
 	return n
@@ -179,6 +185,8 @@
 		{"lease", leaseEvery, n.tickLease},
 		{"orders", orderEvery, n.tickOrders},
 		{"rates", rateEvery, n.tickRates},
+		{"shares", shareEvery, n.tickShares},
+		{"roster", rosterEvery, n.tickRoster},
 		{"prune", pruneEvery, func() error { n.keys.Prune(n.now()); return nil }},
 		{"claims", pruneEvery, n.pruneClaims},
 	}
@@ -241,7 +249,6 @@
 func (n *Node) tickRates() error {
 	rates := n.measurer.Rates(n.now())
 	n.rates.Store(&rates)
-	n.admitter.SetShare(1 / float64(max(1, len(n.fleet.View().Instances))))
 	return nil
 }
 
--- /dev/null
+++ b/internal/node/runner/shares.go
@@ -0,0 +1,187 @@
+package runner
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/crocusring/crocusring/internal/edge/transactor"
+	"github.com/crocusring/crocusring/internal/peer/detector"
+	"github.com/crocusring/crocusring/internal/peer/lender"
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+)
+
+const (
+	shareEvery  = 100 * time.Millisecond
+	rosterEvery = time.Second
+	rosterTable = "shares"
+	rosterKey   = "roster"
+	// rosterGrace is how long a member is suspected before it loses its part.
+	rosterGrace = 1500 * time.Millisecond
+	// leastPart is the part of a limit that an owner keeps without any demand, so
+	// that it need not refuse the first requests of a team.
+	leastPart = 0.01
+)
+
+// sharer keeps this instance's part of the limits.
+type sharer struct {
+	tables *transactor.Client
+	lender *lender.Lender
+}
+
+func (n *Node) member() lender.Member {
+	return lender.Member{Instance: n.home.Instance, Incarnation: n.home.Incarnation}
+}
+
+// tickShares measures the demand of teams.
+func (n *Node) tickShares() error {
+	if n.tree.Revision() == 0 {
+		return nil
+	}
+	needs := lender.Parts(n.admitter.Tick(n.now(), n.tree.Catalog().Teams))
+	n.needs.Store(&needs)
+	return nil
+}
+
+// tickRoster follows the roster in the table service; the lease holder changes it
+// when the instances that are alive have changed.
+func (n *Node) tickRoster() error {
+	sentAt := n.now()
+	row, err := n.sharer.tables.Get(rosterTable, rosterKey)
+	if err != nil {
+		return err
+	}
+	var roster lender.Roster
+	if row.Version > 0 {
+		if err := json.Unmarshal(row.Value, &roster); err != nil {
+			return errors.Wrap(err, "roster row")
+		}
+	}
+	now := n.now()
+	n.sharer.lender.Adopt(now, roster)
+	n.sharer.lender.Read(sentAt, roster.Number)
+	n.lapseMembers(now)
+	grant, held := n.leaser.Held(now)
+	next, due := n.sharer.lender.Next(now, n.members(now))
+	if !held || !due || next.Number != roster.Number+1 {
+		return nil
+	}
+	return n.writeRoster(next, []messenger.Condition{
+		grant.FenceCondition, {Table: rosterTable, Key: rosterKey, Version: row.Version},
+	})
+}
+
+// writeRoster writes a roster. It is taken over when it is read, since the answer
+// to the write may be lost.
+func (n *Node) writeRoster(roster lender.Roster, conditions []messenger.Condition) error {
+	value, err := json.Marshal(roster)
+	if err != nil {
+		return errors.Wrap(err, "encode roster")
+	}
+	n.log.Info("roster changes", "number", roster.Number, "members", len(roster.Members))
+	return n.sharer.tables.Transact(messenger.TransactRequest{
+		Conditions: conditions,
+		Writes:     []messenger.Write{{Table: rosterTable, Key: rosterKey, Value: value}},
+	})
+}
+
+// members returns the instances that may own parts: those that are heard and stay.
+func (n *Node) members(now time.Time) []lender.Member {
+	list := []lender.Member{}
+	if !n.leaving.Load() {
+		list = append(list, n.member())
+	}
+	for id, in := range n.fleet.View().Instances {
+		isAlive := detector.Judge(now.Add(-rosterGrace), in) == detector.Alive
+		if id != n.home.Instance && in.Incarnation != "" && !in.Leaving && isAlive {
+			list = append(list, lender.Member{Instance: id, Incarnation: in.Incarnation})
+		}
+	}
+	return list
+}
+
+// lapseMembers notes which members of the roster before the present one have
+// stopped for good: a later incarnation runs in their place, or the platform no
+// longer lists them and nobody hears them.
+func (n *Node) lapseMembers(now time.Time) {
+	view := n.fleet.View()
+	for _, m := range n.sharer.lender.Roster().Previous {
+		in := view.Instances[m.Instance]
+		isReplaced := in != nil && in.Incarnation != "" && in.Incarnation != m.Incarnation
+		if m.Instance == n.home.Instance {
+			isReplaced = m.Incarnation != n.home.Incarnation
+		}
+		isUnlisted := in == nil || (!in.Listed && detector.Judge(now, in) == detector.Gone)
+		if isReplaced || (isUnlisted && m.Instance != n.home.Instance) {
+			n.sharer.lender.Lapse(now, m)
+		}
+	}
+}
+
+// wants returns the parts that the teams need here.
+func (n *Node) wants() []messenger.Share {
+	return shares(*n.needs.Load())
+}
+
+func shares(parts lender.Parts) []messenger.Share {
+	list := make([]messenger.Share, 0, len(parts))
+	for team, part := range parts {
+		list = append(list, messenger.Share{Team: team, Part: part})
+	}
+	return list
+}
+
+func partsOf(list []messenger.Share) lender.Parts {
+	parts := lender.Parts{}
+	for _, s := range list {
+		if s.Part > 0 {
+			parts[s.Team] = min(s.Part, 1)
+		}
+	}
+	return parts
+}
+
+// wantedByPeers returns what all peers want together, the sender of a heartbeat
+// included.
+func (n *Node) wantedByPeers(now time.Time, hb messenger.Heartbeat) lender.Parts {
+	total := partsOf(hb.Wants)
+	for _, heard := range n.exchanger.Heard(now.Add(-rosterGrace)) {
+		if heard.Heartbeat.Instance == hb.Instance {
+			continue
+		}
+		for _, want := range heard.Heartbeat.Wants {
+			total[want.Team] += want.Part
+		}
+	}
+	return total
+}
+
+// lend returns what this instance lends to the sender of a heartbeat, and its
+// roster if the sender knows only an earlier one.
+func (n *Node) lend(hb messenger.Heartbeat) ([]messenger.Share, []lender.Roster) {
+	now := n.now()
+	asks := map[string]lender.Ask{}
+	needs := lender.Parts{}
+	total := n.wantedByPeers(now, hb)
+	for team, want := range partsOf(hb.Wants) {
+		asks[team] = lender.Ask{Part: want, Weight: want / total[team]}
+		needs[team] = max(leastPart, (*n.needs.Load())[team])
+	}
+	to := lender.Member{Instance: hb.Instance, Incarnation: hb.Incarnation}
+	rosters := []lender.Roster{}
+	if roster := n.sharer.lender.Roster(); roster.Number > hb.RosterNumber {
+		rosters = append(rosters, roster)
+	}
+	return shares(n.sharer.lender.Lend(now, to, asks, needs)), rosters
+}
+
+// borrow takes what a peer answered to a heartbeat that was sent at sentAt.
+func (n *Node) borrow(answer messenger.HeartbeatAnswer, sentAt time.Time) {
+	now := n.now()
+	for _, roster := range answer.Rosters {
+		n.sharer.lender.Adopt(now, roster)
+	}
+	from := lender.Member{Instance: answer.Heartbeat.Instance, Incarnation: answer.Heartbeat.Incarnation}
+	n.sharer.lender.Hear(now, sentAt, from, answer.Heartbeat.RosterAcked, partsOf(answer.Loans))
+}
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -58,7 +58,10 @@
 	// HearTargets takes what a peer says of leaving targets.
 	HearTargets func([]messenger.LeavingTarget)
 	// Answered takes the answer to a heartbeat that was sent at sentAt.
-	Answered func(hb messenger.Heartbeat, sentAt time.Time)
+	Answered func(answer messenger.HeartbeatAnswer, sentAt time.Time)
+	// Lend returns what is lent to the sender of a heartbeat, and the rosters that
+	// it does not know.
+	Lend func(messenger.Heartbeat) ([]messenger.Share, []messenger.Roster)
 }
 
 // New returns an exchanger for instance.
@@ -138,14 +141,15 @@
 		In: x.seams.Compose(), Out: &answer, Deadline: sentAt.Add(callTimeout),
 	})
 	if err == nil && x.Absorb(answer.Heartbeat) {
-		x.seams.Answered(answer.Heartbeat, sentAt)
+		x.seams.Answered(answer, sentAt)
 	}
 }
 
 // Answer takes the heartbeat of a peer and returns that of this instance.
 func (x *Exchanger) Answer(hb messenger.Heartbeat) messenger.HeartbeatAnswer {
 	x.Absorb(hb)
-	return messenger.HeartbeatAnswer{Heartbeat: x.seams.Compose()}
+	loans, rosters := x.seams.Lend(hb)
+	return messenger.HeartbeatAnswer{Heartbeat: x.seams.Compose(), Loans: loans, Rosters: rosters}
 }
 
 // Absorb takes the heartbeat of a peer into the fleet and reports whether it
--- a/internal/peer/exchanger/exchanger_test.go
+++ b/internal/peer/exchanger/exchanger_test.go
@@ -21,7 +21,7 @@
 		Merge:       func(messenger.SettingsSince) {},
 		Revision:    func() int64 { return 3 },
 		HearTargets: func([]messenger.LeavingTarget) {},
-		Answered:    func(messenger.Heartbeat, time.Time) {},
+		Answered:    func(messenger.HeartbeatAnswer, time.Time) {},
 	})
 	x.now = func() time.Time { return clock }
 	return x, &clock
--- /dev/null
+++ b/internal/peer/lender/admission_test.go
@@ -0,0 +1,108 @@
+package lender
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/crocusring/crocusring/internal/request/admitter"
+	"github.com/crocusring/crocusring/internal/state/keeper"
+)
+
+// windowExcess returns by how much admissions exceed rate and burst in the worst
+// window.
+func windowExcess(admitted []time.Time, limit keeper.Limit) float64 {
+	worst := 0.0
+	for i, from := range admitted {
+		for j := i; j < len(admitted); j++ {
+			allowed := limit.RequestsPerSecond*admitted[j].Sub(from).Seconds() + float64(limit.Burst)
+			worst = max(worst, float64(j-i+1)-allowed)
+		}
+	}
+	return worst
+}
+
+func TestWindowExcess(t *testing.T) {
+	limit := keeper.Limit{RequestsPerSecond: 10, Burst: 2}
+	now := time.Unix(1000, 0)
+	assert.Zero(t, windowExcess([]time.Time{now, now, now.Add(100 * time.Millisecond)}, limit))
+	assert.InDelta(t, 1, windowExcess([]time.Time{now, now, now}, limit), 1e-9)
+}
+
+// load is a simulation whose instances admit requests of one team.
+type load struct {
+	*simulation
+	random    *rand.Rand
+	teams     map[string]keeper.Team
+	admitters map[*instance]*admitter.Admitter
+	admitted  []time.Time
+	gone      []Member
+}
+
+const tick = 50 * time.Millisecond
+
+// fail freezes, thaws or replaces an instance now and then.
+func (l *load) fail() {
+	in := l.instances[l.random.IntN(len(l.instances))]
+	switch l.random.IntN(100) {
+	case 0, 1:
+		in.frozen = !in.frozen
+	case 2:
+		in.dead = true
+		l.gone = append(l.gone, in.own)
+		l.add()
+		l.instances = l.instances[1:]
+	}
+}
+
+func (l *load) admit(in *instance, most int) {
+	a := l.admitters[in]
+	if a == nil {
+		a = admitter.New(admitter.WithShare(in.Share))
+		l.admitters[in] = a
+	}
+	in.need = a.Tick(l.now, l.teams)[team]
+	for _, m := range l.gone {
+		in.Lapse(l.now, m)
+	}
+	for range l.random.IntN(most) {
+		if a.Admit(l.now, l.teams[team]) == nil {
+			a.Release(team)
+			l.admitted = append(l.admitted, l.now)
+		}
+	}
+}
+
+// TestAdmissions lets callers use up a limit over all instances while demand
+// moves and instances freeze and are replaced.
+func TestAdmissions(t *testing.T) {
+	limit := keeper.Limit{RequestsPerSecond: 40, Burst: 20}
+	const seeds, ticks, ticksPerHeartbeat, least = 20, 1200, 5, 600
+	fewest := ticks
+	for seed := range uint64(seeds) {
+		l := &load{
+			simulation: newSimulation(4), random: rand.New(rand.NewPCG(seed, 0)),
+			teams:     map[string]keeper.Team{team: {Name: team, Limit: limit}},
+			admitters: map[*instance]*admitter.Admitter{},
+		}
+		l.rounds(40)
+		for i := range ticks {
+			if i%ticksPerHeartbeat == 0 {
+				l.exchange()
+				l.fail()
+			}
+			for k, in := range l.instances {
+				if l.runs(in) {
+					l.admit(in, 1+6*((i/100+k)%4))
+				}
+			}
+			l.now = l.now.Add(tick)
+		}
+		fewest = min(fewest, len(l.admitted))
+		assert.Zero(t, windowExcess(l.admitted, limit), "seed %d", seed)
+	}
+	t.Logf("fewest admissions of %d seeds in 60 s: %d of 2420, largest excess 0", seeds, fewest)
+	assert.Greater(t, fewest, least)
+}
--- /dev/null
+++ b/internal/peer/lender/lender_test.go
@@ -0,0 +1,269 @@
+package lender
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const team = "wil"
+
+// message is an answer on its way to the asker.
+type message struct {
+	to, from *instance
+	sentAt   time.Time
+	acked    int64
+	loans    Parts
+	roster   Roster
+}
+
+type instance struct {
+	*Lender
+	need   float64
+	frozen bool
+	dead   bool
+}
+
+// simulation is some instances with a table service, in virtual time.
+type simulation struct {
+	now       time.Time
+	row       Roster
+	storeDown bool
+	instances []*instance
+	sent      []message
+	cut       map[[2]*instance]bool
+	added     int
+}
+
+func newSimulation(n int) *simulation {
+	s := &simulation{now: time.Unix(1000, 0), cut: map[[2]*instance]bool{}}
+	for range n {
+		s.add()
+	}
+	return s
+}
+
+func (s *simulation) add() {
+	s.added++
+	own := Member{Instance: fmt.Sprintf("entry-%d", s.added), Incarnation: "a"}
+	s.instances = append(s.instances, &instance{Lender: New(own), need: 0.2})
+}
+
+func (s *simulation) runs(in *instance) bool { return !in.frozen && !in.dead }
+
+// ask sends a heartbeat from one instance to another, which answers at once. The
+// answer arrives when it is delivered.
+func (s *simulation) ask(a, b *instance, sentAt time.Time) {
+	if a == b || !s.runs(b) || s.cut[[2]*instance{a, b}] {
+		return
+	}
+	have, _ := a.Share(s.now, team)
+	ask := map[string]Ask{team: {Part: max(0, a.need-have+a.taken[b.own].parts[team]), Weight: 1}}
+	answer := message{to: a, from: b, sentAt: sentAt, loans: b.Lend(s.now, a.own, ask, Parts{team: b.need})}
+	answer.acked = b.Acked(s.now)
+	answer.roster = b.Roster()
+	s.sent = append(s.sent, answer)
+}
+
+func (s *simulation) deliver(i int) {
+	m := s.sent[i]
+	s.sent = slices.Delete(s.sent, i, i+1)
+	if s.runs(m.to) {
+		m.to.Adopt(s.now, m.roster)
+		m.to.Hear(s.now, m.sentAt, m.from.own, m.acked, m.loans)
+	}
+}
+
+func (s *simulation) read(in *instance) {
+	if s.runs(in) && !s.storeDown {
+		in.Adopt(s.now, s.row)
+		in.Read(s.now, s.row.Number)
+	}
+}
+
+// write lets an instance write the next roster, if the row is the one it knows.
+func (s *simulation) write(in *instance, alive []Member) {
+	next, due := in.Next(s.now, alive)
+	if s.runs(in) && !s.storeDown && due && s.row.Number == in.Roster().Number {
+		s.row = next
+		in.Adopt(s.now, next)
+		in.Read(s.now, next.Number)
+	}
+}
+
+func (s *simulation) total() float64 {
+	total := 0.0
+	for _, in := range s.instances {
+		if !in.dead {
+			part, _ := in.Share(s.now, team)
+			total += part
+		}
+	}
+	return total
+}
+
+// exchange is what happens each heartbeat when nothing fails but what is set.
+func (s *simulation) exchange() {
+	alive := []Member{}
+	for _, in := range s.instances {
+		s.read(in)
+		if s.runs(in) {
+			alive = append(alive, in.own)
+		}
+	}
+	for _, in := range s.instances {
+		s.write(in, alive)
+		for _, other := range s.instances {
+			if s.runs(in) {
+				s.ask(in, other, s.now)
+			}
+		}
+	}
+	for len(s.sent) > 0 {
+		s.deliver(0)
+	}
+}
+
+func (s *simulation) round() {
+	s.exchange()
+	s.now = s.now.Add(250 * time.Millisecond)
+}
+
+func (s *simulation) rounds(n int) {
+	for range n {
+		s.round()
+	}
+}
+
+const excess = 1 + 1e-9
+
+// TestShares checks that parts in use never add up to more than the limit, under
+// lost, late and reordered answers, freezes, cuts, deaths, joins and a table
+// service that is down.
+func TestShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(rapid.IntRange(1, 5).Draw(t, "instances"))
+		s.rounds(rapid.IntRange(0, 40).Draw(t, "settle"))
+		pick := func(name string) *instance { return rapid.SampledFrom(s.instances).Draw(t, name) }
+		pass := func(t *rapid.T) {
+			s.now = s.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"pass": pass, "pass more": pass,
+			"round": func(t *rapid.T) { s.rounds(rapid.IntRange(1, 20).Draw(t, "rounds")) },
+			"ask": func(t *rapid.T) {
+				if a, b := pick("a"), pick("b"); s.runs(a) {
+					late := time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
+					s.ask(a, b, s.now.Add(-late))
+				}
+			},
+			"deliver": func(t *rapid.T) {
+				if len(s.sent) > 0 {
+					s.deliver(rapid.IntRange(0, len(s.sent)-1).Draw(t, "i"))
+				}
+			},
+			"lose": func(*rapid.T) { s.sent = nil },
+			"read": func(*rapid.T) { s.read(pick("reader")) },
+			"write": func(t *rapid.T) {
+				alive := []Member{}
+				for _, in := range s.instances {
+					if rapid.Bool().Draw(t, "alive") {
+						alive = append(alive, in.own)
+					}
+				}
+				s.write(pick("writer"), alive)
+			},
+			"store":  func(*rapid.T) { s.storeDown = !s.storeDown },
+			"freeze": func(*rapid.T) { in := pick("frozen"); in.frozen = !in.frozen },
+			"cut": func(*rapid.T) {
+				pair := [2]*instance{pick("a"), pick("b")}
+				s.cut[pair] = !s.cut[pair]
+			},
+			"need": func(t *rapid.T) { pick("needy").need = rapid.Float64Range(0, 1).Draw(t, "need") },
+			"join": func(*rapid.T) {
+				if len(s.instances) < 7 {
+					s.add()
+				}
+			},
+			"": func(t *rapid.T) {
+				if total := s.total(); total > excess {
+					t.Fatalf("parts add up to %v", total)
+				}
+			},
+		})
+	})
+}
+
+// awaitTotal returns how long it takes until the parts add up to a total.
+func (s *simulation) awaitTotal(t *testing.T, want float64) time.Duration {
+	t.Helper()
+	start := s.now
+	for s.total() < want {
+		require.Less(t, s.now.Sub(start), time.Minute, "parts add up to %v", s.total())
+		s.round()
+		require.LessOrEqual(t, s.total(), excess)
+	}
+	return s.now.Sub(start)
+}
+
+func TestDemandMovesShares(t *testing.T) {
+	s := newSimulation(4)
+	s.awaitTotal(t, 0.99)
+	for _, in := range s.instances {
+		in.need = 0.01
+	}
+	s.instances[2].need = 1
+	s.rounds(8)
+	part, _ := s.instances[2].Share(s.now, team)
+	assert.Greater(t, part, 0.95)
+	t.Run("also while the table service is down", func(t *testing.T) {
+		s.storeDown = true
+		s.rounds(100)
+		s.instances[2].need = 0.01
+		s.instances[0].need = 1
+		s.rounds(12)
+		part, _ := s.instances[0].Share(s.now, team)
+		assert.Greater(t, part, 0.95)
+	})
+}
+
+// TestRecovery measures how long the limit is not used in full after a loss.
+func TestRecovery(t *testing.T) {
+	for _, lost := range []int{1, 2} {
+		s := newSimulation(4)
+		s.awaitTotal(t, 0.99)
+		s.rounds(40)
+		for _, in := range s.instances[:lost] {
+			in.dead = true
+		}
+		took := s.awaitTotal(t, 0.99)
+		t.Logf("%d of 4 lost: whole limit again after %v (without the time to notice), largest excess 0", lost, took)
+		assert.Less(t, took, 8*time.Second)
+	}
+	t.Run("all restarted", func(t *testing.T) {
+		s := newSimulation(4)
+		s.rounds(40)
+		old := s.instances
+		s.instances = nil
+		for range old {
+			s.add()
+		}
+		for _, gone := range old {
+			gone.dead = true
+		}
+		for range 60 {
+			s.round()
+			for _, in := range s.instances {
+				for _, gone := range old {
+					in.Lapse(s.now, gone.own)
+				}
+			}
+		}
+		assert.Greater(t, s.total(), 0.99)
+	})
+}
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -25,30 +25,40 @@
 // Is reports whether target is ErrOverLimit.
 func (e *OverLimitError) Is(target error) bool { return target == ErrOverLimit }
 
-// bucket is the state of one team at this instance.
-type bucket struct {
-	tokens   float64
-	filledAt time.Time
-	inFlight int
-}
+// Share tells which part of a team's limit this instance may use, from 0 to 1,
+// and until when at least, if this instance gives nothing of it away.
+type Share func(now time.Time, team string) (part float64, until time.Time)
 
 // Admitter holds the buckets of the teams.
 type Admitter struct {
+	share Share
+
 	mu      sync.Mutex
 	buckets map[string]*bucket
-	share   float64
+	// seeded is set once the teams from before this instance are known. Their
+	// buckets start empty, since an earlier incarnation may have used them up.
+	seeded bool
 }
 
-// New returns an admitter that has the whole of each limit.
-func New() *Admitter {
-	return &Admitter{buckets: map[string]*bucket{}, share: 1}
+// Option configures an Admitter.
+type Option func(*Admitter)
+
+// WithShare sets what tells the part of each limit that this instance may use.
+func WithShare(share Share) Option {
+	return func(a *Admitter) { a.share = share }
 }
 
-// SetShare sets the part of each limit that this instance may spend, from 0 to 1.
-func (a *Admitter) SetShare(share float64) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.share = share
+// New returns an admitter that has the whole of each limit if no option says
+// otherwise.
+func New(opts ...Option) *Admitter {
+	a := &Admitter{
+		buckets: map[string]*bucket{},
+		share:   func(now time.Time, _ string) (float64, time.Time) { return 1, now.Add(time.Hour) },
+	}
+	for _, opt := range opts {
+		opt(a)
+	}
+	return a
 }
 
 const inFlightRetry = 200 * time.Millisecond
@@ -58,20 +68,16 @@
 func (a *Admitter) Admit(now time.Time, team keeper.Team) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	b := a.buckets[team.Name]
-	if b == nil {
-		b = &bucket{tokens: a.burst(team.Limit), filledAt: now}
-		a.buckets[team.Name] = b
-	}
-	a.fill(b, now, team.Limit)
+	b := a.bucket(now, team)
+	b.arrived++
 	limit := team.Limit
-	if limit.InFlight > 0 && float64(b.inFlight)+1 > max(1, float64(limit.InFlight)*a.share) {
+	if limit.InFlight > 0 && float64(b.inFlight)+1 > b.allowed(float64(limit.InFlight)) {
+		b.turnedAway++
 		return &OverLimitError{Team: team.Name, RetryAfter: now.Add(inFlightRetry)}
 	}
 	if limit.RequestsPerSecond > 0 {
 		if b.tokens < 1 {
-			missing := (1 - b.tokens) / (limit.RequestsPerSecond * a.share)
-			return &OverLimitError{Team: team.Name, RetryAfter: now.Add(time.Duration(missing * float64(time.Second)))}
+			return &OverLimitError{Team: team.Name, RetryAfter: now.Add(b.untilToken(limit))}
 		}
 		b.tokens--
 	}
@@ -88,15 +94,43 @@
 	}
 }
 
-func (a *Admitter) burst(limit keeper.Limit) float64 {
-	return max(1, float64(limit.Burst)*a.share)
+// Tick fills the buckets, so that no change of a share goes unnoticed, and
+// returns the part of its limit that each team needs here.
+func (a *Admitter) Tick(now time.Time, teams map[string]keeper.Team) map[string]float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for name, team := range teams {
+		team.Name = name
+		a.bucket(now, team)
+	}
+	a.seeded = true
+	needs := map[string]float64{}
+	for name, b := range a.buckets {
+		team, known := teams[name]
+		if !known && b.inFlight == 0 {
+			delete(a.buckets, name)
+			continue
+		}
+		b.measure(now)
+		if need := b.need(team.Limit); need > 0 {
+			needs[name] = need
+		}
+	}
+	return needs
 }
 
-func (a *Admitter) fill(b *bucket, now time.Time, limit keeper.Limit) {
-	passed := now.Sub(b.filledAt).Seconds()
-	if passed > 0 {
-		b.tokens += passed * limit.RequestsPerSecond * a.share
-		b.filledAt = now
+// bucket returns the bucket of a team, filled up to now.
+func (a *Admitter) bucket(now time.Time, team keeper.Team) *bucket {
+	part, until := a.share(now, team.Name)
+	b := a.buckets[team.Name]
+	if b == nil {
+		b = &bucket{filledAt: now, measuredAt: now}
+		b.part = part
+		if a.seeded {
+			b.tokens = b.allowed(burst(team.Limit))
+		}
+		a.buckets[team.Name] = b
 	}
-	b.tokens = min(b.tokens, a.burst(limit))
+	b.fill(now, team.Limit, part, until)
+	return b
 }
--- /dev/null
+++ b/internal/request/admitter/bucket.go
@@ -0,0 +1,108 @@
+package admitter
+
+import (
+	"time"
+
+	"github.com/crocusring/crocusring/internal/state/keeper"
+)
+
+const (
+	// longestCredit bounds the time that one filling counts. A share that was
+	// lent is away for longer, so that fillings do not miss it.
+	longestCredit = 500 * time.Millisecond
+	// demandWeight is the weight of the latest measurement in the mean demand.
+	demandWeight = 0.3
+	// headroom is how much more than its demand a team is given.
+	headroom = 1.2
+	// longestRetry bounds the time after which a caller may come again.
+	longestRetry = time.Minute
+)
+
+// bucket is the state of one team at this instance: a token bucket whose rate
+// and size are a part of the team's limit, and a count of requests.
+type bucket struct {
+	tokens   float64
+	filledAt time.Time
+	// part is the part of the limit at the last filling, which held until then at
+	// least.
+	part  float64
+	until time.Time
+
+	inFlight int
+	// arrived counts the requests since measuredAt, and turnedAway those of them
+	// for which too many were in flight.
+	arrived    int
+	turnedAway int
+	measuredAt time.Time
+	// rate is the mean of the arrivals per second, and wanted the number of
+	// requests that would be in flight without the limit.
+	rate   float64
+	wanted float64
+}
+
+func burst(limit keeper.Limit) float64 {
+	return max(1, float64(limit.Burst))
+}
+
+// allowed returns the part of a bound that this instance may use: one at least,
+// since requests are whole, if it has any part at all.
+func (b *bucket) allowed(bound float64) float64 {
+	if b.part <= 0 {
+		return 0
+	}
+	return max(1, bound*b.part)
+}
+
+// fill adds the tokens for the time since the last filling, at the smaller of the
+// parts then and now, and for no longer than the earlier one was sure to hold.
+func (b *bucket) fill(now time.Time, limit keeper.Limit, part float64, until time.Time) {
+	ends := now
+	if b.until.Before(ends) {
+		ends = b.until
+	}
+	passed := min(ends.Sub(b.filledAt), longestCredit)
+	if passed > 0 {
+		b.tokens += passed.Seconds() * limit.RequestsPerSecond * min(b.part, part)
+	}
+	if now.After(b.filledAt) {
+		b.filledAt = now
+	}
+	b.part = part
+	b.until = until
+	b.tokens = min(b.tokens, b.allowed(burst(limit)))
+}
+
+// untilToken returns how long it takes until a token is there at the present part.
+func (b *bucket) untilToken(limit keeper.Limit) time.Duration {
+	perSecond := limit.RequestsPerSecond * b.part
+	if perSecond <= 0 {
+		return inFlightRetry
+	}
+	seconds := (1 - b.tokens) / perSecond
+	return min(time.Duration(seconds*float64(time.Second)), longestRetry)
+}
+
+// measure takes the arrivals since the last measurement into the means.
+func (b *bucket) measure(now time.Time) {
+	passed := now.Sub(b.measuredAt).Seconds()
+	if passed <= 0 {
+		return
+	}
+	b.rate += demandWeight * (float64(b.arrived)/passed - b.rate)
+	b.wanted += demandWeight * (float64(b.inFlight+b.turnedAway) - b.wanted)
+	b.arrived = 0
+	b.turnedAway = 0
+	b.measuredAt = now
+}
+
+// need returns the part of a limit that the demand here takes up, up to 1.
+func (b *bucket) need(limit keeper.Limit) float64 {
+	need := 0.0
+	if limit.RequestsPerSecond > 0 {
+		need = b.rate / limit.RequestsPerSecond
+	}
+	if limit.InFlight > 0 {
+		need = max(need, max(b.wanted, float64(b.inFlight))/float64(limit.InFlight))
+	}
+	return min(1, need*headroom)
+}
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -256,12 +256,15 @@
 	// Revision corresponds to the JSON schema field "Revision".
 	Revision int64 `json:"Revision"`
 
+	// RosterAcked corresponds to the JSON schema field "RosterAcked".
+	RosterAcked int64 `json:"RosterAcked"`
+
+	// RosterNumber corresponds to the JSON schema field "RosterNumber".
+	RosterNumber int64 `json:"RosterNumber"`
+
 	// Sequence corresponds to the JSON schema field "Sequence".
 	Sequence int64 `json:"Sequence"`
 
-	// Shares corresponds to the JSON schema field "Shares".
-	Shares []Share `json:"Shares"`
-
 	// StartedAtMilliseconds corresponds to the JSON schema field
 	// "StartedAtMilliseconds".
 	StartedAtMilliseconds int64 `json:"StartedAtMilliseconds"`
@@ -272,12 +275,22 @@
 
 	// Verdicts corresponds to the JSON schema field "Verdicts".
 	Verdicts []Verdict `json:"Verdicts"`
+
+	// Wants corresponds to the JSON schema field "Wants".
+	Wants []Share `json:"Wants"`
 }
 
-// HeartbeatAnswer carries the heartbeat of the instance that was asked.
+// HeartbeatAnswer carries the heartbeat of the instance that was asked, what it
+// lends to the asker, and its roster if the asker knows only an earlier one.
 type HeartbeatAnswer struct {
 	// Heartbeat corresponds to the JSON schema field "Heartbeat".
 	Heartbeat Heartbeat `json:"Heartbeat"`
+
+	// Loans corresponds to the JSON schema field "Loans".
+	Loans []Share `json:"Loans"`
+
+	// Rosters corresponds to the JSON schema field "Rosters".
+	Rosters []Roster `json:"Rosters"`
 }
 
 // InstanceList is the platform's lagging list of instances.
@@ -455,6 +468,28 @@
 	RetryAfterMilliseconds int64 `json:"RetryAfterMilliseconds"`
 }
 
+// Roster names the instances that own the limits of teams in equal parts, and
+// those of the roster before it.
+type Roster struct {
+	// Members corresponds to the JSON schema field "Members".
+	Members []RosterMember `json:"Members"`
+
+	// Number corresponds to the JSON schema field "Number".
+	Number int64 `json:"Number"`
+
+	// Previous corresponds to the JSON schema field "Previous".
+	Previous []RosterMember `json:"Previous"`
+}
+
+// RosterMember is one incarnation of an instance.
+type RosterMember struct {
+	// Incarnation corresponds to the JSON schema field "Incarnation".
+	Incarnation string `json:"Incarnation"`
+
+	// Instance corresponds to the JSON schema field "Instance".
+	Instance string `json:"Instance"`
+}
+
 // Row is one entry of a table. Version counts its writes from 1.
 type Row struct {
 	// Key corresponds to the JSON schema field "Key".
@@ -547,17 +582,13 @@
 	Revision int64 `json:"Revision"`
 }
 
-// Share is the use that one instance makes of a limit that holds over all
-// instances. Rate is in units per second.
+// Share is a part, from 0 to 1, of the limit of a team over all instances.
 type Share struct {
-	// InFlight corresponds to the JSON schema field "InFlight".
-	InFlight int `json:"InFlight"`
-
-	// Limit corresponds to the JSON schema field "Limit".
-	Limit string `json:"Limit"`
+	// Part corresponds to the JSON schema field "Part".
+	Part float64 `json:"Part"`
 
-	// Rate corresponds to the JSON schema field "Rate".
-	Rate float64 `json:"Rate"`
+	// Team corresponds to the JSON schema field "Team".
+	Team string `json:"Team"`
 }
 
 // StatusAnswer is the state of the system as one instance sees it.
