--- a/internal/node/runner/heartbeat.go
+++ b/internal/node/runner/heartbeat.go
@@ -16,7 +16,7 @@
 		StartedAtMilliseconds: n.startedAt.UnixMilli(), Sequence: n.sequence.Add(1),
 		DataCentre: n.settings.DataCentre, Revision: n.tree.Revision(), Leaving: n.leaving.Load(),
 		InFlight: n.listener.InFlight(), Holder: holder.Holder, Fence: holder.Fence,
-		Demands: []messenger.Demand{}, Wants: n.wants(), Verdicts: []messenger.Verdict{},
+		Demands: []messenger.Demand{}, Wants: n.wants(), Verdicts: n.quarantiner.Verdicts(now),
 		LeavingTargets: leavingTargets(n.fleet.View()), Peers: n.peerNews(now),
 		RosterNumber: n.sharer.lender.Roster().Number, RosterAcked: n.sharer.lender.Acked(now),
 	}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,6 +14,7 @@
 	"github.com/crocusring/crocusring/internal/edge/connector"
 	"github.com/crocusring/crocusring/internal/edge/forwarder"
 	"github.com/crocusring/crocusring/internal/edge/streamer"
+	"github.com/crocusring/crocusring/internal/request/prefixer"
 	"github.com/crocusring/crocusring/internal/request/quarantiner"
 	"github.com/crocusring/crocusring/internal/request/router"
 	"github.com/crocusring/crocusring/internal/state/keeper"
@@ -70,6 +71,8 @@
 	Deadline    time.Time
 	Repeatable  bool
 	Fingerprint quarantiner.Fingerprint
+	// Prefix is that of the beginning of the prompt.
+	Prefix prefixer.Key
 	// Context ends the request when it is done, by cancelling it at the engine;
 	// nil for a request that goes on without its caller.
 	Context context.Context
@@ -81,10 +84,12 @@
 	engines     *streamer.Client
 	services    *forwarder.Client
 	quarantiner *quarantiner.Quarantiner
+	prefixes    *prefixer.Table
 	dataCentre  string
 	now         func() time.Time
 	firstByte   time.Duration
 	gap         time.Duration
+	announce    func()
 }
 
 // Option configures a Dispatcher.
@@ -99,6 +104,15 @@
 	}
 }
 
+// WithAnnounce sets the function that tells the peers of suspects. It returns
+// once they have answered, or after a short time.
+func WithAnnounce(announce func()) Option {
+	return func(d *Dispatcher) { d.announce = announce }
+}
+
+// WithPrefixes sets the table of cached prefixes that the choice of targets uses.
+func WithPrefixes(t *prefixer.Table) Option { return func(d *Dispatcher) { d.prefixes = t } }
+
 // New returns a dispatcher of an instance in dataCentre.
 func New(fleet *keeper.Fleet, q *quarantiner.Quarantiner, dataCentre string, opts ...Option) *Dispatcher {
 	d := &Dispatcher{
@@ -106,10 +120,12 @@
 		engines:     streamer.New(),
 		services:    forwarder.New(),
 		quarantiner: q,
+		prefixes:    prefixer.New(),
 		dataCentre:  dataCentre,
 		now:         time.Now,
 		firstByte:   firstByteLimit,
 		gap:         gapLimit,
+		announce:    func() {},
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -123,6 +139,10 @@
 
 	count int
 	tried []string
+	// current is the target that runs the request now.
+	current atomic.Pointer[keeper.Target]
+	// waitUntil is when a suspect no longer waits for its turn.
+	waitUntil time.Time
 	// ran is set once a target may have run any part of the request.
 	ran  bool
 	last error
@@ -159,10 +179,6 @@
 	return errors.Is(err, connector.ErrNotSent) || errors.Is(err, streamer.ErrRefused)
 }
 
-func isCrash(err error) bool {
-	return errors.Is(err, connector.ErrCut)
-}
-
 // checkTime returns why a request is out of time, or nil.
 func checkTime(ctx context.Context, now, deadline time.Time) error {
 	if ctx != nil && ctx.Err() != nil {
@@ -174,42 +190,6 @@
 	return nil
 }
 
-// pick chooses a target and counts the request on it. The caller must call
-// leave.
-func (d *Dispatcher) pick(job *Job, a *attempts) (*keeper.Target, error) {
-	now := d.now()
-	if err := checkTime(job.Context, now, job.Deadline); err != nil {
-		return nil, err
-	}
-	if err := d.quarantiner.Check(now, job.Fingerprint); err != nil {
-		return nil, err
-	}
-	for {
-		target, err := router.Pick(now, d.fleet.View().Holders(job.Name), router.Ask{
-			Name: job.Name, DataCentre: d.dataCentre, Tried: a.tried, Seed: rand.Uint64(),
-		})
-		if err != nil {
-			return nil, err
-		}
-		if err := d.quarantiner.Begin(target.ID, job.Fingerprint); err != nil {
-			a.tried = append(a.tried, target.ID)
-			continue
-		}
-		target.Counter.InFlight.Add(1)
-		target.Counter.SentAfterReport.Add(1)
-		return target, nil
-	}
-}
-
-// leave ends the count of a request on a target. err is how the attempt ended.
-func (d *Dispatcher) leave(target *keeper.Target, job *Job, err error) {
-	if isCrash(err) {
-		d.quarantiner.Crashed(d.now(), target.ID, job.Fingerprint)
-	}
-	d.quarantiner.End(target.ID, job.Fingerprint)
-	target.Counter.InFlight.Add(-1)
-}
-
 func (d *Dispatcher) call(job *Job, next int) streamer.Call {
 	firstByte := d.now().Add(d.firstByte)
 	if job.Deadline.Before(firstByte) {
@@ -221,32 +201,6 @@
 	}
 }
 
-// Whole runs a request that is answered in one piece. The error is a *FailureError
-// or a *streamer.RejectedError.
-func (d *Dispatcher) Whole(job *Job) ([]byte, error) {
-	a := &attempts{repeatable: job.Repeatable}
-	for {
-		target, err := d.pick(job, a)
-		if err != nil {
-			return nil, a.giveUp(err)
-		}
-		call := d.call(job, 0)
-		// The head of an answer in one piece comes with its body.
-		call.FirstByte = job.Deadline
-		// Nothing tells a long answer from a silent connection, so that a pooled
-		// connection that may have gone silent is not used.
-		call.Fresh = true
-		body, err := d.engines.Whole(target.Address, call)
-		d.leave(target, job, err)
-		if err == nil || isRejected(err) {
-			return body, err
-		}
-		if !a.note(target.ID, err) {
-			return nil, a.failure()
-		}
-	}
-}
-
 // giveUp returns the failure of a request for which no further target was found.
 func (a *attempts) giveUp(err error) error {
 	if a.last == nil || !errors.Is(err, router.ErrNoTarget) {
@@ -268,6 +222,8 @@
 	target     *keeper.Target
 	stream     *streamer.Stream
 	next       int
+	// clearAt is the number of tokens after which the request is no suspect.
+	clearAt int
 }
 
 // Start runs a request that is answered by a stream. The caller must close it.
@@ -292,6 +248,7 @@
 		if err == nil {
 			s.target = target
 			s.stream = stream
+			s.clearAt = s.next + clearingTokens
 			return nil
 		}
 		d.leave(target, s.job, err)
@@ -312,9 +269,14 @@
 		event, err := s.stream.Next()
 		if err == nil {
 			s.next++
+			if s.next == s.clearAt {
+				d := s.dispatcher
+				d.quarantiner.Clear(d.now(), s.job.Fingerprint)
+			}
 			return event.Data, nil
 		}
 		if errors.Is(err, io.EOF) {
+			s.dispatcher.quarantiner.Clear(s.dispatcher.now(), s.job.Fingerprint)
 			return nil, io.EOF
 		}
 		s.disconnect(err)
