Add outages, an unreliable list and leaving targets to the property test

Cause: the property test left out these failures. What: actions outage, list and leave; an order that is sent without a record is a fault of its own. Conclusion: no order without a record, no overcommit after a target returns.

--- a/internal/control/orderer/property_test.go
+++ b/internal/control/orderer/property_test.go
@@ -52,7 +52,10 @@
 // engine restarts once.
 func (w *world) heal() {
 	const settled = 80 // ticks
-	w.next, w.tableFault = delivered, nil
+	w.next, w.tableFault, w.down = delivered, nil, false
+	for _, e := range w.engines {
+		e.unlisted = false
+	}
 	for _, e := range w.engines {
 		for range settled {
 			w.tick()
@@ -91,6 +94,12 @@
 			w.tookEffect = rapid.Bool().Draw(rt, "took effect")
 			w.tableFault = transactor.ErrUnknownOutcome
 		},
+		"outage": func(*rapid.T) { w.down = !w.down },
+		"list": func(rt *rapid.T) {
+			e := rapid.SampledFrom(w.engines).Draw(rt, "engine")
+			e.unlisted = !e.unlisted
+		},
+		"leave": func(rt *rapid.T) { rapid.SampledFrom(w.engines).Draw(rt, "engine").leaving = true },
 		"demand": func(rt *rapid.T) {
 			w.rates[modelName(model.Draw(rt, "model"))] = float64(rapid.IntRange(0, 30).Draw(rt, "rate"))
 		},
--- a/internal/control/orderer/world_test.go
+++ b/internal/control/orderer/world_test.go
@@ -53,6 +53,8 @@
 	highest     int64
 	parcels     []parcel      // late orders and duplicates
 	shown       keeper.Report // content of the next report
+	leaving     bool
+	unlisted    bool
 }
 
 func (e *engine) used() int64 {
@@ -120,6 +122,7 @@
 	next       delivery
 	tableFault error // of the next transaction
 	tookEffect bool
+	down       bool // the table service
 	faults     []string
 }
 
@@ -242,6 +245,10 @@
 
 func (w *world) report() {
 	for _, e := range w.engines {
+		if e.unlisted {
+			w.holder.fleet.RemoveTarget(e.id)
+			continue
+		}
 		report := e.shown
 		report.ReportedAt = w.now
 		w.holder.fleet.ChangeTarget(e.id, func(t *keeper.Target) {
@@ -250,6 +257,7 @@
 			t.Kind = keeper.Engine
 			t.DataCentre = e.id
 			t.ChecksFencing = e.checks
+			t.Leaving = e.leaving
 		})
 		e.shown = e.present(w.now)
 	}
@@ -264,6 +272,9 @@
 }
 
 func (w *world) scan(string, string) ([]messenger.Row, error) {
+	if w.down {
+		return nil, transactor.ErrUnavailable
+	}
 	rows := []messenger.Row{}
 	for _, key := range slices.Sorted(maps.Keys(w.rows)) {
 		rows = append(rows, w.rows[key])
@@ -274,7 +285,7 @@
 func (w *world) transact(req messenger.TransactRequest) error {
 	fault := w.tableFault
 	w.tableFault = nil
-	if w.stopped || (fault != nil && !w.tookEffect) {
+	if w.stopped || w.down || (fault != nil && !w.tookEffect) {
 		return transactor.ErrUnavailable
 	}
 	for _, c := range req.Conditions {
@@ -298,6 +309,9 @@
 func (w *world) send(id string, order messenger.EngineOrder) error {
 	d := w.next
 	w.next = delivered
+	if _, recorded := w.recordedAt[order.ID]; !recorded && order.Kind != commander.Role {
+		w.faults = append(w.faults, order.ID+" is sent without a record")
+	}
 	if w.stopped || d == unsent {
 		return commander.ErrNotApplied
 	}
