--- a/internal/control/orderer/property_test.go
+++ b/internal/control/orderer/property_test.go
@@ -60,7 +60,9 @@
 		for range settled {
 			w.tick()
 		}
-		e.restart(w.now)
+		if !e.checks || e.leaving {
+			e.restart(w.now)
+		}
 	}
 	for range settled {
 		w.tick()
