--- a/internal/peer/exchanger/exchanger_test.go
+++ b/internal/peer/exchanger/exchanger_test.go
@@ -22,7 +22,7 @@
 		Revision:     func() int64 { return 3 },
 		HearTargets:  func([]messenger.LeavingTarget) {},
 		HearVerdicts: func([]messenger.Verdict) {},
-		Answered:     func(messenger.Heartbeat, time.Time) {},
+		Answered:     func(messenger.HeartbeatAnswer, time.Time) {},
 	})
 	x.now = func() time.Time { return clock }
 	return x, &clock
