Keep the last copy of a replaced version, as the planner does

Cause: the orderer let any old version go; whether callers may get an old version until the new one is loaded is not settled, and the planner keeps its last copy. What: an old version goes only if the configured one, or another copy of the same old version, can be relied upon. The property test's check of the last copy is stricter: no unload takes the last copy of any version of a configured model. Before: the stricter check was not seen to fail, as the planner asked for no such unload. Conclusion: while memory is full of single old versions the planner moves nothing; that stays open.

--- a/internal/control/orderer/round.go
+++ b/internal/control/orderer/round.go
@@ -260,7 +260,7 @@
 	}
 	current := keeper.Name{Model: m.Name, Version: m.Version}
 	if name != current {
-		return true // callers get the configured version only
+		return r.hasOther(nil, current) || r.hasOther(s, name)
 	}
 	if !r.hasOther(s, name) {
 		return false
