Let few instances try the table service in an outage

Cause: in an outage no confirmation travels, and each instance tried every second. After: about four try every second, the others every 4 s; with up to four instances nothing changes. TestPace and the tests of settings over processes pass. Not measured at a larger size.

--- a/internal/node/runner/settings.go
+++ b/internal/node/runner/settings.go
@@ -30,7 +30,8 @@
 	pollerSpread = 500 * time.Millisecond
 	backupAge    = 1750 * time.Millisecond
 	backupSpread = 250 * time.Millisecond
-	retryTime    = time.Second
+	pollerRetry  = time.Second
+	backupRetry  = 4 * time.Second
 )
 
 // poll is the state of the settings loop.
@@ -41,11 +42,12 @@
 
 func (n *Node) pollSettings() error {
 	now := n.now()
-	if now.Sub(n.arbiter.ConfirmedAt()) < pollAge(now, n.home.Instance, len(n.fleet.View().Instances)) {
+	pace := paceOf(now, n.home.Instance, len(n.fleet.View().Instances))
+	if now.Sub(n.arbiter.ConfirmedAt()) < pace.age {
 		n.poll.lastError = nil
 		return nil
 	}
-	if n.poll.lastError != nil && now.Sub(n.poll.triedAt) < retryTime {
+	if n.poll.lastError != nil && now.Sub(n.poll.triedAt) < pace.retry {
 		return n.poll.lastError
 	}
 	n.poll = poll{triedAt: now, lastError: n.configurer.Poll()}
@@ -55,19 +57,25 @@
 	return n.poll.lastError
 }
 
-// pollAge returns the age of the latest confirmation, its own or one of a peer,
-// from which on an instance reads the revision itself. About as many instances as
-// pollers have a low one in each turn, so that the reads do not grow with the
-// number of instances.
-func pollAge(now time.Time, instance string, instances int) time.Duration {
+// pace says from which age of the latest confirmation on, its own or one of a peer,
+// an instance reads the revision itself, and how long it waits after a failed read.
+type pace struct {
+	age   time.Duration
+	retry time.Duration
+}
+
+// paceOf returns the pace of an instance at a time. In each turn about as many
+// instances as pollers read early, so that neither the reads nor the tries in an
+// outage grow with the number of instances.
+func paceOf(now time.Time, instance string, instances int) pace {
 	turn := now.UnixNano() / int64(turnTime)
 	hash := xxhash.Sum64String(instance + "/" + strconv.FormatInt(turn, 10))
 	const lowBits = 32
 	part := time.Duration(hash >> lowBits)
 	if hash%uint64(max(1, instances)) < pollers {
-		return pollerAge + part%pollerSpread
+		return pace{age: pollerAge + part%pollerSpread, retry: pollerRetry}
 	}
-	return backupAge + part%backupSpread
+	return pace{age: backupAge + part%backupSpread, retry: backupRetry}
 }
 
 // confirm takes what a peer answered to a heartbeat: that no revision newer than
