Let verdicts lapse and keep heartbeats small

Cause: a verdict's deadline was set anew whenever a peer repeated it, so that instances kept each other's verdicts for ever; suspects that were cleared were told for ten minutes, and all convicted ones in each heartbeat.

Before: TestVerdictsLapseThoughPeersRepeatThem red. After: green; a crash counts once for the deadline too, clearances are told for 5 s, the 64 latest convicted are told.

Excluded: telling verdicts only once (a heartbeat may be lost).

--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -43,7 +43,9 @@
 	convictingCrashes = 2
 	suspicion         = 10 * time.Minute
 	conviction        = time.Hour
-	mostRecords       = 4096
+	// clearance is how long peers are told that a suspect was cleared.
+	clearance   = 5 * time.Second
+	mostRecords = 4096
 )
 
 // Fingerprint names a request by its content.
@@ -83,7 +85,7 @@
 
 // add counts the crash of a place once.
 func (r *record) add(place string, now time.Time) {
-	if slices.Contains(r.forgiven, place) {
+	if slices.Contains(r.forgiven, place) || slices.Contains(r.crashes, place) {
 		return
 	}
 	r.crashes = insert(r.crashes, place)
@@ -291,8 +293,12 @@
 	if r == nil || r.isConvicted() || r.owner != q.instance {
 		return
 	}
+	if !r.isSuspect() {
+		return
+	}
 	r.forgive(r.crashes)
 	r.target = ""
+	r.deadline = now.Add(clearance)
 }
 
 func (r *record) forgive(places []string) {
--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -81,6 +81,41 @@
 	assertState(t, two, innocent, false, nil)
 }
 
+func TestVerdictsStaySmall(t *testing.T) {
+	q := quarantiner.New("entry-1")
+	const many = 300
+	for f := range quarantiner.Fingerprint(many) {
+		at := start.Add(time.Duration(f) * time.Second)
+		q.Crashed(at, place("t1"), f)
+		q.Crashed(at, place("t2"), f)
+	}
+	now := start.Add(many * time.Second)
+	verdicts := q.Verdicts(now)
+	require.Len(t, verdicts, 64)
+	peer := quarantiner.New("entry-2")
+	peer.Merge(verdicts, now)
+	_, err := peer.Check(now, many-1)
+	assert.ErrorIs(t, err, quarantiner.ErrConvicted, "the latest go first")
+
+	cleared := quarantiner.New("entry-1")
+	crash(cleared, "t1", innocent)
+	cleared.Clear(start, innocent)
+	assert.Len(t, cleared.Verdicts(start), 1)
+	assert.Empty(t, cleared.Verdicts(start.Add(10*time.Second)))
+}
+
+func TestVerdictsLapseThoughPeersRepeatThem(t *testing.T) {
+	one, two := quarantiner.New("entry-1"), quarantiner.New("entry-2")
+	crash(one, "t1", bad)
+	crash(one, "t2", bad)
+	for now := start; now.Before(start.Add(2 * time.Hour)); now = now.Add(time.Minute) {
+		two.Merge(one.Verdicts(now), now)
+		one.Merge(two.Verdicts(now), now)
+	}
+	_, err := two.Check(start.Add(2*time.Hour), bad)
+	assert.NoError(t, err)
+}
+
 func TestCrashesAtTwoInstancesAddUp(t *testing.T) {
 	one, two := quarantiner.New("entry-1"), quarantiner.New("entry-2")
 	crash(one, "t1", bad)
--- a/internal/request/quarantiner/verdict.go
+++ b/internal/request/quarantiner/verdict.go
@@ -15,20 +15,29 @@
 	stateCleared   = "Cleared"
 )
 
-const fingerprintBase = 16
+const (
+	fingerprintBase = 16
+	// mostConvicted bounds the heartbeat, which carries all verdicts each time.
+	mostConvicted = 64
+)
 
 // Verdicts returns what this instance tells its peers: its own suspects, those
-// that it cleared, and all that are convicted.
+// that it cleared a moment ago, and the latest that are convicted.
 func (q *Quarantiner) Verdicts(now time.Time) []messenger.Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	list := []messenger.Verdict{}
+	list, convicted := []messenger.Verdict{}, []messenger.Verdict{}
 	for f, r := range q.records {
-		if now.Before(r.deadline) && (r.owner == q.instance || r.isConvicted()) {
+		switch {
+		case !now.Before(r.deadline):
+		case r.isConvicted():
+			convicted = append(convicted, verdictOf(f, r))
+		case r.owner == q.instance:
 			list = append(list, verdictOf(f, r))
 		}
 	}
-	return list
+	slices.SortFunc(convicted, func(a, b messenger.Verdict) int { return b.Deadline.Compare(a.Deadline) })
+	return append(list, convicted[:min(mostConvicted, len(convicted))]...)
 }
 
 func verdictOf(f Fingerprint, r *record) messenger.Verdict {
@@ -78,6 +87,9 @@
 	}
 	if v.State == stateCleared {
 		r.forgive(v.Places)
+		if !r.isSuspect() {
+			r.deadline = v.Deadline
+		}
 	} else {
 		wasSuspect := r.isSuspect()
 		for _, place := range v.Places {
