Try the only target again after its connection failed

Cause: a target was left out for good once a connection to it had failed, so that a model with one copy could not answer after a cut.

Before: 'dropped, then answered by the only target' red (outcome unknown). After: dispatcher green with -race, listener green.

Excluded: trying it before other targets (they may be better off), and after a crash or a refusal.

Conclusion: each target is tried again once for each failed connection, within the four attempts of a request.

--- a/internal/request/dispatcher/choice.go
+++ b/internal/request/dispatcher/choice.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/crocusring/crocusring/internal/edge/connector"
+	"github.com/crocusring/crocusring/internal/edge/streamer"
 	"github.com/crocusring/crocusring/internal/request/quarantiner"
 	"github.com/crocusring/crocusring/internal/request/router"
 	"github.com/crocusring/crocusring/internal/state/keeper"
@@ -88,6 +89,12 @@
 		if err != nil && busy != nil {
 			return nil, busy
 		}
+		if err != nil && len(a.cut) > 0 {
+			a.tried = slices.DeleteFunc(a.tried, func(id string) bool { return slices.Contains(a.cut, id) })
+			a.cut = nil
+			avoided = slices.Clone(a.tried)
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -99,9 +106,13 @@
 }
 
 // leave ends the count of a request on a target. err is how the attempt ended.
-func (d *Dispatcher) leave(target *keeper.Target, job *Job, err error) {
+func (d *Dispatcher) leave(target *keeper.Target, job *Job, a *attempts, err error) {
 	target.Counter.InFlight.Add(-1)
-	if d.isCrash(target, err) {
+	isCrash := d.isCrash(target, err)
+	if !isCrash && isConnectionFault(err) {
+		a.cut = append(a.cut, target.ID)
+	}
+	if isCrash {
 		place := quarantiner.Place{Target: target.ID, Incarnation: target.Incarnation}
 		if d.quarantiner.Crashed(d.now(), place, job.Fingerprint) {
 			go d.announce() // the caller does not wait for it
@@ -110,6 +121,19 @@
 	d.quarantiner.End(target.ID, job.Fingerprint)
 }
 
+// isConnectionFault reports whether an attempt ended by its connection, so that
+// another one may do better on the same target.
+func isConnectionFault(err error) bool {
+	for _, fault := range []error{
+		connector.ErrCut, connector.ErrSilent, streamer.ErrTruncated, streamer.ErrCrossed, streamer.ErrMalformed,
+	} {
+		if errors.Is(err, fault) {
+			return true
+		}
+	}
+	return false
+}
+
 // isCrash tells the crash of a target from a connection that was cut or went
 // silent while the target runs on.
 func (d *Dispatcher) isCrash(target *keeper.Target, err error) bool {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -139,6 +139,9 @@
 
 	count int
 	tried []string
+	// cut are those of tried that run on though the connection failed. They may
+	// be tried once more each time if there is no other target.
+	cut []string
 	// current is the target that runs the request now.
 	current atomic.Pointer[keeper.Target]
 	// waitUntil is when a suspect no longer waits for its turn.
@@ -251,7 +254,7 @@
 			s.clearAt = s.next + clearingTokens
 			return nil
 		}
-		d.leave(target, s.job, err)
+		d.leave(target, s.job, &s.attempts, err)
 		if isRejected(err) {
 			return err
 		}
@@ -307,7 +310,7 @@
 	}
 	s.stream.Close()
 	s.stream = nil
-	s.dispatcher.leave(s.target, s.job, err)
+	s.dispatcher.leave(s.target, s.job, &s.attempts, err)
 }
 
 // Close ends the request. One that is not answered in full is cancelled.
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,18 @@
 	ctx.Hijack(func(net.Conn) {})
 }
 
+// firstDropped drops the first request only.
+func firstDropped() behaviour {
+	var seen atomic.Int64
+	return func(ctx *fasthttp.RequestCtx, id string) {
+		if seen.Add(1) == 1 {
+			dropped(ctx, id)
+			return
+		}
+		answered(ctx, id)
+	}
+}
+
 func refused(ctx *fasthttp.RequestCtx, id string) {
 	ctx.Response.Header.Set("X-Request-Id", id)
 	ctx.Response.Header.Set("X-Not-Run", "true")
@@ -99,6 +112,9 @@
 		{"dropped and not repeatable", []behaviour{dropped, answered}, false, dispatcher.ErrUnknown},
 		{"failed and not repeatable", []behaviour{failed, answered}, false, dispatcher.ErrUnknown},
 		{"dropped, then answered", []behaviour{dropped, answered}, true, nil},
+		{"dropped, then answered by the only target", []behaviour{firstDropped()}, true, nil},
+		{"always dropped by the only target", []behaviour{dropped}, true, dispatcher.ErrUnknown},
+		{"dropped by one that refuses then", []behaviour{refused, dropped}, true, dispatcher.ErrUnknown},
 		{"failed, then answered", []behaviour{failed, answered}, true, nil},
 		{"silent, then answered", []behaviour{silent, answered}, true, nil},
 		{"silent, then refused", []behaviour{silent, refused}, true, dispatcher.ErrUnknown},
--- a/internal/request/dispatcher/whole.go
+++ b/internal/request/dispatcher/whole.go
@@ -86,7 +86,7 @@
 		// A pooled connection may have gone silent, which would not be noticed.
 		call.Fresh = true
 		body, err := d.engines.Whole(target.Address, call)
-		d.leave(target, job, err)
+		d.leave(target, job, a, err)
 		if err == nil || isRejected(err) {
 			d.quarantiner.Clear(d.now(), job.Fingerprint)
 			return body, err
