Tell demands to the lease holder alone and what peers heard in answers alone

Now demands go to the lease holder, rounded and without empty fields, news of peers are in answers, and an instance starts an exchange twice a second. The roster is read by the lease holder, and by others only while peers do not vouch for it.

Excluded: a binary codec.

--- a/internal/node/runner/heartbeat.go
+++ b/internal/node/runner/heartbeat.go
@@ -1,14 +1,19 @@
 package runner
 
 import (
+	"math"
 	"time"
 
 	"github.com/crocusring/crocusring/internal/state/keeper"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// heartbeat returns what this instance tells its peers.
-func (n *Node) heartbeat() messenger.Heartbeat {
+// leastRate is the demand in requests per second that is worth telling.
+const leastRate = 0.001
+
+// heartbeat returns what this instance tells a peer. Demands make up most of it
+// and are told to the lease holder alone, who plans with them.
+func (n *Node) heartbeat(to string) messenger.Heartbeat {
 	now := n.now()
 	holder := n.leaser.Holder()
 	hb := messenger.Heartbeat{
@@ -17,16 +22,32 @@
 		DataCentre: n.settings.DataCentre, Revision: n.tree.Revision(), Leaving: n.leaving.Load(),
 		InFlight: n.listener.InFlight(), Holder: holder.Holder, Fence: holder.Fence,
 		Demands: []messenger.Demand{}, Wants: n.wants(), Verdicts: n.quarantiner.Verdicts(now),
-		LeavingTargets: leavingTargets(n.fleet.View()), Peers: n.peerNews(now),
-		RosterNumber: n.sharer.lender.Roster().Number, RosterAcked: n.sharer.lender.Acked(now),
+		LeavingTargets: leavingTargets(n.fleet.View()),
+		RosterNumber:   n.sharer.lender.Roster().Number, RosterAcked: n.sharer.lender.Acked(now),
 	}
 	hb.StoreAgeMilliseconds = n.settingsAge(now)
-	for model, rate := range *n.rates.Load() {
-		hb.Demands = append(hb.Demands, messenger.Demand{Model: model, Rate: rate})
+	if to == holder.Holder {
+		hb.Demands = demands(*n.rates.Load())
 	}
 	return hb
 }
 
+func demands(rates map[string]float64) []messenger.Demand {
+	list := []messenger.Demand{}
+	for model, rate := range rates {
+		if rate >= leastRate {
+			list = append(list, messenger.Demand{Model: model, Rate: math.Round(rate/leastRate) * leastRate})
+		}
+	}
+	return list
+}
+
+// complete adds to an answer what the sender of a heartbeat asks for.
+func (n *Node) complete(asked messenger.Heartbeat, answer *messenger.HeartbeatAnswer) {
+	answer.Loans, answer.Rosters = n.lend(asked)
+	answer.Peers = n.peerNews(n.now())
+}
+
 // leavingTargets returns the targets whose present incarnation was said to leave.
 func leavingTargets(view *keeper.View) []messenger.LeavingTarget {
 	list := []messenger.LeavingTarget{}
@@ -53,6 +74,6 @@
 // answered takes the answer of a peer to a heartbeat that was sent at sentAt.
 func (n *Node) answered(answer messenger.HeartbeatAnswer, sentAt time.Time) {
 	n.confirm(answer.Heartbeat, sentAt)
-	n.drain.hear(n.now(), n.home.Instance, answer.Heartbeat)
+	n.drain.hear(n.now(), n.home.Instance, answer)
 	n.borrow(answer, sentAt)
 }
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -40,7 +40,7 @@
 	listEvery      = 500 * time.Millisecond
 	reportEvery    = 200 * time.Millisecond
 	eventsEvery    = time.Second
-	heartbeatEvery = 250 * time.Millisecond
+	heartbeatEvery = 500 * time.Millisecond
 	settingsEvery  = 100 * time.Millisecond
 	leaseEvery     = 250 * time.Millisecond
 	orderEvery     = 250 * time.Millisecond
@@ -129,7 +129,7 @@
 		HearTargets:  n.watcher.Hear,
 		HearVerdicts: n.hearVerdicts,
 		Answered:     n.answered,
-		Lend:         n.lend,
+		Complete:     n.complete,
 	})
 	n.listener = listener.New(n.parts())
 	return n
--- a/internal/node/runner/shares.go
+++ b/internal/node/runner/shares.go
@@ -44,10 +44,15 @@
 	return nil
 }
 
-// tickRoster follows the roster in the table service; the lease holder changes it
-// when the instances that are alive have changed.
+// tickRoster follows the roster in the table service if peers do not vouch for
+// it; the lease holder changes it when the instances that are alive have changed.
 func (n *Node) tickRoster() error {
 	sentAt := n.now()
+	n.lapseMembers(sentAt)
+	grant, held := n.leaser.Held(sentAt)
+	if !held && n.sharer.lender.IsVouched(sentAt, rosterEvery) {
+		return nil
+	}
 	row, err := n.sharer.tables.Get(rosterTable, rosterKey)
 	if err != nil {
 		return err
@@ -61,8 +66,6 @@
 	now := n.now()
 	n.sharer.lender.Adopt(now, roster)
 	n.sharer.lender.Read(sentAt, roster.Number)
-	n.lapseMembers(now)
-	grant, held := n.leaser.Held(now)
 	next, due := n.sharer.lender.Next(now, n.members(now))
 	if !held || !due || next.Number != roster.Number+1 {
 		return nil
--- a/internal/node/runner/stop.go
+++ b/internal/node/runner/stop.go
@@ -54,10 +54,10 @@
 
 // hear takes the answer of a peer that came at now. A peer that knows of the stop
 // gives no further answers that name this instance.
-func (d *drain) hear(now time.Time, own string, hb messenger.Heartbeat) {
-	for _, p := range hb.Peers {
+func (d *drain) hear(now time.Time, own string, answer messenger.HeartbeatAnswer) {
+	for _, p := range answer.Peers {
 		if p.Instance == own && p.Leaving {
-			d.confirm(now, hb.Instance, time.Duration(p.NamedMilliseconds)*time.Millisecond)
+			d.confirm(now, answer.Heartbeat.Instance, time.Duration(p.NamedMilliseconds)*time.Millisecond)
 		}
 	}
 }
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -49,8 +49,9 @@
 
 // Seams are the functions that an exchanger calls.
 type Seams struct {
-	// Compose returns the heartbeat of this instance.
-	Compose func() messenger.Heartbeat
+	// Compose returns the heartbeat of this instance to a peer, which is empty if
+	// it is not known.
+	Compose func(to string) messenger.Heartbeat
 	// Merge takes over settings of a peer.
 	Merge func(messenger.SettingsSince)
 	// Revision returns the settings revision of this instance.
@@ -61,9 +62,8 @@
 	HearVerdicts func([]messenger.Verdict)
 	// Answered takes the answer to a heartbeat that was sent at sentAt.
 	Answered func(answer messenger.HeartbeatAnswer, sentAt time.Time)
-	// Lend returns what is lent to the sender of a heartbeat, and the rosters that
-	// it does not know.
-	Lend func(messenger.Heartbeat) ([]messenger.Share, []messenger.Roster)
+	// Complete adds to an answer what the sender of a heartbeat asks for.
+	Complete func(asked messenger.Heartbeat, answer *messenger.HeartbeatAnswer)
 }
 
 // New returns an exchanger for instance.
@@ -77,13 +77,13 @@
 // Tick sends one heartbeat to each peer, except those that still owe an answer.
 // It does not wait, so that a frozen peer does not hold up the others.
 func (x *Exchanger) Tick() {
-	for _, address := range x.addresses() {
+	for address, id := range x.peers() {
 		if !x.begin(address) {
 			continue
 		}
 		go func() {
 			defer x.end(address)
-			x.exchange(address)
+			x.exchange(address, id)
 		}()
 	}
 }
@@ -92,28 +92,28 @@
 func (x *Exchanger) TickAndWait() {
 	var group errgroup.Group
 	group.SetLimit(mostAtOnce)
-	for _, address := range x.addresses() {
+	for address, id := range x.peers() {
 		group.Go(func() error {
-			x.exchange(address)
+			x.exchange(address, id)
 			return nil
 		})
 	}
 	_ = group.Wait()
 }
 
-// addresses returns where to send heartbeats to. A peer that is not heard may
+// peers returns the addresses to send heartbeats to, with their instances. A peer that is not heard may
 // have come back at the address that the list has.
-func (x *Exchanger) addresses() []string {
+func (x *Exchanger) peers() map[string]string {
 	now := x.now()
-	list := []string{}
+	list := map[string]string{}
 	for id, in := range x.fleet.View().Instances {
 		state := detector.Judge(now, in)
 		if id == x.instance || (state == detector.Gone && !in.Listed) {
 			continue
 		}
-		list = append(list, in.Address)
+		list[in.Address] = id
 		if state != detector.Alive && in.ListedAddress != "" && in.ListedAddress != in.Address {
-			list = append(list, in.ListedAddress)
+			list[in.ListedAddress] = id
 		}
 	}
 	return list
@@ -135,14 +135,15 @@
 	delete(x.asked, address)
 }
 
-func (x *Exchanger) exchange(address string) {
+func (x *Exchanger) exchange(address, id string) {
 	var answer messenger.HeartbeatAnswer
 	sentAt := x.now()
 	err := x.poster.Do(poster.Call{
 		Method: fasthttp.MethodPost, URL: "http://" + address + PathHeartbeat, Token: x.credential,
-		In: x.seams.Compose(), Out: &answer, Deadline: sentAt.Add(callTimeout),
+		In: x.seams.Compose(id), Out: &answer, Deadline: sentAt.Add(callTimeout),
 	})
 	if err == nil && x.Absorb(answer.Heartbeat) {
+		x.hearPeers(x.now(), answer.Peers)
 		x.seams.Answered(answer, sentAt)
 	}
 }
@@ -150,8 +151,12 @@
 // Answer takes the heartbeat of a peer and returns that of this instance.
 func (x *Exchanger) Answer(hb messenger.Heartbeat) messenger.HeartbeatAnswer {
 	x.Absorb(hb)
-	loans, rosters := x.seams.Lend(hb)
-	return messenger.HeartbeatAnswer{Heartbeat: x.seams.Compose(), Loans: loans, Rosters: rosters}
+	answer := messenger.HeartbeatAnswer{
+		Heartbeat: x.seams.Compose(hb.Instance),
+		Loans:     []messenger.Share{}, Rosters: []messenger.Roster{}, Peers: []messenger.PeerNews{},
+	}
+	x.seams.Complete(hb, &answer)
+	return answer
 }
 
 // Absorb takes the heartbeat of a peer into the fleet and reports whether it
@@ -181,7 +186,6 @@
 	x.mu.Lock()
 	x.latest[hb.Instance] = Heard{Heartbeat: hb, At: now}
 	x.mu.Unlock()
-	x.hearPeers(now, hb.Peers)
 	x.seams.HearTargets(hb.LeavingTargets)
 	return true
 }
--- a/internal/peer/lender/roster.go
+++ b/internal/peer/lender/roster.go
@@ -20,6 +20,13 @@
 	return part
 }
 
+// IsVouched reports whether the roster is vouched for at now and for a while after.
+func (l *Lender) IsVouched(now time.Time, while time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Add(while).Before(l.vouchedUntil(now))
+}
+
 // vouchedUntil returns until when the roster is vouched for: by the table
 // service, or by most members.
 func (l *Lender) vouchedUntil(now time.Time) time.Time {
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -75,17 +75,11 @@
 // Demand is the recent demand for one model seen by one instance. Rate is in
 // requests per second.
 type Demand struct {
-	// InFlight corresponds to the JSON schema field "InFlight".
-	InFlight int `json:"InFlight"`
-
 	// Model corresponds to the JSON schema field "Model".
 	Model string `json:"Model"`
 
 	// Rate corresponds to the JSON schema field "Rate".
 	Rate float64 `json:"Rate"`
-
-	// Refused corresponds to the JSON schema field "Refused".
-	Refused float64 `json:"Refused"`
 }
 
 // Draining tells, from the holder of the control lease, that a name on a target
@@ -215,7 +209,8 @@
 	UsedBytes int64 `json:"UsedBytes"`
 }
 
-// Heartbeat is what an instance tells its peers at each exchange.
+// Heartbeat is what an instance tells a peer at each exchange. Only the control
+// lease holder is told Demands.
 type Heartbeat struct {
 	// Address corresponds to the JSON schema field "Address".
 	Address string `json:"Address"`
@@ -250,9 +245,6 @@
 	// LeavingTargets corresponds to the JSON schema field "LeavingTargets".
 	LeavingTargets []LeavingTarget `json:"LeavingTargets"`
 
-	// Peers corresponds to the JSON schema field "Peers".
-	Peers []PeerNews `json:"Peers"`
-
 	// Revision corresponds to the JSON schema field "Revision".
 	Revision int64 `json:"Revision"`
 
@@ -281,7 +273,8 @@
 }
 
 // HeartbeatAnswer carries the heartbeat of the instance that was asked, what it
-// lends to the asker, and its roster if the asker knows only an earlier one.
+// lends to the asker, its roster if the asker knows only an earlier one, and what
+// it heard of other instances.
 type HeartbeatAnswer struct {
 	// Heartbeat corresponds to the JSON schema field "Heartbeat".
 	Heartbeat Heartbeat `json:"Heartbeat"`
@@ -289,6 +282,9 @@
 	// Loans corresponds to the JSON schema field "Loans".
 	Loans []Share `json:"Loans"`
 
+	// Peers corresponds to the JSON schema field "Peers".
+	Peers []PeerNews `json:"Peers"`
+
 	// Rosters corresponds to the JSON schema field "Rosters".
 	Rosters []Roster `json:"Rosters"`
 }
