--- a/internal/node/runner/heartbeat.go
+++ b/internal/node/runner/heartbeat.go
@@ -20,10 +20,11 @@
 		Instance: n.home.Instance, Incarnation: n.home.Incarnation, Address: n.settings.Listen,
 		StartedAtMilliseconds: n.startedAt.UnixMilli(), Sequence: n.sequence.Add(1),
 		DataCentre: n.settings.DataCentre, Revision: n.tree.Revision(), Leaving: n.leaving.Load(),
-		InFlight: n.listener.InFlight(), Holder: holder.Holder, Fence: holder.Fence,
+		InFlight: n.listener.InFlight(), Holder: holder.Holder, Fence: holder.Fence, QuietFence: n.quietFence(),
 		Demands: []messenger.Demand{}, Wants: n.wants(), Verdicts: n.quarantiner.Verdicts(now),
 		LeavingTargets: leavingTargets(n.fleet.View()),
 		RosterNumber:   n.sharer.lender.Roster().Number, RosterAcked: n.sharer.lender.Acked(now),
+		Drainings: n.drainings(),
 	}
 	hb.StoreAgeMilliseconds = n.settingsAge(now)
 	if to == holder.Holder {
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -245,6 +245,10 @@
 	// LeavingTargets corresponds to the JSON schema field "LeavingTargets".
 	LeavingTargets []LeavingTarget `json:"LeavingTargets"`
 
+	// QuietFence is a fencing number of the control lease below which this process
+	// sends no order any more, or 0.
+	QuietFence int64 `json:"QuietFence"`
+
 	// Revision corresponds to the JSON schema field "Revision".
 	Revision int64 `json:"Revision"`
 
