Let old versions of a model make room while another copy of it serves

Cause: memory full of single copies of old versions kept each new version out for good: a copy of an old version counted as spare only if another copy of the same version was loaded, though any version serves in place of the new one. Excluded: giving up a model's last copy for its new version, which would make it unreachable until that is loaded. Before: TestOldVersionsMakeRoom fails, Plan returns no moves and none of four models gets its configured version. After: it passes, no model without a copy in between, and TestPlan* pass with 3000 draws each.

--- a/internal/control/planner/copies.go
+++ b/internal/control/planner/copies.go
@@ -199,6 +199,9 @@
 		if need <= 0 {
 			break
 		}
+		if !v.group.configured && p.isLastWith(v.group, set) {
+			continue
+		}
 		need -= v.bytes
 		set.groups = append(set.groups, v.group)
 		set.loss += v.loss
@@ -206,6 +209,18 @@
 	return set, need <= 0 && len(set.groups) > 0
 }
 
+// isLastWith reports whether an old version is the last copy of its model once the
+// copies of a set are gone.
+func (p *plan) isLastWith(g *group, set victims) bool {
+	left := p.loaded[g.name.Model]
+	for _, v := range set.groups {
+		if v.name.Model == g.name.Model {
+			left--
+		}
+	}
+	return p.configuredOf(g) != nil && left <= 1
+}
+
 // isSpare reports whether the copy of a model on a target may go for a copy of
 // the class.
 func (p *plan) isSpare(g *group, n *node, c class) bool {
@@ -214,7 +229,7 @@
 	}
 	if !g.configured {
 		current := p.configuredOf(g)
-		return current == nil || current.stable > 0 || g.stable > 1
+		return current == nil || current.stable > 0 || p.loaded[g.name.Model] > 1
 	}
 	if c == first {
 		return g.stable > 1
--- a/internal/control/planner/index.go
+++ b/internal/control/planner/index.go
@@ -123,7 +123,7 @@
 }
 
 func newPlan(in Input) *plan {
-	p := &plan{in: in, moveBudget: in.Policy.MostMoves, groups: map[keeper.Name]*group{}}
+	p := &plan{in: in, moveBudget: in.Policy.MostMoves, groups: map[keeper.Name]*group{}, loaded: map[string]int{}}
 	p.addCatalog()
 	loading, adaptersLoading := p.addTargets()
 	sortModels(p.models)
@@ -206,6 +206,9 @@
 		p.groups[s.Name] = g
 	}
 	g.add(n, s)
+	if s.Stable && s.Name.Adapter == "" {
+		p.loaded[s.Name.Model]++
+	}
 }
 
 func compareNames(a, b keeper.Name) int {
--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -66,8 +66,10 @@
 
 // plan is the working state of one run.
 type plan struct {
-	in          Input
-	nodes       []*node // usable targets in the order of their IDs
+	in    Input
+	nodes []*node // usable targets in the order of their IDs
+	// loaded counts the loaded copies of each model, of whatever version.
+	loaded      map[string]int
 	groups      map[keeper.Name]*group
 	models      []*group // configured models, the most demanded first
 	dataCentres int      // with usable targets
@@ -149,6 +151,9 @@
 	n.later += s.Bytes
 	g.remove(n)
 	s.Stable = false
+	if g.name.Adapter == "" {
+		p.loaded[g.name.Model]--
+	}
 }
 
 // sortModels puts the most demanded models first.
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -85,17 +85,24 @@
 
 // freeAddress returns a loopback address that no other process uses: the host
 // comes from the process ID, so that neither a test that runs at the same time
-// nor an outgoing connection takes the port before it is bound.
+// nor an outgoing connection takes the port before it is bound. A port that a
+// process of an aborted run still holds is passed over.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	const firstPort, hosts = 20000, 250
+	const firstPort, hosts, mostTries = 20000, 250, 1000
 	pid := os.Getpid()
-	port := firstPort + int(addresses.Add(1))
-	address := fmt.Sprintf("127.%d.%d.1:%d", pid/hosts%hosts+1, pid%hosts+1, port)
-	ln, err := net.Listen("tcp", address)
-	require.NoError(t, err)
-	require.NoError(t, ln.Close())
-	return address
+	for range mostTries {
+		port := firstPort + int(addresses.Add(1))
+		address := fmt.Sprintf("127.%d.%d.1:%d", pid/hosts%hosts+1, pid%hosts+1, port)
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		require.NoError(t, ln.Close())
+		return address
+	}
+	require.Fail(t, "no free loopback address")
+	return ""
 }
 
 func start(t testing.TB, id, address, program string, args ...string) *process {
