Close connections to targets that are no longer there

The map of pools stood three times (duplicates: forwarder, relayer, streamer). What: connector.Pools serves all three and prunes by stored deadlines. Before: no prune; idle connections closed only when taken next. Excluded: a timer for each connection.

--- a/internal/edge/connector/connector_test.go
+++ b/internal/edge/connector/connector_test.go
@@ -163,3 +163,18 @@
 	assert.Zero(t, n)
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+func TestUnusedConnectionsAreClosed(t *testing.T) {
+	const within = 5 * time.Second
+	address, open := server(t, map[string]string{"/": okAnswer})
+	pools := connector.NewPools()
+	_, err := do(t.Context(), pools.For(address), "GET", "/", within, within)
+	require.NoError(t, err)
+	pools.Prune(time.Now())
+	require.EqualValues(t, 1, open.Load(), "a connection that was just used stays")
+	pools.Prune(time.Now().Add(time.Hour))
+	assert.Eventually(t, func() bool { return open.Load() == 0 }, within, time.Millisecond)
+	body, err := do(t.Context(), pools.For(address), "GET", "/", within, within)
+	require.NoError(t, err)
+	assert.Equal(t, "ok", body)
+}
--- /dev/null
+++ b/internal/edge/connector/pools.go
@@ -0,0 +1,63 @@
+package connector
+
+import (
+	"sync"
+	"time"
+)
+
+// Pools holds a pool for each address in use. The zero value is not usable; see
+// NewPools.
+type Pools struct {
+	mu    sync.Mutex
+	pools map[string]*Pool
+}
+
+// NewPools returns an empty set of pools.
+func NewPools() *Pools {
+	return &Pools{pools: map[string]*Pool{}}
+}
+
+// For returns the pool for an address.
+func (s *Pools) For(address string) *Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pool := s.pools[address]
+	if pool == nil {
+		pool = New(address)
+		s.pools[address] = pool
+	}
+	return pool
+}
+
+// Prune closes the idle connections that have expired at now and forgets the
+// pools without one, so that targets which are replaced leave nothing behind. A
+// pool that is still in use when it is forgotten goes on by itself.
+func (s *Pools) Prune(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for address, pool := range s.pools {
+		if pool.prune(now) == 0 {
+			delete(s.pools, address)
+		}
+	}
+}
+
+// prune closes the idle connections that have expired and returns how many stay.
+func (p *Pool) prune(now time.Time) int {
+	p.mu.Lock()
+	kept := make([]*conn, 0, len(p.idle))
+	expired := []*conn{}
+	for _, c := range p.idle {
+		if now.Before(c.expires) {
+			kept = append(kept, c)
+		} else {
+			expired = append(expired, c)
+		}
+	}
+	p.idle = kept
+	p.mu.Unlock()
+	for _, c := range expired {
+		c.Close()
+	}
+	return len(kept)
+}
--- a/internal/edge/forwarder/forwarder.go
+++ b/internal/edge/forwarder/forwarder.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"io"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -53,25 +52,16 @@
 
 // Client talks to services over one connection pool for each target.
 type Client struct {
-	mu    sync.Mutex
-	pools map[string]*connector.Pool
+	pools *connector.Pools
 }
 
 // New returns a client.
 func New() *Client {
-	return &Client{pools: map[string]*connector.Pool{}}
+	return &Client{pools: connector.NewPools()}
 }
 
-func (c *Client) pool(address string) *connector.Pool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	pool := c.pools[address]
-	if pool == nil {
-		pool = connector.New(address)
-		c.pools[address] = pool
-	}
-	return pool
-}
+// Prune closes connections that have not been used for a while.
+func (c *Client) Prune(now time.Time) { c.pools.Prune(now) }
 
 // Do sends a request to the service at address. Path and query go out byte by
 // byte as they are. The error is ErrTooLarge, ErrCrossed, ErrUnframed or one of
@@ -91,7 +81,7 @@
 		req.Header.Set(headerRequestKey, call.Key)
 	}
 	req.SetBodyRaw(call.Body)
-	answer, err := c.pool(address).Do(connector.Call{
+	answer, err := c.pools.For(address).Do(connector.Call{
 		Request: req, Fresh: call.Fresh, FirstByte: call.Until, Until: call.Until, Context: call.Context,
 	})
 	if err != nil {
--- a/internal/edge/listener/listener.go
+++ b/internal/edge/listener/listener.go
@@ -125,6 +125,9 @@
 	return l.server.Serve(ln)
 }
 
+// Prune closes connections to peers that have not been used for a while.
+func (l *Listener) Prune(now time.Time) { l.relay.Prune(now) }
+
 // Shutdown stops taking connections and waits for running requests until ctx ends.
 func (l *Listener) Shutdown(ctx context.Context) error {
 	return l.server.ShutdownWithContext(ctx)
--- a/internal/edge/relayer/relayer.go
+++ b/internal/edge/relayer/relayer.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,15 +27,17 @@
 // Client sends requests to peers over one connection pool for each.
 type Client struct {
 	instance string
-	mu       sync.Mutex
-	pools    map[string]*connector.Pool
+	pools    *connector.Pools
 }
 
 // New returns a client of instance.
 func New(instance string) *Client {
-	return &Client{instance: instance, pools: map[string]*connector.Pool{}}
+	return &Client{instance: instance, pools: connector.NewPools()}
 }
 
+// Prune closes connections that have not been used for a while.
+func (c *Client) Prune(now time.Time) { c.pools.Prune(now) }
+
 // Copy describes the copy of a caller's request that goes to its home.
 type Copy struct {
 	Request *fasthttp.Request
@@ -67,7 +68,7 @@
 	req.Header.Set(HeaderRelayed, c.instance)
 	req.Header.Set(headerRequestID, copied.ID)
 	req.Header.Set(headerDeadline, copied.Until.UTC().Format(time.RFC3339Nano))
-	answer, err := c.pool(address).Do(connector.Call{
+	answer, err := c.pools.For(address).Do(connector.Call{
 		Request: req, Fresh: true, FirstByte: copied.Until, Until: copied.Until, Context: copied.Context,
 	})
 	if err != nil {
@@ -90,14 +91,3 @@
 		header.Del(name)
 	}
 }
-
-func (c *Client) pool(address string) *connector.Pool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	pool := c.pools[address]
-	if pool == nil {
-		pool = connector.New(address)
-		c.pools[address] = pool
-	}
-	return pool
-}
--- a/internal/edge/streamer/probe.go
+++ b/internal/edge/streamer/probe.go
@@ -23,7 +23,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetHost(address)
 	req.Header.SetRequestURI(pathReport)
-	answer, err := c.Pool(address).Do(connector.Call{Request: req, Fresh: true, FirstByte: until, Until: until})
+	answer, err := c.pools.For(address).Do(connector.Call{Request: req, Fresh: true, FirstByte: until, Until: until})
 	if err != nil {
 		return errors.Is(err, connector.ErrRefused) || errors.Is(err, connector.ErrCut)
 	}
--- a/internal/edge/streamer/streamer.go
+++ b/internal/edge/streamer/streamer.go
@@ -8,7 +8,6 @@
 	"context"
 	"io"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -74,26 +73,16 @@
 
 // Client talks to engines over one connection pool for each.
 type Client struct {
-	mu    sync.Mutex
-	pools map[string]*connector.Pool
+	pools *connector.Pools
 }
 
 // New returns a client.
 func New() *Client {
-	return &Client{pools: map[string]*connector.Pool{}}
+	return &Client{pools: connector.NewPools()}
 }
 
-// Pool returns the connection pool for an address.
-func (c *Client) Pool(address string) *connector.Pool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	pool := c.pools[address]
-	if pool == nil {
-		pool = connector.New(address)
-		c.pools[address] = pool
-	}
-	return pool
-}
+// Prune closes connections that have not been used for a while.
+func (c *Client) Prune(now time.Time) { c.pools.Prune(now) }
 
 // Whole sends a request that is answered in one piece and returns the body.
 func (c *Client) Whole(address string, call Call) ([]byte, error) {
@@ -145,7 +134,7 @@
 		req.Header.Set(headerResume, call.ID+":"+strconv.Itoa(call.Next-1))
 	}
 	req.SetBodyRaw(call.Body)
-	answer, err := c.Pool(address).Do(connector.Call{
+	answer, err := c.pools.For(address).Do(connector.Call{
 		Request: req, Fresh: call.Fresh, FirstByte: call.FirstByte, Until: call.Until, Gap: call.Gap, Context: call.Context,
 	})
 	if err != nil {
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -201,7 +201,7 @@
 		{"rates", rateEvery, n.tickRates},
 		{"shares", shareEvery, n.tickShares},
 		{"roster", rosterEvery, n.tickRoster},
-		{"prune", pruneEvery, func() error { n.keys.Prune(n.now()); return nil }},
+		{"prune", pruneEvery, n.prune},
 		{"claims", pruneEvery, n.pruneClaims},
 	}
 	for _, l := range loops {
@@ -241,6 +241,15 @@
 	return n.leaser.Tick()
 }
 
+// prune forgets what has expired.
+func (n *Node) prune() error {
+	now := n.now()
+	n.keys.Prune(now)
+	n.dispatcher.Prune(now)
+	n.listener.Prune(now)
+	return nil
+}
+
 // pruneClaims is the task of the holder of the control lease alone, to spare the
 // table service.
 func (n *Node) pruneClaims() error {
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -133,6 +133,12 @@
 	return d
 }
 
+// Prune closes connections to targets that have not been used for a while.
+func (d *Dispatcher) Prune(now time.Time) {
+	d.engines.Prune(now)
+	d.services.Prune(now)
+}
+
 // attempts is what a request has behind it.
 type attempts struct {
 	repeatable bool
