Give a stream longer at a target with a queue, and an unrepeatable one its deadline

Cause: the head of a streamed answer comes with the first token, so that a queue of more than 5 s was taken for a silent connection: a repeatable request was sent a second time, into queues that were long already, and one that may not be repeated ended as 'outcome unknown' though its target worked on it. Excluded: no bound at all (a frozen target would hold repeatable requests). Before: TestAQueuedStreamIsNotTakenForSilent, 2 of 3 subtests fail (a second target asked; 'target is silent'). After: all pass, dispatcher and listener green. Conclusion: silence of a pooled connection to an idle target is found as before.

--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -199,15 +199,30 @@
 	return nil
 }
 
-func (d *Dispatcher) call(job *Job, next int) streamer.Call {
-	firstByte := d.now().Add(d.firstByte)
-	if job.Deadline.Before(firstByte) {
-		firstByte = job.Deadline
-	}
+func (d *Dispatcher) call(job *Job, target *keeper.Target, next int) streamer.Call {
 	return streamer.Call{
 		ID: job.ID, Key: job.Key, Body: job.Body, Priority: job.Priority, Next: next,
-		Fresh: !job.Repeatable, FirstByte: firstByte, Until: job.Deadline, Gap: d.gap, Context: job.Context,
+		Fresh: !job.Repeatable, FirstByte: d.firstByteBy(job, target), Until: job.Deadline, Gap: d.gap, Context: job.Context,
+	}
+}
+
+// firstByteBy returns the deadline for the head of a streamed answer. Silence
+// cannot be told from a queue, so a target with a queue is given longer: another
+// copy of the request would make the queues longer still. A request that may not
+// be repeated is on a connection of its own and has no other way to go.
+func (d *Dispatcher) firstByteBy(job *Job, target *keeper.Target) time.Time {
+	if !job.Repeatable {
+		return job.Deadline
+	}
+	now := d.now()
+	wait := d.firstByte
+	if target.Queued > 0 {
+		wait = max(wait, job.Deadline.Sub(now)/hedgeShare)
+	}
+	if by := now.Add(wait); by.Before(job.Deadline) {
+		return by
 	}
+	return job.Deadline
 }
 
 // giveUp returns the failure of a request for which no further target was found.
@@ -253,7 +268,7 @@
 		if err != nil {
 			return s.attempts.giveUp(err)
 		}
-		stream, err := d.engines.Start(target.Address, d.call(s.job, s.next))
+		stream, err := d.engines.Start(target.Address, d.call(s.job, target, s.next))
 		if err == nil {
 			s.target = target
 			s.stream = stream
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -172,3 +172,45 @@
 	assert.ErrorIs(t, err, dispatcher.ErrUnknown)
 	assert.NotErrorIs(t, err, io.EOF)
 }
+
+// TestAQueuedStreamIsNotTakenForSilent lets a target answer later than the
+// silence limit, as one does whose queue is long.
+func TestAQueuedStreamIsNotTakenForSilent(t *testing.T) {
+	const wait = 4 * shortSilence
+	start := func(repeatable bool, queued int) (second int64, err error) {
+		slow := func(ctx *fasthttp.RequestCtx, id string) {
+			time.Sleep(wait)
+			answered(ctx, id)
+		}
+		var asked atomic.Int64
+		other := func(ctx *fasthttp.RequestCtx, id string) {
+			asked.Add(1)
+			answered(ctx, id)
+		}
+		fleet := newFleet(t, slow, other)
+		fleet.ChangeTarget("t0", func(target *keeper.Target) { target.Queued = queued })
+		d := dispatcher.New(fleet, quarantiner.New("entry-1"), "dc-1", dispatcher.WithSilenceLimits(shortSilence, longSilence))
+		patient := job(repeatable)
+		patient.Deadline = time.Now().Add(longSilence)
+		stream, err := d.Start(patient)
+		if err == nil {
+			stream.Close()
+		}
+		return asked.Load(), err
+	}
+	t.Run("repeatable, at a target with a queue", func(t *testing.T) {
+		second, err := start(true, 3)
+		require.NoError(t, err)
+		assert.Zero(t, second)
+	})
+	t.Run("repeatable, at a target without a queue", func(t *testing.T) {
+		second, err := start(true, 0)
+		require.NoError(t, err)
+		assert.EqualValues(t, 1, second)
+	})
+	t.Run("not repeatable", func(t *testing.T) {
+		second, err := start(false, 0)
+		require.NoError(t, err)
+		assert.Zero(t, second)
+	})
+}
--- a/internal/request/dispatcher/whole.go
+++ b/internal/request/dispatcher/whole.go
@@ -80,7 +80,7 @@
 		if err != nil {
 			return nil, a.giveUp(err)
 		}
-		call := d.call(job, 0)
+		call := d.call(job, target, 0)
 		// The head of an answer in one piece comes with its body.
 		call.FirstByte = job.Deadline
 		// A pooled connection may have gone silent, which would not be noticed.
