Test a limit of one request a second over four processes

Cause: the way of whole units over heartbeats (what is asked of which peer) was proved in virtual time only. Excluded: in-flight limits over processes, which need requests that last. Conclusion: a limit below the number of instances holds over processes and is usable at each of them.

--- a/test/limit_test.go
+++ b/test/limit_test.go
@@ -28,7 +28,7 @@
 
 // excessOf returns by how much admissions surely exceed the limit in the worst
 // window: only those count that lie in the window as a whole.
-func excessOf(admitted []admission) float64 {
+func excessOf(admitted []admission, rate, burst float64) float64 {
 	worst := 0.0
 	for _, from := range admitted {
 		ends := []time.Time{}
@@ -40,7 +40,7 @@
 		slices.SortFunc(ends, time.Time.Compare)
 		for i, end := range ends {
 			window := end.Sub(from.sentAt).Seconds()
-			worst = max(worst, float64(i+1)-limitRate*window-limitBurst)
+			worst = max(worst, float64(i+1)-rate*window-burst)
 		}
 	}
 	return worst
@@ -52,10 +52,10 @@
 	for i := range admitted {
 		admitted[i] = admission{sentAt: now, endedAt: now}
 	}
-	assert.Zero(t, excessOf(admitted))
-	assert.InDelta(t, 1, excessOf(append(admitted, admission{sentAt: now, endedAt: now})), 1e-9)
+	assert.Zero(t, excessOf(admitted, limitRate, limitBurst))
+	assert.InDelta(t, 1, excessOf(append(admitted, admission{sentAt: now, endedAt: now}), limitRate, limitBurst), 1e-9)
 	later := now.Add(time.Second / limitRate)
-	assert.InDelta(t, 0, excessOf(append(admitted, admission{sentAt: now, endedAt: later})), 1e-9)
+	assert.InDelta(t, 0, excessOf(append(admitted, admission{sentAt: now, endedAt: later}), limitRate, limitBurst), 1e-9)
 }
 
 // perSecond returns how many requests were let in during the second from a time on.
@@ -109,12 +109,12 @@
 	return admitted
 }
 
-func (c *cluster) declareLimit() {
+func (c *cluster) declareLimit(rate, burst int) {
 	c.t.Helper()
 	c.post("http://"+c.entries[0].address+"/v1/settings", operatorCredential, messenger.ChangeRequest{Changes: []messenger.SettingChange{{
 		Path: "/platform/teams/ver", Value: json.RawMessage(fmt.Sprintf(
 			`{"CredentialDigest":%q,"RequestsPerSecond":%d,"Burst":%d,"InFlight":0}`,
-			digest("ver.secret-of-ver"), limitRate, limitBurst)),
+			digest("ver.secret-of-ver"), rate, burst)),
 	}}})
 }
 
@@ -126,7 +126,7 @@
 			t.Parallel()
 			c := newCluster(t, 1, 4)
 			c.configure("oak")
-			c.declareLimit()
+			c.declareLimit(limitRate, limitBurst)
 			holder, others := c.holder()
 			lost := others[0]
 			if lostHolder {
@@ -152,7 +152,7 @@
 			for recovered < most && perSecond(all, lostAt.Add(recovered)) < limitRate*95/100 {
 				recovered += 250 * time.Millisecond
 			}
-			excess := excessOf(all)
+			excess := excessOf(all, limitRate, limitBurst)
 			t.Logf("at one instance %d per second of %d; whole limit %v after the loss; largest excess %.0f",
 				atOne, limitRate, recovered, excess)
 			assert.Less(t, recovered, most)
@@ -160,3 +160,27 @@
 		})
 	}
 }
+
+// TestSmallLimitOverInstances uses a limit of one request a second up at all of
+// four instances, then at each alone.
+func TestSmallLimitOverInstances(t *testing.T) {
+	t.Parallel()
+	const rate, burst = 1, 1
+	c := newCluster(t, 1, 4)
+	c.configure("oak")
+	c.declareLimit(rate, burst)
+	addresses := []string{}
+	for _, e := range c.entries {
+		addresses = append(addresses, e.address)
+	}
+	admitted := c.press(addresses, 1, 1500)
+	t.Logf("at all instances: %d let in", len(admitted))
+	assert.Greater(t, len(admitted), 5)
+	for _, address := range addresses {
+		one := c.press([]string{address}, 1, 800)
+		t.Logf("at one instance: %d let in", len(one))
+		assert.NotEmpty(t, one)
+		admitted = append(admitted, one...)
+	}
+	assert.LessOrEqual(t, excessOf(admitted, rate, burst), 1e-9)
+}
