Freeze the lease holder for sure in the test of a frozen instance

Cause: SIGSTOP is sent before the threads have stopped, so that the test could go on while the process still ran. Assertions unchanged.

--- a/test/loss_test.go
+++ b/test/loss_test.go
@@ -108,7 +108,7 @@
 	var group sync.WaitGroup
 	group.Go(func() {
 		time.Sleep(2 * time.Second)
-		frozen.signal(t, syscall.SIGSTOP)
+		frozen.freeze(t)
 		c.assertStaleIsRefused(frozen, others)
 	})
 	history := c.runCallers(8, 36, 200*time.Millisecond)
