Let requests wait for a model whose holders leave

Cause: an engine that alone held a model left; until a copy was loaded elsewhere requests for the model were refused at once. Such requests now wait, at most 5 s and within their deadline. Excluded: letting the leaving engine take them for a while, since a late list leaves little of the 3 s. The new test of one request failed with the same refusal on the code before. What remains: a model that takes longer than 5 s to load is still refused then, and one whose engine has gone before the copy is loaded is refused at once.

--- a/internal/request/dispatcher/choice.go
+++ b/internal/request/dispatcher/choice.go
@@ -17,8 +17,11 @@
 const (
 	// suspectWait bounds how long a suspect waits for a target without another one.
 	suspectWait = 5 * time.Second
-	suspectPoll = 10 * time.Millisecond
-	probeLimit  = 300 * time.Millisecond
+	// moveWait bounds how long a request waits for a copy elsewhere if only
+	// leaving targets hold its model.
+	moveWait   = 5 * time.Second
+	pickPoll   = 10 * time.Millisecond
+	probeLimit = 300 * time.Millisecond
 	// clearingTokens is how far past the point of a crash a stream must come to
 	// be no longer a suspect. Tokens before that may have been lost on the way.
 	clearingTokens = 8
@@ -36,18 +39,29 @@
 			a.current.Store(target)
 			return target, nil
 		}
-		if !errors.Is(err, quarantiner.ErrWait) {
+		if !d.mayWait(job, a, err) {
 			return nil, err
 		}
-		now := d.now()
-		if a.waitUntil.IsZero() {
-			a.waitUntil = now.Add(suspectWait)
-		}
-		if !now.Before(a.waitUntil) {
-			return nil, err
-		}
-		time.Sleep(suspectPoll)
+		time.Sleep(pickPoll)
+	}
+}
+
+// mayWait reports whether a request for which no target was found is to try
+// again: a suspect waits for its turn, others for a copy of a model whose holders leave.
+func (d *Dispatcher) mayWait(job *Job, a *attempts, err error) bool {
+	until, limit := &a.turnUntil, suspectWait
+	switch {
+	case errors.Is(err, quarantiner.ErrWait):
+	case errors.Is(err, router.ErrNoTarget) && d.fleet.View().IsMoving(job.Name):
+		until, limit = &a.moveUntil, moveWait
+	default:
+		return false
+	}
+	now := d.now()
+	if until.IsZero() {
+		*until = now.Add(limit)
 	}
+	return now.Before(*until)
 }
 
 // tryPick claims a target once. The error is that of the quarantiner, of the
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -144,8 +144,10 @@
 	cut []string
 	// current is the target that runs the request now.
 	current atomic.Pointer[keeper.Target]
-	// waitUntil is when a suspect no longer waits for its turn.
-	waitUntil time.Time
+	// turnUntil is when a suspect no longer waits for its turn, and moveUntil when
+	// a request no longer waits for a copy of a model whose holders leave.
+	turnUntil time.Time
+	moveUntil time.Time
 	// ran is set once a target may have run any part of the request.
 	ran  bool
 	last error
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -172,3 +172,35 @@
 	assert.ErrorIs(t, err, dispatcher.ErrUnknown)
 	assert.NotErrorIs(t, err, io.EOF)
 }
+
+// TestModelOfLeavingTarget sends requests for a model that only a leaving target
+// holds. They wait for a copy elsewhere.
+func TestModelOfLeavingTarget(t *testing.T) {
+	newFleetOfLeaving := func(t *testing.T, others ...behaviour) *keeper.Fleet {
+		unused := func(ctx *fasthttp.RequestCtx, id string) {
+			assert.Fail(t, "new work at a leaving target")
+			answered(ctx, id)
+		}
+		fleet := newFleet(t, append([]behaviour{unused}, others...)...)
+		fleet.ChangeTarget("t0", func(target *keeper.Target) { target.SaysLeaving = true })
+		return fleet
+	}
+	send := func(fleet *keeper.Fleet) error {
+		_, err := dispatcher.New(fleet, quarantiner.New("entry-1"), "dc-1").Whole(job(true))
+		return err
+	}
+	t.Run("a copy elsewhere is loaded", func(t *testing.T) {
+		fleet := newFleetOfLeaving(t, answered)
+		loaded := fleet.View().Targets["t1"].Holdings
+		fleet.ChangeTarget("t1", func(target *keeper.Target) { target.Holdings = nil })
+		time.AfterFunc(shortSilence, func() {
+			fleet.ChangeTarget("t1", func(target *keeper.Target) { target.Holdings = loaded })
+		})
+		assert.NoError(t, send(fleet))
+	})
+	t.Run("none is", func(t *testing.T) {
+		var failure *dispatcher.FailureError
+		require.ErrorAs(t, send(newFleetOfLeaving(t)), &failure)
+		assert.False(t, failure.Ran)
+	})
+}
--- a/internal/state/keeper/leaving.go
+++ b/internal/state/keeper/leaving.go
@@ -49,6 +49,19 @@
 	return slices.ContainsFunc(t.Marks, t.matches)
 }
 
+// IsMoving reports whether all targets that hold a name leave, and there are any.
+func (v *View) IsMoving(name Name) bool {
+	if len(v.holders[name]) > 0 {
+		return false
+	}
+	for _, t := range v.Targets {
+		if t.Leaving && t.Holds(name) {
+			return true
+		}
+	}
+	return false
+}
+
 // nameMarks gives marks that were set before the engine first reported its
 // incarnation, so that they do not hold for its successors.
 func (t *Target) nameMarks() {
