Test planned stops of targets and restarts of instances over processes

Cause: both were proved in virtual time only. The engine stand-in now records when executions start.

--- a/internal/fake/engineer/engineer.go
+++ b/internal/fake/engineer/engineer.go
@@ -76,6 +76,7 @@
 	Model       string
 	From        int
 	Incarnation string
+	StartedAt   time.Time
 }
 
 // Engine is the stand-in. Its methods may be called while it serves.
--- a/internal/fake/engineer/handler.go
+++ b/internal/fake/engineer/handler.go
@@ -169,7 +169,7 @@
 	e.cache.touch(req.Model, prompt)
 	e.executions = append(e.executions, Execution{
 		RequestID: id, Key: string(ctx.Request.Header.Peek(headerRequestKey)),
-		Model: req.Model, From: from, Incarnation: e.incarnation(),
+		Model: req.Model, From: from, Incarnation: e.incarnation(), StartedAt: time.Now(),
 	})
 	s := &stream{engine: e, id: id, answerID: id, model: req.Model, prompt: prompt, from: from, until: req.MaxTokens}
 	if takeOne(&e.fault.CrossAnswers) {
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -126,10 +126,16 @@
 }
 
 func newCluster(t testing.TB, engines, entries int, engineArgs ...string) *cluster {
+	t.Helper()
+	return newLaggingCluster(t, 0, engines, entries, engineArgs...)
+}
+
+// newLaggingCluster starts a cluster whose instance list is late by lag.
+func newLaggingCluster(t testing.TB, lag time.Duration, engines, entries int, engineArgs ...string) *cluster {
 	t.Helper()
 	c := &cluster{t: t, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	address := freeAddress(t)
-	c.platform = start(t, "platform", address, "crocusfake", "platform", address)
+	c.platform = start(t, "platform", address, "crocusfake", "platform", address, "--list-lag", lag.String())
 	c.await("platform", func() bool { return c.get("http://"+address+"/v1/instances") == http.StatusOK })
 	for i := range engines {
 		id := fmt.Sprintf("engine-%d", i+1)
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -12,10 +12,10 @@
 
 // longStream starts a stream of some seconds at an instance and returns a channel
 // with its end.
-func (c *cluster) longStream(entry *process) <-chan reply {
+func (c *cluster) longStream(entry *process, model string) <-chan reply {
 	const tokens = 800
 	done := make(chan reply, 1)
-	body := fmt.Sprintf(`{"model":"oak","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"long"}]}`, tokens)
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"long"}]}`, model, tokens)
 	go func() { done <- c.sendWithin(30*time.Second, entry, "/v1/chat/completions", body, nil) }()
 	return done
 }
@@ -27,7 +27,7 @@
 	c := newCluster(t, 3, 4, "--token-interval", "5ms")
 	c.configure("oak")
 	leaving := c.entries[0]
-	stream := c.longStream(leaving)
+	stream := c.longStream(leaving, "oak")
 	stopped := make(chan time.Time, 1)
 	time.AfterFunc(2*time.Second, func() {
 		leaving.signal(t, syscall.SIGTERM)
