Name the readiness of an instance, and drop what fasthttp logs of connections

Cause: read as a newcomer: runner had a 'verdict' on settings beside the verdicts on requests, a poll slept for the life of a judgement, and the stand-ins wrote fasthttp's lines on broken connections between the lines of the demo.

--- a/internal/edge/listener/listener.go
+++ b/internal/edge/listener/listener.go
@@ -6,6 +6,8 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"strings"
 	"sync"
@@ -109,17 +111,12 @@
 		CloseOnShutdown:       true,
 		ConnState:             l.noteState,
 		IdleTimeout:           time.Minute,
-		Logger:                discardLogger{},
+		// Errors of single connections are logged where they are handled.
+		Logger: log.New(io.Discard, "", 0),
 	}
 	return l
 }
 
-// discardLogger drops what fasthttp logs of single connections; refusals are
-// logged where they are made.
-type discardLogger struct{}
-
-func (discardLogger) Printf(string, ...any) {}
-
 // Serve answers requests on ln until Shutdown.
 func (l *Listener) Serve(ln net.Listener) error {
 	return l.server.Serve(ln)
--- a/internal/fake/engineer/engineer.go
+++ b/internal/fake/engineer/engineer.go
@@ -7,6 +7,8 @@
 import (
 	"cmp"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"slices"
 	"sync"
@@ -165,7 +167,7 @@
 	for _, opt := range opts {
 		opt(e)
 	}
-	e.server = &fasthttp.Server{Handler: e.handle, NoDefaultServerHeader: true, CloseOnShutdown: true}
+	e.server = &fasthttp.Server{Handler: e.handle, NoDefaultServerHeader: true, CloseOnShutdown: true, Logger: log.New(io.Discard, "", 0)}
 	return e
 }
 
--- a/internal/fake/platformer/platformer.go
+++ b/internal/fake/platformer/platformer.go
@@ -6,6 +6,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"slices"
 	"sort"
@@ -84,7 +86,7 @@
 	for _, opt := range opts {
 		opt(p)
 	}
-	p.server = &fasthttp.Server{Handler: p.handle, NoDefaultServerHeader: true, CloseOnShutdown: true}
+	p.server = &fasthttp.Server{Handler: p.handle, NoDefaultServerHeader: true, CloseOnShutdown: true, Logger: log.New(io.Discard, "", 0)}
 	return p
 }
 
--- a/internal/fake/servicer/servicer.go
+++ b/internal/fake/servicer/servicer.go
@@ -4,6 +4,8 @@
 
 import (
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"slices"
 	"sync"
@@ -32,7 +34,7 @@
 // New returns a service.
 func New() *Service {
 	s := &Service{}
-	s.server = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, CloseOnShutdown: true}
+	s.server = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, CloseOnShutdown: true, Logger: log.New(io.Discard, "", 0)}
 	return s
 }
 
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -76,18 +76,18 @@
 	startedAt time.Time
 	sequence  atomic.Int64
 	// ordering tells that a tick of the orderer may be sending.
-	ordering atomic.Bool
-	leaving  atomic.Bool
-	drained  atomic.Bool
-	drain    *drain
-	sharer   sharer
-	needs    atomic.Pointer[lender.Parts]
-	killed   context.Context
-	kill     context.CancelFunc
-	arbiter  *arbiter.Arbiter
-	verdict  atomic.Pointer[verdict]
-	poll     poll // of the settings loop alone
-	rates    atomic.Pointer[map[string]float64]
+	ordering  atomic.Bool
+	leaving   atomic.Bool
+	drained   atomic.Bool
+	drain     *drain
+	sharer    sharer
+	needs     atomic.Pointer[lender.Parts]
+	killed    context.Context
+	kill      context.CancelFunc
+	arbiter   *arbiter.Arbiter
+	readiness atomic.Pointer[readiness]
+	poll      poll // of the settings loop alone
+	rates     atomic.Pointer[map[string]float64]
 }
 
 // New returns an instance that does not run yet.
--- a/internal/node/runner/settings.go
+++ b/internal/node/runner/settings.go
@@ -11,12 +11,12 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// verdictLife is how long a verdict on the settings is kept, so that it is not
-// found again for each request.
-const verdictLife = 100 * time.Millisecond
+// readinessLife is how long a judgement of the settings is kept, so that it is not
+// made again for each request.
+const readinessLife = 100 * time.Millisecond
 
-// verdict is why this instance takes no requests, or a nil error, as of a moment.
-type verdict struct {
+// readiness is why this instance takes no requests, or a nil error, as of a moment.
+type readiness struct {
 	err error
 	at  time.Time
 }
@@ -127,17 +127,20 @@
 // ready reports why this instance takes no requests, or nil.
 func (n *Node) ready() error {
 	now := n.now()
-	known := n.verdict.Load()
-	if known != nil && known.err == nil && now.Sub(known.at) < verdictLife {
+	known := n.readiness.Load()
+	if known != nil && known.err == nil && now.Sub(known.at) < readinessLife {
 		return nil
 	}
 	err := n.arbiter.Judge(n.evidence(now))
-	n.verdict.Store(&verdict{err: err, at: now})
+	n.readiness.Store(&readiness{err: err, at: now})
 	return err
 }
 
-// confirmTime bounds how long an accepted change waits until most instances have it.
-const confirmTime = 2 * time.Second
+const (
+	// confirmTime bounds how long an accepted change waits until most instances have it.
+	confirmTime = 2 * time.Second
+	confirmPoll = 100 * time.Millisecond
+)
 
 // push tells the peers of a new revision. It returns the instances that have not
 // confirmed it and whether most have.
@@ -149,7 +152,7 @@
 		if confirmed || !n.now().Before(deadline) {
 			return pending, confirmed
 		}
-		time.Sleep(verdictLife)
+		time.Sleep(confirmPoll)
 	}
 }
 
