Put the watcher beside the other plumbing, so that imports point one way

Cause: read as a newcomer: docs/DEVELOPERS.md says that imports point one way, but state/watcher imported peer/detector and edge clients, and the page had edge below state. Found by listing the imports between areas.

--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -24,6 +24,7 @@
 	"github.com/crocusring/crocusring/internal/node/loader"
 	"github.com/crocusring/crocusring/internal/peer/exchanger"
 	"github.com/crocusring/crocusring/internal/peer/lender"
+	"github.com/crocusring/crocusring/internal/peer/watcher"
 	"github.com/crocusring/crocusring/internal/request/admitter"
 	"github.com/crocusring/crocusring/internal/request/deduper"
 	"github.com/crocusring/crocusring/internal/request/dispatcher"
@@ -31,7 +32,6 @@
 	"github.com/crocusring/crocusring/internal/request/quarantiner"
 	"github.com/crocusring/crocusring/internal/state/keeper"
 	"github.com/crocusring/crocusring/internal/state/measurer"
-	"github.com/crocusring/crocusring/internal/state/watcher"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 	"github.com/crocusring/crocusring/internal/wire/poster"
 )
--- a/test/memory_test.go
+++ b/test/memory_test.go
@@ -44,7 +44,7 @@
 		frozen, others := c.holder()
 		c.declareVersion(others[0], "oak", 1+round)
 		time.Sleep(time.Duration(1+round) * 300 * time.Millisecond)
-		frozen.signal(t, syscall.SIGSTOP)
+		frozen.freeze(t)
 		c.await("a successor", func() bool { return c.status(others[0]).Holder != frozen.id })
 		c.declareVersion(others[0], "elm", 1+round)
 		c.await("elm", func() bool { return c.chat(others[0], "elm", "new version", nil).whole() })
