--- a/internal/peer/detector/detector.go
+++ b/internal/peer/detector/detector.go
@@ -36,7 +36,7 @@
 // News is one sign of an instance: its own heartbeat, or what a peer heard of it.
 type News struct {
 	Incarnation string
-	// StartedAt is the start of the incarnation by the clock of its machine.
+	// StartedAt is the start of the incarnation by its own clock.
 	StartedAt  time.Time
 	Address    string
 	DataCentre string
@@ -98,7 +98,7 @@
 }
 
 // isOlder reports whether news tell of an earlier incarnation than the row. The
-// clocks of two machines may differ, so that the start times decide only while
+// clocks of two instances may differ, so that the start times decide only while
 // the known incarnation is alive.
 func isOlder(now time.Time, in *keeper.Instance, news News) bool {
 	if in.Incarnation == "" {
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -101,8 +101,8 @@
 	_ = group.Wait()
 }
 
-// peers returns the addresses to send heartbeats to, with their instances. A peer that is not heard may
-// have come back at the address that the list has.
+// peers returns the addresses to send heartbeats to, with their instances. A peer
+// that is not heard may have come back at the address that the list has.
 func (x *Exchanger) peers() map[string]string {
 	now := x.now()
 	list := map[string]string{}
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -54,8 +54,9 @@
 )
 
 // Pick returns the candidate with the least expected load: what this instance has
-// in flight and a guess at what others have. A candidate that is likely to have the prompt cached goes first if it has
-// little more. The error is ErrNoTarget or ErrTooLate.
+// in flight and a guess at what others have. A candidate that is likely to have
+// the prompt cached goes first if it has little more. The error is ErrNoTarget or
+// ErrTooLate.
 func Pick(now time.Time, candidates []*keeper.Target, ask Ask) (*keeper.Target, error) {
 	c := chooser{now: now, ask: ask}
 	if len(candidates) <= mostCompared {
--- a/test/history_test.go
+++ b/test/history_test.go
@@ -58,8 +58,9 @@
 
 const sendTimeout = 3 * time.Second
 
-// recorder is a caller that records its history. It keeps a locate answer for its life and goes to the next address as the
-// documents for callers say: if a request was not run, or if it may be repeated.
+// recorder is a caller that records its history. It keeps a locate answer for its
+// life and goes to the next address as the documents for callers say: if a request
+// was not run, or if it may be repeated.
 type recorder struct {
 	name    string
 	model   string
