Remove code that nothing calls

Cause: read once more: WithDial and the options of connector.New, WithPlatform of the assembler, WithReportLag of the engine stand-in, Recorder.Executed (executions are added by those who ask the targets) and ErrNoObject had no caller.

--- a/internal/edge/connector/connector.go
+++ b/internal/edge/connector/connector.go
@@ -57,21 +57,9 @@
 	epoch int
 }
 
-// Option configures a Pool.
-type Option func(*Pool)
-
-// WithDial replaces the function that opens connections.
-func WithDial(dial func(address string, timeout time.Duration) (net.Conn, error)) Option {
-	return func(p *Pool) { p.dial = dial }
-}
-
 // New returns an empty pool of connections to address.
-func New(address string, opts ...Option) *Pool {
-	p := &Pool{address: address, dial: dialTCP, now: time.Now}
-	for _, opt := range opts {
-		opt(p)
-	}
-	return p
+func New(address string) *Pool {
+	return &Pool{address: address, dial: dialTCP, now: time.Now}
 }
 
 func dialTCP(address string, timeout time.Duration) (net.Conn, error) {
--- a/internal/edge/transactor/transactor.go
+++ b/internal/edge/transactor/transactor.go
@@ -1,6 +1,6 @@
-// Package transactor is the client of the platform's table service and object
-// store. It tells apart a transaction that did not take effect from one whose
-// outcome is unknown, and never repeats one by itself.
+// Package transactor is the client of the platform's table service. It tells apart
+// a transaction that did not take effect from one whose outcome is unknown, and
+// never repeats one by itself.
 package transactor
 
 import (
@@ -23,8 +23,6 @@
 	ErrUnavailable = errors.New("table service unavailable")
 	// ErrUnknownOutcome tells that a transaction may have taken effect.
 	ErrUnknownOutcome = errors.New("outcome of transaction unknown")
-	// ErrNoObject tells that the object store has no such object.
-	ErrNoObject = errors.New("no such object")
 )
 
 // ConflictError is ErrConflict with the rows whose condition did not hold.
--- a/internal/fake/assembler/assembler.go
+++ b/internal/fake/assembler/assembler.go
@@ -80,7 +80,6 @@
 	services    int
 	nodes       int
 	dataCentres int
-	platform    []platformer.Option
 	policy      loader.Policy
 	log         logr.Logger
 }
@@ -102,9 +101,6 @@
 // WithNodes sets the number of entry instances.
 func WithNodes(n int) Option { return func(o *options) { o.nodes = n } }
 
-// WithPlatform sets options of the platform.
-func WithPlatform(opts ...platformer.Option) Option { return func(o *options) { o.platform = opts } }
-
 // WithPolicy sets the policy of the instances.
 func WithPolicy(p loader.Policy) Option { return func(o *options) { o.policy = p } }
 
@@ -118,7 +114,7 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	s := &System{Platform: platformer.New(o.platform...), poster: poster.New(), log: o.log}
+	s := &System{Platform: platformer.New(), poster: poster.New(), log: o.log}
 	ln, err := s.serve(s.Platform.Serve)
 	if err != nil {
 		return nil, err
--- a/internal/fake/engineer/engineer.go
+++ b/internal/fake/engineer/engineer.go
@@ -141,9 +141,6 @@
 // WithLoadTime sets how long a model takes to load.
 func WithLoadTime(d time.Duration) Option { return func(e *Engine) { e.loadTime = d } }
 
-// WithReportLag sets how old reports are.
-func WithReportLag(d time.Duration) Option { return func(e *Engine) { e.reportLag = d } }
-
 // WithCrash replaces the restart within the process that follows a crash.
 func WithCrash(f func()) Option { return func(e *Engine) { e.onCrash = f } }
 
--- a/internal/fake/historian/historian.go
+++ b/internal/fake/historian/historian.go
@@ -72,13 +72,6 @@
 	r.history.Sends = append(r.history.Sends, s)
 }
 
-// Executed adds executions.
-func (r *Recorder) Executed(list ...Execution) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.history.Executions = append(r.history.Executions, list...)
-}
-
 // Crashed adds a crash.
 func (r *Recorder) Crashed(c Crash) {
 	r.mu.Lock()
@@ -86,13 +79,13 @@
 	r.history.Crashes = append(r.history.Crashes, c)
 }
 
-// History returns what was recorded so far.
+// History returns what was recorded so far. What targets ran is known to them
+// alone and is left for the caller to add.
 func (r *Recorder) History() History {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return History{
-		Sends:      slices.Clone(r.history.Sends),
-		Executions: slices.Clone(r.history.Executions),
-		Crashes:    slices.Clone(r.history.Crashes),
+		Sends:   slices.Clone(r.history.Sends),
+		Crashes: slices.Clone(r.history.Crashes),
 	}
 }
