Keep the place of an adapter that is still in use

Two loads that chose a target at the same moment also counted one place twice. Excluded: late orders (they carry the number of accepted orders and were refused) and stale table entries (the order before it was acknowledged 4 ms earlier).

Places are now reserved when they are chosen, an adapter keeps its place until the target said that it is gone, and a load goes to another target if one fails.

--- a/internal/gateway/balancer/record.go
+++ b/internal/gateway/balancer/record.go
@@ -136,6 +136,14 @@
 	return factor, false
 }
 
+// IsResting reports whether a target is left alone since it did not answer.
+func (b *Balancer) IsResting(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.loads[id]
+	return l != nil && b.now().Before(l.record.restsUntil)
+}
+
 // typical returns the median share of faults and time to the first byte of targets.
 func (b *Balancer) typical(targets []*registrar.Target, now time.Time) record {
 	shares := make([]float64, 0, len(targets))
--- a/internal/gateway/foreman/adapters.go
+++ b/internal/gateway/foreman/adapters.go
@@ -49,34 +49,111 @@
 	close(a.done)
 }
 
+// findAndLoad loads an adapter at the best target, or at the next one where that fails.
 func (f *Foreman) findAndLoad(key tallier.Key) (string, error) {
-	view := f.registry.View()
-	service := view.Service(key.Service)
-	if service == nil || service.Engine == nil {
-		return "", ErrNoPlace
+	excluded := map[string]bool{}
+	var last error
+	for range mostTries {
+		view := f.registry.View()
+		service := view.Service(key.Service)
+		if service == nil || service.Engine == nil {
+			return "", ErrNoPlace
+		}
+		if id := f.servedAt(view, key); id != "" {
+			return id, nil
+		}
+		move, ok := f.reserve(view, service, key, excluded)
+		if !ok {
+			break
+		}
+		target := move.Site.Target
+		err := f.loadAt(target, move, key)
+		if err == nil {
+			return target.ID, nil
+		}
+		last = err
+		if !errors.Is(err, ErrBusy) {
+			excluded[target.ID] = true
+		}
 	}
-	if id := f.servedAt(view, key); id != "" {
-		return id, nil
+	if last == nil {
+		last = ErrNoPlace
 	}
-	move, ok := placer.PlaceAdapter(f.state(view, service), key.Model, key.Adapter)
+	return "", last
+}
+
+// reserve chooses a place for an adapter and counts it as taken from now on.
+func (f *Foreman) reserve(view *registrar.View, service *registrar.Service, key tallier.Key, excluded map[string]bool) (placer.AdapterMove, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.state(view, service)
+	for _, site := range state.Sites {
+		site.Busy = site.Busy || excluded[site.Target.ID]
+	}
+	move, ok := placer.PlaceAdapter(state, key.Model, key.Adapter)
 	if !ok {
-		return "", ErrNoPlace
+		return move, false
 	}
-	target := move.Site.Target
+	s := f.site(move.Site.Target)
+	s.coming[holding{key.Model, key.Adapter}] = f.now().Add(openLife)
 	if move.EvictedAdapter != "" {
-		evicted := Order{Model: move.EvictedModel, Adapter: move.EvictedAdapter, IsUnload: true}
-		f.overlay(target, evicted)
-		if err := f.give(target, evicted); err != nil {
-			return "", err
+		s.going[holding{move.EvictedModel, move.EvictedAdapter}] = f.now().Add(openLife)
+	}
+	return move, true
+}
+
+// loadAt makes the place for an adapter and loads it there.
+func (f *Foreman) loadAt(target *registrar.Target, move placer.AdapterMove, key tallier.Key) error {
+	if move.EvictedAdapter != "" {
+		if err := f.evict(target, move); err != nil {
+			f.release(target, holding{key.Model, key.Adapter})
+			return err
 		}
 	}
 	load := Order{Model: key.Model, Adapter: key.Adapter}
-	if err := f.give(target, load); err != nil {
-		return "", err
+	done, err := f.give(target, load)
+	if err != nil && !isUnknown(err) {
+		f.release(target, holding{key.Model, key.Adapter})
+	}
+	if err != nil {
+		return err
+	}
+	if !done {
+		time.Sleep(adapterTime)
 	}
-	time.Sleep(adapterTime)
 	f.overlay(target, load)
-	return target.ID, nil
+	f.release(target, holding{key.Model, key.Adapter})
+	return nil
+}
+
+// evict unloads an adapter. One that a request still uses keeps its place until the
+// target table no longer shows it, and the adapter that was to take the place must
+// go elsewhere.
+func (f *Foreman) evict(target *registrar.Target, move placer.AdapterMove) error {
+	order := Order{Model: move.EvictedModel, Adapter: move.EvictedAdapter, IsUnload: true}
+	f.overlay(target, order)
+	done, err := f.give(target, order)
+	switch {
+	case err == nil && !done:
+		return errors.Wrap(ErrBusy, "adapter in use")
+	case err == nil:
+		f.mu.Lock()
+		delete(f.site(target).going, holding{order.Model, order.Adapter})
+		f.mu.Unlock()
+	case !isUnknown(err):
+		f.mu.Lock()
+		delete(f.site(target).going, holding{order.Model, order.Adapter})
+		f.mu.Unlock()
+		order.IsUnload = false
+		f.overlay(target, order) // it is still there
+	}
+	return err
+}
+
+func (f *Foreman) release(target *registrar.Target, h holding) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.site(target).coming, h)
 }
 
 // servedAt returns a target that serves an adapter already; empty if there is none.
--- a/internal/gateway/foreman/foreman.go
+++ b/internal/gateway/foreman/foreman.go
@@ -106,9 +106,18 @@
 	born   int64
 	// acceptedAt is when the target took the latest order.
 	acceptedAt time.Time
-	// open is the load or unload that is being carried out or whose fate is not
-	// known; nil if there is none.
+	// open is the load or unload of a model that is being carried out or whose fate
+	// is not known; nil if there is none.
 	open *openOrder
+	// coming are the adapters that may be loaded, going those that are being
+	// unloaded; each with the deadline after which that is over. Both take a place.
+	coming map[holding]time.Time
+	going  map[holding]time.Time
+}
+
+// holding is an adapter of a model.
+type holding struct {
+	model, adapter string
 }
 
 // openOrder is an order whose effect the target table does not show yet.
@@ -164,15 +173,16 @@
 func (f *Foreman) site(t *registrar.Target) *site {
 	s := f.sites[t.ID]
 	if s == nil || s.born != t.Born {
-		s = &site{orders: -1, born: t.Born}
+		s = &site{orders: -1, born: t.Born, coming: map[holding]time.Time{}, going: map[holding]time.Time{}}
 		f.sites[t.ID] = s
 	}
 	return s
 }
 
-// give gives one order and returns how it ended. An order whose answer was lost is
-// sent again with the same number, so that it takes effect once at most.
-func (f *Foreman) give(t *registrar.Target, order Order) error {
+// give gives one order and returns whether its effect is there already. An order
+// whose answer was lost is sent again with the same number, so that it takes effect
+// once at most.
+func (f *Foreman) give(t *registrar.Target, order Order) (done bool, err error) {
 	f.mu.Lock()
 	s := f.site(t)
 	f.mu.Unlock()
@@ -182,31 +192,40 @@
 	for try := range mostTries {
 		grant, ok := f.grant()
 		if !ok {
-			return ErrNotHolder
+			return false, worseOf(last, ErrNotHolder)
 		}
 		if err := f.learnOrders(t, s, try > 0); err != nil {
-			return err
+			return false, worseOf(last, err)
 		}
 		order.Holder, order.Fence, order.ExpectedOrders = f.holder, grant.Fence, s.orders
 		done, err := f.calls.Order(t, order)
 		f.log.Info("order", "target", t.ID, "model", order.Model, "adapter", order.Adapter, "unload", order.IsUnload,
-			"expectedOrders", order.ExpectedOrders, "fence", order.Fence, "alreadyHeld", done, "error", errorText(err))
+			"expectedOrders", order.ExpectedOrders, "fence", order.Fence, "done", done, "error", errorText(err))
 		switch {
 		case err == nil:
 			f.accepted(s, order, done)
-			return nil
+			return done, nil
 		case errors.Is(err, ErrFenced):
 			f.mu.Lock()
 			f.fenced = max(f.fenced, grant.Fence)
 			f.mu.Unlock()
-			return err
+			return false, worseOf(last, err)
 		case errors.Is(err, ErrBusy), errors.Is(err, ErrUnknownOutcome):
-			last = err
+			last = worseOf(last, err)
 		default:
-			return err
+			return false, worseOf(last, err)
 		}
 	}
-	return last
+	return false, last
+}
+
+// worseOf returns the error of an earlier send if that may still take effect, or
+// else the later one.
+func worseOf(earlier, later error) error {
+	if isUnknown(earlier) {
+		return earlier
+	}
+	return later
 }
 
 func errorText(err error) string {
@@ -217,7 +236,8 @@
 }
 
 // learnOrders asks a target for the number of orders that it has accepted, if it
-// is not known or was refused.
+// is not known or was refused. On first acquaintance the error is ErrBusy, since
+// what the order was decided on may differ from what the target tells.
 func (f *Foreman) learnOrders(t *registrar.Target, s *site, refused bool) error {
 	if !refused && s.orders >= 0 {
 		return nil
@@ -226,18 +246,35 @@
 	if err != nil {
 		return err
 	}
-	if state.Busy {
-		return ErrBusy
-	}
+	isFirst := s.orders < 0
 	// The answer may be from before the latest order.
 	if f.now().Sub(s.acceptedAt) < stateLag {
 		s.orders = max(s.orders, state.Orders)
 	} else {
 		s.orders = state.Orders
 	}
+	f.learnHoldings(t, state)
+	if state.Busy || isFirst {
+		return ErrBusy
+	}
 	return nil
 }
 
+// learnHoldings takes what a target tells beyond the target table.
+func (f *Foreman) learnHoldings(t *registrar.Target, state State) {
+	for _, h := range state.Holdings {
+		known, ok := t.Holding(h.Model)
+		if !ok {
+			f.overlay(t, Order{Model: h.Model})
+		}
+		for _, adapter := range h.Adapters {
+			if !known.Has(adapter) {
+				f.overlay(t, Order{Model: h.Model, Adapter: adapter})
+			}
+		}
+	}
+}
+
 // stateLag is how old a target's word on its state may be.
 const stateLag = 600 * time.Millisecond
 
@@ -249,7 +286,4 @@
 		s.orders++
 		s.acceptedAt = f.now()
 	}
-	if order.Adapter == "" && !done {
-		s.open = &openOrder{order: order, until: f.now().Add(openLife)}
-	}
 }
--- a/internal/gateway/foreman/models.go
+++ b/internal/gateway/foreman/models.go
@@ -32,7 +32,10 @@
 		if service.Engine == nil {
 			continue
 		}
-		for _, move := range placer.Plan(f.state(view, service)) {
+		f.mu.Lock()
+		moves := placer.Plan(f.state(view, service))
+		f.mu.Unlock()
+		for _, move := range moves {
 			f.move(move)
 		}
 	}
@@ -49,6 +52,7 @@
 			delete(f.sites, id)
 			continue
 		}
+		settleAdapters(t, s, now)
 		if s.open == nil {
 			continue
 		}
@@ -59,10 +63,22 @@
 	}
 }
 
-// state returns what a plan for a service is made from.
+// settleAdapters forgets the adapters whose fate the target table shows.
+func settleAdapters(t *registrar.Target, s *site, now time.Time) {
+	for h, until := range s.going {
+		if held, ok := t.Holding(h.model); !ok || !held.Has(h.adapter) || now.After(until) {
+			delete(s.going, h)
+		}
+	}
+	for h, until := range s.coming {
+		if held, ok := t.Holding(h.model); (ok && held.Has(h.adapter)) || now.After(until) {
+			delete(s.coming, h)
+		}
+	}
+}
+
+// state returns what a plan for a service is made from. It is called with the lock held.
 func (f *Foreman) state(view *registrar.View, service *registrar.Service) placer.State {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	state := placer.State{Service: service, Demand: f.tally.Total(), Loads: f.loadsLeft(service.Engine)}
 	for _, t := range view.TargetsOf(service.Name) {
 		if !t.Leaving {
@@ -83,10 +99,17 @@
 		out.Adapters[h.Model] = append([]string(nil), h.Adapters...)
 	}
 	f.addOverlays(out)
-	if open := f.site(t).open; open != nil {
+	s := f.site(t)
+	if s.open != nil {
 		out.Busy = true
-		out.Models[open.order.Model] = true
+		out.Models[s.open.order.Model] = true
+	}
+	for _, places := range []map[holding]time.Time{s.coming, s.going} {
+		for h := range places {
+			out.Adapters[h.model] = append(without(out.Adapters[h.model], h.adapter), h.adapter)
+		}
 	}
+	out.Busy = out.Busy || f.balancer.IsResting(t.ID)
 	return out
 }
 
@@ -94,7 +117,14 @@
 // Those that were unloaded since stay counted until the table tells.
 func (f *Foreman) addOverlays(out *placer.Site) {
 	for _, o := range f.balancer.Overlays() {
-		if o.Target != out.Target.ID || o.Adapter == "" || !out.Models[o.Model] {
+		if o.Target != out.Target.ID {
+			continue
+		}
+		if o.Adapter == "" {
+			// One that is said to be gone is counted until the table tells.
+			if o.Held {
+				out.Models[o.Model] = true
+			}
 			continue
 		}
 		out.Adapters[o.Model] = without(out.Adapters[o.Model], o.Adapter)
@@ -141,7 +171,7 @@
 }
 
 func (f *Foreman) carryOut(move placer.Move, s *site) {
-	err := f.give(move.Target, Order{Model: move.Model, IsUnload: move.Unload})
+	_, err := f.give(move.Target, Order{Model: move.Model, IsUnload: move.Unload})
 	if err == nil || isUnknown(err) {
 		return
 	}
