Route by the prompts that targets have yet to read

Excluded: batch size (a step grows by 7 microseconds a slot) and instances' own time (3% of a core).

A target is now chosen by the time that the prompts take which it has yet to read, with the pace of each model measured from first events, and gets no more of them than three quarters of the pause that is on time. Instances tell each other of each change by datagrams, gathered over 3 ms, and of all in their news.

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -29,8 +29,6 @@
 )
 
 const (
-	// newsLife is how long what a peer said of its requests in flight counts.
-	newsLife = 1500 * time.Millisecond
 	// overlayLife is how long a change that the target table does not show yet
 	// is believed; the table tells of it well before.
 	overlayLife = 4 * time.Second
@@ -51,8 +49,13 @@
 	// Model and Adapter are empty where the request names none.
 	Model   string
 	Adapter string
+	// Prompt is the number of tokens that the target must read first.
+	Prompt int
 	// Tokens is the memory that the request will take, in tokens.
 	Tokens int
+	// Pause is the longest pause between events for which a stream is on time, in
+	// milliseconds; 0 if that does not matter.
+	Pause float64
 	// Affinity names what the request shares with others; 0 for nothing.
 	Affinity uint64
 	// Excluded targets have failed the request already.
@@ -66,23 +69,23 @@
 
 	mu       sync.Mutex
 	loads    map[string]*load
-	peers    map[string]peerLoad
+	peers    map[string]*peerLoad
 	overlays map[overlayKey]overlay
+	// paces holds the time that a token of a prompt takes, by model.
+	paces    map[string]float64
+	sequence int64
 	// freed is closed and replaced when a request ends while others wait.
 	freed   chan struct{}
 	waiting bool
+	// changed is told of each target whose load has changed here.
+	changed func(target string)
 }
 
 // load is what this instance knows of a target from its own requests.
 type load struct {
-	inFlight int
-	tokens   int
-	record   record
-}
-
-type peerLoad struct {
-	inFlight map[string]int
-	until    time.Time
+	Load
+	tokens int
+	record record
 }
 
 type overlayKey struct {
@@ -100,11 +103,17 @@
 // WithClock sets the clock.
 func WithClock(now func() time.Time) Option { return func(b *Balancer) { b.now = now } }
 
+// WithChanged sets what is told of each target whose load has changed here. It
+// must not call the balancer.
+func WithChanged(changed func(target string)) Option {
+	return func(b *Balancer) { b.changed = changed }
+}
+
 // New returns a balancer that knows of no load.
 func New(options ...Option) *Balancer {
 	b := &Balancer{
-		now: time.Now, random: rand.Uint64, loads: map[string]*load{}, peers: map[string]peerLoad{}, overlays: map[overlayKey]overlay{},
-		freed: make(chan struct{}),
+		now: time.Now, random: rand.Uint64, loads: map[string]*load{}, peers: map[string]*peerLoad{}, overlays: map[overlayKey]overlay{},
+		paces: map[string]float64{}, freed: make(chan struct{}), changed: func(string) {},
 	}
 	for _, option := range options {
 		option(b)
@@ -131,10 +140,16 @@
 		b.waiting = true
 		return nil, ErrFull
 	}
+	ticket := &Ticket{
+		Target: best, balancer: b, request: r, since: now, pending: b.pace(r.Model) * float64(r.Prompt),
+		isAlone: b.total(best.ID, now).Pending == 0,
+	}
 	l := b.load(best.ID)
-	l.inFlight++
+	l.InFlight++
+	l.Pending += ticket.pending
 	l.tokens += r.Tokens
-	return &Ticket{Target: best, balancer: b, tokens: r.Tokens, since: now}, nil
+	b.changed(best.ID)
+	return ticket, nil
 }
 
 // candidates returns the targets that hold what the request needs.
@@ -236,44 +251,55 @@
 	return d.Sum64()
 }
 
-// cost is the share of the slots of a target that are taken, raised for targets
-// that do worse than their siblings; negative if the target is full.
+// cost says how badly a target suits a request; negative if it takes none. For a
+// target without models it is the share of the slots that are taken, for an engine
+// the time that the prompts before it take, with a little for the batch. It is
+// raised for targets that do worse than their siblings.
 func (b *Balancer) cost(t *registrar.Target, service *registrar.Service, r Request, typical record, now time.Time) float64 {
-	inFlight, tokens := b.inFlight(t.ID, now)
+	penalty, out := b.load(t.ID).record.penalty(typical, now)
+	if out {
+		return -1
+	}
+	total := b.total(t.ID, now)
 	slots := max(t.Slots, 1)
-	limit := slots * plainQueue
-	if service.Engine != nil {
-		limit = slots
-		if float64(tokens+r.Tokens) > cacheShare*float64(service.Engine.CacheTokens) && inFlight > 0 {
+	share := float64(total.InFlight+1) / float64(slots)
+	if service.Engine == nil {
+		if total.InFlight >= slots*plainQueue {
 			return -1
 		}
+		return share * penalty
 	}
-	if inFlight >= limit {
+	own := b.pace(r.Model) * float64(r.Prompt)
+	isCrowded := total.Pending > 0 && r.Pause > 0 && total.Pending+own > pendingShare*r.Pause
+	if total.InFlight >= slots || isCrowded || b.overflows(t, service, r, total) {
 		return -1
 	}
-	penalty, out := b.load(t.ID).record.penalty(typical, now)
-	if out {
-		return -1
-	}
-	return float64(inFlight+1) / float64(slots) * penalty
+	return ((total.Pending+own)/pendingScale + share) * penalty
 }
 
-// inFlight returns the requests of all instances at a target and the tokens that
-// they take. What peers have there is taken to be like this instance's requests.
-func (b *Balancer) inFlight(id string, now time.Time) (requests, tokens int) {
-	l := b.load(id)
-	others := 0
-	for _, p := range b.peers {
-		if now.Before(p.until) {
-			others += p.inFlight[id]
-		}
+const (
+	// pendingShare is the share of the longest pause that is on time which the
+	// prompts that a target has yet to read may take: while it reads them, the
+	// streams that it has pause.
+	pendingShare = 0.75
+	// pendingScale is the pending time that weighs as much as a full batch, in
+	// milliseconds.
+	pendingScale = 200.0
+)
+
+// overflows reports whether a request would not fit the token memory of a target.
+// What peers have there is taken to be like this instance's requests.
+func (b *Balancer) overflows(t *registrar.Target, service *registrar.Service, r Request, total Load) bool {
+	if total.InFlight == 0 {
+		return false
 	}
-	if l.inFlight > 0 {
-		tokens = l.tokens + l.tokens/l.inFlight*others
-	} else {
-		tokens = others * defaultTokens
+	l := b.load(t.ID)
+	mean := defaultTokens
+	if l.InFlight > 0 {
+		mean = l.tokens / l.InFlight
 	}
-	return l.inFlight + others, tokens
+	tokens := l.tokens + mean*(total.InFlight-l.InFlight)
+	return float64(tokens+r.Tokens) > cacheShare*float64(service.Engine.CacheTokens)
 }
 
 // defaultTokens is the size of a request of which nothing is known.
@@ -288,32 +314,11 @@
 	return l
 }
 
-// SetPeer takes what a peer has in flight at targets.
-func (b *Balancer) SetPeer(instance string, inFlight map[string]int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.peers[instance] = peerLoad{inFlight: inFlight, until: b.now().Add(newsLife)}
-}
-
-// InFlight returns what this instance has in flight at each target.
-func (b *Balancer) InFlight() map[string]int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	out := map[string]int{}
-	for id, l := range b.loads {
-		if l.inFlight > 0 {
-			out[id] = l.inFlight
-		}
-	}
-	return out
-}
-
 // TotalInFlight returns the requests of all instances at a target.
 func (b *Balancer) TotalInFlight(id string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	n, _ := b.inFlight(id, b.now())
-	return n
+	return b.total(id, b.now()).InFlight
 }
 
 // Freed returns a channel that is closed when a request ends.
@@ -330,7 +335,7 @@
 	defer b.mu.Unlock()
 	now := b.now()
 	for id, l := range b.loads {
-		if view.Targets[id] == nil && l.inFlight == 0 {
+		if view.Targets[id] == nil && l.InFlight == 0 {
 			delete(b.loads, id)
 		}
 	}
--- /dev/null
+++ b/internal/gateway/balancer/load.go
@@ -0,0 +1,127 @@
+package balancer
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// newsLife is how long what a peer said of its load counts.
+	newsLife = 1500 * time.Millisecond
+	// defaultPace is the time that a token of a prompt takes until there is a
+	// measurement, in milliseconds.
+	defaultPace = 0.05
+	// paceWeight is the weight of one measurement of a pace.
+	paceWeight = 0.1
+	// leastPace and mostPace bound what a measurement may say.
+	leastPace = 0.002
+	mostPace  = 0.5
+)
+
+// Load is what an instance has at one target.
+type Load struct {
+	// InFlight is the number of requests.
+	InFlight int
+	// Pending is the time that the target needs to read the prompts of those that
+	// have no answer yet, in milliseconds.
+	Pending float64
+}
+
+// peerLoad is what a peer told of its load. Sequence numbers rise within an
+// incarnation.
+type peerLoad struct {
+	incarnation int64
+	targets     map[string]toldLoad
+	until       time.Time
+}
+
+type toldLoad struct {
+	Load
+	sequence int64
+}
+
+// SetPeer takes what a peer told of some targets. With isAll it told of all, and
+// has nothing at the others.
+func (b *Balancer) SetPeer(instance string, incarnation, sequence int64, loads map[string]Load, isAll bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p, ok := b.peers[instance]
+	if ok && incarnation < p.incarnation && b.now().Before(p.until) {
+		return
+	}
+	if !ok || incarnation != p.incarnation {
+		p = &peerLoad{incarnation: incarnation, targets: map[string]toldLoad{}}
+		b.peers[instance] = p
+	}
+	if isAll {
+		p.until = b.now().Add(newsLife)
+		maps.DeleteFunc(p.targets, func(id string, told toldLoad) bool {
+			_, stays := loads[id]
+			return !stays && told.sequence <= sequence
+		})
+	}
+	for id, load := range loads {
+		if sequence >= p.targets[id].sequence {
+			p.targets[id] = toldLoad{Load: load, sequence: sequence}
+		}
+	}
+	b.wake()
+}
+
+// Loads returns what this instance has at targets, all that has any with nil, and a
+// number that rises with each call.
+func (b *Balancer) Loads(ids map[string]bool) (sequence int64, loads map[string]Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sequence++
+	loads = map[string]Load{}
+	for id, l := range b.loads {
+		if ids[id] || (ids == nil && l.InFlight > 0) {
+			loads[id] = l.Load
+		}
+	}
+	return b.sequence, loads
+}
+
+// total returns what all instances have at a target. It is called with the lock held.
+func (b *Balancer) total(id string, now time.Time) Load {
+	sum := b.load(id).Load
+	for _, p := range b.peers {
+		if now.Before(p.until) {
+			told := p.targets[id]
+			sum.InFlight += told.InFlight
+			sum.Pending += told.Pending
+		}
+	}
+	return sum
+}
+
+// pace returns the time that a token of a prompt for a model takes, in milliseconds.
+func (b *Balancer) pace(model string) float64 {
+	if pace, ok := b.paces[model]; ok {
+		return pace
+	}
+	return defaultPace
+}
+
+// learnPace takes the time to the first byte of a request that found nothing
+// pending at its target.
+func (b *Balancer) learnPace(model string, prompt int, first time.Duration) {
+	if prompt <= 0 {
+		return
+	}
+	measured := float64(first.Microseconds()) / 1000 / float64(prompt)
+	measured = min(max(measured, leastPace), mostPace)
+	pace := b.pace(model)
+	b.paces[model] = pace + paceWeight*(measured-pace)
+}
+
+// wake lets those who wait for a place look again. It is called with the lock held.
+func (b *Balancer) wake() {
+	if !b.waiting {
+		return
+	}
+	b.waiting = false
+	close(b.freed)
+	b.freed = make(chan struct{})
+}
--- a/internal/gateway/balancer/record.go
+++ b/internal/gateway/balancer/record.go
@@ -170,19 +170,47 @@
 type Ticket struct {
 	Target   *registrar.Target
 	balancer *Balancer
-	tokens   int
+	request  Request
 	since    time.Time
 	first    time.Duration
-	ended    bool
+	// pending is what the request still adds to the pending time of its target.
+	pending float64
+	// isAlone tells that nothing was pending at the target when it was chosen.
+	isAlone bool
+	ended   bool
 }
 
-// FirstByte tells that the answer began.
+// FirstByte tells that the answer began, so that the prompt has been read.
 func (t *Ticket) FirstByte() {
-	if t.first == 0 {
-		t.first = max(t.balancer.now().Sub(t.since), 1)
+	b := t.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t.first > 0 || t.ended {
+		return
 	}
+	t.first = max(b.now().Sub(t.since), 1)
+	if t.isAlone {
+		b.learnPace(t.request.Model, t.request.Prompt, t.first)
+	}
+	t.settlePending()
 }
 
+// settlePending takes the request out of what is pending. It is called with the lock held.
+func (t *Ticket) settlePending() {
+	b := t.balancer
+	l := b.load(t.Target.ID)
+	l.Pending = max(l.Pending-t.pending, 0)
+	t.pending = 0
+	b.changed(t.Target.ID)
+	b.wake()
+}
+
+// First returns the time from the choice of the target to the first byte; 0 before it.
+func (t *Ticket) First() time.Duration { return t.first }
+
+// Since returns when the target was chosen.
+func (t *Ticket) Since() time.Time { return t.since }
+
 // End tells how the request ended; later calls do nothing.
 func (t *Ticket) End(outcome Outcome) {
 	b := t.balancer
@@ -193,12 +221,11 @@
 	}
 	t.ended = true
 	l := b.load(t.Target.ID)
-	l.inFlight--
-	l.tokens -= t.tokens
-	l.record.add(outcome, t.first, b.now())
-	if b.waiting {
-		b.waiting = false
-		close(b.freed)
-		b.freed = make(chan struct{})
+	l.InFlight--
+	l.tokens -= t.request.Tokens
+	if l.InFlight == 0 {
+		l.Pending = 0 // takes the rounding out
 	}
+	l.record.add(outcome, t.first, b.now())
+	t.settlePending()
 }
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -52,7 +52,9 @@
 	Service string
 	Model   string
 	Adapter string
-	Tokens  int
+	// Prompt is the number of tokens to read, Tokens those and the ones to make.
+	Prompt int
+	Tokens int
 }
 
 // Conductor serves callers' requests. The zero value is not usable; see New.
@@ -245,7 +247,7 @@
 	}
 	model, adapter := c.headers.ParseModel(value)
 	prompt, output := c.headers.ParseTokens(q.http.Header.Get(c.headers.Tokens))
-	q.demand = Demand{Service: q.service, Model: model, Adapter: adapter, Tokens: prompt + output}
+	q.demand = Demand{Service: q.service, Model: model, Adapter: adapter, Prompt: prompt, Tokens: prompt + output}
 	digest := xxhash.New()
 	_, _ = digest.WriteString(value)
 	for _, part := range c.headers.ParsePrefix(q.http.Header.Get(c.headers.Prefix)) {
@@ -299,8 +301,8 @@
 	for {
 		changed, freed := c.registry.Changed(), c.balancer.Freed()
 		ticket, err := c.balancer.Pick(c.registry.View(), balancer.Request{
-			Service: q.service, Model: q.demand.Model, Adapter: q.demand.Adapter, Tokens: q.demand.Tokens,
-			Affinity: q.affinity, Excluded: q.excluded,
+			Service: q.service, Model: q.demand.Model, Adapter: q.demand.Adapter, Prompt: q.demand.Prompt,
+			Tokens: q.demand.Tokens, Pause: float64(q.route.PauseMilliseconds), Affinity: q.affinity, Excluded: q.excluded,
 		})
 		if err == nil {
 			return ticket, nil
--- a/internal/gateway/conductor/stream.go
+++ b/internal/gateway/conductor/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/crocusring/crocusring/internal/edge/connector"
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
@@ -31,6 +32,7 @@
 		r.writer.WriteHeader(answer.Header.StatusCode())
 	}
 	buffer := make([]byte, 0, eventBuffer)
+	pauses := pauseMeter{last: c.now()}
 	for {
 		if len(buffer) == cap(buffer) {
 			buffer = append(buffer, make([]byte, cap(buffer))...)[:len(buffer)]
@@ -49,11 +51,16 @@
 				ticket.End(balancer.Abandoned)
 				return lost
 			}
+			pauses.mark(c.now())
 			buffer = append(buffer[:0], buffer[end:]...)
 		}
 		switch {
 		case readErr == io.EOF:
 			ticket.End(balancer.Answered)
+			c.log.V(1).Info("stream answered", "request", q.id, "target", ticket.Target.ID, "model", q.demand.Model,
+				"tokens", q.demand.Tokens, "firstMilliseconds", ticket.First().Milliseconds(),
+				"waitedMilliseconds", ticket.Since().Sub(q.arrived).Milliseconds(),
+				"longestPauseMilliseconds", pauses.longest.Milliseconds())
 			return finished
 		case readErr != nil || len(buffer) > maxEvent:
 			ticket.End(lostOutcome(ctx))
@@ -63,6 +70,17 @@
 	}
 }
 
+// pauseMeter finds the longest pause between events.
+type pauseMeter struct {
+	last    time.Time
+	longest time.Duration
+}
+
+func (m *pauseMeter) mark(now time.Time) {
+	m.longest = max(m.longest, now.Sub(m.last))
+	m.last = now
+}
+
 func (r *reply) writeEvents(flusher *http.ResponseController, events []byte) error {
 	if _, err := r.writer.Write(events); err != nil {
 		return err
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -31,7 +31,7 @@
 		Instance: s.settings.Instance, Incarnation: s.incarnation, CallerAddress: s.settings.CallerAddress,
 		PeerAddress: s.settings.PeerAddress, DataCentre: s.settings.DataCentre, Ready: s.isReady(),
 		Leaving: s.leaving.Load(), ManifestVersion: s.manifests.Version(), TargetsVersion: s.targets.Version(),
-		Holder: isHolder && !s.leaving.Load(), InFlight: s.balancer.InFlight(), Demand: s.tally.Own(),
+		Holder: isHolder && !s.leaving.Load(), LoadAddress: s.settings.LoadAddress, Load: s.load(nil), Demand: s.tally.Own(),
 		Overlays: []messenger.GatewayOverlay{},
 	}
 	now := time.Now()
@@ -55,7 +55,7 @@
 // takeNews hands what a peer told to those who decide by it. An overlay's age
 // grows by each hop, so that it ends everywhere at about the same time.
 func (s *Supervisor) takeNews(news messenger.GatewayNews) {
-	s.balancer.SetPeer(news.Instance, news.InFlight)
+	s.takeLoad(news.Load, true)
 	s.tally.SetPeer(news.Instance, news.Demand)
 	now := time.Now()
 	for _, o := range news.Overlays {
--- a/internal/gateway/supervisor/servers.go
+++ b/internal/gateway/supervisor/servers.go
@@ -31,11 +31,13 @@
 	// others serve peers, the platform and callers that look for an address.
 	others []*fasthttp.Server
 	failed chan error
+	// loads takes the datagrams of peers.
+	loads *net.UDPConn
 }
 
 // listen opens all listeners.
 func (s *Supervisor) listen() (*servers, error) {
-	out := &servers{failed: make(chan error, 4)}
+	out := &servers{failed: make(chan error, 5)}
 	for address, handler := range map[string]fasthttp.RequestHandler{
 		s.settings.PeerAddress:      s.servePeer,
 		s.settings.ReadinessAddress: s.serveReadiness,
@@ -52,6 +54,9 @@
 		out.others = append(out.others, server)
 		go func() { out.failed <- server.Serve(listener) }()
 	}
+	if err := s.listenLoads(out); err != nil {
+		return nil, err
+	}
 	listener, err := net.Listen("tcp4", s.settings.CallerAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -73,6 +74,7 @@
 	registry  *registrar.Registrar
 	balancer  *balancer.Balancer
 	budget    *budgeter.Budgeter
+	changes   *changes
 	tally     *tallier.Tallier
 	conductor *conductor.Conductor
 	foreman   *foreman.Foreman
@@ -83,6 +85,7 @@
 	manifests *follower.Follower
 	targets   *follower.Follower
 	instances *follower.Follower
+	loads     *net.UDPConn
 	leaving   atomic.Bool
 	// members is the number of instances that the store knows.
 	members atomic.Int64
@@ -92,8 +95,9 @@
 func New(settings messenger.GatewaySettings, platform Platform, log logr.Logger) *Supervisor {
 	s := &Supervisor{
 		settings: settings, platform: platform, log: log, incarnation: time.Now().UnixMilli(),
-		registry: registrar.New(), balancer: balancer.New(), tally: tallier.New(), poster: poster.New(),
+		registry: registrar.New(), changes: newChanges(), tally: tallier.New(), poster: poster.New(),
 	}
+	s.balancer = balancer.New(balancer.WithChanged(s.changes.add))
 	bounds := settings.Bounds
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
 	s.conductor = conductor.New(platform.Headers, s.registry, s.balancer, s.budget,
@@ -136,7 +140,7 @@
 	defer cancel()
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
-		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.tell, s.holdLease, s.foreman.Run, s.prune,
+		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.tell, s.tellLoads, s.holdLease, s.foreman.Run, s.prune,
 	} {
 		group.Go(func() error {
 			loop(running)
--- a/internal/node/loader/gateway.go
+++ b/internal/node/loader/gateway.go
@@ -36,6 +36,7 @@
 	add(!isAddress(s.CallerAddress), "CallerAddress", address)
 	add(!isAddress(s.ReadinessAddress), "ReadinessAddress", address)
 	add(!isAddress(s.PeerAddress), "PeerAddress", address)
+	add(!isAddress(s.LoadAddress), "LoadAddress", address)
 	add(!isAddress(s.LocatorAddress), "LocatorAddress", address)
 	add(s.MetricsAddress != "" && !isAddress(s.MetricsAddress), "MetricsAddress", address+", or empty")
 	add(!isAddress(s.StoreAddress), "StoreAddress", address)
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -294,6 +294,24 @@
 	PeerAddress string `json:"PeerAddress"`
 }
 
+// GatewayLoad is what an instance has at targets. The later Sequence of an
+// incarnation replaces what was told of the same targets before.
+type GatewayLoad struct {
+	// Incarnation corresponds to the JSON schema field "Incarnation".
+	Incarnation int64 `json:"Incarnation"`
+
+	// Instance corresponds to the JSON schema field "Instance".
+	Instance string `json:"Instance"`
+
+	// Sequence corresponds to the JSON schema field "Sequence".
+	Sequence int64 `json:"Sequence"`
+
+	// Targets corresponds to the JSON schema field "Targets".
+	Targets GatewayLoadTargets `json:"Targets"`
+}
+
+type GatewayLoadTargets map[string]TargetLoad
+
 // GatewayNews is what an instance tells its peers, every few hundred milliseconds.
 type GatewayNews struct {
 	// CallerAddress corresponds to the JSON schema field "CallerAddress".
@@ -308,9 +326,6 @@
 	// Holder tells that it holds the lease on orders.
 	Holder bool `json:"Holder"`
 
-	// InFlight is the number of its requests at each target.
-	InFlight GatewayNewsInFlight `json:"InFlight"`
-
 	// Incarnation is the start of the process, in milliseconds of Unix time.
 	Incarnation int64 `json:"Incarnation"`
 
@@ -320,6 +335,12 @@
 	// Leaving corresponds to the JSON schema field "Leaving".
 	Leaving bool `json:"Leaving"`
 
+	// Load corresponds to the JSON schema field "Load".
+	Load GatewayLoad `json:"Load"`
+
+	// LoadAddress is where it takes datagrams with the loads of its peers.
+	LoadAddress string `json:"LoadAddress"`
+
 	// ManifestVersion is the version of the row of the manifest that it serves by.
 	ManifestVersion int64 `json:"ManifestVersion"`
 
@@ -336,9 +357,6 @@
 	TargetsVersion int64 `json:"TargetsVersion"`
 }
 
-// InFlight is the number of its requests at each target.
-type GatewayNewsInFlight map[string]int
-
 // GatewayOverlay is a change of what a target holds that the target table does not
 // show yet.
 type GatewayOverlay struct {
@@ -372,6 +390,9 @@
 	// Instance is the name of this instance.
 	Instance string `json:"Instance"`
 
+	// LoadAddress is where peers send datagrams with their loads.
+	LoadAddress string `json:"LoadAddress"`
+
 	// LocatorAddress tells callers which addresses to use.
 	LocatorAddress string `json:"LocatorAddress"`
 
@@ -830,6 +851,16 @@
 	Version int64 `json:"Version"`
 }
 
+// TargetLoad is what an instance has at one target.
+type TargetLoad struct {
+	// InFlight is the number of its requests.
+	InFlight int `json:"InFlight"`
+
+	// Pending is the time that reading the prompts of those without an answer yet
+	// takes, in milliseconds.
+	Pending float64 `json:"Pending"`
+}
+
 // TargetStatus is the state of one target.
 type TargetStatus struct {
 	// Address corresponds to the JSON schema field "Address".
