Shorten the time without a holder of orders, and need one less

The lease row now says, by the store's own clock, when its holder gives up, so that a contender need not watch it, also after all instances were killed at once. Adapters are loaded into free places before they are asked for. A target that cannot be reached gets no orders for a second, and room that was made is used for what it was made for.

--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -42,11 +42,14 @@
 type Tables struct {
 	Get      func(table, key string) (messenger.Row, error)
 	Transact func(messenger.TransactRequest) ([]int64, error)
+	// Clock bounds the present time of the service's clock, in milliseconds; false
+	// if it is not known. Without it contenders wait for the life of the lease.
+	Clock func() (earliest, latest int64, ok bool)
 }
 
 // TablesOf returns the tables of a service whose rows count their own writes.
 func TablesOf(client *transactor.Client) Tables {
-	return Tables{Get: client.Get, Transact: func(req messenger.TransactRequest) ([]int64, error) {
+	return Tables{Get: client.Get, Clock: noClock, Transact: func(req messenger.TransactRequest) ([]int64, error) {
 		versions := make([]int64, 0, len(req.Conditions))
 		for _, c := range req.Conditions {
 			versions = append(versions, c.Version+1)
@@ -55,6 +58,8 @@
 	}}
 }
 
+func noClock() (earliest, latest int64, ok bool) { return 0, 0, false }
+
 // Option changes a leaser at its construction.
 type Option func(*Leaser)
 
@@ -72,6 +77,9 @@
 	Fence       int64
 	Renewals    int64
 	Released    bool
+	// Lapses is when the holder gives up without another renewal, in milliseconds of
+	// the clock of the table service; 0 if that clock is not known.
+	Lapses int64
 }
 
 // Leaser follows and contends for the lease.
@@ -81,6 +89,7 @@
 	now         func() time.Time
 	get         func(table, key string) (messenger.Row, error)
 	transact    func(messenger.TransactRequest) ([]int64, error)
+	clock       func() (earliest, latest int64, ok bool)
 	times       Times
 
 	turn sync.Mutex // held by Tick and Release, over their calls to the table service
@@ -94,6 +103,8 @@
 	// heldUntil is the deadline until which this instance may act as holder.
 	heldUntil time.Time
 	renewAt   time.Time
+	// clearedAt is when the right of the holder before this one has ended.
+	clearedAt time.Time
 	// followAt is when to look at the lease of another holder again: in time for
 	// its lapse.
 	followAt time.Time
@@ -103,9 +114,12 @@
 // New returns a leaser that holds nothing.
 func New(instance, incarnation string, tables Tables, options ...Option) *Leaser {
 	l := &Leaser{
-		instance: instance, incarnation: incarnation, now: time.Now, get: tables.Get, transact: tables.Transact,
+		instance: instance, incarnation: incarnation, now: time.Now, get: tables.Get, transact: tables.Transact, clock: tables.Clock,
 		times: Times{Life: defaultLife, Margin: defaultMargin, Renew: defaultRenew},
 	}
+	if l.clock == nil {
+		l.clock = noClock
+	}
 	for _, option := range options {
 		option(l)
 	}
@@ -120,6 +134,9 @@
 	Fence          int64
 	Deadline       time.Time
 	FenceCondition messenger.Condition
+	// ClearedAt is when the right of the holder before this one has ended; zero if
+	// there was none.
+	ClearedAt time.Time
 }
 
 // Held returns the grant and whether this instance is the holder at now.
@@ -134,6 +151,7 @@
 		Incarnation: l.incarnation,
 		Fence:       l.record.Fence,
 		Deadline:    l.heldUntil,
+		ClearedAt:   l.clearedAt,
 		FenceCondition: messenger.Condition{
 			Table: leaseTable, Key: fenceKey, Version: l.fenceVersion,
 		},
@@ -174,7 +192,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.followAt = now.Add(followAfter)
-	if lapse := l.seenAt.Add(l.times.Life); lapse.After(now) && lapse.Before(l.followAt) {
+	lapse := l.seenAt.Add(l.times.Life)
+	if earliest, _, ok := l.clock(); ok && l.record.Lapses > 0 {
+		lapse = now.Add(time.Duration(l.record.Lapses-earliest) * time.Millisecond)
+	}
+	if lapse.After(now) && lapse.Before(l.followAt) {
 		l.followAt = lapse
 	}
 	return err
@@ -187,6 +209,7 @@
 	version := l.version
 	l.mu.Unlock()
 	next.Renewals++
+	next.Lapses = l.lapses()
 	versions, err := l.write(next, []messenger.Condition{{Table: leaseTable, Key: leaseKey, Version: version}}, nil)
 	switch {
 	case err == nil:
@@ -246,7 +269,7 @@
 	}
 	l.version = row.Version
 	l.record = record
-	lapsed := row.Version == 0 || record.Released || l.isOwn(record) || !now.Before(l.seenAt.Add(l.times.Life))
+	lapsed := row.Version == 0 || record.Released || l.isOwn(record) || l.hasLapsed(record) || !now.Before(l.seenAt.Add(l.times.Life))
 	l.mu.Unlock()
 	if !lapsed {
 		return nil
@@ -261,7 +284,7 @@
 	if err != nil {
 		return err
 	}
-	next := Record{Holder: l.instance, Incarnation: l.incarnation, Fence: old.Fence + 1}
+	next := Record{Holder: l.instance, Incarnation: l.incarnation, Fence: old.Fence + 1, Lapses: l.lapses()}
 	conditions := []messenger.Condition{
 		{Table: leaseTable, Key: leaseKey, Version: version},
 		{Table: leaseTable, Key: fenceKey, Version: fence.Version},
@@ -280,11 +303,46 @@
 	}
 	l.mu.Lock()
 	l.fenceVersion = versions[1]
+	l.clearedAt = l.clearanceOf(old, now)
 	l.mu.Unlock()
 	l.take(now, next, versions[0])
 	return nil
 }
 
+// lapses returns when a right that is written now has surely ended, by the clock of
+// the table service; 0 if that is not known.
+func (l *Leaser) lapses() int64 {
+	_, latest, ok := l.clock()
+	if !ok {
+		return 0
+	}
+	return latest + l.times.Life.Milliseconds()
+}
+
+// hasLapsed reports whether the holder of a record has given up, by the clock of
+// the table service.
+func (l *Leaser) hasLapsed(record Record) bool {
+	earliest, _, ok := l.clock()
+	return ok && record.Lapses > 0 && earliest >= record.Lapses
+}
+
+// clearanceOf returns when the right of a record has ended, on this instance's
+// clock. A record without a time ended at the latest now, when it was taken over.
+func (l *Leaser) clearanceOf(old Record, now time.Time) time.Time {
+	if old.Fence == 0 {
+		return time.Time{}
+	}
+	earliest, _, ok := l.clock()
+	if !ok || old.Lapses == 0 {
+		return now
+	}
+	ended := now.Add(time.Duration(old.Lapses-earliest)*time.Millisecond - l.times.Margin)
+	if ended.After(now) {
+		return now
+	}
+	return ended
+}
+
 // settleAcquisition reads the rows after an acquisition whose answer was lost; it
 // returns their versions if the acquisition took effect.
 func (l *Leaser) settleAcquisition(next Record, cause error) ([]int64, error) {
@@ -314,6 +372,9 @@
 		return nil
 	}
 	next.Released = true
+	if _, latest, ok := l.clock(); ok {
+		next.Lapses = latest + l.times.Margin.Milliseconds() // the right ends before this is written
+	}
 	_, err := l.write(next, []messenger.Condition{{Table: leaseTable, Key: leaseKey, Version: version}}, nil)
 	return err
 }
--- a/internal/gateway/foreman/adapters.go
+++ b/internal/gateway/foreman/adapters.go
@@ -82,6 +82,31 @@
 	return "", last
 }
 
+// fillAdapters loads adapters into free places.
+func (f *Foreman) fillAdapters(view *registrar.View, service *registrar.Service) {
+	f.mu.Lock()
+	loads := placer.FillAdapters(f.state(view, service))
+	if len(loads) > mostFills {
+		loads = loads[:mostFills]
+	}
+	for _, load := range loads {
+		f.site(load.Site.Target).coming[holding{load.Model, load.Adapter}] = f.now().Add(openLife)
+	}
+	f.mu.Unlock()
+	for _, load := range loads {
+		key := tallier.Key{Service: service.Name, Model: load.Model, Adapter: load.Adapter}
+		go func() {
+			if err := f.loadAt(load.Site.Target, placer.AdapterMove{Site: load.Site}, key); err != nil {
+				f.log.V(1).Info("adapter not loaded", "target", load.Site.Target.ID, "adapter", load.Adapter, "error", err.Error())
+			}
+		}()
+	}
+}
+
+// mostFills is the number of adapters that begin to load in a tick: few enough that
+// those which requests wait for are not slowed down.
+const mostFills = 6
+
 // reserve chooses a place for an adapter and counts it as taken from now on.
 func (f *Foreman) reserve(view *registrar.View, service *registrar.Service, key tallier.Key, excluded map[string]bool) (placer.AdapterMove, bool) {
 	f.mu.Lock()
--- a/internal/gateway/foreman/foreman.go
+++ b/internal/gateway/foreman/foreman.go
@@ -113,6 +113,11 @@
 	// unloaded; each with the deadline after which that is over. Both take a place.
 	coming map[holding]time.Time
 	going  map[holding]time.Time
+	// next is the model that is to be loaded once open, an unload, is done.
+	next string
+	// restsUntil is the deadline until which a target that could not be reached
+	// gets no orders.
+	restsUntil time.Time
 }
 
 // holding is an adapter of a model.
@@ -213,6 +218,7 @@
 		case errors.Is(err, ErrBusy), errors.Is(err, ErrUnknownOutcome):
 			last = worseOf(last, err)
 		default:
+			f.rest(s)
 			return false, worseOf(last, err)
 		}
 	}
@@ -236,14 +242,15 @@
 }
 
 // learnOrders asks a target for the number of orders that it has accepted, if it
-// is not known or was refused. On first acquaintance the error is ErrBusy, since
-// what the order was decided on may differ from what the target tells.
+// is not known or was refused. On first acquaintance the error is ErrBusy if the
+// target tells of more than what the order was decided on.
 func (f *Foreman) learnOrders(t *registrar.Target, s *site, refused bool) error {
 	if !refused && s.orders >= 0 {
 		return nil
 	}
 	state, err := f.calls.State(t)
 	if err != nil {
+		f.rest(s)
 		return err
 	}
 	isFirst := s.orders < 0
@@ -253,26 +260,41 @@
 	} else {
 		s.orders = state.Orders
 	}
-	f.learnHoldings(t, state)
-	if state.Busy || isFirst {
+	differs := f.learnHoldings(t, state)
+	if state.Busy || (isFirst && differs) {
 		return ErrBusy
 	}
 	return nil
 }
 
-// learnHoldings takes what a target tells beyond the target table.
-func (f *Foreman) learnHoldings(t *registrar.Target, state State) {
+// rest leaves a target without orders for a while.
+func (f *Foreman) rest(s *site) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.restsUntil = f.now().Add(restTime)
+}
+
+// restTime is how long a target that could not be reached gets no orders.
+const restTime = time.Second
+
+// learnHoldings takes what a target tells beyond the target table, and reports
+// whether there is any.
+func (f *Foreman) learnHoldings(t *registrar.Target, state State) bool {
+	differs := false
 	for _, h := range state.Holdings {
 		known, ok := t.Holding(h.Model)
 		if !ok {
+			differs = true
 			f.overlay(t, Order{Model: h.Model})
 		}
 		for _, adapter := range h.Adapters {
 			if !known.Has(adapter) {
+				differs = true
 				f.overlay(t, Order{Model: h.Model, Adapter: adapter})
 			}
 		}
 	}
+	return differs
 }
 
 // stateLag is how old a target's word on its state may be.
--- a/internal/gateway/foreman/models.go
+++ b/internal/gateway/foreman/models.go
@@ -34,10 +34,12 @@
 		}
 		f.mu.Lock()
 		moves := placer.Plan(f.state(view, service))
+		moves = append(moves, f.nextLoads(view, service)...)
 		f.mu.Unlock()
 		for _, move := range moves {
 			f.move(move)
 		}
+		f.fillAdapters(view, service)
 	}
 }
 
@@ -58,11 +60,31 @@
 		}
 		_, held := t.Holding(s.open.order.Model)
 		if held != s.open.order.IsUnload || !now.Before(s.open.until) {
+			if held || !s.open.order.IsUnload {
+				s.next = ""
+			}
 			s.open = nil
 		}
 	}
 }
 
+// nextLoads returns the loads for which the room is made. It is called with the
+// lock held.
+func (f *Foreman) nextLoads(view *registrar.View, service *registrar.Service) []placer.Move {
+	moves := []placer.Move{}
+	for _, t := range view.TargetsOf(service.Name) {
+		s := f.site(t)
+		if s.next == "" || s.open != nil {
+			continue
+		}
+		if f.loadsLeft(service.Engine) > len(moves) && !t.Leaving {
+			moves = append(moves, placer.Move{Target: t, Model: s.next, Reason: "room is made"})
+			s.next = ""
+		}
+	}
+	return moves
+}
+
 // settleAdapters forgets the adapters whose fate the target table shows.
 func settleAdapters(t *registrar.Target, s *site, now time.Time) {
 	for h, until := range s.going {
@@ -104,12 +126,16 @@
 		out.Busy = true
 		out.Models[s.open.order.Model] = true
 	}
+	if s.next != "" {
+		out.Busy = true
+		out.Models[s.next] = true
+	}
 	for _, places := range []map[holding]time.Time{s.coming, s.going} {
 		for h := range places {
 			out.Adapters[h.model] = append(without(out.Adapters[h.model], h.adapter), h.adapter)
 		}
 	}
-	out.Busy = out.Busy || f.balancer.IsResting(t.ID)
+	out.Busy = out.Busy || f.now().Before(s.restsUntil) || f.balancer.IsResting(t.ID)
 	return out
 }
 
@@ -159,11 +185,13 @@
 	s := f.site(move.Target)
 	// Marked open before the order goes out, so that no plan counts on the target meanwhile.
 	s.open = &openOrder{order: Order{Model: move.Model, IsUnload: move.Unload}, until: f.now().Add(openLife)}
-	if !move.Unload {
+	if move.Unload {
+		s.next = move.For
+	} else {
 		f.loads = append(f.loads, f.now())
 	}
 	f.mu.Unlock()
-	f.log.Info("placement", "target", move.Target.ID, "model", move.Model, "unload", move.Unload, "reason", move.Reason)
+	f.log.Info("placement", "target", move.Target.ID, "model", move.Model, "unload", move.Unload, "for", move.For, "reason", move.Reason)
 	if move.Unload {
 		f.balancer.Overlay(balancer.Overlay{Target: move.Target.ID, Model: move.Model, Since: f.now()})
 	}
@@ -177,6 +205,7 @@
 	}
 	f.mu.Lock()
 	s.open = nil
+	s.next = ""
 	f.mu.Unlock()
 	if move.Unload {
 		f.balancer.Overlay(balancer.Overlay{Target: move.Target.ID, Model: move.Model, Held: true, Since: f.now()})
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -54,8 +54,10 @@
 type Move struct {
 	Target *registrar.Target
 	Model  string
-	// Unload makes room, else the model is loaded.
+	// Unload makes room for another model, else the model is loaded.
 	Unload bool
+	// For is the model that is to be loaded once the unload is done.
+	For    string
 	Reason string
 }
 
@@ -159,8 +161,9 @@
 		return
 	}
 	if evicted != "" {
-		p.moves = append(p.moves, Move{Target: best.Target, Model: evicted, Unload: true, Reason: "makes room for " + model})
+		p.moves = append(p.moves, Move{Target: best.Target, Model: evicted, Unload: true, For: model, Reason: reason})
 		p.copies[evicted]--
+		p.copies[model]++
 	} else {
 		p.moves = append(p.moves, Move{Target: best.Target, Model: model, Reason: reason})
 		p.copies[model]++
--- a/internal/gateway/registrar/facts.go
+++ b/internal/gateway/registrar/facts.go
@@ -98,7 +98,7 @@
 	Name             string
 	Megabytes        float64
 	AdapterMegabytes float64
-	Adapters         int
+	Adapters         []string
 	// LoadSeconds, DiskSeconds and HostSeconds are the times of a load from the
 	// weight store, from the target's disk and from its host memory.
 	LoadSeconds float64
--- a/internal/gateway/supervisor/lease.go
+++ b/internal/gateway/supervisor/lease.go
@@ -6,39 +6,29 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/crocusring/crocusring/internal/control/leaser"
 	"github.com/crocusring/crocusring/internal/gateway/foreman"
+	"github.com/crocusring/crocusring/internal/node/timekeeper"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
 const (
 	// leaseTick is the time between two looks at whether something is due.
-	leaseTick = 200 * time.Millisecond
-	// leaseLife, leaseMargin and leaseRenew are the times of the lease on orders.
-	// A holder gives up after 1.6 s without a renewal.
-	leaseLife   = 2200 * time.Millisecond
-	leaseMargin = 600 * time.Millisecond
-	leaseRenew  = 500 * time.Millisecond
+	leaseTick = 100 * time.Millisecond
+	// leaseLife, leaseMargin and leaseRenew are the times of the lease on orders: a
+	// holder gives up after 1.1 s without a renewal, which two slow ones fit into.
+	leaseLife   = 1500 * time.Millisecond
+	leaseMargin = 400 * time.Millisecond
+	leaseRenew  = 400 * time.Millisecond
+	// holderSilence is how long a holder may be silent until others look at the lease.
+	holderSilence = 700 * time.Millisecond
 	// handoverMargin is added to the least time between orders of two holders,
 	// for the time that an order is on its way.
 	handoverMargin = 300 * time.Millisecond
 )
 
-// bootTime is a clock that also runs while the machine is suspended, and that no
-// change of the time of day moves.
-func bootTime() time.Time {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		// The clock exists since Linux 2.6.39; without it a suspend goes unnoticed.
-		return time.Now()
-	}
-	return time.Unix(ts.Unix())
-}
-
 func newLeaser(settings messenger.GatewaySettings, incarnation int64, platform Platform) *leaser.Leaser {
-	tables := leaser.Tables{Get: platform.Get, Transact: func(req messenger.TransactRequest) ([]int64, error) {
+	tables := leaser.Tables{Get: platform.Get, Clock: platform.Clock, Transact: func(req messenger.TransactRequest) ([]int64, error) {
 		version, err := platform.Transact(req)
 		versions := make([]int64, len(req.Writes))
 		for i := range versions {
@@ -48,7 +38,7 @@
 	}}
 	return leaser.New(settings.Instance, strconv.FormatInt(incarnation, 10), tables,
 		leaser.WithTimes(leaser.Times{Life: leaseLife, Margin: leaseMargin, Renew: leaseRenew}),
-		leaser.WithClock(bootTime))
+		leaser.WithClock(timekeeper.Boot))
 }
 
 // right is the right to give orders: the lease, once the orders of an earlier
@@ -70,7 +60,7 @@
 
 // Grant returns the right to give orders now; false without it.
 func (r *right) Grant() (foreman.Grant, bool) {
-	now := bootTime()
+	now := timekeeper.Boot()
 	grant, ok := r.leaser.Held(now)
 	if !ok {
 		return foreman.Grant{}, false
@@ -80,8 +70,8 @@
 	if grant.Fence != r.fence {
 		r.fence = grant.Fence
 		r.from = now
-		if grant.Fence > 1 { // the first holder follows nobody
-			r.from = now.Add(r.between + handoverMargin)
+		if !grant.ClearedAt.IsZero() {
+			r.from = grant.ClearedAt.Add(r.between + handoverMargin)
 		}
 	}
 	return foreman.Grant{Fence: grant.Fence}, !now.Before(r.from)
@@ -98,7 +88,7 @@
 			return
 		case <-ticker.C:
 		}
-		grant, isHolder := s.leaser.Held(bootTime())
+		grant, isHolder := s.leaser.Held(timekeeper.Boot())
 		if isHolder != held {
 			held = isHolder
 			s.log.Info("lease on orders", "held", held, "fence", grant.Fence)
@@ -116,7 +106,7 @@
 // empty if none does.
 func (s *Supervisor) holder() string {
 	for _, peer := range s.informer.Peers() {
-		if peer.News.Holder {
+		if peer.News.Holder && time.Since(peer.HeardAt) < holderSilence {
 			return peer.News.PeerAddress
 		}
 	}
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/foreman"
+	"github.com/crocusring/crocusring/internal/node/timekeeper"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 	"github.com/crocusring/crocusring/internal/wire/poster"
 )
@@ -26,7 +27,7 @@
 
 // news returns what this instance tells its peers.
 func (s *Supervisor) news() messenger.GatewayNews {
-	_, isHolder := s.leaser.Held(bootTime())
+	_, isHolder := s.leaser.Held(timekeeper.Boot())
 	news := messenger.GatewayNews{
 		Instance: s.settings.Instance, Incarnation: s.incarnation, CallerAddress: s.settings.CallerAddress,
 		PeerAddress: s.settings.PeerAddress, DataCentre: s.settings.DataCentre, Ready: s.isReady(),
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -47,8 +47,10 @@
 	Follow          func(table string, after int64, wait time.Duration) (follower.Changes, error)
 	Get             func(table, key string) (messenger.Row, error)
 	Transact        func(messenger.TransactRequest) (int64, error)
-	Order           func(target *registrar.Target, order foreman.Order) (done bool, err error)
-	State           func(target *registrar.Target) (foreman.State, error)
+	// Clock bounds the present time of the store's clock, in milliseconds.
+	Clock func() (earliest, latest int64, ok bool)
+	Order func(target *registrar.Target, order foreman.Order) (done bool, err error)
+	State func(target *registrar.Target) (foreman.State, error)
 }
 
 const (
