--- a/internal/gateway/balancer/overlay.go
+++ b/internal/gateway/balancer/overlay.go
@@ -36,3 +36,18 @@
 	}
 	return out
 }
+
+// Forget drops what is known of a target beyond the target table, since it has
+// started anew.
+func (b *Balancer) Forget(target string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key := range b.overlays {
+		if key.target == target {
+			delete(b.overlays, key)
+		}
+	}
+	if l := b.loads[target]; l != nil {
+		l.record = record{}
+	}
+}
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -22,6 +22,9 @@
 const (
 	// feedWait is how long the store may hold a call for changes.
 	feedWait = 8 * time.Second
+	// shortWait is the same for tables whose changes bind: a call that hangs on a
+	// connection gone silent ends before this instance counts as in touch again.
+	shortWait = 1800 * time.Millisecond
 	// retryAfter is the pause after a failed call.
 	retryAfter = 200 * time.Millisecond
 	// returnTime is how long after the return of the store the entries that
@@ -53,6 +56,8 @@
 	source Source
 	// pause is the least time between two calls that bring changes.
 	pause time.Duration
+	// wait is how long the store may hold a call for changes.
+	wait  time.Duration
 	now   func() time.Time
 	log   logr.Logger
 	apply func(rows []messenger.StoreRow, removed []string)
@@ -64,6 +69,8 @@
 	lapsed map[string]time.Time
 	// failingSince is when calls began to fail; zero while they succeed.
 	failingSince time.Time
+	// heardAt is when the store answered last.
+	heardAt time.Time
 	// settledAt is the deadline for entries to return after an outage.
 	settledAt time.Time
 }
@@ -74,6 +81,9 @@
 // WithPause sets the least time between two calls that bring changes.
 func WithPause(pause time.Duration) Option { return func(f *Follower) { f.pause = pause } }
 
+// WithShortWait is for a table whose changes bind within seconds.
+func WithShortWait() Option { return func(f *Follower) { f.wait = shortWait } }
+
 // WithLog sets the log.
 func WithLog(log logr.Logger) Option { return func(f *Follower) { f.log = log } }
 
@@ -81,7 +91,7 @@
 // goroutine at a time.
 func New(table string, source Source, apply func(rows []messenger.StoreRow, removed []string), options ...Option) *Follower {
 	f := &Follower{
-		table: table, source: source, now: time.Now, apply: apply, log: logr.Discard(),
+		table: table, source: source, wait: feedWait, now: time.Now, apply: apply, log: logr.Discard(),
 		rows: map[string]messenger.StoreRow{}, lapsed: map[string]time.Time{},
 	}
 	for _, option := range options {
@@ -124,7 +134,7 @@
 	if version == 0 {
 		return f.readAnew()
 	}
-	wait := min(feedWait, f.untilSettled())
+	wait := min(f.wait, f.untilSettled())
 	changes, err := f.source.Follow(f.table, version, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.log.Info("history of table is gone", "table", f.table, "version", version)
@@ -160,6 +170,13 @@
 	return !f.failingSince.IsZero() && f.now().Sub(f.failingSince) > outageAfter
 }
 
+// IsFresh reports whether the store has answered since the given time before now.
+func (f *Follower) IsFresh(within time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.heardAt.IsZero() && f.now().Sub(f.heardAt) < within
+}
+
 // Snapshot returns what was read of the table.
 func (f *Follower) Snapshot() messenger.TableSnapshot {
 	f.mu.Lock()
@@ -185,6 +202,7 @@
 func (f *Follower) succeeded(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.heardAt = now
 	if f.failingSince.IsZero() {
 		return
 	}
@@ -218,26 +236,43 @@
 	now := f.now()
 	waits := f.outage(now)
 	f.version = max(f.version, changes.Version)
-	for _, row := range changes.Rows {
+	rows := f.store(changes.Rows)
+	removed := f.drop(changes.Removed, waits)
+	f.mu.Unlock()
+	f.hand(rows, removed)
+}
+
+// store keeps rows and returns those that are not older than what is known. It is
+// called with the lock held.
+func (f *Follower) store(rows []messenger.StoreRow) []messenger.StoreRow {
+	fresh := make([]messenger.StoreRow, 0, len(rows))
+	for _, row := range rows {
+		if known, ok := f.rows[row.Key]; ok && row.Version < known.Version {
+			continue
+		}
 		f.rows[row.Key] = row
 		delete(f.lapsed, row.Key)
+		fresh = append(fresh, row)
 	}
-	removed := f.drop(changes.Removed, waits)
-	f.mu.Unlock()
-	f.hand(changes.Rows, removed)
+	return fresh
 }
 
-// replace takes a whole table. Rows that are missing from it have been removed.
+// replace takes a whole table. Rows that are missing from it have been removed. A
+// table older than what is known is not taken.
 func (f *Follower) replace(snapshot messenger.TableSnapshot) {
 	f.mu.Lock()
+	if snapshot.Version < f.version {
+		f.mu.Unlock()
+		f.log.Info("table is older than what is known", "table", f.table, "version", snapshot.Version)
+		return
+	}
 	waits := f.outage(f.now())
 	f.version = max(f.version, snapshot.Version)
 	present := make(map[string]bool, len(snapshot.Rows))
 	for _, row := range snapshot.Rows {
 		present[row.Key] = true
-		f.rows[row.Key] = row
-		delete(f.lapsed, row.Key)
 	}
+	rows := f.store(snapshot.Rows)
 	missing := []string{}
 	for key := range f.rows {
 		if !present[key] {
@@ -247,7 +282,7 @@
 	slices.Sort(missing)
 	removed := f.drop(missing, waits)
 	f.mu.Unlock()
-	f.hand(snapshot.Rows, removed)
+	f.hand(rows, removed)
 }
 
 // drop forgets rows at once or, after an outage, leaves them the time to return.
--- a/internal/gateway/foreman/adapters.go
+++ b/internal/gateway/foreman/adapters.go
@@ -90,7 +90,7 @@
 		loads = loads[:mostFills]
 	}
 	for _, load := range loads {
-		f.site(load.Site.Target).coming[holding{load.Model, load.Adapter}] = f.now().Add(openLife)
+		f.site(load.Site.Target).coming[placer.AdapterKey{Model: load.Model, Adapter: load.Adapter}] = f.now().Add(openLife)
 	}
 	f.mu.Unlock()
 	for _, load := range loads {
@@ -120,9 +120,9 @@
 		return move, false
 	}
 	s := f.site(move.Site.Target)
-	s.coming[holding{key.Model, key.Adapter}] = f.now().Add(openLife)
+	s.coming[placer.AdapterKey{Model: key.Model, Adapter: key.Adapter}] = f.now().Add(openLife)
 	if move.EvictedAdapter != "" {
-		s.going[holding{move.EvictedModel, move.EvictedAdapter}] = f.now().Add(openLife)
+		s.going[placer.AdapterKey{Model: move.EvictedModel, Adapter: move.EvictedAdapter}] = f.now().Add(openLife)
 	}
 	return move, true
 }
@@ -131,14 +131,14 @@
 func (f *Foreman) loadAt(target *registrar.Target, move placer.AdapterMove, key tallier.Key) error {
 	if move.EvictedAdapter != "" {
 		if err := f.evict(target, move); err != nil {
-			f.release(target, holding{key.Model, key.Adapter})
+			f.release(target, placer.AdapterKey{Model: key.Model, Adapter: key.Adapter})
 			return err
 		}
 	}
 	load := Order{Model: key.Model, Adapter: key.Adapter}
 	done, err := f.give(target, load)
 	if err != nil && !isUnknown(err) {
-		f.release(target, holding{key.Model, key.Adapter})
+		f.release(target, placer.AdapterKey{Model: key.Model, Adapter: key.Adapter})
 	}
 	if err != nil {
 		return err
@@ -147,7 +147,7 @@
 		time.Sleep(adapterTime)
 	}
 	f.overlay(target, load)
-	f.release(target, holding{key.Model, key.Adapter})
+	f.release(target, placer.AdapterKey{Model: key.Model, Adapter: key.Adapter})
 	return nil
 }
 
@@ -163,11 +163,11 @@
 		return errors.Wrap(ErrBusy, "adapter in use")
 	case err == nil:
 		f.mu.Lock()
-		delete(f.site(target).going, holding{order.Model, order.Adapter})
+		delete(f.site(target).going, placer.AdapterKey{Model: order.Model, Adapter: order.Adapter})
 		f.mu.Unlock()
 	case !isUnknown(err):
 		f.mu.Lock()
-		delete(f.site(target).going, holding{order.Model, order.Adapter})
+		delete(f.site(target).going, placer.AdapterKey{Model: order.Model, Adapter: order.Adapter})
 		f.mu.Unlock()
 		order.IsUnload = false
 		f.overlay(target, order) // it is still there
@@ -175,7 +175,7 @@
 	return err
 }
 
-func (f *Foreman) release(target *registrar.Target, h holding) {
+func (f *Foreman) release(target *registrar.Target, h placer.AdapterKey) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.site(target).coming, h)
--- a/internal/gateway/foreman/foreman.go
+++ b/internal/gateway/foreman/foreman.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
+	"github.com/crocusring/crocusring/internal/gateway/placer"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 	"github.com/crocusring/crocusring/internal/gateway/tallier"
 )
@@ -111,8 +112,8 @@
 	open *openOrder
 	// coming are the adapters that may be loaded, going those that are being
 	// unloaded; each with the deadline after which that is over. Both take a place.
-	coming map[holding]time.Time
-	going  map[holding]time.Time
+	coming map[placer.AdapterKey]time.Time
+	going  map[placer.AdapterKey]time.Time
 	// next is the model that is to be loaded once open, an unload, is done.
 	next string
 	// restsUntil is the deadline until which a target that could not be reached
@@ -120,11 +121,6 @@
 	restsUntil time.Time
 }
 
-// holding is an adapter of a model.
-type holding struct {
-	model, adapter string
-}
-
 // openOrder is an order whose effect the target table does not show yet.
 type openOrder struct {
 	order Order
@@ -178,7 +174,7 @@
 func (f *Foreman) site(t *registrar.Target) *site {
 	s := f.sites[t.ID]
 	if s == nil || s.born != t.Born {
-		s = &site{orders: -1, born: t.Born, coming: map[holding]time.Time{}, going: map[holding]time.Time{}}
+		s = &site{orders: -1, born: t.Born, coming: map[placer.AdapterKey]time.Time{}, going: map[placer.AdapterKey]time.Time{}}
 		f.sites[t.ID] = s
 	}
 	return s
--- a/internal/gateway/foreman/models.go
+++ b/internal/gateway/foreman/models.go
@@ -88,12 +88,12 @@
 // settleAdapters forgets the adapters whose fate the target table shows.
 func settleAdapters(t *registrar.Target, s *site, now time.Time) {
 	for h, until := range s.going {
-		if held, ok := t.Holding(h.model); !ok || !held.Has(h.adapter) || now.After(until) {
+		if held, ok := t.Holding(h.Model); !ok || !held.Has(h.Adapter) || now.After(until) {
 			delete(s.going, h)
 		}
 	}
 	for h, until := range s.coming {
-		if held, ok := t.Holding(h.model); (ok && held.Has(h.adapter)) || now.After(until) {
+		if held, ok := t.Holding(h.Model); (ok && held.Has(h.Adapter)) || now.After(until) {
 			delete(s.coming, h)
 		}
 	}
@@ -114,7 +114,8 @@
 // as done, and an unload as not done.
 func (f *Foreman) siteState(t *registrar.Target) *placer.Site {
 	out := &placer.Site{
-		Target: t, Models: map[string]bool{}, Adapters: map[string][]string{}, InFlight: f.balancer.TotalInFlight(t.ID),
+		Target: t, Models: map[string]bool{}, Adapters: map[string][]string{},
+		Moving: map[placer.AdapterKey]bool{}, InFlight: f.balancer.TotalInFlight(t.ID),
 	}
 	for _, h := range t.Holdings {
 		out.Models[h.Model] = true
@@ -130,9 +131,10 @@
 		out.Busy = true
 		out.Models[s.next] = true
 	}
-	for _, places := range []map[holding]time.Time{s.coming, s.going} {
+	for _, places := range []map[placer.AdapterKey]time.Time{s.coming, s.going} {
 		for h := range places {
-			out.Adapters[h.model] = append(without(out.Adapters[h.model], h.adapter), h.adapter)
+			out.Adapters[h.Model] = append(without(out.Adapters[h.Model], h.Adapter), h.Adapter)
+			out.Moving[h] = true
 		}
 	}
 	out.Busy = out.Busy || f.now().Before(s.restsUntil) || f.balancer.IsResting(t.ID)
--- a/internal/gateway/placer/adapters.go
+++ b/internal/gateway/placer/adapters.go
@@ -51,12 +51,15 @@
 	return AdapterMove{Site: site, EvictedModel: victim.Model, EvictedAdapter: victim.Adapter}, load + 1 + rate, true
 }
 
-// coldestAdapter returns the adapter of a target that is asked for least.
+// coldestAdapter returns the adapter of a target that is asked for least; its name
+// is empty if none can go.
 func coldestAdapter(state State, site *Site) (tallier.Key, float64) {
 	keys := []tallier.Key{}
 	for model, adapters := range site.Adapters {
 		for _, adapter := range adapters {
-			keys = append(keys, tallier.Key{Service: state.Service.Name, Model: model, Adapter: adapter})
+			if !site.Moving[AdapterKey{model, adapter}] {
+				keys = append(keys, tallier.Key{Service: state.Service.Name, Model: model, Adapter: adapter})
+			}
 		}
 	}
 	if len(keys) == 0 {
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -35,12 +35,21 @@
 	Models map[string]bool
 	// Adapters holds the adapters of each model that it serves or may come to serve.
 	Adapters map[string][]string
+	// Moving holds the adapters that are being loaded or unloaded, or may be; they
+	// take a place and cannot make one.
+	Moving map[AdapterKey]bool
 	// Busy tells that an order is open.
 	Busy bool
 	// InFlight is the number of requests that it has, of all instances.
 	InFlight int
 }
 
+// AdapterKey names an adapter of a model.
+type AdapterKey struct {
+	Model   string
+	Adapter string
+}
+
 // State is what a plan is made from.
 type State struct {
 	Service *registrar.Service
--- a/internal/gateway/registrar/facts.go
+++ b/internal/gateway/registrar/facts.go
@@ -122,6 +122,9 @@
 	// InMemory and OnDisk name the models whose weights it keeps close.
 	InMemory []string
 	OnDisk   []string
+	// Heartbeat counts what the process has told of itself since its start; of two
+	// entries the one with the higher count is the newer.
+	Heartbeat int64
 	// Version is that of the table row that told of it.
 	Version int64
 }
@@ -133,6 +136,12 @@
 	Adapters []string
 }
 
+// IsOlderThan reports whether the entry tells of the same process as another one
+// and was written by it before that.
+func (t *Target) IsOlderThan(other *Target) bool {
+	return other != nil && t.Born == other.Born && t.Heartbeat < other.Heartbeat
+}
+
 // Holding returns what the target holds of a model.
 func (t *Target) Holding(model string) (Holding, bool) {
 	for _, h := range t.Holdings {
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -60,6 +60,9 @@
 	// table, whose entries change often; a leaving target is noticed well within
 	// the time that the platform allows.
 	targetPause = 150 * time.Millisecond
+	// staleAfter is how old the word of the store on targets may be for orders to be
+	// decided on it; a little more than a call for changes takes.
+	staleAfter = 2800 * time.Millisecond
 	// registerAfter is the time between two tries to write the own row.
 	registerAfter = 500 * time.Millisecond
 	// pruneAfter is the time between two clean-ups.
@@ -108,7 +111,7 @@
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.right = newRight(s.leaser, time.Duration(bounds.LeaseMilliseconds)*time.Millisecond)
 	s.foreman = foreman.New(settings.Instance,
-		foreman.Calls{Order: platform.Order, State: platform.State, Grant: s.right.Grant},
+		foreman.Calls{Order: platform.Order, State: platform.State, Grant: s.mayOrder},
 		foreman.Bounds{Window: seconds(bounds.LoadWindowSeconds), Overage: bounds.LoadOverage},
 		s.registry, s.balancer, s.tally, log)
 	s.informer = informer.New(settings.Instance,
@@ -117,13 +120,23 @@
 	return s
 }
 
+// mayOrder returns the right to give orders. One who does not know what targets
+// hold now does not use it.
+func (s *Supervisor) mayOrder() (foreman.Grant, bool) {
+	if !s.targets.IsFresh(staleAfter) {
+		return foreman.Grant{}, false
+	}
+	return s.right.Grant()
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func (s *Supervisor) follow() {
 	source := follower.Source{Read: s.platform.Read, Follow: s.platform.Follow, PeerSnapshot: s.peerSnapshot}
 	log := follower.WithLog(s.log)
-	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log)
-	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargets, log, follower.WithPause(targetPause))
+	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait())
+	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargets, log,
+		follower.WithShortWait(), follower.WithPause(targetPause))
 	s.instances = follower.New(instanceTable, source, s.applyInstances, log)
 }
 
@@ -209,10 +222,17 @@
 	}
 	target.Version = row.Version
 	old := targets[row.Key]
+	if target.IsOlderThan(old) {
+		s.log.Info("entry is older than the one before", "target", target.ID, "heartbeat", target.Heartbeat, "known", old.Heartbeat)
+		return
+	}
 	if old == nil || old.Born != target.Born || old.Leaving != target.Leaving {
 		s.log.Info("target", "target", target.ID, "service", target.Service, "address", target.Address,
 			"leaving", target.Leaving, "born", target.Born, "rowVersion", row.Version)
 	}
+	if old != nil && old.Born != target.Born {
+		s.balancer.Forget(target.ID)
+	}
 	targets[row.Key] = target
 }
 
