--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -182,7 +182,7 @@
 
 // worse returns the reason that says more of why there is no target.
 func worse(a, b error) error {
-	if a == ErrNoAdapter || b == ErrNoAdapter {
+	if errors.Is(a, ErrNoAdapter) || errors.Is(b, ErrNoAdapter) {
 		return ErrNoAdapter
 	}
 	return b
--- /dev/null
+++ b/internal/gateway/balancer/balancer_test.go
@@ -0,0 +1,336 @@
+package balancer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusring/crocusring/internal/gateway/balancer"
+	"github.com/crocusring/crocusring/internal/gateway/registrar"
+)
+
+// clock is a time that tests move.
+type clock struct{ now time.Time }
+
+func (c *clock) read() time.Time { return c.now }
+
+func (c *clock) step(d time.Duration) { c.now = c.now.Add(d) }
+
+const (
+	engineName = "engine"
+	plainName  = "plain"
+)
+
+// view has n engines that hold model m and adapter a1, and n plain targets.
+func view(n int) *registrar.View {
+	r := registrar.New()
+	r.SetManifest(&registrar.Manifest{Version: 1, Services: map[string]*registrar.Service{
+		engineName: {Name: engineName, Engine: &registrar.Engine{Slots: 32, CacheTokens: 100_000}},
+		plainName:  {Name: plainName},
+	}})
+	r.Update(func(targets map[string]*registrar.Target) {
+		for i := range n {
+			id := fmt.Sprintf("e%d", i)
+			targets[id] = &registrar.Target{
+				ID: id, Service: engineName, Slots: 32,
+				Holdings: []registrar.Holding{{Model: "m", Adapters: []string{"a1"}}},
+			}
+			id = fmt.Sprintf("p%d", i)
+			targets[id] = &registrar.Target{ID: id, Service: plainName, Slots: 6}
+		}
+	})
+	return r.View()
+}
+
+func engineRequest(prompt int) balancer.Request {
+	return balancer.Request{Service: engineName, Model: "m", Prompt: prompt, Tokens: prompt + 200, Pause: 300}
+}
+
+func newTest() (*balancer.Balancer, *clock) {
+	c := &clock{now: time.Unix(1000, 0)}
+	return balancer.New(balancer.WithClock(c.read)), c
+}
+
+func mustPick(t *testing.T, b *balancer.Balancer, v *registrar.View, r balancer.Request) *balancer.Ticket {
+	t.Helper()
+	ticket, err := b.Pick(v, r)
+	require.NoError(t, err)
+	return ticket
+}
+
+func TestReasonsWithoutTarget(t *testing.T) {
+	b, _ := newTest()
+	v := view(2)
+	for name, c := range map[string]struct {
+		request balancer.Request
+		want    error
+	}{
+		"unknown service": {balancer.Request{Service: "x"}, balancer.ErrNoTarget},
+		"unknown model":   {balancer.Request{Service: engineName, Model: "x"}, balancer.ErrNoModel},
+		"unknown adapter": {balancer.Request{Service: engineName, Model: "m", Adapter: "x"}, balancer.ErrNoAdapter},
+		"all excluded": {
+			balancer.Request{Service: plainName, Excluded: map[string]bool{"p0": true, "p1": true}}, balancer.ErrNoTarget,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := b.Pick(v, c.request)
+			assert.ErrorIs(t, err, c.want)
+		})
+	}
+}
+
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	b, _ := newTest()
+	v := view(2)
+	v.Targets["e0"].Leaving = true
+	for range 20 {
+		assert.Equal(t, "e1", mustPick(t, b, v, balancer.Request{Service: engineName, Model: "m"}).Target.ID)
+	}
+}
+
+func TestPromptsToReadAreSpread(t *testing.T) {
+	b, _ := newTest()
+	v := view(3)
+	used := map[string]int{}
+	for range 3 {
+		used[mustPick(t, b, v, engineRequest(1500)).Target.ID]++
+	}
+	assert.Len(t, used, 3, "each target reads one prompt: %v", used)
+}
+
+// TestPauseBound replays a burst at one target: it gets no more prompts than it
+// reads within the pause that is on time, and another one once the first is read.
+func TestPauseBound(t *testing.T) {
+	b, c := newTest()
+	v := view(1)
+	tickets := []*balancer.Ticket{}
+	for range 50 {
+		ticket, err := b.Pick(v, engineRequest(1500))
+		if err != nil {
+			require.ErrorIs(t, err, balancer.ErrFull)
+			break
+		}
+		tickets = append(tickets, ticket)
+	}
+	require.NotEmpty(t, tickets)
+	require.Less(t, len(tickets), 5)
+	freed := b.Freed()
+	c.step(70 * time.Millisecond) // a little faster than assumed
+	tickets[0].FirstByte()
+	select {
+	case <-freed:
+	default:
+		t.Error("those who wait are not told of a prompt that was read")
+	}
+	mustPick(t, b, v, engineRequest(1500))
+}
+
+func TestLargestRequestIsTakenWhereNothingIsPending(t *testing.T) {
+	b, _ := newTest()
+	mustPick(t, b, view(1), engineRequest(20_000))
+}
+
+func TestTokenMemoryIsNotOverfilled(t *testing.T) {
+	b, c := newTest()
+	v := view(1)
+	sum := 0
+	for range 32 {
+		ticket, err := b.Pick(v, engineRequest(9000))
+		if err != nil {
+			break
+		}
+		sum += 9200
+		c.step(time.Second)
+		ticket.FirstByte()
+	}
+	assert.LessOrEqual(t, sum, 100_000)
+	assert.Greater(t, sum, 50_000)
+}
+
+func TestPeersLoadCounts(t *testing.T) {
+	b, c := newTest()
+	v := view(2)
+	b.SetPeer("other", 1, 5, map[string]balancer.Load{"e0": {InFlight: 4, Pending: 180}}, true)
+	for range 2 {
+		assert.Equal(t, "e1", mustPick(t, b, v, engineRequest(1000)).Target.ID)
+	}
+	t.Run("a late datagram changes nothing", func(t *testing.T) {
+		b.SetPeer("other", 1, 4, map[string]balancer.Load{"e0": {}}, false)
+		assert.Equal(t, 4, b.TotalInFlight("e0"))
+	})
+	t.Run("a later one does", func(t *testing.T) {
+		b.SetPeer("other", 1, 6, map[string]balancer.Load{"e0": {InFlight: 1}}, false)
+		assert.Equal(t, 1, b.TotalInFlight("e0"))
+	})
+	t.Run("news without a target clears it", func(t *testing.T) {
+		b.SetPeer("other", 1, 7, nil, true)
+		assert.Zero(t, b.TotalInFlight("e0"))
+	})
+	t.Run("a silent peer stops to count", func(t *testing.T) {
+		b.SetPeer("other", 1, 8, map[string]balancer.Load{"e0": {InFlight: 9}}, true)
+		c.step(2 * time.Second)
+		assert.Zero(t, b.TotalInFlight("e0"))
+	})
+	t.Run("an old incarnation says nothing", func(t *testing.T) {
+		b.SetPeer("other", 2, 1, map[string]balancer.Load{"e0": {InFlight: 1}}, true)
+		b.SetPeer("other", 1, 99, map[string]balancer.Load{"e0": {InFlight: 9}}, true)
+		assert.Equal(t, 1, b.TotalInFlight("e0"))
+	})
+}
+
+func TestOverlays(t *testing.T) {
+	b, c := newTest()
+	v := view(1)
+	adapter := balancer.Request{Service: engineName, Model: "m", Adapter: "a2"}
+	_, err := b.Pick(v, adapter)
+	require.ErrorIs(t, err, balancer.ErrNoAdapter)
+	now := c.now
+	b.Overlay(balancer.Overlay{Target: "e0", Model: "m", Adapter: "a2", Held: true, Since: now})
+	mustPick(t, b, v, adapter)
+	t.Run("an older change is not taken", func(t *testing.T) {
+		b.Overlay(balancer.Overlay{Target: "e0", Model: "m", Adapter: "a2", Since: now.Add(-time.Second)})
+		mustPick(t, b, v, adapter)
+	})
+	t.Run("a target that started anew holds nothing of it", func(t *testing.T) {
+		b.Forget("e0")
+		_, err := b.Pick(v, adapter)
+		assert.ErrorIs(t, err, balancer.ErrNoAdapter)
+	})
+}
+
+// TestGreyTarget replays a target that fails part of its requests behind a good
+// health check, and is well again later.
+func TestGreyTarget(t *testing.T) {
+	b, c := newTest()
+	v := view(3)
+	serve := func(isBad bool, n int) (toFirst int) {
+		for range n {
+			ticket := mustPick(t, b, v, balancer.Request{Service: plainName})
+			c.step(10 * time.Millisecond)
+			if ticket.Target.ID != "p0" {
+				ticket.End(balancer.Answered)
+				continue
+			}
+			toFirst++
+			if isBad && toFirst%2 == 0 {
+				ticket.End(balancer.Failed)
+			} else {
+				ticket.End(balancer.Answered)
+			}
+		}
+		return toFirst
+	}
+	assert.Greater(t, serve(false, 300), 60)
+	assert.Less(t, serve(true, 600), 150, "a grey target gets less than its third of 200")
+	serve(false, 1500)
+	assert.Greater(t, serve(false, 300), 60, "it is used again when it is well")
+}
+
+func TestDeadTargetRests(t *testing.T) {
+	b, c := newTest()
+	v := view(2)
+	lost := 0
+	for range 200 {
+		ticket := mustPick(t, b, v, balancer.Request{Service: plainName})
+		c.step(5 * time.Millisecond)
+		if ticket.Target.ID == "p0" {
+			lost++
+			ticket.End(balancer.Unreached)
+			continue
+		}
+		ticket.End(balancer.Answered)
+	}
+	assert.LessOrEqual(t, lost, 4, "of a second of requests")
+}
+
+// TestLeastPendingBeatsLeastInFlight replays prompts of unequal length at four
+// targets that read one prompt after the other. The longest stall of a stream is
+// what the prompts take that a target has yet to read.
+func TestLeastPendingBeatsLeastInFlight(t *testing.T) {
+	prompts := make([]int, 2000)
+	for i := range prompts {
+		prompts[i] = 300 + (i*7919)%3500
+	}
+	byPending := stalls(t, prompts, 300)
+	byNumber := stallsByNumber(prompts, 300)
+	assert.Less(t, byPending*3, byNumber*2, "late by pending time: %d, by number in flight: %d", byPending, byNumber)
+}
+
+const (
+	tokensPerMS  = 20   // of the targets of the replay
+	arrivalMS    = 32   // between two requests
+	streamMS     = 2000 // a stream takes after its prompt was read
+	replayNumber = 4    // targets
+)
+
+// stalls counts the prompts that a target had to read within more than limit ms.
+func stalls(t *testing.T, prompts []int, limit int) int {
+	b, c := newTest()
+	v := view(replayNumber)
+	start := c.now
+	type event struct {
+		at     int
+		ticket *balancer.Ticket
+		isEnd  bool
+	}
+	events := []event{}
+	readUntil := map[string]int{}
+	late := 0
+	for i, prompt := range prompts {
+		now := i * arrivalMS
+		rest := events[:0]
+		for _, e := range events {
+			if e.at > now {
+				rest = append(rest, e)
+				continue
+			}
+			c.now = start.Add(time.Duration(e.at) * time.Millisecond)
+			if e.isEnd {
+				e.ticket.End(balancer.Answered)
+			} else {
+				e.ticket.FirstByte()
+			}
+		}
+		events = rest
+		c.now = start.Add(time.Duration(now) * time.Millisecond)
+		r := engineRequest(prompt)
+		r.Pause = 0 // the choice alone is compared, without turning away
+		ticket := mustPick(t, b, v, r)
+		id := ticket.Target.ID
+		done := max(readUntil[id], now) + prompt/tokensPerMS
+		readUntil[id] = done
+		if done-now > limit {
+			late++
+		}
+		events = append(events, event{at: done, ticket: ticket}, event{at: done + streamMS, ticket: ticket, isEnd: true})
+	}
+	return late
+}
+
+// stallsByNumber is the baseline: the target with the fewest requests in flight.
+func stallsByNumber(prompts []int, limit int) int {
+	readUntil := make([]int, replayNumber)
+	ends := make([][]int, replayNumber)
+	late := 0
+	for i, prompt := range prompts {
+		now := i * arrivalMS
+		best := 0
+		for k := range ends {
+			for len(ends[k]) > 0 && ends[k][0] <= now {
+				ends[k] = ends[k][1:]
+			}
+			if len(ends[k]) < len(ends[best]) {
+				best = k
+			}
+		}
+		readUntil[best] = max(readUntil[best], now) + prompt/tokensPerMS
+		if readUntil[best]-now > limit {
+			late++
+		}
+		ends[best] = append(ends[best], readUntil[best]+streamMS)
+	}
+	return late
+}
--- a/internal/gateway/balancer/record.go
+++ b/internal/gateway/balancer/record.go
@@ -34,6 +34,13 @@
 	// greyShare is the share of faults, beyond that of its siblings, from which
 	// a target gets no requests but a sparing trial.
 	greyShare = 0.25
+	// usualExcess is the share of faults, beyond that of its siblings, that says nothing.
+	usualExcess = 0.05
+	// trialAfter is the time without an outcome after which a target is tried again
+	// like any other.
+	trialAfter = 2 * time.Second
+	// trialRelief is what remains of the faults after a trial that succeeded.
+	trialRelief = 0.5
 	// greyPenalty weighs the share of faults of a target beyond that of its siblings.
 	greyPenalty = 8.0
 	// slowFactor is how many times the usual time to the first byte counts as slow.
@@ -59,12 +66,18 @@
 	restsUntil time.Time
 }
 
-func (r *record) fade(now time.Time) {
-	if !r.at.IsZero() {
-		factor := math.Exp2(-now.Sub(r.at).Seconds() / forgetTime.Seconds())
-		r.answers *= factor
-		r.faults *= factor
+// faded returns the weight of what was counted until r.at at a later time.
+func (r *record) faded(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 1
 	}
+	return math.Exp2(-now.Sub(r.at).Seconds() / forgetTime.Seconds())
+}
+
+func (r *record) fade(now time.Time) {
+	factor := r.faded(now)
+	r.answers *= factor
+	r.faults *= factor
 	r.at = now
 }
 
@@ -73,9 +86,13 @@
 	if outcome == Abandoned {
 		return
 	}
+	isTrial := now.Sub(r.at) >= trialAfter
 	r.fade(now)
 	switch outcome {
 	case Answered:
+		if isTrial {
+			r.faults *= trialRelief
+		}
 		r.answers++
 		r.inRow = 0
 		r.rest = 0
@@ -112,8 +129,9 @@
 	r.inRow = lostInRow - 1
 }
 
-func (r *record) share() float64 {
-	if r.answers < fewSamples {
+// share returns the share of faults; 0 while there are too few answers to tell.
+func (r *record) share(now time.Time) float64 {
+	if r.answers*r.faded(now) < fewSamples {
 		return 0
 	}
 	return r.faults / r.answers
@@ -125,11 +143,15 @@
 	if now.Before(r.restsUntil) {
 		return 1, true
 	}
-	excess := max(r.share()-typical.faults, 0)
-	if excess > greyShare && now.Sub(r.at) < restTime {
-		return 1, true
+	excess := max(r.share(now)-typical.faults, 0)
+	isTrial := now.Sub(r.at) >= trialAfter
+	if isTrial || excess > greyShare {
+		return 1, !isTrial
+	}
+	factor = 1
+	if excess > usualExcess {
+		factor += greyPenalty * excess
 	}
-	factor = 1 + greyPenalty*excess
 	if typical.first > 0 && r.first > slowFactor*typical.first {
 		factor *= r.first / typical.first
 	}
@@ -150,7 +172,7 @@
 	firsts := make([]float64, 0, len(targets))
 	for _, t := range targets {
 		l := b.load(t.ID)
-		shares = append(shares, l.record.share())
+		shares = append(shares, l.record.share(now))
 		if l.record.first > 0 {
 			firsts = append(firsts, l.record.first)
 		}
--- /dev/null
+++ b/internal/gateway/budgeter/budgeter_test.go
@@ -0,0 +1,100 @@
+package budgeter
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// clock is a time that tests move.
+type clock struct{ now time.Time }
+
+func (c *clock) read() time.Time { return c.now }
+
+func newTest(c *clock, ratio float64, slack, members int) *Budgeter {
+	b := New(ratio, slack, 10*time.Second)
+	b.now, b.start = c.read, c.now
+	b.SetMembers(members)
+	return b
+}
+
+func allowed(b *Budgeter, tries int) int {
+	n := 0
+	for range tries {
+		if b.Repeat("s") {
+			n++
+		}
+	}
+	return n
+}
+
+func TestSlackIsSharedByMembers(t *testing.T) {
+	c := &clock{now: time.Unix(100, 0)}
+	const slack = 40
+	sum := 0
+	for range 4 {
+		sum += allowed(newTest(c, 0.2, slack, 4), 100)
+	}
+	assert.Positive(t, sum)
+	assert.LessOrEqual(t, sum, slack)
+}
+
+func TestWindowForgets(t *testing.T) {
+	c := &clock{now: time.Unix(100, 0)}
+	b := newTest(c, 0, 10, 1)
+	first := allowed(b, 100)
+	assert.Zero(t, allowed(b, 100))
+	c.now = c.now.Add(5 * time.Second)
+	assert.Zero(t, allowed(b, 100))
+	c.now = c.now.Add(6100 * time.Millisecond)
+	assert.Equal(t, first, allowed(b, 100))
+}
+
+func TestServicesAreApart(t *testing.T) {
+	b := newTest(&clock{now: time.Unix(100, 0)}, 0, 10, 1)
+	allowed(b, 100)
+	assert.True(t, b.Repeat("other"))
+}
+
+// TestRetryStorm replays four instances whose targets fail most requests: in every
+// span of the window the repeats of all together stay within the bound.
+func TestRetryStorm(t *testing.T) {
+	const ratio, slack, members = 0.2, 56, 4
+	for seed := range uint64(5) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		c := &clock{now: time.Unix(100, 0)}
+		instances := []*Budgeter{}
+		for range members {
+			instances = append(instances, newTest(c, ratio, slack, members))
+		}
+		requests, repeats := []time.Time{}, []time.Time{}
+		for range 30_000 {
+			c.now = c.now.Add(time.Duration(random.IntN(4)) * time.Millisecond)
+			b := instances[random.IntN(members)]
+			b.Request("s")
+			requests = append(requests, c.now)
+			for range 3 {
+				if random.Float64() < 0.8 && b.Repeat("s") {
+					repeats = append(repeats, c.now)
+				}
+			}
+		}
+		from, first := 0, 0
+		for i, at := range repeats {
+			for repeats[from].Before(at.Add(-10 * time.Second)) {
+				from++
+			}
+			for first < len(requests) && requests[first].Before(at.Add(-10*time.Second)) {
+				first++
+			}
+			last := first
+			for last < len(requests) && !requests[last].After(at) {
+				last++
+			}
+			assert.LessOrEqual(t, float64(i-from+1), ratio*float64(last-first)+slack)
+		}
+		assert.Greater(t, len(repeats), len(requests)/10, "the budget is used")
+	}
+}
--- a/internal/gateway/conductor/stream.go
+++ b/internal/gateway/conductor/stream.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/crocusring/crocusring/internal/edge/connector"
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 )
@@ -43,7 +45,8 @@
 		if end < len(eventEnd) {
 			end = 0
 		}
-		if readErr == io.EOF {
+		isEnd := errors.Is(readErr, io.EOF)
+		if isEnd {
 			end = len(buffer)
 		}
 		if end > 0 {
@@ -55,7 +58,7 @@
 			buffer = append(buffer[:0], buffer[end:]...)
 		}
 		switch {
-		case readErr == io.EOF:
+		case isEnd:
 			ticket.End(balancer.Answered)
 			c.log.V(1).Info("stream answered", "request", q.id, "target", ticket.Target.ID, "model", q.demand.Model,
 				"tokens", q.demand.Tokens, "firstMilliseconds", ticket.First().Milliseconds(),
@@ -93,14 +96,14 @@
 
 // lastEventID returns the ID of the last event that names one; empty if none does.
 func lastEventID(events []byte) string {
-	at := bytes.LastIndex(events, []byte("\nid:"))
-	if at >= 0 {
-		at++
-	} else if !bytes.HasPrefix(events, []byte("id:")) {
+	field := []byte("id:")
+	rest := events
+	if at := bytes.LastIndex(events, []byte("\nid:")); at >= 0 {
+		rest = events[at+1:]
+	}
+	if !bytes.HasPrefix(rest, field) {
 		return ""
-	} else {
-		at = 0
 	}
-	line, _, _ := bytes.Cut(events[at+len("id:"):], []byte("\n"))
+	line, _, _ := bytes.Cut(rest[len(field):], []byte("\n"))
 	return string(bytes.TrimSpace(line))
 }
--- /dev/null
+++ b/internal/gateway/placer/placer_test.go
@@ -0,0 +1,201 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/crocusring/crocusring/internal/gateway/placer"
+	"github.com/crocusring/crocusring/internal/gateway/registrar"
+	"github.com/crocusring/crocusring/internal/gateway/tallier"
+)
+
+const serviceName = "engine"
+
+// service has n models of 70 GB, with two adapters each, for targets of 200 GB.
+func service(n int) *registrar.Service {
+	models := map[string]registrar.Model{}
+	for i := range n {
+		name := fmt.Sprintf("m%d", i)
+		models[name] = registrar.Model{Name: name, Megabytes: 70_000, AdapterMegabytes: 60, Adapters: []string{"a1", "a2"}}
+	}
+	return &registrar.Service{Name: serviceName, Engine: &registrar.Engine{
+		Slots: 32, WeightMegabytes: 200_000, AdapterPlaces: 4, LoadsPerSecond: 2, Models: models,
+	}}
+}
+
+func site(id string, models ...string) *placer.Site {
+	s := &placer.Site{
+		Target: &registrar.Target{ID: id, Slots: 32}, Models: map[string]bool{}, Adapters: map[string][]string{},
+		Moving: map[placer.AdapterKey]bool{},
+	}
+	for _, m := range models {
+		s.Models[m] = true
+	}
+	return s
+}
+
+func demand(rates map[string]float64) map[tallier.Key]tallier.Demand {
+	out := map[tallier.Key]tallier.Demand{}
+	for model, rate := range rates {
+		out[tallier.Key{Service: serviceName, Model: model}] = tallier.Demand{Rate: rate, Work: 1000 * rate}
+	}
+	return out
+}
+
+func TestModelWithoutCopyComesFirst(t *testing.T) {
+	moves := placer.Plan(placer.State{
+		Service: service(3), Sites: []*placer.Site{site("t1", "m0"), site("t2", "m1")}, Loads: 1,
+		Demand: demand(map[string]float64{"m0": 50}),
+	})
+	require.Len(t, moves, 1)
+	assert.Equal(t, "m2", moves[0].Model)
+	assert.False(t, moves[0].Unload)
+}
+
+func TestBusiestModelGetsACopyWhereThereIsRoom(t *testing.T) {
+	moves := placer.Plan(placer.State{
+		Service: service(2), Sites: []*placer.Site{site("t1", "m0", "m1"), site("t2", "m1")}, Loads: 1,
+		Demand: demand(map[string]float64{"m0": 50, "m1": 1}),
+	})
+	require.Len(t, moves, 1)
+	assert.Equal(t, "m0", moves[0].Model)
+	assert.Equal(t, "t2", moves[0].Target.ID)
+}
+
+func TestRoomIsMadeByAModelThatHasAnotherCopy(t *testing.T) {
+	moves := placer.Plan(placer.State{
+		Service: service(3), Sites: []*placer.Site{site("t1", "m0"), site("t2", "m1", "m2"), site("t3", "m1", "m2")},
+		Loads: 1, Demand: demand(map[string]float64{"m0": 80}),
+	})
+	require.Len(t, moves, 1)
+	assert.True(t, moves[0].Unload || moves[0].Model == "m0")
+	if moves[0].Unload {
+		assert.Equal(t, "m0", moves[0].For)
+	}
+}
+
+func TestNothingMovesWithoutDemand(t *testing.T) {
+	moves := placer.Plan(placer.State{
+		Service: service(2), Sites: []*placer.Site{site("t1", "m0"), site("t2", "m1")}, Loads: 5,
+	})
+	assert.Empty(t, moves)
+}
+
+// TestPlanKeepsItsBounds draws states and checks what every plan must keep.
+func TestPlanKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "models")
+		s := service(n)
+		state := placer.State{Service: s, Demand: map[tallier.Key]tallier.Demand{}}
+		state.Loads = rapid.IntRange(0, 4).Draw(t, "loads")
+		copies := map[string]int{}
+		for i := range rapid.IntRange(1, 5).Draw(t, "sites") {
+			held := []string{}
+			for m := range n {
+				if len(held) < 2 && rapid.Bool().Draw(t, "held") {
+					held = append(held, fmt.Sprintf("m%d", m))
+				}
+			}
+			x := site(fmt.Sprintf("t%d", i), held...)
+			x.Busy = rapid.Bool().Draw(t, "busy")
+			x.Target.Leaving = rapid.Bool().Draw(t, "leaving")
+			for _, m := range held {
+				copies[m]++
+			}
+			state.Sites = append(state.Sites, x)
+		}
+		for m := range n {
+			rate := rapid.Float64Range(0, 50).Draw(t, "rate")
+			state.Demand[tallier.Key{Service: serviceName, Model: fmt.Sprintf("m%d", m)}] = tallier.Demand{Rate: rate, Work: rate * 1000}
+		}
+		before := map[string]*placer.Site{}
+		for _, x := range state.Sites {
+			c := *x
+			c.Models = map[string]bool{}
+			for m := range x.Models {
+				c.Models[m] = true
+			}
+			before[x.Target.ID] = &c
+		}
+		moves := placer.Plan(state)
+		if len(moves) > state.Loads {
+			t.Fatalf("%d moves with %d loads left", len(moves), state.Loads)
+		}
+		used := map[string]bool{}
+		for _, move := range moves {
+			x := before[move.Target.ID]
+			switch {
+			case x.Busy || x.Target.Leaving || used[move.Target.ID]:
+				t.Fatalf("target %s gets an order that it cannot take", move.Target.ID)
+			case move.Unload && copies[move.Model] < 2:
+				t.Fatalf("last copy of %s unloaded", move.Model)
+			case !move.Unload && placer.Used(s.Engine, x)+70_000 > 200_000:
+				t.Fatalf("target %s is overfilled", move.Target.ID)
+			case !move.Unload && x.Models[move.Model]:
+				t.Fatalf("target %s holds %s already", move.Target.ID, move.Model)
+			}
+			used[move.Target.ID] = true
+			if move.Unload {
+				copies[move.Model]--
+			}
+		}
+	})
+}
+
+func TestAdapterGoesToAFreePlace(t *testing.T) {
+	full := site("t1", "m0")
+	full.Adapters["m0"] = []string{"x1", "x2", "x3", "x4"}
+	free := site("t2", "m0")
+	free.InFlight = 3
+	move, ok := placer.PlaceAdapter(placer.State{Service: service(1), Sites: []*placer.Site{full, free}}, "m0", "a1")
+	require.True(t, ok)
+	assert.Equal(t, "t2", move.Site.Target.ID)
+	assert.Empty(t, move.EvictedAdapter)
+}
+
+func TestColdestAdapterMakesRoom(t *testing.T) {
+	full := site("t1", "m0")
+	full.Adapters["m0"] = []string{"x1", "x2", "x3", "x4"}
+	full.Moving[placer.AdapterKey{Model: "m0", Adapter: "x1"}] = true
+	key := func(a string) tallier.Key { return tallier.Key{Service: serviceName, Model: "m0", Adapter: a} }
+	state := placer.State{Service: service(1), Sites: []*placer.Site{full}, Demand: map[tallier.Key]tallier.Demand{
+		key("x2"): {Rate: 2}, key("x3"): {Rate: 0.5}, key("x4"): {Rate: 3},
+	}}
+	move, ok := placer.PlaceAdapter(state, "m0", "a1")
+	require.True(t, ok)
+	assert.Equal(t, "x3", move.EvictedAdapter, "x1 is asked for less but on its way")
+	t.Run("none can go while all are on their way", func(t *testing.T) {
+		for _, a := range full.Adapters["m0"] {
+			full.Moving[placer.AdapterKey{Model: "m0", Adapter: a}] = true
+		}
+		_, ok := placer.PlaceAdapter(state, "m0", "a1")
+		assert.False(t, ok)
+	})
+}
+
+func TestFillAdaptersLeavesASparePlace(t *testing.T) {
+	x := site("t1", "m0", "m1")
+	state := placer.State{Service: service(2), Sites: []*placer.Site{x}, Demand: demand(map[string]float64{"m1": 5})}
+	loads := placer.FillAdapters(state)
+	require.Len(t, loads, 1)
+	assert.Equal(t, "m1", loads[0].Model, "the adapters of the model that is asked for come first")
+	x.Adapters["m1"] = []string{"a1", "a2"}
+	x.Adapters["m0"] = []string{"a1"}
+	assert.Empty(t, placer.FillAdapters(state))
+}
+
+func TestWantedAdapterGetsASecondCopy(t *testing.T) {
+	x, y := site("t1", "m0"), site("t2", "m0")
+	x.Adapters["m0"] = []string{"a1", "a2"}
+	state := placer.State{Service: service(1), Sites: []*placer.Site{x, y}, Demand: map[tallier.Key]tallier.Demand{
+		{Service: serviceName, Model: "m0", Adapter: "a2"}: {Rate: 4},
+	}}
+	loads := placer.FillAdapters(state)
+	require.Len(t, loads, 1)
+	assert.Equal(t, "a2", loads[0].Adapter)
+	assert.Equal(t, "t2", loads[0].Site.Target.ID)
+}
--- /dev/null
+++ b/internal/gateway/registrar/registrar_test.go
@@ -0,0 +1,71 @@
+package registrar_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusring/crocusring/internal/gateway/registrar"
+)
+
+func manifest(version int64, routes ...*registrar.Route) *registrar.Manifest {
+	return &registrar.Manifest{Version: version, Routes: routes, Services: map[string]*registrar.Service{}}
+}
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	r := registrar.New()
+	r.SetManifest(manifest(1,
+		&registrar.Route{Name: "all", Host: "a.example", Prefix: "/"},
+		&registrar.Route{Name: "deep", Host: "a.example", Prefix: "/x/y/"},
+		&registrar.Route{Name: "mid", Host: "a.example", Prefix: "/x/"},
+		&registrar.Route{Name: "other", Host: "b.example", Prefix: "/x/"},
+	))
+	for path, want := range map[string]string{
+		"/": "all", "/x": "all", "/x/": "mid", "/x/y": "mid", "/x/y/z": "deep", "/xy/": "all",
+	} {
+		t.Run(path, func(t *testing.T) {
+			route := r.View().Match("A.example", path)
+			require.NotNil(t, route)
+			assert.Equal(t, want, route.Name)
+		})
+	}
+	t.Run("no host", func(t *testing.T) { assert.Nil(t, r.View().Match("c.example", "/x/")) })
+	t.Run("no prefix", func(t *testing.T) { assert.Nil(t, r.View().Match("b.example", "/y/")) })
+}
+
+func TestManifestOnlyMovesForward(t *testing.T) {
+	r := registrar.New()
+	assert.True(t, r.SetManifest(manifest(7)))
+	assert.False(t, r.SetManifest(manifest(7)))
+	assert.False(t, r.SetManifest(manifest(3)))
+	assert.EqualValues(t, 7, r.View().Manifest.Version)
+	assert.True(t, r.SetManifest(manifest(8)))
+}
+
+func TestUpdateLeavesEarlierViewsAlone(t *testing.T) {
+	r := registrar.New()
+	changed := r.Changed()
+	before := r.View()
+	r.Update(func(targets map[string]*registrar.Target) {
+		targets["b"] = &registrar.Target{ID: "b", Service: "s"}
+		targets["a"] = &registrar.Target{ID: "a", Service: "s"}
+	})
+	assert.Empty(t, before.Targets)
+	list := r.View().TargetsOf("s")
+	require.Len(t, list, 2)
+	assert.Equal(t, "a", list[0].ID)
+	select {
+	case <-changed:
+	default:
+		t.Error("nobody was told of the change")
+	}
+}
+
+func TestOlderHeartbeat(t *testing.T) {
+	known := &registrar.Target{Born: 5, Heartbeat: 9}
+	assert.True(t, (&registrar.Target{Born: 5, Heartbeat: 8}).IsOlderThan(known))
+	assert.False(t, (&registrar.Target{Born: 5, Heartbeat: 9}).IsOlderThan(known))
+	assert.False(t, (&registrar.Target{Born: 6, Heartbeat: 1}).IsOlderThan(known), "a new process counts anew")
+	assert.False(t, (&registrar.Target{Born: 5, Heartbeat: 1}).IsOlderThan(nil))
+}
