--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -86,6 +86,8 @@
 	Load
 	tokens int
 	record record
+	// unanswered are the requests that have no byte of an answer yet.
+	unanswered map[*Ticket]bool
 }
 
 type overlayKey struct {
@@ -148,6 +150,7 @@
 	l.InFlight++
 	l.Pending += ticket.pending
 	l.tokens += r.Tokens
+	l.unanswered[ticket] = true
 	b.changed(best.ID)
 	return ticket, nil
 }
@@ -256,8 +259,9 @@
 // the time that the prompts before it take, with a little for the batch. It is
 // raised for targets that do worse than their siblings.
 func (b *Balancer) cost(t *registrar.Target, service *registrar.Service, r Request, typical record, now time.Time) float64 {
-	penalty, out := b.load(t.ID).record.penalty(typical, now)
-	if out {
+	l := b.load(t.ID)
+	penalty, out := l.record.penalty(typical, now)
+	if out || l.isSilent(typical, now) {
 		return -1
 	}
 	total := b.total(t.ID, now)
@@ -277,7 +281,23 @@
 	return ((total.Pending+own)/pendingScale + share) * penalty
 }
 
+// isSilent reports whether a request has waited for its first byte so long that the
+// target is likely dark. No error shows that until the deadline of the request.
+func (l *load) isSilent(typical record, now time.Time) bool {
+	limit := max(silentAfter, time.Duration(silentFactor*typical.first*float64(time.Second)))
+	for ticket := range l.unanswered {
+		if now.Sub(ticket.since) > limit {
+			return true
+		}
+	}
+	return false
+}
+
 const (
+	// silentAfter is the least time without a first byte that makes a target silent,
+	// and silentFactor how many times the usual one it takes besides.
+	silentAfter  = 700 * time.Millisecond
+	silentFactor = 5.0
 	// pendingShare is the share of the longest pause that is on time which the
 	// prompts that a target has yet to read may take: while it reads them, the
 	// streams that it has pause.
@@ -308,7 +328,7 @@
 func (b *Balancer) load(id string) *load {
 	l := b.loads[id]
 	if l == nil {
-		l = &load{}
+		l = &load{unanswered: map[*Ticket]bool{}}
 		b.loads[id] = l
 	}
 	return l
--- a/internal/gateway/balancer/balancer_test.go
+++ b/internal/gateway/balancer/balancer_test.go
@@ -246,6 +246,24 @@
 	assert.LessOrEqual(t, lost, 4, "of a second of requests")
 }
 
+// TestSilentTarget replays a target that goes dark: it takes requests and answers none.
+func TestSilentTarget(t *testing.T) {
+	b, c := newTest()
+	v := view(2)
+	sent := 0
+	for range 300 {
+		ticket := mustPick(t, b, v, balancer.Request{Service: plainName})
+		c.step(10 * time.Millisecond)
+		if ticket.Target.ID == "p0" {
+			sent++
+			continue
+		}
+		ticket.FirstByte()
+		ticket.End(balancer.Answered)
+	}
+	assert.Less(t, sent, 40, "of 3 s of requests")
+}
+
 // TestLeastPendingBeatsLeastInFlight replays prompts of unequal length at four
 // targets that read one prompt after the other. The longest stall of a stream is
 // what the prompts take that a target has yet to read.
--- a/internal/gateway/balancer/record.go
+++ b/internal/gateway/balancer/record.go
@@ -211,6 +211,7 @@
 		return
 	}
 	t.first = max(b.now().Sub(t.since), 1)
+	delete(b.load(t.Target.ID).unanswered, t)
 	if t.isAlone {
 		b.learnPace(t.request.Model, t.request.Prompt, t.first)
 	}
@@ -243,6 +244,7 @@
 	}
 	t.ended = true
 	l := b.load(t.Target.ID)
+	delete(l.unanswered, t)
 	l.InFlight--
 	l.tokens -= t.request.Tokens
 	if l.InFlight == 0 {
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -37,8 +37,9 @@
 	bodyTimeout = 10 * time.Second
 	// minimumLeft is the time that must be left to send a request to a target.
 	minimumLeft = 10 * time.Millisecond
-	// loadPatience is how long a request waits for a model that is being loaded.
-	loadPatience = 4 * time.Second
+	// loadPatience is how long a request waits for a model that is being loaded:
+	// about the time of a load, and less than callers wait for the first event.
+	loadPatience = 1700 * time.Millisecond
 	// adapterPatience is how long a request waits for an adapter.
 	adapterPatience = 1500 * time.Millisecond
 	// fullPatience is the share of its aim that a request waits for a place.
--- a/internal/gateway/conductor/reply.go
+++ b/internal/gateway/conductor/reply.go
@@ -18,6 +18,8 @@
 	request   *request
 	// begun tells that the head of the answer has gone to the caller.
 	begun bool
+	// head holds the headers of a stream that go out with its first event.
+	head http.Header
 	// lastEvent is the ID of the last event that went to the caller.
 	lastEvent string
 	// fallback is a target's answer that tells of a failure; it is delivered if a
--- a/internal/gateway/conductor/stream.go
+++ b/internal/gateway/conductor/stream.go
@@ -29,9 +29,9 @@
 	q := r.request
 	flusher := http.NewResponseController(r.writer)
 	if !r.begun {
-		copyAnswer(r.writer.Header(), &answer.Header)
-		r.begun = true
-		r.writer.WriteHeader(answer.Header.StatusCode())
+		// The head goes out with the first event: until then another answer may be given.
+		r.head = http.Header{}
+		copyAnswer(r.head, &answer.Header)
 	}
 	buffer := make([]byte, 0, eventBuffer)
 	pauses := pauseMeter{last: c.now()}
@@ -58,6 +58,10 @@
 			buffer = append(buffer[:0], buffer[end:]...)
 		}
 		switch {
+		case isEnd && !r.begun:
+			ticket.End(balancer.Failed)
+			c.log.Info("stream without events", "request", q.id, "target", ticket.Target.ID)
+			return lost
 		case isEnd:
 			ticket.End(balancer.Answered)
 			c.log.V(1).Info("stream answered", "request", q.id, "target", ticket.Target.ID, "model", q.demand.Model,
@@ -85,6 +89,13 @@
 }
 
 func (r *reply) writeEvents(flusher *http.ResponseController, events []byte) error {
+	if !r.begun {
+		r.begun = true
+		for name, values := range r.head {
+			r.writer.Header()[name] = values
+		}
+		r.writer.WriteHeader(http.StatusOK)
+	}
 	if _, err := r.writer.Write(events); err != nil {
 		return err
 	}
