--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -35,6 +36,9 @@
 	// plainQueue is the number of requests for each slot of a target without
 	// models, those that wait at it included.
 	plainQueue = 3
+	// queueShare is the share of the slots of an engine that may wait at it: a slot is
+	// free again within a few tens of milliseconds, and its own queue knows when.
+	queueShare = 0.15
 	// cacheShare is the share of the token memory of a target that requests may
 	// be sent for; what is left takes the error of the estimates.
 	cacheShare = 0.9
@@ -137,10 +141,10 @@
 	if err != nil {
 		return nil, err
 	}
-	best := b.choose(candidates, service, r, now)
+	best, full := b.choose(candidates, service, r, now)
 	if best == nil {
 		b.waiting = true
-		return nil, ErrFull
+		return nil, full
 	}
 	ticket := &Ticket{
 		Target: best, balancer: b, request: r, since: now, pending: b.pace(r.Model) * float64(r.Prompt),
@@ -208,20 +212,40 @@
 	return b.holds(t, model, adapter, b.now())
 }
 
+// FullError is ErrFull with how many targets were passed over, by reason.
+type FullError struct {
+	// Slots, Prompts and Memory count the targets without a place in their batch,
+	// with too many prompts to read, and without token memory for the request.
+	Slots   int
+	Prompts int
+	Memory  int
+	// Resting counts the targets that are left alone for their faults or silence.
+	Resting int
+}
+
+func (e *FullError) Error() string {
+	return fmt.Sprintf("%v: %d without a slot, %d with prompts to read, %d without memory, %d resting",
+		ErrFull, e.Slots, e.Prompts, e.Memory, e.Resting)
+}
+
+// Is reports whether target is ErrFull.
+func (e *FullError) Is(target error) bool { return target == ErrFull }
+
 // choose returns the candidate with the least cost, or one near it that shares
-// prompts with the request; nil if all are full.
-func (b *Balancer) choose(candidates []*registrar.Target, service *registrar.Service, r Request, now time.Time) *registrar.Target {
+// prompts with the request; nil and why if all are full.
+func (b *Balancer) choose(candidates []*registrar.Target, service *registrar.Service, r Request, now time.Time) (*registrar.Target, *FullError) {
 	costs := make([]float64, len(candidates))
 	least := -1.0
 	typical := b.typical(candidates, now)
+	full := &FullError{}
 	for i, t := range candidates {
-		costs[i] = b.cost(t, service, r, typical, now)
+		costs[i] = b.cost(t, service, r, typical, now, full)
 		if costs[i] >= 0 && (least < 0 || costs[i] < least) {
 			least = costs[i]
 		}
 	}
 	if least < 0 {
-		return nil
+		return nil, full
 	}
 	band := least
 	affinity := r.Affinity
@@ -241,7 +265,7 @@
 			best, bestRank = t, rank
 		}
 	}
-	return best
+	return best, nil
 }
 
 // rankOf orders targets for what requests share; all instances agree on it.
@@ -254,14 +278,15 @@
 	return d.Sum64()
 }
 
-// cost says how badly a target suits a request; negative if it takes none. For a
-// target without models it is the share of the slots that are taken, for an engine
-// the time that the prompts before it take, with a little for the batch. It is
-// raised for targets that do worse than their siblings.
-func (b *Balancer) cost(t *registrar.Target, service *registrar.Service, r Request, typical record, now time.Time) float64 {
+// cost says how badly a target suits a request; negative if it takes none, which is
+// counted in full. For a target without models it is the share of the slots that are
+// taken, for an engine the time that the prompts before it take, with a little for
+// the batch. It is raised for targets that do worse than their siblings.
+func (b *Balancer) cost(t *registrar.Target, service *registrar.Service, r Request, typical record, now time.Time, full *FullError) float64 {
 	l := b.load(t.ID)
 	penalty, out := l.record.penalty(typical, now)
 	if out || l.isSilent(typical, now) {
+		full.Resting++
 		return -1
 	}
 	total := b.total(t.ID, now)
@@ -269,13 +294,22 @@
 	share := float64(total.InFlight+1) / float64(slots)
 	if service.Engine == nil {
 		if total.InFlight >= slots*plainQueue {
+			full.Slots++
 			return -1
 		}
 		return share * penalty
 	}
 	own := b.pace(r.Model) * float64(r.Prompt)
 	isCrowded := total.Pending > 0 && r.Pause > 0 && total.Pending+own > pendingShare*r.Pause
-	if total.InFlight >= slots || isCrowded || b.overflows(t, service, r, total) {
+	switch {
+	case total.InFlight >= slots+int(queueShare*float64(slots)):
+		full.Slots++
+		return -1
+	case isCrowded:
+		full.Prompts++
+		return -1
+	case b.overflows(t, service, r, total):
+		full.Memory++
 		return -1
 	}
 	return ((total.Pending+own)/pendingScale + share) * penalty
--- a/internal/gateway/conductor/refusal.go
+++ b/internal/gateway/conductor/refusal.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
@@ -18,8 +19,13 @@
 	// shortPause is when a caller may come back, to this or another instance,
 	// after a refusal that says little of when there will be room.
 	shortPause = 300 * time.Millisecond
-	// loadPause is about the time that a load of a model takes.
-	loadPause = 1500 * time.Millisecond
+	// pauseShare is the share of the time that a request may take after which its
+	// caller is asked to come back, and pauseSpread how far that is spread.
+	pauseShare  = 0.15
+	pauseSpread = 0.4
+	// adapterPause is enough for a new holder of the lease on orders to be there.
+	adapterPause = 1500 * time.Millisecond
+	leastPause   = 100 * time.Millisecond
 )
 
 // Refusal is a final answer of this system to a request that was not run.
@@ -75,15 +81,23 @@
 		c.answer(r.writer, q.id, http.StatusBadGateway, "target failed; the request may have run", 0)
 	default:
 		c.refuse(r.writer, q.id, &Refusal{
-			Status: http.StatusServiceUnavailable, Reason: cause.Error(), After: pauseFor(cause),
+			Status: http.StatusServiceUnavailable, Reason: cause.Error(), After: q.pauseFor(cause),
 		})
 	}
 }
 
-// pauseFor returns when to come back after a refusal for a cause.
-func pauseFor(cause error) time.Duration {
-	if errors.Is(cause, balancer.ErrNoModel) {
-		return loadPause
+// pauseFor returns when to come back after a refusal for a cause. Load passes, and
+// models are moved to it, within seconds; those who were refused together are spread,
+// so that they do not come back together.
+func (q *request) pauseFor(cause error) time.Duration {
+	timeout := time.Duration(q.route.TimeoutMilliseconds) * time.Millisecond
+	if timeout == 0 {
+		timeout = q.deadline.Sub(q.arrived)
 	}
-	return shortPause
+	pause := time.Duration(pauseShare * float64(timeout))
+	if errors.Is(cause, balancer.ErrNoAdapter) {
+		pause = min(pause, adapterPause)
+	}
+	spread := 1 - pauseSpread + 2*pauseSpread*float64(xxhash.Sum64String(q.id)%1000)/1000
+	return max(time.Duration(spread*float64(pause)), leastPause)
 }
--- a/internal/gateway/foreman/foreman.go
+++ b/internal/gateway/foreman/foreman.go
@@ -93,6 +93,8 @@
 	// loads are the times at which loads from the weight store began, as far as
 	// they still count.
 	loads []time.Time
+	// term is the fence of the present right to give orders.
+	term int64
 	// fenced is the fence that a target refused as old.
 	fenced int64
 	// asked are the adapters that are being loaded.
--- a/internal/gateway/foreman/models.go
+++ b/internal/gateway/foreman/models.go
@@ -18,6 +18,21 @@
 	openLife = 14 * time.Second
 )
 
+// assumeLoads counts, for a new holder, half of the loads that the one before it may
+// have begun within the window. It is called with the lock held.
+func (f *Foreman) assumeLoads(view *registrar.View) {
+	most := 0.0
+	for _, service := range view.Manifest.Services {
+		if service.Engine != nil {
+			most = max(most, service.Engine.LoadsPerSecond*f.bounds.Window.Seconds())
+		}
+	}
+	f.loads = nil
+	for range int(most / 2) {
+		f.loads = append(f.loads, f.now())
+	}
+}
+
 // Tick plans and gives the orders that the plan wants now.
 func (f *Foreman) Tick() {
 	if !f.IsHolder() {
@@ -28,6 +43,7 @@
 		return
 	}
 	f.settle(view)
+	f.beginTerm(view)
 	for _, service := range view.Manifest.Services {
 		if service.Engine == nil {
 			continue
@@ -43,6 +59,23 @@
 	}
 }
 
+// beginTerm takes note of a new right to give orders.
+func (f *Foreman) beginTerm(view *registrar.View) {
+	grant, ok := f.grant()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !ok || grant.Fence == f.term {
+		return
+	}
+	f.term = grant.Fence
+	if grant.Fence > 1 {
+		f.assumeLoads(view)
+	}
+	for _, s := range f.sites {
+		s.orders = -1 // others may have given orders since
+	}
+}
+
 // settle forgets targets that are gone and open orders whose effect shows.
 func (f *Foreman) settle(view *registrar.View) {
 	f.mu.Lock()
@@ -77,7 +110,7 @@
 		if s.next == "" || s.open != nil {
 			continue
 		}
-		if f.loadsLeft(service.Engine) > len(moves) && !t.Leaving {
+		if !t.Leaving && (f.loadsLeft(service.Engine) > len(moves) || t.HasAtHand(s.next)) {
 			moves = append(moves, placer.Move{Target: t, Model: s.next, Reason: "room is made"})
 			s.next = ""
 		}
@@ -178,7 +211,7 @@
 	for len(f.loads) > 0 && f.loads[0].Before(since) {
 		f.loads = f.loads[1:]
 	}
-	return int(engine.LoadsPerSecond*f.bounds.Window.Seconds()) - len(f.loads)
+	return int(engine.LoadsPerSecond*f.bounds.Window.Seconds()*f.bounds.Overage) - len(f.loads)
 }
 
 // move gives the order of a move and does not wait for its effect.
@@ -189,7 +222,7 @@
 	s.open = &openOrder{order: Order{Model: move.Model, IsUnload: move.Unload}, until: f.now().Add(openLife)}
 	if move.Unload {
 		s.next = move.For
-	} else {
+	} else if !move.Target.HasAtHand(move.Model) {
 		f.loads = append(f.loads, f.now())
 	}
 	f.mu.Unlock()
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -55,7 +55,7 @@
 	Service *registrar.Service
 	Sites   []*Site
 	Demand  map[tallier.Key]tallier.Demand
-	// Loads is how many loads may begin now.
+	// Loads is how many loads from the weight store may begin now.
 	Loads int
 }
 
@@ -162,13 +162,13 @@
 // add plans one more copy of a model: a load where there is room, or else the
 // unload that makes room for it.
 func (p *plan) add(model, reason string) {
-	if p.Loads <= 0 {
-		return
-	}
 	best, evicted := p.bestSite(model)
 	if best == nil {
 		return
 	}
+	if !best.Target.HasAtHand(model) {
+		p.Loads--
+	}
 	if evicted != "" {
 		p.moves = append(p.moves, Move{Target: best.Target, Model: evicted, Unload: true, For: model, Reason: reason})
 		p.copies[evicted]--
@@ -178,7 +178,6 @@
 		p.copies[model]++
 		best.Models[model] = true
 	}
-	p.Loads--
 	best.Busy = true
 }
 
@@ -190,6 +189,9 @@
 		if site.Busy || site.Target.Leaving || site.Models[model] {
 			continue
 		}
+		if p.Loads <= 0 && !site.Target.HasAtHand(model) {
+			continue
+		}
 		victim, fits := p.makeRoom(site, model)
 		if !fits {
 			continue
@@ -216,7 +218,7 @@
 	if victim != "" {
 		cost += evictionCost
 	}
-	if slices.Contains(site.Target.InMemory, model) || slices.Contains(site.Target.OnDisk, model) {
+	if site.Target.HasAtHand(model) {
 		cost -= evictionCost
 	}
 	return cost
--- a/internal/gateway/registrar/facts.go
+++ b/internal/gateway/registrar/facts.go
@@ -142,6 +142,11 @@
 	return other != nil && t.Born == other.Born && t.Heartbeat < other.Heartbeat
 }
 
+// HasAtHand reports whether the target can load a model without the weight store.
+func (t *Target) HasAtHand(model string) bool {
+	return slices.Contains(t.InMemory, model) || slices.Contains(t.OnDisk, model)
+}
+
 // Holding returns what the target holds of a model.
 func (t *Target) Holding(model string) (Holding, bool) {
 	for _, h := range t.Holdings {
