Share reads of the store within a data centre, and wait for an earlier holder's load

From five instances in a data centre one reads for the others, who ask the store themselves when its word is over a second old; changes of load stay within the data centre and demand goes to the holder of the lease alone. While a target is busy its number of orders counts as unknown, so it is asked again when it is done.

--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -21,7 +21,7 @@
 
 const (
 	// feedWait is how long the store may hold a call for changes.
-	feedWait = 8 * time.Second
+	feedWait = 20 * time.Second
 	// shortWait is the same for tables whose changes bind: a call that hangs on a
 	// connection gone silent ends before this instance counts as in touch again.
 	shortWait = 1800 * time.Millisecond
@@ -39,6 +39,8 @@
 	Version int64
 	Rows    []messenger.StoreRow
 	Removed []string
+	// Age is how long ago the store said so, if another instance passed it on.
+	Age time.Duration
 }
 
 // Source is the store, and what peers have read of it.
@@ -65,10 +67,17 @@
 	mu      sync.Mutex
 	rows    map[string]messenger.StoreRow
 	version int64
+	// removed holds the versions at which rows went, back to horizon.
+	removed map[string]int64
+	horizon int64
+	// news is closed and replaced at each change.
+	news chan struct{}
 	// lapsed holds the deadlines until which entries may be missing.
 	lapsed map[string]time.Time
 	// failingSince is when calls began to fail; zero while they succeed.
 	failingSince time.Time
+	// passedAge is how old the latest answer was when it came, if an instance passed it on.
+	passedAge time.Duration
 	// heardAt is when the store answered last.
 	heardAt time.Time
 	// settledAt is the deadline for entries to return after an outage.
@@ -92,7 +101,7 @@
 func New(table string, source Source, apply func(rows []messenger.StoreRow, removed []string), options ...Option) *Follower {
 	f := &Follower{
 		table: table, source: source, wait: feedWait, now: time.Now, apply: apply, log: logr.Discard(),
-		rows: map[string]messenger.StoreRow{}, lapsed: map[string]time.Time{},
+		rows: map[string]messenger.StoreRow{}, removed: map[string]int64{}, news: make(chan struct{}), lapsed: map[string]time.Time{},
 	}
 	for _, option := range options {
 		option(f)
@@ -144,6 +153,9 @@
 		return err
 	}
 	f.take(changes)
+	f.mu.Lock()
+	f.passedAge = changes.Age
+	f.mu.Unlock()
 	return nil
 }
 
@@ -202,7 +214,7 @@
 func (f *Follower) succeeded(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.heardAt = now
+	f.heardAt = now.Add(-f.passedAge)
 	if f.failingSince.IsZero() {
 		return
 	}
@@ -252,6 +264,7 @@
 		}
 		f.rows[row.Key] = row
 		delete(f.lapsed, row.Key)
+		delete(f.removed, row.Key)
 		fresh = append(fresh, row)
 	}
 	return fresh
@@ -273,6 +286,7 @@
 		present[row.Key] = true
 	}
 	rows := f.store(snapshot.Rows)
+	f.horizon = f.version // what changed before is not known one by one
 	missing := []string{}
 	for key := range f.rows {
 		if !present[key] {
@@ -293,6 +307,7 @@
 		if _, ok := f.rows[key]; !ok {
 			continue
 		}
+		f.removed[key] = f.version
 		if waits {
 			f.lapsed[key] = f.settledAt
 			continue
@@ -319,9 +334,15 @@
 }
 
 func (f *Follower) hand(rows []messenger.StoreRow, removed []string) {
-	if len(rows) > 0 || len(removed) > 0 {
-		f.apply(rows, removed)
+	if len(rows) == 0 && len(removed) == 0 {
+		return
 	}
+	f.apply(rows, removed)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.news)
+	f.news = make(chan struct{})
+	f.forgetRemovals()
 }
 
 // takeFromPeer takes the newer copy of a peer while the store is away.
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -189,3 +190,47 @@
 	f.Step()
 	assert.True(t, f.IsFresh(time.Second))
 }
+
+// TestFollowingThroughAnInstance checks that whoever follows through an instance
+// comes to hold what the store holds.
+func TestFollowingThroughAnInstance(t *testing.T) {
+	near, f := newWorld()
+	near.table = snapshot(5, row("a", 3), row("b", 5))
+	f.Step()
+	far, g := newWorld()
+	g.source.Read = func(string) (messenger.TableSnapshot, error) { return f.Snapshot(), nil }
+	g.source.Follow = func(_ string, after int64, _ time.Duration) (Changes, error) {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		changes, err := f.Since(ctx, after)
+		return ChangesOf(changes), err
+	}
+	both := func() {
+		f.Step()
+		g.Step()
+	}
+	g.Step()
+	assert.Equal(t, near.held, far.held)
+	near.changes = []Changes{{Version: 7, Rows: []messenger.StoreRow{row("c", 7)}, Removed: []string{"a"}}}
+	both()
+	assert.Equal(t, map[string]int64{"b": 5, "c": 7}, far.held)
+	t.Run("the history is gone", func(t *testing.T) {
+		near.forgot = true
+		near.table = snapshot(9, row("c", 8))
+		both()
+		assert.Equal(t, map[string]int64{"c": 8}, far.held)
+	})
+	t.Run("an entry that lapsed in an outage goes here as well", func(t *testing.T) {
+		near.outage(f, 2*time.Second)
+		near.changes = []Changes{{Version: 12, Removed: []string{"c"}}}
+		both()
+		assert.Contains(t, near.held, "c", "it may return")
+		assert.Empty(t, far.held)
+	})
+	t.Run("age is told", func(t *testing.T) {
+		near.now = near.now.Add(3 * time.Second)
+		changes, err := g.source.Follow("targets", 12, 0)
+		assert.NoError(t, err)
+		assert.GreaterOrEqual(t, changes.Age, 3*time.Second)
+	})
+}
--- a/internal/gateway/foreman/foreman.go
+++ b/internal/gateway/foreman/foreman.go
@@ -259,7 +259,13 @@
 		s.orders = state.Orders
 	}
 	differs := f.learnHoldings(t, state)
-	if state.Busy || (isFirst && differs) {
+	if state.Busy {
+		// What it is doing is known only once it is done: ask again then.
+		s.orders = -1
+		f.rest(s)
+		return ErrBusy
+	}
+	if isFirst && differs {
 		return ErrBusy
 	}
 	return nil
--- a/internal/gateway/foreman/foreman_test.go
+++ b/internal/gateway/foreman/foreman_test.go
@@ -35,13 +35,15 @@
 	inUse    map[string]bool
 	late     []Order
 	crashed  bool
+	// loading is a model on its way, which the engine tells nobody.
+	loading string
 }
 
 func (e *engine) take(o Order) (done bool, err error) {
 	switch {
 	case o.Fence < e.fence:
 		return false, ErrFenced
-	case o.ExpectedOrders != e.orders:
+	case o.ExpectedOrders != e.orders, e.loading != "" && o.Adapter == "":
 		return false, ErrBusy
 	}
 	e.fence = o.Fence
@@ -151,7 +153,7 @@
 	e := w.engines[t.ID]
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s := State{Orders: e.orders}
+	s := State{Orders: e.orders, Busy: e.loading != ""}
 	for m := range e.models {
 		s.Holdings = append(s.Holdings, registrar.Holding{Model: m})
 	}
@@ -269,6 +271,34 @@
 	}
 }
 
+// TestLoadOfAnEarlierHolder replays a takeover while a target still loads what the
+// holder before had ordered, and the target table tells of it late.
+func TestLoadOfAnEarlierHolder(t *testing.T) {
+	w, _, f := newWorld(1, 1)
+	now := time.Now()
+	f.now = func() time.Time { return now }
+	e := w.engines["t0"]
+	e.models["m1"] = true
+	e.orders = 3
+	e.loading = "m2"
+	w.publish(f.registry)
+	order := Order{Model: "m3"}
+	target := f.registry.View().Targets["t0"]
+	for range 3 {
+		_, err := f.give(target, order)
+		require.ErrorIs(t, err, ErrBusy)
+	}
+	e.loading = ""
+	e.models["m2"] = true
+	_, err := f.give(target, order)
+	require.ErrorIs(t, err, ErrBusy, "the target tells of a model that the table does not show")
+	f.mu.Lock()
+	state := f.state(f.registry.View(), f.registry.View().Service("s"))
+	f.mu.Unlock()
+	assert.True(t, state.Sites[0].Models["m2"])
+	assert.False(t, e.crashed)
+}
+
 func TestUnreachableTargetRests(t *testing.T) {
 	_, _, f := newWorld(1, 1)
 	calls := 0
--- a/internal/gateway/foreman/models.go
+++ b/internal/gateway/foreman/models.go
@@ -135,9 +135,13 @@
 // state returns what a plan for a service is made from. It is called with the lock held.
 func (f *Foreman) state(view *registrar.View, service *registrar.Service) placer.State {
 	state := placer.State{Service: service, Demand: f.tally.Total(), Loads: f.loadsLeft(service.Engine)}
+	overlays := map[string][]balancer.Overlay{}
+	for _, o := range f.balancer.Overlays() {
+		overlays[o.Target] = append(overlays[o.Target], o)
+	}
 	for _, t := range view.TargetsOf(service.Name) {
 		if !t.Leaving {
-			state.Sites = append(state.Sites, f.siteState(t))
+			state.Sites = append(state.Sites, f.siteState(t, overlays[t.ID]))
 		}
 	}
 	return state
@@ -145,7 +149,7 @@
 
 // siteState returns a target with what its open order may still do: a load counts
 // as done, and an unload as not done.
-func (f *Foreman) siteState(t *registrar.Target) *placer.Site {
+func (f *Foreman) siteState(t *registrar.Target, overlays []balancer.Overlay) *placer.Site {
 	out := &placer.Site{
 		Target: t, Models: map[string]bool{}, Adapters: map[string][]string{},
 		Moving: map[placer.AdapterKey]bool{}, InFlight: f.balancer.TotalInFlight(t.ID),
@@ -154,7 +158,7 @@
 		out.Models[h.Model] = true
 		out.Adapters[h.Model] = append([]string(nil), h.Adapters...)
 	}
-	f.addOverlays(out)
+	addOverlays(out, overlays)
 	s := f.site(t)
 	if s.open != nil {
 		out.Busy = true
@@ -176,11 +180,8 @@
 
 // addOverlays adds the adapters that were loaded since the target table told.
 // Those that were unloaded since stay counted until the table tells.
-func (f *Foreman) addOverlays(out *placer.Site) {
-	for _, o := range f.balancer.Overlays() {
-		if o.Target != out.Target.ID {
-			continue
-		}
+func addOverlays(out *placer.Site, overlays []balancer.Overlay) {
+	for _, o := range overlays {
 		if o.Adapter == "" {
 			// One that is said to be gone is counted until the table tells.
 			if o.Held {
--- a/internal/gateway/informer/informer.go
+++ b/internal/gateway/informer/informer.go
@@ -39,8 +39,8 @@
 // Informer exchanges news. The zero value is not usable; see New.
 type Informer struct {
 	self string
-	// news returns this instance's news.
-	news func() messenger.GatewayNews
+	// news returns this instance's news for a peer that holds the lease or does not.
+	news func(toHolder bool) messenger.GatewayNews
 	// send sends news to a peer and returns its own.
 	send func(address string, news messenger.GatewayNews, deadline time.Time) (messenger.GatewayNews, error)
 	// heard is told of each peer's news.
@@ -58,7 +58,7 @@
 
 // Calls are what an informer needs of its surroundings.
 type Calls struct {
-	News  func() messenger.GatewayNews
+	News  func(toHolder bool) messenger.GatewayNews
 	Send  func(address string, news messenger.GatewayNews, deadline time.Time) (messenger.GatewayNews, error)
 	Heard func(messenger.GatewayNews)
 }
@@ -139,10 +139,15 @@
 
 // Tell sends this instance's news to all peers and takes their answers.
 func (i *Informer) Tell() {
-	news := i.news()
+	short, long := i.news(false), i.news(true)
 	deadline := i.now().Add(sendTimeout)
+	holder := i.holderAddress()
 	var group errgroup.Group
-	for _, address := range i.targets(news.PeerAddress) {
+	for _, address := range i.targets(short.PeerAddress) {
+		news := short
+		if address == holder {
+			news = long
+		}
 		group.Go(func() error {
 			answer, err := i.send(address, news, deadline)
 			if err != nil {
@@ -156,6 +161,20 @@
 	_ = group.Wait() // the functions return no error: a peer that is away is told of by its silence
 }
 
+// holderAddress returns the address of the peer that last said that it holds the
+// lease; empty if none does.
+func (i *Informer) holderAddress() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	address, heardAt := "", time.Time{}
+	for _, peer := range i.peers {
+		if peer.News.Holder && peer.HeardAt.After(heardAt) {
+			address, heardAt = peer.News.PeerAddress, peer.HeardAt
+		}
+	}
+	return address
+}
+
 // targets returns the addresses to send to. Of two instances that know each other
 // one sends and the other answers.
 func (i *Informer) targets(own string) []string {
--- a/internal/gateway/supervisor/loads.go
+++ b/internal/gateway/supervisor/loads.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
+	"github.com/crocusring/crocusring/internal/gateway/informer"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
@@ -17,6 +18,8 @@
 	// gatherTime is how long changes of load are gathered before peers are told:
 	// well below the time that reading a prompt takes.
 	gatherTime = 3 * time.Millisecond
+	// gatherPeers is the number of peers for which changes are gathered once as long.
+	gatherPeers = 4
 	// maxDatagram bounds a datagram with loads.
 	maxDatagram = 8 << 10
 )
@@ -81,18 +84,22 @@
 			return
 		case <-s.changes.ready:
 		}
-		time.Sleep(gatherTime)
+		peers := s.cell()
+		if peers == nil {
+			peers = s.informer.Peers()
+		}
+		time.Sleep(gatherTime * time.Duration(max(len(peers)/gatherPeers, 1)))
 		body, err := json.Marshal(s.load(s.changes.take()))
 		if err != nil {
 			s.log.Error(err, "load not encoded")
 			continue
 		}
-		s.sendLoad(body)
+		s.sendLoad(peers, body)
 	}
 }
 
-func (s *Supervisor) sendLoad(body []byte) {
-	for _, peer := range s.informer.Peers() {
+func (s *Supervisor) sendLoad(peers []informer.Peer, body []byte) {
+	for _, peer := range peers {
 		address, err := net.ResolveUDPAddr("udp4", peer.News.LoadAddress)
 		if err != nil {
 			s.log.Error(err, "load address of peer", "peer", peer.News.Instance)
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -19,22 +19,30 @@
 const (
 	pathNews    = "/news"
 	pathTable   = "/table"
+	pathChanges = "/changes"
 	pathAdapter = "/adapter"
 )
 
 // tableTimeout bounds the read of a table from a peer.
 const tableTimeout = time.Second
 
-// news returns what this instance tells its peers.
-func (s *Supervisor) news() messenger.GatewayNews {
+// news returns what this instance tells a peer. Demand goes to the holder of the
+// lease alone, and what targets hold beyond the target table comes from it alone.
+func (s *Supervisor) news(toHolder bool) messenger.GatewayNews {
 	_, isHolder := s.leaser.Held(timekeeper.Boot())
 	news := messenger.GatewayNews{
 		Instance: s.settings.Instance, Incarnation: s.incarnation, CallerAddress: s.settings.CallerAddress,
 		PeerAddress: s.settings.PeerAddress, DataCentre: s.settings.DataCentre, Ready: s.isReady(),
 		Leaving: s.leaving.Load(), ManifestVersion: s.manifests.Version(), TargetsVersion: s.targets.Version(),
-		Holder: isHolder && !s.leaving.Load(), LoadAddress: s.settings.LoadAddress, Load: s.load(nil), Demand: s.tally.Own(),
+		Holder: isHolder && !s.leaving.Load(), LoadAddress: s.settings.LoadAddress, Load: s.load(nil), Demand: []messenger.GatewayDemand{},
 		Overlays: []messenger.GatewayOverlay{},
 	}
+	if toHolder {
+		news.Demand = s.tally.Own()
+	}
+	if !isHolder {
+		return news
+	}
 	now := time.Now()
 	for _, o := range s.balancer.Overlays() {
 		news.Overlays = append(news.Overlays, messenger.GatewayOverlay{
--- a/internal/gateway/supervisor/servers.go
+++ b/internal/gateway/supervisor/servers.go
@@ -132,8 +132,10 @@
 		var news messenger.GatewayNews
 		if s.decode(ctx, &news) {
 			s.informer.Take(news)
-			s.encode(ctx, s.news())
+			s.encode(ctx, s.news(news.Holder))
 		}
+	case pathChanges:
+		s.serveChanges(ctx)
 	case pathTable:
 		s.serveTable(ctx)
 	case pathAdapter:
@@ -144,14 +146,12 @@
 }
 
 func (s *Supervisor) serveTable(ctx *fasthttp.RequestCtx) {
-	switch string(ctx.QueryArgs().Peek("name")) {
-	case s.platform.ManifestTable:
-		s.encode(ctx, s.manifests.Snapshot())
-	case s.platform.TargetTable:
-		s.encode(ctx, s.targets.Snapshot())
-	default:
+	table := s.follower(string(ctx.QueryArgs().Peek("name")))
+	if table == nil {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
 	}
+	s.encode(ctx, table.Snapshot())
 }
 
 // adapterWait bounds how long a peer waits for an adapter.
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -59,7 +59,7 @@
 	// targetPause is the least time between two reads of changes of the target
 	// table, whose entries change often; a leaving target is noticed well within
 	// the time that the platform allows.
-	targetPause = 150 * time.Millisecond
+	targetPause = 250 * time.Millisecond
 	// staleAfter is how old the word of the store on targets may be for orders to be
 	// decided on it; a little more than a call for changes takes.
 	staleAfter = 2800 * time.Millisecond
@@ -132,11 +132,12 @@
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func (s *Supervisor) follow() {
-	source := follower.Source{Read: s.platform.Read, Follow: s.platform.Follow, PeerSnapshot: s.peerSnapshot}
+	source := follower.Source{Read: s.platform.Read, Follow: s.followTable, PeerSnapshot: s.peerSnapshot}
 	log := follower.WithLog(s.log)
 	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait())
 	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargets, log,
 		follower.WithShortWait(), follower.WithPause(targetPause))
+	source.Follow = s.platform.Follow
 	s.instances = follower.New(instanceTable, source, s.applyInstances, log)
 }
 
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -842,6 +842,22 @@
 	Version int64 `json:"Version"`
 }
 
+// TableChanges is what has changed in a table of the store, as another instance
+// has read it.
+type TableChanges struct {
+	// AgeMilliseconds is how long ago the store answered the instance that tells.
+	AgeMilliseconds int64 `json:"AgeMilliseconds"`
+
+	// Removed corresponds to the JSON schema field "Removed".
+	Removed []string `json:"Removed"`
+
+	// Rows corresponds to the JSON schema field "Rows".
+	Rows []StoreRow `json:"Rows"`
+
+	// Version corresponds to the JSON schema field "Version".
+	Version int64 `json:"Version"`
+}
+
 // TableSnapshot is what an instance has read of a table of the store.
 type TableSnapshot struct {
 	// Rows corresponds to the JSON schema field "Rows".
