--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -26,6 +26,7 @@
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
+	"github.com/crocusring/crocusring/internal/state/measurer"
 )
 
 const (
@@ -73,9 +74,11 @@
 	// ensureAdapter asks for an adapter to be served; it returns when it is, or why
 	// it is not.
 	ensureAdapter func(ctx context.Context, service, model, adapter string) error
-	closing       atomic.Bool
-	refusing      atomic.Bool
-	active        atomic.Int64
+	// observe is told of each request that ended.
+	observe  func(measurer.Request)
+	closing  atomic.Bool
+	refusing atomic.Bool
+	active   atomic.Int64
 }
 
 // Option changes a conductor at its construction.
@@ -91,6 +94,11 @@
 	return func(c *Conductor) { c.ensureAdapter = ensure }
 }
 
+// WithObserver sets what is told of each request that ended; its team is the route.
+func WithObserver(observe func(measurer.Request)) Option {
+	return func(c *Conductor) { c.observe = observe }
+}
+
 // WithLog sets the log.
 func WithLog(log logr.Logger) Option { return func(c *Conductor) { c.log = log } }
 
@@ -99,6 +107,7 @@
 	c := &Conductor{
 		headers: headers, registry: registry, balancer: b, budget: budget, pools: connector.NewPools(),
 		log: logr.Discard(), now: time.Now, demand: func(Demand) {}, waiting: func(Demand) {},
+		observe:       func(measurer.Request) {},
 		ensureAdapter: func(context.Context, string, string, string) error { return balancer.ErrNoAdapter },
 	}
 	for _, option := range options {
@@ -137,6 +146,9 @@
 	// mayRun tells that a target may have run the request or may be running it.
 	mayRun   bool
 	excluded map[string]bool
+	// outcome and first, the time to the first byte of an answer, are for the metrics.
+	outcome measurer.Outcome
+	first   time.Duration
 }
 
 // ServeHTTP answers one request.
@@ -153,9 +165,17 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	defer c.tellEnd(q)
 	c.serve(ctx, w, q)
 }
 
+// tellEnd tells how a request ended. It runs also when the answer is broken off.
+func (c *Conductor) tellEnd(q *request) {
+	c.observe(measurer.Request{
+		Team: q.route.Name, Class: q.service, Outcome: q.outcome, Took: c.now().Sub(q.arrived), First: q.first,
+	})
+}
+
 // accept reads a request and finds its route.
 func (c *Conductor) accept(w http.ResponseWriter, r *http.Request) (*request, *Refusal) {
 	now := c.now()
@@ -176,7 +196,7 @@
 	}
 	q := &request{
 		id: r.Header.Get(c.headers.RequestID), http: r, body: body, route: route, arrived: now,
-		excluded: map[string]bool{},
+		excluded: map[string]bool{}, outcome: measurer.Unknown,
 	}
 	q.deadline = now.Add(defaultDeadline)
 	if deadline, ok := c.headers.callerDeadline(r, now); ok {
@@ -269,6 +289,7 @@
 		}
 		result := c.send(ctx, reply, ticket)
 		if result == finished {
+			q.outcome = measurer.Answered
 			return
 		}
 		if !c.mayRepeat(q, result) {
--- a/internal/gateway/conductor/refusal.go
+++ b/internal/gateway/conductor/refusal.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
+	"github.com/crocusring/crocusring/internal/state/measurer"
 )
 
 const (
@@ -80,6 +81,7 @@
 		c.log.Info("request without answer", "request", q.id, "status", http.StatusBadGateway, "cause", cause.Error(), "sent", q.sent)
 		c.answer(r.writer, q.id, http.StatusBadGateway, "target failed; the request may have run", 0)
 	default:
+		q.outcome = measurer.Refused
 		c.refuse(r.writer, q.id, &Refusal{
 			Status: http.StatusServiceUnavailable, Reason: cause.Error(), After: q.pauseFor(cause),
 		})
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -65,6 +65,7 @@
 	}
 	defer answer.Close()
 	ticket.FirstByte()
+	q.first = c.now().Sub(q.arrived)
 	if string(answer.Header.Peek(c.headers.RequestID)) != q.id {
 		answer.Discard()
 		q.mayRun = true
--- a/internal/gateway/informer/informer.go
+++ b/internal/gateway/informer/informer.go
@@ -23,7 +23,7 @@
 	intervalPerPeer = 25 * time.Millisecond
 	// missedNews is the number of intervals without news after which an instance
 	// counts as gone.
-	missedNews = 5
+	missedNews = 4
 	// sendTimeout bounds one send.
 	sendTimeout = 600 * time.Millisecond
 	// forgetAfter is how long the address of an instance that is gone is still tried.
--- a/internal/gateway/supervisor/servers.go
+++ b/internal/gateway/supervisor/servers.go
@@ -22,7 +22,7 @@
 	maxHead = 64 << 10
 	// locateSeconds is how long callers may keep the addresses: short, so that an
 	// instance that stops or starts is noticed soon.
-	locateSeconds = 2.0
+	locateSeconds = 1.0
 )
 
 // servers are the open listeners of an instance.
@@ -37,12 +37,16 @@
 
 // listen opens all listeners.
 func (s *Supervisor) listen() (*servers, error) {
-	out := &servers{failed: make(chan error, 5)}
-	for address, handler := range map[string]fasthttp.RequestHandler{
+	out := &servers{failed: make(chan error, 6)}
+	handlers := map[string]fasthttp.RequestHandler{
 		s.settings.PeerAddress:      s.servePeer,
 		s.settings.ReadinessAddress: s.serveReadiness,
 		s.settings.LocatorAddress:   s.serveLocator,
-	} {
+	}
+	if s.settings.MetricsAddress != "" {
+		handlers[s.settings.MetricsAddress] = s.serveMetrics
+	}
+	for address, handler := range handlers {
 		listener, err := net.Listen("tcp4", address)
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
@@ -88,6 +92,13 @@
 	}
 }
 
+func (s *Supervisor) serveMetrics(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain; version=0.0.4")
+	if err := s.measurer.WriteText(ctx); err != nil {
+		s.log.Error(err, "metrics not served")
+	}
+}
+
 // serveLocator tells a caller which addresses to use.
 func (s *Supervisor) serveLocator(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != s.platform.LocatorPath {
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -24,6 +24,7 @@
 	"github.com/crocusring/crocusring/internal/gateway/informer"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 	"github.com/crocusring/crocusring/internal/gateway/tallier"
+	"github.com/crocusring/crocusring/internal/state/measurer"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 	"github.com/crocusring/crocusring/internal/wire/poster"
 )
@@ -80,6 +81,7 @@
 	balancer  *balancer.Balancer
 	budget    *budgeter.Budgeter
 	changes   *changes
+	measurer  *measurer.Measurer
 	tally     *tallier.Tallier
 	conductor *conductor.Conductor
 	foreman   *foreman.Foreman
@@ -100,14 +102,14 @@
 func New(settings messenger.GatewaySettings, platform Platform, log logr.Logger) *Supervisor {
 	s := &Supervisor{
 		settings: settings, platform: platform, log: log, incarnation: time.Now().UnixMilli(),
-		registry: registrar.New(), changes: newChanges(), tally: tallier.New(), poster: poster.New(),
+		registry: registrar.New(), changes: newChanges(), measurer: measurer.New(time.Now()), tally: tallier.New(), poster: poster.New(),
 	}
 	s.balancer = balancer.New(balancer.WithChanged(s.changes.add))
 	bounds := settings.Bounds
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
 	s.conductor = conductor.New(platform.Headers, s.registry, s.balancer, s.budget,
 		conductor.WithLog(log), conductor.WithAdapters(s.ensureAdapter),
-		conductor.WithDemand(s.countDemand, s.countWaiting))
+		conductor.WithDemand(s.countDemand, s.countWaiting), conductor.WithObserver(s.measurer.Observe))
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.right = newRight(s.leaser, time.Duration(bounds.LeaseMilliseconds)*time.Millisecond)
 	s.foreman = foreman.New(settings.Instance,
--- a/internal/state/measurer/measurer.go
+++ b/internal/state/measurer/measurer.go
@@ -3,7 +3,10 @@
 package measurer
 
 import (
+	"bytes"
+	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -137,3 +140,40 @@
 	}
 	return nil
 }
+
+// percentiles are those of the histograms in the text format.
+var percentiles = []float64{0.5, 0.9, 0.99}
+
+// WriteText writes all metrics in the text format that scrapers read: a line for
+// each counter, and for each histogram one for its count and each percentile.
+func (m *Measurer) WriteText(w io.Writer) error {
+	var out bytes.Buffer
+	m.registry.Each(func(name string, metric any) {
+		family, label := textName(name)
+		switch value := metric.(type) {
+		case metrics.Counter:
+			fmt.Fprintf(&out, "crocusring_%s{%s} %d\n", family, label, value.Count())
+		case metrics.Histogram:
+			snapshot := value.Snapshot()
+			fmt.Fprintf(&out, "crocusring_%s_count{%s} %d\n", family, label, snapshot.Count())
+			for i, v := range snapshot.Percentiles(percentiles) {
+				fmt.Fprintf(&out, "crocusring_%s{%s,quantile=\"%g\"} %g\n", family, label, percentiles[i], v)
+			}
+		}
+	})
+	if _, err := w.Write(out.Bytes()); err != nil {
+		return errors.Wrap(err, "write metrics")
+	}
+	return nil
+}
+
+// textName splits KIND.NAME.METRIC, of which NAME may hold dots, into a family and
+// a label.
+func textName(name string) (family, label string) {
+	kind, rest, _ := strings.Cut(name, ".")
+	at := strings.LastIndex(rest, ".")
+	if at < 0 {
+		return strings.ToLower(kind), fmt.Sprintf("name=%q", rest)
+	}
+	return strings.ToLower(kind + "_" + rest[at+1:]), fmt.Sprintf("name=%q", rest[:at])
+}
--- a/internal/state/measurer/measurer_test.go
+++ b/internal/state/measurer/measurer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,3 +69,15 @@
 		assert.NotContains(t, text.String(), `"Team.2999.Microseconds"`)
 	})
 }
+
+func TestText(t *testing.T) {
+	m := measurer.New(time.Now())
+	m.Observe(measurer.Request{Team: "a.b", Class: "c", Outcome: measurer.Answered, Took: 3 * time.Millisecond, First: time.Millisecond})
+	m.Observe(measurer.Request{Team: "a.b", Class: "c", Outcome: measurer.Refused})
+	var text strings.Builder
+	require.NoError(t, m.WriteText(&text))
+	assert.Contains(t, text.String(), "crocusring_team_answered{name=\"a.b\"} 1\n")
+	assert.Contains(t, text.String(), "crocusring_class_refused{name=\"c\"} 1\n")
+	assert.Contains(t, text.String(), "crocusring_class_microseconds{name=\"c\",quantile=\"0.5\"} 3000\n")
+	assert.Contains(t, text.String(), "crocusring_class_microseconds_count{name=\"c\"} 1\n")
+}
