--- a/cmd/crocusring/main.go
+++ b/cmd/crocusring/main.go
@@ -28,6 +28,7 @@
 type arguments struct {
 	Serve   *serveCommand   `arg:"subcommand:serve" help:"run an entry instance"`
 	Gateway *gatewayCommand `arg:"subcommand:gateway" help:"run an instance on the platform of its users"`
+	Explain *explainCommand `arg:"subcommand:explain" help:"tell the story of a request from the logs of instances"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check files and report all faults"`
 	Apply   *applyCommand   `arg:"subcommand:apply" help:"make the settings what the declarations say"`
 	Diff    *diffCommand    `arg:"subcommand:diff" help:"show what apply would change"`
@@ -50,7 +51,7 @@
 		return exitUsage
 	}
 	if err := parser.Parse(args); err != nil {
-		return explain(parser, err)
+		return explainUsage(parser, err)
 	}
 	return dispatch(&a, parser, out)
 }
@@ -61,6 +62,8 @@
 		return serve(a.Serve)
 	case a.Gateway != nil:
 		return gateway(a.Gateway)
+	case a.Explain != nil:
+		return explain(a.Explain, out)
 	case a.Check != nil:
 		return check(a.Check, out)
 	case a.Apply != nil:
@@ -83,8 +86,8 @@
 	}
 }
 
-// explain answers a request for help or reports what is wrong with the arguments.
-func explain(parser *arg.Parser, err error) int {
+// explainUsage answers a request for help or reports what is wrong with the arguments.
+func explainUsage(parser *arg.Parser, err error) int {
 	if errors.Is(err, arg.ErrHelp) {
 		parser.WriteHelp(os.Stdout)
 		return exitOK
--- a/internal/gateway/conductor/refusal.go
+++ b/internal/gateway/conductor/refusal.go
@@ -37,12 +37,21 @@
 	After time.Duration
 }
 
-// refuse answers a request that no target has run.
-func (c *Conductor) refuse(w http.ResponseWriter, id string, r *Refusal) {
-	c.log.Info("request refused", "request", id, "status", r.Status, "reason", r.Reason, "afterMilliseconds", r.After.Milliseconds())
+// refuse answers a request that no target has run. more are further fields for the log.
+func (c *Conductor) refuse(w http.ResponseWriter, id string, r *Refusal, more ...any) {
+	c.log.WithValues(more...).Info("request refused", "request", id, "status", r.Status, "reason", r.Reason,
+		"afterMilliseconds", r.After.Milliseconds(), "manifest", c.manifestVersion())
 	c.answer(w, id, r.Status, r.Reason, r.After)
 }
 
+// manifestVersion returns the version of the manifest in force; 0 without one.
+func (c *Conductor) manifestVersion() int64 {
+	if manifest := c.registry.View().Manifest; manifest != nil {
+		return manifest.Version
+	}
+	return 0
+}
+
 // answer writes an answer of this system, which bears no mark of a target.
 func (c *Conductor) answer(w http.ResponseWriter, id string, status int, reason string, after time.Duration) {
 	h := w.Header()
@@ -84,7 +93,8 @@
 		q.outcome = measurer.Refused
 		c.refuse(r.writer, q.id, &Refusal{
 			Status: http.StatusServiceUnavailable, Reason: cause.Error(), After: q.pauseFor(cause),
-		})
+		}, "route", q.route.Name, "service", q.service, "model", q.demand.Model, "adapter", q.demand.Adapter,
+			"waitedMilliseconds", c.now().Sub(q.arrived).Milliseconds())
 	}
 }
 
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -60,7 +60,10 @@
 	if err != nil {
 		q.mayRun = true
 		ticket.End(lostOutcome(ctx))
-		c.log.V(1).Info("no answer from target", "request", q.id, "target", target.ID, "error", err.Error())
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			c.log.Info("no answer from target", "request", q.id, "target", target.ID, "error", err.Error(),
+				"sinceChoiceMilliseconds", c.now().Sub(ticket.Since()).Milliseconds())
+		}
 		return lost
 	}
 	defer answer.Close()
