Count all loads that an earlier holder may have begun

All loads of a window now count until the window has passed, and the deployment's tolerance is left for late orders.

--- a/internal/gateway/foreman/foreman.go
+++ b/internal/gateway/foreman/foreman.go
@@ -73,8 +73,10 @@
 
 // Bounds are those of loads from the weight store.
 type Bounds struct {
-	Window  time.Duration
-	Overage float64
+	Window time.Duration
+	// Handover is the least time between the end of one holder's right to give orders
+	// and the first order of the next one.
+	Handover time.Duration
 }
 
 // Foreman carries out the placement. The zero value is not usable; see New.
--- a/internal/gateway/foreman/foreman_test.go
+++ b/internal/gateway/foreman/foreman_test.go
@@ -103,7 +103,7 @@
 		}
 	}
 	f := New("here", Calls{Order: w.order, State: w.state, Grant: w.mayOrder},
-		Bounds{Window: time.Second, Overage: 1}, r, balancer.New(), tallier.New(), logr.Discard())
+		Bounds{Window: time.Second, Handover: 600 * time.Millisecond}, r, balancer.New(), tallier.New(), logr.Discard())
 	w.publish(r)
 	return w, r, f
 }
@@ -299,6 +299,24 @@
 	assert.False(t, e.crashed)
 }
 
+// TestLoadsOfAnEarlierHolder checks that the loads which a holder before may have begun
+// count for as long as they lie within the window.
+func TestLoadsOfAnEarlierHolder(t *testing.T) {
+	w, r, f := newWorld(1, 4)
+	now := time.Now()
+	f.now = func() time.Time { return now }
+	w.fence = 2
+	loads := func() int {
+		f.Tick()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.loadsLeft(r.View().Service("s").Engine)
+	}
+	assert.LessOrEqual(t, loads(), 0)
+	now = now.Add(500 * time.Millisecond)
+	assert.Positive(t, loads())
+}
+
 func TestUnreachableTargetRests(t *testing.T) {
 	_, _, f := newWorld(1, 1)
 	calls := 0
--- a/internal/gateway/foreman/models.go
+++ b/internal/gateway/foreman/models.go
@@ -18,18 +18,18 @@
 	openLife = 14 * time.Second
 )
 
-// assumeLoads counts, for a new holder, half of the loads that the one before it may
-// have begun within the window. It is called with the lock held.
+// assumeLoads counts, for a new holder, all loads that the one before it may have
+// begun until its right ended. It is called with the lock held.
 func (f *Foreman) assumeLoads(view *registrar.View) {
-	most := 0.0
+	most := 0
 	for _, service := range view.Manifest.Services {
 		if service.Engine != nil {
-			most = max(most, service.Engine.LoadsPerSecond*f.bounds.Window.Seconds())
+			most = max(most, f.loadsOfWindow(service.Engine))
 		}
 	}
 	f.loads = nil
-	for range int(most / 2) {
-		f.loads = append(f.loads, f.now())
+	for range most {
+		f.loads = append(f.loads, f.now().Add(-f.bounds.Handover))
 	}
 }
 
@@ -212,7 +212,14 @@
 	for len(f.loads) > 0 && f.loads[0].Before(since) {
 		f.loads = f.loads[1:]
 	}
-	return int(engine.LoadsPerSecond*f.bounds.Window.Seconds()*f.bounds.Overage) - len(f.loads)
+	return f.loadsOfWindow(engine) - len(f.loads)
+}
+
+// loadsOfWindow returns how many loads from the weight store may begin in a window.
+// What the deployment tolerates beyond the store's rate is left for orders that
+// arrive late and so fall into one window with later ones.
+func (f *Foreman) loadsOfWindow(engine *registrar.Engine) int {
+	return int(engine.LoadsPerSecond * f.bounds.Window.Seconds())
 }
 
 // move gives the order of a move and does not wait for its effect.
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -114,7 +114,9 @@
 	s.right = newRight(s.leaser, time.Duration(bounds.LeaseMilliseconds)*time.Millisecond)
 	s.foreman = foreman.New(settings.Instance,
 		foreman.Calls{Order: platform.Order, State: platform.State, Grant: s.mayOrder},
-		foreman.Bounds{Window: seconds(bounds.LoadWindowSeconds), Overage: bounds.LoadOverage},
+		foreman.Bounds{
+			Window: seconds(bounds.LoadWindowSeconds), Handover: time.Duration(bounds.LeaseMilliseconds) * time.Millisecond,
+		},
 		s.registry, s.balancer, s.tally, log)
 	s.informer = informer.New(settings.Instance,
 		informer.Calls{News: s.news, Send: s.sendNews, Heard: s.takeNews}, log)
--- a/internal/node/loader/gateway.go
+++ b/internal/node/loader/gateway.go
@@ -54,6 +54,5 @@
 	add(b.RetryWindowSeconds <= 0, "Bounds.RetryWindowSeconds", positive)
 	add(b.RetrySlack < 0, "Bounds.RetrySlack", "must be 0 or more")
 	add(b.LoadWindowSeconds <= 0, "Bounds.LoadWindowSeconds", positive)
-	add(b.LoadOverage <= 0, "Bounds.LoadOverage", positive)
 	add(b.LocateSeconds <= 0, "Bounds.LocateSeconds", positive)
 }
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -240,10 +240,8 @@
 	// LeaseMilliseconds is the least time between orders of two holders.
 	LeaseMilliseconds int `json:"LeaseMilliseconds"`
 
-	// LoadOverage corresponds to the JSON schema field "LoadOverage".
-	LoadOverage float64 `json:"LoadOverage"`
-
-	// LoadWindowSeconds corresponds to the JSON schema field "LoadWindowSeconds".
+	// LoadWindowSeconds is the window in which loads from the weight store are
+	// counted.
 	LoadWindowSeconds float64 `json:"LoadWindowSeconds"`
 
 	// LocateSeconds is the longest that callers keep the answer of the locator.
@@ -256,7 +254,7 @@
 	// instances.
 	RetrySlack int `json:"RetrySlack"`
 
-	// RetryWindowSeconds corresponds to the JSON schema field "RetryWindowSeconds".
+	// RetryWindowSeconds is the window in which repeated sends are counted.
 	RetryWindowSeconds float64 `json:"RetryWindowSeconds"`
 }
 
