Keep the place of an adapter until the target table shows it

An adapter now keeps its place until the table shows it; what is told beyond the table to be held is believed for 8 s.

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -30,9 +30,12 @@
 )
 
 const (
-	// overlayLife is how long a change that the target table does not show yet
-	// is believed; the table tells of it well before.
-	overlayLife = 4 * time.Second
+	// heldLife and goneLife are how long it is believed, beyond the target table, that
+	// something is held or gone. The table tells within two seconds, or some more
+	// when the store carries out writes late; what is taken for held wrongly costs a
+	// refusal, what is taken for gone wrongly leaves a target unused.
+	heldLife = 8 * time.Second
+	goneLife = 4 * time.Second
 	// plainQueue is the number of requests for each slot of a target without
 	// models, those that wait at it included.
 	plainQueue = 3
@@ -103,6 +106,13 @@
 	since time.Time
 }
 
+func (o overlay) isValid(now time.Time) bool {
+	if o.held {
+		return now.Sub(o.since) < heldLife
+	}
+	return now.Sub(o.since) < goneLife
+}
+
 // Option changes a balancer at its construction.
 type Option func(*Balancer)
 
@@ -198,7 +208,7 @@
 // holds reports whether a target holds a model, or an adapter of it, by the target
 // table and what is known beyond it.
 func (b *Balancer) holds(t *registrar.Target, model, adapter string, now time.Time) bool {
-	if o, ok := b.overlays[overlayKey{t.ID, model, adapter}]; ok && now.Sub(o.since) < overlayLife {
+	if o, ok := b.overlays[overlayKey{t.ID, model, adapter}]; ok && o.isValid(now) {
 		return o.held
 	}
 	holding, ok := t.Holding(model)
@@ -394,7 +404,7 @@
 		}
 	}
 	for key, o := range b.overlays {
-		if now.Sub(o.since) >= overlayLife {
+		if !o.isValid(now) {
 			delete(b.overlays, key)
 		}
 	}
--- a/internal/gateway/balancer/overlay.go
+++ b/internal/gateway/balancer/overlay.go
@@ -30,7 +30,7 @@
 	now := b.now()
 	out := []Overlay{}
 	for key, o := range b.overlays {
-		if now.Sub(o.since) < overlayLife {
+		if o.isValid(now) {
 			out = append(out, Overlay{Target: key.target, Model: key.model, Adapter: key.adapter, Held: o.held, Since: o.since})
 		}
 	}
--- a/internal/gateway/foreman/adapters.go
+++ b/internal/gateway/foreman/adapters.go
@@ -146,8 +146,9 @@
 	if !done {
 		time.Sleep(adapterTime)
 	}
+	// It stays among those that are coming until the target table shows it, which may
+	// take seconds: its place is taken all the while.
 	f.overlay(target, load)
-	f.release(target, placer.AdapterKey{Model: key.Model, Adapter: key.Adapter})
 	return nil
 }
 
--- a/internal/gateway/foreman/foreman_test.go
+++ b/internal/gateway/foreman/foreman_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -317,6 +318,25 @@
 	assert.Positive(t, loads())
 }
 
+// TestLateTargetTable replays a store that carries out the writes of targets seconds
+// late, so that the table does not show what was loaded.
+func TestLateTargetTable(t *testing.T) {
+	w, _, f := newWorld(1, 1)
+	late := atomic.Int64{}
+	start := time.Now()
+	clock := func() time.Time { return start.Add(time.Duration(late.Load())) }
+	f.now = clock
+	f.balancer = balancer.New(balancer.WithClock(clock))
+	w.publish(f.registry)
+	for i := range places {
+		_, err := ensure(t, f, fmt.Sprintf("a%d", i))
+		require.NoError(t, err)
+	}
+	late.Store(int64(6 * time.Second))
+	_, _ = ensure(t, f, "a9") // there may be no place for it
+	assert.False(t, w.engines["t0"].crashed)
+}
+
 func TestUnreachableTargetRests(t *testing.T) {
 	_, _, f := newWorld(1, 1)
 	calls := 0
