Say once how an order's effect is told, and drop a field that nobody reads

Behaviour is the same. Checked: linter, formatter, tests of the gateway, platform and command line under the race detector.

--- a/internal/gateway/foreman/adapters.go
+++ b/internal/gateway/foreman/adapters.go
@@ -159,17 +159,16 @@
 	order := Order{Model: move.EvictedModel, Adapter: move.EvictedAdapter, IsUnload: true}
 	f.overlay(target, order)
 	done, err := f.give(target, order)
-	switch {
-	case err == nil && !done:
+	if err == nil && !done {
 		return errors.Wrap(ErrBusy, "adapter in use")
-	case err == nil:
-		f.mu.Lock()
-		delete(f.site(target).going, placer.AdapterKey{Model: order.Model, Adapter: order.Adapter})
-		f.mu.Unlock()
-	case !isUnknown(err):
-		f.mu.Lock()
-		delete(f.site(target).going, placer.AdapterKey{Model: order.Model, Adapter: order.Adapter})
-		f.mu.Unlock()
+	}
+	if isUnknown(err) {
+		return err
+	}
+	f.mu.Lock()
+	delete(f.site(target).going, placer.AdapterKey{Model: order.Model, Adapter: order.Adapter})
+	f.mu.Unlock()
+	if err != nil {
 		order.IsUnload = false
 		f.overlay(target, order) // it is still there
 	}
--- a/internal/gateway/foreman/foreman.go
+++ b/internal/gateway/foreman/foreman.go
@@ -53,8 +53,6 @@
 	Orders   int64
 	Busy     bool
 	Holdings []registrar.Holding
-	// Coming is the number of adapters on their way.
-	Coming int
 }
 
 // Grant is the right to give orders.
--- a/internal/gateway/foreman/models.go
+++ b/internal/gateway/foreman/models.go
@@ -236,7 +236,7 @@
 	f.mu.Unlock()
 	f.log.Info("placement", "target", move.Target.ID, "model", move.Model, "unload", move.Unload, "for", move.For, "reason", move.Reason)
 	if move.Unload {
-		f.balancer.Overlay(balancer.Overlay{Target: move.Target.ID, Model: move.Model, Since: f.now()})
+		f.overlay(move.Target, Order{Model: move.Model, IsUnload: true})
 	}
 	go f.carryOut(move, s)
 }
@@ -251,6 +251,6 @@
 	s.next = ""
 	f.mu.Unlock()
 	if move.Unload {
-		f.balancer.Overlay(balancer.Overlay{Target: move.Target.ID, Model: move.Model, Held: true, Since: f.now()})
+		f.overlay(move.Target, Order{Model: move.Model}) // it is still there
 	}
 }
