Bind each order to what its target was known to hold

Cause: four ways in which an order could be decided on less than its target holds, each seen with a test that fails on the code before. - After a refused number the target was asked for its orders, and the order went again at the new number though the target told of more than was counted. - Adapters on their way, which take a place, were not read from its answer. - A request refused for want of an adapter took the adapter for gone, also when the load had overtaken the refusal; its place then counted as free. - A load that was accepted but took longer than 14 s was forgotten. Also: an adapter known from the target alone counted as gone because the table had never told of it; a view older than what was forgotten could be planned on. Excluded: the store's table itself (its entries never go back, by heartbeat), the targets' check of the number (an order at an old number is refused). A decision now names how often its target had surprised us, and an order whose target has surprised us since is decided again.

--- a/internal/gateway/foreman/adapters.go
+++ b/internal/gateway/foreman/adapters.go
@@ -62,12 +62,12 @@
 		if id := f.servedAt(view, key); id != "" {
 			return id, nil
 		}
-		move, ok := f.reserve(view, service, key, excluded)
+		move, ok := f.reserve(service, key, excluded)
 		if !ok {
 			break
 		}
 		target := move.Site.Target
-		err := f.loadAt(target, move, key)
+		err := f.loadAt(move, key)
 		if err == nil {
 			return target.ID, nil
 		}
@@ -89,14 +89,17 @@
 	if len(loads) > mostFills {
 		loads = loads[:mostFills]
 	}
+	reserved := []reservation{}
 	for _, load := range loads {
-		f.site(load.Site.Target).coming[placer.AdapterKey{Model: load.Model, Adapter: load.Adapter}] = f.now().Add(openLife)
+		d := f.decide(load.Site.Target)
+		d.site.coming[placer.AdapterKey{Model: load.Model, Adapter: load.Adapter}] = f.now().Add(openLife)
+		reserved = append(reserved, reservation{AdapterMove: placer.AdapterMove{Site: load.Site}, decision: d})
 	}
 	f.mu.Unlock()
-	for _, load := range loads {
+	for i, load := range loads {
 		key := tallier.Key{Service: service.Name, Model: load.Model, Adapter: load.Adapter}
 		go func() {
-			if err := f.loadAt(load.Site.Target, placer.AdapterMove{Site: load.Site}, key); err != nil {
+			if err := f.loadAt(reserved[i], key); err != nil {
 				f.log.V(1).Info("adapter not loaded", "target", load.Site.Target.ID, "adapter", load.Adapter, "error", err.Error())
 			}
 		}()
@@ -107,38 +110,47 @@
 // those which requests wait for are not slowed down.
 const mostFills = 6
 
+// reservation is the place of an adapter that is to be loaded.
+type reservation struct {
+	placer.AdapterMove
+	decision decision
+}
+
 // reserve chooses a place for an adapter and counts it as taken from now on.
-func (f *Foreman) reserve(view *registrar.View, service *registrar.Service, key tallier.Key, excluded map[string]bool) (placer.AdapterMove, bool) {
+func (f *Foreman) reserve(service *registrar.Service, key tallier.Key, excluded map[string]bool) (reservation, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	state := f.state(view, service)
+	// An older view may lack what was forgotten since the latest one has told of it.
+	state := f.state(f.registry.View(), service)
 	for _, site := range state.Sites {
 		site.Busy = site.Busy || excluded[site.Target.ID]
 	}
 	move, ok := placer.PlaceAdapter(state, key.Model, key.Adapter)
 	if !ok {
-		return move, false
+		return reservation{}, false
 	}
-	s := f.site(move.Site.Target)
-	s.coming[placer.AdapterKey{Model: key.Model, Adapter: key.Adapter}] = f.now().Add(openLife)
+	d := f.decide(move.Site.Target)
+	until := f.now().Add(openLife)
+	d.site.coming[placer.AdapterKey{Model: key.Model, Adapter: key.Adapter}] = until
 	if move.EvictedAdapter != "" {
-		s.going[placer.AdapterKey{Model: move.EvictedModel, Adapter: move.EvictedAdapter}] = f.now().Add(openLife)
+		d.site.going[placer.AdapterKey{Model: move.EvictedModel, Adapter: move.EvictedAdapter}] = &departure{until: until}
 	}
-	return move, true
+	return reservation{AdapterMove: move, decision: d}, true
 }
 
 // loadAt makes the place for an adapter and loads it there.
-func (f *Foreman) loadAt(target *registrar.Target, move placer.AdapterMove, key tallier.Key) error {
-	if move.EvictedAdapter != "" {
-		if err := f.evict(target, move); err != nil {
-			f.release(target, placer.AdapterKey{Model: key.Model, Adapter: key.Adapter})
+func (f *Foreman) loadAt(r reservation, key tallier.Key) error {
+	h := placer.AdapterKey{Model: key.Model, Adapter: key.Adapter}
+	if r.EvictedAdapter != "" {
+		if err := f.evict(r); err != nil {
+			f.release(r.decision.site, h)
 			return err
 		}
 	}
 	load := Order{Model: key.Model, Adapter: key.Adapter}
-	done, err := f.give(target, load)
+	done, err := f.give(r.decision, load)
 	if err != nil && !isUnknown(err) {
-		f.release(target, placer.AdapterKey{Model: key.Model, Adapter: key.Adapter})
+		f.release(r.decision.site, h)
 	}
 	if err != nil {
 		return err
@@ -148,17 +160,18 @@
 	}
 	// It stays among those that are coming until the target table shows it, which may
 	// take seconds: its place is taken all the while.
-	f.overlay(target, load)
+	f.overlay(r.decision.target, load)
 	return nil
 }
 
 // evict unloads an adapter. One that a request still uses keeps its place until the
 // target table no longer shows it, and the adapter that was to take the place must
 // go elsewhere.
-func (f *Foreman) evict(target *registrar.Target, move placer.AdapterMove) error {
-	order := Order{Model: move.EvictedModel, Adapter: move.EvictedAdapter, IsUnload: true}
+func (f *Foreman) evict(r reservation) error {
+	target := r.decision.target
+	order := Order{Model: r.EvictedModel, Adapter: r.EvictedAdapter, IsUnload: true}
 	f.overlay(target, order)
-	done, err := f.give(target, order)
+	done, err := f.give(r.decision, order)
 	if err == nil && !done {
 		return errors.Wrap(ErrBusy, "adapter in use")
 	}
@@ -166,7 +179,12 @@
 		return err
 	}
 	f.mu.Lock()
-	delete(f.site(target).going, placer.AdapterKey{Model: order.Model, Adapter: order.Adapter})
+	h := placer.AdapterKey{Model: order.Model, Adapter: order.Adapter}
+	delete(r.decision.site.going, h)
+	if err == nil {
+		delete(r.decision.site.coming, h)
+		r.decision.site.unloaded[h] = f.now().Add(unloadedLife)
+	}
 	f.mu.Unlock()
 	if err != nil {
 		order.IsUnload = false
@@ -175,10 +193,13 @@
 	return err
 }
 
-func (f *Foreman) release(target *registrar.Target, h placer.AdapterKey) {
+// unloadedLife is longer than the target table takes to tell of an unload.
+const unloadedLife = 10 * time.Second
+
+func (f *Foreman) release(s *site, h placer.AdapterKey) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.site(target).coming, h)
+	delete(s.coming, h)
 }
 
 // servedAt returns a target that serves an adapter already; empty if there is none.
--- a/internal/gateway/foreman/foreman.go
+++ b/internal/gateway/foreman/foreman.go
@@ -53,6 +53,8 @@
 	Orders   int64
 	Busy     bool
 	Holdings []registrar.Holding
+	// Coming are the adapters on their way, which take a place already.
+	Coming []placer.AdapterKey
 }
 
 // Grant is the right to give orders.
@@ -101,35 +103,6 @@
 	asked map[tallier.Key]*asking
 }
 
-// site is what the holder knows of a target beyond the target table.
-type site struct {
-	turn sync.Mutex // held while an order is given
-	// orders is the number of accepted orders; -1 if it must be asked for.
-	orders int64
-	born   int64
-	// acceptedAt is when the target took the latest order.
-	acceptedAt time.Time
-	// open is the load or unload of a model that is being carried out or whose fate
-	// is not known; nil if there is none.
-	open *openOrder
-	// coming are the adapters that may be loaded, going those that are being
-	// unloaded; each with the deadline after which that is over. Both take a place.
-	coming map[placer.AdapterKey]time.Time
-	going  map[placer.AdapterKey]time.Time
-	// next is the model that is to be loaded once open, an unload, is done.
-	next string
-	// restsUntil is the deadline until which a target that could not be reached
-	// gets no orders.
-	restsUntil time.Time
-}
-
-// openOrder is an order whose effect the target table does not show yet.
-type openOrder struct {
-	order Order
-	// until is the deadline after which it is taken for not carried out.
-	until time.Time
-}
-
 // asking is a wait for an adapter.
 type asking struct {
 	done   chan struct{}
@@ -172,23 +145,12 @@
 	}
 }
 
-// site returns what is known of a target. It is called with the lock held.
-func (f *Foreman) site(t *registrar.Target) *site {
-	s := f.sites[t.ID]
-	if s == nil || s.born != t.Born {
-		s = &site{orders: -1, born: t.Born, coming: map[placer.AdapterKey]time.Time{}, going: map[placer.AdapterKey]time.Time{}}
-		f.sites[t.ID] = s
-	}
-	return s
-}
-
 // give gives one order and returns whether its effect is there already. An order
 // whose answer was lost is sent again with the same number, so that it takes effect
-// once at most.
-func (f *Foreman) give(t *registrar.Target, order Order) (done bool, err error) {
-	f.mu.Lock()
-	s := f.site(t)
-	f.mu.Unlock()
+// once at most. The error is ErrBusy if the target turned out to hold something that
+// the decision did not count.
+func (f *Foreman) give(d decision, order Order) (done bool, err error) {
+	t, s := d.target, d.site
 	s.turn.Lock()
 	defer s.turn.Unlock()
 	var last error
@@ -197,7 +159,7 @@
 		if !ok {
 			return false, worseOf(last, ErrNotHolder)
 		}
-		if err := f.learnOrders(t, s, try > 0); err != nil {
+		if err := f.learnOrders(d, try > 0); err != nil {
 			return false, worseOf(last, err)
 		}
 		order.Holder, order.Fence, order.ExpectedOrders = f.holder, grant.Fence, s.orders
@@ -240,34 +202,48 @@
 }
 
 // learnOrders asks a target for the number of orders that it has accepted, if it
-// is not known or was refused. On first acquaintance the error is ErrBusy if the
-// target tells of more than what the order was decided on.
-func (f *Foreman) learnOrders(t *registrar.Target, s *site, refused bool) error {
-	if !refused && s.orders >= 0 {
-		return nil
+// is not known or was refused. The number goes with what the target holds: the error
+// is ErrBusy if that is more than what the order was decided on.
+func (f *Foreman) learnOrders(d decision, refused bool) error {
+	s := d.site
+	if refused || s.orders < 0 {
+		if err := f.askState(d); err != nil {
+			return err
+		}
 	}
-	state, err := f.calls.State(t)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.learned != d.learned {
+		return errors.Wrap(ErrBusy, "target holds more than was known")
+	}
+	return nil
+}
+
+// askState asks a target for its orders and holdings.
+func (f *Foreman) askState(d decision) error {
+	s := d.site
+	state, err := f.calls.State(d.target)
 	if err != nil {
 		f.rest(s)
 		return err
 	}
-	isFirst := s.orders < 0
+	f.mu.Lock()
 	// The answer may be from before the latest order.
 	if f.now().Sub(s.acceptedAt) < stateLag {
-		s.orders = max(s.orders, state.Orders)
-	} else {
-		s.orders = state.Orders
+		state.Orders = max(s.orders, state.Orders)
+	}
+	s.orders = state.Orders
+	news := s.learn(d.target, state, f.now())
+	f.mu.Unlock()
+	for _, h := range news {
+		f.overlay(d.target, Order{Model: h.Model, Adapter: h.Adapter})
 	}
-	differs := f.learnHoldings(t, state)
 	if state.Busy {
 		// What it is doing is known only once it is done: ask again then.
 		s.orders = -1
 		f.rest(s)
 		return ErrBusy
 	}
-	if isFirst && differs {
-		return ErrBusy
-	}
 	return nil
 }
 
@@ -281,26 +257,6 @@
 // restTime is how long a target that could not be reached gets no orders.
 const restTime = time.Second
 
-// learnHoldings takes what a target tells beyond the target table, and reports
-// whether there is any.
-func (f *Foreman) learnHoldings(t *registrar.Target, state State) bool {
-	differs := false
-	for _, h := range state.Holdings {
-		known, ok := t.Holding(h.Model)
-		if !ok {
-			differs = true
-			f.overlay(t, Order{Model: h.Model})
-		}
-		for _, adapter := range h.Adapters {
-			if !known.Has(adapter) {
-				differs = true
-				f.overlay(t, Order{Model: h.Model, Adapter: adapter})
-			}
-		}
-	}
-	return differs
-}
-
 // stateLag is how old a target's word on its state may be.
 const stateLag = 600 * time.Millisecond
 
@@ -312,4 +268,7 @@
 		s.orders++
 		s.acceptedAt = f.now()
 	}
+	if !done {
+		s.extend(order, f.now().Add(acceptedLife))
+	}
 }
--- a/internal/gateway/foreman/foreman_test.go
+++ b/internal/gateway/foreman/foreman_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
+	"github.com/crocusring/crocusring/internal/gateway/placer"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 	"github.com/crocusring/crocusring/internal/gateway/tallier"
 )
@@ -38,6 +39,15 @@
 	crashed  bool
 	// loading is a model on its way, which the engine tells nobody.
 	loading string
+	// coming are the adapters that are on their way.
+	coming map[string]bool
+}
+
+// hold makes the engine hold adapters, each named as model/adapter.
+func (e *engine) hold(names ...string) {
+	for _, name := range names {
+		e.adapters[name] = true
+	}
 }
 
 func (e *engine) take(o Order) (done bool, err error) {
@@ -156,7 +166,17 @@
 	defer e.mu.Unlock()
 	s := State{Orders: e.orders, Busy: e.loading != ""}
 	for m := range e.models {
-		s.Holdings = append(s.Holdings, registrar.Holding{Model: m})
+		h := registrar.Holding{Model: m}
+		for a := range e.adapters {
+			switch {
+			case a[:2] != m:
+			case e.coming[a]:
+				s.Coming = append(s.Coming, placer.AdapterKey{Model: m, Adapter: a[3:]})
+			default:
+				h.Adapters = append(h.Adapters, a[3:])
+			}
+		}
+		s.Holdings = append(s.Holdings, h)
 	}
 	return s, nil
 }
@@ -285,14 +305,19 @@
 	w.publish(f.registry)
 	order := Order{Model: "m3"}
 	target := f.registry.View().Targets["t0"]
+	give := func() error {
+		f.mu.Lock()
+		d := f.decide(target)
+		f.mu.Unlock()
+		_, err := f.give(d, order)
+		return err
+	}
 	for range 3 {
-		_, err := f.give(target, order)
-		require.ErrorIs(t, err, ErrBusy)
+		require.ErrorIs(t, give(), ErrBusy)
 	}
 	e.loading = ""
 	e.models["m2"] = true
-	_, err := f.give(target, order)
-	require.ErrorIs(t, err, ErrBusy, "the target tells of a model that the table does not show")
+	require.ErrorIs(t, give(), ErrBusy, "the target tells of a model that the table does not show")
 	f.mu.Lock()
 	state := f.state(f.registry.View(), f.registry.View().Service("s"))
 	f.mu.Unlock()
@@ -350,3 +375,95 @@
 	require.ErrorIs(t, err, ErrNoPlace)
 	assert.Equal(t, 1, calls)
 }
+
+// TestLateOrderOfAnEarlierHolder replays an order of a holder before that a target
+// carries out after the new holder has asked what it holds.
+func TestLateOrderOfAnEarlierHolder(t *testing.T) {
+	t.Run("told as held", func(t *testing.T) {
+		w, _, f := newWorld(1, 1)
+		e := w.engines["t0"]
+		e.hold("m0/x0", "m0/x1", "m0/x2")
+		w.publish(f.registry)
+		f.site(f.registry.View().Targets["t0"]).orders = e.orders
+		e.orders++
+		e.hold("m0/x9")
+		_, _ = ensure(t, f, "a1") // refused or served
+		assert.False(t, e.crashed, "it holds %v", e.adapters)
+	})
+	t.Run("told as coming", func(t *testing.T) {
+		w, _, f := newWorld(1, 1)
+		e := w.engines["t0"]
+		e.hold("m0/x0", "m0/x1", "m0/x2")
+		w.publish(f.registry)
+		e.orders++
+		e.hold("m0/x9")
+		e.coming = map[string]bool{"m0/x9": true}
+		_, _ = ensure(t, f, "a1") // refused or served
+		assert.False(t, e.crashed, "it holds %v", e.adapters)
+	})
+}
+
+// TestRefusalDoesNotFreeAPlace replays a request that a target refuses for want of an
+// adapter while that is loaded, so that the refusal comes after the target table.
+func TestRefusalDoesNotFreeAPlace(t *testing.T) {
+	w, _, f := newWorld(1, 1)
+	e := w.engines["t0"]
+	e.hold("m0/x0", "m0/x1", "m0/x2", "m0/x3")
+	for name := range e.adapters {
+		e.inUse[name] = true
+	}
+	w.publish(f.registry)
+	f.balancer.Overlay(balancer.Overlay{Target: "t0", Model: "m0", Adapter: "x3", Since: time.Now()})
+	_, err := ensure(t, f, "a1")
+	require.Error(t, err)
+	assert.False(t, e.crashed, "it holds %v", e.adapters)
+}
+
+// TestAdapterThatTheTableNeverTold replays a takeover while the target table is late:
+// an adapter in use is known from the target alone, and its unload has to wait.
+func TestAdapterThatTheTableNeverTold(t *testing.T) {
+	w, _, f := newWorld(1, 1)
+	e := w.engines["t0"]
+	e.hold("m0/x0", "m0/x1", "m0/x2")
+	w.publish(f.registry)
+	e.orders = 7
+	e.hold("m0/x3")
+	for name := range e.adapters {
+		e.inUse[name] = true
+	}
+	for range 6 {
+		_, _ = ensure(t, f, "a1") // there is no place for it
+		f.settle(f.registry.View())
+	}
+	assert.False(t, e.crashed, "it holds %v", e.adapters)
+}
+
+// TestLoadThatTakesLong replays a model that loads for longer than a lost order is
+// waited for, while an adapter is asked for that would fill its room.
+func TestLoadThatTakesLong(t *testing.T) {
+	w, r, f := newWorld(1, 1)
+	start := time.Now()
+	var passed atomic.Int64
+	clock := func() time.Time { return start.Add(time.Duration(passed.Load())) }
+	f.now = clock
+	f.balancer = balancer.New(balancer.WithClock(clock))
+	manifest := r.View().Manifest
+	for name, model := range manifest.Services["s"].Engine.Models {
+		model.AdapterMegabytes = modelMegabytes / 2
+		manifest.Services["s"].Engine.Models[name] = model
+	}
+	e := w.engines["t0"]
+	target := r.View().Targets["t0"]
+	f.move(placer.Move{Target: target, Model: "m1"})
+	require.Eventually(t, func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.orders == 1
+	}, time.Second, time.Millisecond)
+	passed.Store(int64(20 * time.Second))
+	f.settle(r.View())
+	for _, adapter := range []string{"a1", "a2"} {
+		_, _ = ensure(t, f, adapter)
+	}
+	assert.LessOrEqual(t, len(e.adapters), 1, "the second one has no room beside the model")
+}
--- a/internal/gateway/foreman/models.go
+++ b/internal/gateway/foreman/models.go
@@ -13,9 +13,11 @@
 	tick = 200 * time.Millisecond
 	// mostTries bounds how often one order is sent.
 	mostTries = 3
-	// openLife is longer than any load takes; an order that shows no effect by
-	// then was lost.
+	// openLife is longer than an order whose fate is not known may be on its way.
 	openLife = 14 * time.Second
+	// acceptedLife is longer than a target takes for an order that it has accepted,
+	// and than the target table may take to tell of it.
+	acceptedLife = time.Minute
 )
 
 // assumeLoads counts, for a new holder, all loads that the one before it may have
@@ -73,6 +75,7 @@
 	}
 	for _, s := range f.sites {
 		s.orders = -1 // others may have given orders since
+		clear(s.unloaded)
 	}
 }
 
@@ -87,17 +90,7 @@
 			delete(f.sites, id)
 			continue
 		}
-		settleAdapters(t, s, now)
-		if s.open == nil {
-			continue
-		}
-		_, held := t.Holding(s.open.order.Model)
-		if held != s.open.order.IsUnload || !now.Before(s.open.until) {
-			if held || !s.open.order.IsUnload {
-				s.next = ""
-			}
-			s.open = nil
-		}
+		s.settle(t, now)
 	}
 }
 
@@ -118,20 +111,6 @@
 	return moves
 }
 
-// settleAdapters forgets the adapters whose fate the target table shows.
-func settleAdapters(t *registrar.Target, s *site, now time.Time) {
-	for h, until := range s.going {
-		if held, ok := t.Holding(h.Model); !ok || !held.Has(h.Adapter) || now.After(until) {
-			delete(s.going, h)
-		}
-	}
-	for h, until := range s.coming {
-		if held, ok := t.Holding(h.Model); (ok && held.Has(h.Adapter)) || now.After(until) {
-			delete(s.coming, h)
-		}
-	}
-}
-
 // state returns what a plan for a service is made from. It is called with the lock held.
 func (f *Foreman) state(view *registrar.View, service *registrar.Service) placer.State {
 	state := placer.State{Service: service, Demand: f.tally.Total(), Loads: f.loadsLeft(service.Engine)}
@@ -147,65 +126,6 @@
 	return state
 }
 
-// siteState returns a target with what its open order may still do: a load counts
-// as done, and an unload as not done.
-func (f *Foreman) siteState(t *registrar.Target, overlays []balancer.Overlay) *placer.Site {
-	out := &placer.Site{
-		Target: t, Models: map[string]bool{}, Adapters: map[string][]string{},
-		Moving: map[placer.AdapterKey]bool{}, InFlight: f.balancer.TotalInFlight(t.ID),
-	}
-	for _, h := range t.Holdings {
-		out.Models[h.Model] = true
-		out.Adapters[h.Model] = append([]string(nil), h.Adapters...)
-	}
-	addOverlays(out, overlays)
-	s := f.site(t)
-	if s.open != nil {
-		out.Busy = true
-		out.Models[s.open.order.Model] = true
-	}
-	if s.next != "" {
-		out.Busy = true
-		out.Models[s.next] = true
-	}
-	for _, places := range []map[placer.AdapterKey]time.Time{s.coming, s.going} {
-		for h := range places {
-			out.Adapters[h.Model] = append(without(out.Adapters[h.Model], h.Adapter), h.Adapter)
-			out.Moving[h] = true
-		}
-	}
-	out.Busy = out.Busy || f.now().Before(s.restsUntil) || f.balancer.IsResting(t.ID)
-	return out
-}
-
-// addOverlays adds the adapters that were loaded since the target table told.
-// Those that were unloaded since stay counted until the table tells.
-func addOverlays(out *placer.Site, overlays []balancer.Overlay) {
-	for _, o := range overlays {
-		if o.Adapter == "" {
-			// One that is said to be gone is counted until the table tells.
-			if o.Held {
-				out.Models[o.Model] = true
-			}
-			continue
-		}
-		out.Adapters[o.Model] = without(out.Adapters[o.Model], o.Adapter)
-		if o.Held {
-			out.Adapters[o.Model] = append(out.Adapters[o.Model], o.Adapter)
-		}
-	}
-}
-
-func without(names []string, name string) []string {
-	out := make([]string, 0, len(names)+1)
-	for _, n := range names {
-		if n != name {
-			out = append(out, n)
-		}
-	}
-	return out
-}
-
 // loadsLeft returns how many loads may begin now. It is called with the lock held.
 func (f *Foreman) loadsLeft(engine *registrar.Engine) int {
 	since := f.now().Add(-f.bounds.Window)
@@ -225,7 +145,8 @@
 // move gives the order of a move and does not wait for its effect.
 func (f *Foreman) move(move placer.Move) {
 	f.mu.Lock()
-	s := f.site(move.Target)
+	d := f.decide(move.Target)
+	s := d.site
 	// Marked open before the order goes out, so that no plan counts on the target meanwhile.
 	s.open = &openOrder{order: Order{Model: move.Model, IsUnload: move.Unload}, until: f.now().Add(openLife)}
 	if move.Unload {
@@ -238,11 +159,12 @@
 	if move.Unload {
 		f.overlay(move.Target, Order{Model: move.Model, IsUnload: true})
 	}
-	go f.carryOut(move, s)
+	go f.carryOut(move, d)
 }
 
-func (f *Foreman) carryOut(move placer.Move, s *site) {
-	_, err := f.give(move.Target, Order{Model: move.Model, IsUnload: move.Unload})
+func (f *Foreman) carryOut(move placer.Move, d decision) {
+	s := d.site
+	_, err := f.give(d, Order{Model: move.Model, IsUnload: move.Unload})
 	if err == nil || isUnknown(err) {
 		return
 	}
