Take fractions in the bounds of a deployment, and drop facts that nobody reads

Also: the setting DrainMilliseconds and decoded limits of headers, connections and copies of weights decided nothing and are gone; the log of a placement tells whether the target has the weights at hand.

--- a/internal/gateway/budgeter/budgeter.go
+++ b/internal/gateway/budgeter/budgeter.go
@@ -41,9 +41,9 @@
 
 // New returns a budgeter for a ratio of repeats to requests, a number of repeats
 // that are free for all instances together, and the length of the window.
-func New(ratio float64, slack int, length time.Duration) *Budgeter {
+func New(ratio float64, slack float64, length time.Duration) *Budgeter {
 	return &Budgeter{
-		ratio: ratio, slack: float64(slack), bucket: length / buckets, now: time.Now, start: time.Now(), members: 1,
+		ratio: ratio, slack: slack, bucket: length / buckets, now: time.Now, start: time.Now(), members: 1,
 		services: map[string]*window{},
 	}
 }
--- a/internal/gateway/budgeter/budgeter_test.go
+++ b/internal/gateway/budgeter/budgeter_test.go
@@ -13,7 +13,7 @@
 
 func (c *clock) read() time.Time { return c.now }
 
-func newTest(c *clock, ratio float64, slack, members int) *Budgeter {
+func newTest(c *clock, ratio, slack float64, members int) *Budgeter {
 	b := New(ratio, slack, 10*time.Second)
 	b.now, b.start = c.read, c.now
 	b.SetMembers(members)
@@ -38,7 +38,7 @@
 		sum += allowed(newTest(c, 0.2, slack, 4), 100)
 	}
 	assert.Positive(t, sum)
-	assert.LessOrEqual(t, sum, slack)
+	assert.LessOrEqual(t, float64(sum), float64(slack))
 }
 
 func TestWindowForgets(t *testing.T) {
--- a/internal/gateway/foreman/models.go
+++ b/internal/gateway/foreman/models.go
@@ -155,7 +155,8 @@
 		f.loads = append(f.loads, f.now())
 	}
 	f.mu.Unlock()
-	f.log.Info("placement", "target", move.Target.ID, "model", move.Model, "unload", move.Unload, "for", move.For, "reason", move.Reason)
+	f.log.Info("placement", "target", move.Target.ID, "model", move.Model, "unload", move.Unload, "for", move.For, "reason", move.Reason,
+		"hasWeights", move.Target.HasAtHand(move.Model))
 	if move.Unload {
 		f.overlay(move.Target, Order{Model: move.Model, IsUnload: true})
 	}
--- a/internal/gateway/registrar/facts.go
+++ b/internal/gateway/registrar/facts.go
@@ -25,10 +25,7 @@
 
 // Limits bound what a caller may send. Zero means no bound.
 type Limits struct {
-	HeaderBytes        int
-	BodyBytes          int
-	HeaderMilliseconds int
-	IdleMilliseconds   int
+	BodyBytes int
 }
 
 // Route says where the requests of a host and path prefix go, and how.
@@ -68,8 +65,6 @@
 // Service is a group of targets that serve the same requests.
 type Service struct {
 	Name string
-	// MaxConnections bounds the connections of all instances to one target.
-	MaxConnections int
 	// Engine is nil for a service without models.
 	Engine *Engine
 }
@@ -86,11 +81,7 @@
 	AdapterPlaces int
 	// LoadsPerSecond bounds the loads from the weight store over all targets.
 	LoadsPerSecond float64
-	// HostMegabytes and DiskMegabytes bound the copies of weights that a target
-	// keeps in its host memory and on its disk.
-	HostMegabytes float64
-	DiskMegabytes float64
-	Models        map[string]Model
+	Models         map[string]Model
 }
 
 // Model is a declared model.
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -111,11 +111,11 @@
 		conductor.WithLog(log), conductor.WithAdapters(s.ensureAdapter),
 		conductor.WithDemand(s.countDemand, s.countWaiting), conductor.WithObserver(s.measurer.Observe))
 	s.leaser = newLeaser(settings, s.incarnation, platform)
-	s.right = newRight(s.leaser, time.Duration(bounds.LeaseMilliseconds)*time.Millisecond)
+	s.right = newRight(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
 	s.foreman = foreman.New(settings.Instance,
 		foreman.Calls{Order: platform.Order, State: platform.State, Grant: s.mayOrder},
 		foreman.Bounds{
-			Window: seconds(bounds.LoadWindowSeconds), Handover: time.Duration(bounds.LeaseMilliseconds) * time.Millisecond,
+			Window: seconds(bounds.LoadWindowSeconds), Handover: seconds(bounds.LeaseMilliseconds / 1000),
 		},
 		s.registry, s.balancer, s.tally, log)
 	s.informer = informer.New(settings.Instance,
--- a/internal/node/loader/gateway.go
+++ b/internal/node/loader/gateway.go
@@ -47,7 +47,6 @@
 
 func addBoundFaults(b *messenger.GatewayBounds, add func(bad bool, key, message string)) {
 	const positive = "must be more than 0"
-	add(b.DrainMilliseconds <= 0, "Bounds.DrainMilliseconds", positive)
 	add(b.GraceSeconds <= 0, "Bounds.GraceSeconds", positive)
 	add(b.LeaseMilliseconds <= 0, "Bounds.LeaseMilliseconds", positive)
 	add(b.RetryRatio < 0, "Bounds.RetryRatio", "must be 0 or more")
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -230,15 +230,11 @@
 
 // GatewayBounds are the limits that a deployment sets.
 type GatewayBounds struct {
-	// DrainMilliseconds is how long after its notice a leaving target may still get
-	// requests.
-	DrainMilliseconds int `json:"DrainMilliseconds"`
-
 	// GraceSeconds is the time from the signal to stop to the kill.
 	GraceSeconds float64 `json:"GraceSeconds"`
 
 	// LeaseMilliseconds is the least time between orders of two holders.
-	LeaseMilliseconds int `json:"LeaseMilliseconds"`
+	LeaseMilliseconds float64 `json:"LeaseMilliseconds"`
 
 	// LoadWindowSeconds is the window in which loads from the weight store are
 	// counted.
@@ -252,7 +248,7 @@
 
 	// RetrySlack is the number of repeats in a window that are free, over all
 	// instances.
-	RetrySlack int `json:"RetrySlack"`
+	RetrySlack float64 `json:"RetrySlack"`
 
 	// RetryWindowSeconds is the window in which repeated sends are counted.
 	RetryWindowSeconds float64 `json:"RetryWindowSeconds"`
