Place by the time until a copy serves, and page models where not all fit

Cause: on the grown sites a quarter of the targets crash and come back empty with their models on disk. Models without a copy were given to them one by one, the most wanted first, from the weight store (8 s) also where another of the targets had the model on its disk (1.6 s), so that each was busy for 8 to 10 s with the wrong one; hot models lost copies to rare ones. Excluded: orders carried out late (all were taken at once), the bound on loads (not reached), what targets tell of their disks (right, by a trial that logged it). A target is now weighed by its load, by the time to load there, by what the unload waits for and by what it puts on other copies. A last copy goes for a model that nobody asks for, or where a missing one is asked for four times as much.

--- a/internal/gateway/foreman/foreman.go
+++ b/internal/gateway/foreman/foreman.go
@@ -92,6 +92,7 @@
 
 	mu    sync.Mutex
 	sites map[string]*site
+	watch *tallier.Watch
 	// loads are the times at which loads from the weight store began, as far as
 	// they still count.
 	loads []time.Time
@@ -114,7 +115,7 @@
 func New(holder string, calls Calls, bounds Bounds, registry *registrar.Registrar, b *balancer.Balancer, tally *tallier.Tallier, log logr.Logger) *Foreman {
 	return &Foreman{
 		holder: holder, calls: calls, bounds: bounds, registry: registry, balancer: b, tally: tally, log: log,
-		now: time.Now, sites: map[string]*site{}, asked: map[tallier.Key]*asking{},
+		now: time.Now, sites: map[string]*site{}, watch: tallier.NewWatch(), asked: map[tallier.Key]*asking{},
 	}
 }
 
--- a/internal/gateway/foreman/models.go
+++ b/internal/gateway/foreman/models.go
@@ -46,6 +46,9 @@
 	}
 	f.settle(view)
 	f.beginTerm(view)
+	f.mu.Lock()
+	f.watch.Observe(f.now(), f.tally.Total())
+	f.mu.Unlock()
 	for _, service := range view.Manifest.Services {
 		if service.Engine == nil {
 			continue
@@ -113,7 +116,13 @@
 
 // state returns what a plan for a service is made from. It is called with the lock held.
 func (f *Foreman) state(view *registrar.View, service *registrar.Service) placer.State {
-	state := placer.State{Service: service, Demand: f.tally.Total(), Loads: f.loadsLeft(service.Engine)}
+	models := make([]string, 0, len(service.Engine.Models))
+	for name := range service.Engine.Models {
+		models = append(models, name)
+	}
+	state := placer.State{
+		Service: service, Demand: f.tally.Total(), Loads: f.loadsLeft(service.Engine), Idle: f.watch.Idle(service.Name, models),
+	}
 	overlays := map[string][]balancer.Overlay{}
 	for _, o := range f.balancer.Overlays() {
 		overlays[o.Target] = append(overlays[o.Target], o)
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -2,13 +2,15 @@
 // answers demand that moves from model to model, the loss of targets, and rare
 // models that are asked for at once; it does no input or output.
 //
-// A plan never unloads the last copy of a model, never fills a target beyond its
-// memory, counting what its open orders may still do, and stays within the rate
-// and the number of loads from the weight store.
+// A plan unloads the last copy of a model only if nobody asks for it, or for a model
+// without a copy that is asked for far more. It never fills a target beyond its memory,
+// counting what its open orders may still do, and stays within the rate and the number
+// of loads from the weight store.
 package placer
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
@@ -22,10 +24,30 @@
 	// coldFactor is the share of the load of the copy that is made up to which the
 	// copies left of the model that makes room may be loaded.
 	coldFactor = 0.6
+	// pageFactor is how many times more a model without a copy must be asked for than
+	// one whose last copy makes room for it, and pageRate how often at least, in
+	// requests a second.
+	pageFactor = 4
+	pageRate   = 0.1
 	// leastRate is the demand, in requests a second, below which one copy will do.
 	leastRate = 0.5
 	// idleBase is the load that every copy counts for, so that copies spread.
 	idleBase = 1e-3
+	// evictionCost weighs an unload against a target that has less to do, and
+	// storeCost a load from the weight store.
+	evictionCost = 0.2
+	storeCost    = 0.2
+	// waitCost weighs a second until a copy serves against a target that has less to
+	// do: two copies of which one comes six seconds sooner are worth as much if that
+	// one's target has the mean load more.
+	waitCost = 0.15
+	// crowdCost is what a load from the weight store costs at a target for each other
+	// missing model that this target could load sooner.
+	crowdCost = 0.1
+	// runSeconds is about how long a run lasts, and drainSeconds how long an unload
+	// waits for the runs of its model.
+	runSeconds   = 2.0
+	drainSeconds = 3.0
 )
 
 // Site is a target as the plan sees it.
@@ -55,6 +77,8 @@
 	Service *registrar.Service
 	Sites   []*Site
 	Demand  map[tallier.Key]tallier.Demand
+	// Idle holds the models that nobody asks for. Their last copy may go.
+	Idle map[string]bool
 	// Loads is how many loads from the weight store may begin now.
 	Loads int
 }
@@ -75,7 +99,11 @@
 	State
 	copies map[string]int
 	load   map[string]float64 // of each target ID
-	moves  []Move
+	// mean is the mean load of a target.
+	mean float64
+	// missing are the models without a copy.
+	missing map[string]bool
+	moves   []Move
 }
 
 // Plan returns the moves that are worth making now, at most one for each target.
@@ -91,8 +119,10 @@
 	}
 	for _, site := range state.Sites {
 		p.load[site.Target.ID] = p.loadOf(site)
+		p.mean += p.load[site.Target.ID] / float64(len(state.Sites))
 	}
-	for _, model := range p.missing() {
+	missing := p.findMissing()
+	for _, model := range missing {
 		p.add(model, "no copy")
 	}
 	p.relieve()
@@ -104,6 +134,11 @@
 	return p.Demand[tallier.Key{Service: p.Service.Name, Model: model}].Work + idleBase
 }
 
+// rate returns the requests a second for a model.
+func (p *plan) rate(model string) float64 {
+	return p.Demand[tallier.Key{Service: p.Service.Name, Model: model}].Rate
+}
+
 func (p *plan) loadOf(site *Site) float64 {
 	sum := 0.0
 	for model := range site.Models {
@@ -112,12 +147,14 @@
 	return sum
 }
 
-// missing returns the models without a copy, the most wanted first.
-func (p *plan) missing() []string {
+// findMissing returns the models without a copy, the most wanted first.
+func (p *plan) findMissing() []string {
 	out := []string{}
+	p.missing = map[string]bool{}
 	for model := range p.Service.Engine.Models {
 		if p.copies[model] == 0 {
 			out = append(out, model)
+			p.missing[model] = true
 		}
 	}
 	slices.SortFunc(out, func(a, b string) int {
@@ -128,17 +165,8 @@
 
 // relieve makes another copy of the models whose copies have most to do.
 func (p *plan) relieve() {
-	if len(p.Sites) == 0 {
-		return
-	}
-	total := 0.0
-	for _, load := range p.load {
-		total += load
-	}
-	mean := total / float64(len(p.Sites))
 	for _, model := range p.hottest() {
-		rate := p.Demand[tallier.Key{Service: p.Service.Name, Model: model}].Rate
-		if rate < leastRate || p.work(model)/float64(p.copies[model]) < hotFactor*mean {
+		if p.rate(model) < leastRate || p.work(model)/float64(p.copies[model]) < hotFactor*p.mean {
 			return
 		}
 		p.add(model, "copies have most to do")
@@ -204,28 +232,58 @@
 	return best, evicted
 }
 
-// evictionCost weighs an unload against a target that has less to do.
-const evictionCost = 0.2
-
-// siteCost is the share of the load of all targets that a target has, plus what
-// an unload costs, less what a copy of the weights close by saves.
+// siteCost weighs a target for another copy of a model: the load that it has and that
+// the copies left of a victim would get, in mean loads of a target, and the time until
+// the copy serves.
 func (p *plan) siteCost(site *Site, model, victim string) float64 {
-	total := 1e-9
-	for _, load := range p.load {
-		total += load
-	}
-	cost := p.load[site.Target.ID] / total * float64(len(p.Sites))
+	mean := max(p.mean, idleBase)
+	cost := p.load[site.Target.ID]/mean + waitCost*p.loadSeconds(site, model)
 	if victim != "" {
-		cost += evictionCost
+		copies := float64(p.copies[victim])
+		cost += evictionCost + waitCost*p.drainSeconds(victim)
+		cost += p.work(victim) / max(copies-1, 1) / mean / copies
 	}
-	if site.Target.HasAtHand(model) {
-		cost -= evictionCost
+	if !site.Target.HasAtHand(model) {
+		cost += storeCost + crowdCost*float64(p.quicker(site, model))
 	}
 	return cost
 }
 
+// loadSeconds returns how long a target takes to load a model.
+func (p *plan) loadSeconds(site *Site, model string) float64 {
+	m := p.Service.Engine.Models[model]
+	switch {
+	case slices.Contains(site.Target.InMemory, model):
+		return m.HostSeconds
+	case slices.Contains(site.Target.OnDisk, model):
+		return m.DiskSeconds
+	default:
+		return m.LoadSeconds
+	}
+}
+
+// drainSeconds returns how long the unload of a copy is likely to wait for its runs.
+func (p *plan) drainSeconds(model string) float64 {
+	runs := p.rate(model) / float64(max(p.copies[model], 1)) * runSeconds
+	return drainSeconds * (1 - math.Exp(-runs))
+}
+
+// quicker returns how many other missing models a target has at hand.
+func (p *plan) quicker(site *Site, model string) int {
+	n := 0
+	for _, names := range [][]string{site.Target.InMemory, site.Target.OnDisk} {
+		for _, name := range names {
+			if name != model && p.missing[name] {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // makeRoom returns the model that must go for another to fit, empty if it fits as
-// it is; false if no single model can make room.
+// it is; false if no single model can make room. A model that nobody asks for makes
+// none go that somebody asks for.
 func (p *plan) makeRoom(site *Site, model string) (victim string, fits bool) {
 	engine := p.Service.Engine
 	need := engine.Models[model].Megabytes
@@ -233,24 +291,37 @@
 	if need <= free {
 		return "", true
 	}
-	gain := p.work(model) / float64(p.copies[model]+1)
+	if p.Idle[model] {
+		return "", false
+	}
 	least := 0.0
 	for held := range site.Models {
-		rest := p.copies[held] - 1
-		if rest < 1 || free+sizeOf(engine, site, held) < need {
-			continue
-		}
-		loaded := p.work(held) / float64(rest)
-		if loaded > coldFactor*gain && p.copies[model] > 0 {
+		if free+sizeOf(engine, site, held) < need || !p.mayGo(held, model) {
 			continue
 		}
-		if victim == "" || loaded < least {
+		loaded := p.work(held) / float64(max(p.copies[held]-1, 1))
+		if victim == "" || loaded < least || (loaded == least && held < victim) {
 			victim, least = held, loaded
 		}
 	}
 	return victim, victim != ""
 }
 
+// mayGo reports whether a copy of a model may be unloaded for another model.
+func (p *plan) mayGo(held, model string) bool {
+	if p.copies[held] < 2 {
+		return p.Idle[held] || p.mayPage(held, model)
+	}
+	gain := p.work(model) / float64(p.copies[model]+1)
+	return p.copies[model] == 0 || p.work(held)/float64(p.copies[held]-1) <= coldFactor*gain
+}
+
+// mayPage reports whether the last copy of a model may go for a model without a copy,
+// where not all of them fit.
+func (p *plan) mayPage(held, model string) bool {
+	return p.copies[model] == 0 && p.rate(model) >= pageRate && pageFactor*p.rate(held) <= p.rate(model)
+}
+
 // Used returns the megabytes of weights and adapters that a target holds or may
 // come to hold.
 func Used(engine *registrar.Engine, site *Site) float64 {
--- /dev/null
+++ b/internal/gateway/tallier/watch_test.go
@@ -0,0 +1,35 @@
+package tallier
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestIdleModels replays demand that leaves a model, and a quiet night.
+func TestIdleModels(t *testing.T) {
+	models := []string{"hot", "rare", "left"}
+	w := NewWatch()
+	now := time.Unix(0, 0)
+	observe := func(seconds int, rates map[string]float64) {
+		demand := map[Key]Demand{}
+		for model, rate := range rates {
+			demand[Key{Service: "s", Model: model}] = Demand{Rate: rate}
+		}
+		for range 5 * seconds {
+			now = now.Add(200 * time.Millisecond)
+			w.Observe(now, demand)
+		}
+	}
+	assert.Empty(t, w.Idle("s", models), "nothing is known yet")
+	observe(60, nil)
+	assert.Empty(t, w.Idle("s", models), "without requests no model is idle")
+	observe(10, map[string]float64{"hot": 20, "left": 5})
+	observe(3, map[string]float64{"hot": 20, "rare": 0.4})
+	assert.Empty(t, w.Idle("s", models))
+	observe(2, map[string]float64{"hot": 20})
+	assert.Equal(t, map[string]bool{"left": true}, w.Idle("s", models))
+	observe(5, map[string]float64{"hot": 20, "left": 0.4})
+	assert.Equal(t, map[string]bool{"rare": true}, w.Idle("s", models), "one that is asked for again is not idle")
+}
