Call the store less: longer pauses after failures, one reader also for instances

A call that replaced the reader's did not wait for changes, so that a reader that is gone made its cell ask in a tight loop.

--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -25,8 +25,10 @@
 	// shortWait is the same for tables whose changes bind: a call that hangs on a
 	// connection gone silent ends before this instance counts as in touch again.
 	shortWait = 1800 * time.Millisecond
-	// retryAfter is the pause after a failed call.
+	// retryAfter is the pause after a failed call, which doubles up to retryMost while
+	// calls go on to fail: a store that is pressed is not pressed further.
 	retryAfter = 200 * time.Millisecond
+	retryMost  = time.Second
 	// returnTime is how long after the return of the store the entries that
 	// lapsed meanwhile may still be missing.
 	returnTime = 2200 * time.Millisecond
@@ -111,18 +113,32 @@
 
 // Run follows the table until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
+	failures := 0
 	for ctx.Err() == nil {
-		wait := f.pause
-		if !f.Step() {
-			wait = retryAfter
+		if f.Step() {
+			failures = 0
+		} else {
+			failures++
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait):
+		case <-time.After(f.pauseAfter(failures)):
 		}
 	}
 }
 
+// pauseAfter returns the time until the next call after a number of failures in a row.
+func (f *Follower) pauseAfter(failures int) time.Duration {
+	if failures == 0 {
+		return f.pause
+	}
+	pause := retryAfter
+	for range failures - 1 {
+		pause = min(2*pause, retryMost)
+	}
+	return pause
+}
+
 // Step makes one call to the store and reports whether it answered.
 func (f *Follower) Step() bool {
 	err := f.advance()
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -234,3 +234,14 @@
 		assert.GreaterOrEqual(t, changes.Age, 3*time.Second)
 	})
 }
+
+// TestPauseGrowsWhileCallsFail replays a store that refuses for long.
+func TestPauseGrowsWhileCallsFail(t *testing.T) {
+	_, f := newWorld()
+	pauses := []time.Duration{}
+	for failures := range 6 {
+		pauses = append(pauses, f.pauseAfter(failures))
+	}
+	const ms = time.Millisecond
+	assert.Equal(t, []time.Duration{0, 200 * ms, 400 * ms, 800 * ms, 1000 * ms, 1000 * ms}, pauses)
+}
--- a/internal/gateway/supervisor/cell.go
+++ b/internal/gateway/supervisor/cell.go
@@ -23,6 +23,9 @@
 	cellSize = 5
 	// readerAge is how old the word of an instance that reads for others may be.
 	readerAge = time.Second
+	// readerWait is how long a call to it may wait for changes: one to an instance that
+	// has stopped must end well before a new manifest has to be in force.
+	readerWait = time.Second
 	// readerTimeout is how much longer than it may wait a call to it may take.
 	readerTimeout = 300 * time.Millisecond
 )
@@ -61,6 +64,8 @@
 	if address == "" {
 		return s.platform.Follow(table, after, wait)
 	}
+	own := wait
+	wait = min(wait, readerWait)
 	query := url.Values{
 		"name": {table}, "after": {strconv.FormatInt(after, 10)}, "wait": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
@@ -71,7 +76,7 @@
 	})
 	changes := follower.ChangesOf(in)
 	if err != nil || changes.Age > wait+readerAge {
-		return s.platform.Follow(table, after, 0)
+		return s.platform.Follow(table, after, own)
 	}
 	return changes, nil
 }
@@ -102,6 +107,8 @@
 		return s.manifests
 	case s.platform.TargetTable:
 		return s.targets
+	case instanceTable:
+		return s.instances
 	default:
 		return nil
 	}
--- a/internal/gateway/supervisor/lease.go
+++ b/internal/gateway/supervisor/lease.go
@@ -20,8 +20,10 @@
 	leaseLife   = 1500 * time.Millisecond
 	leaseMargin = 400 * time.Millisecond
 	leaseRenew  = 400 * time.Millisecond
-	// holderSilence is how long a holder may be silent until others look at the lease.
-	holderSilence = 700 * time.Millisecond
+	// holderSilence is how long a holder may be silent until others look at the lease,
+	// and silentIntervals the same in intervals of news where those are longer.
+	holderSilence   = 700 * time.Millisecond
+	silentIntervals = 2.5
 	// handoverMargin is added to the least time between orders of two holders,
 	// for the time that an order is on its way.
 	handoverMargin = 300 * time.Millisecond
@@ -105,8 +107,9 @@
 // holder returns the peer address of the peer that says that it holds the lease;
 // empty if none does.
 func (s *Supervisor) holder() string {
+	silence := max(holderSilence, time.Duration(silentIntervals*float64(s.informer.Interval())))
 	for _, peer := range s.informer.Peers() {
-		if peer.News.Holder && time.Since(peer.HeardAt) < holderSilence {
+		if peer.News.Holder && time.Since(peer.HeardAt) < silence {
 			return peer.News.PeerAddress
 		}
 	}
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -141,7 +141,6 @@
 	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait())
 	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargets, log,
 		follower.WithShortWait(), follower.WithPause(targetPause))
-	source.Follow = s.platform.Follow
 	s.instances = follower.New(instanceTable, source, s.applyInstances, log)
 }
 
