Wait for a model only if it comes in time, and tell the others when it does

The holder of the lease heard of the need with the news, up to 0.8 s late among 31 instances. An instance now asks the holder when a model will be served; the holder plans at once. A request waits if that is before its caller leaves, else it is refused at once with the time to come back. Adapters are also ordered at targets that load a model: of 138 such orders 12 were refused as busy. A load that was accepted now also counts beyond its open order. Failed try, reverted: last copies of models that are asked for now and then go for models whose copies are full.

--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -38,9 +38,6 @@
 	bodyTimeout = 10 * time.Second
 	// minimumLeft is the time that must be left to send a request to a target.
 	minimumLeft = 10 * time.Millisecond
-	// loadPatience is how long a request waits for a model that is being loaded:
-	// about the time of a load, and less than callers wait for the first event.
-	loadPatience = 1700 * time.Millisecond
 	// adapterPatience is how long a request waits for an adapter.
 	adapterPatience = 1500 * time.Millisecond
 	// fullPatience is the share of its aim that a request waits for a place.
@@ -74,6 +71,10 @@
 	// ensureAdapter asks for an adapter to be served; it returns when it is, or why
 	// it is not.
 	ensureAdapter func(ctx context.Context, service, model, adapter string) error
+	// expectModel returns in how long a target will serve a model that none serves, or
+	// why none will.
+	expectModel func(ctx context.Context, service, model string) (time.Duration, error)
+	expected    expectations
 	// observe is told of each request that ended.
 	observe  func(measurer.Request)
 	closing  atomic.Bool
@@ -94,6 +95,11 @@
 	return func(c *Conductor) { c.ensureAdapter = ensure }
 }
 
+// WithModels sets how it is found out when a model that no target serves will be served.
+func WithModels(expect func(ctx context.Context, service, model string) (time.Duration, error)) Option {
+	return func(c *Conductor) { c.expectModel = expect }
+}
+
 // WithObserver sets what is told of each request that ended; its team is the route.
 func WithObserver(observe func(measurer.Request)) Option {
 	return func(c *Conductor) { c.observe = observe }
@@ -109,6 +115,8 @@
 		log: logr.Discard(), now: time.Now, demand: func(Demand) {}, waiting: func(Demand) {},
 		observe:       func(measurer.Request) {},
 		ensureAdapter: func(context.Context, string, string, string) error { return balancer.ErrNoAdapter },
+		expectModel:   func(context.Context, string, string) (time.Duration, error) { return 0, balancer.ErrNoModel },
+		expected:      expectations{known: map[modelKey]*expectation{}},
 	}
 	for _, option := range options {
 		option(c)
@@ -125,8 +133,11 @@
 // Active returns the number of requests that have no final answer yet.
 func (c *Conductor) Active() int { return int(c.active.Load()) }
 
-// Prune closes idle connections that have expired.
-func (c *Conductor) Prune() { c.pools.Prune(c.now()) }
+// Prune closes idle connections that have expired and forgets what is old.
+func (c *Conductor) Prune() {
+	c.pools.Prune(c.now())
+	c.expected.forget(c.now())
+}
 
 // request is a caller's request on its way.
 type request struct {
@@ -337,6 +348,9 @@
 		}
 		if errors.Is(err, balancer.ErrNoModel) {
 			c.waiting(q.demand)
+			if err := c.awaitModel(ctx, q); err != nil {
+				return nil, err
+			}
 		}
 		if !c.now().Before(q.patience(err)) {
 			return nil, err
@@ -362,7 +376,7 @@
 	limit := q.arrived
 	switch {
 	case errors.Is(reason, balancer.ErrNoModel):
-		limit = limit.Add(loadPatience)
+		return q.modelPatience()
 	case errors.Is(reason, balancer.ErrNoAdapter):
 		limit = limit.Add(adapterPatience)
 	case errors.Is(reason, balancer.ErrFull):
--- /dev/null
+++ b/internal/gateway/conductor/expect_test.go
@@ -0,0 +1,93 @@
+package conductor_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusring/crocusring/internal/gateway/balancer"
+	"github.com/crocusring/crocusring/internal/gateway/budgeter"
+	"github.com/crocusring/crocusring/internal/gateway/conductor"
+	"github.com/crocusring/crocusring/internal/gateway/registrar"
+)
+
+// setupModel serves the route /model/ by an engine that holds no model yet. The holder
+// of the lease says when it will, as expect does.
+func setupModel(t *testing.T, x *target, expect func() (time.Duration, error)) (*httptest.Server, *registrar.Registrar) {
+	t.Helper()
+	r := registrar.New()
+	engine := &registrar.Engine{Slots: 4, CacheTokens: 1 << 20, Models: map[string]registrar.Model{"m": {Name: "m"}}}
+	r.SetManifest(&registrar.Manifest{
+		Version: 1, Services: map[string]*registrar.Service{"s": {Name: "s", Engine: engine}},
+		Routes: []*registrar.Route{{
+			Host: "h.example", Prefix: "/model/", Kind: registrar.Unsafe, MaxAttempts: 1, TimeoutMilliseconds: 9000,
+			AimMilliseconds: 200, Backends: []registrar.Backend{{Service: "s", Weight: 1}},
+		}},
+	})
+	setHoldings(r, x.address)
+	c := conductor.New(headers, r, balancer.New(), budgeter.New(0.2, 50, 10*time.Second),
+		conductor.WithModels(func(context.Context, string, string) (time.Duration, error) { return expect() }))
+	server := httptest.NewServer(c)
+	t.Cleanup(server.Close)
+	return server, r
+}
+
+func setHoldings(r *registrar.Registrar, address string, models ...string) {
+	r.Update(func(table map[string]*registrar.Target) {
+		engine := &registrar.Target{ID: "t0", Service: "s", Address: address, Slots: 4}
+		for _, model := range models {
+			engine.Holdings = append(engine.Holdings, registrar.Holding{Model: model})
+		}
+		table["t0"] = engine
+	})
+}
+
+func TestModelThatNoTargetServes(t *testing.T) {
+	t.Run("one that comes soon is waited for", func(t *testing.T) {
+		x := newTarget(t, ok)
+		server, r := setupModel(t, x, func() (time.Duration, error) { return 200 * time.Millisecond, nil })
+		time.AfterFunc(300*time.Millisecond, func() { setHoldings(r, x.address, "m") })
+		response, body, err := send(t, server, "POST", "/model/", "b", "Test-Model", "m")
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, response.StatusCode)
+		assert.Equal(t, "done", body)
+	})
+	t.Run("for one that comes later the caller is told when", func(t *testing.T) {
+		server, _ := setupModel(t, newTarget(t, ok), func() (time.Duration, error) { return 5 * time.Second, nil })
+		began := time.Now()
+		response, _, err := send(t, server, "POST", "/model/", "b", "Test-Model", "m")
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		assert.InDelta(t, 5.5, after, 0.6)
+		assert.Less(t, time.Since(began), 500*time.Millisecond, "at once")
+	})
+	t.Run("one that does not come is refused at once", func(t *testing.T) {
+		server, _ := setupModel(t, newTarget(t, ok), func() (time.Duration, error) { return 0, balancer.ErrNoModel })
+		began := time.Now()
+		response, _, err := send(t, server, "POST", "/model/", "b", "Test-Model", "m")
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		assert.Less(t, time.Since(began), 500*time.Millisecond, "at once")
+	})
+	t.Run("requests for one model share a question", func(t *testing.T) {
+		var asked atomic.Int64
+		server, _ := setupModel(t, newTarget(t, ok), func() (time.Duration, error) {
+			asked.Add(1)
+			return 5 * time.Second, nil
+		})
+		for range 10 {
+			_, _, err := send(t, server, "POST", "/model/", "b", "Test-Model", "m")
+			require.NoError(t, err)
+		}
+		assert.EqualValues(t, 1, asked.Load())
+	})
+}
--- a/internal/gateway/conductor/refusal.go
+++ b/internal/gateway/conductor/refusal.go
@@ -26,6 +26,9 @@
 	// adapterPause is enough for a new holder of the lease on orders to be there.
 	adapterPause = 1500 * time.Millisecond
 	leastPause   = 100 * time.Millisecond
+	// comingSpread is the share by which those who are asked to come back once a model
+	// is there are spread.
+	comingSpread = 0.2
 )
 
 // Refusal is a final answer of this system to a request that was not run.
@@ -112,6 +115,10 @@
 		timeout = q.deadline.Sub(q.arrived)
 	}
 	pause := time.Duration(pauseShare * float64(timeout))
+	var coming *ExpectedError
+	if errors.As(cause, &coming) {
+		return coming.In + time.Duration(comingSpread*float64(coming.In+leastPause)*float64(xxhash.Sum64String(q.id)%1000)/1000)
+	}
 	if errors.Is(cause, balancer.ErrNoAdapter) {
 		pause = min(pause, adapterPause)
 	}
--- a/internal/gateway/foreman/adapters.go
+++ b/internal/gateway/foreman/adapters.go
@@ -123,7 +123,7 @@
 	// An older view may lack what was forgotten since the latest one has told of it.
 	state := f.state(f.registry.View(), service)
 	for _, site := range state.Sites {
-		site.Busy = site.Busy || excluded[site.Target.ID]
+		site.Resting = site.Resting || excluded[site.Target.ID]
 	}
 	move, ok := placer.PlaceAdapter(state, key.Model, key.Adapter)
 	if !ok {
--- a/internal/gateway/foreman/foreman.go
+++ b/internal/gateway/foreman/foreman.go
@@ -102,6 +102,12 @@
 	fenced int64
 	// asked are the adapters that are being loaded.
 	asked map[tallier.Key]*asking
+	// wanted are the models that requests wait for, each with the deadline until which
+	// it counts as asked for.
+	wanted map[tallier.Key]time.Time
+	// planned is closed and replaced at each plan, and urgent asks for one.
+	planned chan struct{}
+	urgent  chan struct{}
 }
 
 // asking is a wait for an adapter.
@@ -116,6 +122,7 @@
 	return &Foreman{
 		holder: holder, calls: calls, bounds: bounds, registry: registry, balancer: b, tally: tally, log: log,
 		now: time.Now, sites: map[string]*site{}, watch: tallier.NewWatch(), asked: map[tallier.Key]*asking{},
+		wanted: map[tallier.Key]time.Time{}, planned: make(chan struct{}), urgent: make(chan struct{}, 1),
 	}
 }
 
@@ -141,8 +148,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			f.Tick()
+		case <-f.urgent:
 		}
+		f.Tick()
 	}
 }
 
--- a/internal/gateway/foreman/foreman_test.go
+++ b/internal/gateway/foreman/foreman_test.go
@@ -78,7 +78,9 @@
 		e.adapters[name] = true
 	case o.IsUnload:
 		e.orders++
-		delete(e.models, o.Model)
+		if !e.inUse[o.Model] {
+			delete(e.models, o.Model)
+		}
 	default:
 		e.orders++
 		e.models[o.Model] = true
@@ -467,3 +469,68 @@
 	}
 	assert.LessOrEqual(t, len(e.adapters), 1, "the second one has no room beside the model")
 }
+
+// TestExpectedModel replays a request for a model that no target holds.
+func TestExpectedModel(t *testing.T) {
+	w, r, f := newWorld(1, 1)
+	manifest := r.View().Manifest
+	for name, model := range manifest.Services["s"].Engine.Models {
+		model.LoadSeconds = 8
+		manifest.Services["s"].Engine.Models[name] = model
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	go f.Run(ctx)
+	for _, model := range []string{"m1", "m1"} {
+		expected, err := f.ExpectModel(ctx, "s", model)
+		require.NoError(t, err)
+		assert.InDelta(t, 8.3, expected.Seconds(), 0.5)
+	}
+	t.Run("the target is busy with it", func(t *testing.T) {
+		_, err := f.ExpectModel(ctx, "s", "m2")
+		assert.ErrorIs(t, err, ErrNoPlace)
+	})
+	t.Run("another instance gives the orders", func(t *testing.T) {
+		w.mu.Lock()
+		w.grant = false
+		w.mu.Unlock()
+		_, err := f.ExpectModel(ctx, "s", "m3")
+		assert.ErrorIs(t, err, ErrNotHolder)
+	})
+}
+
+// TestUnloadOfAModelThatTheTableNeverTold replays a takeover while the target table is
+// late: a model is known from its target alone, and nothing is loaded in its place before
+// it is known to be gone.
+func TestUnloadOfAModelThatTheTableNeverTold(t *testing.T) {
+	w, r, f := newWorld(1, 1)
+	e := w.engines["t0"]
+	e.models["m1"] = true
+	e.inUse["m1"] = true
+	target := r.View().Targets["t0"]
+	f.mu.Lock()
+	f.site(target).coming[placer.AdapterKey{Model: "m1"}] = time.Now().Add(time.Minute)
+	f.mu.Unlock()
+	f.move(placer.Move{Target: target, Model: "m1", Unload: true, For: "m2"})
+	ordered := func(n int64) func() bool {
+		return func() bool {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.orders == n
+		}
+	}
+	require.Eventually(t, ordered(1), time.Second, time.Millisecond)
+	for range 5 {
+		f.Tick()
+	}
+	assert.Never(t, ordered(2), 50*time.Millisecond, time.Millisecond)
+	assert.False(t, e.crashed)
+	e.models["m1"] = true
+	w.publish(r)
+	f.Tick()
+	delete(e.models, "m1")
+	w.publish(r)
+	f.Tick()
+	require.Eventually(t, ordered(2), time.Second, time.Millisecond, "the table has told of its end")
+	assert.False(t, e.crashed)
+}
--- a/internal/gateway/foreman/models.go
+++ b/internal/gateway/foreman/models.go
@@ -40,6 +40,7 @@
 	if !f.IsHolder() {
 		return
 	}
+	defer f.tellPlanned()
 	view := f.registry.View()
 	if view.Manifest == nil {
 		return
@@ -107,7 +108,9 @@
 			continue
 		}
 		if !t.Leaving && (f.loadsLeft(service.Engine) > len(moves) || t.HasAtHand(s.next)) {
-			moves = append(moves, placer.Move{Target: t, Model: s.next, Reason: "room is made"})
+			moves = append(moves, placer.Move{
+				Target: t, Model: s.next, Reason: "room is made", Seconds: placer.LoadSeconds(service.Engine, t, s.next),
+			})
 			s.next = ""
 		}
 	}
@@ -127,6 +130,7 @@
 	for _, o := range f.balancer.Overlays() {
 		overlays[o.Target] = append(overlays[o.Target], o)
 	}
+	f.addWanted(&state)
 	for _, t := range view.TargetsOf(service.Name) {
 		if !t.Leaving {
 			state.Sites = append(state.Sites, f.siteState(t, overlays[t.ID]))
@@ -157,11 +161,15 @@
 	d := f.decide(move.Target)
 	s := d.site
 	// Marked open before the order goes out, so that no plan counts on the target meanwhile.
-	s.open = &openOrder{order: Order{Model: move.Model, IsUnload: move.Unload}, until: f.now().Add(openLife)}
+	now := f.now()
+	s.open = &openOrder{
+		order: Order{Model: move.Model, IsUnload: move.Unload}, until: now.Add(openLife),
+		serves: now.Add(time.Duration(move.Seconds * float64(time.Second))),
+	}
 	if move.Unload {
 		s.next = move.For
 	} else if !move.Target.HasAtHand(move.Model) {
-		f.loads = append(f.loads, f.now())
+		f.loads = append(f.loads, now)
 	}
 	f.mu.Unlock()
 	f.log.Info("placement", "target", move.Target.ID, "model", move.Model, "unload", move.Unload, "for", move.For, "reason", move.Reason,
--- a/internal/gateway/foreman/site.go
+++ b/internal/gateway/foreman/site.go
@@ -46,6 +46,11 @@
 	order Order
 	// until is the deadline after which it is taken for not carried out.
 	until time.Time
+	// shown tells that the target table has told of the model meanwhile, so that its
+	// silence says that the model is gone.
+	shown bool
+	// serves is when the model that is loaded, by it or after it, is expected to serve.
+	serves time.Time
 }
 
 // departure is the unload of an adapter that a request may still use.
@@ -136,6 +141,9 @@
 		if s.open != nil && s.open.order.Model == order.Model {
 			s.open.until = until
 		}
+		if !order.IsUnload {
+			s.coming[h] = until
+		}
 	case order.IsUnload:
 		if gone := s.going[h]; gone != nil {
 			gone.until = until
@@ -173,10 +181,15 @@
 		return
 	}
 	_, held := t.Holding(s.open.order.Model)
-	if held == s.open.order.IsUnload && now.Before(s.open.until) {
+	s.open.shown = s.open.shown || held
+	isDone := held
+	if s.open.order.IsUnload {
+		isDone = s.open.shown && !held
+	}
+	if !isDone && now.Before(s.open.until) {
 		return
 	}
-	if held || !s.open.order.IsUnload {
+	if !isDone || !s.open.order.IsUnload {
 		s.next = ""
 	}
 	s.open = nil
@@ -213,11 +226,15 @@
 	}
 	if s.open != nil {
 		out.Models[s.open.order.Model] = true
+		if s.open.order.IsUnload {
+			out.Closing = s.open.order.Model
+		}
 	}
 	if s.next != "" {
 		out.Models[s.next] = true
 	}
-	out.Busy = s.open != nil || s.next != "" || f.now().Before(s.restsUntil) || f.balancer.IsResting(t.ID)
+	out.Resting = f.now().Before(s.restsUntil) || f.balancer.IsResting(t.ID)
+	out.Busy = out.Resting || s.open != nil || s.next != ""
 	return out
 }
 
--- a/internal/gateway/placer/adapters.go
+++ b/internal/gateway/placer/adapters.go
@@ -21,7 +21,7 @@
 	var best AdapterMove
 	bestCost := 0.0
 	for _, site := range state.Sites {
-		if site.Busy || site.Target.Leaving || !site.Models[model] || slices.Contains(site.Adapters[model], adapter) {
+		if site.Resting || site.Closing == model || site.Target.Leaving || !site.Models[model] || slices.Contains(site.Adapters[model], adapter) {
 			continue
 		}
 		move, cost, ok := placeAt(state, site, model)
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -60,8 +60,12 @@
 	// Moving holds the adapters that are being loaded or unloaded, or may be; they
 	// take a place and cannot make one.
 	Moving map[AdapterKey]bool
-	// Busy tells that an order is open.
+	// Busy tells that an order about a model is open, or that the target rests.
 	Busy bool
+	// Resting tells that the target gets no orders for a while.
+	Resting bool
+	// Closing is the model that is being unloaded; empty if there is none.
+	Closing string
 	// InFlight is the number of requests that it has, of all instances.
 	InFlight int
 }
@@ -92,6 +96,8 @@
 	// For is the model that is to be loaded once the unload is done.
 	For    string
 	Reason string
+	// Seconds is how long it takes until the model that is loaded serves.
+	Seconds float64
 }
 
 // plan is a State with its sums.
@@ -198,11 +204,16 @@
 		p.Loads--
 	}
 	if evicted != "" {
-		p.moves = append(p.moves, Move{Target: best.Target, Model: evicted, Unload: true, For: model, Reason: reason})
+		p.moves = append(p.moves, Move{
+			Target: best.Target, Model: evicted, Unload: true, For: model, Reason: reason,
+			Seconds: p.drainSeconds(evicted) + LoadSeconds(p.Service.Engine, best.Target, model),
+		})
 		p.copies[evicted]--
 		p.copies[model]++
 	} else {
-		p.moves = append(p.moves, Move{Target: best.Target, Model: model, Reason: reason})
+		p.moves = append(p.moves, Move{
+			Target: best.Target, Model: model, Reason: reason, Seconds: LoadSeconds(p.Service.Engine, best.Target, model),
+		})
 		p.copies[model]++
 		best.Models[model] = true
 	}
@@ -237,7 +248,7 @@
 // the copy serves.
 func (p *plan) siteCost(site *Site, model, victim string) float64 {
 	mean := max(p.mean, idleBase)
-	cost := p.load[site.Target.ID]/mean + waitCost*p.loadSeconds(site, model)
+	cost := p.load[site.Target.ID]/mean + waitCost*LoadSeconds(p.Service.Engine, site.Target, model)
 	if victim != "" {
 		copies := float64(p.copies[victim])
 		cost += evictionCost + waitCost*p.drainSeconds(victim)
@@ -249,13 +260,14 @@
 	return cost
 }
 
-// loadSeconds returns how long a target takes to load a model.
-func (p *plan) loadSeconds(site *Site, model string) float64 {
-	m := p.Service.Engine.Models[model]
+// LoadSeconds returns how long a target takes to load a model; 0 for a model that the
+// engine does not declare.
+func LoadSeconds(engine *registrar.Engine, target *registrar.Target, model string) float64 {
+	m := engine.Models[model]
 	switch {
-	case slices.Contains(site.Target.InMemory, model):
+	case slices.Contains(target.InMemory, model):
 		return m.HostSeconds
-	case slices.Contains(site.Target.OnDisk, model):
+	case slices.Contains(target.OnDisk, model):
 		return m.DiskSeconds
 	default:
 		return m.LoadSeconds
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -21,6 +21,7 @@
 	pathTable   = "/table"
 	pathChanges = "/changes"
 	pathAdapter = "/adapter"
+	pathModel   = "/model"
 )
 
 // tableTimeout bounds the read of a table from a peer.
@@ -126,18 +127,46 @@
 	return nil
 }
 
+// expectModel asks whoever holds the lease on orders when a model will be served.
+func (s *Supervisor) expectModel(ctx context.Context, service, model string) (time.Duration, error) {
+	expected, err := s.foreman.ExpectModel(ctx, service, model)
+	if !errors.Is(err, foreman.ErrNotHolder) {
+		return expected, err
+	}
+	address := s.holder()
+	if address == "" {
+		return 0, err
+	}
+	var answer messenger.ModelResponse
+	err = s.poster.Do(poster.Call{
+		Method: http.MethodPost, URL: "http://" + address + pathModel, In: messenger.ModelRequest{Service: service, Model: model},
+		Out: &answer, Deadline: deadlineOf(ctx),
+	})
+	if err != nil {
+		return 0, err
+	}
+	if answer.ServesInMilliseconds < 0 {
+		return 0, foreman.ErrNoPlace
+	}
+	return time.Duration(answer.ServesInMilliseconds) * time.Millisecond, nil
+}
+
+// deadlineOf returns the deadline of a call to a peer.
+func deadlineOf(ctx context.Context) time.Time {
+	if deadline, ok := ctx.Deadline(); ok {
+		return deadline
+	}
+	return time.Now().Add(tableTimeout)
+}
+
 func (s *Supervisor) askHolder(ctx context.Context, request messenger.AdapterRequest) (string, error) {
 	address := s.holder()
 	if address == "" {
 		return "", foreman.ErrNotHolder
 	}
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(tableTimeout)
-	}
 	var answer messenger.AdapterResponse
 	err := s.poster.Do(poster.Call{
-		Method: http.MethodPost, URL: "http://" + address + pathAdapter, In: request, Out: &answer, Deadline: deadline,
+		Method: http.MethodPost, URL: "http://" + address + pathAdapter, In: request, Out: &answer, Deadline: deadlineOf(ctx),
 	})
 	if err != nil {
 		return "", err
--- a/internal/gateway/supervisor/servers.go
+++ b/internal/gateway/supervisor/servers.go
@@ -151,6 +151,8 @@
 		s.serveTable(ctx)
 	case pathAdapter:
 		s.serveAdapter(ctx)
+	case pathModel:
+		s.serveModel(ctx)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -182,6 +184,24 @@
 	s.encode(ctx, messenger.AdapterResponse{Target: target})
 }
 
+// modelWait bounds how long a peer waits for word of a model.
+const modelWait = 500 * time.Millisecond
+
+func (s *Supervisor) serveModel(ctx *fasthttp.RequestCtx) {
+	var request messenger.ModelRequest
+	if !s.decode(ctx, &request) {
+		return
+	}
+	wait, cancel := context.WithTimeout(context.Background(), modelWait)
+	defer cancel()
+	expected, err := s.foreman.ExpectModel(wait, request.Service, request.Model)
+	if err != nil {
+		s.log.V(1).Info("model not expected", "model", request.Model, "error", err.Error())
+		expected = -time.Millisecond
+	}
+	s.encode(ctx, messenger.ModelResponse{ServesInMilliseconds: expected.Milliseconds()})
+}
+
 func (s *Supervisor) decode(ctx *fasthttp.RequestCtx, out any) bool {
 	if err := json.Unmarshal(ctx.PostBody(), out); err != nil {
 		s.log.Error(err, "message of a peer cannot be read", "path", string(ctx.Path()))
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -108,7 +108,7 @@
 	bounds := settings.Bounds
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
 	s.conductor = conductor.New(platform.Headers, s.registry, s.balancer, s.budget,
-		conductor.WithLog(log), conductor.WithAdapters(s.ensureAdapter),
+		conductor.WithLog(log), conductor.WithAdapters(s.ensureAdapter), conductor.WithModels(s.expectModel),
 		conductor.WithDemand(s.countDemand, s.countWaiting), conductor.WithObserver(s.measurer.Observe))
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.right = newRight(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -581,6 +581,24 @@
 	Key string `json:"Key"`
 }
 
+// ModelRequest asks the holder of the lease when a model that no target serves
+// will be served.
+type ModelRequest struct {
+	// Model corresponds to the JSON schema field "Model".
+	Model string `json:"Model"`
+
+	// Service corresponds to the JSON schema field "Service".
+	Service string `json:"Service"`
+}
+
+// ModelResponse tells in how long a target is expected to serve the model; less
+// than 0 if none is to load it.
+type ModelResponse struct {
+	// ServesInMilliseconds corresponds to the JSON schema field
+	// "ServesInMilliseconds".
+	ServesInMilliseconds int64 `json:"ServesInMilliseconds"`
+}
+
 // ModelSetting declares a model under /platform/models/NAME or
 // /teams/TEAM/models/NAME. Copies is the least number of copies.
 type ModelSetting struct {
