--- a/internal/gateway/foreman/adapters.go
+++ b/internal/gateway/foreman/adapters.go
@@ -89,7 +89,7 @@
 	if len(loads) > mostFills {
 		loads = loads[:mostFills]
 	}
-	reserved := []reservation{}
+	reserved := make([]reservation, 0, len(loads))
 	for _, load := range loads {
 		d := f.decide(load.Site.Target)
 		d.site.coming[placer.AdapterKey{Model: load.Model, Adapter: load.Adapter}] = f.now().Add(openLife)
@@ -133,7 +133,8 @@
 	until := f.now().Add(openLife)
 	d.site.coming[placer.AdapterKey{Model: key.Model, Adapter: key.Adapter}] = until
 	if move.EvictedAdapter != "" {
-		d.site.going[placer.AdapterKey{Model: move.EvictedModel, Adapter: move.EvictedAdapter}] = &departure{until: until}
+		evicted := placer.AdapterKey{Model: move.EvictedModel, Adapter: move.EvictedAdapter}
+		d.site.going[evicted] = &departure{until: until, shown: isHeld(move.Site.Target, evicted)}
 	}
 	return reservation{AdapterMove: move, decision: d}, true
 }
--- a/internal/gateway/foreman/foreman_test.go
+++ b/internal/gateway/foreman/foreman_test.go
@@ -534,3 +534,43 @@
 	require.Eventually(t, ordered(2), time.Second, time.Millisecond, "the table has told of its end")
 	assert.False(t, e.crashed)
 }
+
+// TestUnloadAtOnce replays an unload that is done before the next look at the table: the
+// load that it makes room for follows at once.
+func TestUnloadAtOnce(t *testing.T) {
+	w, r, f := newWorld(1, 1)
+	e := w.engines["t0"]
+	e.models["m1"] = true
+	w.publish(r)
+	f.move(placer.Move{Target: r.View().Targets["t0"], Model: "m1", Unload: true, For: "m2"})
+	require.Eventually(t, func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return !e.models["m1"]
+	}, time.Second, time.Millisecond)
+	w.publish(r)
+	f.Tick()
+	require.Eventually(t, func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.models["m2"]
+	}, time.Second, time.Millisecond)
+}
+
+// TestEvictionAtOnce replays the same for an adapter whose request has just ended.
+func TestEvictionAtOnce(t *testing.T) {
+	w, r, f := newWorld(1, 1)
+	e := w.engines["t0"]
+	e.hold("m0/x0", "m0/x1", "m0/x2", "m0/x3")
+	for name := range e.adapters {
+		e.inUse[name] = true
+	}
+	w.publish(r)
+	_, err := ensure(t, f, "a1")
+	require.Error(t, err)
+	delete(e.adapters, "m0/x0")
+	w.publish(r)
+	f.settle(r.View())
+	_, err = ensure(t, f, "a1")
+	assert.NoError(t, err)
+}
--- a/internal/gateway/foreman/models.go
+++ b/internal/gateway/foreman/models.go
@@ -165,6 +165,7 @@
 	s.open = &openOrder{
 		order: Order{Model: move.Model, IsUnload: move.Unload}, until: now.Add(openLife),
 		serves: now.Add(time.Duration(move.Seconds * float64(time.Second))),
+		shown:  isHeld(move.Target, placer.AdapterKey{Model: move.Model}),
 	}
 	if move.Unload {
 		s.next = move.For
--- a/internal/gateway/foreman/site.go
+++ b/internal/gateway/foreman/site.go
@@ -46,8 +46,8 @@
 	order Order
 	// until is the deadline after which it is taken for not carried out.
 	until time.Time
-	// shown tells that the target table has told of the model meanwhile, so that its
-	// silence says that the model is gone.
+	// shown tells that the target table has told of the model, so that its silence says
+	// that the model is gone.
 	shown bool
 	// serves is when the model that is loaded, by it or after it, is expected to serve.
 	serves time.Time
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -2,10 +2,10 @@
 // answers demand that moves from model to model, the loss of targets, and rare
 // models that are asked for at once; it does no input or output.
 //
-// A plan unloads the last copy of a model only if nobody asks for it, or for a model
-// without a copy that is asked for far more. It never fills a target beyond its memory,
-// counting what its open orders may still do, and stays within the rate and the number
-// of loads from the weight store.
+// A plan unloads the last copy of a model only if nobody asks for it and the one that
+// needs the room has full copies only, or for a model without a copy that is asked for
+// far more. It never fills a target beyond its memory, counting what its open orders may
+// still do, and stays within the rate and the number of loads from the weight store.
 package placer
 
 import (
@@ -29,6 +29,8 @@
 	// requests a second.
 	pageFactor = 4
 	pageRate   = 0.1
+	// fullShare is the share of its slots from which a target counts as full.
+	fullShare = 0.85
 	// leastRate is the demand, in requests a second, below which one copy will do.
 	leastRate = 0.5
 	// idleBase is the load that every copy counts for, so that copies spread.
@@ -322,7 +324,7 @@
 // mayGo reports whether a copy of a model may be unloaded for another model.
 func (p *plan) mayGo(held, model string) bool {
 	if p.copies[held] < 2 {
-		return p.Idle[held] || p.mayPage(held, model)
+		return (p.Idle[held] && p.isFull(model)) || p.mayPage(held, model)
 	}
 	gain := p.work(model) / float64(p.copies[model]+1)
 	return p.copies[model] == 0 || p.work(held)/float64(p.copies[held]-1) <= coldFactor*gain
@@ -334,6 +336,17 @@
 	return p.copies[model] == 0 && p.rate(model) >= pageRate && pageFactor*p.rate(held) <= p.rate(model)
 }
 
+// isFull reports whether every target that holds a model has about as much as it can
+// take; true for a model without a copy.
+func (p *plan) isFull(model string) bool {
+	for _, site := range p.Sites {
+		if site.Models[model] && float64(site.InFlight) < fullShare*float64(site.Target.Slots) {
+			return false
+		}
+	}
+	return true
+}
+
 // Used returns the megabytes of weights and adapters that a target holds or may
 // come to hold.
 func Used(engine *registrar.Engine, site *Site) float64 {
