--- a/internal/tool/soaker/soaker.go
+++ b/internal/tool/soaker/soaker.go
@@ -226,7 +226,7 @@
 	if err != nil {
 		return errors.Wrap(err, "proxy of the store")
 	}
-	addresses, err := freeAddresses(5)
+	addresses, err := freeAddresses(loopback(len(w.processes)), 5)
 	if err != nil {
 		return err
 	}
@@ -258,11 +258,18 @@
 	return p.start()
 }
 
-// freeAddresses returns loopback addresses that nobody listens on.
-func freeAddresses(n int) ([]string, error) {
+// loopback returns the loopback number of an instance of this run. Runs beside each
+// other have others, so that none takes a port between two starts of an instance.
+func loopback(n int) string {
+	id := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+(id>>8)%127, id%256, 2+n)
+}
+
+// freeAddresses returns addresses of a loopback number that nobody listens on.
+func freeAddresses(ip string, n int) ([]string, error) {
 	out := []string{}
 	for range n {
-		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		ln, err := net.Listen("tcp4", ip+":0")
 		if err != nil {
 			return nil, errors.Wrap(err, "free address")
 		}
