--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -31,8 +31,9 @@
 	pageRate   = 0.1
 	// fullShare is the share of its slots from which a target counts as full.
 	fullShare = 0.85
-	// leastRate is the demand, in requests a second, below which one copy will do.
-	leastRate = 0.5
+	// leastRate is the demand, in requests a second, below which the copies that there
+	// are will do: a target runs a few requests at once, and a few say little.
+	leastRate = 1.2
 	// idleBase is the load that every copy counts for, so that copies spread.
 	idleBase = 1e-3
 	// evictionCost weighs an unload against a target that has less to do, and
--- a/internal/gateway/placer/placer_test.go
+++ b/internal/gateway/placer/placer_test.go
@@ -272,3 +272,13 @@
 	state.Demand = demand(map[string]float64{"m0": 0.4})
 	assert.Empty(t, placer.Plan(state), "nobody asks for the missing one")
 }
+
+// TestFirstRequests replays the first moments of traffic: a few requests say little of
+// what is asked for, and move nothing.
+func TestFirstRequests(t *testing.T) {
+	state := placer.State{Service: service(3), Sites: []*placer.Site{site("t1", "m0", "m1"), site("t2", "m1", "m2")}, Loads: 4}
+	state.Demand = demand(map[string]float64{"m0": 0.8, "m1": 0.2, "m2": 0.2})
+	assert.Empty(t, placer.Plan(state), "two requests for m0 lately")
+	state.Demand = demand(map[string]float64{"m0": 16, "m1": 4, "m2": 4})
+	assert.NotEmpty(t, placer.Plan(state))
+}
