--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -75,7 +75,6 @@
 	// why none will.
 	expectModel func(ctx context.Context, service, model string) (time.Duration, error)
 	expected    expectations
-	returns     returns
 	// observe is told of each request that ended.
 	observe  func(measurer.Request)
 	closing  atomic.Bool
@@ -153,8 +152,6 @@
 	arrived  time.Time
 	// deadline is when the final answer is due.
 	deadline time.Time
-	// isLate tells that the request came back too late to be on time.
-	isLate bool
 	// sent counts the targets that the request has reached.
 	sent int
 	// mayRun tells that a target may have run the request or may be running it.
@@ -215,7 +212,6 @@
 	q.deadline = now.Add(defaultDeadline)
 	if deadline, ok := c.headers.callerDeadline(r, now); ok {
 		q.deadline = deadline
-		q.isLate = c.returns.isLate(route.Name, deadline.Sub(now), time.Duration(route.AimMilliseconds)*time.Millisecond)
 	}
 	if route.TimeoutMilliseconds > 0 {
 		timeout := now.Add(time.Duration(route.TimeoutMilliseconds) * time.Millisecond)
@@ -383,8 +379,6 @@
 		return q.modelPatience()
 	case errors.Is(reason, balancer.ErrNoAdapter):
 		limit = limit.Add(adapterPatience)
-	case errors.Is(reason, balancer.ErrFull) && q.isLate && q.demand.Model != "":
-		return q.modelPatience()
 	case errors.Is(reason, balancer.ErrFull):
 		limit = limit.Add(time.Duration(fullPatience*float64(q.route.AimMilliseconds)) * time.Millisecond)
 	}
@@ -394,15 +388,10 @@
 	return limit
 }
 
-// wait returns when a look for a target may succeed; false when the request ended. A
-// request that is late leaves the first look at a free place to those that may still be
-// on time.
+// wait returns when a look for a target may succeed; false when the request ended.
 func (c *Conductor) wait(ctx context.Context, q *request, changed, freed <-chan struct{}) bool {
 	timer := time.NewTimer(min(recheckAfter, q.deadline.Sub(c.now())))
 	defer timer.Stop()
-	if q.isLate {
-		freed = nil
-	}
 	select {
 	case <-ctx.Done():
 		return false
