Count an adapter that comes back before the table told of its end; keep open orders apart

An adapter that is unloaded for another one and loaded again within a second was taken for told by an entry of before its unload; the next entry, of between the two orders, then left it out, and its place counted as free. The test replays the five steps and failed before. Also: an order that failed late forgot the open order that had come after it; a model that is overdue was told as there at once (Retry-After 6 ms), both with tests that failed.

--- a/internal/gateway/conductor/expect_test.go
+++ b/internal/gateway/conductor/expect_test.go
@@ -70,6 +70,15 @@
 		assert.InDelta(t, 5.5, after, 0.6)
 		assert.Less(t, time.Since(began), 500*time.Millisecond, "at once")
 	})
+	t.Run("for one that is overdue the caller is not told to come back at once", func(t *testing.T) {
+		server, _ := setupModel(t, newTarget(t, ok), func() (time.Duration, error) { return -time.Second, nil })
+		response, _, err := send(t, server, "POST", "/model/", "b", "Test-Model", "m")
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		assert.GreaterOrEqual(t, after, 0.3)
+	})
 	t.Run("one that does not come is refused at once", func(t *testing.T) {
 		server, _ := setupModel(t, newTarget(t, ok), func() (time.Duration, error) { return 0, balancer.ErrNoModel })
 		began := time.Now()
--- a/internal/gateway/conductor/refusal.go
+++ b/internal/gateway/conductor/refusal.go
@@ -117,7 +117,7 @@
 	pause := time.Duration(pauseShare * float64(timeout))
 	var coming *ExpectedError
 	if errors.As(cause, &coming) {
-		return coming.In + time.Duration(comingSpread*float64(coming.In+leastPause)*float64(xxhash.Sum64String(q.id)%1000)/1000)
+		return max(coming.In, shortPause) + time.Duration(comingSpread*float64(coming.In+leastPause)*float64(xxhash.Sum64String(q.id)%1000)/1000)
 	}
 	if errors.Is(cause, balancer.ErrNoAdapter) {
 		pause = min(pause, adapterPause)
--- a/internal/gateway/foreman/adapters.go
+++ b/internal/gateway/foreman/adapters.go
@@ -92,7 +92,7 @@
 	reserved := make([]reservation, 0, len(loads))
 	for _, load := range loads {
 		d := f.decide(load.Site.Target)
-		d.site.coming[placer.AdapterKey{Model: load.Model, Adapter: load.Adapter}] = f.now().Add(openLife)
+		d.site.arrive(placer.AdapterKey{Model: load.Model, Adapter: load.Adapter}, f.now().Add(openLife))
 		reserved = append(reserved, reservation{AdapterMove: placer.AdapterMove{Site: load.Site}, decision: d})
 	}
 	f.mu.Unlock()
@@ -131,7 +131,7 @@
 	}
 	d := f.decide(move.Site.Target)
 	until := f.now().Add(openLife)
-	d.site.coming[placer.AdapterKey{Model: key.Model, Adapter: key.Adapter}] = until
+	d.site.arrive(placer.AdapterKey{Model: key.Model, Adapter: key.Adapter}, until)
 	if move.EvictedAdapter != "" {
 		evicted := placer.AdapterKey{Model: move.EvictedModel, Adapter: move.EvictedAdapter}
 		d.site.going[evicted] = &departure{until: until, shown: isHeld(move.Site.Target, evicted)}
--- a/internal/gateway/foreman/expect.go
+++ b/internal/gateway/foreman/expect.go
@@ -15,6 +15,9 @@
 	// wantedRate is the rate that it counts for at least, in requests a second: that of
 	// a single request.
 	wantedRate = 0.4
+	// overdueShare is the part of the time by which a load is late already that it is
+	// expected to take on.
+	overdueShare = 4
 	// tableTime is how long instances take to learn that a load is done.
 	tableTime = 300 * time.Millisecond
 )
@@ -69,7 +72,14 @@
 			first = s.open.serves
 		}
 	}
-	return max(first.Sub(f.now()), 0) + tableTime, !first.IsZero()
+	if first.IsZero() {
+		return 0, false
+	}
+	left := first.Sub(f.now())
+	if left < 0 {
+		left = -left / overdueShare
+	}
+	return left + tableTime, true
 }
 
 // addWanted counts the models that requests wait for. It is called with the lock held.
--- a/internal/gateway/foreman/foreman_test.go
+++ b/internal/gateway/foreman/foreman_test.go
@@ -509,7 +509,7 @@
 	e.inUse["m1"] = true
 	target := r.View().Targets["t0"]
 	f.mu.Lock()
-	f.site(target).coming[placer.AdapterKey{Model: "m1"}] = time.Now().Add(time.Minute)
+	f.site(target).arrive(placer.AdapterKey{Model: "m1"}, time.Now().Add(time.Minute))
 	f.mu.Unlock()
 	f.move(placer.Move{Target: target, Model: "m1", Unload: true, For: "m2"})
 	ordered := func(n int64) func() bool {
@@ -574,3 +574,59 @@
 	_, err = ensure(t, f, "a1")
 	assert.NoError(t, err)
 }
+
+// TestOverdueModel replays a load that takes longer than it should: the word on it stays
+// in the future.
+func TestOverdueModel(t *testing.T) {
+	_, r, f := newWorld(1, 1)
+	now := time.Now()
+	f.now = func() time.Time { return now }
+	target := r.View().Targets["t0"]
+	f.mu.Lock()
+	f.site(target).open = &openOrder{order: Order{Model: "m1"}, serves: now, until: now.Add(time.Minute)}
+	f.mu.Unlock()
+	now = now.Add(4 * time.Second)
+	expected, err := f.ExpectModel(t.Context(), "s", "m1")
+	require.NoError(t, err)
+	assert.InDelta(t, 1.3, expected.Seconds(), 0.1)
+}
+
+// TestAdapterThatComesBackSoon replays an adapter that is unloaded for another one and
+// loaded again before the target table has told of the unload, and a request that was
+// refused for want of it in between.
+func TestAdapterThatComesBackSoon(t *testing.T) {
+	w, r, f := newWorld(1, 1)
+	e := w.engines["t0"]
+	e.hold("m0/x0", "m0/x1", "m0/x2", "m0/x3")
+	w.publish(r)
+	_, err := ensure(t, f, "a1")
+	require.NoError(t, err)
+	require.NotContains(t, e.adapters, "m0/x0", "the first of those that nobody asks for goes")
+	between := map[string]bool{"m0/a1": true, "m0/x1": true, "m0/x2": true, "m0/x3": true}
+	_, err = ensure(t, f, "x0")
+	require.NoError(t, err)
+	f.balancer.Overlay(balancer.Overlay{Target: "t0", Model: "m0", Adapter: "x0", Since: time.Now()})
+	f.settle(r.View())
+	held := e.adapters
+	e.adapters = between // the table tells of what was held between the two orders
+	w.publish(r)
+	e.adapters = held
+	f.settle(r.View())
+	_, _ = ensure(t, f, "a2") // there may be no place for it
+	assert.False(t, e.crashed, "it holds %v", e.adapters)
+}
+
+// TestFailedOrderOfBefore replays an order that fails after another one has taken its
+// place: the later one stays open.
+func TestFailedOrderOfBefore(t *testing.T) {
+	_, r, f := newWorld(1, 1)
+	target := r.View().Targets["t0"]
+	f.calls.Order = func(*registrar.Target, Order) (bool, error) { return false, errors.Wrap(ErrNotTaken, "refused") }
+	f.mu.Lock()
+	d := f.decide(target)
+	later := &openOrder{order: Order{Model: "m2"}}
+	d.site.open = later
+	f.mu.Unlock()
+	f.carryOut(placer.Move{Target: target, Model: "m1"}, d, &openOrder{order: Order{Model: "m1"}})
+	assert.Same(t, later, d.site.open)
+}
--- a/internal/gateway/foreman/models.go
+++ b/internal/gateway/foreman/models.go
@@ -162,11 +162,12 @@
 	s := d.site
 	// Marked open before the order goes out, so that no plan counts on the target meanwhile.
 	now := f.now()
-	s.open = &openOrder{
+	open := &openOrder{
 		order: Order{Model: move.Model, IsUnload: move.Unload}, until: now.Add(openLife),
 		serves: now.Add(time.Duration(move.Seconds * float64(time.Second))),
 		shown:  isHeld(move.Target, placer.AdapterKey{Model: move.Model}),
 	}
+	s.open = open
 	if move.Unload {
 		s.next = move.For
 	} else if !move.Target.HasAtHand(move.Model) {
@@ -178,18 +179,20 @@
 	if move.Unload {
 		f.overlay(move.Target, Order{Model: move.Model, IsUnload: true})
 	}
-	go f.carryOut(move, d)
+	go f.carryOut(move, d, open)
 }
 
-func (f *Foreman) carryOut(move placer.Move, d decision) {
+func (f *Foreman) carryOut(move placer.Move, d decision, open *openOrder) {
 	s := d.site
 	_, err := f.give(d, Order{Model: move.Model, IsUnload: move.Unload})
 	if err == nil || isUnknown(err) {
 		return
 	}
 	f.mu.Lock()
-	s.open = nil
-	s.next = ""
+	if s.open == open {
+		s.open = nil
+		s.next = ""
+	}
 	f.mu.Unlock()
 	if move.Unload {
 		f.overlay(move.Target, Order{Model: move.Model}) // it is still there
--- a/internal/gateway/foreman/site.go
+++ b/internal/gateway/foreman/site.go
@@ -26,9 +26,8 @@
 	// open is the load or unload of a model that is being carried out or whose fate
 	// is not known; nil if there is none.
 	open *openOrder
-	// coming are the adapters and models that may be there without the table telling,
-	// each with the deadline after which they are not.
-	coming map[placer.AdapterKey]time.Time
+	// coming are the adapters and models that may be there without the table telling.
+	coming map[placer.AdapterKey]*arrival
 	// going are the adapters that are being unloaded, which take a place until then.
 	going map[placer.AdapterKey]*departure
 	// unloaded are the adapters that are gone though the table may still tell of them,
@@ -53,6 +52,15 @@
 	serves time.Time
 }
 
+// arrival is a load whose effect the target table does not show yet.
+type arrival struct {
+	// until is the deadline after which it is taken for not carried out.
+	until time.Time
+	// isBack tells that the table may still tell of an earlier stay, which ended just
+	// before: its word counts once it has left that out.
+	isBack bool
+}
+
 // departure is the unload of an adapter that a request may still use.
 type departure struct {
 	until time.Time
@@ -74,7 +82,7 @@
 	s := f.sites[t.ID]
 	if s == nil || s.born != t.Born {
 		s = &site{
-			orders: -1, born: t.Born, coming: map[placer.AdapterKey]time.Time{},
+			orders: -1, born: t.Born, coming: map[placer.AdapterKey]*arrival{},
 			going: map[placer.AdapterKey]*departure{}, unloaded: map[placer.AdapterKey]time.Time{},
 		}
 		f.sites[t.ID] = s
@@ -101,7 +109,7 @@
 	news := []placer.AdapterKey{}
 	for _, h := range told {
 		if !s.counts(t, h) {
-			s.coming[h] = now.Add(openLife)
+			s.coming[h] = &arrival{until: now.Add(openLife)}
 			news = append(news, h)
 		}
 	}
@@ -142,16 +150,30 @@
 			s.open.until = until
 		}
 		if !order.IsUnload {
-			s.coming[h] = until
+			s.arrive(h, until)
 		}
 	case order.IsUnload:
 		if gone := s.going[h]; gone != nil {
 			gone.until = until
 		}
 	default:
-		s.coming[h] = until
+		s.arrive(h, until)
+	}
+}
+
+// arrive counts an adapter or a model as there until the table tells of it or a deadline
+// has passed.
+func (s *site) arrive(h placer.AdapterKey, until time.Time) {
+	a := s.coming[h]
+	if a == nil {
+		a = &arrival{}
+		s.coming[h] = a
+	}
+	if _, isBack := s.unloaded[h]; isBack {
+		a.isBack = true
 		delete(s.unloaded, h)
 	}
+	a.until = until
 }
 
 // settle forgets what the target table shows by now, and what is past its deadline.
@@ -163,10 +185,12 @@
 			delete(s.going, h)
 		}
 	}
-	for h, until := range s.coming {
-		if isHeld(t, h) || now.After(until) {
+	for h, a := range s.coming {
+		held := isHeld(t, h)
+		if (held && !a.isBack) || now.After(a.until) {
 			delete(s.coming, h)
 		}
+		a.isBack = a.isBack && held
 	}
 	for h, until := range s.unloaded {
 		if !isHeld(t, h) || now.After(until) {
