--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -58,8 +58,8 @@
 type Follower struct {
 	table  string
 	source Source
-	// pause is the least time between two calls that bring changes.
-	pause time.Duration
+	// pause returns the least time between two calls that bring changes.
+	pause func() time.Duration
 	// wait is how long the store may hold a call for changes.
 	wait  time.Duration
 	now   func() time.Time
@@ -90,7 +90,7 @@
 type Option func(*Follower)
 
 // WithPause sets the least time between two calls that bring changes.
-func WithPause(pause time.Duration) Option { return func(f *Follower) { f.pause = pause } }
+func WithPause(pause func() time.Duration) Option { return func(f *Follower) { f.pause = pause } }
 
 // WithShortWait is for a table whose changes bind within seconds.
 func WithShortWait() Option { return func(f *Follower) { f.wait = shortWait } }
@@ -98,11 +98,13 @@
 // WithLog sets the log.
 func WithLog(log logr.Logger) Option { return func(f *Follower) { f.log = log } }
 
+func noPause() time.Duration { return 0 }
+
 // New returns a follower that hands each change of a table to apply, from one
 // goroutine at a time.
 func New(table string, source Source, apply func(rows []messenger.StoreRow, removed []string), options ...Option) *Follower {
 	f := &Follower{
-		table: table, source: source, wait: feedWait, now: time.Now, apply: apply, log: logr.Discard(),
+		table: table, source: source, wait: feedWait, pause: noPause, now: time.Now, apply: apply, log: logr.Discard(),
 		rows: map[string]messenger.StoreRow{}, removed: map[string]int64{}, news: make(chan struct{}), lapsed: map[string]time.Time{},
 	}
 	for _, option := range options {
@@ -130,7 +132,7 @@
 // pauseAfter returns the time until the next call after a number of failures in a row.
 func (f *Follower) pauseAfter(failures int) time.Duration {
 	if failures == 0 {
-		return f.pause
+		return f.pause()
 	}
 	pause := retryAfter
 	for range failures - 1 {
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -61,6 +61,9 @@
 	// table, whose entries change often; a leaving target is noticed well within
 	// the time that the platform allows.
 	targetPause = 250 * time.Millisecond
+	// cellPause is the same for an instance that reads for others: a large system has
+	// more changes, and each call brings more of them.
+	cellPause = 500 * time.Millisecond
 	// staleAfter is how old the word of the store on targets may be for orders to be
 	// decided on it; a little more than a call for changes takes.
 	staleAfter = 2800 * time.Millisecond
@@ -140,10 +143,18 @@
 	log := follower.WithLog(s.log)
 	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait())
 	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargets, log,
-		follower.WithShortWait(), follower.WithPause(targetPause))
+		follower.WithShortWait(), follower.WithPause(s.targetPause))
 	s.instances = follower.New(instanceTable, source, s.applyInstances, log)
 }
 
+// targetPause returns the least time between two reads of changes of the target table.
+func (s *Supervisor) targetPause() time.Duration {
+	if s.cell() == nil {
+		return targetPause
+	}
+	return cellPause
+}
+
 // Run serves until ctx is done, and then stops in order.
 func (s *Supervisor) Run(ctx context.Context) error {
 	s.log.Info("instance starts", "instance", s.settings.Instance, "incarnation", s.incarnation,
