Begin the moves of a plan in one step with it, and read the number of orders under its lock

Cause: found in the read of the diff. Between a plan and the mark of its moves an adapter could be placed that did not count them; an older view made what was known of a later incarnation of a target be forgotten (test failed before); a new right to give orders could begin between learning the number of orders and sending it.

--- a/internal/gateway/foreman/foreman.go
+++ b/internal/gateway/foreman/foreman.go
@@ -168,10 +168,11 @@
 		if !ok {
 			return false, worseOf(last, ErrNotHolder)
 		}
-		if err := f.learnOrders(d, try > 0); err != nil {
+		orders, err := f.learnOrders(d, try > 0)
+		if err != nil {
 			return false, worseOf(last, err)
 		}
-		order.Holder, order.Fence, order.ExpectedOrders = f.holder, grant.Fence, s.orders
+		order.Holder, order.Fence, order.ExpectedOrders = f.holder, grant.Fence, orders
 		done, err := f.calls.Order(t, order)
 		f.log.Info("order", "target", t.ID, "model", order.Model, "adapter", order.Adapter, "unload", order.IsUnload,
 			"expectedOrders", order.ExpectedOrders, "fence", order.Fence, "done", done, "error", errorText(err))
@@ -210,22 +211,30 @@
 	return err.Error()
 }
 
-// learnOrders asks a target for the number of orders that it has accepted, if it
-// is not known or was refused. The number goes with what the target holds: the error
-// is ErrBusy if that is more than what the order was decided on.
-func (f *Foreman) learnOrders(d decision, refused bool) error {
-	s := d.site
-	if refused || s.orders < 0 {
+// learnOrders returns the number of orders that a target has accepted, and asks it if
+// that is not known or was refused. The number goes with what the target holds: the
+// error is ErrBusy if that is more than what the order was decided on.
+func (f *Foreman) learnOrders(d decision, refused bool) (int64, error) {
+	if refused || !f.knowsOrders(d.site) {
 		if err := f.askState(d); err != nil {
-			return err
+			return 0, err
 		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s.learned != d.learned {
-		return errors.Wrap(ErrBusy, "target holds more than was known")
+	switch {
+	case d.site.learned != d.learned:
+		return 0, errors.Wrap(ErrBusy, "target holds more than was known")
+	case d.site.orders < 0:
+		return 0, errors.Wrap(ErrBusy, "another right to give orders has begun")
 	}
-	return nil
+	return d.site.orders, nil
+}
+
+func (f *Foreman) knowsOrders(s *site) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.orders >= 0
 }
 
 // askState asks a target for its orders and holdings.
@@ -242,14 +251,16 @@
 		state.Orders = max(s.orders, state.Orders)
 	}
 	s.orders = state.Orders
+	if state.Busy {
+		// What it is doing is known only once it is done: ask again then.
+		s.orders = -1
+	}
 	news := s.learn(d.target, state, f.now())
 	f.mu.Unlock()
 	for _, h := range news {
 		f.overlay(d.target, Order{Model: h.Model, Adapter: h.Adapter})
 	}
 	if state.Busy {
-		// What it is doing is known only once it is done: ask again then.
-		s.orders = -1
 		f.rest(s)
 		return ErrBusy
 	}
--- a/internal/gateway/foreman/foreman_test.go
+++ b/internal/gateway/foreman/foreman_test.go
@@ -195,6 +195,14 @@
 	}
 }
 
+// move begins a move and gives its order.
+func (f *Foreman) move(move placer.Move) {
+	f.mu.Lock()
+	o := f.begin(move)
+	f.mu.Unlock()
+	f.giveMove(o)
+}
+
 func ensure(t *testing.T, f *Foreman, adapter string) (string, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -630,3 +638,20 @@
 	f.carryOut(placer.Move{Target: target, Model: "m1"}, d, &openOrder{order: Order{Model: "m1"}})
 	assert.Same(t, later, d.site.open)
 }
+
+// TestEarlierIncarnation checks that an older view does not make what is known of a
+// target's later incarnation be forgotten.
+func TestEarlierIncarnation(t *testing.T) {
+	_, r, f := newWorld(1, 1)
+	before := r.View().Targets["t0"]
+	after := *before
+	after.Born++
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.site(&after).arrive(placer.AdapterKey{Model: "m0", Adapter: "a1"}, time.Now().Add(time.Minute))
+	assert.Len(t, f.site(before).coming, 1)
+	assert.Len(t, f.site(&after).coming, 1)
+	later := after
+	later.Born++
+	assert.Empty(t, f.site(&later).coming)
+}
--- a/internal/gateway/foreman/models.go
+++ b/internal/gateway/foreman/models.go
@@ -57,9 +57,13 @@
 		f.mu.Lock()
 		moves := placer.Plan(f.state(view, service))
 		moves = append(moves, f.nextLoads(view, service)...)
-		f.mu.Unlock()
+		begun := make([]opened, 0, len(moves))
 		for _, move := range moves {
-			f.move(move)
+			begun = append(begun, f.begin(move))
+		}
+		f.mu.Unlock()
+		for _, o := range begun {
+			f.giveMove(o)
 		}
 		f.fillAdapters(view, service)
 	}
@@ -155,31 +159,41 @@
 	return int(engine.LoadsPerSecond * f.bounds.Window.Seconds())
 }
 
-// move gives the order of a move and does not wait for its effect.
-func (f *Foreman) move(move placer.Move) {
-	f.mu.Lock()
+// opened is a move whose order is about to be given.
+type opened struct {
+	move     placer.Move
+	decision decision
+	open     *openOrder
+}
+
+// begin marks the order of a move as open, so that nothing else is decided that counts
+// on the target meanwhile. It is called with the lock held.
+func (f *Foreman) begin(move placer.Move) opened {
 	d := f.decide(move.Target)
-	s := d.site
-	// Marked open before the order goes out, so that no plan counts on the target meanwhile.
 	now := f.now()
 	open := &openOrder{
 		order: Order{Model: move.Model, IsUnload: move.Unload}, until: now.Add(openLife),
 		serves: now.Add(time.Duration(move.Seconds * float64(time.Second))),
 		shown:  isHeld(move.Target, placer.AdapterKey{Model: move.Model}),
 	}
-	s.open = open
+	d.site.open = open
 	if move.Unload {
-		s.next = move.For
+		d.site.next = move.For
 	} else if !move.Target.HasAtHand(move.Model) {
 		f.loads = append(f.loads, now)
 	}
-	f.mu.Unlock()
+	return opened{move: move, decision: d, open: open}
+}
+
+// giveMove gives the order of a move and does not wait for its effect.
+func (f *Foreman) giveMove(o opened) {
+	move := o.move
 	f.log.Info("placement", "target", move.Target.ID, "model", move.Model, "unload", move.Unload, "for", move.For, "reason", move.Reason,
 		"hasWeights", move.Target.HasAtHand(move.Model))
 	if move.Unload {
 		f.overlay(move.Target, Order{Model: move.Model, IsUnload: true})
 	}
-	go f.carryOut(move, d, open)
+	go f.carryOut(move, o.decision, o.open)
 }
 
 func (f *Foreman) carryOut(move placer.Move, d decision, open *openOrder) {
--- a/internal/gateway/foreman/site.go
+++ b/internal/gateway/foreman/site.go
@@ -77,10 +77,11 @@
 	learned int
 }
 
-// site returns what is known of a target. It is called with the lock held.
+// site returns what is known of a target. What is known of a later incarnation stays for
+// one who still sees an earlier one. It is called with the lock held.
 func (f *Foreman) site(t *registrar.Target) *site {
 	s := f.sites[t.ID]
-	if s == nil || s.born != t.Born {
+	if s == nil || s.born < t.Born {
 		s = &site{
 			orders: -1, born: t.Born, coming: map[placer.AdapterKey]*arrival{},
 			going: map[placer.AdapterKey]*departure{}, unloaded: map[placer.AdapterKey]time.Time{},
