--- a/internal/tool/soaker/callers.go
+++ b/internal/tool/soaker/callers.go
@@ -104,20 +104,19 @@
 	c.world.checker.Send(call, r)
 	isTail := c.world.isTail()
 	began := c.world.calmSince()
-	if random.Float64() < quitShare {
+	wasCalm := c.world.isCalm(began)
+	quits := random.Float64() < quitShare
+	if quits {
 		quit := time.AfterFunc(time.Duration(random.IntN(400))*time.Millisecond, func() {
-			if c.world.isCalm(began) {
+			if wasCalm && c.world.isCalm(began) {
 				c.world.checker.Quit(call.ID)
 			}
 			cancel()
 		})
 		defer quit.Stop()
-		isTail = false
 	}
 	a := caller.Do(trying, address, call)
-	if ctx.Err() != nil {
-		isTail = false // the soak is over
-	}
-	c.world.checker.Answered(call, a, c.world.isCalm(began) && a.Err == nil, isTail)
+	isOwn := quits || ctx.Err() != nil // the caller has left, or the soak is over
+	c.world.checker.Answered(call, a, wasCalm && c.world.isCalm(began) && !isOwn, isTail && !isOwn)
 	return a
 }
--- a/internal/tool/soaker/checker_test.go
+++ b/internal/tool/soaker/checker_test.go
@@ -149,6 +149,11 @@
 			a.Ended = b.time.Add(time.Second + answerSlack + time.Millisecond)
 			b.Answered(callOf("a"), a, true, false)
 		}},
+		"no answer at all": {want: []Promise{LateAnswer}, do: func(b *bench) {
+			b.Send(callOf("a"), orders)
+			end := b.time.Add(time.Second + answerSlack + time.Millisecond)
+			b.Answered(callOf("a"), simulator.Answer{Err: errors.New("timeout"), Began: b.time, Ended: end}, true, false)
+		}},
 		"late in a disturbance": {do: func(b *bench) {
 			b.Send(callOf("a"), orders)
 			a := b.refusal()
--- a/internal/tool/soaker/faults.go
+++ b/internal/tool/soaker/faults.go
@@ -135,13 +135,27 @@
 	shortest = 300 * time.Millisecond
 	longest  = 4 * time.Second
 	gap      = 900 * time.Millisecond
+	// phase is the time for which all kinds are drawn, and then only those during which
+	// promises with a time bound hold, so that these are checked too.
+	phase = 8 * time.Second
 )
 
+// draw chooses a kind for a time since the start.
+func draw(random *rand.Rand, since time.Duration) fault {
+	for {
+		f := one(random, faults)
+		if f.isCalming || since/phase%2 == 0 {
+			return f
+		}
+	}
+}
+
 // disturb begins disturbances at drawn times until the deadline, and ends them all.
 func (w *world) disturb(random *rand.Rand, until time.Time) {
+	start := time.Now()
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(random.Float64() * float64(gap)))
-		f := one(random, faults)
+		f := draw(random, time.Since(start))
 		if !f.isCalming {
 			w.disturbed()
 		}
