--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -47,10 +47,10 @@
 	// crowdCost is what a load from the weight store costs at a target for each other
 	// missing model that this target could load sooner.
 	crowdCost = 0.1
-	// runSeconds is about how long a run lasts, and drainSeconds how long an unload
+	// runSeconds is about how long a run lasts, and longestDrain how long an unload
 	// waits for the runs of its model.
 	runSeconds   = 2.0
-	drainSeconds = 3.0
+	longestDrain = 3.0
 )
 
 // Site is a target as the plan sees it.
@@ -280,7 +280,7 @@
 // drainSeconds returns how long the unload of a copy is likely to wait for its runs.
 func (p *plan) drainSeconds(model string) float64 {
 	runs := p.rate(model) / float64(max(p.copies[model], 1)) * runSeconds
-	return drainSeconds * (1 - math.Exp(-runs))
+	return longestDrain * (1 - math.Exp(-runs))
 }
 
 // quicker returns how many other missing models a target has at hand.
