Begin each right to give orders without moves of the one before

A holder ordered an unload at 12 s, was frozen and lost the lease; another one loaded a model into the room at 28 s; when the first one held the lease again at 34.8 s and the table showed its unload done, it gave the load that it had planned 25 s before. What is open or planned is now dropped with a new right to give orders, a load counts on as arriving; and a load for which room was made is given up where it does not fit. Excluded: late orders (the target took none in between), the count of orders (7, right). TestRoomThatIsGone failed before.

--- a/internal/gateway/foreman/foreman_test.go
+++ b/internal/gateway/foreman/foreman_test.go
@@ -513,6 +513,7 @@
 func TestUnloadOfAModelThatTheTableNeverTold(t *testing.T) {
 	w, r, f := newWorld(1, 1)
 	e := w.engines["t0"]
+	f.beginTerm(r.View())
 	e.models["m1"] = true
 	e.inUse["m1"] = true
 	target := r.View().Targets["t0"]
@@ -550,6 +551,7 @@
 	e := w.engines["t0"]
 	e.models["m1"] = true
 	w.publish(r)
+	f.Tick() // begins the term
 	f.move(placer.Move{Target: r.View().Targets["t0"], Model: "m1", Unload: true, For: "m2"})
 	require.Eventually(t, func() bool {
 		e.mu.Lock()
@@ -655,3 +657,56 @@
 	later.Born++
 	assert.Empty(t, f.site(&later).coming)
 }
+
+// TestMoveOfAnEarlierTerm replays a holder that is frozen between an unload and the load
+// that it makes room for; another one fills the room before it holds the lease again.
+func TestMoveOfAnEarlierTerm(t *testing.T) {
+	w, r, f := newWorld(1, 1)
+	e := w.engines["t0"]
+	e.models["m1"] = true
+	e.inUse["m1"] = true // the unload waits
+	w.publish(r)
+	f.Tick() // begins the first term
+	f.move(placer.Move{Target: r.View().Targets["t0"], Model: "m1", Unload: true, For: "m2"})
+	taken := func() int64 {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.orders
+	}
+	require.Eventually(t, func() bool { return taken() == 1 }, time.Second, time.Millisecond)
+	e.models = map[string]bool{"m0": true, "m3": true}
+	e.orders = 3
+	w.publish(r)
+	w.mu.Lock()
+	w.fence = 2
+	w.mu.Unlock()
+	for range 5 {
+		f.Tick()
+	}
+	assert.Never(t, func() bool { return taken() > 3 }, 50*time.Millisecond, time.Millisecond)
+	assert.False(t, e.crashed)
+}
+
+// TestRoomThatIsGone checks that a load for which room was made is given up where the
+// target turns out to hold something else there.
+func TestRoomThatIsGone(t *testing.T) {
+	w, r, f := newWorld(1, 1)
+	e := w.engines["t0"]
+	e.models = map[string]bool{"m0": true, "m3": true}
+	w.publish(r)
+	f.Tick()
+	f.mu.Lock()
+	f.site(r.View().Targets["t0"]).next = "m2"
+	f.mu.Unlock()
+	for range 5 {
+		f.Tick()
+	}
+	assert.Never(t, func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.orders > 0
+	}, 50*time.Millisecond, time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Empty(t, f.site(r.View().Targets["t0"]).next, "the target is free for other moves")
+}
--- a/internal/gateway/foreman/models.go
+++ b/internal/gateway/foreman/models.go
@@ -82,8 +82,7 @@
 		f.assumeLoads(view)
 	}
 	for _, s := range f.sites {
-		s.orders = -1 // others may have given orders since
-		clear(s.unloaded)
+		s.beginTerm()
 	}
 }
 
@@ -111,6 +110,10 @@
 		if s.next == "" || s.open != nil {
 			continue
 		}
+		if placer.Used(service.Engine, f.siteState(t, nil)) > service.Engine.WeightMegabytes {
+			s.next = "" // something else has taken the room
+			continue
+		}
 		if !t.Leaving && (f.loadsLeft(service.Engine) > len(moves) || t.HasAtHand(s.next)) {
 			moves = append(moves, placer.Move{
 				Target: t, Model: s.next, Reason: "room is made", Seconds: placer.LoadSeconds(service.Engine, t, s.next),
--- a/internal/gateway/foreman/site.go
+++ b/internal/gateway/foreman/site.go
@@ -177,6 +177,18 @@
 	a.until = until
 }
 
+// beginTerm takes note of a new right to give orders: others may have given orders
+// since the one before, so that what was under way is no ground for more.
+func (s *site) beginTerm() {
+	s.orders = -1
+	clear(s.unloaded)
+	if s.open != nil && !s.open.order.IsUnload {
+		s.arrive(placer.AdapterKey{Model: s.open.order.Model}, s.open.until)
+	}
+	s.open = nil
+	s.next = ""
+}
+
 // settle forgets what the target table shows by now, and what is past its deadline.
 func (s *site) settle(t *registrar.Target, now time.Time) {
 	for h, gone := range s.going {
