Refuse requests that wait for a target when a stopping instance takes no more

A request whose aim is 6 s waited for a model since 2.5 s; its instance was told to stop at 3.0 s, looked at new requests only, and cut it at the end of the grace time without a word. Since requests wait for models as long as their callers do, such waits outlast a stop. The test failed before. Excluded: streams that last (none was active).

--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -119,7 +119,7 @@
 // Close makes every answer the last one of its connection.
 func (c *Conductor) Close() { c.closing.Store(true) }
 
-// Refuse makes every new request be refused as not run.
+// Refuse makes every new request, and each that waits for a target, be refused as not run.
 func (c *Conductor) Refuse() { c.refusing.Store(true) }
 
 // Active returns the number of requests that have no final answer yet.
@@ -215,6 +215,9 @@
 	return c.budget.Repeat(q.service)
 }
 
+// errStops tells that the instance stops and waits for nothing more.
+var errStops = errors.New("instance stops")
+
 // mostTries bounds the targets that one request is offered to.
 const mostTries = 4
 
@@ -230,6 +233,9 @@
 		if err == nil {
 			return ticket, nil
 		}
+		if c.refusing.Load() {
+			return nil, errStops
+		}
 		if errors.Is(err, balancer.ErrNoAdapter) && !asked {
 			asked = true
 			if err := c.askAdapter(ctx, q); err == nil {
--- a/internal/gateway/conductor/expect_test.go
+++ b/internal/gateway/conductor/expect_test.go
@@ -21,6 +21,12 @@
 // setupModel serves the route /model/ by an engine that holds no model yet. The holder
 // of the lease says when it will, as expect does.
 func setupModel(t *testing.T, x *target, expect func() (time.Duration, error)) (*httptest.Server, *registrar.Registrar) {
+	t.Helper()
+	server, r, _ := setupModelConductor(t, x, expect)
+	return server, r
+}
+
+func setupModelConductor(t *testing.T, x *target, expect func() (time.Duration, error)) (*httptest.Server, *registrar.Registrar, *conductor.Conductor) {
 	t.Helper()
 	r := registrar.New()
 	engine := &registrar.Engine{Slots: 4, CacheTokens: 1 << 20, Models: map[string]registrar.Model{"m": {Name: "m"}}}
@@ -36,7 +42,7 @@
 		conductor.WithModels(func(context.Context, string, string) (time.Duration, error) { return expect() }))
 	server := httptest.NewServer(c)
 	t.Cleanup(server.Close)
-	return server, r
+	return server, r, c
 }
 
 func setHoldings(r *registrar.Registrar, address string, models ...string) {
@@ -100,3 +106,16 @@
 		assert.EqualValues(t, 1, asked.Load())
 	})
 }
+
+// TestWaitEndsWithTheStop replays a stop while a request waits for a model: it is told
+// that it was not run as soon as the instance takes no more requests.
+func TestWaitEndsWithTheStop(t *testing.T) {
+	server, _, c := setupModelConductor(t, newTarget(t, ok), func() (time.Duration, error) { return 1500 * time.Millisecond, nil })
+	time.AfterFunc(200*time.Millisecond, c.Refuse)
+	began := time.Now()
+	response, _, err := send(t, server, "POST", "/model/", "b", "Test-Model", "m")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.NotEmpty(t, response.Header.Get("Retry-After"))
+	assert.Less(t, time.Since(began), time.Second)
+}
--- a/internal/gateway/conductor/refusal.go
+++ b/internal/gateway/conductor/refusal.go
@@ -119,6 +119,9 @@
 	if errors.As(cause, &coming) {
 		return max(coming.In, shortPause) + time.Duration(comingSpread*float64(coming.In+leastPause)*float64(xxhash.Sum64String(q.id)%1000)/1000)
 	}
+	if errors.Is(cause, errStops) {
+		return shortPause
+	}
 	if errors.Is(cause, balancer.ErrNoAdapter) {
 		pause = min(pause, adapterPause)
 	}
