Take work off each request and plan, and twins out of the gateway

Cause, found in a read of the whole change: each look for a target marked itself as waiting, so that every request's end and every peer's datagram closed and made a channel though nobody waited; a plan added up the demand of all peers three times, and asked for each held model again whether the copies of the wanted one are full; each batch of loads copied and sorted the peers twice outside a cell. Two copies of the text of an error for a log line, three of keeping a time within a request's deadline, one of the word for a stopping instance, and a field that nobody read. Change: the choice that finds no target marks the wait; demand, fullness and peers are worked out once and handed on; recorder.ErrorText, request.within and errStops serve all. Excluded: a change of decisions. What it saves in processor time was not measured.

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -66,7 +66,8 @@
 	// paces holds the time that a token of a prompt takes, by model.
 	paces    map[string]float64
 	sequence int64
-	// freed is closed and replaced when a request ends while others wait.
+	// freed is closed and replaced when a request ends while others wait, as those do
+	// for which waiting was set since.
 	freed   chan struct{}
 	waiting bool
 	// changed is told of each target whose load has changed here.
@@ -134,6 +135,7 @@
 	}
 	candidates, err := b.candidates(view, r, now)
 	if err != nil {
+		b.waiting = true
 		return nil, err
 	}
 	best, full := b.choose(candidates, service, r, now)
@@ -223,11 +225,11 @@
 	return b.total(id, b.now()).InFlight
 }
 
-// Freed returns a channel that is closed when a request ends.
+// Freed returns a channel that is closed when a request ends after a choice that found
+// no target. Taken before the choice, it misses nothing.
 func (b *Balancer) Freed() <-chan struct{} {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.waiting = true
 	return b.freed
 }
 
--- a/internal/gateway/conductor/accept.go
+++ b/internal/gateway/conductor/accept.go
@@ -29,7 +29,7 @@
 	case view.Manifest == nil:
 		return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: "no manifest yet", After: startPause}
 	case c.refusing.Load():
-		return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: "instance stops", After: shortPause}
+		return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: errStops.Error(), After: shortPause}
 	}
 	route := view.Match(r.Host, r.URL.EscapedPath())
 	if route == nil {
@@ -48,10 +48,7 @@
 		q.deadline = deadline
 	}
 	if route.TimeoutMilliseconds > 0 {
-		timeout := now.Add(time.Duration(route.TimeoutMilliseconds) * time.Millisecond)
-		if timeout.Before(q.deadline) {
-			q.deadline = timeout
-		}
+		q.deadline = q.within(now.Add(time.Duration(route.TimeoutMilliseconds) * time.Millisecond))
 	}
 	q.service = pickBackend(route, q.id)
 	c.budget.Request(q.service)
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -278,10 +278,15 @@
 	case errors.Is(reason, balancer.ErrFull):
 		limit = limit.Add(time.Duration(fullPatience*float64(q.route.AimMilliseconds)) * time.Millisecond)
 	}
-	if limit.After(q.deadline) {
+	return q.within(limit)
+}
+
+// within returns a time, or the deadline of the request if that is earlier.
+func (q *request) within(t time.Time) time.Time {
+	if t.After(q.deadline) {
 		return q.deadline
 	}
-	return limit
+	return t
 }
 
 // wait returns when a look for a target may succeed; false when the request ended.
--- a/internal/gateway/conductor/expect.go
+++ b/internal/gateway/conductor/expect.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
+	"github.com/crocusring/crocusring/internal/node/recorder"
 )
 
 const (
@@ -35,7 +36,6 @@
 // ExpectedError is balancer.ErrNoModel where the model is known to come, too late for
 // the request to wait for it.
 type ExpectedError struct {
-	At time.Time
 	In time.Duration
 }
 
@@ -91,20 +91,13 @@
 	if err != nil {
 		life = unexpectedLife
 	}
-	c.log.Info("model expected", "service", key.service, "model", key.model, "inMilliseconds", in.Milliseconds(), "error", errorText(err))
+	c.log.Info("model expected", "service", key.service, "model", key.model, "inMilliseconds", in.Milliseconds(), "error", recorder.ErrorText(err))
 	c.expected.mu.Lock()
 	e.at, e.err, e.until = now.Add(in), err, now.Add(life)
 	c.expected.mu.Unlock()
 	close(e.done)
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // forget drops what is known of models that were not asked for lately.
 func (e *expectations) forget(now time.Time) {
 	e.mu.Lock()
@@ -122,11 +115,7 @@
 	const millisecond = time.Millisecond
 	leaves := max(abandonLeast, abandonAims*time.Duration(q.route.AimMilliseconds)*millisecond,
 		abandonPauses*time.Duration(q.route.PauseMilliseconds)*millisecond)
-	until := q.arrived.Add(time.Duration((1 - abandonMargin) * float64(leaves)))
-	if until.After(q.deadline) {
-		return q.deadline
-	}
-	return until
+	return q.within(q.arrived.Add(time.Duration((1 - abandonMargin) * float64(leaves))))
 }
 
 // awaitModel reports, for a request that no target can run for want of its model,
@@ -138,7 +127,7 @@
 	}
 	now := c.now()
 	if at.After(q.modelPatience()) || now.After(at.Add(latePatience)) {
-		return &ExpectedError{At: at, In: max(at.Sub(now), 0)}
+		return &ExpectedError{In: max(at.Sub(now), 0)}
 	}
 	return nil
 }
--- a/internal/gateway/foreman/adapters.go
+++ b/internal/gateway/foreman/adapters.go
@@ -83,9 +83,9 @@
 }
 
 // fillAdapters loads adapters into free places.
-func (f *Foreman) fillAdapters(view *registrar.View, service *registrar.Service) {
+func (f *Foreman) fillAdapters(view *registrar.View, service *registrar.Service, demand map[tallier.Key]tallier.Demand) {
 	f.mu.Lock()
-	loads := placer.FillAdapters(f.state(view, service))
+	loads := placer.FillAdapters(f.state(view, service, demand))
 	if len(loads) > mostFills {
 		loads = loads[:mostFills]
 	}
@@ -118,10 +118,11 @@
 
 // reserve chooses a place for an adapter and counts it as taken from now on.
 func (f *Foreman) reserve(service *registrar.Service, key tallier.Key, excluded map[string]bool) (reservation, bool) {
+	demand := f.tally.Total()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// An older view may lack what was forgotten since the latest one has told of it.
-	state := f.state(f.registry.View(), service)
+	state := f.state(f.registry.View(), service, demand)
 	for _, site := range state.Sites {
 		site.Resting = site.Resting || excluded[site.Target.ID]
 	}
--- a/internal/gateway/foreman/foreman.go
+++ b/internal/gateway/foreman/foreman.go
@@ -18,6 +18,7 @@
 	"github.com/crocusring/crocusring/internal/gateway/placer"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 	"github.com/crocusring/crocusring/internal/gateway/tallier"
+	"github.com/crocusring/crocusring/internal/node/recorder"
 )
 
 var (
@@ -175,7 +176,7 @@
 		order.Holder, order.Fence, order.ExpectedOrders = f.holder, grant.Fence, orders
 		done, err := f.calls.Order(t, order)
 		f.log.Info("order", "target", t.ID, "model", order.Model, "adapter", order.Adapter, "unload", order.IsUnload,
-			"expectedOrders", order.ExpectedOrders, "fence", order.Fence, "done", done, "error", errorText(err))
+			"expectedOrders", order.ExpectedOrders, "fence", order.Fence, "done", done, "error", recorder.ErrorText(err))
 		switch {
 		case err == nil:
 			f.accepted(s, order, done)
@@ -204,13 +205,6 @@
 	return later
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // learnOrders returns the number of orders that a target has accepted, and asks it if
 // that is not known or was refused. The number goes with what the target holds: the
 // error is ErrBusy if that is more than what the order was decided on.
--- a/internal/gateway/foreman/models.go
+++ b/internal/gateway/foreman/models.go
@@ -6,6 +6,7 @@
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/placer"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
+	"github.com/crocusring/crocusring/internal/gateway/tallier"
 )
 
 const (
@@ -47,15 +48,16 @@
 	}
 	f.settle(view)
 	f.beginTerm(view)
+	demand := f.tally.Total()
 	f.mu.Lock()
-	f.watch.Observe(f.now(), f.tally.Total())
+	f.watch.Observe(f.now(), demand)
 	f.mu.Unlock()
 	for _, service := range view.Manifest.Services {
 		if service.Engine == nil {
 			continue
 		}
 		f.mu.Lock()
-		moves := placer.Plan(f.state(view, service))
+		moves := placer.Plan(f.state(view, service, demand))
 		moves = append(moves, f.nextLoads(view, service)...)
 		begun := make([]opened, 0, len(moves))
 		for _, move := range moves {
@@ -65,7 +67,7 @@
 		for _, o := range begun {
 			f.giveMove(o)
 		}
-		f.fillAdapters(view, service)
+		f.fillAdapters(view, service, demand)
 	}
 }
 
@@ -124,14 +126,15 @@
 	return moves
 }
 
-// state returns what a plan for a service is made from. It is called with the lock held.
-func (f *Foreman) state(view *registrar.View, service *registrar.Service) placer.State {
+// state returns what a plan for a service is made from, and adds what requests wait for
+// to the demand. It is called with the lock held.
+func (f *Foreman) state(view *registrar.View, service *registrar.Service, demand map[tallier.Key]tallier.Demand) placer.State {
 	models := make([]string, 0, len(service.Engine.Models))
 	for name := range service.Engine.Models {
 		models = append(models, name)
 	}
 	state := placer.State{
-		Service: service, Demand: f.tally.Total(), Loads: f.loadsLeft(service.Engine), Idle: f.watch.Idle(service.Name, models),
+		Service: service, Demand: demand, Loads: f.loadsLeft(service.Engine), Idle: f.watch.Idle(service.Name, models),
 	}
 	overlays := map[string][]balancer.Overlay{}
 	for _, o := range f.balancer.Overlays() {
--- a/internal/gateway/foreman/models_test.go
+++ b/internal/gateway/foreman/models_test.go
@@ -61,7 +61,7 @@
 	e.models["m2"] = true
 	require.ErrorIs(t, give(), ErrBusy, "the target tells of a model that the table does not show")
 	f.mu.Lock()
-	state := f.state(f.registry.View(), f.registry.View().Service("s"))
+	state := f.state(f.registry.View(), f.registry.View().Service("s"), f.tally.Total())
 	f.mu.Unlock()
 	assert.True(t, state.Sites[0].Models["m2"])
 	assert.False(t, e.crashed)
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -227,6 +227,7 @@
 // must be unloaded there first; nil if there is none.
 func (p *plan) bestSite(model string) (best *Site, evicted string) {
 	bestCost := 0.0
+	isFull := p.isFull(model)
 	for _, site := range p.Sites {
 		if site.Busy || site.Target.Leaving || site.Models[model] {
 			continue
@@ -234,7 +235,7 @@
 		if p.Loads <= 0 && !site.Target.HasAtHand(model) {
 			continue
 		}
-		victim, fits := p.makeRoom(site, model)
+		victim, fits := p.makeRoom(site, model, isFull)
 		if !fits {
 			continue
 		}
@@ -299,7 +300,8 @@
 // makeRoom returns the model that must go for another to fit, empty if it fits as
 // it is; false if no single model can make room. A model that nobody asks for makes
 // none go: where copies are is all that tells of demand before there are requests.
-func (p *plan) makeRoom(site *Site, model string) (victim string, fits bool) {
+// isFull tells that the copies of the model are.
+func (p *plan) makeRoom(site *Site, model string, isFull bool) (victim string, fits bool) {
 	engine := p.Service.Engine
 	need := engine.Models[model].Megabytes
 	free := engine.WeightMegabytes - Used(engine, site)
@@ -311,7 +313,7 @@
 	}
 	least := 0.0
 	for held := range site.Models {
-		if free+sizeOf(engine, site, held) < need || !p.mayGo(held, model) {
+		if free+sizeOf(engine, site, held) < need || !p.mayGo(held, model, isFull) {
 			continue
 		}
 		loaded := p.work(held) / float64(max(p.copies[held]-1, 1))
@@ -322,10 +324,11 @@
 	return victim, victim != ""
 }
 
-// mayGo reports whether a copy of a model may be unloaded for another model.
-func (p *plan) mayGo(held, model string) bool {
+// mayGo reports whether a copy of a model may be unloaded for another model, of which
+// the copies are full or not.
+func (p *plan) mayGo(held, model string, isFull bool) bool {
 	if p.copies[held] < 2 {
-		return (p.Idle[held] && p.isFull(model)) || p.mayPage(held, model)
+		return (p.Idle[held] && isFull) || p.mayPage(held, model)
 	}
 	gain := p.work(model) / float64(p.copies[model]+1)
 	return p.copies[model] == 0 || p.work(held)/float64(p.copies[held]-1) <= coldFactor*gain
--- a/internal/gateway/supervisor/cell.go
+++ b/internal/gateway/supervisor/cell.go
@@ -32,9 +32,12 @@
 
 // cell returns the other instances of this data centre; nil in one that is too small
 // to share anything.
-func (s *Supervisor) cell() []informer.Peer {
+func (s *Supervisor) cell() []informer.Peer { return s.cellOf(s.informer.Peers()) }
+
+// cellOf is cell for those that are there.
+func (s *Supervisor) cellOf(peers []informer.Peer) []informer.Peer {
 	out := []informer.Peer{}
-	for _, peer := range s.informer.Peers() {
+	for _, peer := range peers {
 		if peer.News.DataCentre == s.settings.DataCentre && !peer.News.Leaving {
 			out = append(out, peer)
 		}
--- a/internal/gateway/supervisor/loads.go
+++ b/internal/gateway/supervisor/loads.go
@@ -84,9 +84,9 @@
 			return
 		case <-s.changes.ready:
 		}
-		peers := s.cell()
-		if peers == nil {
-			peers = s.informer.Peers()
+		peers := s.informer.Peers()
+		if cell := s.cellOf(peers); cell != nil {
+			peers = cell
 		}
 		time.Sleep(gatherTime * time.Duration(max(len(peers)/gatherPeers, 1)))
 		body, err := json.Marshal(s.load(s.changes.take()))
--- a/internal/node/recorder/recorder.go
+++ b/internal/node/recorder/recorder.go
@@ -9,6 +9,14 @@
 	"time"
 )
 
+// ErrorText returns the text of an error as the field of a line; empty for nil.
+func ErrorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // mostLines bounds the buffer; at 300 bytes a line it takes 1.2 MB when full.
 const mostLines = 4096
 
