--- a/internal/tool/soaker/checker.go
+++ b/internal/tool/soaker/checker.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -64,13 +65,11 @@
 // sent is a request with what became of it.
 type sent struct {
 	call simulator.Call
-	// isOnce tells that it may run once only, isResumable that its stream may go on
-	// elsewhere.
-	isOnce      bool
-	isResumable bool
-	services    []string
-	runs        []simulator.Run
-	refused     bool
+	// isOnce tells that it may run once only.
+	isOnce   bool
+	services []string
+	runs     []simulator.Run
+	refused  bool
 }
 
 // Checker holds what callers sent and got and what targets ran, and finds what breaks a
@@ -119,9 +118,7 @@
 func (c *Checker) Send(call simulator.Call, r route) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sent[call.ID] = &sent{
-		call: call, isOnce: r.Kind != "safe" && !r.Resumable, isResumable: r.Resumable, services: r.services,
-	}
+	c.sent[call.ID] = &sent{call: call, isOnce: r.Kind != "safe" && !r.Resumable, services: r.services}
 }
 
 // Began takes a run that a target begins.
@@ -141,7 +138,7 @@
 	if s.refused && s.isOnce {
 		c.fail(RefusalLied, "%s ran at %s after it was refused", run.Request, run.Target)
 	}
-	if !contains(s.services, run.Service) || run.Method != s.call.Method || run.Path != s.call.Path {
+	if !slices.Contains(s.services, run.Service) || run.Method != s.call.Method || run.Path != s.call.Path {
 		c.fail(WrongRoute, "%s %s %s ran as %s %s at %s", run.Request, s.call.Method, s.call.Path, run.Method, run.Path, run.Service)
 	}
 	if at, ok := c.left[run.Target]; ok && run.Began.After(at.Add(drainTime)) {
@@ -149,15 +146,6 @@
 	}
 }
 
-func contains(list []string, x string) bool {
-	for _, y := range list {
-		if x == y {
-			return true
-		}
-	}
-	return false
-}
-
 // Ended takes the end of a run.
 func (c *Checker) Ended(run simulator.Run) {
 	c.mu.Lock()
--- a/internal/tool/soaker/process.go
+++ b/internal/tool/soaker/process.go
@@ -18,9 +18,8 @@
 	program string
 	file    string
 	logs    string
-	// caller and locator are its addresses for callers, ready that of its readiness, peer
-	// that for the other instances.
-	caller  string
+	// locator is where it tells callers which addresses to use, ready where it says that
+	// it is ready, and peer its address for the other instances.
 	locator string
 	ready   string
 	peer    string
--- a/internal/tool/soaker/soaker.go
+++ b/internal/tool/soaker/soaker.go
@@ -124,7 +124,8 @@
 	}
 	w.store = store
 	w.layOut()
-	w.putManifest()
+	w.version = 3
+	w.putManifest(nil)
 	if err := w.addTargets(); err != nil {
 		return err
 	}
@@ -167,29 +168,26 @@
 	}
 }
 
-func (w *world) putManifest() {
-	w.version += 3
-	routes := make([]simulator.Route, 0, len(w.routes))
+// putManifest writes the present version with some routes beside those in use.
+func (w *world) putManifest(more []simulator.Route) {
+	routes := make([]simulator.Route, 0, len(w.routes)+len(more))
 	for _, r := range w.routes {
 		routes = append(routes, r.Route)
 	}
+	routes = append(routes, more...)
 	w.store.Put(platform.ManifestTable, platform.ManifestKey, simulator.Manifest(w.version, host, routes, w.services))
 }
 
 // changeManifest writes a new version with other routes beside those in use.
 func (w *world) changeManifest(random *rand.Rand) string {
 	w.version += 1 + random.IntN(3)
-	routes := make([]simulator.Route, 0, len(w.routes))
-	for _, r := range w.routes {
-		routes = append(routes, r.Route)
+	more := make([]simulator.Route, random.IntN(50))
+	for n := range more {
+		more[n] = one(random, w.routes).Route
+		more[n].Name, more[n].Prefix = fmt.Sprintf("extra%d", n), fmt.Sprintf("/extra%d/", n)
 	}
-	for n := range random.IntN(50) {
-		extra := one(random, w.routes).Route
-		extra.Name, extra.Prefix = fmt.Sprintf("extra%d", n), fmt.Sprintf("/extra%d/", n)
-		routes = append(routes, extra)
-	}
-	w.store.Put(platform.ManifestTable, platform.ManifestKey, simulator.Manifest(w.version, host, routes, w.services))
-	return fmt.Sprintf("version %d, %d routes", w.version, len(routes))
+	w.putManifest(more)
+	return fmt.Sprintf("version %d, %d routes", w.version, len(w.routes)+len(more))
 }
 
 func (w *world) addTargets() error {
@@ -250,7 +248,7 @@
 		return errors.Wrap(err, "settings")
 	}
 	p := &process{
-		name: name, program: w.settings.Program, file: file, logs: w.settings.Directory, caller: addresses[0], ready: addresses[1],
+		name: name, program: w.settings.Program, file: file, logs: w.settings.Directory, ready: addresses[1],
 		peer: addresses[2], locator: addresses[3], onOwnEnd: w.ownEnd,
 	}
 	w.processes = append(w.processes, p)
