Place models by how long their runs take, not by their tokens

The demand of a model was counted in tokens a second; models differ by that factor in how long a token takes, and the manifest does not tell. Now each instance counts how long runs take, by model, and the plan goes by the number of runs at the same time that the rate amounts to (Little's law). Excluded: want of places over all (39% of the slots are asked for), the rate of loads.

--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -60,6 +60,8 @@
 	// demand is told of each request for a model, and waiting of each look in vain.
 	demand  func(Demand)
 	waiting func(Demand)
+	// ran is told of each stream that a target has run to its end, and how long it took.
+	ran func(d Demand, took time.Duration)
 	// ensureAdapter asks for an adapter to be served; it returns when it is, or why
 	// it is not.
 	ensureAdapter func(ctx context.Context, service, model, adapter string) error
@@ -82,6 +84,11 @@
 	return func(c *Conductor) { c.demand, c.waiting = demand, waiting }
 }
 
+// WithRuns sets what is told of streams that a target has run to their end.
+func WithRuns(ran func(d Demand, took time.Duration)) Option {
+	return func(c *Conductor) { c.ran = ran }
+}
+
 // WithAdapters sets how an adapter is asked for.
 func WithAdapters(ensure func(ctx context.Context, service, model, adapter string) error) Option {
 	return func(c *Conductor) { c.ensureAdapter = ensure }
@@ -105,6 +112,7 @@
 	c := &Conductor{
 		headers: headers, registry: registry, balancer: b, budget: budget, pools: connector.NewPools(),
 		log: logr.Discard(), now: time.Now, demand: func(Demand) {}, waiting: func(Demand) {},
+		ran:           func(Demand, time.Duration) {},
 		observe:       func(measurer.Request) {},
 		ensureAdapter: func(context.Context, string, string, string) error { return balancer.ErrNoAdapter },
 		expectModel:   func(context.Context, string, string) (time.Duration, error) { return 0, balancer.ErrNoModel },
--- a/internal/gateway/conductor/stream.go
+++ b/internal/gateway/conductor/stream.go
@@ -64,6 +64,7 @@
 			return lost
 		case isEnd:
 			ticket.End(balancer.Answered)
+			c.tellRun(q, ticket)
 			c.log.V(1).Info("stream answered", "request", q.id, "target", ticket.Target.ID, "model", q.demand.Model,
 				"tokens", q.demand.Tokens, "firstMilliseconds", ticket.First().Milliseconds(),
 				"waitedMilliseconds", ticket.Since().Sub(q.arrived).Milliseconds(),
@@ -77,6 +78,13 @@
 	}
 }
 
+// tellRun tells how long a target took for a stream for a model.
+func (c *Conductor) tellRun(q *request, ticket *balancer.Ticket) {
+	if q.demand.Model != "" {
+		c.ran(q.demand, c.now().Sub(ticket.Since()))
+	}
+}
+
 // pauseMeter finds the longest pause between events.
 type pauseMeter struct {
 	last    time.Time
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -112,7 +112,7 @@
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
 	s.conductor = conductor.New(platform.Headers, s.registry, s.balancer, s.budget,
 		conductor.WithLog(log), conductor.WithAdapters(s.ensureAdapter), conductor.WithModels(s.expectModel),
-		conductor.WithDemand(s.countDemand, s.countWaiting), conductor.WithObserver(s.measurer.Observe))
+		conductor.WithDemand(s.countDemand, s.countWaiting), conductor.WithRuns(s.countRun), conductor.WithObserver(s.measurer.Observe))
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.right = newRight(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
 	s.foreman = foreman.New(settings.Instance,
@@ -187,12 +187,16 @@
 }
 
 func (s *Supervisor) countDemand(d conductor.Demand) {
-	s.tally.Add(tallier.Key{Service: d.Service, Model: d.Model}, d.Tokens)
+	s.tally.Add(tallier.Key{Service: d.Service, Model: d.Model})
 	if d.Adapter != "" {
-		s.tally.Add(tallier.Key{Service: d.Service, Model: d.Model, Adapter: d.Adapter}, d.Tokens)
+		s.tally.Add(tallier.Key{Service: d.Service, Model: d.Model, Adapter: d.Adapter})
 	}
 }
 
+func (s *Supervisor) countRun(d conductor.Demand, took time.Duration) {
+	s.tally.AddRun(tallier.Key{Service: d.Service, Model: d.Model}, took)
+}
+
 func (s *Supervisor) countWaiting(d conductor.Demand) {
 	s.tally.AddWaiting(tallier.Key{Service: d.Service, Model: d.Model})
 }
--- a/internal/gateway/tallier/tallier.go
+++ b/internal/gateway/tallier/tallier.go
@@ -13,6 +13,12 @@
 const (
 	// memory is the time after which a request weighs 1/e in a rate.
 	memory = 2500 * time.Millisecond
+	// runMemory is the same for how long runs take, which changes less than demand.
+	runMemory = 15 * time.Second
+	// priorRuns is the weight, in runs, of how long those of other models of the
+	// service take, and priorSeconds what stands for it while no run has ended.
+	priorRuns    = 2.0
+	priorSeconds = 1.0
 	// newsLife is how long what a peer told counts.
 	newsLife = 2 * time.Second
 	// negligible is the rate, in requests a second, below which a key is forgotten.
@@ -28,11 +34,16 @@
 
 // Demand is what is asked of a key.
 type Demand struct {
-	// Rate is in requests a second, Work in tokens a second.
+	// Rate is in requests a second.
 	Rate float64
+	// Work is the number of runs at the same time that the rate amounts to.
 	Work float64
 	// Waiting is the number of requests that found no target lately.
 	Waiting int
+	// Runs is the number of runs that ended lately, older ones weighing less, and
+	// RunSeconds how long they took at their targets together.
+	Runs       float64
+	RunSeconds float64
 }
 
 // Tallier counts demand. The zero value is not usable; see New.
@@ -47,8 +58,9 @@
 // counter fades as time passes.
 type counter struct {
 	requests float64
-	tokens   float64
 	waiting  float64
+	runs     float64
+	seconds  float64
 	at       time.Time
 }
 
@@ -62,13 +74,20 @@
 	return &Tallier{now: time.Now, own: map[Key]*counter{}, peers: map[string]told{}}
 }
 
-// Add counts a request and the tokens that it asks for.
-func (t *Tallier) Add(key Key, tokens int) {
+// Add counts a request.
+func (t *Tallier) Add(key Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faded(key).requests++
+}
+
+// AddRun counts a run that ended after a time at its target.
+func (t *Tallier) AddRun(key Key, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.faded(key)
-	c.requests++
-	c.tokens += float64(tokens)
+	c.runs++
+	c.seconds += took.Seconds()
 }
 
 // AddWaiting counts a look in vain for a target.
@@ -87,8 +106,10 @@
 	}
 	factor := math.Exp(-now.Sub(c.at).Seconds() / memory.Seconds())
 	c.requests *= factor
-	c.tokens *= factor
 	c.waiting *= factor
+	factor = math.Exp(-now.Sub(c.at).Seconds() / runMemory.Seconds())
+	c.runs *= factor
+	c.seconds *= factor
 	c.at = now
 	return c
 }
@@ -107,7 +128,7 @@
 		}
 		out = append(out, messenger.GatewayDemand{
 			Service: key.Service, Model: key.Model, Adapter: key.Adapter, Rate: rate,
-			Work: c.tokens / memory.Seconds(), Waiting: int(math.Round(c.waiting)),
+			Waiting: int(math.Round(c.waiting)), Runs: c.runs, RunSeconds: c.seconds,
 		})
 	}
 	return out
@@ -123,7 +144,9 @@
 func index(demand []messenger.GatewayDemand) map[Key]Demand {
 	out := make(map[Key]Demand, len(demand))
 	for _, d := range demand {
-		out[Key{d.Service, d.Model, d.Adapter}] = Demand{Rate: d.Rate, Work: d.Work, Waiting: d.Waiting}
+		out[Key{d.Service, d.Model, d.Adapter}] = Demand{
+			Rate: d.Rate, Waiting: d.Waiting, Runs: d.Runs, RunSeconds: d.RunSeconds,
+		}
 	}
 	return out
 }
@@ -142,10 +165,33 @@
 		for key, d := range peer.demand {
 			sum := total[key]
 			sum.Rate += d.Rate
-			sum.Work += d.Work
 			sum.Waiting += d.Waiting
+			sum.Runs += d.Runs
+			sum.RunSeconds += d.RunSeconds
 			total[key] = sum
 		}
 	}
+	addWork(total)
 	return total
 }
+
+// addWork works out how many runs at the same time each rate amounts to. Models differ
+// by an order of magnitude in how long the same tokens take; of one that has run little
+// yet, the runs of the others of its service tell most.
+func addWork(total map[Key]Demand) {
+	services := map[string]Demand{}
+	for key, d := range total {
+		sum := services[key.Service]
+		sum.Runs += d.Runs
+		sum.RunSeconds += d.RunSeconds
+		services[key.Service] = sum
+	}
+	for key, d := range total {
+		prior := priorSeconds
+		if of := services[key.Service]; of.Runs > 0 {
+			prior = of.RunSeconds / of.Runs
+		}
+		d.Work = d.Rate * (d.RunSeconds + priorRuns*prior) / (d.Runs + priorRuns)
+		total[key] = d
+	}
+}
--- a/internal/gateway/tallier/tallier_test.go
+++ b/internal/gateway/tallier/tallier_test.go
@@ -14,12 +14,13 @@
 	tally.now = func() time.Time { return now }
 	key := Key{Service: "s", Model: "m"}
 	for range 200 {
-		tally.Add(key, 100)
+		tally.Add(key)
+		tally.AddRun(key, 300*time.Millisecond)
 		now = now.Add(100 * time.Millisecond)
 	}
 	total := tally.Total()[key]
 	assert.InDelta(t, 10, total.Rate, 1)
-	assert.InDelta(t, 1000, total.Work, 100)
+	assert.InDelta(t, 3, total.Work, 0.3)
 	t.Run("and is forgotten", func(t *testing.T) {
 		now = now.Add(time.Minute)
 		assert.Empty(t, tally.Total())
@@ -37,3 +38,27 @@
 	now = now.Add(newsLife)
 	assert.Empty(t, tally.Total())
 }
+
+// TestWorkGoesByHowLongRunsTake replays two models that are asked for as often, one of
+// which makes its tokens nine times as fast: it needs a ninth of the places.
+func TestWorkGoesByHowLongRunsTake(t *testing.T) {
+	tally, now := New(), time.Unix(1000, 0)
+	tally.now = func() time.Time { return now }
+	slow, fast, fresh := Key{Service: "s", Model: "slow"}, Key{Service: "s", Model: "fast"}, Key{Service: "s", Model: "fresh"}
+	for range 300 {
+		for key, took := range map[Key]time.Duration{slow: 1800 * time.Millisecond, fast: 200 * time.Millisecond} {
+			tally.Add(key)
+			tally.AddRun(key, took)
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	tally.SetPeer("one", []messenger.GatewayDemand{{Service: "s", Model: "slow", Rate: 10, Runs: 30, RunSeconds: 54}})
+	total := tally.Total()
+	assert.InDelta(t, 36, total[slow].Work, 3, "peers' requests and runs count")
+	assert.InDelta(t, 2, total[fast].Work, 0.3)
+	t.Run("a model without runs yet takes as long as the others", func(t *testing.T) {
+		tally.Add(fresh)
+		total := tally.Total()[fresh]
+		assert.InDelta(t, total.Rate, total.Work, 0.3*total.Rate)
+	})
+}
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -266,14 +266,17 @@
 	// Rate is the number of requests a second, smoothed.
 	Rate float64 `json:"Rate"`
 
+	// RunSeconds is how long they took at their targets together.
+	RunSeconds float64 `json:"RunSeconds"`
+
+	// Runs is the number of runs that ended lately, older ones weighing less.
+	Runs float64 `json:"Runs"`
+
 	// Service corresponds to the JSON schema field "Service".
 	Service string `json:"Service"`
 
 	// Waiting is the number of requests that found no target.
 	Waiting int `json:"Waiting"`
-
-	// Work is the output tokens asked for a second, smoothed.
-	Work float64 `json:"Work"`
 }
 
 // GatewayInstance is the row by which an instance is found.
