Move copies of models only where that gives more runs a slot than it takes

Copies were made by their load relative to the mean and taken by a fixed ratio, so that chance alone moved them, while each move takes 2 to 12 s. Slots are asked for by runs, or by prompts to read where those bind.

--- a/internal/gateway/balancer/load.go
+++ b/internal/gateway/balancer/load.go
@@ -104,6 +104,13 @@
 	return defaultPace
 }
 
+// ReadTime returns how long a target takes to read a prompt for a model, as learned.
+func (b *Balancer) ReadTime(model string, prompt int) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Duration(b.pace(model) * float64(prompt) * float64(time.Millisecond))
+}
+
 // learnPace takes the time to the first byte of a request that found nothing
 // pending at its target.
 func (b *Balancer) learnPace(model string, prompt int, first time.Duration) {
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -2,9 +2,10 @@
 // answers demand that moves from model to model, the loss of targets, and rare
 // models that are asked for at once; it does no input or output.
 //
-// A plan unloads the last copy of a model only if nobody asks for it and the one that
-// needs the room has full copies only, or for a model without a copy that is asked for
-// far more. It never fills a target beyond its memory, counting what its open orders may
+// A copy is worth the runs that would find no slot without it, by the chance of that: so
+// a move is made only if what it gives one model is more than what it takes from another
+// one and what the move costs. The last copy of a model goes only if nobody asks for it,
+// or for a model without a copy that is asked for far more. It never fills a target beyond its memory, counting what its open orders may
 // still do, and stays within the rate and the number of loads from the weight store.
 package placer
 
@@ -18,39 +19,46 @@
 )
 
 const (
-	// hotFactor is how many times the mean load of a target the load of one copy
-	// must be for another copy to be made.
-	hotFactor = 0.75
-	// coldFactor is the share of the load of the copy that is made up to which the
-	// copies left of the model that makes room may be loaded.
-	coldFactor = 0.6
 	// pageFactor is how many times more a model without a copy must be asked for than
 	// one whose last copy makes room for it, and pageRate how often at least, in
 	// requests a second.
 	pageFactor = 4
 	pageRate   = 0.1
-	// fullShare is the share of its slots from which a target counts as full.
-	fullShare = 0.85
 	// leastRate is the demand, in requests a second, below which the copies that there
 	// are will do: a target runs a few requests at once, and a few say little.
 	leastRate = 1.2
+	// fullCost is what a run at targets that are full on average costs, in parts of one
+	// that finds no slot; mostFull bounds how full they count for.
+	fullCost = 0.4
+	mostFull = 4.0
+	// readShare is the share of its time that a target may read prompts: while it reads
+	// them, the streams that it has pause.
+	readShare = 0.8
 	// idleBase is the load that every copy counts for, so that copies spread.
 	idleBase = 1e-3
-	// evictionCost weighs an unload against a target that has less to do, and
-	// storeCost a load from the weight store.
-	evictionCost = 0.2
-	storeCost    = 0.2
-	// waitCost weighs a second until a copy serves against a target that has less to
-	// do: two copies of which one comes six seconds sooner are worth as much if that
-	// one's target has the mean load more.
-	waitCost = 0.15
+	// spread is the variance of the number of runs at once in parts of its mean: they
+	// come by chance, and how many there are is an estimate.
+	spread = 2.0
+	// moveCost is what a move must gain at least, in slots, storeCost what a load from
+	// the weight store must gain besides, and lastCost what the unload of a last copy.
+	moveCost  = 0.15
+	storeCost = 0.5
+	lastCost  = 0.05
+	// worthwhile is the time, in seconds, after which a copy that is there only then is
+	// worth 1/e: demand moves on.
+	worthwhile = 8.0
+	// lossFactor is how many times more a move must give one model than it takes from
+	// another: both are estimates, and a move back costs as much again.
+	lossFactor = 2.5
+	// loadCost is what the load that a target has already costs another copy, in parts
+	// of its slots.
+	loadCost = 1.0
+	// mostRelieved bounds the models that one plan looks for another copy of, and so the
+	// time that it takes.
+	mostRelieved = 12
 	// crowdCost is what a load from the weight store costs at a target for each other
 	// missing model that this target could load sooner.
 	crowdCost = 0.1
-	// runSeconds is about how long a run lasts, and longestDrain how long an unload
-	// waits for the runs of its model.
-	runSeconds   = 2.0
-	longestDrain = 3.0
 )
 
 // Site is a target as the plan sees it.
@@ -84,8 +92,9 @@
 	Service *registrar.Service
 	Sites   []*Site
 	Demand  map[tallier.Key]tallier.Demand
-	// Idle holds the models that nobody asks for. Their last copy may go.
-	Idle map[string]bool
+	// Idle holds the models that nobody asks for, with the number of requests for others
+	// since they were last asked for. Their last copy may go.
+	Idle map[string]float64
 	// Loads is how many loads from the weight store may begin now.
 	Loads int
 }
@@ -106,41 +115,104 @@
 // plan is a State with its sums.
 type plan struct {
 	State
+	// works holds the slots that are asked for of each model.
+	works  map[string]float64
 	copies map[string]int
-	load   map[string]float64 // of each target ID
-	// mean is the mean load of a target.
-	mean float64
+	load   map[string]float64 // of each target ID, in slots
+	// room is the number of slots that the copies of a model have for it.
+	room map[string]float64
+	// shorts holds the runs of a model that find no slot, and losses those that find none
+	// without its copy at a target.
+	shorts map[string]float64
+	losses map[copyKey]float64
 	// missing are the models without a copy.
 	missing map[string]bool
 	moves   []Move
 }
 
+// copyKey names the copy of a model at a target.
+type copyKey struct {
+	site  *Site
+	model string
+}
+
 // Plan returns the moves that are worth making now, at most one for each target.
 func Plan(state State) []Move {
 	if state.Service.Engine == nil {
 		return nil
 	}
-	p := &plan{State: state, copies: map[string]int{}, load: map[string]float64{}}
+	p := &plan{State: state, works: map[string]float64{}}
+	for model := range state.Service.Engine.Models {
+		p.works[model] = p.workOf(model)
+	}
 	for _, site := range state.Sites {
 		for model := range site.Models {
-			p.copies[model]++
+			p.works[model] = p.workOf(model)
 		}
 	}
-	for _, site := range state.Sites {
-		p.load[site.Target.ID] = p.loadOf(site)
-		p.mean += p.load[site.Target.ID] / float64(len(state.Sites))
-	}
-	missing := p.findMissing()
-	for _, model := range missing {
-		p.add(model, "no copy")
+	p.sum()
+	for _, model := range p.findMissing() {
+		if p.add(model, "no copy") {
+			p.sum()
+		}
 	}
 	p.relieve()
 	return p.moves
 }
 
-// work returns the tokens a second that are asked of a model.
-func (p *plan) work(model string) float64 {
-	return p.Demand[tallier.Key{Service: p.Service.Name, Model: model}].Work + idleBase
+// sum works out the sums of the state.
+func (p *plan) sum() {
+	p.copies, p.load, p.room = map[string]int{}, map[string]float64{}, map[string]float64{}
+	for _, site := range p.Sites {
+		for model := range site.Models {
+			p.copies[model]++
+		}
+	}
+	for _, site := range p.Sites {
+		for model := range site.Models {
+			p.load[site.Target.ID] += p.share(model)
+		}
+	}
+	for _, site := range p.Sites {
+		for model := range site.Models {
+			p.room[model] += p.roomAt(site, model)
+		}
+	}
+	p.shorts, p.losses = make(map[string]float64, len(p.works)), make(map[copyKey]float64, len(p.works))
+	for model := range p.works {
+		p.shorts[model] = p.short(model, p.room[model])
+	}
+	for _, site := range p.Sites {
+		for model := range site.Models {
+			p.losses[copyKey{site, model}] = p.lossOf(site, model)
+		}
+	}
+}
+
+// share returns the load that a model is to each of its copies.
+func (p *plan) share(model string) float64 { return p.works[model] / float64(max(p.copies[model], 1)) }
+
+// roomAt returns the slots that a target has for a model that it holds.
+func (p *plan) roomAt(site *Site, model string) float64 {
+	return max(float64(site.Target.Slots)-p.load[site.Target.ID]+p.share(model), 0)
+}
+
+// short returns how many of the runs of a model find none of so many slots free, on
+// average, and with a lower weight those that a fuller target makes slower. The second
+// part evens out the load where there are too few slots for all.
+func (p *plan) short(model string, slots float64) float64 {
+	mean := p.works[model]
+	deviation := math.Sqrt(spread * mean)
+	z := (slots - mean) / deviation
+	density := math.Exp(-z*z/2) / math.Sqrt(2*math.Pi)
+	return deviation*(density-z*math.Erfc(z/math.Sqrt2)/2) + fullCost*mean*min(mean/max(slots, 1), mostFull)
+}
+
+// workOf returns the slots that are asked for of a model: the runs at once, or more where
+// the prompts that are to be read keep a target from taking so many.
+func (p *plan) workOf(model string) float64 {
+	d := p.Demand[tallier.Key{Service: p.Service.Name, Model: model}]
+	return max(d.Work, d.Reading/readShare*float64(p.Service.Engine.Slots)) + idleBase
 }
 
 // rate returns the requests a second for a model.
@@ -148,14 +220,6 @@
 	return p.Demand[tallier.Key{Service: p.Service.Name, Model: model}].Rate
 }
 
-func (p *plan) loadOf(site *Site) float64 {
-	sum := 0.0
-	for model := range site.Models {
-		sum += p.work(model) / float64(max(p.copies[model], 1))
-	}
-	return sum
-}
-
 // findMissing returns the models without a copy, the most wanted first.
 func (p *plan) findMissing() []string {
 	out := []string{}
@@ -167,67 +231,66 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.work(b), p.work(a)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(p.works[b], p.works[a]), cmp.Compare(a, b))
 	})
 	return out
 }
 
-// relieve makes another copy of the models whose copies have most to do.
+// relieve makes another copy of the models whose runs are likely to find no slot, of
+// those that are most short: the others' turn comes with a later plan.
 func (p *plan) relieve() {
-	for _, model := range p.hottest() {
-		if p.rate(model) < leastRate || p.work(model)/float64(p.copies[model]) < hotFactor*p.mean {
-			return
+	short := p.shortest()
+	for _, model := range short[:min(len(short), mostRelieved)] {
+		if p.rate(model) >= leastRate && p.add(model, "copies are short of slots") {
+			p.sum()
 		}
-		p.add(model, "copies have most to do")
 	}
 }
 
-func (p *plan) hottest() []string {
+// shortest returns the models that are short of slots, most so first.
+func (p *plan) shortest() []string {
 	out := []string{}
 	for model, n := range p.copies {
-		if _, ok := p.Service.Engine.Models[model]; ok && n > 0 {
+		if _, ok := p.Service.Engine.Models[model]; !ok || n == 0 {
+			continue
+		}
+		if p.shorts[model] > moveCost {
 			out = append(out, model)
 		}
 	}
 	slices.SortFunc(out, func(a, b string) int {
-		return cmp.Or(
-			cmp.Compare(p.work(b)/float64(p.copies[b]), p.work(a)/float64(p.copies[a])), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(p.shorts[b], p.shorts[a]), cmp.Compare(a, b))
 	})
 	return out
 }
 
-// add plans one more copy of a model: a load where there is room, or else the
-// unload that makes room for it.
-func (p *plan) add(model, reason string) {
+// add plans one more copy of a model: a load where there is room, or else the unload
+// that makes room for it. It reports whether there is a target where that is worth it.
+func (p *plan) add(model, reason string) bool {
 	best, evicted := p.bestSite(model)
 	if best == nil {
-		return
+		return false
 	}
 	if !best.Target.HasAtHand(model) {
 		p.Loads--
 	}
+	move := Move{Target: best.Target, Model: model, Reason: reason, Seconds: LoadSeconds(p.Service.Engine, best.Target, model)}
 	if evicted != "" {
-		p.moves = append(p.moves, Move{
-			Target: best.Target, Model: evicted, Unload: true, For: model, Reason: reason,
-			Seconds: p.drainSeconds(evicted) + LoadSeconds(p.Service.Engine, best.Target, model),
-		})
-		p.copies[evicted]--
-		p.copies[model]++
-	} else {
-		p.moves = append(p.moves, Move{
-			Target: best.Target, Model: model, Reason: reason, Seconds: LoadSeconds(p.Service.Engine, best.Target, model),
-		})
-		p.copies[model]++
-		best.Models[model] = true
+		move.Model, move.For, move.Unload = evicted, model, true
+		move.Seconds += p.drainSeconds(evicted)
+		delete(best.Models, evicted)
 	}
+	p.moves = append(p.moves, move)
+	best.Models[model] = true
 	best.Busy = true
+	return true
 }
 
-// bestSite returns the target with least to do that can take a model, and what
-// must be unloaded there first; nil if there is none.
+// bestSite returns the target where another copy of a model gains most, and what must be
+// unloaded there first; nil if there is none that gains anything. A model without a copy
+// goes to the best one in any case.
 func (p *plan) bestSite(model string) (best *Site, evicted string) {
-	bestCost := 0.0
-	isFull := p.isFull(model)
+	most := 0.0
 	for _, site := range p.Sites {
 		if site.Busy || site.Target.Leaving || site.Models[model] {
 			continue
@@ -235,33 +298,46 @@
 		if p.Loads <= 0 && !site.Target.HasAtHand(model) {
 			continue
 		}
-		victim, fits := p.makeRoom(site, model, isFull)
+		victim, fits := p.makeRoom(site, model)
 		if !fits {
 			continue
 		}
-		cost := p.siteCost(site, model, victim)
-		if best == nil || cost < bestCost {
-			best, evicted, bestCost = site, victim, cost
+		gain := p.gain(site, model, victim)
+		if (best == nil && p.copies[model] == 0) || gain > most {
+			best, evicted, most = site, victim, gain
 		}
 	}
 	return best, evicted
 }
 
-// siteCost weighs a target for another copy of a model: the load that it has and that
-// the copies left of a victim would get, in mean loads of a target, and the time until
-// the copy serves.
-func (p *plan) siteCost(site *Site, model, victim string) float64 {
-	mean := max(p.mean, idleBase)
-	cost := p.load[site.Target.ID]/mean + waitCost*LoadSeconds(p.Service.Engine, site.Target, model)
+// gain weighs another copy of a model at a target, in slots: the runs that find a slot
+// there and nowhere else, less what the other copies of a victim cannot take, and less
+// what the move costs.
+func (p *plan) gain(site *Site, model, victim string) float64 {
+	left := p.load[site.Target.ID]
+	seconds := LoadSeconds(p.Service.Engine, site.Target, model)
+	cost := moveCost
 	if victim != "" {
-		copies := float64(p.copies[victim])
-		cost += evictionCost + waitCost*p.drainSeconds(victim)
-		cost += p.work(victim) / max(copies-1, 1) / mean / copies
+		left -= p.share(victim)
+		seconds += p.drainSeconds(victim)
+		cost += lossFactor * p.losses[copyKey{site, victim}]
 	}
 	if !site.Target.HasAtHand(model) {
 		cost += storeCost + crowdCost*float64(p.quicker(site, model))
 	}
-	return cost
+	slots := float64(site.Target.Slots)
+	room := max(slots-left, 0)
+	gain := p.shorts[model] - p.short(model, p.room[model]+room)
+	return gain*math.Exp(-seconds/worthwhile) - cost - loadCost*left/slots
+}
+
+// lossOf returns the runs of a model that find no slot without its copy at a target.
+func (p *plan) lossOf(site *Site, victim string) float64 {
+	loss := p.short(victim, p.room[victim]-p.roomAt(site, victim)) - p.shorts[victim]
+	if p.copies[victim] < 2 {
+		loss += lastCost
+	}
+	return loss
 }
 
 // LoadSeconds returns how long a target takes to load a model; 0 for a model that the
@@ -278,10 +354,15 @@
 	}
 }
 
-// drainSeconds returns how long the unload of a copy is likely to wait for its runs.
+// drainSeconds returns how long the unload of a copy is likely to wait for its runs: for
+// the longest of those that it has, if how long they last spreads as by chance.
 func (p *plan) drainSeconds(model string) float64 {
-	runs := p.rate(model) / float64(max(p.copies[model], 1)) * runSeconds
-	return longestDrain * (1 - math.Exp(-runs))
+	d := p.Demand[tallier.Key{Service: p.Service.Name, Model: model}]
+	if d.Rate <= 0 {
+		return 0
+	}
+	runs := d.Work / float64(max(p.copies[model], 1))
+	return d.Work / d.Rate * math.Log1p(runs)
 }
 
 // quicker returns how many other missing models a target has at hand.
@@ -300,8 +381,7 @@
 // makeRoom returns the model that must go for another to fit, empty if it fits as
 // it is; false if no single model can make room. A model that nobody asks for makes
 // none go: where copies are is all that tells of demand before there are requests.
-// isFull tells that the copies of the model are.
-func (p *plan) makeRoom(site *Site, model string, isFull bool) (victim string, fits bool) {
+func (p *plan) makeRoom(site *Site, model string) (victim string, fits bool) {
 	engine := p.Service.Engine
 	need := engine.Models[model].Megabytes
 	free := engine.WeightMegabytes - Used(engine, site)
@@ -313,44 +393,26 @@
 	}
 	least := 0.0
 	for held := range site.Models {
-		if free+sizeOf(engine, site, held) < need || !p.mayGo(held, model, isFull) {
+		if free+sizeOf(engine, site, held) < need || !p.mayGo(held, model) {
 			continue
 		}
-		loaded := p.work(held) / float64(max(p.copies[held]-1, 1))
-		if victim == "" || loaded < least || (loaded == least && held < victim) {
-			victim, least = held, loaded
+		loss := p.losses[copyKey{site, held}]
+		if victim == "" || cmp.Or(cmp.Compare(loss, least), cmp.Compare(p.Idle[victim], p.Idle[held]), cmp.Compare(held, victim)) < 0 {
+			victim, least = held, loss
 		}
 	}
 	return victim, victim != ""
 }
 
-// mayGo reports whether a copy of a model may be unloaded for another model, of which
-// the copies are full or not.
-func (p *plan) mayGo(held, model string, isFull bool) bool {
-	if p.copies[held] < 2 {
-		return (p.Idle[held] && isFull) || p.mayPage(held, model)
+// mayGo reports whether a copy of a model may be unloaded for another model: the last one
+// only of a model that nobody asks for, or for one without a copy that is asked for far more.
+func (p *plan) mayGo(held, model string) bool {
+	if p.copies[held] > 1 || p.Idle[held] > 0 {
+		return true
 	}
-	gain := p.work(model) / float64(p.copies[model]+1)
-	return p.copies[model] == 0 || p.work(held)/float64(p.copies[held]-1) <= coldFactor*gain
-}
-
-// mayPage reports whether the last copy of a model may go for a model without a copy,
-// where not all of them fit.
-func (p *plan) mayPage(held, model string) bool {
 	return p.copies[model] == 0 && p.rate(model) >= pageRate && pageFactor*p.rate(held) <= p.rate(model)
 }
 
-// isFull reports whether every target that holds a model has about as much as it can
-// take; true for a model without a copy.
-func (p *plan) isFull(model string) bool {
-	for _, site := range p.Sites {
-		if site.Models[model] && float64(site.InFlight) < fullShare*float64(site.Target.Slots) {
-			return false
-		}
-	}
-	return true
-}
-
 // Used returns the megabytes of weights and adapters that a target holds or may
 // come to hold.
 func Used(engine *registrar.Engine, site *Site) float64 {
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -194,7 +194,7 @@
 }
 
 func (s *Supervisor) countRun(d conductor.Demand, took time.Duration) {
-	s.tally.AddRun(tallier.Key{Service: d.Service, Model: d.Model}, took)
+	s.tally.AddRun(tallier.Key{Service: d.Service, Model: d.Model}, took, s.balancer.ReadTime(d.Model, d.Prompt))
 }
 
 func (s *Supervisor) countWaiting(d conductor.Demand) {
--- a/internal/gateway/tallier/tallier.go
+++ b/internal/gateway/tallier/tallier.go
@@ -36,14 +36,18 @@
 type Demand struct {
 	// Rate is in requests a second.
 	Rate float64
-	// Work is the number of runs at the same time that the rate amounts to.
-	Work float64
+	// Work is the number of runs at the same time that the rate amounts to, and Reading
+	// the number of prompts that are being read at the same time.
+	Work    float64
+	Reading float64
 	// Waiting is the number of requests that found no target lately.
 	Waiting int
-	// Runs is the number of runs that ended lately, older ones weighing less, and
-	// RunSeconds how long they took at their targets together.
-	Runs       float64
-	RunSeconds float64
+	// Runs is the number of runs that ended lately, older ones weighing less,
+	// RunSeconds how long they took at their targets together, and ReadSeconds the part
+	// of it in which their prompts were read.
+	Runs        float64
+	RunSeconds  float64
+	ReadSeconds float64
 }
 
 // Tallier counts demand. The zero value is not usable; see New.
@@ -61,6 +65,7 @@
 	waiting  float64
 	runs     float64
 	seconds  float64
+	reading  float64
 	at       time.Time
 }
 
@@ -81,13 +86,15 @@
 	t.faded(key).requests++
 }
 
-// AddRun counts a run that ended after a time at its target.
-func (t *Tallier) AddRun(key Key, took time.Duration) {
+// AddRun counts a run that ended after a time at its target, a part of which the target
+// took to read the prompt.
+func (t *Tallier) AddRun(key Key, took, read time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.faded(key)
 	c.runs++
 	c.seconds += took.Seconds()
+	c.reading += read.Seconds()
 }
 
 // AddWaiting counts a look in vain for a target.
@@ -110,6 +117,7 @@
 	factor = math.Exp(-now.Sub(c.at).Seconds() / runMemory.Seconds())
 	c.runs *= factor
 	c.seconds *= factor
+	c.reading *= factor
 	c.at = now
 	return c
 }
@@ -128,7 +136,7 @@
 		}
 		out = append(out, messenger.GatewayDemand{
 			Service: key.Service, Model: key.Model, Adapter: key.Adapter, Rate: rate,
-			Waiting: int(math.Round(c.waiting)), Runs: c.runs, RunSeconds: c.seconds,
+			Waiting: int(math.Round(c.waiting)), Runs: c.runs, RunSeconds: c.seconds, ReadSeconds: c.reading,
 		})
 	}
 	return out
@@ -145,7 +153,7 @@
 	out := make(map[Key]Demand, len(demand))
 	for _, d := range demand {
 		out[Key{d.Service, d.Model, d.Adapter}] = Demand{
-			Rate: d.Rate, Waiting: d.Waiting, Runs: d.Runs, RunSeconds: d.RunSeconds,
+			Rate: d.Rate, Waiting: d.Waiting, Runs: d.Runs, RunSeconds: d.RunSeconds, ReadSeconds: d.ReadSeconds,
 		}
 	}
 	return out
@@ -166,8 +174,7 @@
 			sum := total[key]
 			sum.Rate += d.Rate
 			sum.Waiting += d.Waiting
-			sum.Runs += d.Runs
-			sum.RunSeconds += d.RunSeconds
+			sum.addRuns(d)
 			total[key] = sum
 		}
 	}
@@ -182,16 +189,24 @@
 	services := map[string]Demand{}
 	for key, d := range total {
 		sum := services[key.Service]
-		sum.Runs += d.Runs
-		sum.RunSeconds += d.RunSeconds
+		sum.addRuns(d)
 		services[key.Service] = sum
 	}
 	for key, d := range total {
-		prior := priorSeconds
+		prior := Demand{Runs: 1, RunSeconds: priorSeconds}
 		if of := services[key.Service]; of.Runs > 0 {
-			prior = of.RunSeconds / of.Runs
+			prior = of
 		}
-		d.Work = d.Rate * (d.RunSeconds + priorRuns*prior) / (d.Runs + priorRuns)
+		weight := priorRuns / prior.Runs
+		perRun := d.Rate / (d.Runs + priorRuns)
+		d.Work = perRun * (d.RunSeconds + weight*prior.RunSeconds)
+		d.Reading = perRun * (d.ReadSeconds + weight*prior.ReadSeconds)
 		total[key] = d
 	}
 }
+
+func (d *Demand) addRuns(other Demand) {
+	d.Runs += other.Runs
+	d.RunSeconds += other.RunSeconds
+	d.ReadSeconds += other.ReadSeconds
+}
--- a/internal/gateway/tallier/watch.go
+++ b/internal/gateway/tallier/watch.go
@@ -46,12 +46,14 @@
 	}
 }
 
-// Idle returns those of the models of a service that nobody asks for.
-func (w *Watch) Idle(service string, models []string) map[string]bool {
-	idle := map[string]bool{}
+// Idle returns those of the models of a service that nobody asks for, each with the
+// number of requests for others since it was last asked for.
+func (w *Watch) Idle(service string, models []string) map[string]float64 {
+	idle := map[string]float64{}
 	for _, model := range models {
-		if w.seen[service]-w.asked[Key{Service: service, Model: model}] >= float64(idleShare*len(models)) {
-			idle[model] = true
+		since := w.seen[service] - w.asked[Key{Service: service, Model: model}]
+		if since >= float64(idleShare*len(models)) {
+			idle[model] = since
 		}
 	}
 	return idle
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -266,6 +266,9 @@
 	// Rate is the number of requests a second, smoothed.
 	Rate float64 `json:"Rate"`
 
+	// ReadSeconds is how long the targets took to read their prompts.
+	ReadSeconds float64 `json:"ReadSeconds"`
+
 	// RunSeconds is how long they took at their targets together.
 	RunSeconds float64 `json:"RunSeconds"`
 
