--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -5,8 +5,9 @@
 // A copy is worth the runs that would find no slot without it, by the chance of that: so
 // a move is made only if what it gives one model is more than what it takes from another
 // one and what the move costs. The last copy of a model goes only if nobody asks for it,
-// or for a model without a copy that is asked for far more. It never fills a target beyond its memory, counting what its open orders may
-// still do, and stays within the rate and the number of loads from the weight store.
+// or for a model without a copy that is asked for far more. A plan never fills a target
+// beyond its memory, counting what its open orders may still do, and stays within the
+// rate and the number of loads from the weight store.
 package placer
 
 import (
