Let last copies go only while the copies of the other model are full, as before

A copy more gains a little as long as there is any demand, so that the weight on a last copy did not keep it. The rule of before holds again: last copies go for a model whose copies are all full.

--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -4,10 +4,11 @@
 //
 // A copy is worth the runs that would find no slot without it, by the chance of that: so
 // a move is made only if what it gives one model is more than what it takes from another
-// one and what the move costs. The last copy of a model goes only if nobody asks for it,
-// or for a model without a copy that is asked for far more. A plan never fills a target
-// beyond its memory, counting what its open orders may still do, and stays within the
-// rate and the number of loads from the weight store.
+// one and what the move costs. The last copy of a model goes only if nobody asks for it
+// and the copies of the one that needs the room are full, or for a model without a copy
+// that is asked for far more. A plan never fills a target beyond its memory, counting what
+// its open orders may still do, and stays within the rate and the number of loads from the
+// weight store.
 package placer
 
 import (
@@ -28,6 +29,8 @@
 	// leastRate is the demand, in requests a second, below which the copies that there
 	// are will do: a target runs a few requests at once, and a few say little.
 	leastRate = 1.2
+	// fullShare is the share of its slots from which a target counts as full.
+	fullShare = 0.85
 	// fullCost is what a run at targets that are full on average costs, in parts of one
 	// that finds no slot; mostFull bounds how full they count for.
 	fullCost = 0.4
@@ -292,6 +295,7 @@
 // goes to the best one in any case.
 func (p *plan) bestSite(model string) (best *Site, evicted string) {
 	most := 0.0
+	isFull := p.isFull(model)
 	for _, site := range p.Sites {
 		if site.Busy || site.Target.Leaving || site.Models[model] {
 			continue
@@ -299,7 +303,7 @@
 		if p.Loads <= 0 && !site.Target.HasAtHand(model) {
 			continue
 		}
-		victim, fits := p.makeRoom(site, model)
+		victim, fits := p.makeRoom(site, model, isFull)
 		if !fits {
 			continue
 		}
@@ -382,7 +386,8 @@
 // makeRoom returns the model that must go for another to fit, empty if it fits as
 // it is; false if no single model can make room. A model that nobody asks for makes
 // none go: where copies are is all that tells of demand before there are requests.
-func (p *plan) makeRoom(site *Site, model string) (victim string, fits bool) {
+// isFull tells that the copies of the model are.
+func (p *plan) makeRoom(site *Site, model string, isFull bool) (victim string, fits bool) {
 	engine := p.Service.Engine
 	need := engine.Models[model].Megabytes
 	free := engine.WeightMegabytes - Used(engine, site)
@@ -394,7 +399,7 @@
 	}
 	least := 0.0
 	for held := range site.Models {
-		if free+sizeOf(engine, site, held) < need || !p.mayGo(held, model) {
+		if free+sizeOf(engine, site, held) < need || !p.mayGo(held, model, isFull) {
 			continue
 		}
 		loss := p.losses[copyKey{site, held}]
@@ -405,15 +410,30 @@
 	return victim, victim != ""
 }
 
-// mayGo reports whether a copy of a model may be unloaded for another model: the last one
-// only of a model that nobody asks for, or for one without a copy that is asked for far more.
-func (p *plan) mayGo(held, model string) bool {
-	if p.copies[held] > 1 || p.Idle[held] > 0 {
+// mayGo reports whether a copy of a model may be unloaded for another model. The last one
+// goes only if nobody asks for it and the copies of the other are full, since demand comes
+// back to models, or for a model without a copy that is asked for far more.
+func (p *plan) mayGo(held, model string, isFull bool) bool {
+	if p.copies[held] > 1 {
+		return true
+	}
+	if p.Idle[held] > 0 && isFull {
 		return true
 	}
 	return p.copies[model] == 0 && p.rate(model) >= pageRate && pageFactor*p.rate(held) <= p.rate(model)
 }
 
+// isFull reports whether every target that holds a model has about as much as it can
+// take; true for a model without a copy.
+func (p *plan) isFull(model string) bool {
+	for _, site := range p.Sites {
+		if site.Models[model] && float64(site.InFlight) < fullShare*float64(site.Target.Slots) {
+			return false
+		}
+	}
+	return true
+}
+
 // Used returns the megabytes of weights and adapters that a target holds or may
 // come to hold.
 func Used(engine *registrar.Engine, site *Site) float64 {
--- a/internal/gateway/placer/placer_test.go
+++ b/internal/gateway/placer/placer_test.go
@@ -234,19 +234,20 @@
 // TestLastCopies replays a full system in which a model that nobody asks for and one
 // that is asked for now and then hold a place that a busy one needs.
 func TestLastCopies(t *testing.T) {
-	planAt := func(rate float64, idle ...string) []placer.Move {
+	full := func(inFlight int, idle ...string) []placer.Move {
 		state := placer.State{
 			Service: service(4), Sites: []*placer.Site{site("t1", "m0", "m1"), site("t2", "m2", "m3")}, Loads: 1,
-			Demand: demand(map[string]float64{"m0": rate, "m2": 0.2}), Idle: map[string]float64{},
+			Demand: demand(map[string]float64{"m0": 80, "m2": 0.2}), Idle: map[string]float64{},
 		}
+		state.Sites[0].InFlight = inFlight
 		for _, model := range idle {
 			state.Idle[model] = 1
 		}
 		return placer.Plan(state)
 	}
-	assert.Empty(t, planAt(80), "no last copy goes")
-	assert.Empty(t, planAt(8, "m3"), "there is room at its copy")
-	moves := planAt(80, "m3")
+	assert.Empty(t, full(32), "no last copy goes")
+	assert.Empty(t, full(8, "m3"), "there is room at its copy")
+	moves := full(32, "m3")
 	require.Len(t, moves, 1)
 	assert.Equal(t, placer.Move{Target: moves[0].Target, Model: "m3", Unload: true, For: "m0", Reason: moves[0].Reason}, moves[0])
 	t.Run("a model that nobody asks for makes none go", func(t *testing.T) {
