Take what a peer has given up for gone while the store answers others only

The store turned some machines away and forgot its history. A target left without saying so; 25 instances saw its entry go at 4.3 to 4.5 s. front-nl-west-a-7 was turned away, took the table of a peer at 5.0, 5.9 and 7.3 s without the entry, and kept it as one that may return after an outage, for as long as its own calls failed: it sent a request there 13 s later. Change: an entry that is missing from a peer's table is gone at once; a peer that had an outage itself still has what may return among its rows. Excluded: the reader of the cell (the entry was gone from its table), late news. The new case of TestPeerHelpsWhileTheStoreIsAway failed before.

--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -182,7 +182,7 @@
 	if err != nil {
 		return err
 	}
-	f.replace(snapshot)
+	f.replace(snapshot, true)
 	return nil
 }
 
@@ -288,16 +288,17 @@
 	return fresh
 }
 
-// replace takes a whole table. Rows that are missing from it have been removed. A
-// table older than what is known is not taken.
-func (f *Follower) replace(snapshot messenger.TableSnapshot) {
+// replace takes a whole table. Rows that are missing from it have been removed, at once or,
+// if they may have lapsed in an outage and return, later. A table older than what is known
+// is not taken.
+func (f *Follower) replace(snapshot messenger.TableSnapshot, mayReturn bool) {
 	f.mu.Lock()
 	if snapshot.Version < f.version {
 		f.mu.Unlock()
 		f.log.Info("table is older than what is known", "table", f.table, "version", snapshot.Version)
 		return
 	}
-	waits := f.outage(f.now())
+	waits := mayReturn && f.outage(f.now())
 	f.version = max(f.version, snapshot.Version)
 	present := make(map[string]bool, len(snapshot.Rows))
 	for _, row := range snapshot.Rows {
@@ -373,5 +374,7 @@
 		return
 	}
 	f.log.Info("table taken from a peer", "table", f.table, "version", snapshot.Version)
-	f.replace(snapshot)
+	// What may return after an outage is still among the rows of a peer that had one. What
+	// a peer has given up is gone, also while the store answers others only.
+	f.replace(snapshot, false)
 }
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -178,6 +178,15 @@
 		w.outage(f, time.Second)
 		assert.EqualValues(t, 6, w.held["a"])
 	})
+	t.Run("what a peer has given up is gone, while the store answers others only", func(t *testing.T) {
+		w, f := newWorld()
+		w.table = snapshot(5, row("a", 3), row("left", 4))
+		f.Step()
+		peer := snapshot(6, row("a", 6))
+		w.peer = &peer
+		w.outage(f, 2*time.Second)
+		assert.NotContains(t, w.held, "left")
+	})
 }
 
 func TestFreshness(t *testing.T) {
