Let what peers told count until their next news, and tell other data centres one sum of loads

Cause: on the large site news go out every 1.95 s (25 ms for each of 77 peers), but a peer's load counted for 1.5 s and its demand for 2 s: a quarter of the time all others' requests at a target were taken for none, and what came from another data centre was up to 2 s old. Change: news carry the deadline until which they count, from the interval of the peer that tells; peers of the own data centre are told at the rate of their number, others at theirs; the holder of the lease tells all at the near rate.

--- a/internal/gateway/balancer/balancer_test.go
+++ b/internal/gateway/balancer/balancer_test.go
@@ -153,34 +153,55 @@
 func TestPeersLoadCounts(t *testing.T) {
 	b, c := newTest()
 	v := view(2)
-	b.SetPeer("other", 1, 5, map[string]balancer.Load{"e0": {InFlight: 4, Pending: 180}}, true)
+	until := c.now.Add(2 * time.Second)
+	b.SetPeer("other", 1, 5, map[string]balancer.Load{"e0": {InFlight: 4, Pending: 180}}, until)
 	for range 2 {
 		assert.Equal(t, "e1", mustPick(t, b, v, engineRequest(1000)).Target.ID)
 	}
 	t.Run("a late datagram changes nothing", func(t *testing.T) {
-		b.SetPeer("other", 1, 4, map[string]balancer.Load{"e0": {}}, false)
+		b.SetPeer("other", 1, 4, map[string]balancer.Load{"e0": {}}, time.Time{})
 		assert.Equal(t, 4, b.TotalInFlight("e0"))
 	})
 	t.Run("a later one does", func(t *testing.T) {
-		b.SetPeer("other", 1, 6, map[string]balancer.Load{"e0": {InFlight: 1}}, false)
+		b.SetPeer("other", 1, 6, map[string]balancer.Load{"e0": {InFlight: 1}}, time.Time{})
 		assert.Equal(t, 1, b.TotalInFlight("e0"))
 	})
 	t.Run("news without a target clears it", func(t *testing.T) {
-		b.SetPeer("other", 1, 7, nil, true)
+		b.SetPeer("other", 1, 7, nil, until)
 		assert.Zero(t, b.TotalInFlight("e0"))
 	})
 	t.Run("a silent peer stops to count", func(t *testing.T) {
-		b.SetPeer("other", 1, 8, map[string]balancer.Load{"e0": {InFlight: 9}}, true)
+		b.SetPeer("other", 1, 8, map[string]balancer.Load{"e0": {InFlight: 9}}, until)
 		c.step(2 * time.Second)
+		until = c.now.Add(2 * time.Second)
 		assert.Zero(t, b.TotalInFlight("e0"))
 	})
 	t.Run("an old incarnation says nothing", func(t *testing.T) {
-		b.SetPeer("other", 2, 1, map[string]balancer.Load{"e0": {InFlight: 1}}, true)
-		b.SetPeer("other", 1, 99, map[string]balancer.Load{"e0": {InFlight: 9}}, true)
+		b.SetPeer("other", 2, 1, map[string]balancer.Load{"e0": {InFlight: 1}}, until)
+		b.SetPeer("other", 1, 99, map[string]balancer.Load{"e0": {InFlight: 9}}, until)
 		assert.Equal(t, 1, b.TotalInFlight("e0"))
 	})
 }
 
+func TestSumOfPeers(t *testing.T) {
+	b, c := newTest()
+	ticket := mustPick(t, b, view(1), engineRequest(0))
+	until := c.now.Add(time.Second)
+	b.SetPeer("near", 1, 1, map[string]balancer.Load{"e0": {InFlight: 2, Pending: 5}, "e1": {InFlight: 1}}, until)
+	b.SetPeer("far", 1, 1, map[string]balancer.Load{"e0": {InFlight: 9}}, until)
+	_, before := b.Sum([]string{"near", "unknown"})
+	assert.Equal(t, map[string]balancer.Load{"e0": {InFlight: 3, Pending: 5}, "e1": {InFlight: 1}}, before)
+	ticket.End(balancer.Answered)
+	b.SetPeer("near", 1, 2, map[string]balancer.Load{"e1": {}}, time.Time{})
+	_, after := b.Sum([]string{"near"})
+	assert.Equal(t, map[string]balancer.Load{"e0": {InFlight: 2, Pending: 5}, "e1": {}}, balancer.Changed(before, after))
+	t.Run("a silent peer is left out", func(t *testing.T) {
+		c.step(time.Second)
+		_, loads := b.Sum([]string{"near"})
+		assert.Empty(t, loads)
+	})
+}
+
 func TestOverlays(t *testing.T) {
 	b, c := newTest()
 	v := view(1)
--- a/internal/gateway/balancer/load.go
+++ b/internal/gateway/balancer/load.go
@@ -6,8 +6,6 @@
 )
 
 const (
-	// newsLife is how long what a peer said of its load counts.
-	newsLife = 1500 * time.Millisecond
 	// defaultPace is the time that a token of a prompt takes until there is a
 	// measurement, in milliseconds.
 	defaultPace = 0.05
@@ -27,7 +25,8 @@
 	Pending float64
 }
 
-// peerLoad is what a peer told of its load. Sequence numbers rise within an
+// peerLoad is what a peer told of its load, or the first instance of a data centre of
+// that of all there. Sequence numbers rise within an
 // incarnation.
 type peerLoad struct {
 	incarnation int64
@@ -40,9 +39,9 @@
 	sequence int64
 }
 
-// SetPeer takes what a peer told of some targets. With isAll it told of all, and
-// has nothing at the others.
-func (b *Balancer) SetPeer(instance string, incarnation, sequence int64, loads map[string]Load, isAll bool) {
+// SetPeer takes what a peer told of some targets. With until it told of all: it has
+// nothing at the others, and what it has counts until then.
+func (b *Balancer) SetPeer(instance string, incarnation, sequence int64, loads map[string]Load, until time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p, ok := b.peers[instance]
@@ -53,8 +52,8 @@
 		p = &peerLoad{incarnation: incarnation, targets: map[string]toldLoad{}}
 		b.peers[instance] = p
 	}
-	if isAll {
-		p.until = b.now().Add(newsLife)
+	if !until.IsZero() {
+		p.until = until
 		maps.DeleteFunc(p.targets, func(id string, told toldLoad) bool {
 			_, stays := loads[id]
 			return !stays && told.sequence <= sequence
@@ -83,14 +82,58 @@
 	return b.sequence, loads
 }
 
+// Sum returns what this instance and some peers have at targets together, without those
+// where they have nothing, and a number that rises with each call.
+func (b *Balancer) Sum(peers []string) (sequence int64, loads map[string]Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sequence++
+	loads = map[string]Load{}
+	for id, l := range b.loads {
+		loads[id] = l.Load
+	}
+	now := b.now()
+	for _, name := range peers {
+		p := b.peers[name]
+		if p == nil || !now.Before(p.until) {
+			continue
+		}
+		for id, told := range p.targets {
+			loads[id] = loads[id].plus(told.Load)
+		}
+	}
+	maps.DeleteFunc(loads, func(_ string, l Load) bool { return l.InFlight == 0 })
+	return b.sequence, loads
+}
+
+// plus returns two loads together.
+func (l Load) plus(other Load) Load {
+	return Load{InFlight: l.InFlight + other.InFlight, Pending: l.Pending + other.Pending}
+}
+
+// Changed returns the loads of after that differ from those of before, and no load at
+// the targets that after leaves out.
+func Changed(before, after map[string]Load) map[string]Load {
+	out := map[string]Load{}
+	for id, l := range after {
+		if before[id] != l {
+			out[id] = l
+		}
+	}
+	for id := range before {
+		if _, ok := after[id]; !ok {
+			out[id] = Load{}
+		}
+	}
+	return out
+}
+
 // total returns what all instances have at a target. It is called with the lock held.
 func (b *Balancer) total(id string, now time.Time) Load {
 	sum := b.load(id).Load
 	for _, p := range b.peers {
 		if now.Before(p.until) {
-			told := p.targets[id]
-			sum.InFlight += told.InFlight
-			sum.Pending += told.Pending
+			sum = sum.plus(p.targets[id].Load)
 		}
 	}
 	return sum
--- a/internal/gateway/informer/informer.go
+++ b/internal/gateway/informer/informer.go
@@ -16,10 +16,11 @@
 )
 
 const (
-	// leastInterval is the time between two sends of news in a small system.
+	// leastInterval is the time between two sends of news to few peers.
 	leastInterval = 250 * time.Millisecond
-	// intervalPerPeer stretches it in a large one, so that the messages of an
-	// instance stay bounded.
+	// intervalPerPeer stretches it for many, so that the messages of an instance stay
+	// bounded. Peers of the own data centre and those of others are counted apart:
+	// what is near must be known sooner.
 	intervalPerPeer = 25 * time.Millisecond
 	// missedNews is the number of intervals without news after which an instance
 	// counts as gone.
@@ -34,39 +35,52 @@
 type Peer struct {
 	News    messenger.GatewayNews
 	HeardAt time.Time
+	// Until is the deadline after which it counts as gone unless it tells more.
+	Until time.Time
 }
 
 // Informer exchanges news. The zero value is not usable; see New.
 type Informer struct {
 	self string
-	// news returns this instance's news for a peer that holds the lease or does not.
-	news func(toHolder bool) messenger.GatewayNews
+	// centre is the data centre of this instance.
+	centre string
+	// news returns this instance's news for a peer.
+	news func(to Audience) messenger.GatewayNews
 	// send sends news to a peer and returns its own.
 	send func(address string, news messenger.GatewayNews, deadline time.Time) (messenger.GatewayNews, error)
-	// heard is told of each peer's news.
-	heard func(messenger.GatewayNews)
+	// heard is told of each peer's news, and until when they count.
+	heard func(news messenger.GatewayNews, until time.Time)
 	now   func() time.Time
 	log   logr.Logger
 
 	mu    sync.Mutex
 	peers map[string]Peer
+	// farDue is when the peers of other data centres are to be told next.
+	farDue time.Time
 	// addresses are those to send to, with the deadline until which each is tried
 	// without an answer.
 	addresses map[string]time.Time
 	lost      map[string]bool
 }
 
+// Audience is the peer that news are for, as far as it is known.
+type Audience struct {
+	// IsHolder tells that it holds the lease on orders.
+	IsHolder   bool
+	DataCentre string
+}
+
 // Calls are what an informer needs of its surroundings.
 type Calls struct {
-	News  func(toHolder bool) messenger.GatewayNews
+	News  func(to Audience) messenger.GatewayNews
 	Send  func(address string, news messenger.GatewayNews, deadline time.Time) (messenger.GatewayNews, error)
-	Heard func(messenger.GatewayNews)
+	Heard func(news messenger.GatewayNews, until time.Time)
 }
 
-// New returns an informer of the instance self that knows no peer.
-func New(self string, calls Calls, log logr.Logger) *Informer {
+// New returns an informer of the instance self in a data centre that knows no peer.
+func New(self, dataCentre string, calls Calls, log logr.Logger) *Informer {
 	return &Informer{
-		self: self, news: calls.News, send: calls.Send, heard: calls.Heard, now: time.Now, log: log,
+		self: self, centre: dataCentre, news: calls.News, send: calls.Send, heard: calls.Heard, now: time.Now, log: log,
 		peers: map[string]Peer{}, addresses: map[string]time.Time{}, lost: map[string]bool{},
 	}
 }
@@ -84,8 +98,9 @@
 		return
 	}
 	i.mu.Lock()
+	now := i.now()
 	known, ok := i.peers[news.Instance]
-	if ok && news.Incarnation < known.News.Incarnation && i.now().Sub(known.HeardAt) < i.life() {
+	if ok && news.Incarnation < known.News.Incarnation && now.Before(known.Until) {
 		i.mu.Unlock()
 		return
 	}
@@ -93,26 +108,33 @@
 		i.log.Info("peer is there", "peer", news.Instance, "incarnation", news.Incarnation, "address", news.PeerAddress)
 	}
 	delete(i.lost, news.Instance)
-	i.peers[news.Instance] = Peer{News: news, HeardAt: i.now()}
-	i.addresses[news.PeerAddress] = i.now().Add(forgetAfter)
+	until := now.Add(missedNews * i.interval(news.DataCentre == i.centre))
+	i.peers[news.Instance] = Peer{News: news, HeardAt: now, Until: until}
+	i.addresses[news.PeerAddress] = now.Add(forgetAfter)
 	i.mu.Unlock()
-	i.heard(news)
+	i.heard(news, until)
 }
 
-// Interval is the time between two sends.
+// Interval is the time between two sends to the peers of this data centre, and of the
+// holder of the lease to all.
 func (i *Informer) Interval() time.Duration {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.interval()
+	return i.interval(true)
 }
 
-func (i *Informer) interval() time.Duration {
-	return max(leastInterval, time.Duration(len(i.peers))*intervalPerPeer)
+// interval returns the time between two sends to peers of this data centre, or to those
+// of others. It is called with the lock held.
+func (i *Informer) interval(isNear bool) time.Duration {
+	count := 0
+	for _, peer := range i.peers {
+		if (peer.News.DataCentre == i.centre) == isNear {
+			count++
+		}
+	}
+	return max(leastInterval, time.Duration(count)*intervalPerPeer)
 }
 
-// life is how long news make a peer count as there. It is called with the lock held.
-func (i *Informer) life() time.Duration { return missedNews * i.interval() }
-
 // Peers returns the instances that are there, without this one, ordered by name.
 func (i *Informer) Peers() []Peer {
 	i.mu.Lock()
@@ -120,7 +142,7 @@
 	now := i.now()
 	out := make([]Peer, 0, len(i.peers))
 	for name, peer := range i.peers {
-		if now.Sub(peer.HeardAt) < i.life() {
+		if now.Before(peer.Until) {
 			out = append(out, peer)
 			continue
 		}
@@ -137,16 +159,18 @@
 	return out
 }
 
-// Tell sends this instance's news to all peers and takes their answers.
+// Tell sends this instance's news to the peers that are to be told now and takes their
+// answers. The holder of the lease tells all each time, since they act by its silence
+// and by what it says of orders.
 func (i *Informer) Tell() {
-	short := i.news(false)
 	deadline := i.now().Add(sendTimeout)
-	holder := i.holderAddress()
 	var group errgroup.Group
-	for _, address := range i.targets(short.PeerAddress) {
-		news := short
-		if address == holder {
-			news = i.news(true)
+	made := map[Audience]messenger.GatewayNews{}
+	for address, to := range i.targets(i.news(Audience{})) {
+		news, ok := made[to]
+		if !ok {
+			news = i.news(to)
+			made[to] = news
 		}
 		group.Go(func() error {
 			answer, err := i.send(address, news, deadline)
@@ -175,27 +199,35 @@
 	return address
 }
 
-// targets returns the addresses to send to. Of two instances that know each other
-// one sends and the other answers.
-func (i *Informer) targets(own string) []string {
+// targets returns the addresses to send to now. Of two instances that know each other
+// one sends and the other answers, but for the holder of the lease, which always sends.
+func (i *Informer) targets(own messenger.GatewayNews) map[string]Audience {
+	holder := i.holderAddress()
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.now()
-	heard := map[string]time.Time{}
+	known := map[string]Peer{}
 	for _, peer := range i.peers {
-		heard[peer.News.PeerAddress] = peer.HeardAt
+		known[peer.News.PeerAddress] = peer
+	}
+	isFarDue := !now.Before(i.farDue)
+	if isFarDue {
+		i.farDue = now.Add(i.interval(false))
 	}
-	out := []string{}
+	out := map[string]Audience{}
 	for address, until := range i.addresses {
 		if now.After(until) {
 			delete(i.addresses, address)
 			continue
 		}
-		fresh := now.Sub(heard[address]) < 2*i.interval()
-		if address != own && (own < address || !fresh) {
-			out = append(out, address)
+		peer, isKnown := known[address]
+		isNear := !isKnown || peer.News.DataCentre == i.centre
+		fresh := isKnown && now.Sub(peer.HeardAt) < 2*i.interval(isNear)
+		isDue := isNear || isFarDue || own.Holder
+		mustSend := own.PeerAddress < address || !fresh || own.Holder
+		if address != own.PeerAddress && isDue && mustSend {
+			out[address] = Audience{IsHolder: address == holder, DataCentre: peer.News.DataCentre}
 		}
 	}
-	sort.Strings(out)
 	return out
 }
--- a/internal/gateway/informer/informer_test.go
+++ b/internal/gateway/informer/informer_test.go
@@ -21,8 +21,13 @@
 	peers map[string]*Informer
 	sends atomic.Int64
 	away  map[string]bool
+	// centres holds the data centres of those that are not in the usual one.
+	centres map[string]string
+	holder  string
 }
 
+func (n *network) centreOf(name string) string { return n.centres[name] }
+
 func newNetwork(names ...string) *network {
 	n := &network{now: time.Unix(1000, 0), peers: map[string]*Informer{}, away: map[string]bool{}}
 	for _, name := range names {
@@ -32,8 +37,11 @@
 }
 
 func (n *network) add(name string, incarnation int64) {
-	news := func(bool) messenger.GatewayNews {
-		return messenger.GatewayNews{Instance: name, Incarnation: incarnation, PeerAddress: name, Ready: true}
+	news := func(Audience) messenger.GatewayNews {
+		return messenger.GatewayNews{
+			Instance: name, Incarnation: incarnation, PeerAddress: name, DataCentre: n.centreOf(name), Ready: true,
+			Holder: name == n.holder,
+		}
 	}
 	send := func(address string, in messenger.GatewayNews, _ time.Time) (messenger.GatewayNews, error) {
 		n.sends.Add(1)
@@ -42,9 +50,9 @@
 			return messenger.GatewayNews{}, errAway
 		}
 		other.Take(in)
-		return other.news(false), nil
+		return other.news(Audience{}), nil
 	}
-	i := New(name, Calls{News: news, Send: send, Heard: func(messenger.GatewayNews) {}}, logr.Discard())
+	i := New(name, n.centreOf(name), Calls{News: news, Send: send, Heard: func(messenger.GatewayNews, time.Time) {}}, logr.Discard())
 	i.now = func() time.Time { return n.now }
 	n.peers[name] = i
 }
--- a/internal/gateway/supervisor/cell.go
+++ b/internal/gateway/supervisor/cell.go
@@ -49,16 +49,8 @@
 }
 
 // reader returns the peer address of the instance that reads the store for this one;
-// empty if this one reads for itself. All agree on the first by name.
-func (s *Supervisor) reader() string {
-	address, name := "", s.settings.Instance
-	for _, peer := range s.cell() {
-		if peer.News.Ready && peer.News.Instance < name {
-			address, name = peer.News.PeerAddress, peer.News.Instance
-		}
-	}
-	return address
-}
+// empty if this one reads for itself.
+func (s *Supervisor) reader() string { return s.firstOf(s.cell()).News.PeerAddress }
 
 // followTable returns what has changed in a table, from the instance that reads for
 // this one, or from the store if that has no fresh word.
--- a/internal/gateway/supervisor/loads.go
+++ b/internal/gateway/supervisor/loads.go
@@ -21,7 +21,7 @@
 	// gatherPeers is the number of peers for which changes are gathered once as long.
 	gatherPeers = 4
 	// maxDatagram bounds a datagram with loads.
-	maxDatagram = 8 << 10
+	maxDatagram = 60 << 10
 )
 
 // changes gathers the targets whose load has changed.
@@ -57,6 +57,12 @@
 // load returns what this instance has at some targets, at all with nil.
 func (s *Supervisor) load(targets map[string]bool) messenger.GatewayLoad {
 	sequence, loads := s.balancer.Loads(targets)
+	out := s.encodeLoads(sequence, loads)
+	out.IsWhole = targets == nil
+	return out
+}
+
+func (s *Supervisor) encodeLoads(sequence int64, loads map[string]balancer.Load) messenger.GatewayLoad {
 	out := messenger.GatewayLoad{
 		Instance: s.settings.Instance, Incarnation: s.incarnation, Sequence: sequence,
 		Targets: make(messenger.GatewayLoadTargets, len(loads)),
@@ -67,12 +73,24 @@
 	return out
 }
 
-func (s *Supervisor) takeLoad(in messenger.GatewayLoad, isAll bool) {
+// takeLoad takes a load, which counts until a deadline if it is whole.
+func (s *Supervisor) takeLoad(in messenger.GatewayLoad, until time.Time) {
 	loads := make(map[string]balancer.Load, len(in.Targets))
 	for id, l := range in.Targets {
 		loads[id] = balancer.Load{InFlight: l.InFlight, Pending: l.Pending}
 	}
-	s.balancer.SetPeer(in.Instance, in.Incarnation, in.Sequence, loads, isAll)
+	if !in.IsWhole {
+		until = time.Time{}
+	}
+	s.balancer.SetPeer(loadSource(in), in.Incarnation, in.Sequence, loads, until)
+}
+
+// loadSource names whose load it is: no instance has the name of a data centre.
+func loadSource(in messenger.GatewayLoad) string {
+	if in.DataCentre != "" {
+		return "data centre " + in.DataCentre
+	}
+	return in.Instance
 }
 
 // tellLoads tells peers of changes of load as they come, by datagrams: one that is
@@ -86,7 +104,7 @@
 		}
 		peers := s.informer.Peers()
 		if cell := s.cellOf(peers); cell != nil {
-			peers = cell
+			peers = cell // the others hear of the data centre as a whole, see relayLoads
 		}
 		time.Sleep(gatherTime * time.Duration(max(len(peers)/gatherPeers, 1)))
 		body, err := json.Marshal(s.load(s.changes.take()))
@@ -139,6 +157,6 @@
 			s.log.Info("load of a peer cannot be read", "error", err.Error())
 			continue
 		}
-		s.takeLoad(load, false)
+		s.takeDatagram(load, buffer[:n])
 	}
 }
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/foreman"
+	"github.com/crocusring/crocusring/internal/gateway/informer"
 	"github.com/crocusring/crocusring/internal/node/timekeeper"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 	"github.com/crocusring/crocusring/internal/wire/poster"
@@ -28,17 +29,21 @@
 const tableTimeout = time.Second
 
 // news returns what this instance tells a peer. Demand goes to the holder of the
-// lease alone, and what targets hold beyond the target table comes from it alone.
-func (s *Supervisor) news(toHolder bool) messenger.GatewayNews {
+// lease alone, and what targets hold beyond the target table comes from it alone. Other
+// data centres hear of the loads of a cell as one sum instead.
+func (s *Supervisor) news(to informer.Audience) messenger.GatewayNews {
 	_, isHolder := s.leaser.Held(timekeeper.Boot())
 	news := messenger.GatewayNews{
 		Instance: s.settings.Instance, Incarnation: s.incarnation, CallerAddress: s.settings.CallerAddress,
 		PeerAddress: s.settings.PeerAddress, DataCentre: s.settings.DataCentre, Ready: s.isReady(),
 		Leaving: s.leaving.Load(), ManifestVersion: s.manifests.Version(), TargetsVersion: s.targets.Version(),
-		Holder: isHolder && !s.leaving.Load(), LoadAddress: s.settings.LoadAddress, Load: s.load(nil), Demand: []messenger.GatewayDemand{},
-		Overlays: []messenger.GatewayOverlay{},
+		Holder: isHolder && !s.leaving.Load(), LoadAddress: s.settings.LoadAddress, Demand: []messenger.GatewayDemand{},
+		Overlays: []messenger.GatewayOverlay{}, Load: messenger.GatewayLoad{Targets: messenger.GatewayLoadTargets{}},
 	}
-	if toHolder {
+	if to.DataCentre == s.settings.DataCentre || s.cell() == nil {
+		news.Load = s.load(nil)
+	}
+	if to.IsHolder {
 		news.Demand = s.tally.Own()
 	}
 	if !isHolder {
@@ -62,11 +67,14 @@
 	return answer, err
 }
 
-// takeNews hands what a peer told to those who decide by it. An overlay's age
-// grows by each hop, so that it ends everywhere at about the same time.
-func (s *Supervisor) takeNews(news messenger.GatewayNews) {
-	s.takeLoad(news.Load, true)
-	s.tally.SetPeer(news.Instance, news.Demand)
+// takeNews hands what a peer told to those who decide by it, for as long as the peer
+// counts as there. An overlay's age grows by each hop, so that it ends everywhere at
+// about the same time.
+func (s *Supervisor) takeNews(news messenger.GatewayNews, until time.Time) {
+	if news.Load.IsWhole {
+		s.takeLoad(news.Load, until)
+	}
+	s.tally.SetPeer(news.Instance, news.Demand, until)
 	now := time.Now()
 	for _, o := range news.Overlays {
 		s.balancer.Overlay(balancer.Overlay{
--- a/internal/gateway/supervisor/servers.go
+++ b/internal/gateway/supervisor/servers.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/crocusring/crocusring/internal/gateway/informer"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
@@ -143,7 +144,7 @@
 		var news messenger.GatewayNews
 		if s.decode(ctx, &news) {
 			s.informer.Take(news)
-			s.encode(ctx, s.news(news.Holder))
+			s.encode(ctx, s.news(informer.Audience{IsHolder: news.Holder, DataCentre: news.DataCentre}))
 		}
 	case pathChanges:
 		s.serveChanges(ctx)
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -121,7 +121,7 @@
 			Window: seconds(bounds.LoadWindowSeconds), Handover: seconds(bounds.LeaseMilliseconds / 1000),
 		},
 		s.registry, s.balancer, s.tally, log)
-	s.informer = informer.New(settings.Instance,
+	s.informer = informer.New(settings.Instance, settings.DataCentre,
 		informer.Calls{News: s.news, Send: s.sendNews, Heard: s.takeNews}, log)
 	s.follow()
 	return s
@@ -170,7 +170,7 @@
 	defer cancel()
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
-		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.tell, s.tellLoads, s.holdLease, s.foreman.Run, s.prune,
+		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.tell, s.tellLoads, s.relayLoads, s.holdLease, s.foreman.Run, s.prune,
 	} {
 		group.Go(func() error {
 			loop(running)
--- a/internal/gateway/tallier/tallier.go
+++ b/internal/gateway/tallier/tallier.go
@@ -19,8 +19,6 @@
 	// service take, and priorSeconds what stands for it while no run has ended.
 	priorRuns    = 2.0
 	priorSeconds = 1.0
-	// newsLife is how long what a peer told counts.
-	newsLife = 2 * time.Second
 	// negligible is the rate, in requests a second, below which a key is forgotten.
 	negligible = 0.01
 )
@@ -142,11 +140,11 @@
 	return out
 }
 
-// SetPeer takes what a peer told of its demand.
-func (t *Tallier) SetPeer(instance string, demand []messenger.GatewayDemand) {
+// SetPeer takes what a peer told of its demand, which counts until a deadline.
+func (t *Tallier) SetPeer(instance string, demand []messenger.GatewayDemand, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers[instance] = told{demand: index(demand), until: t.now().Add(newsLife)}
+	t.peers[instance] = told{demand: index(demand), until: until}
 }
 
 func index(demand []messenger.GatewayDemand) map[Key]Demand {
--- a/internal/gateway/tallier/tallier_test.go
+++ b/internal/gateway/tallier/tallier_test.go
@@ -32,11 +32,12 @@
 	tally, now := New(), time.Unix(1000, 0)
 	tally.now = func() time.Time { return now }
 	key := Key{Service: "s", Model: "m", Adapter: "a"}
-	tally.SetPeer("one", []messenger.GatewayDemand{{Service: "s", Model: "m", Adapter: "a", Rate: 2, Waiting: 1}})
-	tally.SetPeer("two", []messenger.GatewayDemand{{Service: "s", Model: "m", Adapter: "a", Rate: 3}})
+	until := now.Add(2 * time.Second)
+	tally.SetPeer("one", []messenger.GatewayDemand{{Service: "s", Model: "m", Adapter: "a", Rate: 2, Waiting: 1}}, until)
+	tally.SetPeer("two", []messenger.GatewayDemand{{Service: "s", Model: "m", Adapter: "a", Rate: 3}}, until)
 	assert.InDelta(t, 5, tally.Total()[key].Rate, 1e-9)
 	assert.Equal(t, 1, tally.Total()[key].Waiting)
-	now = now.Add(newsLife)
+	now = until
 	assert.Empty(t, tally.Total())
 }
 
@@ -53,7 +54,7 @@
 		}
 		now = now.Add(100 * time.Millisecond)
 	}
-	tally.SetPeer("one", []messenger.GatewayDemand{{Service: "s", Model: "slow", Rate: 10, Runs: 30, RunSeconds: 54}})
+	tally.SetPeer("one", []messenger.GatewayDemand{{Service: "s", Model: "slow", Rate: 10, Runs: 30, RunSeconds: 54}}, now.Add(time.Second))
 	total := tally.Total()
 	assert.InDelta(t, 36, total[slow].Work, 3, "peers' requests and runs count")
 	assert.InDelta(t, 2, total[fast].Work, 0.3)
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -294,15 +294,23 @@
 	PeerAddress string `json:"PeerAddress"`
 }
 
-// GatewayLoad is what an instance has at targets. The later Sequence of an
-// incarnation replaces what was told of the same targets before.
+// GatewayLoad is what an instance, or all of a data centre, have at targets. The
+// later Sequence of an incarnation replaces what was told of the same targets
+// before.
 type GatewayLoad struct {
+	// DataCentre is the one whose instances have it together; empty for that of the
+	// instance alone.
+	DataCentre string `json:"DataCentre"`
+
 	// Incarnation corresponds to the JSON schema field "Incarnation".
 	Incarnation int64 `json:"Incarnation"`
 
-	// Instance corresponds to the JSON schema field "Instance".
+	// Instance is the one that tells it.
 	Instance string `json:"Instance"`
 
+	// IsWhole tells that there is nothing at the targets that are left out.
+	IsWhole bool `json:"IsWhole"`
+
 	// Sequence corresponds to the JSON schema field "Sequence".
 	Sequence int64 `json:"Sequence"`
 
