Bound what a target may send that is no answer, in bytes and in time

Four of the new tests failed: interim heads went on until the deadline (40 MB in 0.4 s), a refusal whose body trickles held its request to the deadline though it had not run, a stream that sends a byte now and then lasted to its deadline of 20 s, and a whole answer without end was relayed without a bound. Excluded: heads without end, lines without end, chunk extensions and bodies of another request were cut before (the reader's buffer of 8 KiB, the check of ID and stamp). Test first: endless_test.go; slow but sound streams have one that passed before.

--- a/internal/edge/connector/answer.go
+++ b/internal/edge/connector/answer.go
@@ -15,6 +15,11 @@
 	"github.com/valyala/fasthttp"
 )
 
+// mostHeads bounds the heads of one answer, which are interim ones but for the last.
+const mostHeads = 16
+
+var errNoFinalHead = errors.New("interim answers only")
+
 // Content lengths with a meaning of their own in fasthttp.
 const lengthChunked = -1
 
@@ -49,14 +54,20 @@
 
 // readHead reads the head of the final answer, past those of interim ones.
 func (a *Answer) readHead() error {
-	for {
+	for range mostHeads {
 		if err := a.Header.Read(a.conn.reader); err != nil {
 			return err
 		}
 		if a.Header.StatusCode() >= fasthttp.StatusOK {
-			break
+			a.findBody()
+			return nil
 		}
 	}
+	return errNoFinalHead
+}
+
+// findBody finds out from the head where the body ends.
+func (a *Answer) findBody() {
 	a.framed = true
 	switch length := a.Header.ContentLength(); {
 	case a.hasNoBody():
@@ -72,7 +83,12 @@
 		a.body = a.conn.reader
 		a.Header.SetConnectionClose()
 	}
-	return nil
+}
+
+// SetUntil moves the deadline for the whole answer.
+func (a *Answer) SetUntil(until time.Time) {
+	a.call.Until = until
+	a.conn.until = until
 }
 
 // hasNoBody reports whether an answer ends with its head, whatever its head says.
--- a/internal/gateway/conductor/conductor_test.go
+++ b/internal/gateway/conductor/conductor_test.go
@@ -120,7 +120,8 @@
 	return true
 }
 
-// setup serves routes /safe/, /unsafe/, /stream/ and /resume/ by targets.
+// setup serves routes /safe/, /unsafe/, /stream/ and /resume/ by targets, and /long/ and
+// /long-stream/ that may take long.
 func setup(t *testing.T, targets ...*target) *httptest.Server {
 	t.Helper()
 	r := registrar.New()
@@ -130,10 +131,16 @@
 			TimeoutMilliseconds: 400, AimMilliseconds: 200, Backends: []registrar.Backend{{Service: "s", Weight: 1}},
 		}
 	}
+	long := func(prefix string, kind registrar.Kind) *registrar.Route {
+		out := route(prefix, kind, 1, false)
+		out.TimeoutMilliseconds = 30_000
+		return out
+	}
 	if len(targets) > 0 {
 		r.SetManifest(&registrar.Manifest{Version: 1, Services: map[string]*registrar.Service{"s": {Name: "s"}}, Routes: []*registrar.Route{
 			route("/safe/", registrar.Safe, 2, false), route("/unsafe/", registrar.Unsafe, 1, false),
 			route("/stream/", registrar.Streaming, 1, false), route("/resume/", registrar.Streaming, 2, true),
+			long("/long/", registrar.Safe), long("/long-stream/", registrar.Streaming),
 		}})
 	}
 	r.Update(func(table map[string]*registrar.Target) {
--- /dev/null
+++ b/internal/gateway/conductor/endless_test.go
@@ -0,0 +1,146 @@
+package conductor_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusring/crocusring/internal/gateway/conductor"
+)
+
+const (
+	// mostTaken is what a target may get rid of before it is cut off, the buffers of
+	// both sockets included.
+	mostTaken = 16 << 20
+	// plenty ends a test whose target is not cut off.
+	plenty = 4 * conductor.MostBody
+)
+
+// endless is a target that writes a head and then a piece again and again until it is
+// cut off.
+type endless struct {
+	head, piece string
+	// pause is the time between two pieces.
+	pause time.Duration
+	// taken is told how many bytes went out.
+	taken chan int
+}
+
+func (e *endless) script(w net.Conn, r *http.Request, _ int) bool {
+	head := strings.ReplaceAll(e.head, "ID", r.Header.Get("Test-Id"))
+	sent, _ := fmt.Fprint(w, head)
+	for sent < plenty {
+		n, err := fmt.Fprint(w, e.piece)
+		sent += n
+		if err != nil {
+			break
+		}
+		time.Sleep(e.pause)
+	}
+	e.taken <- sent
+	return false
+}
+
+// TestAnswersWithoutEnd plays targets that send bytes without end, in a head or in a
+// body: each is cut off after a bounded number of bytes, and the caller gets a final
+// answer that does not say that its request was not run.
+func TestAnswersWithoutEnd(t *testing.T) {
+	const stamped = "HTTP/1.1 200 X\r\nTest-Id: ID\r\nTest-Stamp: s\r\n"
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
+	long := strings.Repeat("x", 4000)
+	for name, c := range map[string]struct{ path, head, piece string }{
+		"head":                     {"/unsafe/", stamped, "X-Junk: " + long + "\r\n"},
+		"head without lines":       {"/unsafe/", "HTTP/1.1 200 ", long},
+		"empty lines":              {"/unsafe/", "", strings.Repeat("\r\n", 1000)},
+		"interim answers":          {"/unsafe/", "", strings.Repeat("HTTP/1.1 102 X\r\n\r\n", 100)},
+		"body of another":          {"/unsafe/", "HTTP/1.1 200 X\r\nTest-Id: other\r\nTest-Stamp: s\r\n" + chunked, "fa0\r\n" + long + "\r\n"},
+		"body without stamp":       {"/unsafe/", "HTTP/1.1 200 X\r\nTest-Id: ID\r\n" + chunked, "fa0\r\n" + long + "\r\n"},
+		"chunk extension":          {"/unsafe/", stamped + chunked + "5;", long},
+		"event":                    {"/stream/", stamped + chunked, "fa0\r\n" + long + "\r\n"},
+		"event of a resumable one": {"/resume/", stamped + chunked, "fa0\r\n" + long + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &endless{head: c.head, piece: c.piece, taken: make(chan int, 4)}
+			server := setup(t, newTarget(t, e.script))
+			response, _, err := send(t, server, http.MethodPost, c.path, "body")
+			require.NoError(t, err)
+			assert.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, response.StatusCode)
+			assert.Less(t, <-e.taken, mostTaken)
+		})
+	}
+}
+
+// TestRefusalWithoutEnd plays a target whose refusal has a body without end: the
+// request, which was not run, goes on at once to another target.
+func TestRefusalWithoutEnd(t *testing.T) {
+	const head = "HTTP/1.1 503 X\r\nTest-Id: ID\r\nTest-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, e := range map[string]*endless{
+		"fast": {head: head, piece: "fa0\r\n" + strings.Repeat("x", 4000) + "\r\n"},
+		"slow": {head: head, piece: "1\r\nx\r\n", pause: 10 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e.taken = make(chan int, 4)
+			server := setup(t, newTarget(t, e.script), newTarget(t, ok))
+			for range 4 {
+				_, body, err := send(t, server, http.MethodPost, "/safe/", "")
+				require.NoError(t, err)
+				assert.Equal(t, "done", body)
+			}
+			assert.Less(t, <-e.taken, mostTaken)
+		})
+	}
+}
+
+// TestAnswerBodyWithoutEnd plays a whole answer that never ends: it is broken off, so
+// that it does not look complete.
+func TestAnswerBodyWithoutEnd(t *testing.T) {
+	e := &endless{
+		head:  "HTTP/1.1 200 X\r\nTest-Id: ID\r\nTest-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		piece: "fa0\r\n" + strings.Repeat("x", 4000) + "\r\n", taken: make(chan int, 4),
+	}
+	_, body, err := send(t, setup(t, newTarget(t, e.script)), http.MethodPost, "/long/", "")
+	require.Error(t, err)
+	assert.NotEmpty(t, body)
+	assert.LessOrEqual(t, len(body), conductor.MostBody)
+	assert.Less(t, <-e.taken, 2*conductor.MostBody)
+}
+
+// TestStreamsAtTheirPace plays streams whose bytes come slowly. One whose events come
+// whole, each after a while, is sound; one that sends a byte now and then is not.
+func TestStreamsAtTheirPace(t *testing.T) {
+	const head = "HTTP/1.1 200 X\r\nTest-Id: ID\r\nTest-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	t.Run("slow but sound", func(t *testing.T) {
+		t.Parallel()
+		script := func(w net.Conn, r *http.Request, _ int) bool {
+			fmt.Fprint(w, strings.ReplaceAll(head, "ID", r.Header.Get("Test-Id")))
+			for i := 1; i <= 4; i++ {
+				event := events(i, i)
+				fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
+				time.Sleep(1800 * time.Millisecond)
+			}
+			fmt.Fprint(w, "0\r\n\r\n")
+			return true
+		}
+		_, body, err := send(t, setup(t, newTarget(t, script)), http.MethodPost, "/long-stream/", "", "Test-Deadline", "20000")
+		require.NoError(t, err)
+		assert.Equal(t, events(1, 4), body)
+	})
+	t.Run("a byte now and then", func(t *testing.T) {
+		t.Parallel()
+		e := &endless{
+			head: head + fmt.Sprintf("%x\r\n%s\r\n", len(events(1, 1)), events(1, 1)), piece: "1\r\nx\r\n",
+			pause: 50 * time.Millisecond, taken: make(chan int, 4),
+		}
+		began := time.Now()
+		_, body, err := send(t, setup(t, newTarget(t, e.script)), http.MethodPost, "/long-stream/", "", "Test-Deadline", "20000")
+		require.Error(t, err)
+		assert.Equal(t, events(1, 1), body)
+		assert.Less(t, time.Since(began), 6*time.Second)
+	})
+}
--- a/internal/gateway/conductor/expect.go
+++ b/internal/gateway/conductor/expect.go
@@ -112,10 +112,14 @@
 // modelPatience returns the deadline until which a request may wait for a model: its
 // caller leaves after that.
 func (q *request) modelPatience() time.Time {
+	return q.within(q.arrived.Add(time.Duration((1 - abandonMargin) * float64(q.abandonedAfter()))))
+}
+
+// abandonedAfter returns after how long without an event callers leave a stream.
+func (q *request) abandonedAfter() time.Duration {
 	const millisecond = time.Millisecond
-	leaves := max(abandonLeast, abandonAims*time.Duration(q.route.AimMilliseconds)*millisecond,
+	return max(abandonLeast, abandonAims*time.Duration(q.route.AimMilliseconds)*millisecond,
 		abandonPauses*time.Duration(q.route.PauseMilliseconds)*millisecond)
-	return q.within(q.arrived.Add(time.Duration((1 - abandonMargin) * float64(leaves))))
 }
 
 // awaitModel reports, for a request that no target can run for want of its model,
--- a/internal/gateway/conductor/reply.go
+++ b/internal/gateway/conductor/reply.go
@@ -59,12 +59,12 @@
 }
 
 // relayLong relays an answer that is too long to be read whole first. One that
-// ends early breaks the connection to the caller.
+// ends early, or does not end, breaks the connection to the caller.
 func (r *reply) relayLong(ctx context.Context, ticket *balancer.Ticket, answer *connector.Answer, head []byte) result {
 	r.begun = true
 	r.writer.WriteHeader(answer.Header.StatusCode())
-	_, err := io.Copy(r.writer, io.MultiReader(bytes.NewReader(head), answer))
-	if err != nil {
+	n, err := io.Copy(r.writer, io.LimitReader(io.MultiReader(bytes.NewReader(head), answer), MostBody))
+	if err != nil || n == MostBody {
 		ticket.End(lostOutcome(ctx))
 		return lost
 	}
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
@@ -38,9 +39,18 @@
 
 func (r result) err() error { return errors.New(r.String()) }
 
-// maxBuffered bounds the answers that are read whole before they are relayed, so
-// that one that ends early can still be replaced.
-const maxBuffered = 256 << 10
+// MostBody bounds the body of an answer, in bytes: one that goes on is not an answer.
+const MostBody = 64 << 20
+
+const (
+	// maxBuffered bounds the answers that are read whole before they are relayed, so
+	// that one that ends early can still be replaced.
+	maxBuffered = 64 << 10
+	// maxRefusal bounds the body of a refusal, and refusalTime how long it is waited
+	// for: it comes with its head, and the request waits meanwhile.
+	maxRefusal  = 8 << 10
+	refusalTime = 50 * time.Millisecond
+)
 
 // send offers the request to a target and relays its answer.
 func (c *Conductor) send(ctx context.Context, reply *reply, ticket *balancer.Ticket) result {
@@ -146,7 +156,8 @@
 // takeRefusal reads the refusal of a target so that its connection can be used again.
 func (c *Conductor) takeRefusal(q *request, ticket *balancer.Ticket, answer *connector.Answer) result {
 	status := answer.Header.StatusCode()
-	if _, err := io.Copy(io.Discard, io.LimitReader(answer, maxBuffered)); err != nil {
+	answer.SetUntil(q.within(c.now().Add(refusalTime)))
+	if _, err := io.Copy(io.Discard, io.LimitReader(answer, maxRefusal)); err != nil {
 		c.log.V(1).Info("refusal cut", "request", q.id, "error", err.Error())
 	}
 	c.log.Info("target refused", "request", q.id, "target", ticket.Target.ID, "status", status, "model", q.demand.Model, "adapter", q.demand.Adapter)
--- a/internal/gateway/conductor/stream.go
+++ b/internal/gateway/conductor/stream.go
@@ -16,8 +16,11 @@
 const (
 	// eventBuffer is the size at which reading events begins.
 	eventBuffer = 4 << 10
-	// maxEvent bounds an event.
-	maxEvent = 1 << 20
+	// maxEvent bounds an event, in bytes.
+	maxEvent = 64 << 10
+	// stalledFactor is how many times longer than callers wait for an event a target may
+	// send parts of one: some callers may wait longer than others.
+	stalledFactor = 1.5
 )
 
 // eventEnd ends an event.
@@ -70,10 +73,15 @@
 				"waitedMilliseconds", ticket.Since().Sub(q.arrived).Milliseconds(),
 				"longestPauseMilliseconds", pauses.longest.Milliseconds())
 			return finished
-		case readErr != nil || len(buffer) > maxEvent:
+		case readErr != nil:
 			ticket.End(lostOutcome(ctx))
 			c.log.Info("stream cut by target", "request", q.id, "target", ticket.Target.ID, "lastEvent", r.lastEvent)
 			return lost
+		case len(buffer) > maxEvent || pauses.isStalled(c.now(), q):
+			ticket.End(balancer.Failed)
+			c.log.Info("stream without whole events cut", "request", q.id, "target", ticket.Target.ID,
+				"lastEvent", r.lastEvent, "bytes", len(buffer))
+			return lost
 		}
 	}
 }
@@ -96,6 +104,12 @@
 	m.last = now
 }
 
+// isStalled reports whether what a target sends amounts to no event for so long that
+// nobody waits for it any more. Whole events make a stream sound, however slow.
+func (m *pauseMeter) isStalled(now time.Time, q *request) bool {
+	return now.Sub(m.last).Seconds() > stalledFactor*q.abandonedAfter().Seconds()
+}
+
 func (r *reply) writeEvents(flusher *http.ResponseController, events []byte) error {
 	if !r.begun {
 		r.begun = true
