Let few instances of a large system call the store, also at its start and when history is gone

Excluded: the feed of targets (5 readers, two calls a second each). Change: the word on the table of instances has no age; a second instance of a data centre is asked before the store is; whole tables are read through readers too, and an instance that starts among many waits up to 0.6 s for those before it; those of a data centre contend for the lease one after the other.

--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -211,7 +211,9 @@
 func (f *Follower) Snapshot() messenger.TableSnapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := messenger.TableSnapshot{Version: f.version, Rows: make([]messenger.StoreRow, 0, len(f.rows))}
+	out := messenger.TableSnapshot{
+		Version: f.version, Rows: make([]messenger.StoreRow, 0, len(f.rows)), AgeMilliseconds: f.now().Sub(f.heardAt).Milliseconds(),
+	}
 	for _, row := range f.rows {
 		out.Rows = append(out.Rows, row)
 	}
--- a/internal/gateway/supervisor/cell.go
+++ b/internal/gateway/supervisor/cell.go
@@ -28,8 +28,19 @@
 	readerWait = time.Second
 	// readerTimeout is how much longer than it may wait a call to it may take.
 	readerTimeout = 300 * time.Millisecond
+	// mostReaders is the number of instances that read the store for the others of their
+	// data centre.
+	mostReaders = 2
+	// startPatience is how long an instance that starts waits for those before it to
+	// have read the store.
+	startPatience = 600 * time.Millisecond
+	// startTick is the time between two looks at whether they have.
+	startTick = 10 * time.Millisecond
 )
 
+// errOldWord tells that what a peer has of a table is too old to go by.
+var errOldWord = errors.New("peer has had no word of the store for long")
+
 // cell returns the other instances of this data centre; nil in one that is too small
 // to share anything.
 func (s *Supervisor) cell() []informer.Peer { return s.cellOf(s.informer.Peers()) }
@@ -48,32 +59,115 @@
 	return out
 }
 
-// reader returns the peer address of the instance that reads the store for this one;
-// empty if this one reads for itself.
-func (s *Supervisor) reader() string { return s.firstOf(s.cell()).News.PeerAddress }
+// readers returns the instances that read the store for this one, the one to ask first
+// before the other; none if this one reads for itself. The second one's word is there
+// when the store turns the first one away.
+func (s *Supervisor) readers() []informer.Peer {
+	out := []informer.Peer{}
+	for _, peer := range s.aheadIn(s.cell()) {
+		if peer.News.Ready && len(out) < mostReaders {
+			out = append(out, peer)
+		}
+	}
+	return out
+}
 
-// followTable returns what has changed in a table, from the instance that reads for
-// this one, or from the store if that has no fresh word.
+// followTable returns what has changed in a table, from an instance that reads for this
+// one, or from the store if none has a fresh word.
 func (s *Supervisor) followTable(table string, after int64, wait time.Duration) (follower.Changes, error) {
-	address := s.reader()
-	if address == "" {
-		return s.platform.Follow(table, after, wait)
+	for _, reader := range s.readers() {
+		changes, err := s.followThrough(reader, table, after, min(wait, readerWait))
+		if err == nil || errors.Is(err, follower.ErrHistoryGone) {
+			return changes, err
+		}
+		s.log.V(1).Info("table not followed through a peer", "table", table, "peer", reader.News.Instance, "error", err.Error())
 	}
-	own := wait
-	wait = min(wait, readerWait)
+	return s.platform.Follow(table, after, wait)
+}
+
+func (s *Supervisor) followThrough(reader informer.Peer, table string, after int64, wait time.Duration) (follower.Changes, error) {
 	query := url.Values{
 		"name": {table}, "after": {strconv.FormatInt(after, 10)}, "wait": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	var in messenger.TableChanges
 	err := s.poster.Do(poster.Call{
-		Method: http.MethodGet, URL: "http://" + address + pathChanges + "?" + query.Encode(), Out: &in,
+		Method: http.MethodGet, URL: "http://" + reader.News.PeerAddress + pathChanges + "?" + query.Encode(), Out: &in,
 		Deadline: time.Now().Add(wait + readerTimeout),
 	})
+	var status *poster.StatusError
+	if errors.As(err, &status) && status.Status == http.StatusGone {
+		// What it has no changes of it has as a whole; see readTable.
+		return follower.Changes{}, errors.Wrap(follower.ErrHistoryGone, table)
+	}
+	if err != nil {
+		return follower.Changes{}, err
+	}
 	changes := follower.ChangesOf(in)
-	if err != nil || changes.Age > wait+readerAge {
-		return s.platform.Follow(table, after, own)
+	return changes, checkAge(table, changes.Age, wait)
+}
+
+// checkAge returns errOldWord if the word of the store that a peer passed on is too old
+// to go by. Where instances are is told by their news; the table of them says it once.
+func checkAge(table string, age, wait time.Duration) error {
+	if table != instanceTable && age > wait+readerAge {
+		return errOldWord
+	}
+	return nil
+}
+
+// readTable returns a whole table, from an instance that reads for this one, or from the
+// store if none has a fresh word.
+func (s *Supervisor) readTable(table string) (messenger.TableSnapshot, error) {
+	if table == instanceTable {
+		return s.platform.Read(table) // the peers are found by it
+	}
+	s.awaitReaders()
+	for _, reader := range s.readers() {
+		snapshot, err := s.readThrough(reader, table)
+		if err == nil {
+			return snapshot, nil
+		}
+		s.log.V(1).Info("table not read through a peer", "table", table, "peer", reader.News.Instance, "error", err.Error())
+	}
+	return s.platform.Read(table)
+}
+
+// awaitReaders lets an instance of a large system that starts hear of the others first,
+// and those that start just before it read the store for it.
+func (s *Supervisor) awaitReaders() {
+	for time.Now().Before(s.readsFrom) && s.startsAmongMany() && len(s.readers()) == 0 {
+		time.Sleep(startTick)
+	}
+}
+
+// startsAmongMany reports whether instances that could read for this one may be there:
+// until the store has told of instances, and then while most of those that it knows have
+// not been heard of or one that goes before this one is not ready.
+func (s *Supervisor) startsAmongMany() bool {
+	members := int(s.members.Load())
+	switch {
+	case s.instances.Version() == 0:
+		return true
+	case members < cellSize:
+		return false
+	default:
+		return 2*len(s.informer.Peers()) < members || len(s.aheadIn(s.cell())) > 0
+	}
+}
+
+func (s *Supervisor) readThrough(reader informer.Peer, table string) (messenger.TableSnapshot, error) {
+	var out messenger.TableSnapshot
+	err := s.poster.Do(poster.Call{
+		Method: http.MethodGet, URL: "http://" + reader.News.PeerAddress + pathTable + "?name=" + url.QueryEscape(table),
+		Out: &out, Deadline: time.Now().Add(tableTimeout),
+	})
+	if err != nil {
+		return out, err
+	}
+	if out.Version == 0 || out.Version < s.follower(table).Version() {
+		return out, errOldWord
 	}
-	return changes, nil
+	return out, checkAge(table, time.Duration(out.AgeMilliseconds)*time.Millisecond, 0)
 }
 
 // serveChanges tells an instance that follows a table through this one.
--- a/internal/gateway/supervisor/lease.go
+++ b/internal/gateway/supervisor/lease.go
@@ -24,6 +24,9 @@
 	// and silentIntervals the same in intervals of news where those are longer.
 	holderSilence   = 700 * time.Millisecond
 	silentIntervals = 2.5
+	// contendStep is how much later one looks at the lease for each instance of its data
+	// centre that goes before it.
+	contendStep = 1500 * time.Millisecond
 	// handoverMargin is added to the least time between orders of two holders,
 	// for the time that an order is on its way.
 	handoverMargin = 300 * time.Millisecond
@@ -84,6 +87,7 @@
 	ticker := time.NewTicker(leaseTick)
 	defer ticker.Stop()
 	held := false
+	unheldSince := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -95,7 +99,10 @@
 			held = isHolder
 			s.log.Info("lease on orders", "held", held, "fence", grant.Fence)
 		}
-		if s.leaving.Load() || (!isHolder && s.holder() != "") {
+		if isHolder || s.holder() != "" {
+			unheldSince = time.Now()
+		}
+		if s.leaving.Load() || !(isHolder || s.mayContend(unheldSince)) {
 			continue
 		}
 		if err := s.leaser.Tick(); err != nil {
@@ -104,6 +111,17 @@
 	}
 }
 
+// mayContend reports whether this instance looks at the lease, given since when no peer
+// has said that it holds it. Each look is a call to the store: those that go before this
+// one in its data centre look first, and it does if none of them takes it.
+func (s *Supervisor) mayContend(unheldSince time.Time) bool {
+	if s.holder() != "" || s.targets.Version() == 0 {
+		return false
+	}
+	ahead := len(s.readers())
+	return time.Since(unheldSince) >= time.Duration(ahead)*contendStep
+}
+
 // holder returns the peer address of the peer that says that it holds the lease;
 // empty if none does.
 func (s *Supervisor) holder() string {
--- a/internal/gateway/supervisor/relay.go
+++ b/internal/gateway/supervisor/relay.go
@@ -39,7 +39,7 @@
 		}
 		peers := s.informer.Peers()
 		cell := s.cellOf(peers)
-		if cell == nil || s.firstOf(cell).News.Instance != "" {
+		if cell == nil || !s.isFirst(cell) {
 			count = -1 // whoever begins tells all first
 			continue
 		}
@@ -79,23 +79,26 @@
 		return p.News.Instance == load.Instance && p.News.DataCentre == s.settings.DataCentre
 	})
 	cell := s.cellOf(peers)
-	if !isFromHere && cell != nil && s.firstOf(cell).News.Instance == "" {
+	if !isFromHere && cell != nil && s.isFirst(cell) {
 		s.sendLoad(cell, body)
 	}
 }
 
-// firstOf returns the peer of this data centre that acts for it, on which all agree by
-// name; none if that is this instance. One that has fallen silent is passed over well
-// before it counts as gone.
-func (s *Supervisor) firstOf(cell []informer.Peer) informer.Peer {
-	first, name := informer.Peer{}, s.settings.Instance
+// isFirst reports whether this instance acts for its data centre.
+func (s *Supervisor) isFirst(cell []informer.Peer) bool { return len(s.aheadIn(cell)) == 0 }
+
+// aheadIn returns the instances of a cell that act before this one, in their order, on
+// which all agree by name. One that has fallen silent is passed over well before it
+// counts as gone.
+func (s *Supervisor) aheadIn(cell []informer.Peer) []informer.Peer {
+	out := []informer.Peer{}
 	silence := time.Duration(silentIntervals * float64(s.informer.Interval()))
-	for _, peer := range cell {
-		if peer.News.Ready && peer.News.Instance < name && time.Since(peer.HeardAt) < silence {
-			first, name = peer, peer.News.Instance
+	for _, peer := range cell { // ordered by name
+		if peer.News.Instance < s.settings.Instance && time.Since(peer.HeardAt) < silence {
+			out = append(out, peer)
 		}
 	}
-	return first
+	return out
 }
 
 // farReaders returns the first instances of each other data centre.
--- a/internal/gateway/supervisor/relay_test.go
+++ b/internal/gateway/supervisor/relay_test.go
@@ -133,8 +133,8 @@
 func TestSilentFirstInstanceIsPassedOver(t *testing.T) {
 	s, _, _ := newInstance(t)
 	s.informer.Take(peerNews("a0", newSocket(t)))
-	assert.Equal(t, "a0", s.firstOf(s.cell()).News.Instance)
+	assert.False(t, s.isFirst(s.cell()))
 	frozen := time.Now()
-	require.Eventually(t, func() bool { return s.firstOf(s.cell()).News.Instance == "" }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return s.isFirst(s.cell()) }, time.Second, time.Millisecond)
 	assert.Less(t, time.Since(frozen), time.Second)
 }
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -64,6 +64,9 @@
 	// cellPause is the same for an instance that reads for others: a large system has
 	// more changes, and each call brings more of them.
 	cellPause = 500 * time.Millisecond
+	// instancePause is the same for the table of instances, which find each other by the
+	// news of those that join.
+	instancePause = time.Second
 	// staleAfter is how old the word of the store on targets may be for orders to be
 	// decided on it; a little more than a call for changes takes.
 	staleAfter = 2800 * time.Millisecond
@@ -99,6 +102,8 @@
 	leaving   atomic.Bool
 	// members is the number of instances that the store knows.
 	members atomic.Int64
+	// readsFrom is when this instance reads the store though others might for it.
+	readsFrom time.Time
 }
 
 // New returns an instance that does not run yet.
@@ -139,12 +144,12 @@
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func (s *Supervisor) follow() {
-	source := follower.Source{Read: s.platform.Read, Follow: s.followTable, PeerSnapshot: s.peerSnapshot}
+	source := follower.Source{Read: s.readTable, Follow: s.followTable, PeerSnapshot: s.peerSnapshot}
 	log := follower.WithLog(s.log)
 	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait())
 	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargets, log,
 		follower.WithShortWait(), follower.WithPause(s.targetPause))
-	s.instances = follower.New(instanceTable, source, s.applyInstances, log)
+	s.instances = follower.New(instanceTable, source, s.applyInstances, log, follower.WithPause(func() time.Duration { return instancePause }))
 }
 
 // targetPause returns the least time between two reads of changes of the target table.
@@ -157,6 +162,7 @@
 
 // Run serves until ctx is done, and then stops in order.
 func (s *Supervisor) Run(ctx context.Context) error {
+	s.readsFrom = time.Now().Add(startPatience)
 	s.log.Info("instance starts", "instance", s.settings.Instance, "incarnation", s.incarnation,
 		"callers", s.settings.CallerAddress, "peers", s.settings.PeerAddress)
 	for _, seed := range s.settings.Seeds {
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -886,6 +886,10 @@
 
 // TableSnapshot is what an instance has read of a table of the store.
 type TableSnapshot struct {
+	// AgeMilliseconds is how long ago the store answered the instance that passes it
+	// on.
+	AgeMilliseconds int64 `json:"AgeMilliseconds"`
+
 	// Rows corresponds to the JSON schema field "Rows".
 	Rows []StoreRow `json:"Rows"`
 
