--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -32,6 +32,9 @@
 	minimumLeft = 10 * time.Millisecond
 	// adapterPatience is how long a request waits for an adapter.
 	adapterPatience = 1500 * time.Millisecond
+	// askAgainAfter is the time between two times that a request asks for its adapter:
+	// a target that has another order in hand may take one soon.
+	askAgainAfter = 150 * time.Millisecond
 	// fullPatience is the share of its aim that a request waits for a place.
 	fullPatience = 0.5
 	// recheckAfter is the longest time between two looks for a target.
@@ -157,6 +160,9 @@
 	// mayRun tells that a target may have run the request or may be running it.
 	mayRun   bool
 	excluded map[string]bool
+	// modelDue is when its model was first expected to be served; zero if it has not
+	// waited for one.
+	modelDue time.Time
 	// outcome and first, the time to the first byte of an answer, are for the metrics.
 	outcome measurer.Outcome
 	first   time.Duration
@@ -231,7 +237,7 @@
 
 // place finds a target, waiting for one where that can help.
 func (c *Conductor) place(ctx context.Context, q *request) (*balancer.Ticket, error) {
-	asked := false
+	var askFrom time.Time // when an adapter may be asked for again
 	for {
 		changed, freed := c.registry.Changed(), c.balancer.Freed()
 		ticket, err := c.balancer.Pick(c.registry.View(), balancer.Request{
@@ -244,9 +250,10 @@
 		if c.refusing.Load() {
 			return nil, errStops
 		}
-		if errors.Is(err, balancer.ErrNoAdapter) && !asked {
-			asked = true
-			if err := c.askAdapter(ctx, q); err == nil {
+		if errors.Is(err, balancer.ErrNoAdapter) && !c.now().Before(askFrom) {
+			err := c.askAdapter(ctx, q)
+			askFrom = c.now().Add(askAgainAfter)
+			if err == nil {
 				continue
 			}
 		}
@@ -266,7 +273,7 @@
 }
 
 func (c *Conductor) askAdapter(ctx context.Context, q *request) error {
-	ctx, cancel := context.WithTimeout(ctx, adapterPatience)
+	ctx, cancel := context.WithDeadline(ctx, q.patience(balancer.ErrNoAdapter))
 	defer cancel()
 	err := c.ensureAdapter(ctx, q.service, q.demand.Model, q.demand.Adapter)
 	if err != nil {
--- a/internal/gateway/conductor/expect_test.go
+++ b/internal/gateway/conductor/expect_test.go
@@ -119,3 +119,48 @@
 	assert.NotEmpty(t, response.Header.Get("Retry-After"))
 	assert.Less(t, time.Since(began), time.Second)
 }
+
+// TestModelThatIsPutOff replays a load that is late and told anew to be there soon, each
+// time it is asked for: its requests are not held for it again and again.
+func TestModelThatIsPutOff(t *testing.T) {
+	x := newTarget(t, ok)
+	server, _ := setupModel(t, x, func() (time.Duration, error) { return 600 * time.Millisecond, nil })
+	began := time.Now()
+	response, _, err := send(t, server, "POST", "/model/", "b", "Test-Model", "m", "Test-Deadline", "9000")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.NotEmpty(t, response.Header.Get("Retry-After"))
+	assert.Less(t, time.Since(began), 1700*time.Millisecond)
+}
+
+// TestAdapterIsAskedForAgain replays a target that has another order in hand when an
+// adapter is asked for: the request is served once it takes the order.
+func TestAdapterIsAskedForAgain(t *testing.T) {
+	x := newTarget(t, ok)
+	r := registrar.New()
+	engine := &registrar.Engine{Slots: 4, CacheTokens: 1 << 20, Models: map[string]registrar.Model{"m": {Name: "m"}}}
+	r.SetManifest(&registrar.Manifest{
+		Version: 1, Services: map[string]*registrar.Service{"s": {Name: "s", Engine: engine}},
+		Routes: []*registrar.Route{{
+			Host: "h.example", Prefix: "/", Kind: registrar.Unsafe, MaxAttempts: 1, TimeoutMilliseconds: 9000,
+			AimMilliseconds: 200, Backends: []registrar.Backend{{Service: "s", Weight: 1}},
+		}},
+	})
+	setHoldings(r, x.address, "m")
+	b := balancer.New()
+	var asked atomic.Int64
+	c := conductor.New(headers, r, b, budgeter.New(0.2, 50, 10*time.Second),
+		conductor.WithAdapters(func(context.Context, string, string, string) error {
+			if asked.Add(1) < 3 {
+				return balancer.ErrNoAdapter
+			}
+			b.Overlay(balancer.Overlay{Target: "t0", Model: "m", Adapter: "a", Held: true, Since: time.Now()})
+			return nil
+		}))
+	server := httptest.NewServer(c)
+	t.Cleanup(server.Close)
+	_, body, err := send(t, server, "POST", "/", "b", "Test-Model", "m/a")
+	require.NoError(t, err)
+	assert.Equal(t, "done", body)
+	assert.EqualValues(t, 3, asked.Load())
+}
--- a/internal/gateway/foreman/adapters.go
+++ b/internal/gateway/foreman/adapters.go
@@ -72,9 +72,7 @@
 			return target.ID, nil
 		}
 		last = err
-		if !errors.Is(err, ErrBusy) {
-			excluded[target.ID] = true
-		}
+		excluded[target.ID] = true // also a busy one: what it has in hand may take seconds
 	}
 	if last == nil {
 		last = ErrNoPlace
--- a/internal/gateway/foreman/adapters_test.go
+++ b/internal/gateway/foreman/adapters_test.go
@@ -186,3 +186,14 @@
 	_, _ = ensure(t, f, "a2") // there may be no place for it
 	assert.False(t, e.crashed, "it holds %v", e.adapters)
 }
+
+// TestBusyTargetIsPassedOver replays an adapter that is asked for while the least loaded
+// target that holds its model has another order in hand.
+func TestBusyTargetIsPassedOver(t *testing.T) {
+	w, _, f := newWorld(1, 2)
+	w.engines["t0"].inHand = true
+	w.publish(f.registry)
+	target, err := ensure(t, f, "a1")
+	require.NoError(t, err)
+	assert.Equal(t, "t1", target)
+}
--- a/internal/gateway/foreman/foreman_test.go
+++ b/internal/gateway/foreman/foreman_test.go
@@ -36,6 +36,8 @@
 	inUse    map[string]bool
 	late     []Order
 	crashed  bool
+	// inHand tells that the engine takes no order, since it has another one in hand.
+	inHand bool
 	// loading is a model on its way, which the engine tells nobody.
 	loading string
 	// coming are the adapters that are on their way.
@@ -53,7 +55,7 @@
 	switch {
 	case o.Fence < e.fence:
 		return false, ErrFenced
-	case o.ExpectedOrders != e.orders, e.loading != "" && o.Adapter == "":
+	case e.inHand, o.ExpectedOrders != e.orders, e.loading != "" && o.Adapter == "":
 		return false, ErrBusy
 	}
 	e.fence = o.Fence
