Let waits leave time for the answer

Excluded: a lost answer (nothing was sent to a target), the way to the caller (other requests of that second were answered). Change: a request waits at most half of the time that it has for a target, an adapter or a model; then it is refused as not run, while its caller still listens. Test first: TestWaitLeavesTimeForTheAnswer.

--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -37,6 +37,8 @@
 	askAgainAfter = 150 * time.Millisecond
 	// fullPatience is the share of its aim that a request waits for a place.
 	fullPatience = 0.5
+	// waitShare is the share of its time that a request may wait for a target at all.
+	waitShare = 0.5
 	// recheckAfter is the longest time between two looks for a target.
 	recheckAfter = 50 * time.Millisecond
 )
@@ -293,7 +295,17 @@
 	case errors.Is(reason, balancer.ErrFull):
 		limit = limit.Add(time.Duration(fullPatience*float64(q.route.AimMilliseconds)) * time.Millisecond)
 	}
-	return q.within(limit)
+	return q.leavingTime(limit)
+}
+
+// leavingTime returns a time until which the request may wait, or an earlier one that
+// leaves a target the time to run it and its caller the time to hear of a refusal.
+func (q *request) leavingTime(t time.Time) time.Time {
+	last := q.arrived.Add(time.Duration(waitShare * float64(q.deadline.Sub(q.arrived))))
+	if t.After(last) {
+		return last
+	}
+	return t
 }
 
 // within returns a time, or the deadline of the request if that is earlier.
--- a/internal/gateway/conductor/expect.go
+++ b/internal/gateway/conductor/expect.go
@@ -112,7 +112,7 @@
 // modelPatience returns the deadline until which a request may wait for a model: its
 // caller leaves after that.
 func (q *request) modelPatience() time.Time {
-	return q.within(q.arrived.Add(time.Duration((1 - abandonMargin) * float64(q.abandonedAfter()))))
+	return q.leavingTime(q.arrived.Add(time.Duration((1 - abandonMargin) * float64(q.abandonedAfter()))))
 }
 
 // abandonedAfter returns after how long without an event callers leave a stream.
--- a/internal/gateway/conductor/expect_test.go
+++ b/internal/gateway/conductor/expect_test.go
@@ -133,34 +133,46 @@
 	assert.Less(t, time.Since(began), 1700*time.Millisecond)
 }
 
-// TestAdapterIsAskedForAgain replays a target that has another order in hand when an
-// adapter is asked for: the request is served once it takes the order.
-func TestAdapterIsAskedForAgain(t *testing.T) {
-	x := newTarget(t, ok)
-	r := registrar.New()
-	engine := &registrar.Engine{Slots: 4, CacheTokens: 1 << 20, Models: map[string]registrar.Model{"m": {Name: "m"}}}
-	r.SetManifest(&registrar.Manifest{
-		Version: 1, Services: map[string]*registrar.Service{"s": {Name: "s", Engine: engine}},
-		Routes: []*registrar.Route{{
-			Host: "h.example", Prefix: "/", Kind: registrar.Unsafe, MaxAttempts: 1, TimeoutMilliseconds: 9000,
-			AimMilliseconds: 200, Backends: []registrar.Backend{{Service: "s", Weight: 1}},
-		}},
-	})
+// setupAdapter serves the route /model/ by an engine that holds model m and none of its
+// adapters. The holder of the lease loads one, or does not, as ensure does.
+func setupAdapter(t *testing.T, x *target, ensure func(*balancer.Balancer) error) *httptest.Server {
+	t.Helper()
+	_, r, _ := setupModelConductor(t, x, nil)
 	setHoldings(r, x.address, "m")
 	b := balancer.New()
-	var asked atomic.Int64
 	c := conductor.New(headers, r, b, budgeter.New(0.2, 50, 10*time.Second),
-		conductor.WithAdapters(func(context.Context, string, string, string) error {
-			if asked.Add(1) < 3 {
-				return balancer.ErrNoAdapter
-			}
-			b.Overlay(balancer.Overlay{Target: "t0", Model: "m", Adapter: "a", Held: true, Since: time.Now()})
-			return nil
-		}))
+		conductor.WithAdapters(func(context.Context, string, string, string) error { return ensure(b) }))
 	server := httptest.NewServer(c)
 	t.Cleanup(server.Close)
-	_, body, err := send(t, server, "POST", "/", "b", "Test-Model", "m/a")
+	return server
+}
+
+// TestAdapterIsAskedForAgain replays a target that has another order in hand when an
+// adapter is asked for: the request is served once it takes the order.
+func TestAdapterIsAskedForAgain(t *testing.T) {
+	x := newTarget(t, ok)
+	var asked atomic.Int64
+	server := setupAdapter(t, x, func(b *balancer.Balancer) error {
+		if asked.Add(1) < 3 {
+			return balancer.ErrNoAdapter
+		}
+		b.Overlay(balancer.Overlay{Target: "t0", Model: "m", Adapter: "a", Held: true, Since: time.Now()})
+		return nil
+	})
+	_, body, err := send(t, server, "POST", "/model/", "b", "Test-Model", "m/a")
 	require.NoError(t, err)
 	assert.Equal(t, "done", body)
 	assert.EqualValues(t, 3, asked.Load())
 }
+
+// TestWaitLeavesTimeForTheAnswer replays a caller that has come back with little time
+// left: it hears that its request was not run while it still listens.
+func TestWaitLeavesTimeForTheAnswer(t *testing.T) {
+	const left = 800 * time.Millisecond
+	server := setupAdapter(t, newTarget(t, ok), func(*balancer.Balancer) error { return balancer.ErrNoAdapter })
+	began := time.Now()
+	response, _, err := send(t, server, "POST", "/model/", "b", "Test-Model", "m/a", "Test-Deadline", "800")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.Less(t, time.Since(began), left*3/4)
+}
