Name all instances to callers alike where there are more than an answer holds

Cause: an answer to a caller that looks for addresses holds 64; each instance named itself and the first 63 by name, so that of 128 instances 65 got nearly all callers. Excluded: the share of those that are named, which callers choose from at random. Change: each instance names those that follow it by name, round to the first.

--- a/internal/gateway/supervisor/lease.go
+++ b/internal/gateway/supervisor/lease.go
@@ -102,11 +102,13 @@
 		if isHolder || s.holder() != "" {
 			unheldSince = time.Now()
 		}
-		if s.leaving.Load() || !(isHolder || s.mayContend(unheldSince)) {
+		if s.leaving.Load() {
 			continue
 		}
-		if err := s.leaser.Tick(); err != nil {
-			s.log.Info("lease not renewed or taken", "error", err.Error())
+		if isHolder || s.mayContend(unheldSince) {
+			if err := s.leaser.Tick(); err != nil {
+				s.log.Info("lease not renewed or taken", "error", err.Error())
+			}
 		}
 	}
 }
--- a/internal/gateway/supervisor/servers.go
+++ b/internal/gateway/supervisor/servers.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -124,13 +126,15 @@
 // maxLocations is the greatest number of addresses that callers take.
 const maxLocations = 64
 
-// locations returns the addresses of the instances that are ready.
+// locations returns the addresses of instances that are ready. Where there are more than
+// callers take, each instance names those that follow it by name, so that all are named
+// as often.
 func (s *Supervisor) locations() []string {
 	out := []string{}
 	if s.isReady() {
 		out = append(out, s.settings.CallerAddress)
 	}
-	for _, peer := range s.informer.Peers() {
+	for _, peer := range following(s.settings.Instance, s.informer.Peers()) {
 		if peer.News.Ready && !peer.News.Leaving && len(out) < maxLocations {
 			out = append(out, peer.News.CallerAddress)
 		}
@@ -138,6 +142,13 @@
 	return out
 }
 
+// following returns peers, which are ordered by name, from the first after a name round
+// to the last before it.
+func following(name string, peers []informer.Peer) []informer.Peer {
+	first := sort.Search(len(peers), func(i int) bool { return peers[i].News.Instance > name })
+	return slices.Concat(peers[first:], peers[:first])
+}
+
 func (s *Supervisor) servePeer(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case pathNews:
