Pass sums of other data centres on in small data centres too

Excluded: its own loads, which all hear in its news. Change: the first instance of a data centre of any size passes sums on. Test first: TestSumReachesAFewInstances.

--- a/internal/gateway/supervisor/cell.go
+++ b/internal/gateway/supervisor/cell.go
@@ -47,15 +47,21 @@
 
 // cellOf is cell for those that are there.
 func (s *Supervisor) cellOf(peers []informer.Peer) []informer.Peer {
+	out := s.nearOf(peers)
+	if len(out)+1 < cellSize {
+		return nil
+	}
+	return out
+}
+
+// nearOf returns the peers of this data centre that do not leave.
+func (s *Supervisor) nearOf(peers []informer.Peer) []informer.Peer {
 	out := []informer.Peer{}
 	for _, peer := range peers {
 		if peer.News.DataCentre == s.settings.DataCentre && !peer.News.Leaving {
 			out = append(out, peer)
 		}
 	}
-	if len(out)+1 < cellSize {
-		return nil
-	}
 	return out
 }
 
--- a/internal/gateway/supervisor/relay.go
+++ b/internal/gateway/supervisor/relay.go
@@ -78,22 +78,22 @@
 	isFromHere := slices.ContainsFunc(peers, func(p informer.Peer) bool {
 		return p.News.Instance == load.Instance && p.News.DataCentre == s.settings.DataCentre
 	})
-	cell := s.cellOf(peers)
-	if !isFromHere && cell != nil && s.isFirst(cell) {
-		s.sendLoad(cell, body)
+	near := s.nearOf(peers)
+	if !isFromHere && s.isFirst(near) {
+		s.sendLoad(near, body)
 	}
 }
 
-// isFirst reports whether this instance acts for its data centre.
-func (s *Supervisor) isFirst(cell []informer.Peer) bool { return len(s.aheadIn(cell)) == 0 }
+// isFirst reports whether this instance acts for its data centre, given its peers there.
+func (s *Supervisor) isFirst(near []informer.Peer) bool { return len(s.aheadIn(near)) == 0 }
 
-// aheadIn returns the instances of a cell that act before this one, in their order, on
-// which all agree by name. One that has fallen silent is passed over well before it
+// aheadIn returns the peers of this data centre that act before this one, in their order,
+// on which all agree by name. One that has fallen silent is passed over well before it
 // counts as gone.
-func (s *Supervisor) aheadIn(cell []informer.Peer) []informer.Peer {
+func (s *Supervisor) aheadIn(near []informer.Peer) []informer.Peer {
 	out := []informer.Peer{}
 	silence := time.Duration(silentIntervals * float64(s.informer.Interval()))
-	for _, peer := range cell { // ordered by name
+	for _, peer := range near { // ordered by name
 		if peer.News.Instance < s.settings.Instance && time.Since(peer.HeardAt) < silence {
 			out = append(out, peer)
 		}
--- a/internal/gateway/supervisor/relay_test.go
+++ b/internal/gateway/supervisor/relay_test.go
@@ -128,6 +128,25 @@
 	})
 }
 
+// TestSumReachesAFewInstances replays a large data centre beside a small one: a sum that
+// comes to the first instance of that is passed on to its one peer.
+func TestSumReachesAFewInstances(t *testing.T) {
+	s := New(messenger.GatewaySettings{Instance: "c1", DataCentre: "c"}, Platform{}, logr.Discard())
+	s.loads = newSocket(t).conn
+	near := newSocket(t)
+	s.informer.Take(peerNews("c2", near))
+	sum := messenger.GatewayLoad{
+		Instance: "b1", DataCentre: "b", Incarnation: 1, Sequence: 1, IsWhole: true,
+		Targets: messenger.GatewayLoadTargets{"t": {InFlight: 4}},
+	}
+	body, err := json.Marshal(sum)
+	require.NoError(t, err)
+	s.takeDatagram(sum, body)
+	heard, ok := near.hear(t, hearTimeout)
+	require.True(t, ok)
+	assert.Equal(t, sum, heard)
+}
+
 // TestSilentFirstInstanceIsPassedOver replays the freeze of the instance that acts for
 // its data centre: the next one takes over before it counts as gone.
 func TestSilentFirstInstanceIsPassedOver(t *testing.T) {
