--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -33,8 +33,9 @@
 	// adapterPatience is how long a request waits for an adapter.
 	adapterPatience = 1500 * time.Millisecond
 	// askAgainAfter is the time between two times that a request asks for its adapter:
-	// a target that has another order in hand may take one soon.
-	askAgainAfter = 150 * time.Millisecond
+	// a target that has another order in hand may take one soon, and each place that is
+	// made for an adapter takes that of another.
+	askAgainAfter = 500 * time.Millisecond
 	// fullPatience is the share of its aim that a request waits for a place.
 	fullPatience = 0.5
 	// waitShare is the share of its time that a request may wait for a target at all.
@@ -162,9 +163,6 @@
 	// mayRun tells that a target may have run the request or may be running it.
 	mayRun   bool
 	excluded map[string]bool
-	// modelDue is when its model was first expected to be served; zero if it has not
-	// waited for one.
-	modelDue time.Time
 	// outcome and first, the time to the first byte of an answer, are for the metrics.
 	outcome measurer.Outcome
 	first   time.Duration
--- a/internal/gateway/conductor/expect.go
+++ b/internal/gateway/conductor/expect.go
@@ -123,18 +123,14 @@
 }
 
 // awaitModel reports, for a request that no target can run for want of its model,
-// whether it may wait for that; with an error that says why not. A time that is put off
-// while the request waits is not believed again.
+// whether it may wait for that; with an error that says why not.
 func (c *Conductor) awaitModel(ctx context.Context, q *request) error {
 	at, err := c.expect(ctx, modelKey{q.service, q.demand.Model})
 	if err != nil {
 		return errors.Wrap(balancer.ErrNoModel, err.Error())
 	}
-	if q.modelDue.IsZero() {
-		q.modelDue = at
-	}
 	now := c.now()
-	if at.After(q.modelPatience()) || now.After(q.modelDue.Add(latePatience)) {
+	if at.After(q.modelPatience()) || now.After(at.Add(latePatience)) {
 		return &ExpectedError{In: max(at.Sub(now), 0)}
 	}
 	return nil
