--- a/internal/gateway/supervisor/relay_test.go
+++ b/internal/gateway/supervisor/relay_test.go
@@ -107,14 +107,21 @@
 	assert.False(t, isTold, "the own data centre hears of each instance by itself")
 }
 
-func TestSumOfAnotherDataCentreIsPassedOn(t *testing.T) {
-	s, near, _ := newInstance(t)
+// sumOfB returns the sum that data centre b tells, and the datagram that holds it.
+func sumOfB(t *testing.T) (messenger.GatewayLoad, []byte) {
+	t.Helper()
 	sum := messenger.GatewayLoad{
 		Instance: "b1", DataCentre: "b", Incarnation: 1, Sequence: 1, IsWhole: true,
 		Targets: messenger.GatewayLoadTargets{"t": {InFlight: 4}},
 	}
 	body, err := json.Marshal(sum)
 	require.NoError(t, err)
+	return sum, body
+}
+
+func TestSumOfAnotherDataCentreIsPassedOn(t *testing.T) {
+	s, near, _ := newInstance(t)
+	sum, body := sumOfB(t)
 	s.takeDatagram(sum, body)
 	assert.Equal(t, 4, s.balancer.TotalInFlight("t"))
 	heard, ok := near.hear(t, hearTimeout)
@@ -135,12 +142,7 @@
 	s.loads = newSocket(t).conn
 	near := newSocket(t)
 	s.informer.Take(peerNews("c2", near))
-	sum := messenger.GatewayLoad{
-		Instance: "b1", DataCentre: "b", Incarnation: 1, Sequence: 1, IsWhole: true,
-		Targets: messenger.GatewayLoadTargets{"t": {InFlight: 4}},
-	}
-	body, err := json.Marshal(sum)
-	require.NoError(t, err)
+	sum, body := sumOfB(t)
 	s.takeDatagram(sum, body)
 	heard, ok := near.hear(t, hearTimeout)
 	require.True(t, ok)
