Send nothing for a caller that left while a connection was made

A connection that is being made, up to 0.5 s, did not end with its caller, and its request went out if it was written before the close that the caller's leaving brings, on another goroutine. Excluded: waits for a place, which end with the caller. Change: the dial ends with the context of the call, and nothing is sent after it has ended. Test first: TestCallerThatLeavesDuringTheDial fails within 200 turns without the check.

--- a/internal/edge/connector/connector.go
+++ b/internal/edge/connector/connector.go
@@ -53,7 +53,7 @@
 // Pool holds connections to one target. The zero value is not usable; see New.
 type Pool struct {
 	address string
-	dial    func(address string, timeout time.Duration) (net.Conn, error)
+	dial    func(ctx context.Context, address string) (net.Conn, error)
 	now     func() time.Time
 
 	mu   sync.Mutex
@@ -70,8 +70,9 @@
 	return &Pool{address: address, dial: dialTCP, now: time.Now, usedAt: time.Now()}
 }
 
-func dialTCP(address string, timeout time.Duration) (net.Conn, error) {
-	return net.DialTimeout("tcp", address, timeout)
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // conn is one connection with its buffers.
@@ -133,7 +134,15 @@
 	Gap time.Duration
 }
 
-func (c Call) isCanceled() bool { return c.Context != nil && c.Context.Err() != nil }
+func (c Call) isCanceled() bool { return c.context().Err() != nil }
+
+// context returns the context of the call, which a call that is not canceled lacks.
+func (c Call) context() context.Context {
+	if c.Context == nil {
+		return context.Background()
+	}
+	return c.Context
+}
 
 // Do sends a request and reads the head of the answer. The error is ErrNotSent,
 // ErrSilent, ErrDeadline, ErrCanceled or ErrCut. The caller must close the answer.
@@ -145,6 +154,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if call.isCanceled() {
+		// The caller has left while the connection was made.
+		c.Close()
+		return nil, errors.Wrap(ErrNotSent, ErrCanceled.Error())
+	}
 	a := &Answer{pool: p, conn: c, call: call}
 	a.watch()
 	c.written = 0
@@ -244,7 +258,9 @@
 	if timeout <= 0 {
 		return nil, errors.Wrap(ErrNotSent, ErrDeadline.Error())
 	}
-	raw, err := p.dial(p.address, timeout)
+	ctx, cancel := context.WithTimeout(call.context(), timeout)
+	defer cancel()
+	raw, err := p.dial(ctx, p.address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, errors.Wrap(ErrRefused, p.address)
 	}
