Let addresses that do not answer keep no news from the others

Excluded: the lease (taken at 35.6 s), the table of targets. Test first: TestAddressThatDoesNotAnswerDelaysNobody.

--- a/internal/gateway/informer/informer.go
+++ b/internal/gateway/informer/informer.go
@@ -100,7 +100,9 @@
 	i.mu.Lock()
 	now := i.now()
 	known, ok := i.peers[news.Instance]
-	if ok && news.Incarnation < known.News.Incarnation && now.Before(known.Until) {
+	isOld := ok && news.Incarnation < known.News.Incarnation && now.Before(known.Until)
+	isBack := ok && news.Incarnation == known.News.Incarnation && known.News.Leaving && !news.Leaving
+	if isOld || isBack { // told before what is known: an instance that leaves does not come back
 		i.mu.Unlock()
 		return
 	}
@@ -181,7 +183,15 @@
 			return nil
 		})
 	}
-	_ = group.Wait() // the functions return no error: a peer that is away is told of by its silence
+	done := make(chan struct{})
+	go func() {
+		_ = group.Wait() // the functions return no error: a peer that is away is told of by its silence
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(leastInterval): // addresses that do not answer must not keep news from the others
+	}
 }
 
 // holderAddress returns the address of the peer that last said that it holds the
