Pass a sum of another data centre on once

Cause: read in the change itself: the first instance of a data centre passes on what it hears of others, and the check against passing on again looked at who had made the sum, who is always elsewhere. While two take themselves for the first, as when a peer is silent for a moment, each passed the other's copy on to all, again and again without an end. Change: a sum that was passed on is marked and goes no further; the scan of peers for its maker is gone. Test first: 'once, also while two take themselves for the first' fails without the mark.

--- a/internal/gateway/supervisor/loads.go
+++ b/internal/gateway/supervisor/loads.go
@@ -157,6 +157,6 @@
 			s.log.Info("load of a peer cannot be read", "error", err.Error())
 			continue
 		}
-		s.takeDatagram(load, buffer[:n])
+		s.takeDatagram(load)
 	}
 }
--- a/internal/gateway/supervisor/relay.go
+++ b/internal/gateway/supervisor/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
@@ -68,19 +67,17 @@
 }
 
 // takeDatagram takes the load that a datagram tells. The sum of another data centre is
-// passed on by the first instance of this one.
-func (s *Supervisor) takeDatagram(load messenger.GatewayLoad, body []byte) {
+// passed on by the first instance of this one, once: while two take themselves for the
+// first, they must not pass it to each other again and again.
+func (s *Supervisor) takeDatagram(load messenger.GatewayLoad) {
 	s.takeLoad(load, time.Now().Add(sumLife))
-	if load.DataCentre == "" {
+	if load.DataCentre == "" || load.IsPassedOn {
 		return
 	}
-	peers := s.informer.Peers()
-	isFromHere := slices.ContainsFunc(peers, func(p informer.Peer) bool {
-		return p.News.Instance == load.Instance && p.News.DataCentre == s.settings.DataCentre
-	})
-	near := s.nearOf(peers)
-	if !isFromHere && s.isFirst(near) {
-		s.sendLoad(near, body)
+	near := s.nearOf(s.informer.Peers())
+	if s.isFirst(near) {
+		load.IsPassedOn = true
+		s.tellSum(near, load)
 	}
 }
 
--- a/internal/gateway/supervisor/relay_test.go
+++ b/internal/gateway/supervisor/relay_test.go
@@ -107,29 +107,39 @@
 	assert.False(t, isTold, "the own data centre hears of each instance by itself")
 }
 
-// sumOfB returns the sum that data centre b tells, and the datagram that holds it.
-func sumOfB(t *testing.T) (messenger.GatewayLoad, []byte) {
-	t.Helper()
-	sum := messenger.GatewayLoad{
+// sumOfB returns the sum that data centre b tells.
+func sumOfB() messenger.GatewayLoad {
+	return messenger.GatewayLoad{
 		Instance: "b1", DataCentre: "b", Incarnation: 1, Sequence: 1, IsWhole: true,
 		Targets: messenger.GatewayLoadTargets{"t": {InFlight: 4}},
 	}
-	body, err := json.Marshal(sum)
-	require.NoError(t, err)
-	return sum, body
+}
+
+// assertPassedOn checks that a sum comes to a peer, marked as passed on.
+func assertPassedOn(t *testing.T, sum messenger.GatewayLoad, at *socket) {
+	t.Helper()
+	heard, ok := at.hear(t, hearTimeout)
+	require.True(t, ok)
+	sum.IsPassedOn = true
+	assert.Equal(t, sum, heard)
 }
 
 func TestSumOfAnotherDataCentreIsPassedOn(t *testing.T) {
 	s, near, _ := newInstance(t)
-	sum, body := sumOfB(t)
-	s.takeDatagram(sum, body)
+	sum := sumOfB()
+	s.takeDatagram(sum)
 	assert.Equal(t, 4, s.balancer.TotalInFlight("t"))
-	heard, ok := near.hear(t, hearTimeout)
-	require.True(t, ok)
-	assert.Equal(t, sum, heard)
+	assertPassedOn(t, sum, near)
+	t.Run("once, also while two take themselves for the first", func(t *testing.T) {
+		passed := sum
+		passed.IsPassedOn = true
+		s.takeDatagram(passed)
+		_, ok := near.hear(t, quietTime)
+		assert.False(t, ok)
+	})
 	t.Run("by the first instance alone", func(t *testing.T) {
 		s.informer.Take(peerNews("a0", near))
-		s.takeDatagram(sum, body)
+		s.takeDatagram(sum)
 		_, ok := near.hear(t, quietTime)
 		assert.False(t, ok)
 	})
@@ -142,11 +152,9 @@
 	s.loads = newSocket(t).conn
 	near := newSocket(t)
 	s.informer.Take(peerNews("c2", near))
-	sum, body := sumOfB(t)
-	s.takeDatagram(sum, body)
-	heard, ok := near.hear(t, hearTimeout)
-	require.True(t, ok)
-	assert.Equal(t, sum, heard)
+	sum := sumOfB()
+	s.takeDatagram(sum)
+	assertPassedOn(t, sum, near)
 }
 
 // TestSilentFirstInstanceIsPassedOver replays the freeze of the instance that acts for
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -308,6 +308,10 @@
 	// Instance is the one that tells it.
 	Instance string `json:"Instance"`
 
+	// IsPassedOn tells that an instance of the data centre of those that hear it has
+	// passed it on.
+	IsPassedOn bool `json:"IsPassedOn"`
+
 	// IsWhole tells that there is nothing at the targets that are left out.
 	IsWhole bool `json:"IsWhole"`
 
