Look for the holder once a tick, and make own news once a round

Cause: read in the change: holdLease looked for the holder of the lease twice in each tick, Tell made its own news for three fields of them and again for peers it does not know, and Answer.Next asked again what its reader and the end of the connection tell already. Excluded: behaviour; the tests are as they were. Change: each is done once.

--- a/internal/edge/connector/answer.go
+++ b/internal/edge/connector/answer.go
@@ -72,11 +72,10 @@
 // Next passes over this answer and reads the head of the one that follows it on the
 // connection. The error is one of those of Do.
 func (a *Answer) Next() error {
-	n, err := io.Copy(io.Discard, io.LimitReader(a, maxPassedOver))
-	if err != nil {
+	if _, err := io.Copy(io.Discard, io.LimitReader(a, maxPassedOver)); err != nil {
 		return err
 	}
-	if !a.whole && n == maxPassedOver || !a.framed || a.Header.ConnectionClose() {
+	if !a.whole || a.Header.ConnectionClose() {
 		return errors.Wrapf(ErrCut, "%s: nothing can follow this answer", a.pool.address)
 	}
 	a.Header.Reset()
--- a/internal/gateway/informer/informer.go
+++ b/internal/gateway/informer/informer.go
@@ -166,8 +166,9 @@
 func (i *Informer) Tell() {
 	deadline := i.now().Add(sendTimeout)
 	var group errgroup.Group
-	made := map[Audience]messenger.GatewayNews{}
-	for address, to := range i.targets(i.news(Audience{})) {
+	own := i.news(Audience{})
+	made := map[Audience]messenger.GatewayNews{{}: own}
+	for address, to := range i.targets(own) {
 		news, ok := made[to]
 		if !ok {
 			news = i.news(to)
--- a/internal/gateway/supervisor/lease.go
+++ b/internal/gateway/supervisor/lease.go
@@ -99,13 +99,14 @@
 			held = isHolder
 			s.log.Info("lease on orders", "held", held, "fence", grant.Fence)
 		}
-		if isHolder || s.holder() != "" {
+		isHeld := isHolder || s.holder() != ""
+		if isHeld {
 			unheldSince = time.Now()
 		}
 		if s.leaving.Load() {
 			continue
 		}
-		if isHolder || s.mayContend(unheldSince) {
+		if isHolder || (!isHeld && s.mayContend(unheldSince)) {
 			if err := s.leaser.Tick(); err != nil {
 				s.log.Info("lease not renewed or taken", "error", err.Error())
 			}
@@ -117,7 +118,7 @@
 // has said that it holds it. Each look is a call to the store: those that go before this
 // one in its data centre look first, and it does if none of them takes it.
 func (s *Supervisor) mayContend(unheldSince time.Time) bool {
-	if s.holder() != "" || s.targets.Version() == 0 {
+	if s.targets.Version() == 0 {
 		return false
 	}
 	ahead := len(s.readers())
