Log the limits that targets name, and each request to a limited target

The adapter decodes the header, the conductor logs each change of a target's limit and each request that it sends to a limited target. No decision uses the limit yet. An answer without the header lifts a limit only if the request was sent after the limit was seen and the target ran it.

--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -23,6 +23,7 @@
 	"github.com/crocusring/crocusring/internal/edge/connector"
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
+	"github.com/crocusring/crocusring/internal/gateway/limiter"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 	"github.com/crocusring/crocusring/internal/state/measurer"
 )
@@ -65,6 +66,7 @@
 	registry *registrar.Registrar
 	balancer *balancer.Balancer
 	budget   *budgeter.Budgeter
+	limiter  *limiter.Limiter
 	pools    *connector.Pools
 	log      logr.Logger
 	now      func() time.Time
@@ -122,13 +124,17 @@
 	return func(c *Conductor) { c.requestEnd = requestEnd }
 }
 
+// WithLimiter sets the limiter that keeps the limits which targets name. By default the
+// conductor has one of its own.
+func WithLimiter(l *limiter.Limiter) Option { return func(c *Conductor) { c.limiter = l } }
+
 // WithLog sets the logger. By default nothing is logged.
 func WithLog(log logr.Logger) Option { return func(c *Conductor) { c.log = log } }
 
 // New returns a conductor that forwards requests to the targets in registry.
 func New(headers Headers, registry *registrar.Registrar, b *balancer.Balancer, budget *budgeter.Budgeter, options ...Option) *Conductor {
 	c := &Conductor{
-		headers: headers, registry: registry, balancer: b, budget: budget, pools: connector.NewPools(),
+		headers: headers, registry: registry, balancer: b, budget: budget, limiter: limiter.New(), pools: connector.NewPools(),
 		log: logr.Discard(), now: time.Now, demand: func(Demand) {}, modelWait: func(Demand) {},
 		streamEnd:        func(Demand, time.Duration) {},
 		requestEnd:       func(measurer.Request) {},
--- a/internal/gateway/conductor/headers.go
+++ b/internal/gateway/conductor/headers.go
@@ -40,6 +40,9 @@
 	// Reserved lists headers that only this system sets. They are dropped from callers'
 	// requests.
 	Reserved []string
+	// RateLimit holds the number of requests a second that a target takes from all instances
+	// together. A target without a limit leaves it out.
+	RateLimit string
 	// MisdirectedStatus is the HTTP status by which a target reports that it is not the
 	// expected one, or that it does not hold the model.
 	MisdirectedStatus int
@@ -47,6 +50,8 @@
 	ParseModel  func(value string) (model, adapter string)
 	ParseTokens func(value string) (prompt, output int)
 	ParsePrefix func(value string) []string
+	// ParseRateLimit returns false if value is no rate.
+	ParseRateLimit func(value string) (perSecond float64, ok bool)
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded. Content-Length is
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -61,6 +61,8 @@
 	call := connector.Call{
 		Request: c.buildRequest(q, reply, target), Context: ctx, FirstByte: q.deadline, AnswerDeadline: q.deadline,
 	}
+	c.logLimitedSend(q, target)
+	sentAt := c.limiter.Now()
 	answer, err := c.pools.For(target.Address).Do(call)
 	fasthttp.ReleaseRequest(call.Request)
 	q.excluded[target.ID] = true
@@ -86,6 +88,7 @@
 		c.log.Info("target did not answer this request", "request", q.id, "target", target.ID, "error", err.Error())
 		return lost
 	}
+	c.observeLimit(target, answer, sentAt)
 	ticket.FirstByte()
 	q.firstByteAfter = c.now().Sub(q.arrived)
 	return c.relay(ctx, reply, ticket, answer)
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -23,6 +23,7 @@
 	"github.com/crocusring/crocusring/internal/gateway/follower"
 	"github.com/crocusring/crocusring/internal/gateway/foreman"
 	"github.com/crocusring/crocusring/internal/gateway/informer"
+	"github.com/crocusring/crocusring/internal/gateway/limiter"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 	"github.com/crocusring/crocusring/internal/gateway/tallier"
 	"github.com/crocusring/crocusring/internal/state/measurer"
@@ -89,6 +90,7 @@
 
 	registry    *registrar.Registrar
 	balancer    *balancer.Balancer
+	limiter     *limiter.Limiter
 	budget      *budgeter.Budgeter
 	loadChanges *loadChanges
 	measurer    *measurer.Measurer
@@ -115,13 +117,13 @@
 func New(settings messenger.GatewaySettings, platform Platform, log logr.Logger) *Supervisor {
 	s := &Supervisor{
 		settings: settings, platform: platform, log: log, incarnation: time.Now().UnixMilli(),
-		registry: registrar.New(), loadChanges: newLoadChanges(), measurer: measurer.New(time.Now()), tally: tallier.New(), poster: poster.New(),
+		registry: registrar.New(), limiter: limiter.New(), loadChanges: newLoadChanges(), measurer: measurer.New(time.Now()), tally: tallier.New(), poster: poster.New(),
 	}
 	s.balancer = balancer.New(balancer.WithLoadChanged(s.loadChanges.add))
 	bounds := settings.Bounds
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
 	s.conductor = conductor.New(platform.Headers, s.registry, s.balancer, s.budget,
-		conductor.WithLog(log), conductor.WithAdapterLoader(s.ensureAdapter), conductor.WithTimeUntilServed(s.timeUntilServed),
+		conductor.WithLog(log), conductor.WithLimiter(s.limiter), conductor.WithAdapterLoader(s.ensureAdapter), conductor.WithTimeUntilServed(s.timeUntilServed),
 		conductor.WithDemandObservers(s.countDemand, s.countWaiting), conductor.WithStreamObserver(s.countStream), conductor.WithRequestObserver(s.measurer.Observe))
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
@@ -328,7 +330,9 @@
 			return
 		case <-ticker.C:
 			s.conductor.Prune()
-			s.balancer.Prune(s.registry.View())
+			view := s.registry.View()
+			s.balancer.Prune(view)
+			s.limiter.Prune(func(target string) bool { return view.Targets[target] != nil })
 			s.budget.SetInstances(max(int(s.instanceCount.Load()), len(s.informer.Peers())+1))
 		}
 	}
