Keep the limit that a target names over all instances together

Cause: no instance acted on the limit. The header went on to the caller like any other one; the balancer knew slots, prompts and memory of a target, but no rate. The class: a bound for all instances together that each learns from outside. A bound that each kept by itself would be exceeded as many times as there are instances.

Change: a package limiter. For each target one instance, on which all agree by rendezvous hashing, grants permits at the rate of the limit; every send to a target that names a limit needs one: first sends, retries, resumed streams, orders and questions for the state. A request that gets none goes to another target, waits if a permit is due in time, or is refused at once, as not run, with the time until the next permit. While instances disagree on who is there, a granter uses the share of the limit that the instances with the same view, reported long enough in their statuses, are of all; so the shares that are in use add up to one at most, without a call to the store. Limits travel with the loads of targets. A limit is lifted by an answer without it to a request sent after it was seen, or by a new incarnation of the target.

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -75,6 +75,8 @@
 	hasWaiters bool
 	// onLoadChanged is called with the ID of each target whose local load has changed.
 	onLoadChanged func(target string)
+	// blockedFor returns for how long the limit of a target allows no request there.
+	blockedFor func(target string) time.Duration
 }
 
 // localLoad is the state of a target as observed from this instance's own requests.
@@ -118,11 +120,19 @@
 	return func(b *Balancer) { b.onLoadChanged = onLoadChanged }
 }
 
+// WithLimits sets the function that returns for how long the limit that a target names allows
+// no request there; 0 if it allows one. It runs with the balancer's lock held, so it must not
+// call the balancer.
+func WithLimits(blockedFor func(target string) time.Duration) Option {
+	return func(b *Balancer) { b.blockedFor = blockedFor }
+}
+
 // New returns a balancer without any load.
 func New(options ...Option) *Balancer {
 	b := &Balancer{
 		now: time.Now, random: rand.Uint64, loads: map[string]*localLoad{}, peers: map[string]*peerLoad{}, overlays: map[overlayKey]overlay{},
 		prefillMillis: map[string]float64{}, freed: make(chan struct{}), onLoadChanged: func(string) {},
+		blockedFor: func(string) time.Duration { return 0 },
 	}
 	for _, option := range options {
 		option(b)
--- a/internal/gateway/balancer/balancer_test.go
+++ b/internal/gateway/balancer/balancer_test.go
@@ -379,3 +379,22 @@
 	}
 	return late
 }
+
+// TestLimitedTargetIsLeftOut checks that a target whose limit is used up gets nothing, and
+// that a refusal says when a target takes a request again.
+func TestLimitedTargetIsLeftOut(t *testing.T) {
+	blocked := map[string]time.Duration{"p0": time.Second}
+	b := balancer.New(balancer.WithLimits(func(target string) time.Duration { return blocked[target] }))
+	v := view(2)
+	request := balancer.Request{Service: plainName}
+	for range 5 {
+		assert.Equal(t, "p1", mustPick(t, b, v, request).Target.ID)
+	}
+	blocked["p1"] = 300 * time.Millisecond
+	_, err := b.Pick(v, request)
+	require.ErrorIs(t, err, balancer.ErrFull)
+	var full *balancer.FullError
+	require.ErrorAs(t, err, &full)
+	assert.True(t, full.IsLimited())
+	assert.Equal(t, 300*time.Millisecond, full.LimitedFor)
+}
--- a/internal/gateway/balancer/choice.go
+++ b/internal/gateway/balancer/choice.go
@@ -36,11 +36,29 @@
 	Memory  int
 	// Unhealthy counts the targets that are excluded because of faults or missing answers.
 	Unhealthy int
+	// Limited counts the targets whose limit is used up, and LimitedFor is the time until the
+	// first of them takes a request again.
+	Limited    int
+	LimitedFor time.Duration
 }
 
 func (e *FullError) Error() string {
-	return fmt.Sprintf("%v: %d without a slot, %d with prompts to read, %d without memory, %d resting",
-		ErrFull, e.Slots, e.Prompts, e.Memory, e.Unhealthy)
+	return fmt.Sprintf("%v: %d without a slot, %d with prompts to read, %d without memory, %d resting, %d at their limit",
+		ErrFull, e.Slots, e.Prompts, e.Memory, e.Unhealthy, e.Limited)
+}
+
+// IsLimited reports whether only the limits of targets stand against the request: no slot
+// that becomes free helps then.
+func (e *FullError) IsLimited() bool {
+	return e.Limited > 0 && e.Slots+e.Prompts+e.Memory == 0
+}
+
+// addLimited counts a target whose limit is used up for a time.
+func (e *FullError) addLimited(wait time.Duration) {
+	if e.Limited == 0 || wait < e.LimitedFor {
+		e.LimitedFor = wait
+	}
+	e.Limited++
 }
 
 // Is reports whether target is ErrFull.
@@ -106,6 +124,10 @@
 		full.Unhealthy++
 		return -1
 	}
+	if wait := b.blockedFor(t.ID); wait > 0 {
+		full.addLimited(wait)
+		return -1
+	}
 	totalLoad := b.totalLoad(t.ID, now)
 	slots := max(t.Slots, 1)
 	share := float64(totalLoad.InFlight+1) / float64(slots)
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -84,6 +84,9 @@
 	// now, or the reason why none will.
 	timeUntilServed  func(ctx context.Context, service, model string) (time.Duration, error)
 	servingEstimates estimateCache
+	// acquirePermit returns nil if the limit that a target names allows a request there now,
+	// or a limiter.DeniedError.
+	acquirePermit func(ctx context.Context, target *registrar.Target) error
 	// requestEnd is called when a request that was accepted ends.
 	requestEnd func(measurer.Request)
 	closing    atomic.Bool
@@ -124,9 +127,11 @@
 	return func(c *Conductor) { c.requestEnd = requestEnd }
 }
 
-// WithLimiter sets the limiter that keeps the limits which targets name. By default the
-// conductor has one of its own.
-func WithLimiter(l *limiter.Limiter) Option { return func(c *Conductor) { c.limiter = l } }
+// WithLimiter sets the limiter that keeps the limits which targets name, and the function
+// that asks for a permit to send a request to a target. By default there are no limits.
+func WithLimiter(l *limiter.Limiter, acquirePermit func(ctx context.Context, target *registrar.Target) error) Option {
+	return func(c *Conductor) { c.limiter, c.acquirePermit = l, acquirePermit }
+}
 
 // WithLog sets the logger. By default nothing is logged.
 func WithLog(log logr.Logger) Option { return func(c *Conductor) { c.log = log } }
@@ -134,10 +139,11 @@
 // New returns a conductor that forwards requests to the targets in registry.
 func New(headers Headers, registry *registrar.Registrar, b *balancer.Balancer, budget *budgeter.Budgeter, options ...Option) *Conductor {
 	c := &Conductor{
-		headers: headers, registry: registry, balancer: b, budget: budget, limiter: limiter.New(), pools: connector.NewPools(),
+		headers: headers, registry: registry, balancer: b, budget: budget, limiter: limiter.New(limiter.Member{}, 1), pools: connector.NewPools(),
 		log: logr.Discard(), now: time.Now, demand: func(Demand) {}, modelWait: func(Demand) {},
 		streamEnd:        func(Demand, time.Duration) {},
 		requestEnd:       func(measurer.Request) {},
+		acquirePermit:    func(context.Context, *registrar.Target) error { return nil },
 		ensureAdapter:    func(context.Context, string, string, string) error { return balancer.ErrNoAdapter },
 		timeUntilServed:  func(context.Context, string, string) (time.Duration, error) { return 0, balancer.ErrNoModel },
 		servingEstimates: estimateCache{byModel: map[modelKey]*servingEstimate{}},
@@ -271,7 +277,11 @@
 			Tokens: q.demand.Tokens, MaxEventGapMilliseconds: float64(q.route.EventGapGoalMilliseconds), Affinity: q.affinity, Excluded: q.excluded,
 		})
 		if err == nil {
-			return ticket, nil
+			if err := c.acquirePermit(ctx, ticket.Target); err == nil {
+				return ticket, nil
+			}
+			ticket.End(balancer.Abandoned)
+			continue // the balancer leaves the target out until its limit allows a request
 		}
 		if c.refusing.Load() {
 			return nil, errStopping
@@ -289,7 +299,7 @@
 				return nil, err
 			}
 		}
-		if !c.now().Before(q.waitDeadline(err)) {
+		if !c.now().Add(limitWait(err)).Before(q.waitDeadline(err)) {
 			return nil, err
 		}
 		if !c.waitForChange(ctx, q, changed, freed) {
--- a/internal/gateway/conductor/limit.go
+++ b/internal/gateway/conductor/limit.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/crocusring/crocusring/internal/edge/connector"
+	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/limiter"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 )
@@ -32,7 +35,17 @@
 
 // logLimitedSend logs a request that is sent to a target with a limit.
 func (c *Conductor) logLimitedSend(q *request, target *registrar.Target) {
-	if limit := c.limiter.Limit(target.ID); limit.IsNamed {
+	if limit, _ := c.limiter.Limit(target.ID); limit.IsNamed {
 		c.log.Info("request sent to limited target", "request", q.id, "target", target.ID, "perSecond", limit.PerSecond)
 	}
 }
+
+// limitWait returns the time until a target takes a request again, if only the limits of
+// targets are the reason why there is no target, and otherwise 0.
+func limitWait(reason error) time.Duration {
+	var full *balancer.FullError
+	if errors.As(reason, &full) && full.IsLimited() {
+		return full.LimitedFor
+	}
+	return 0
+}
--- a/internal/gateway/conductor/refusal.go
+++ b/internal/gateway/conductor/refusal.go
@@ -29,10 +29,9 @@
 	// over.
 	maxAdapterRetryDelay = 1500 * time.Millisecond
 	minRetryDelay        = 100 * time.Millisecond
-	// modelRetryJitter is the largest share by which the retry delay is extended for
-	// callers that are to retry once a model is served, so that they do not retry at the
-	// same time.
-	modelRetryJitter = 0.2
+	// knownWaitJitter is the largest share by which the retry delay is extended for callers
+	// that are to retry at a known time, so that they do not retry at the same time.
+	knownWaitJitter = 0.2
 )
 
 // Refusal is a final answer that this system gives to a request that was not run.
@@ -115,6 +114,13 @@
 	return !now.Add(minTimeLeft).Before(q.deadline)
 }
 
+// delayUntil returns the delay after which to retry a request that can be served after a
+// wait, so that callers that wait for the same thing do not retry at the same time.
+func (q *request) delayUntil(wait time.Duration) time.Duration {
+	jitter := knownWaitJitter * float64(wait+minRetryDelay) * float64(xxhash.Sum64String(q.id)%1000) / 1000
+	return max(wait, shortRetryDelay) + time.Duration(jitter)
+}
+
 // retryDelay returns the delay after which to retry a request that was refused for a
 // cause. Overload ends within seconds, since models are moved to where the load is.
 // Retries of requests that were refused together are spread over time.
@@ -126,7 +132,10 @@
 	delay := time.Duration(retryDelayShare * float64(timeout))
 	var expected *ModelExpectedError
 	if errors.As(cause, &expected) {
-		return max(expected.In, shortRetryDelay) + time.Duration(modelRetryJitter*float64(expected.In+minRetryDelay)*float64(xxhash.Sum64String(q.id)%1000)/1000)
+		return q.delayUntil(expected.In)
+	}
+	if wait := limitWait(cause); wait > 0 {
+		return q.delayUntil(wait)
 	}
 	if errors.Is(cause, errStopping) {
 		return shortRetryDelay
--- a/internal/gateway/informer/informer.go
+++ b/internal/gateway/informer/informer.go
@@ -168,6 +168,17 @@
 	return out
 }
 
+// AddressOf returns the peer address of a live instance; empty if it is not live.
+func (i *Informer) AddressOf(instance string) string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	peer, ok := i.peers[instance]
+	if !ok || !i.now().Before(peer.ExpiresAt) {
+		return ""
+	}
+	return peer.LastStatus.PeerAddress
+}
+
 // SendStatus sends this instance's status to the peers for which it is due, and records
 // their answers.
 func (i *Informer) SendStatus() {
--- a/internal/gateway/limiter/limiter.go
+++ b/internal/gateway/limiter/limiter.go
@@ -1,31 +1,61 @@
-// Package limiter keeps the limits that targets name: how many requests a second a target
-// takes from all instances together. The package does no I/O.
+// Package limiter keeps the requests to a target within the limit that the target names in
+// its answers, over all instances together and whatever their number.
+//
+// For each target one instance is the granter: the one that all instances of a group prefer
+// by rendezvous hashing. An instance that knows a limit sends a request to that target only
+// with a permit of its granter, which gives out permits at the rate of the limit. Instances
+// can disagree on the granter while one of them starts, stops, freezes or is cut off. So
+// each status message of an instance contains a digest of the members that it sees, and a
+// granter uses only the share of a limit that the members with the same digest are of all
+// members. A member counts for a granter once it has reported the same digest for longer
+// than an earlier report of it stays valid anywhere. So it counts for one granter at a time,
+// and the shares that are in use add up to one at most.
+//
+// The package does no I/O: a caller carries permits and statuses between instances.
 package limiter
 
 import (
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/crocusring/crocusring/internal/node/timekeeper"
 )
 
+// limitTTL is how long the limit of a target that is gone from the target table is kept: an
+// entry can be missing for a while although the target goes on.
+const limitTTL = time.Minute
+
 // Limit is what a target was last seen to name.
 type Limit struct {
 	// IsNamed is false if the target names no limit.
 	IsNamed bool
 	// PerSecond is the number of requests a second from all instances together.
 	PerSecond float64
-	// SeenAt is when the answer that named it, or that named none, was received or, at the
-	// earliest, made.
+	// SeenAt is when the answer that named it was received. If the target named none it is
+	// when the request was sent, since the answer may have been made at any time after that.
 	SeenAt time.Time
 }
 
-// Limiter keeps the limits of targets. The zero value is not usable; see New.
+// Target identifies a target.
+type Target struct {
+	ID         string
+	DataCentre string
+}
+
+// Limiter is one instance's part in keeping the limits of targets. The zero value is not
+// usable; see New.
 type Limiter struct {
-	now func() time.Time
+	self     Member
+	cellSize int
+	now      func() time.Time
 
 	mu     sync.Mutex
 	limits map[string]Limit // by the ID of the target
+	// The remaining fields are those of membership, of the granter and of the asker.
+	membership membership
+	buckets    map[string]*bucket
+	asking     map[string]*askState
 }
 
 // Option configures a Limiter in New.
@@ -34,12 +64,18 @@
 // WithClock sets the clock. It must keep running while the machine is suspended.
 func WithClock(now func() time.Time) Option { return func(l *Limiter) { l.now = now } }
 
-// New returns a limiter that knows no limit.
-func New(options ...Option) *Limiter {
-	l := &Limiter{now: timekeeper.BootTime, limits: map[string]Limit{}}
+// New returns a limiter of the instance self that knows no limit and no other instance. From
+// cellSize instances on, those of a data centre form a group of their own.
+func New(self Member, cellSize int, options ...Option) *Limiter {
+	l := &Limiter{
+		self: self, cellSize: cellSize, now: timekeeper.BootTime, limits: map[string]Limit{}, buckets: map[string]*bucket{},
+		asking: map[string]*askState{},
+	}
 	for _, option := range options {
 		option(l)
 	}
+	l.membership = newMembership(l.now())
+	l.SetMembers(nil, nil)
 	return l
 }
 
@@ -51,28 +87,41 @@
 func (l *Limiter) Observe(target string, limit Limit) (isChanged bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.observe(target, limit)
+}
+
+func (l *Limiter) observe(target string, limit Limit) (isChanged bool) {
 	known, ok := l.limits[target]
 	if limit.SeenAt.Before(known.SeenAt) || (!ok && !limit.IsNamed) {
 		return false
 	}
 	l.limits[target] = limit
-	return known.IsNamed != limit.IsNamed || known.PerSecond != limit.PerSecond
+	isChanged = known.IsNamed != limit.IsNamed || known.PerSecond != limit.PerSecond
+	if isChanged {
+		delete(l.asking, target) // a denial under the earlier limit says nothing about this one
+	}
+	return isChanged
 }
 
-// Limit returns what a target was last seen to name.
-func (l *Limiter) Limit(target string) Limit {
+// Limit returns what a target was last seen to name; false if nothing is known.
+func (l *Limiter) Limit(target string) (Limit, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.limits[target]
+	limit, ok := l.limits[target]
+	return limit, ok
 }
 
-// Prune drops the limits of targets that are gone.
+// Prune drops the state of targets that are gone.
 func (l *Limiter) Prune(isKnown func(target string) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id := range l.limits {
-		if !isKnown(id) {
+	now := l.now()
+	for id, limit := range l.limits {
+		if !isKnown(id) && now.Sub(limit.SeenAt) > limitTTL {
 			delete(l.limits, id)
 		}
 	}
+	isUnlimited := func(id string) bool { return !l.limits[id].IsNamed }
+	maps.DeleteFunc(l.buckets, func(id string, _ *bucket) bool { return isUnlimited(id) })
+	maps.DeleteFunc(l.asking, func(id string, _ *askState) bool { return isUnlimited(id) })
 }
--- a/internal/gateway/supervisor/loads.go
+++ b/internal/gateway/supervisor/loads.go
@@ -69,7 +69,7 @@
 		Targets: make(messenger.GatewayLoadTargets, len(loads)),
 	}
 	for id, l := range loads {
-		out.Targets[id] = messenger.TargetLoad{InFlight: l.InFlight, Pending: l.Pending}
+		out.Targets[id] = messenger.TargetLoad{InFlight: l.InFlight, Pending: l.Pending, Limit: s.knownLimit(id)}
 	}
 	return out
 }
@@ -84,6 +84,7 @@
 	if !in.IsWhole {
 		until = time.Time{}
 	}
+	s.receiveLimits(in)
 	s.balancer.SetPeerLoads(loadSource(in), in.Incarnation, in.Sequence, loads, until)
 }
 
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -11,6 +11,7 @@
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/foreman"
 	"github.com/crocusring/crocusring/internal/gateway/informer"
+	"github.com/crocusring/crocusring/internal/gateway/limiter"
 	"github.com/crocusring/crocusring/internal/node/timekeeper"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 	"github.com/crocusring/crocusring/internal/wire/poster"
@@ -23,6 +24,7 @@
 	pathChanges = "/changes"
 	pathAdapter = "/adapter"
 	pathModel   = "/model"
+	pathPermit  = "/permit"
 )
 
 // tableTimeout bounds the read of a table from a peer.
@@ -34,12 +36,14 @@
 // instead; see sendSums.
 func (s *Supervisor) status(to informer.Recipient) messenger.GatewayNews {
 	_, isHolder := s.leaser.Held(timekeeper.BootTime())
+	report := s.limiter.Report()
 	status := messenger.GatewayNews{
 		Instance: s.settings.Instance, Incarnation: s.incarnation, CallerAddress: s.settings.CallerAddress,
 		PeerAddress: s.settings.PeerAddress, DataCentre: s.settings.DataCentre, Ready: s.isReady(),
 		Leaving: s.leaving.Load(), ManifestVersion: s.manifests.Version(), TargetsVersion: s.targets.Version(),
 		Holder: isHolder && !s.leaving.Load(), LoadAddress: s.settings.LoadAddress, Demand: []messenger.GatewayDemand{},
 		Overlays: []messenger.GatewayOverlay{}, Load: messenger.GatewayLoad{Targets: messenger.GatewayLoadTargets{}},
+		LimitDigest: report.Digest, LimitMembers: report.Size,
 	}
 	if to.DataCentre == s.settings.DataCentre || s.cell() == nil {
 		status.Load = s.ownLoad(nil)
@@ -77,6 +81,7 @@
 	}
 	s.tally.SetPeerDemand(status.Instance, status.Demand, until)
 	now := time.Now()
+	s.limiter.ReceiveReport(status.Instance, limiter.Report{Digest: status.LimitDigest, Size: status.LimitMembers}, until.Sub(now))
 	for _, o := range status.Overlays {
 		s.balancer.Overlay(balancer.Overlay{
 			Target: o.Target, Model: o.Model, Adapter: o.Adapter, Held: o.Held,
@@ -88,6 +93,7 @@
 // sendStatuses sends the status to the peers at each interval until ctx is done.
 func (s *Supervisor) sendStatuses(ctx context.Context) {
 	for ctx.Err() == nil {
+		s.updateLimitMembers()
 		s.informer.SendStatus()
 		select {
 		case <-ctx.Done():
--- a/internal/gateway/supervisor/servers.go
+++ b/internal/gateway/supervisor/servers.go
@@ -165,6 +165,8 @@
 		s.serveAdapter(ctx)
 	case pathModel:
 		s.serveModel(ctx)
+	case pathPermit:
+		s.servePermit(ctx)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
--- a/internal/gateway/supervisor/stop.go
+++ b/internal/gateway/supervisor/stop.go
@@ -25,6 +25,7 @@
 	s.log.Info("instance stops", "active", s.conductor.Active())
 	s.leaving.Store(true)
 	s.conductor.CloseConnections()
+	s.updateLimitMembers()
 	s.informer.SendStatus()
 	go s.release()
 	grace := seconds(s.settings.Bounds.GraceSeconds)
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -117,18 +117,19 @@
 func New(settings messenger.GatewaySettings, platform Platform, log logr.Logger) *Supervisor {
 	s := &Supervisor{
 		settings: settings, platform: platform, log: log, incarnation: time.Now().UnixMilli(),
-		registry: registrar.New(), limiter: limiter.New(), loadChanges: newLoadChanges(), measurer: measurer.New(time.Now()), tally: tallier.New(), poster: poster.New(),
+		registry: registrar.New(), loadChanges: newLoadChanges(), measurer: measurer.New(time.Now()), tally: tallier.New(), poster: poster.New(),
 	}
-	s.balancer = balancer.New(balancer.WithLoadChanged(s.loadChanges.add))
+	s.limiter = limiter.New(limiter.Member{Name: settings.Instance, DataCentre: settings.DataCentre}, minCellSize)
+	s.balancer = balancer.New(balancer.WithLoadChanged(s.loadChanges.add), balancer.WithLimits(s.limiter.BlockedFor))
 	bounds := settings.Bounds
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
 	s.conductor = conductor.New(platform.Headers, s.registry, s.balancer, s.budget,
-		conductor.WithLog(log), conductor.WithLimiter(s.limiter), conductor.WithAdapterLoader(s.ensureAdapter), conductor.WithTimeUntilServed(s.timeUntilServed),
+		conductor.WithLog(log), conductor.WithLimiter(s.limiter, s.acquirePermit), conductor.WithAdapterLoader(s.ensureAdapter), conductor.WithTimeUntilServed(s.timeUntilServed),
 		conductor.WithDemandObservers(s.countDemand, s.countWaiting), conductor.WithStreamObserver(s.countStream), conductor.WithRequestObserver(s.measurer.Observe))
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
 	s.foreman = foreman.New(settings.Instance,
-		foreman.Callbacks{Order: platform.Order, State: platform.State, Grant: s.orderGrant},
+		foreman.Callbacks{Order: s.sendOrder, State: s.queryState, Grant: s.orderGrant},
 		foreman.Bounds{
 			Window: seconds(bounds.LoadWindowSeconds), Handover: seconds(bounds.LeaseMilliseconds / 1000),
 		},
@@ -268,24 +269,37 @@
 	}
 	if old != nil && old.StartMilliseconds != target.StartMilliseconds {
 		s.balancer.ResetTarget(target.ID)
+		s.limiter.Observe(target.ID, limiter.Limit{SeenAt: s.limiter.Now()}) // the limit was that of the earlier incarnation
 	}
 	targets[row.Key] = target
 }
 
 // applyInstances adds the peer addresses of the other instances.
 func (s *Supervisor) applyInstances(rows []messenger.StoreRow, removed []string) {
+	for _, instance := range s.decodeInstances(rows) {
+		s.informer.AddAddress(instance.PeerAddress)
+	}
+	if len(removed) > 0 {
+		s.log.Info("instances removed from the store", "instances", removed)
+	}
+	all := s.decodeInstances(s.instances.Snapshot().Rows)
+	s.instanceCount.Store(int64(len(all)))
+	s.registerLimitMembers(all)
+}
+
+// decodeInstances decodes rows of the table of instances and leaves out those that cannot be
+// read.
+func (s *Supervisor) decodeInstances(rows []messenger.StoreRow) []messenger.GatewayInstance {
+	out := make([]messenger.GatewayInstance, 0, len(rows))
 	for _, row := range rows {
 		var instance messenger.GatewayInstance
 		if err := json.Unmarshal(row.Value, &instance); err != nil {
 			s.log.Error(err, "row of an instance cannot be read", "key", row.Key)
 			continue
 		}
-		s.informer.AddAddress(instance.PeerAddress)
-	}
-	if len(removed) > 0 {
-		s.log.Info("instances removed from the store", "instances", removed)
+		out = append(out, instance)
 	}
-	s.instanceCount.Store(int64(len(s.instances.Snapshot().Rows)))
+	return out
 }
 
 // register writes the row of this instance, and retries until it succeeds.
@@ -308,7 +322,7 @@
 	write := messenger.Write{Table: instanceTable, Key: s.settings.Instance}
 	if isPresent {
 		value, err := json.Marshal(messenger.GatewayInstance{
-			Instance: s.settings.Instance, Incarnation: s.incarnation, PeerAddress: s.settings.PeerAddress,
+			Instance: s.settings.Instance, Incarnation: s.incarnation, PeerAddress: s.settings.PeerAddress, DataCentre: s.settings.DataCentre,
 		})
 		if err != nil {
 			return errors.Wrap(err, "encode row of this instance")
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -292,6 +292,10 @@
 
 // GatewayInstance is the row of the store by which an instance is found.
 type GatewayInstance struct {
+	// DataCentre is the data centre of the instance; empty in rows of earlier
+	// versions.
+	DataCentre string `json:"DataCentre"`
+
 	// Incarnation corresponds to the JSON schema field "Incarnation".
 	Incarnation int64 `json:"Incarnation"`
 
@@ -356,6 +360,13 @@
 	// Leaving corresponds to the JSON schema field "Leaving".
 	Leaving bool `json:"Leaving"`
 
+	// LimitDigest identifies the instances with which the sender shares the limits of
+	// targets; 0 if it takes no part.
+	LimitDigest int64 `json:"LimitDigest"`
+
+	// LimitMembers is the number of these instances, including silent ones.
+	LimitMembers int `json:"LimitMembers"`
+
 	// Load corresponds to the JSON schema field "Load".
 	Load GatewayLoad `json:"Load"`
 
@@ -697,6 +708,30 @@
 	StartedAtMilliseconds int64 `json:"StartedAtMilliseconds"`
 }
 
+// PermitRequest asks the granter of a target for a permit to send it a request.
+type PermitRequest struct {
+	// DataCentre is the data centre of the target.
+	DataCentre string `json:"DataCentre"`
+
+	// Limit corresponds to the JSON schema field "Limit".
+	Limit TargetLimit `json:"Limit"`
+
+	// Target corresponds to the JSON schema field "Target".
+	Target string `json:"Target"`
+}
+
+// PermitResponse is the decision on a PermitRequest.
+type PermitResponse struct {
+	// IsGranted corresponds to the JSON schema field "IsGranted".
+	IsGranted bool `json:"IsGranted"`
+
+	// Limit is the limit as the granter knows it.
+	Limit TargetLimit `json:"Limit"`
+
+	// RetryMilliseconds is the time after which to ask again if no permit is granted.
+	RetryMilliseconds float64 `json:"RetryMilliseconds"`
+}
+
 // Refusal is the error answer to callers and operators. Code is one of the
 // documented codes. NotRun reports that no target ran any part of the request.
 type Refusal struct {
@@ -921,11 +956,27 @@
 	Version int64 `json:"Version"`
 }
 
+// TargetLimit is the limit that a target names in its answers.
+type TargetLimit struct {
+	// AgeMilliseconds is the time since the limit was seen.
+	AgeMilliseconds float64 `json:"AgeMilliseconds"`
+
+	// IsNamed is false if the target names no limit any more.
+	IsNamed bool `json:"IsNamed"`
+
+	// PerSecond is the number of requests a second that the target takes from all
+	// instances together.
+	PerSecond float64 `json:"PerSecond"`
+}
+
 // TargetLoad is the load of an instance on one target.
 type TargetLoad struct {
 	// InFlight is the number of requests in flight.
 	InFlight int `json:"InFlight"`
 
+	// Limit is what the target was last seen to name, if that is known.
+	Limit *TargetLimit `json:"Limit,omitempty,omitzero"`
+
 	// Pending is the time, in milliseconds, to read the prompts of the requests that
 	// have no answer yet.
 	Pending float64 `json:"Pending"`
