Give a model at a limited target another copy

Callers of a model whose only target names a limit of a few requests a second were refused for as long as it did: the placer counted all slots of that target. It now counts the slots that the limit lets requests use: the limit times the mean duration of a run.

TestModelAtLimitedTargetGetsAnotherCopy fails without the change (no move is planned) and passes with it. Targets without a limit are planned as before.

--- a/internal/gateway/foreman/foreman.go
+++ b/internal/gateway/foreman/foreman.go
@@ -78,6 +78,9 @@
 	State func(target *registrar.Target) (State, error)
 	// Grant returns the right to send orders, or false if this instance lacks it.
 	Grant func() (Grant, bool)
+	// Limit returns the number of requests a second that a target takes, or nil if it names
+	// no limit.
+	Limit func(target string) *float64
 }
 
 // Bounds limit the loads from the weight store.
--- a/internal/gateway/foreman/foreman_test.go
+++ b/internal/gateway/foreman/foreman_test.go
@@ -117,12 +117,15 @@
 			models: map[string]bool{"m0": true}, adapters: map[string]bool{}, inUse: map[string]bool{},
 		}
 	}
-	f := New("here", Callbacks{Order: c.order, State: c.state, Grant: c.currentGrant},
+	f := New("here", Callbacks{Order: c.order, State: c.state, Grant: c.currentGrant, Limit: noLimit},
 		Bounds{Window: time.Second, Handover: 600 * time.Millisecond}, r, balancer.New(), tallier.New(), logr.Discard())
 	c.publish(r)
 	return c, r, f
 }
 
+// noLimit is the limit of targets that name none.
+func noLimit(string) *float64 { return nil }
+
 // publish updates the target table with what the engines hold.
 func (c *testCluster) publish(r *registrar.Registrar) {
 	r.Update(func(targets map[string]*registrar.Target) {
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -57,6 +57,8 @@
 	// lossFactor is how many times the gain of one model must exceed the loss of another:
 	// both are estimates, and moving back costs as much again.
 	lossFactor = 2.5
+	// minLimitedSlots is the least number of slots that a target with a limit counts with.
+	minLimitedSlots = 0.1
 	// targetLoadCost is the cost of the existing load of a target for a further copy,
 	// relative to its slots.
 	targetLoadCost = 1.0
@@ -88,6 +90,9 @@
 	UnloadingModel string
 	// InFlight is the number of requests in flight at the target, from all instances.
 	InFlight int
+	// Limit is the number of requests a second that the target takes; nil if it names no
+	// limit.
+	Limit *float64
 }
 
 // AdapterKey identifies an adapter of a model.
@@ -138,6 +143,8 @@
 	removalLosses map[copyKey]float64
 	// missing holds the models without a copy.
 	missing map[string]bool
+	// meanRunSeconds is the mean duration of a run of any model; 0 if it is not known.
+	meanRunSeconds float64
 	moves   []Move
 }
 
@@ -152,7 +159,7 @@
 	if state.Service.Engine == nil {
 		return nil
 	}
-	p := &plan{State: state, work: map[string]float64{}}
+	p := &plan{State: state, work: map[string]float64{}, meanRunSeconds: meanRunSecondsOf(state.Demand)}
 	for model := range state.Service.Engine.Models {
 		p.work[model] = p.workOf(model)
 	}
@@ -200,6 +207,30 @@
 	}
 }
 
+// slotsOf returns the slots of a target that its limit lets requests use.
+func (p *plan) slotsOf(site *Site) float64 {
+	slots := float64(max(site.Target.Slots, 1))
+	if site.Limit == nil {
+		return slots
+	}
+	return min(slots, max(*site.Limit*p.meanRunSeconds, minLimitedSlots))
+}
+
+// meanRunSecondsOf returns the mean duration of the runs in demand; 0 without demand.
+func meanRunSecondsOf(demand map[tallier.Key]tallier.Demand) float64 {
+	work, rate := 0.0, 0.0
+	for key, d := range demand {
+		if key.Adapter == "" {
+			work += d.Work
+			rate += d.Rate
+		}
+	}
+	if rate == 0 {
+		return 0
+	}
+	return work / rate
+}
+
 // workPerCopy returns the load that a model puts on each of its copies, in slots.
 func (p *plan) workPerCopy(model string) float64 {
 	return p.work[model] / float64(max(p.copies[model], 1))
@@ -208,7 +239,7 @@
 // availableSlotsAt returns the slots of a target that are available for a model that it
 // holds.
 func (p *plan) availableSlotsAt(site *Site, model string) float64 {
-	return max(float64(site.Target.Slots)-p.targetLoad[site.Target.ID]+p.workPerCopy(model), 0)
+	return max(p.slotsOf(site)-p.targetLoad[site.Target.ID]+p.workPerCopy(model), 0)
 }
 
 // shortfall returns the expected number of runs of a model that find none of the given
@@ -342,7 +373,7 @@
 	if !site.Target.HasCachedWeights(model) {
 		cost += storeLoadCost + blockedLoadCost*float64(p.fasterLoads(site, model))
 	}
-	slots := float64(site.Target.Slots)
+	slots := p.slotsOf(site)
 	availableSlots := max(slots-remainingLoad, 0)
 	gain := p.shortfalls[model] - p.shortfall(model, p.availableSlots[model]+availableSlots)
 	return gain*math.Exp(-seconds/gainDecaySeconds) - cost - targetLoadCost*remainingLoad/slots
@@ -441,7 +472,7 @@
 // true for a model without a copy.
 func (p *plan) allCopiesFull(model string) bool {
 	for _, site := range p.Sites {
-		if site.Models[model] && float64(site.InFlight) < fullSlotShare*float64(site.Target.Slots) {
+		if site.Models[model] && float64(site.InFlight) < fullSlotShare*p.slotsOf(site) {
 			return false
 		}
 	}
--- a/internal/gateway/placer/placer_test.go
+++ b/internal/gateway/placer/placer_test.go
@@ -295,3 +295,20 @@
 	state.Demand = demand(map[string]float64{"m0": 16, "m1": 4, "m2": 4})
 	assert.NotEmpty(t, placer.Plan(state))
 }
+
+// TestModelAtLimitedTargetGetsAnotherCopy guards against callers of a model that are refused
+// for as long as its only target names a limit, although another target has room for it.
+func TestModelAtLimitedTargetGetsAnotherCopy(t *testing.T) {
+	limited := site("t1", "m0")
+	state := placer.State{
+		Service: service(2), Sites: []*placer.Site{limited, site("t2", "m1")}, StoreLoadsAllowed: 1,
+		Demand: demand(map[string]float64{"m0": 5, "m1": 1}),
+	}
+	require.Empty(t, placer.Plan(state), "one target has slots enough")
+	perSecond := 1.0
+	limited.Limit = &perSecond
+	moves := placer.Plan(state)
+	require.Len(t, moves, 1)
+	assert.Equal(t, "t2", moves[0].Target.ID)
+	assert.Equal(t, "m0", moves[0].Model)
+}
--- a/internal/gateway/supervisor/limits.go
+++ b/internal/gateway/supervisor/limits.go
@@ -160,3 +160,12 @@
 	}
 	return s.platform.State(target)
 }
+
+// namedLimit returns the requests a second that a target takes, or nil if it names no limit.
+func (s *Supervisor) namedLimit(target string) *float64 {
+	limit, _ := s.limiter.Limit(target)
+	if !limit.IsNamed {
+		return nil
+	}
+	return &limit.PerSecond
+}
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -129,7 +129,7 @@
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
 	s.foreman = foreman.New(settings.Instance,
-		foreman.Callbacks{Order: s.sendOrder, State: s.queryState, Grant: s.orderGrant},
+		foreman.Callbacks{Order: s.sendOrder, State: s.queryState, Grant: s.orderGrant, Limit: s.namedLimit},
 		foreman.Bounds{
 			Window: seconds(bounds.LoadWindowSeconds), Handover: seconds(bounds.LeaseMilliseconds / 1000),
 		},
