Use no slack of the retry budget before the number of instances is known

An instance that starts took itself for the only one until its first count a second later, and used the whole slack: 8 instances that start together allowed themselves 192 retries where all may send 40. It now uses the slack when it has read the table of instances, and the ratio of its own requests until then.

TestSlackWaitsForNumberOfInstances failed with 192 and passes. The tests of the conductor, which run one instance, now say so.

--- a/internal/gateway/budgeter/budgeter.go
+++ b/internal/gateway/budgeter/budgeter.go
@@ -28,7 +28,8 @@
 	now          func() time.Time
 	start        time.Time
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// instances is the number of instances that share the slack; 0 while it is not known.
 	instances int
 	services  map[string]*window
 }
@@ -45,12 +46,13 @@
 // window.
 func New(ratio float64, slack float64, length time.Duration) *Budgeter {
 	return &Budgeter{
-		ratio: ratio, slack: slack, bucketLength: length / bucketCount, now: time.Now, start: time.Now(), instances: 1,
+		ratio: ratio, slack: slack, bucketLength: length / bucketCount, now: time.Now, start: time.Now(),
 		services: map[string]*window{},
 	}
 }
 
-// SetInstances sets the number of instances that share the slack.
+// SetInstances sets the number of instances that share the slack. Before it is set, no part
+// of the slack is used.
 func (b *Budgeter) SetInstances(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -75,7 +77,10 @@
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
-	limit := ratioShare*b.ratio*float64(requests) + slackShare*b.slack/float64(b.instances)
+	limit := ratioShare * b.ratio * float64(requests)
+	if b.instances > 0 {
+		limit += slackShare * b.slack / float64(b.instances)
+	}
 	if float64(retries+1) > limit {
 		return false
 	}
--- a/internal/gateway/budgeter/budgeter_test.go
+++ b/internal/gateway/budgeter/budgeter_test.go
@@ -99,3 +99,20 @@
 		assert.Greater(t, len(retries), len(requests)/10, "the budget is used")
 	}
 }
+
+// TestSlackWaitsForNumberOfInstances guards against instances that start together and each
+// use the whole slack, until they learn how many share it.
+func TestSlackWaitsForNumberOfInstances(t *testing.T) {
+	const instances, slack = 8, 40
+	c := &clock{now: time.Unix(100, 0)}
+	sum := 0
+	for range instances {
+		b := New(0.2, slack, 10*time.Second)
+		b.now, b.start = c.read, c.now
+		sum += countAllowed(b, 100)
+		b.SetInstances(instances)
+		sum += countAllowed(b, 100)
+	}
+	assert.LessOrEqual(t, sum, slack)
+	assert.Positive(t, sum)
+}
--- a/internal/gateway/conductor/conductor_test.go
+++ b/internal/gateway/conductor/conductor_test.go
@@ -150,12 +150,19 @@
 			table[id] = &registrar.Target{ID: id, Service: "s", Address: x.address, Slots: 4}
 		}
 	})
-	c := conductor.New(headers, r, balancer.New(), budgeter.New(0.2, 50, 10*time.Second))
+	c := conductor.New(headers, r, balancer.New(), newBudget())
 	server := httptest.NewServer(c)
 	t.Cleanup(server.Close)
 	return server
 }
 
+// newBudget returns the retry budget of a single instance.
+func newBudget() *budgeter.Budgeter {
+	b := budgeter.New(0.2, 50, 10*time.Second)
+	b.SetInstances(1)
+	return b
+}
+
 // received is an answer as the caller received it.
 type received struct {
 	StatusCode int
--- a/internal/gateway/conductor/limit_test.go
+++ b/internal/gateway/conductor/limit_test.go
@@ -15,7 +15,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
-	"github.com/crocusring/crocusring/internal/gateway/budgeter"
 	"github.com/crocusring/crocusring/internal/gateway/conductor"
 	"github.com/crocusring/crocusring/internal/gateway/limiter"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
@@ -75,7 +74,7 @@
 		}
 	})
 	known := limiter.New(limiter.Member{}, 1)
-	c := conductor.New(headers, r, balancer.New(balancer.WithLimits(p.blocked)), budgeter.New(0.2, 50, 10*time.Second),
+	c := conductor.New(headers, r, balancer.New(balancer.WithLimits(p.blocked)), newBudget(),
 		conductor.WithLimiter(known, p.acquire))
 	server := httptest.NewServer(c)
 	t.Cleanup(server.Close)
--- a/internal/gateway/conductor/model_wait_test.go
+++ b/internal/gateway/conductor/model_wait_test.go
@@ -13,7 +13,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
-	"github.com/crocusring/crocusring/internal/gateway/budgeter"
 	"github.com/crocusring/crocusring/internal/gateway/conductor"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 )
@@ -39,7 +38,7 @@
 		}},
 	})
 	setHoldings(r, x.address)
-	c := conductor.New(headers, r, balancer.New(), budgeter.New(0.2, 50, 10*time.Second),
+	c := conductor.New(headers, r, balancer.New(), newBudget(),
 		conductor.WithTimeUntilServed(func(context.Context, string, string) (time.Duration, error) { return expect() }))
 	server := httptest.NewServer(c)
 	t.Cleanup(server.Close)
@@ -130,7 +129,7 @@
 	_, r, _ := setupModelConductor(t, x, nil)
 	setHoldings(r, x.address, "m")
 	b := balancer.New()
-	c := conductor.New(headers, r, b, budgeter.New(0.2, 50, 10*time.Second),
+	c := conductor.New(headers, r, b, newBudget(),
 		conductor.WithAdapterLoader(func(context.Context, string, string, string) error { return ensure(b) }))
 	server := httptest.NewServer(c)
 	t.Cleanup(server.Close)
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -145,7 +145,7 @@
 	missing map[string]bool
 	// meanRunSeconds is the mean duration of a run of any model; 0 if it is not known.
 	meanRunSeconds float64
-	moves   []Move
+	moves          []Move
 }
 
 // copyKey identifies the copy of a model at a target.
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -347,7 +347,9 @@
 			view := s.registry.View()
 			s.balancer.Prune(view)
 			s.limiter.Prune(func(target string) bool { return view.Targets[target] != nil })
-			s.budget.SetInstances(max(int(s.instanceCount.Load()), len(s.informer.Peers())+1))
+			if s.instances.Version() > 0 {
+				s.budget.SetInstances(max(int(s.instanceCount.Load()), len(s.informer.Peers())+1))
+			}
 		}
 	}
 }
