Let the soak change the limits of targets and count their arrivals

The simulated targets of the soak name limits at random, change and lift them, and report each window of 4 s with more requests than a limit allows, summed over all instances, 3 s after it was named and 4 s after instances or ways were disturbed. All limits are lifted before the check that requests are served again, so that instances which keep a limit for good are found too.

--- a/internal/tool/soaker/checker.go
+++ b/internal/tool/soaker/checker.go
@@ -37,6 +37,9 @@
 	LateAnswer Promise = "LateAnswer"
 	// AfterDrain means that a target received a request after it had left.
 	AfterDrain Promise = "AfterDrain"
+	// OverLimit means that a target received more requests than the limit that it names
+	// allows, from all instances together.
+	OverLimit Promise = "OverLimit"
 	// WorkedOn means that a target kept running a request after its caller had cancelled it.
 	WorkedOn Promise = "WorkedOn"
 	// NotBack means that requests are not served again although all disturbances ended.
@@ -172,6 +175,13 @@
 	c.holderByFence[o.Fence] = o.Holder
 }
 
+// Exceeded records that a target received more requests than its limit allows.
+func (c *Checker) Exceeded(e simulator.Excess) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.add(OverLimit, "%s names a limit of %g a second and received %d requests in a window, allowed %g", e.Target, e.PerSecond, e.Count, e.Allowed)
+}
+
 // TargetLeft records that the store acknowledged the leaving of a target while nothing was
 // disturbed.
 func (c *Checker) TargetLeft(target string) {
--- a/internal/tool/soaker/checker_test.go
+++ b/internal/tool/soaker/checker_test.go
@@ -76,6 +76,9 @@
 			c.Began(c.testRun("a", "t1", plainService))
 			c.Began(c.testRun("a", "t2", plainService))
 		}},
+		"over the limit": {want: []Promise{OverLimit}, do: func(c *testChecker) {
+			c.Exceeded(simulator.Excess{Target: "t1", PerSecond: 1, Count: 12, Allowed: 11})
+		}},
 		"a safe request may run twice": {do: func(c *testChecker) {
 			c.RequestSent(testCall("a"), safeRoute)
 			c.Began(c.testRun("a", "t1", plainService))
--- a/internal/tool/soaker/faults.go
+++ b/internal/tool/soaker/faults.go
@@ -119,14 +119,28 @@
 		// Bytes that a stall holds back, a cancellation for example, reach the target late or
 		// not at all.
 		s.checker.Disturbed()
+		t.target.RestartCount(stabilizationTime)
 		t.proxy.SetLink(link)
-		return fmt.Sprintf("%s %+v", t.target.ID, link), func() { t.proxy.SetLink(Link{}) }
+		return fmt.Sprintf("%s %+v", t.target.ID, link), func() {
+			t.proxy.SetLink(Link{})
+			t.target.RestartCount(stabilizationTime) // instances had no answers that name the limit
+		}
 	}},
 	{name: "connections to a target reset", keepsTimeBounds: true, begin: func(s *soak, random *rand.Rand) (string, func()) {
 		t := pick(random, s.targets)
 		t.proxy.Reset()
 		return t.target.ID, nil
 	}},
+	{name: "target changes its limit", keepsTimeBounds: true, begin: func(s *soak, random *rand.Rand) (string, func()) {
+		t := pick(random, s.targets)
+		perSecond := pick(random, []float64{0, 0.5, 1, 2, 5, 20})
+		if perSecond == 0 {
+			t.target.LiftLimit()
+			return t.target.ID + " names none", nil
+		}
+		t.target.SetLimit(perSecond, limitSettleTime)
+		return fmt.Sprintf("%s names %g a second", t.target.ID, perSecond), nil
+	}},
 	{name: "manifest changes", keepsTimeBounds: true, begin: func(s *soak, random *rand.Rand) (string, func()) {
 		return s.changeManifest(random), nil
 	}},
@@ -180,4 +194,7 @@
 		})
 	}
 	s.activeFaults.Wait()
+	for _, t := range s.targets {
+		t.target.LiftLimit()
+	}
 }
--- a/internal/tool/soaker/soaker.go
+++ b/internal/tool/soaker/soaker.go
@@ -40,6 +40,8 @@
 	// served again, and observationTime how long that is then checked.
 	recoveryTime    = 12 * time.Second
 	observationTime = 4 * time.Second
+	// limitSettleTime is how long instances have to learn a limit that a target names.
+	limitSettleTime = 3 * time.Second
 	// startTimeout bounds the start of the first instances.
 	startTimeout = 20 * time.Second
 	// heartbeatInterval is the time between two heartbeats of a target.
@@ -200,7 +202,7 @@
 }
 
 func (s *soak) addTargets() error {
-	observer := simulator.Observer{Began: s.checker.Began, Ended: s.checker.Ended, Ordered: s.checker.Ordered}
+	observer := simulator.Observer{Began: s.checker.Began, Ended: s.checker.Ended, Ordered: s.checker.Ordered, Exceeded: s.checker.Exceeded}
 	engine := simulator.TargetConfig{
 		Service: engineService, Models: models, Events: streamEvents, Pause: 20 * time.Millisecond, LoadTime: 400 * time.Millisecond, Slots: 8,
 		WeightMegabytes: targetMegabytes, AdapterSlots: maxAdapters,
@@ -342,6 +344,9 @@
 func (s *soak) noteDisturbance() {
 	s.lastDisturbedNanos.Store(time.Now().UnixNano())
 	s.checker.Disturbed()
+	for _, t := range s.targets {
+		t.target.RestartCount(stabilizationTime) // an instance that starts has yet to learn of limits
+	}
 }
 
 // lastDisturbance returns a mark of the latest disturbance, for isUndisturbedSince.
