Drop rows of crashed instances from the members of a limit

Instances that crash and are replaced leave their rows in the table. A granter counted each of them among all members for as long as half of all were silent, so that its share of the limits shrank with every replacement. A member that was never heard of now counts for a minute only; one that was heard of still counts until most of the others are live.

TestRowsOfCrashedInstancesDoNotCountForGood fails without the change (21 members after two minutes instead of 1).

--- /dev/null
+++ b/internal/gateway/limiter/bench_test.go
@@ -0,0 +1,62 @@
+package limiter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/crocusring/crocusring/internal/gateway/limiter"
+)
+
+// BenchmarkGrant measures the decision of a granter in groups of several sizes.
+func BenchmarkGrant(b *testing.B) {
+	for _, n := range []int{4, 20, 61} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := newClock()
+			l := newSettled(c, "a00", "a")
+			l.SetMembers(members("a", n)[1:], nil)
+			limit := named(c, 1)
+			for b.Loop() {
+				c.step(time.Millisecond)
+				l.Grant(testTarget, limit)
+			}
+		})
+	}
+}
+
+// BenchmarkAsk measures what a request to a target with a limit costs its instance, without
+// the call to the granter.
+func BenchmarkAsk(b *testing.B) {
+	for _, n := range []int{4, 20, 61} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := newClock()
+			l := newSettled(c, "a00", "a")
+			l.SetMembers(members("a", n)[1:], nil)
+			limit := named(c, 1)
+			l.Observe("t", limit)
+			for b.Loop() {
+				ask, err := l.Begin(testTarget)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_ = l.Finish(ask, limiter.Answer{IsGranted: true, Limit: limit}, nil)
+			}
+		})
+	}
+}
+
+// BenchmarkSetMembers measures what each status interval costs in systems of several sizes.
+func BenchmarkSetMembers(b *testing.B) {
+	for _, n := range []int{4, 78, 300, 790} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := newSettled(newClock(), "self", "c0")
+			all := []limiter.Member{}
+			for i := range n - 1 {
+				all = append(all, limiter.Member{Name: fmt.Sprintf("instance-%03d", i), DataCentre: fmt.Sprintf("c%d", i%13)})
+			}
+			for b.Loop() {
+				l.SetMembers(all, nil)
+			}
+		})
+	}
+}
--- a/internal/gateway/limiter/limiter_test.go
+++ b/internal/gateway/limiter/limiter_test.go
@@ -180,3 +180,30 @@
 	l.Prune(isGone)
 	assert.Empty(t, granterOf(t, l, testTarget))
 }
+
+// TestRowsOfCrashedInstancesDoNotCountForGood guards against limits that are used less and
+// less, since each instance that crashed and was replaced leaves its row in the table.
+func TestRowsOfCrashedInstancesDoNotCountForGood(t *testing.T) {
+	c := newClock()
+	l := limiter.New(limiter.Member{Name: "i1", DataCentre: "a"}, 5, limiter.WithClock(c.read))
+	l.SetRegistered(members("gone", 20))
+	l.SetMembers(nil, nil)
+	assert.Equal(t, 21, l.Report().Size)
+	c.step(2 * time.Minute)
+	l.SetRegistered(members("gone", 20))
+	l.SetMembers(nil, nil)
+	assert.Equal(t, 1, l.Report().Size)
+}
+
+// TestSilentMembersCountWhileHalfAreSilent guards against two halves of a system that are
+// cut off from each other and each use the whole of a limit.
+func TestSilentMembersCountWhileHalfAreSilent(t *testing.T) {
+	c := newClock()
+	l := newSettled(c, "a00", "a")
+	l.SetMembers(members("a", 4)[1:], nil)
+	for _, p := range []struct{ live, want int }{{2, 4}, {3, 3}} {
+		c.step(2 * time.Minute)
+		l.SetMembers(members("a", p.live)[1:], nil)
+		assert.Equal(t, p.want, l.Report().Size)
+	}
+}
--- a/internal/gateway/limiter/membership.go
+++ b/internal/gateway/limiter/membership.go
@@ -18,8 +18,9 @@
 	// not have heard of the others yet.
 	startSettleTime = 2 * time.Second
 	// memberTTL is how long a silent member still counts among all members: it may be cut
-	// off and use its share of the limits. It counts for longer while half of all members or
-	// more are silent, since then the others may regard this instance as cut off.
+	// off and use its share of the limits. One that was heard of counts for longer while half
+	// of all or more are silent, since then the others may regard this instance as cut off.
+	// One that is only registered does not: rows of instances that crashed stay in the table.
 	memberTTL = time.Minute
 )
 
@@ -31,9 +32,8 @@
 
 // membership is what an instance knows of the others.
 type membership struct {
-	// heardAt holds when each member was last live, or when it was registered if it has not
-	// been heard of since.
-	heardAt    map[Member]time.Time
+	known map[Member]presence
+	// registered holds the rows of the table of instances.
 	registered map[Member]bool
 	// groups holds the names of the live members by data centre, in order.
 	groups map[string][]string
@@ -47,6 +47,13 @@
 	reportTTL time.Duration
 }
 
+// presence is when a member was last live or, if this instance never heard of it, when its
+// row was first read.
+type presence struct {
+	at      time.Time
+	isHeard bool
+}
+
 // vote is the last report of another member.
 type vote struct {
 	digest int64
@@ -68,7 +75,7 @@
 
 func newMembership(now time.Time) membership {
 	return membership{
-		heardAt: map[Member]time.Time{}, registered: map[Member]bool{}, groups: map[string][]string{}, votes: map[string]vote{}, selfCountsAt: now.Add(startSettleTime),
+		known: map[Member]presence{}, registered: map[Member]bool{}, groups: map[string][]string{}, votes: map[string]vote{}, selfCountsAt: now.Add(startSettleTime),
 	}
 }
 
@@ -85,8 +92,8 @@
 	registered := make(map[Member]bool, len(members))
 	for _, member := range members {
 		registered[member] = true
-		if _, ok := m.heardAt[member]; !ok && !m.registered[member] {
-			m.heardAt[member] = now
+		if _, ok := m.known[member]; !ok && !m.registered[member] {
+			m.known[member] = presence{at: now}
 		}
 	}
 	m.registered = registered
@@ -102,11 +109,11 @@
 		live = append(slices.Clone(live), l.self)
 	}
 	for _, member := range live {
-		m.heardAt[member] = now
+		m.known[member] = presence{at: now, isHeard: true}
 	}
-	for member := range m.heardAt {
+	for member := range m.known {
 		if slices.Contains(left, member.Name) {
-			delete(m.heardAt, member)
+			delete(m.known, member)
 		}
 	}
 	m.dropSilent(now, len(live))
@@ -130,15 +137,19 @@
 	return b
 }
 
-// dropSilent drops the members that have been silent for memberTTL, if more than half of
-// all are live.
+// dropSilent drops the members that have been silent for memberTTL: those never heard of,
+// and the others if more than half of those that were heard of are live.
 func (m *membership) dropSilent(now time.Time, live int) {
-	if 2*live <= len(m.heardAt) {
-		return
+	heard := 0
+	for _, p := range m.known {
+		if p.isHeard {
+			heard++
+		}
 	}
-	for member, at := range m.heardAt {
-		if now.Sub(at) > memberTTL {
-			delete(m.heardAt, member)
+	isMajorityLive := 2*live > heard
+	for member, p := range m.known {
+		if now.Sub(p.at) > memberTTL && (isMajorityLive || !p.isHeard) {
+			delete(m.known, member)
 		}
 	}
 }
@@ -183,7 +194,7 @@
 // this instance knows of.
 func (m *membership) knownSize(self Member) int {
 	n := 0
-	for member := range m.heardAt {
+	for member := range m.known {
 		if m.isInGroup(self, member.DataCentre) {
 			n++
 		}
