--- a/internal/gateway/limiter/limiter_test.go
+++ b/internal/gateway/limiter/limiter_test.go
@@ -74,6 +74,7 @@
 			askAt[i] = c.now.Add(max(l.Grant(testTarget, named(c, 1)).RetryIn, step))
 		}
 	}
+	t.Logf("%d asks in %v", asks, length)
 	assert.Less(t, float64(asks)/length.Seconds(), 0.2*askers)
 }
 
