Read the clock only for targets that name a limit

Each choice of a target read the clock that runs while a machine is suspended once for each candidate, and each send once more: a system call each, for requests that no limit concerns. It is read now only where a limit is known.

--- a/internal/gateway/conductor/limit.go
+++ b/internal/gateway/conductor/limit.go
@@ -33,11 +33,16 @@
 	}
 }
 
-// logLimitedSend logs a request that is sent to a target with a limit.
-func (c *Conductor) logLimitedSend(q *request, target *registrar.Target) {
-	if limit, _ := c.limiter.Limit(target.ID); limit.IsNamed {
-		c.log.Info("request sent to limited target", "request", q.id, "target", target.ID, "perSecond", limit.PerSecond)
+// noteSend logs a request that is sent to a target with a limit, and returns the time of the
+// limiter's clock. The time is zero for other targets: an answer cannot lift a limit that was
+// not known when its request was sent.
+func (c *Conductor) noteSend(q *request, target *registrar.Target) (sentAt time.Time) {
+	limit, _ := c.limiter.Limit(target.ID)
+	if !limit.IsNamed {
+		return time.Time{}
 	}
+	c.log.Info("request sent to limited target", "request", q.id, "target", target.ID, "perSecond", limit.PerSecond)
+	return c.limiter.Now()
 }
 
 // limitWait returns the time until a target takes a request again, if only the limits of
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -61,8 +61,7 @@
 	call := connector.Call{
 		Request: c.buildRequest(q, reply, target), Context: ctx, FirstByte: q.deadline, AnswerDeadline: q.deadline,
 	}
-	c.logLimitedSend(q, target)
-	sentAt := c.limiter.Now()
+	sentAt := c.noteSend(q, target)
 	answer, err := c.pools.For(target.Address).Do(call)
 	fasthttp.ReleaseRequest(call.Request)
 	q.excluded[target.ID] = true
--- a/internal/gateway/limiter/permit.go
+++ b/internal/gateway/limiter/permit.go
@@ -53,14 +53,15 @@
 func (l *Limiter) BlockedFor(target string) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.blockedFor(target, l.now())
+	s := l.asking[target]
+	if s == nil {
+		return 0
+	}
+	return s.blockedFor(l.now())
 }
 
-func (l *Limiter) blockedFor(target string, now time.Time) time.Duration {
-	s := l.asking[target]
+func (s *askState) blockedFor(now time.Time) time.Duration {
 	switch {
-	case s == nil:
-		return 0
 	case now.Before(s.blockedUntil):
 		return s.blockedUntil.Sub(now)
 	case s.inFlight >= maxAsks:
@@ -76,19 +77,20 @@
 func (l *Limiter) Begin(target Target) (Ask, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.now()
 	limit := l.limits[target.ID]
 	if !limit.IsNamed {
 		return Ask{Target: target}, nil
 	}
-	if wait := l.blockedFor(target.ID, now); wait > 0 {
+	now := l.now()
+	s := l.askState(target.ID)
+	if wait := s.blockedFor(now); wait > 0 {
 		return Ask{}, &DeniedError{RetryIn: wait}
 	}
 	granter := l.granter(target)
 	if granter == "" {
 		return Ask{}, &DeniedError{RetryIn: disagreementDelay}
 	}
-	l.askState(target.ID).inFlight++
+	s.inFlight++
 	return Ask{Target: target, Granter: granter, Limit: limit, sentAt: now}, nil
 }
 
