--- a/internal/gateway/informer/informer.go
+++ b/internal/gateway/informer/informer.go
@@ -132,6 +132,9 @@
 	return i.interval(true)
 }
 
+// StatusTTL returns how long the status of a peer of this data centre is valid.
+func (i *Informer) StatusTTL() time.Duration { return maxMissedIntervals * i.Interval() }
+
 // interval returns the time between two status messages to the peers of this data centre,
 // or to those of others. The caller must hold i.mu.
 func (i *Informer) interval(isLocal bool) time.Duration {
--- a/internal/gateway/limiter/bench_test.go
+++ b/internal/gateway/limiter/bench_test.go
@@ -14,7 +14,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			c := newClock()
 			l := newSettled(c, "a00", "a")
-			l.SetMembers(members("a", n)[1:], nil)
+			l.SetMembers(members("a", n)[1:], nil, statusTTL)
 			limit := named(c, 1)
 			for b.Loop() {
 				c.step(time.Millisecond)
@@ -31,7 +31,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			c := newClock()
 			l := newSettled(c, "a00", "a")
-			l.SetMembers(members("a", n)[1:], nil)
+			l.SetMembers(members("a", n)[1:], nil, statusTTL)
 			limit := named(c, 1)
 			l.Observe("t", limit)
 			for b.Loop() {
@@ -55,7 +55,7 @@
 				all = append(all, limiter.Member{Name: fmt.Sprintf("instance-%03d", i), DataCentre: fmt.Sprintf("c%d", i%13)})
 			}
 			for b.Loop() {
-				l.SetMembers(all, nil)
+				l.SetMembers(all, nil, statusTTL)
 			}
 		})
 	}
--- a/internal/gateway/limiter/history_test.go
+++ b/internal/gateway/limiter/history_test.go
@@ -158,7 +158,7 @@
 			live = append(live, other.Member)
 		}
 	}
-	n.SetMembers(live, left)
+	n.SetMembers(live, left, statusTTL)
 	report := n.Report()
 	for _, other := range h.nodes {
 		if other == n || !h.reaches(n, other) || h.random.IntN(20) == 0 {
--- a/internal/gateway/limiter/limiter.go
+++ b/internal/gateway/limiter/limiter.go
@@ -75,7 +75,7 @@
 		option(l)
 	}
 	l.membership = newMembership(l.now())
-	l.SetMembers(nil, nil)
+	l.SetMembers(nil, nil, 0)
 	return l
 }
 
--- a/internal/gateway/limiter/limiter_test.go
+++ b/internal/gateway/limiter/limiter_test.go
@@ -137,7 +137,7 @@
 	c := newClock()
 	l := newSettled(c, "b00", "b")
 	all := append(members("a", 6), members("b", 7)[1:]...)
-	l.SetMembers(append(all, members("small", 2)...), nil)
+	l.SetMembers(append(all, members("small", 2)...), nil, statusTTL)
 	for centre, want := range map[string]string{"a": "a", "b": "b", "small": "a b", "none": "a b"} {
 		t.Run(centre, func(t *testing.T) {
 			target := limiter.Target{ID: "t-" + centre, DataCentre: centre}
@@ -147,7 +147,7 @@
 	}
 	t.Run("an instance outside all groups grants nothing", func(t *testing.T) {
 		outside := newSettled(c, "small00", "small")
-		outside.SetMembers(all, nil)
+		outside.SetMembers(all, nil, statusTTL)
 		assert.False(t, outside.Grant(testTarget, named(c, 100)).IsGranted)
 		c.step(time.Second)
 		assert.False(t, outside.Grant(testTarget, named(c, 100)).IsGranted)
@@ -188,11 +188,11 @@
 	c := newClock()
 	l := limiter.New(limiter.Member{Name: "i1", DataCentre: "a"}, 5, limiter.WithClock(c.read))
 	l.SetRegistered(members("gone", 20))
-	l.SetMembers(nil, nil)
+	l.SetMembers(nil, nil, statusTTL)
 	assert.Equal(t, 21, l.Report().Size)
 	c.step(2 * time.Minute)
 	l.SetRegistered(members("gone", 20))
-	l.SetMembers(nil, nil)
+	l.SetMembers(nil, nil, statusTTL)
 	assert.Equal(t, 1, l.Report().Size)
 }
 
@@ -201,10 +201,10 @@
 func TestSilentMembersCountWhileHalfAreSilent(t *testing.T) {
 	c := newClock()
 	l := newSettled(c, "a00", "a")
-	l.SetMembers(members("a", 4)[1:], nil)
+	l.SetMembers(members("a", 4)[1:], nil, statusTTL)
 	for _, p := range []struct{ live, want int }{{2, 4}, {3, 3}} {
 		c.step(2 * time.Minute)
-		l.SetMembers(members("a", p.live)[1:], nil)
+		l.SetMembers(members("a", p.live)[1:], nil, statusTTL)
 		assert.Equal(t, p.want, l.Report().Size)
 	}
 }
--- a/internal/gateway/limiter/membership.go
+++ b/internal/gateway/limiter/membership.go
@@ -32,6 +32,7 @@
 
 // membership is what an instance knows of the others.
 type membership struct {
+	// known holds all members, live, silent or only registered.
 	known map[Member]presence
 	// registered holds the rows of the table of instances.
 	registered map[Member]bool
@@ -43,8 +44,6 @@
 	votes  map[string]vote
 	// selfCountsAt is when this instance counts for itself, as a vote of another one does.
 	selfCountsAt time.Time
-	// reportTTL is how long the last report of another member is valid.
-	reportTTL time.Duration
 }
 
 // presence is when a member was last live or, if this instance never heard of it, when its
@@ -100,8 +99,8 @@
 }
 
 // SetMembers sets the other instances that are live, and those that have left for good or
-// that are about to.
-func (l *Limiter) SetMembers(live []Member, left []string) {
+// that are about to. reportTTL is how long a report of an instance is valid.
+func (l *Limiter) SetMembers(live []Member, left []string, reportTTL time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	m, now := &l.membership, l.now()
@@ -121,9 +120,10 @@
 	m.own = m.groups[m.groupKey(l.self.DataCentre)]
 	digest := digestOf(m.own, sortedKeys(m.groups))
 	if m.digest != 0 && digest != m.digest {
-		m.selfCountsAt = later(m.selfCountsAt, now.Add(settleTime(m.reportTTL)))
+		m.selfCountsAt = later(m.selfCountsAt, now.Add(settleTime(reportTTL)))
 	}
 	m.digest = digest
+	maps.DeleteFunc(m.votes, func(_ string, v vote) bool { return !now.Before(v.expiresAt) })
 }
 
 // settleTime returns for how long a member must report the same digest before it counts,
@@ -237,7 +237,6 @@
 	}
 	v.digest, v.size, v.expiresAt = report.Digest, report.Size, now.Add(ttl)
 	l.membership.votes[from] = v
-	l.membership.reportTTL = ttl
 }
 
 // share returns the share of the limits that this instance may grant where it is the
--- a/internal/gateway/supervisor/limits.go
+++ b/internal/gateway/supervisor/limits.go
@@ -131,7 +131,7 @@
 	if s.leaving.Load() {
 		left = append(left, s.settings.Instance)
 	}
-	s.limiter.SetMembers(live, left)
+	s.limiter.SetMembers(live, left, s.informer.StatusTTL())
 }
 
 // registerLimitMembers passes the rows of the table of instances to the limiter.
