Load an adapter elsewhere when its target is at its limit

An adapter is mostly at one target. Requests for the adapters of the two limited targets were refused although other targets held their models: an adapter was loaded only when no target had it. And new adapters went to the limited targets first, which have little load.

A request for an adapter whose targets are all at their limit now has it loaded at another one. For the choice of a place a target with a limit comes last. A model that only limited targets hold may get another copy at any rate of requests.

Tests that failed before: TestAdapterAtLimitedTargetIsRequestedElsewhere, TestAdapterAtLimitedTargetIsLoadedElsewhere, TestAdapterAvoidsLimitedTarget.

--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -286,7 +286,7 @@
 		if c.refusing.Load() {
 			return nil, errStopping
 		}
-		if errors.Is(err, balancer.ErrNoAdapter) && !c.now().Before(adapterRetryAt) {
+		if q.needsAdapter(err) && !c.now().Before(adapterRetryAt) {
 			err := c.requestAdapter(ctx, q)
 			adapterRetryAt = c.now().Add(adapterRetryInterval)
 			if err == nil {
@@ -308,6 +308,12 @@
 	}
 }
 
+// needsAdapter reports whether a request has no target, for a reason, that the load of its
+// adapter at another target can give it.
+func (q *request) needsAdapter(reason error) bool {
+	return errors.Is(reason, balancer.ErrNoAdapter) || (q.demand.Adapter != "" && limitWait(reason) > 0)
+}
+
 func (c *Conductor) requestAdapter(ctx context.Context, q *request) error {
 	ctx, cancel := context.WithDeadline(ctx, q.waitDeadline(balancer.ErrNoAdapter))
 	defer cancel()
--- a/internal/gateway/conductor/limit_test.go
+++ b/internal/gateway/conductor/limit_test.go
@@ -149,3 +149,38 @@
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusOK, got.StatusCode)
 }
+
+// TestAdapterAtLimitedTargetIsRequestedElsewhere guards against a request for an adapter that
+// is refused since the only target with it is at its limit, although another target holds
+// the model.
+func TestAdapterAtLimitedTargetIsRequestedElsewhere(t *testing.T) {
+	limited, other := newTarget(t, ok), newTarget(t, ok)
+	r := registrar.New()
+	r.SetManifest(&registrar.Manifest{
+		Version: 1, Services: map[string]*registrar.Service{"s": {Name: "s", Engine: &registrar.Engine{Slots: 4, CacheTokens: 10_000}}},
+		Routes: []*registrar.Route{{
+			Host: "h.example", Prefix: "/model/", Kind: registrar.Safe, MaxAttempts: 1, TimeoutMilliseconds: 2000, LatencyGoalMilliseconds: 400,
+			Backends: []registrar.Backend{{Service: "s", Weight: 1}},
+		}},
+	})
+	r.Update(func(table map[string]*registrar.Target) {
+		for id, adapters := range map[string][]string{"t0": {"a"}, "t1": {}} {
+			table[id] = &registrar.Target{ID: id, Service: "s", Slots: 4, Holdings: []registrar.Holding{{Model: "m", Adapters: adapters}}}
+		}
+		table["t0"].Address, table["t1"].Address = limited.address, other.address
+	})
+	p := &permits{left: map[string]int{"t0": 0, "t1": 9}, blockedFor: time.Minute}
+	b := balancer.New(balancer.WithLimits(p.blocked))
+	c := conductor.New(headers, r, b, newBudget(), conductor.WithLimiter(limiter.New(limiter.Member{}, 1), p.acquire),
+		conductor.WithAdapterLoader(func(context.Context, string, string, string) error {
+			b.Overlay(balancer.Overlay{Target: "t1", Model: "m", Adapter: "a", Held: true, Since: time.Now()})
+			return nil
+		}))
+	server := httptest.NewServer(c)
+	t.Cleanup(server.Close)
+	got, _, err := send(t, server, http.MethodPost, "/model/x", "b", "Test-Model", "m/a")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, got.StatusCode)
+	assert.Equal(t, 1, other.requests())
+	assert.Zero(t, limited.requests())
+}
--- a/internal/gateway/foreman/adapters.go
+++ b/internal/gateway/foreman/adapters.go
@@ -204,11 +204,11 @@
 	delete(s.unconfirmedLoads, h)
 }
 
-// servingTarget returns the ID of a target that already serves an adapter, or an empty
-// string if there is none.
+// servingTarget returns the ID of a target without a limit that already serves an adapter, or
+// an empty string if there is none.
 func (f *Foreman) servingTarget(view *registrar.View, key tallier.Key) string {
 	for _, t := range view.TargetsOf(key.Service) {
-		if !t.Leaving && f.balancer.Holds(t, key.Model, "") && f.balancer.Holds(t, key.Model, key.Adapter) {
+		if !t.Leaving && f.calls.Limit(t.ID) == nil && f.balancer.Holds(t, key.Model, "") && f.balancer.Holds(t, key.Model, key.Adapter) {
 			return t.ID
 		}
 	}
--- a/internal/gateway/foreman/adapters_test.go
+++ b/internal/gateway/foreman/adapters_test.go
@@ -200,3 +200,23 @@
 	require.NoError(t, err)
 	assert.Equal(t, "t1", target)
 }
+
+// TestAdapterAtLimitedTargetIsLoadedElsewhere guards against requests for an adapter that are
+// refused since the only target with it names a limit, although another one has room for it.
+func TestAdapterAtLimitedTargetIsLoadedElsewhere(t *testing.T) {
+	c, _, f := newTestCluster(1, 2)
+	c.engines["t0"].adapters["m0/a1"] = true
+	c.publish(f.registry)
+	target, err := ensureAdapter(t, f, "a1")
+	require.NoError(t, err)
+	require.Equal(t, "t0", target)
+	f.calls.Limit = func(target string) *float64 {
+		if perSecond := 1.0; target == "t0" {
+			return &perSecond
+		}
+		return nil
+	}
+	target, err = ensureAdapter(t, f, "a1")
+	require.NoError(t, err)
+	assert.Equal(t, "t1", target)
+}
--- a/internal/gateway/placer/adapters.go
+++ b/internal/gateway/placer/adapters.go
@@ -33,6 +33,9 @@
 	return best, best.Site != nil
 }
 
+// limitedTargetCost makes a target that names a limit the last choice for an adapter.
+const limitedTargetCost = 100
+
 // adapterMoveAt returns the move that loads an adapter of a model at a target, and its
 // cost.
 func adapterMoveAt(state State, site *Site, model string) (AdapterMove, float64, bool) {
@@ -42,6 +45,9 @@
 		usedSlots += len(adapters)
 	}
 	load := float64(site.InFlight+1) / float64(max(site.Target.Slots, 1))
+	if site.Limit != nil {
+		load += limitedTargetCost
+	}
 	fits := UsedMegabytes(engine, site)+engine.Models[model].AdapterMegabytes <= engine.WeightMegabytes
 	if usedSlots < engine.MaxAdapters && fits {
 		return AdapterMove{Site: site}, load + float64(usedSlots)/float64(engine.MaxAdapters), true
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -216,6 +216,16 @@
 	return min(slots, max(*site.Limit*p.meanRunSeconds, minLimitedSlots))
 }
 
+// hasOnlyLimitedCopies reports whether a model has copies, all at targets that name a limit.
+func (p *plan) hasOnlyLimitedCopies(model string) bool {
+	for _, site := range p.Sites {
+		if site.Models[model] && site.Limit == nil {
+			return false
+		}
+	}
+	return p.copies[model] > 0
+}
+
 // meanRunSecondsOf returns the mean duration of the runs in demand; 0 without demand.
 func meanRunSecondsOf(demand map[tallier.Key]tallier.Demand) float64 {
 	work, rate := 0.0, 0.0
@@ -287,7 +297,8 @@
 func (p *plan) addCopies() {
 	short := p.modelsShortOfSlots()
 	for _, model := range short[:min(len(short), maxModelsPerPlan)] {
-		if p.rate(model) >= minDemandRate && p.planCopy(model, "copies are short of slots") {
+		isInDemand := p.rate(model) >= minDemandRate || p.hasOnlyLimitedCopies(model)
+		if isInDemand && p.planCopy(model, "copies are short of slots") {
 			p.recompute()
 		}
 	}
--- a/internal/gateway/placer/placer_test.go
+++ b/internal/gateway/placer/placer_test.go
@@ -312,3 +312,17 @@
 	assert.Equal(t, "t2", moves[0].Target.ID)
 	assert.Equal(t, "m0", moves[0].Model)
 }
+
+// TestAdapterAvoidsLimitedTarget guards against adapters that are loaded at a target which
+// has little load only because it names a limit.
+func TestAdapterAvoidsLimitedTarget(t *testing.T) {
+	perSecond := 1.0
+	limited, loaded := site("t1", "m0"), site("t2", "m0")
+	limited.Limit, loaded.InFlight = &perSecond, 20
+	move, ok := placer.PlaceAdapter(placer.State{Service: service(1), Sites: []*placer.Site{limited, loaded}}, "m0", "a1")
+	require.True(t, ok)
+	assert.Equal(t, "t2", move.Site.Target.ID)
+	move, ok = placer.PlaceAdapter(placer.State{Service: service(1), Sites: []*placer.Site{limited}}, "m0", "a1")
+	require.True(t, ok, "it is taken if there is no other")
+	assert.Equal(t, "t1", move.Site.Target.ID)
+}
