End the limit of a target that crashed and came back under its ID

Instances took the limit to go on, since they compared an entry only with the one before it. The target held no models, got none since it counted as limited, and so got no request whose answer would lift the limit.

The limiter now remembers the start time of a target beyond its entry and ends the limit of an earlier incarnation. And where models are placed, a limit counts only for 20 s after it was seen: a target without models sends no answers. Requests still need permits then.

--- a/internal/gateway/limiter/limiter.go
+++ b/internal/gateway/limiter/limiter.go
@@ -26,6 +26,11 @@
 // entry can be missing for a while although the target goes on.
 const limitTTL = time.Minute
 
+// recentTime is how long after it was seen a limit says what a target takes, for those who
+// decide what the target holds: one that holds nothing gets no requests, and no answer of it
+// lifts its limit.
+const recentTime = 20 * time.Second
+
 // Limit is what a target was last seen to name.
 type Limit struct {
 	// IsNamed is false if the target names no limit.
@@ -52,6 +57,9 @@
 
 	mu     sync.Mutex
 	limits map[string]Limit // by the ID of the target
+	// starts holds the start time of the known incarnation of each target, in milliseconds of
+	// Unix time.
+	starts map[string]int64
 	// The remaining fields are those of membership, of the granter and of the asker.
 	membership membership
 	buckets    map[string]*bucket
@@ -68,7 +76,7 @@
 // cellSize instances on, those of a data centre form a group of their own.
 func New(self Member, cellSize int, options ...Option) *Limiter {
 	l := &Limiter{
-		self: self, cellSize: cellSize, now: timekeeper.BootTime, limits: map[string]Limit{}, buckets: map[string]*bucket{},
+		self: self, cellSize: cellSize, now: timekeeper.BootTime, limits: map[string]Limit{}, starts: map[string]int64{}, buckets: map[string]*bucket{},
 		asking: map[string]*askState{},
 	}
 	for _, option := range options {
@@ -111,6 +119,26 @@
 	return limit, ok
 }
 
+// RecentLimit returns the limit that a target names, unless it was last seen long ago.
+func (l *Limiter) RecentLimit(target string) (Limit, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := l.limits[target]
+	return limit, limit.IsNamed && l.now().Sub(limit.SeenAt) < recentTime
+}
+
+// SetIncarnation sets the start time of a target, in milliseconds of Unix time. A limit that
+// an earlier incarnation has named ends.
+func (l *Limiter) SetIncarnation(target string, startMilliseconds int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, ok := l.starts[target]
+	l.starts[target] = startMilliseconds
+	if ok && known != startMilliseconds && l.limits[target].IsNamed {
+		l.observe(target, Limit{SeenAt: l.now()})
+	}
+}
+
 // Prune drops the state of targets that are gone.
 func (l *Limiter) Prune(isKnown func(target string) bool) {
 	l.mu.Lock()
@@ -121,6 +149,11 @@
 			delete(l.limits, id)
 		}
 	}
+	for id := range l.starts {
+		if _, ok := l.limits[id]; !ok && !isKnown(id) {
+			delete(l.starts, id)
+		}
+	}
 	isUnlimited := func(id string) bool { return !l.limits[id].IsNamed }
 	maps.DeleteFunc(l.buckets, func(id string, _ *bucket) bool { return isUnlimited(id) })
 	maps.DeleteFunc(l.asking, func(id string, _ *askState) bool { return isUnlimited(id) })
--- a/internal/gateway/limiter/limiter_test.go
+++ b/internal/gateway/limiter/limiter_test.go
@@ -208,3 +208,33 @@
 		assert.Equal(t, p.want, l.Report().Size)
 	}
 }
+
+// TestLimitEndsWithIncarnation guards against a target that is limited for good since it
+// crashed, its entry went, and it came back under its ID without a limit and without models,
+// so that no request goes there whose answer would show this.
+func TestLimitEndsWithIncarnation(t *testing.T) {
+	c := newClock()
+	l := newSettled(c, "i1", "a")
+	l.SetIncarnation("t", 5)
+	l.Observe("t", named(c, 1))
+	c.step(time.Second)
+	l.Prune(func(string) bool { return false }) // its entry is gone
+	l.SetIncarnation("t", 5)
+	assert.Equal(t, "i1", granterOf(t, l, testTarget), "the same incarnation goes on")
+	l.SetIncarnation("t", 9)
+	assert.Empty(t, granterOf(t, l, testTarget))
+}
+
+// TestOldLimitDoesNotKeepModelsAway guards against a target without models that gets none
+// for good: only an answer to a request shows that its limit is gone.
+func TestOldLimitDoesNotKeepModelsAway(t *testing.T) {
+	c := newClock()
+	l := newSettled(c, "i1", "a")
+	l.Observe("t", named(c, 1))
+	_, ok := l.RecentLimit("t")
+	assert.True(t, ok)
+	c.step(time.Minute)
+	_, ok = l.RecentLimit("t")
+	assert.False(t, ok)
+	assert.Equal(t, "i1", granterOf(t, l, testTarget), "requests still need permits")
+}
--- a/internal/gateway/supervisor/limits.go
+++ b/internal/gateway/supervisor/limits.go
@@ -161,10 +161,11 @@
 	return s.platform.State(target)
 }
 
-// namedLimit returns the requests a second that a target takes, or nil if it names no limit.
+// namedLimit returns the requests a second that a target takes, or nil if it has named no
+// limit lately.
 func (s *Supervisor) namedLimit(target string) *float64 {
-	limit, _ := s.limiter.Limit(target)
-	if !limit.IsNamed {
+	limit, ok := s.limiter.RecentLimit(target)
+	if !ok {
 		return nil
 	}
 	return &limit.PerSecond
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -269,8 +269,8 @@
 	}
 	if old != nil && old.StartMilliseconds != target.StartMilliseconds {
 		s.balancer.ResetTarget(target.ID)
-		s.limiter.Observe(target.ID, limiter.Limit{SeenAt: s.limiter.Now()}) // the limit was that of the earlier incarnation
 	}
+	s.limiter.SetIncarnation(target.ID, target.StartMilliseconds)
 	targets[row.Key] = target
 }
 
