Let the tests of the limiter share how a permit is asked for

Cause: three tests began a request for a permit with the same lines, and two benchmarks built the same group. Measured: the tests of the package pass (7.5 s), the benchmarks run and the linter is clean.

--- a/internal/gateway/limiter/bench_test.go
+++ b/internal/gateway/limiter/bench_test.go
@@ -8,13 +8,19 @@
 	"github.com/crocusring/crocusring/internal/gateway/limiter"
 )
 
+// newGroup returns the first of n instances of a data centre, which knows the others.
+func newGroup(c *testClock, n int) *limiter.Limiter {
+	l := newSettled(c, "a00", "a")
+	l.SetMembers(members("a", n)[1:], nil, statusTTL)
+	return l
+}
+
 // BenchmarkGrant measures the decision of a granter in groups of several sizes.
 func BenchmarkGrant(b *testing.B) {
 	for _, n := range []int{4, 20, 61} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			c := newClock()
-			l := newSettled(c, "a00", "a")
-			l.SetMembers(members("a", n)[1:], nil, statusTTL)
+			l := newGroup(c, n)
 			limit := named(c, 1)
 			for b.Loop() {
 				c.step(time.Millisecond)
@@ -30,8 +36,7 @@
 	for _, n := range []int{4, 20, 61} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			c := newClock()
-			l := newSettled(c, "a00", "a")
-			l.SetMembers(members("a", n)[1:], nil, statusTTL)
+			l := newGroup(c, n)
 			limit := named(c, 1)
 			l.Observe("t", limit)
 			for b.Loop() {
--- a/internal/gateway/limiter/limiter_test.go
+++ b/internal/gateway/limiter/limiter_test.go
@@ -41,11 +41,23 @@
 	return out
 }
 
-func granterOf(t *testing.T, l *limiter.Limiter, target limiter.Target) string {
+func mustBegin(t *testing.T, l *limiter.Limiter, target limiter.Target) limiter.Ask {
 	t.Helper()
 	ask, err := l.Begin(target)
 	require.NoError(t, err)
-	return ask.Granter
+	return ask
+}
+
+func granterOf(t *testing.T, l *limiter.Limiter, target limiter.Target) string {
+	t.Helper()
+	return mustBegin(t, l, target).Granter
+}
+
+// beginLimited lets an instance know a limit of one request a second and ask for a permit.
+func beginLimited(t *testing.T, c *testClock, l *limiter.Limiter) limiter.Ask {
+	t.Helper()
+	l.Observe("t", named(c, 1))
+	return mustBegin(t, l, testTarget)
 }
 
 func TestTargetWithoutLimitNeedsNoPermit(t *testing.T) {
@@ -97,12 +109,10 @@
 func TestChangedLimitEndsDenial(t *testing.T) {
 	c := newClock()
 	l := newSettled(c, "i1", "a")
-	l.Observe("t", named(c, 1))
-	ask, err := l.Begin(testTarget)
-	require.NoError(t, err)
+	ask := beginLimited(t, c, l)
 	require.ErrorIs(t, l.Finish(ask, limiter.Answer{RetryIn: 5 * time.Second, Limit: ask.Limit}, nil), limiter.ErrDenied)
 	assert.Equal(t, 5*time.Second, l.BlockedFor("t"))
-	_, err = l.Begin(testTarget)
+	_, err := l.Begin(testTarget)
 	require.ErrorIs(t, err, limiter.ErrDenied)
 	c.step(time.Second)
 	l.Observe("t", named(c, 9))
@@ -114,9 +124,7 @@
 func TestLatePermitIsNotUsed(t *testing.T) {
 	c := newClock()
 	l := newSettled(c, "i1", "a")
-	l.Observe("t", named(c, 1))
-	ask, err := l.Begin(testTarget)
-	require.NoError(t, err)
+	ask := beginLimited(t, c, l)
 	c.step(time.Second)
 	assert.ErrorIs(t, l.Finish(ask, limiter.Answer{IsGranted: true, Limit: ask.Limit}, nil), limiter.ErrDenied)
 }
@@ -124,9 +132,7 @@
 func TestFailedAskDeniesForAWhile(t *testing.T) {
 	c := newClock()
 	l := newSettled(c, "i1", "a")
-	l.Observe("t", named(c, 1))
-	ask, err := l.Begin(testTarget)
-	require.NoError(t, err)
+	ask := beginLimited(t, c, l)
 	require.ErrorIs(t, l.Finish(ask, limiter.Answer{}, assert.AnError), limiter.ErrDenied)
 	assert.Positive(t, l.BlockedFor("t"))
 }
