Identify the content of a request by 128 bits that nobody can collide

The fingerprint was 64 bits of a hash whose collisions anybody can construct, over model and body run together. TestContentsAreNotMistaken.

--- a/internal/edge/listener/chat.go
+++ b/internal/edge/listener/chat.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, errors.Wrap(errBadRequest, err.Error())
 	}
-	c.fingerprint = quarantiner.FingerprintOf(name.String(), c.body)
+	c.fingerprint = quarantiner.FingerprintOf([]byte(team), []byte(name.String()), c.body)
 	c.prefix = prefixKey(name.String(), messages)
 	return c, nil
 }
--- a/internal/request/dispatcher/dispatcher_test.go
+++ b/internal/request/dispatcher/dispatcher_test.go
@@ -280,7 +280,7 @@
 			q := quarantiner.New("entry-1")
 			d := dispatcher.New(fleet, q, "dc-1", dispatcher.WithSilenceLimits(longSilence, longSilence))
 			j := job(false)
-			j.Fingerprint = quarantiner.Fingerprint(1)
+			j.Fingerprint = quarantiner.FingerprintOf([]byte("bad"))
 			if name == "stream" {
 				stream, err := d.Start(j)
 				require.NoError(t, err)
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -27,7 +27,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 )
 
@@ -52,18 +51,6 @@
 	maxRecords = 4096
 )
 
-// Fingerprint identifies a request by its content.
-type Fingerprint uint64
-
-// FingerprintOf returns the fingerprint of a request to a model with a body.
-func FingerprintOf(model string, body []byte) Fingerprint {
-	d := xxhash.New()
-	_, _ = d.WriteString(model)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body)
-	return Fingerprint(d.Sum64())
-}
-
 // Place identifies one incarnation of a target. An incarnation crashes at most once,
 // so that a place also identifies a crash.
 type Place struct {
--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -14,12 +15,17 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-const (
-	bad       = quarantiner.Fingerprint(1)
-	innocent  = quarantiner.Fingerprint(2)
-	bystander = quarantiner.Fingerprint(3)
+var (
+	bad       = fingerprint(1)
+	innocent  = fingerprint(2)
+	bystander = fingerprint(3)
 )
 
+// fingerprint returns the fingerprint of the n-th content.
+func fingerprint(n int) quarantiner.Fingerprint {
+	return quarantiner.FingerprintOf([]byte(strconv.Itoa(n)))
+}
+
 var start = time.Unix(1_800_000_000, 0)
 
 func place(target string) quarantiner.Place {
@@ -84,17 +90,17 @@
 func TestVerdictsAreBounded(t *testing.T) {
 	q := quarantiner.New("entry-1")
 	const many = 300
-	for f := range quarantiner.Fingerprint(many) {
-		at := start.Add(time.Duration(f) * time.Second)
-		q.Crashed(at, place("t1"), f)
-		q.Crashed(at, place("t2"), f)
+	for n := range many {
+		at := start.Add(time.Duration(n) * time.Second)
+		q.Crashed(at, place("t1"), fingerprint(n))
+		q.Crashed(at, place("t2"), fingerprint(n))
 	}
 	now := start.Add(many * time.Second)
 	verdicts := q.Verdicts(now)
 	require.Len(t, verdicts, 64)
 	peer := quarantiner.New("entry-2")
 	peer.Merge(verdicts, now)
-	_, err := peer.Check(now, many-1)
+	_, err := peer.Check(now, fingerprint(many-1))
 	assert.ErrorIs(t, err, quarantiner.ErrConvicted, "the latest convictions are sent")
 
 	cleared := quarantiner.New("entry-1")
@@ -168,8 +174,8 @@
 	later := start.Add(time.Minute)
 	q.Merge([]messenger.Verdict{
 		{Fingerprint: "x", Owner: "entry-2", Deadline: later, Places: []string{"a", "b"}},
-		{Fingerprint: "1", Deadline: later, Places: []string{"a", "b"}},
-		{Fingerprint: "1", Owner: "entry-2", Deadline: start, Places: []string{"a", "b"}},
+		{Fingerprint: bad.String(), Deadline: later, Places: []string{"a", "b"}},
+		{Fingerprint: bad.String(), Owner: "entry-2", Deadline: start, Places: []string{"a", "b"}},
 	}, start)
 	assertState(t, q, bad, false, nil)
 }
@@ -215,7 +221,7 @@
 }
 
 func (m *model) send(t *rapid.T) {
-	request := quarantiner.Fingerprint(rapid.IntRange(1, requests).Draw(t, "request"))
+	request := fingerprint(rapid.IntRange(1, requests).Draw(t, "request"))
 	if slices.ContainsFunc(slices.Concat(m.running, m.claimed), func(r run) bool { return r.request == request }) {
 		return // each resend follows the end of the previous send
 	}
@@ -306,3 +312,25 @@
 		})
 	})
 }
+
+// TestContentsAreNotMistaken guards against contents that differ and share a fingerprint.
+func TestContentsAreNotMistaken(t *testing.T) {
+	of := func(parts ...string) quarantiner.Fingerprint {
+		all := [][]byte{}
+		for _, part := range parts {
+			all = append(all, []byte(part))
+		}
+		return quarantiner.FingerprintOf(all...)
+	}
+	assert.Equal(t, of("a", "b"), of("a", "b"))
+	for _, other := range []quarantiner.Fingerprint{of("ab"), of("ab", ""), of("", "ab"), of("a", "b", ""), of("b", "a"), of("a", "B")} {
+		assert.NotEqual(t, of("a", "b"), other)
+	}
+	parsed, ok := quarantiner.ParseFingerprint(bad.String())
+	assert.True(t, ok)
+	assert.Equal(t, bad, parsed)
+	for _, odd := range []string{"", "1", bad.String() + "0", "zz" + bad.String()[2:]} {
+		_, ok := quarantiner.ParseFingerprint(odd)
+		assert.False(t, ok, odd)
+	}
+}
--- a/internal/request/quarantiner/verdict.go
+++ b/internal/request/quarantiner/verdict.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/crocusring/crocusring/internal/wire/messenger"
@@ -15,12 +14,8 @@
 	stateCleared   = "Cleared"
 )
 
-const (
-	fingerprintBase = 16
-	// maxConvicted bounds the size of the heartbeat, each of which contains all
-	// verdicts.
-	maxConvicted = 64
-)
+// maxConvicted bounds the size of the heartbeat, each of which contains all verdicts.
+const maxConvicted = 64
 
 // Verdicts returns the verdicts that this instance sends to its peers: the suspects
 // that it owns, those that it cleared within clearedTTL, and the convicted requests
@@ -44,7 +39,7 @@
 
 func verdictOf(f Fingerprint, r *record) messenger.Verdict {
 	v := messenger.Verdict{
-		Fingerprint: strconv.FormatUint(uint64(f), fingerprintBase), Deadline: r.deadline,
+		Fingerprint: f.String(), Deadline: r.deadline,
 		Crashes: len(r.crashes), Places: slices.Clone(r.crashes), Owner: r.owner, Term: r.term, Target: r.target,
 	}
 	switch {
@@ -65,11 +60,11 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, v := range verdicts {
-		f, err := strconv.ParseUint(v.Fingerprint, fingerprintBase, 64)
-		if err != nil || v.Owner == "" || !now.Before(v.Deadline) {
+		f, ok := ParseFingerprint(v.Fingerprint)
+		if !ok || v.Owner == "" || !now.Before(v.Deadline) {
 			continue
 		}
-		q.merge(Fingerprint(f), v, now)
+		q.merge(f, v, now)
 	}
 }
 
