Tell from logs and metrics which content was lost and whether its target ended

On call, a request that ends its targets could not be told from one that was there by chance: lines name IDs, which are new with each send, and a target that ended looked like a connection that was cut. Each request whose connection was cut now has a line with its content and what a probe of the target found, and three counters.

--- a/internal/edge/connector/connector.go
+++ b/internal/edge/connector/connector.go
@@ -259,14 +259,18 @@
 		}
 		c.Close()
 	}
+	return p.connect(call.context(), min(dialTimeout, call.AnswerDeadline.Sub(p.now())))
+}
+
+// connect makes a new connection within a timeout. The error is ErrNotSent.
+func (p *Pool) connect(ctx context.Context, timeout time.Duration) (*conn, error) {
 	p.mu.Lock()
 	epoch := p.epoch
 	p.mu.Unlock()
-	timeout := min(dialTimeout, call.AnswerDeadline.Sub(p.now()))
 	if timeout <= 0 {
 		return nil, errors.Wrap(ErrNotSent, ErrDeadline.Error())
 	}
-	ctx, cancel := context.WithTimeout(call.context(), timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	raw, err := p.dial(ctx, p.address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -25,6 +25,7 @@
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
 	"github.com/crocusring/crocusring/internal/gateway/limiter"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
+	"github.com/crocusring/crocusring/internal/request/quarantiner"
 	"github.com/crocusring/crocusring/internal/state/measurer"
 )
 
@@ -89,6 +90,7 @@
 	// acquirePermit returns nil if the limit that a target names allows a request there now,
 	// or a limiter.DeniedError.
 	acquirePermit func(ctx context.Context, target *registrar.Target) error
+	lost          func(ctx context.Context, loss Loss)
 	// requestEnd is called when a request that was accepted ends.
 	requestEnd func(measurer.Request)
 	// answerEnd is called when an answer of a target that ran its request has ended.
@@ -154,6 +156,7 @@
 		streamEnd:        func(Demand, time.Duration) {},
 		requestEnd:       func(measurer.Request) {},
 		answerEnd:        func(measurer.Answer) {},
+		lost:             func(context.Context, Loss) {},
 		acquirePermit:    func(context.Context, *registrar.Target) error { return nil },
 		ensureAdapter:    func(context.Context, string, string, string) error { return balancer.ErrNoAdapter },
 		timeUntilServed:  func(context.Context, string, string) (time.Duration, error) { return 0, balancer.ErrNoModel },
@@ -201,7 +204,11 @@
 	// mayHaveRun reports whether a target may have run the request or may still be
 	// running it.
 	mayHaveRun bool
-	excluded   map[string]bool // the IDs of the targets that the request was offered to
+	// content is the fingerprint of the content; zero until it is needed. See contentOf.
+	content quarantiner.Fingerprint
+	// cutAt is the target of the last send, if the connection there was cut.
+	cutAt    *registrar.Target
+	excluded map[string]bool // the IDs of the targets that the request was offered to
 	// outcome and firstByteAfter, the time from arrival to the first byte of an answer,
 	// are for the metrics.
 	outcome        measurer.Outcome
@@ -244,6 +251,7 @@
 			return
 		}
 		result := c.send(ctx, reply, ticket)
+		c.observeLoss(ctx, q)
 		if result == finished {
 			q.outcome = measurer.Answered
 			return
--- a/internal/gateway/conductor/headers.go
+++ b/internal/gateway/conductor/headers.go
@@ -48,6 +48,12 @@
 	// RetryAfter holds, in a refusal with status 503, the time for which the target wants no
 	// requests of this instance.
 	RetryAfter string
+	// Account identifies the client account that a request is sent for.
+	Account string
+	// Content lists further headers that say what a request asks a target to run. Together with
+	// the account, method, host, path, query and body they are the same each time a caller sends
+	// a request.
+	Content []string
 	// MisdirectedStatus is the HTTP status by which a target reports that it is not the
 	// expected one, or that it does not hold the model.
 	MisdirectedStatus int
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -24,6 +24,7 @@
 	"github.com/crocusring/crocusring/internal/gateway/foreman"
 	"github.com/crocusring/crocusring/internal/gateway/informer"
 	"github.com/crocusring/crocusring/internal/gateway/limiter"
+	"github.com/crocusring/crocusring/internal/gateway/prober"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 	"github.com/crocusring/crocusring/internal/gateway/tallier"
 	"github.com/crocusring/crocusring/internal/state/measurer"
@@ -91,6 +92,7 @@
 	registry    *registrar.Registrar
 	balancer    *balancer.Balancer
 	limiter     *limiter.Limiter
+	prober      *prober.Prober
 	budget      *budgeter.Budgeter
 	loadChanges *loadChanges
 	measurer    *measurer.Measurer
@@ -127,7 +129,8 @@
 		conductor.WithLog(log), conductor.WithLimiter(s.limiter, s.acquirePermit), conductor.WithAdapterLoader(s.ensureAdapter), conductor.WithTimeUntilServed(s.timeUntilServed),
 		conductor.WithDemandObservers(s.countDemand, s.countWaiting), conductor.WithStreamObserver(s.countStream),
 		conductor.WithRequestObserver(s.measurer.Observe), conductor.WithAnswerObserver(s.measurer.CountAnswer),
-		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)))
+		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithLossObserver(s.examineLoss))
+	s.prober = prober.New(s.conductor.Probe)
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
 	s.foreman = foreman.New(settings.Instance,
@@ -346,6 +349,7 @@
 			return
 		case <-ticker.C:
 			s.conductor.Prune()
+			s.prober.Prune()
 			view := s.registry.View()
 			s.balancer.Prune(view)
 			s.limiter.Prune(func(target string) bool { return view.Targets[target] != nil })
--- a/internal/state/measurer/measurer.go
+++ b/internal/state/measurer/measurer.go
@@ -47,6 +47,7 @@
 		m.answers[Answer{Framing: framing, IsWhole: true}] = metrics.GetOrRegisterCounter("Framing."+framing+".Whole", m.registry)
 		m.answers[Answer{Framing: framing}] = metrics.GetOrRegisterCounter("Framing."+framing+".Broken", m.registry)
 	}
+	m.registerEvents()
 	return m
 }
 
--- a/internal/state/measurer/measurer_test.go
+++ b/internal/state/measurer/measurer_test.go
@@ -93,3 +93,12 @@
 	assert.Contains(t, text.String(), "crocusring_class_microseconds{name=\"c\",quantile=\"0.5\"} 3000\n")
 	assert.Contains(t, text.String(), "crocusring_class_microseconds_count{name=\"c\"} 1\n")
 }
+
+func TestCountEvent(t *testing.T) {
+	m := measurer.New(time.Now())
+	m.CountEvent(measurer.CutTargetEnded, 2)
+	var out strings.Builder
+	require.NoError(t, m.WriteText(&out))
+	assert.Contains(t, out.String(), `crocusring_cut{name="TargetEnded"} 2`)
+	assert.Contains(t, out.String(), `crocusring_cut{name="TargetPresent"} 0`)
+}
