--- a/internal/gateway/limiter/membership.go
+++ b/internal/gateway/limiter/membership.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/crocusring/crocusring/internal/state/ranker"
 )
 
 const (
@@ -265,21 +267,9 @@
 	m := &l.membership
 	key := m.groupKey(target.DataCentre)
 	if _, ok := m.groups[key]; !ok {
-		key = preferred(target.ID, sortedKeys(m.groups))
+		key = ranker.First(target.ID, sortedKeys(m.groups))
 	}
-	return preferred(target.ID, m.groups[key])
+	return ranker.First(target.ID, m.groups[key])
 }
 
 func sortedKeys(groups map[string][]string) []string { return slices.Sorted(maps.Keys(groups)) }
-
-// preferred returns the name that ranks first for a target by rendezvous hashing; empty if
-// there are no names.
-func preferred(target string, names []string) string {
-	best, bestRank := "", uint64(0)
-	for _, name := range names {
-		if rank := xxhash.Sum64String(target + "/" + name); best == "" || rank > bestRank {
-			best, bestRank = name, rank
-		}
-	}
-	return best
-}
