--- a/internal/edge/connector/probe.go
+++ b/internal/edge/connector/probe.go
@@ -21,12 +21,13 @@
 	Absent
 )
 
-// closeWatchTime is how long a new connection is watched for being closed at once.
-const closeWatchTime = 30 * time.Millisecond
+// closeWatchTimes are how long a new connection is watched for being closed at once: the first
+// until it probably stays open, both until it does.
+var closeWatchTimes = []time.Duration{5 * time.Millisecond, 25 * time.Millisecond}
 
-// Probe makes a new connection and reports whether a process is present. onConnect is called
-// as soon as the connection is made. One that stays open is pooled.
-func (p *Pool) Probe(until time.Time, onConnect func()) Presence {
+// Probe makes a new connection and reports whether a process is present. onOpen is called once
+// it is likely: the connection was made and not closed at once. One that stays open is pooled.
+func (p *Pool) Probe(until time.Time, onOpen func()) Presence {
 	c, err := p.connect(context.Background(), min(dialTimeout, until.Sub(p.now())))
 	if errors.Is(err, ErrRefused) {
 		return Absent
@@ -34,25 +35,30 @@
 	if err != nil {
 		return Unknown
 	}
-	onConnect()
-	if err := c.SetReadDeadline(time.Now().Add(closeWatchTime)); err != nil {
-		c.Close()
+	for _, watch := range closeWatchTimes {
+		if presence := c.watchClose(watch); presence != Present {
+			c.Close()
+			return presence
+		}
+		onOpen()
+	}
+	p.put(c, 0)
+	return Present
+}
+
+// watchClose reports whether an idle connection stays open for a time.
+func (c *conn) watchClose(watch time.Duration) Presence {
+	if err := c.SetReadDeadline(time.Now().Add(watch)); err != nil {
 		return Unknown
 	}
 	var unasked [1]byte
-	_, err = c.Conn.Read(unasked[:])
+	_, err := c.Conn.Read(unasked[:])
 	switch {
 	case isTimeout(err):
-		p.put(c, 0)
-		return Present
-	case err == nil:
-		c.Close()
 		return Present
 	case errors.Is(err, io.EOF):
-		c.Close()
 		return Absent
 	default:
-		c.Close()
 		return Unknown // a target at its limit of connections resets new ones
 	}
 }
--- a/internal/gateway/conductor/accept.go
+++ b/internal/gateway/conductor/accept.go
@@ -52,6 +52,9 @@
 		q.deadline = q.capAtDeadline(now.Add(time.Duration(route.TimeoutMilliseconds) * time.Millisecond))
 	}
 	q.service = pickBackend(route, q.id)
+	if refusal := c.checkContent(q); refusal != nil {
+		return nil, refusal
+	}
 	c.budget.CountRequest(q.service)
 	c.parseDemand(q)
 	return q, nil
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -90,7 +90,7 @@
 	// acquirePermit returns nil if the limit that a target names allows a request there now,
 	// or a limiter.DeniedError.
 	acquirePermit func(ctx context.Context, target *registrar.Target) error
-	lost          func(ctx context.Context, loss Loss)
+	quarantine    Quarantine
 	// requestEnd is called when a request that was accepted ends.
 	requestEnd func(measurer.Request)
 	// answerEnd is called when an answer of a target that ran its request has ended.
@@ -156,7 +156,7 @@
 		streamEnd:        func(Demand, time.Duration) {},
 		requestEnd:       func(measurer.Request) {},
 		answerEnd:        func(measurer.Answer) {},
-		lost:             func(context.Context, Loss) {},
+		quarantine:       noQuarantine(),
 		acquirePermit:    func(context.Context, *registrar.Target) error { return nil },
 		ensureAdapter:    func(context.Context, string, string, string) error { return balancer.ErrNoAdapter },
 		timeUntilServed:  func(context.Context, string, string) (time.Duration, error) { return 0, balancer.ErrNoModel },
@@ -206,8 +206,13 @@
 	mayHaveRun bool
 	// content is the fingerprint of the content; zero until it is needed. See contentOf.
 	content quarantiner.Fingerprint
-	// cutAt is the target of the last send, if the connection there was cut.
-	cutAt    *registrar.Target
+	// run is the last send, and isCut is set if its connection was cut.
+	run   Run
+	isCut bool
+	// isHeldAgainst is set if targets may have ended under the content of the request.
+	isHeldAgainst bool
+	// status is that of the last answer of a target that ran the request.
+	status   int
 	excluded map[string]bool // the IDs of the targets that the request was offered to
 	// outcome and firstByteAfter, the time from arrival to the first byte of an answer,
 	// are for the metrics.
@@ -251,7 +256,7 @@
 			return
 		}
 		result := c.send(ctx, reply, ticket)
-		c.observeLoss(ctx, q)
+		c.observeRunEnd(ctx, q, result)
 		if result == finished {
 			q.outcome = measurer.Answered
 			return
@@ -291,15 +296,18 @@
 	var adapterRetryAt time.Time
 	for {
 		changed, freed := c.registry.Changed(), c.balancer.CapacityFreed()
-		ticket, err := c.balancer.Pick(c.registry.View(), balancer.Request{
-			Service: q.service, Model: q.demand.Model, Adapter: q.demand.Adapter, PromptTokens: q.demand.PromptTokens,
-			Tokens: q.demand.Tokens, MaxEventGapMilliseconds: float64(q.route.EventGapGoalMilliseconds), Affinity: q.affinity, Excluded: q.excluded,
-		})
-		if err == nil {
-			if err := c.acquirePermit(ctx, ticket.Target); err == nil {
-				return ticket, nil
+		ticket, isPicked, err := c.pickAndBegin(ctx, q)
+		switch {
+		case err == nil:
+			return ticket, nil
+		case errors.Is(err, quarantiner.ErrConvicted):
+			return nil, err
+		case errors.Is(err, quarantiner.ErrWait):
+			if err := c.waitForTrial(ctx, q, err); err != nil {
+				return nil, err
 			}
-			ticket.End(balancer.Abandoned)
+			continue
+		case isPicked:
 			continue // the balancer leaves the target out until its limit allows a request
 		}
 		if c.refusing.Load() {
--- a/internal/gateway/conductor/conductor_test.go
+++ b/internal/gateway/conductor/conductor_test.go
@@ -28,8 +28,9 @@
 	NotRun: "Test-Not-Run", LastEvent: "Test-Last", Model: "Test-Model", Tokens: "Test-Tokens", Prefix: "Test-Prefix",
 	Priority: "Test-Priority", Reserved: []string{"Test-Hold", "Test-Priority", "Test-Expect"},
 	Leaving: "Test-Leaving", RetryAfter: "Retry-After",
-	MisdirectedStatus: http.StatusMisdirectedRequest,
-	ParseLeaving:      func(v string) bool { return v == "1" },
+	Account: "Test-Account", Content: []string{"Test-Content"},
+	MisdirectedStatus: http.StatusMisdirectedRequest, ConvictedStatus: http.StatusBadRequest,
+	ParseLeaving: func(v string) bool { return v == "1" },
 	ParseRetryAfter: func(v string) (time.Duration, bool) {
 		seconds, err := strconv.ParseFloat(v, 64)
 		return time.Duration(seconds * float64(time.Second)), err == nil
--- a/internal/gateway/conductor/content.go
+++ b/internal/gateway/conductor/content.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"time"
 
@@ -9,28 +10,61 @@
 
 	"github.com/crocusring/crocusring/internal/edge/connector"
 	"github.com/crocusring/crocusring/internal/edge/splitter"
+	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 	"github.com/crocusring/crocusring/internal/request/quarantiner"
 )
 
-// Loss describes a request whose connection to a target was cut before its whole answer
-// arrived.
-type Loss struct {
+// maxTrialWait is how long a request under whose content targets have ended waits for another
+// run of that content to end.
+const maxTrialWait = 500 * time.Millisecond
+
+// Run is one send of a request to a target.
+type Run struct {
 	Request string
 	Service string
 	Target  *registrar.Target
 	Content quarantiner.Fingerprint
+	// Deadline is when the final answer to the request is due.
+	Deadline time.Time
+	// IsTrial reports that Quarantine.BeginTrial has permitted the run of a suspect.
+	IsTrial bool
+}
+
+// Quarantine holds the functions that keep back requests whose content ends targets.
+type Quarantine struct {
+	// IsEmpty reports that nothing is held against any content.
+	IsEmpty func() bool
+	// Check reports whether a content is a suspect. The error is quarantiner.ErrConvicted or
+	// quarantiner.ErrWait.
+	Check func(content quarantiner.Fingerprint) (isSuspect bool, err error)
+	// BeginTrial returns nil if the run of a suspect may begin. The error is
+	// quarantiner.ErrConvicted or quarantiner.ErrWait.
+	BeginTrial func(ctx context.Context, run Run) error
+	// EndRun is called when a run has ended of a content that something is held against.
+	// isAnswered reports that the answer was complete and a success. It is not called for a run
+	// that Lost is called for.
+	EndRun func(run Run, isAnswered bool)
+	// Lost is called for each run whose connection was cut before the whole answer arrived. The
+	// request goes on once it returns.
+	Lost func(ctx context.Context, run Run)
+	// Refused is called for each request that is refused since its content is convicted.
+	Refused func()
 }
 
-// WithLossObserver sets the function that is called for each request whose connection to a
-// target was cut. The request goes on once it returns.
-func WithLossObserver(lost func(ctx context.Context, loss Loss)) Option {
-	return func(c *Conductor) { c.lost = lost }
+func noQuarantine() Quarantine {
+	return Quarantine{
+		IsEmpty: func() bool { return true }, Lost: func(context.Context, Run) {}, EndRun: func(Run, bool) {},
+	}
 }
 
+// WithQuarantine sets the functions that keep back requests whose content ends targets. By
+// default nothing is held against any content.
+func WithQuarantine(q Quarantine) Option { return func(c *Conductor) { c.quarantine = q } }
+
 // Probe reports whether a target accepts connections; see connector.Pool.Probe.
-func (c *Conductor) Probe(address string, until time.Time, onConnect func()) connector.Presence {
-	return c.pools.For(address).Probe(until, onConnect)
+func (c *Conductor) Probe(address string, until time.Time, onOpen func()) connector.Presence {
+	return c.pools.For(address).Probe(until, onOpen)
 }
 
 // contentOf returns the fingerprint of what a request asks to run. It is the same each time a
@@ -51,19 +85,112 @@
 	return q.content
 }
 
-// noteCut records that the connection to a target was cut, if that is what err says.
-func (q *request) noteCut(target *registrar.Target, err error) {
-	if errors.Is(err, connector.ErrCut) || errors.Is(err, splitter.ErrTruncated) {
-		q.cutAt = target
+// checkContent returns the refusal of a request whose content is convicted, or nil.
+func (c *Conductor) checkContent(q *request) *Refusal {
+	if c.quarantine.IsEmpty() {
+		return nil
+	}
+	_, err := c.quarantine.Check(c.contentOf(q))
+	if errors.Is(err, quarantiner.ErrConvicted) {
+		return c.convictedRefusal(err)
+	}
+	return nil
+}
+
+// convictedRefusal returns the refusal of a request whose content is convicted. It tells its
+// caller not to come back.
+func (c *Conductor) convictedRefusal(verdict error) *Refusal {
+	c.quarantine.Refused()
+	return &Refusal{Status: c.headers.ConvictedStatus, Reason: verdict.Error()}
+}
+
+// beginRun returns nil if a request may be sent to a target now, as far as its content goes.
+// The error is quarantiner.ErrConvicted or quarantiner.ErrWait.
+func (c *Conductor) beginRun(ctx context.Context, q *request, target *registrar.Target) error {
+	q.run = Run{Request: q.id, Service: q.service, Target: target, Deadline: q.deadline}
+	if c.quarantine.IsEmpty() {
+		return nil
+	}
+	q.run.Content = c.contentOf(q)
+	isSuspect, err := c.quarantine.Check(q.run.Content)
+	if err != nil || !isSuspect {
+		return err
+	}
+	q.isHeldAgainst = true
+	if err := c.quarantine.BeginTrial(ctx, q.run); err != nil {
+		return err
+	}
+	q.run.IsTrial = true
+	c.log.Info("suspect sent", "request", q.id, "target", target.ID, "content", q.run.Content.String())
+	return nil
+}
+
+// cancelRun records that a request that might have been sent was not.
+func (c *Conductor) cancelRun(q *request) {
+	if q.run.IsTrial {
+		c.quarantine.EndRun(q.run, false)
+	}
+}
+
+// waitForTrial waits until a suspect may be tried again. It returns reason, or why the request
+// has ended, if it may wait no longer.
+func (c *Conductor) waitForTrial(ctx context.Context, q *request, reason error) error {
+	if c.refusing.Load() {
+		return errStopping
+	}
+	if !c.now().Before(q.capWait(q.arrived.Add(maxTrialWait))) {
+		return reason
+	}
+	timer := time.NewTimer(maxPickInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// noteCut records that the connection of the run was cut, if that is what err says.
+func (q *request) noteCut(err error) {
+	q.isCut = errors.Is(err, connector.ErrCut) || errors.Is(err, splitter.ErrTruncated)
+}
+
+// observeRunEnd reports how a run has ended, as far as that says something of its content.
+func (c *Conductor) observeRunEnd(ctx context.Context, q *request, result result) {
+	isAnswered := result == finished && q.status >= http.StatusOK && q.status < http.StatusMultipleChoices
+	switch {
+	case q.isCut:
+		q.isCut = false
+		q.isHeldAgainst = true
+		q.run.Content = c.contentOf(q)
+		c.quarantine.Lost(ctx, q.run)
+	case q.run.IsTrial || (isAnswered && q.isHeldAgainst):
+		q.run.Content = c.contentOf(q)
+		c.quarantine.EndRun(q.run, isAnswered)
 	}
 }
 
-// observeLoss reports that the connection of the last send was cut.
-func (c *Conductor) observeLoss(ctx context.Context, q *request) {
-	target := q.cutAt
-	if target == nil {
-		return
+// pickAndBegin picks a target once. The error is that of the balancer, of the limit of the
+// target, or one of beginRun; isPicked reports which.
+func (c *Conductor) pickAndBegin(ctx context.Context, q *request) (ticket *balancer.Ticket, isPicked bool, err error) {
+	ticket, err = c.balancer.Pick(c.registry.View(), balancer.Request{
+		Service: q.service, Model: q.demand.Model, Adapter: q.demand.Adapter, PromptTokens: q.demand.PromptTokens,
+		Tokens: q.demand.Tokens, MaxEventGapMilliseconds: float64(q.route.EventGapGoalMilliseconds), Affinity: q.affinity, Excluded: q.excluded,
+	})
+	if err != nil {
+		return nil, false, err
+	}
+	err = c.beginRun(ctx, q, ticket.Target)
+	if err == nil {
+		err = c.acquirePermit(ctx, ticket.Target)
+		if err != nil {
+			c.cancelRun(q)
+		}
+	}
+	if err != nil {
+		ticket.End(balancer.Abandoned)
+		return nil, true, err
 	}
-	q.cutAt = nil
-	c.lost(ctx, Loss{Request: q.id, Service: q.service, Target: target, Content: c.contentOf(q)})
+	return ticket, true, nil
 }
--- a/internal/gateway/conductor/headers.go
+++ b/internal/gateway/conductor/headers.go
@@ -57,6 +57,9 @@
 	// MisdirectedStatus is the HTTP status by which a target reports that it is not the
 	// expected one, or that it does not hold the model.
 	MisdirectedStatus int
+	// ConvictedStatus is the HTTP status of the refusal of a request whose content ends targets:
+	// one after which callers do not send a request again.
+	ConvictedStatus int
 
 	ParseModel  func(value string) (model, adapter string)
 	ParseTokens func(value string) (prompt, output int)
--- a/internal/gateway/conductor/refusal.go
+++ b/internal/gateway/conductor/refusal.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
+	"github.com/crocusring/crocusring/internal/request/quarantiner"
 	"github.com/crocusring/crocusring/internal/state/measurer"
 )
 
@@ -90,6 +91,9 @@
 	case r.headSent:
 		c.log.Info("answer cut", "request", q.id, "cause", cause.Error(), "sent", q.sent, "lastEvent", r.lastEvent)
 		abort(q.httpRequest)
+	case errors.Is(cause, quarantiner.ErrConvicted):
+		q.outcome = measurer.Refused
+		c.refuse(r.writer, q.id, c.convictedRefusal(cause), "route", q.route.Name, "service", q.service, "sent", q.sent)
 	case r.deliverFallback():
 		c.log.Info("failure of target relayed", "request", q.id, "status", r.fallback.status, "sent", q.sent)
 	case q.mayHaveRun && q.isOutOfTime(c.now()):
@@ -140,6 +144,9 @@
 	if errors.Is(cause, errStopping) {
 		return shortRetryDelay
 	}
+	if errors.Is(cause, quarantiner.ErrWait) {
+		return q.delayUntil(shortRetryDelay)
+	}
 	if errors.Is(cause, balancer.ErrNoAdapter) {
 		delay = min(delay, maxAdapterRetryDelay)
 	}
--- a/internal/gateway/conductor/reply.go
+++ b/internal/gateway/conductor/reply.go
@@ -75,7 +75,7 @@
 	r.conductor.noteAnswerEnd(answer, isWhole)
 	if !isWhole {
 		ticket.End(lostOutcome(ctx))
-		r.request.noteCut(ticket.Target, err)
+		r.request.noteCut(err)
 		return lost
 	}
 	ticket.End(balancer.Answered)
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		q.mayHaveRun = true
 		ticket.End(lostOutcome(ctx))
-		q.noteCut(target, err)
+		q.noteCut(err)
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			c.log.Info("no answer from target", "request", q.id, "target", target.ID, "error", err.Error(),
 				"sinceChoiceMilliseconds", c.now().Sub(ticket.ChosenAt()).Milliseconds())
@@ -169,6 +169,7 @@
 		return c.handleRefusal(q, ticket, answer)
 	}
 	q.mayHaveRun = true
+	q.status = status
 	if len(answer.Header.Peek(c.headers.Stamp)) == 0 {
 		answer.Discard()
 		ticket.End(balancer.Failed)
@@ -212,7 +213,7 @@
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
 	if err != nil {
 		ticket.End(lostOutcome(ctx))
-		q.noteCut(ticket.Target, err)
+		q.noteCut(err)
 		c.noteAnswerEnd(answer, false)
 		c.log.Info("answer cut by target", "request", q.id, "target", ticket.Target.ID, "framing", answer.Framing().String(), "error", err.Error())
 		return lost
--- a/internal/gateway/conductor/stream.go
+++ b/internal/gateway/conductor/stream.go
@@ -74,7 +74,7 @@
 	switch {
 	case !isWhole:
 		ticket.End(lostOutcome(ctx))
-		q.noteCut(ticket.Target, end.cause)
+		q.noteCut(end.cause)
 		c.log.Info("stream cut by target", "request", q.id, "target", ticket.Target.ID, "lastEvent", r.lastEvent,
 			"framing", answer.Framing().String(), "bytesAfterLastEvent", end.unfinishedBytes, "error", end.cause.Error())
 		return lost
--- a/internal/gateway/prober/prober.go
+++ b/internal/gateway/prober/prober.go
@@ -27,8 +27,8 @@
 
 // Examination is the examination of an incarnation whose connection was cut.
 type Examination struct {
-	// Settled is closed once it is known that the target has ended or that it accepts
-	// connections, or once the probe has failed.
+	// Settled is closed once it is known that the target has ended, once it is likely that it
+	// accepts connections, or once the probe has failed.
 	Settled <-chan struct{}
 	// Done is closed at the end of the probe.
 	Done  <-chan struct{}
@@ -51,8 +51,8 @@
 	mu        sync.Mutex
 	isSettled bool
 	presence  connector.Presence
-	// endedAt is when the probe was done; zero until then.
-	endedAt time.Time
+	// finishedAt is zero until the probe is done.
+	finishedAt time.Time
 }
 
 func (s *state) settle() {
@@ -66,7 +66,7 @@
 
 func (s *state) finish(presence connector.Presence, now time.Time) {
 	s.mu.Lock()
-	s.presence, s.endedAt = presence, now
+	s.presence, s.finishedAt = presence, now
 	s.mu.Unlock()
 	s.settle()
 	close(s.done)
@@ -76,12 +76,12 @@
 func (s *state) isCurrent(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.endedAt.IsZero() || (s.presence == connector.Absent && now.Before(s.endedAt.Add(endTTL)))
+	return s.finishedAt.IsZero() || (s.presence == connector.Absent && now.Before(s.finishedAt.Add(endTTL)))
 }
 
 // Prober examines targets. The zero value is not usable; see New.
 type Prober struct {
-	probe func(address string, until time.Time, onConnect func()) connector.Presence
+	probe func(address string, until time.Time, onOpen func()) connector.Presence
 	now   func() time.Time
 
 	mu     sync.Mutex
@@ -89,7 +89,7 @@
 }
 
 // New returns a prober that makes its probes with the given function; see connector.Pool.Probe.
-func New(probe func(address string, until time.Time, onConnect func()) connector.Presence) *Prober {
+func New(probe func(address string, until time.Time, onOpen func()) connector.Presence) *Prober {
 	return &Prober{probe: probe, now: time.Now, states: map[Incarnation]*state{}}
 }
 
--- a/internal/gateway/prober/prober_test.go
+++ b/internal/gateway/prober/prober_test.go
@@ -31,11 +31,11 @@
 // TestTargetThatGoesOnIsExaminedAgain guards against an end that an earlier probe hides.
 func TestTargetThatGoesOnIsExaminedAgain(t *testing.T) {
 	answers := []connector.Presence{connector.Present, connector.Unknown, connector.Absent}
-	p := New(func(_ string, _ time.Time, onConnect func()) connector.Presence {
+	p := New(func(_ string, _ time.Time, onOpen func()) connector.Presence {
 		next := answers[0]
 		answers = answers[1:]
 		if next == connector.Present {
-			onConnect()
+			onOpen()
 		}
 		return next
 	})
--- /dev/null
+++ b/internal/gateway/supervisor/crash_reports.go
@@ -0,0 +1,111 @@
+package supervisor
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/crocusring/crocusring/internal/request/quarantiner"
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+)
+
+const (
+	// crashReportTTL is how long an instance passes its reports on to new examiners.
+	crashReportTTL = 10 * time.Minute
+	// maxCrashReports bounds the reports that an instance keeps.
+	maxCrashReports = 1024
+)
+
+// examiner is an incarnation of an instance that examines the requests of a service.
+type examiner struct {
+	instance    string
+	incarnation int64
+}
+
+// crashReport is what this instance has to tell the examiners of a service about the end of a
+// target.
+type crashReport struct {
+	service  string
+	place    quarantiner.Place
+	message  messenger.CrashReport
+	deadline time.Time
+	// informed are the examiners that have received the report as it is.
+	informed []examiner
+}
+
+// crashReports holds the reports of this instance. It goes on to tell them to whoever becomes
+// an examiner, since an examiner can fail, and starts without a memory.
+type crashReports struct {
+	mu      sync.Mutex
+	reports map[quarantiner.Place]*crashReport
+}
+
+func newCrashReports() *crashReports {
+	return &crashReports{reports: map[quarantiner.Place]*crashReport{}}
+}
+
+// add adds a content to the report of the end of a target, and returns the report.
+func (c *crashReports) add(now time.Time, service string, message messenger.CrashReport) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	place := placeOf(message.Target, message.StartMilliseconds)
+	r := c.reports[place]
+	if r == nil {
+		c.prune(now)
+		r = &crashReport{service: service, place: place, message: message, deadline: now.Add(crashReportTTL)}
+		r.message.IsCopy, r.message.Verdicts = true, []messenger.GatewayVerdict{}
+		c.reports[place] = r
+		return
+	}
+	for _, content := range message.Contents {
+		if !slices.Contains(r.message.Contents, content) {
+			r.message.Contents = append(slices.Clone(r.message.Contents), content)
+			r.informed = nil
+		}
+	}
+}
+
+// prune drops the reports that have expired and, if there are too many, the oldest one.
+func (c *crashReports) prune(now time.Time) {
+	var oldest *crashReport
+	for place, r := range c.reports {
+		if !now.Before(r.deadline) {
+			delete(c.reports, place)
+			continue
+		}
+		if oldest == nil || r.deadline.Before(oldest.deadline) {
+			oldest = r
+		}
+	}
+	if len(c.reports) >= maxCrashReports {
+		delete(c.reports, oldest.place)
+	}
+}
+
+// due returns the reports that one of the examiners of their service has not received.
+func (c *crashReports) due(now time.Time, examiners func(service string) []examiner) map[examiner][]crashReport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[examiner][]crashReport{}
+	for _, r := range c.reports {
+		if !now.Before(r.deadline) {
+			continue
+		}
+		for _, e := range examiners(r.service) {
+			if !slices.Contains(r.informed, e) {
+				out[e] = append(out[e], *r)
+			}
+		}
+	}
+	return out
+}
+
+// markInformed records that an examiner has received a report with certain contents.
+func (c *crashReports) markInformed(sent crashReport, e examiner) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.reports[sent.place]
+	if r != nil && len(r.message.Contents) == len(sent.message.Contents) && !slices.Contains(r.informed, e) {
+		r.informed = append(r.informed, e)
+	}
+}
--- a/internal/gateway/supervisor/losses.go
+++ b/internal/gateway/supervisor/losses.go
@@ -2,45 +2,81 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/crocusring/crocusring/internal/edge/connector"
 	"github.com/crocusring/crocusring/internal/gateway/conductor"
 	"github.com/crocusring/crocusring/internal/gateway/prober"
+	"github.com/crocusring/crocusring/internal/gateway/registrar"
+	"github.com/crocusring/crocusring/internal/request/quarantiner"
 	"github.com/crocusring/crocusring/internal/state/measurer"
 )
 
-// maxProbeWait is how long a request whose connection was cut waits to learn whether its target
-// has ended. A process that has ended refuses connections within a round trip.
-const maxProbeWait = 20 * time.Millisecond
+// maxLossWait is how long a request whose connection was cut waits before it is sent again: to
+// learn whether its target has ended, and what the examiner says to that. A process that has
+// ended refuses connections within a round trip.
+const maxLossWait = 60 * time.Millisecond
 
-// examineLoss finds out whether the target of a request whose connection was cut has ended. It
-// returns once that is known, or after maxProbeWait.
-func (s *Supervisor) examineLoss(ctx context.Context, loss conductor.Loss) {
-	target := prober.Incarnation{Target: loss.Target.ID, StartMilliseconds: loss.Target.StartMilliseconds}
-	examination := s.prober.Examine(target, loss.Target.Address)
+// examineLoss finds out whether the target of a run whose connection was cut has ended, and
+// reports it to the examiner then. It returns once that is known, or after maxLossWait.
+func (s *Supervisor) examineLoss(ctx context.Context, run conductor.Run) {
+	mayCount := s.mayHaveCrashed(run.Target)
+	target := prober.Incarnation{Target: run.Target.ID, StartMilliseconds: run.Target.StartMilliseconds}
+	examination := s.prober.Examine(target, run.Target.Address)
+	settled := make(chan struct{})
 	go func() {
-		<-examination.Done
-		s.recordLoss(loss, examination.Presence())
+		<-examination.Settled
+		if examination.Presence() != connector.Absent {
+			close(settled) // the target accepts connections, or cannot be reached
+			<-examination.Done
+			s.endLoss(run, examination.Presence(), mayCount)
+			return
+		}
+		s.endLoss(run, connector.Absent, mayCount)
+		close(settled)
 	}()
-	timer := time.NewTimer(maxProbeWait)
+	timer := time.NewTimer(maxLossWait)
 	defer timer.Stop()
 	select {
-	case <-examination.Settled:
+	case <-settled:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 }
 
+// endLoss acts on what the probe of the target of a lost run has shown.
+func (s *Supervisor) endLoss(run conductor.Run, presence connector.Presence, mayCount bool) {
+	s.recordLoss(run, presence, mayCount)
+	switch {
+	case presence == connector.Absent && mayCount:
+		s.reportCrash(run)
+	case run.IsTrial:
+		s.endTrial(run, false)
+	}
+}
+
+// mayHaveCrashed reports whether the end of a target says something about the requests that ran
+// there: it does not if the target was leaving, or known to be gone.
+func (s *Supervisor) mayHaveCrashed(target *registrar.Target) bool {
+	known := s.registry.View().Targets[target.ID]
+	return known != nil && known.StartMilliseconds == target.StartMilliseconds && !known.Leaving && !s.balancer.IsLeaving(known)
+}
+
+// placeOf returns the place of an incarnation of a target in the records of the quarantiner.
+func placeOf(target string, startMilliseconds int64) quarantiner.Place {
+	return quarantiner.Place{Target: target, Incarnation: strconv.FormatInt(startMilliseconds, 10)}
+}
+
 // lossEvents holds the event to count by what the probe of the target showed.
 var lossEvents = map[connector.Presence]measurer.Event{
 	connector.Absent: measurer.CutTargetEnded, connector.Present: measurer.CutTargetPresent, connector.Unknown: measurer.CutTargetUnknown,
 }
 
-// recordLoss logs and counts a request whose connection to a target was cut.
-func (s *Supervisor) recordLoss(loss conductor.Loss, presence connector.Presence) {
+// recordLoss logs and counts a run whose connection was cut.
+func (s *Supervisor) recordLoss(run conductor.Run, presence connector.Presence, mayCount bool) {
 	event := lossEvents[presence]
 	s.measurer.CountEvent(event, 1)
-	s.log.Info("connection of request cut", "request", loss.Request, "target", loss.Target.ID, "born", loss.Target.StartMilliseconds,
-		"content", loss.Content.String(), "found", string(event))
+	s.log.Info("connection of request cut", "request", run.Request, "target", run.Target.ID, "born", run.Target.StartMilliseconds,
+		"content", run.Content.String(), "found", string(event), "isTrial", run.IsTrial, "isExpected", !mayCount)
 }
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -19,12 +19,15 @@
 
 // Paths of the interface between instances.
 const (
-	pathStatus  = "/news"
-	pathTable   = "/table"
-	pathChanges = "/changes"
-	pathAdapter = "/adapter"
-	pathModel   = "/model"
-	pathPermit  = "/permit"
+	pathStatus   = "/news"
+	pathTable    = "/table"
+	pathChanges  = "/changes"
+	pathAdapter  = "/adapter"
+	pathModel    = "/model"
+	pathPermit   = "/permit"
+	pathCrash    = "/crash"
+	pathTrial    = "/trial"
+	pathVerdicts = "/verdicts"
 )
 
 // tableTimeout bounds the read of a table from a peer.
@@ -43,7 +46,7 @@
 		Leaving: s.leaving.Load(), ManifestVersion: s.manifests.Version(), TargetsVersion: s.targets.Version(),
 		Holder: isHolder && !s.leaving.Load(), LoadAddress: s.settings.LoadAddress, Demand: []messenger.GatewayDemand{},
 		Overlays: []messenger.GatewayOverlay{}, Load: messenger.GatewayLoad{Targets: messenger.GatewayLoadTargets{}},
-		LimitDigest: report.Digest, LimitMembers: report.Size,
+		LimitDigest: report.Digest, LimitMembers: report.Size, VerdictDigest: s.quarantiner.Digest(time.Now()),
 	}
 	if to.DataCentre == s.settings.DataCentre || s.cell() == nil {
 		status.Load = s.ownLoad(nil)
@@ -79,6 +82,7 @@
 	if status.Load.IsWhole {
 		s.applyLoad(status.Load, until)
 	}
+	s.comparePeerVerdicts(status)
 	s.tally.SetPeerDemand(status.Instance, status.Demand, until)
 	now := time.Now()
 	s.limiter.ReceiveReport(status.Instance, limiter.Report{Digest: status.LimitDigest, Size: status.LimitMembers}, until.Sub(now))
--- /dev/null
+++ b/internal/gateway/supervisor/quarantine.go
@@ -0,0 +1,256 @@
+package supervisor
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusring/crocusring/internal/gateway/conductor"
+	"github.com/crocusring/crocusring/internal/request/quarantiner"
+	"github.com/crocusring/crocusring/internal/state/measurer"
+	"github.com/crocusring/crocusring/internal/state/ranker"
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+	"github.com/crocusring/crocusring/internal/wire/poster"
+)
+
+const (
+	// examinerTimeout bounds a call to an examiner.
+	examinerTimeout = 300 * time.Millisecond
+	// examinerCount is the number of instances that know the crashes of a service: the
+	// examiner, and the one that takes its place.
+	examinerCount = 2
+)
+
+// errNoExaminer reports that no instance decides on the suspects of a service now.
+var errNoExaminer = errors.New("no examiner answers")
+
+// quarantine returns the functions by which the conductor keeps back requests whose content
+// ends targets.
+func (s *Supervisor) quarantine() conductor.Quarantine {
+	return conductor.Quarantine{
+		IsEmpty:    s.quarantiner.IsEmpty,
+		Check:      func(f quarantiner.Fingerprint) (bool, error) { return s.quarantiner.Check(time.Now(), f) },
+		BeginTrial: s.beginTrial,
+		EndRun:     func(run conductor.Run, isAnswered bool) { go s.endTrial(run, isAnswered) },
+		Lost:       s.examineLoss,
+		Refused:    func() { s.measurer.CountEvent(measurer.QuarantineRefused, 1) },
+	}
+}
+
+// examiners returns the instances that examine the requests of a service, in the order in which
+// to ask them. All instances that know the same peers agree on them.
+func (s *Supervisor) examiners(service string) []examiner {
+	incarnations := map[string]int64{}
+	if !s.leaving.Load() {
+		incarnations[s.settings.Instance] = s.incarnation
+	}
+	for _, peer := range s.informer.Peers() {
+		if !peer.LastStatus.Leaving {
+			incarnations[peer.LastStatus.Instance] = peer.LastStatus.Incarnation
+		}
+	}
+	order := ranker.Order(service, slices.Collect(maps.Keys(incarnations)))
+	order = order[:min(examinerCount, len(order))]
+	out := make([]examiner, 0, len(order))
+	for _, name := range order {
+		out = append(out, examiner{instance: name, incarnation: incarnations[name]})
+	}
+	return out
+}
+
+// consult passes a message to the examiner of a service, or to the one that takes its place if
+// it does not answer. atSelf is called if that is this instance. The error is errNoExaminer.
+func (s *Supervisor) consult(service string, atSelf func(), path string, in, out any) error {
+	for _, e := range s.examiners(service) {
+		if e.instance == s.settings.Instance {
+			atSelf()
+			return nil
+		}
+		err := s.postToPeer(e.instance, path, in, out)
+		if err == nil {
+			return nil
+		}
+		s.log.Info("examiner does not answer", "examiner", e.instance, "path", path, "error", err.Error())
+	}
+	return errNoExaminer
+}
+
+// postToPeer sends a message to a live peer by name.
+func (s *Supervisor) postToPeer(name, path string, in, out any) error {
+	address := s.informer.AddressOf(name)
+	if address == "" {
+		return errNoExaminer
+	}
+	return s.poster.Do(poster.Call{
+		Method: http.MethodPost, URL: "http://" + address + path, In: in, Out: out, Deadline: time.Now().Add(examinerTimeout),
+	})
+}
+
+// reportCrash tells the examiner that the target of a run has ended, and takes over what it
+// says to that.
+func (s *Supervisor) reportCrash(run conductor.Run) {
+	report := messenger.CrashReport{
+		Target: run.Target.ID, StartMilliseconds: run.Target.StartMilliseconds, Contents: []string{run.Content.String()},
+		Verdicts: s.knownVerdicts(run.Content),
+	}
+	s.crashReports.add(time.Now(), run.Service, report)
+	place := placeOf(run.Target.ID, run.Target.StartMilliseconds)
+	var answer messenger.GatewayVerdicts
+	err := s.consult(run.Service, func() { s.receiveCrash(place, []quarantiner.Fingerprint{run.Content}) }, pathCrash, report, &answer)
+	if err != nil {
+		s.log.Info("crash not reported", "request", run.Request, "target", run.Target.ID, "error", err.Error())
+		return
+	}
+	s.mergeVerdicts(answer.Verdicts)
+}
+
+// passOnCrashes passes the reports of this instance on to those that have become examiners since.
+func (s *Supervisor) passOnCrashes() {
+	for e, reports := range s.crashReports.due(time.Now(), s.examiners) {
+		for _, report := range reports {
+			if e.instance == s.settings.Instance {
+				s.quarantiner.KeepCrash(time.Now(), report.place, parseContents(report.message.Contents))
+			} else if err := s.postToPeer(e.instance, pathCrash, report.message, nil); err != nil {
+				s.log.V(1).Info("crash not passed on", "target", report.message.Target, "peer", e.instance, "error", err.Error())
+				break // the others would wait as long in vain
+			}
+			s.crashReports.markInformed(report, e)
+		}
+	}
+}
+
+// passOnInterval is the time between two looks for new examiners.
+const passOnInterval = 250 * time.Millisecond
+
+func (s *Supervisor) passOnCrashesRegularly(ctx context.Context) {
+	ticker := time.NewTicker(passOnInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.passOnCrashes()
+		}
+	}
+}
+
+// receiveCrash records a crash as the examiner, and tells all instances what follows.
+func (s *Supervisor) receiveCrash(place quarantiner.Place, requests []quarantiner.Fingerprint) {
+	s.quarantiner.ReportCrash(time.Now(), place, requests)
+	s.spreadVerdicts()
+}
+
+func (s *Supervisor) serveCrash(ctx *fasthttp.RequestCtx) {
+	var report messenger.CrashReport
+	if !s.decode(ctx, &report) {
+		return
+	}
+	requests := parseContents(report.Contents)
+	place := placeOf(report.Target, report.StartMilliseconds)
+	s.mergeVerdicts(report.Verdicts)
+	if report.IsCopy {
+		s.quarantiner.KeepCrash(time.Now(), place, requests)
+	} else {
+		s.receiveCrash(place, requests)
+	}
+	s.encode(ctx, s.encodeVerdicts(s.quarantiner.VerdictsOn(time.Now(), requests)))
+}
+
+// beginTrial asks the examiner whether the run of a suspect may begin. The error is
+// quarantiner.ErrConvicted or quarantiner.ErrWait.
+func (s *Supervisor) beginTrial(_ context.Context, run conductor.Run) error {
+	place := placeOf(run.Target.ID, run.Target.StartMilliseconds)
+	var own error
+	answer := messenger.TrialResponse{IsPermitted: true}
+	err := s.consult(run.Service, func() { own = s.quarantiner.BeginTrial(time.Now(), run.Content, place, run.Deadline) },
+		pathTrial, s.trialRequest(run), &answer)
+	s.mergeVerdicts(answer.Verdicts)
+	switch {
+	case err != nil:
+		return errors.Wrap(quarantiner.ErrWait, err.Error())
+	case own != nil:
+		return own
+	case !answer.IsPermitted:
+		_, err := s.quarantiner.Check(time.Now(), run.Content)
+		if err == nil {
+			err = quarantiner.ErrWait
+		}
+		return err
+	}
+	return nil
+}
+
+// knownVerdicts returns what this instance knows of a content, for an examiner that does not.
+func (s *Supervisor) knownVerdicts(content quarantiner.Fingerprint) []messenger.GatewayVerdict {
+	return s.encodeVerdicts(s.quarantiner.VerdictsOn(time.Now(), []quarantiner.Fingerprint{content})).Verdicts
+}
+
+func (s *Supervisor) trialRequest(run conductor.Run) messenger.TrialRequest {
+	return messenger.TrialRequest{
+		Content: run.Content.String(), Target: run.Target.ID, StartMilliseconds: run.Target.StartMilliseconds,
+		RemainingMilliseconds: toMilliseconds(time.Until(run.Deadline)), Verdicts: s.knownVerdicts(run.Content),
+	}
+}
+
+// endTrial tells the examiner that a run has ended and did not end its target.
+func (s *Supervisor) endTrial(run conductor.Run, isAnswered bool) {
+	request := s.trialRequest(run)
+	request.IsEnded, request.IsAnswered = true, isAnswered
+	place := placeOf(run.Target.ID, run.Target.StartMilliseconds)
+	var answer messenger.TrialResponse
+	err := s.consult(run.Service, func() { s.receiveTrialEnd(run.Content, place, isAnswered) }, pathTrial, request, &answer)
+	if err != nil {
+		s.log.Info("end of trial not reported", "request", run.Request, "error", err.Error())
+		return
+	}
+	s.mergeVerdicts(answer.Verdicts)
+}
+
+func (s *Supervisor) receiveTrialEnd(content quarantiner.Fingerprint, place quarantiner.Place, isAnswered bool) {
+	s.quarantiner.EndTrial(time.Now(), content, place, isAnswered)
+	s.spreadVerdicts()
+}
+
+func (s *Supervisor) serveTrial(ctx *fasthttp.RequestCtx) {
+	var request messenger.TrialRequest
+	if !s.decode(ctx, &request) {
+		return
+	}
+	content, ok := quarantiner.ParseFingerprint(request.Content)
+	if !ok {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	s.mergeVerdicts(request.Verdicts)
+	place := placeOf(request.Target, request.StartMilliseconds)
+	now := time.Now()
+	answer := messenger.TrialResponse{IsPermitted: true}
+	if request.IsEnded {
+		s.receiveTrialEnd(content, place, request.IsAnswered)
+	} else {
+		remaining := min(milliseconds(request.RemainingMilliseconds), maxTrialTime)
+		answer.IsPermitted = s.quarantiner.BeginTrial(now, content, place, now.Add(remaining)) == nil
+	}
+	answer.Verdicts = s.knownVerdicts(content)
+	s.encode(ctx, answer)
+}
+
+// maxTrialTime bounds the time for which a trial keeps others from running.
+const maxTrialTime = time.Minute
+
+// parseContents returns the fingerprints of contents, without those that are none.
+func parseContents(texts []string) []quarantiner.Fingerprint {
+	out := make([]quarantiner.Fingerprint, 0, len(texts))
+	for _, text := range texts {
+		if f, ok := quarantiner.ParseFingerprint(text); ok {
+			out = append(out, f)
+		}
+	}
+	return out
+}
--- a/internal/gateway/supervisor/servers.go
+++ b/internal/gateway/supervisor/servers.go
@@ -169,6 +169,12 @@
 		s.serveModel(ctx)
 	case pathPermit:
 		s.servePermit(ctx)
+	case pathCrash:
+		s.serveCrash(ctx)
+	case pathTrial:
+		s.serveTrial(ctx)
+	case pathVerdicts:
+		s.serveVerdicts(ctx)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,7 @@
 	"github.com/crocusring/crocusring/internal/gateway/prober"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 	"github.com/crocusring/crocusring/internal/gateway/tallier"
+	"github.com/crocusring/crocusring/internal/request/quarantiner"
 	"github.com/crocusring/crocusring/internal/state/measurer"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 	"github.com/crocusring/crocusring/internal/wire/poster"
@@ -89,30 +91,37 @@
 	incarnation int64
 	log         logr.Logger
 
-	registry    *registrar.Registrar
-	balancer    *balancer.Balancer
-	limiter     *limiter.Limiter
-	prober      *prober.Prober
-	budget      *budgeter.Budgeter
-	loadChanges *loadChanges
-	measurer    *measurer.Measurer
-	tally       *tallier.Tallier
-	conductor   *conductor.Conductor
-	foreman     *foreman.Foreman
-	informer    *informer.Informer
-	leaser      *leaser.Leaser
-	orderPermit *orderPermit
-	poster      *poster.Client
-	manifests   *follower.Follower
-	targets     *follower.Follower
-	instances   *follower.Follower
-	loadConn    *net.UDPConn
-	leaving     atomic.Bool
+	registry     *registrar.Registrar
+	balancer     *balancer.Balancer
+	limiter      *limiter.Limiter
+	prober       *prober.Prober
+	quarantiner  *quarantiner.Quarantiner
+	crashReports *crashReports
+	budget       *budgeter.Budgeter
+	loadChanges  *loadChanges
+	measurer     *measurer.Measurer
+	tally        *tallier.Tallier
+	conductor    *conductor.Conductor
+	foreman      *foreman.Foreman
+	informer     *informer.Informer
+	leaser       *leaser.Leaser
+	orderPermit  *orderPermit
+	poster       *poster.Client
+	manifests    *follower.Follower
+	targets      *follower.Follower
+	instances    *follower.Follower
+	loadConn     *net.UDPConn
+	leaving      atomic.Bool
 	// instanceCount is the number of rows in the table of instances.
 	instanceCount atomic.Int64
 	// readersAwaitedUntil is when this instance, while it starts, stops waiting for
 	// others to read the store for it.
 	readersAwaitedUntil time.Time
+	// verdictPullDue is when the verdicts of a peer may be read again, in Unix nanoseconds.
+	verdictPullDue atomic.Int64
+	// verdictCounts are the verdicts that are in the metrics already.
+	verdictCountsMu sync.Mutex
+	verdictCounts   quarantiner.Counts
 }
 
 // New returns an instance that is not running yet.
@@ -123,13 +132,15 @@
 	}
 	s.limiter = limiter.New(limiter.Member{Name: settings.Instance, DataCentre: settings.DataCentre}, minCellSize)
 	s.balancer = balancer.New(balancer.WithLoadChanged(s.loadChanges.add), balancer.WithLimits(s.limiter.BlockedFor))
+	s.quarantiner = quarantiner.New(settings.Instance, quarantiner.WithTrials())
+	s.crashReports = newCrashReports()
 	bounds := settings.Bounds
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
 	s.conductor = conductor.New(platform.Headers, s.registry, s.balancer, s.budget,
 		conductor.WithLog(log), conductor.WithLimiter(s.limiter, s.acquirePermit), conductor.WithAdapterLoader(s.ensureAdapter), conductor.WithTimeUntilServed(s.timeUntilServed),
 		conductor.WithDemandObservers(s.countDemand, s.countWaiting), conductor.WithStreamObserver(s.countStream),
 		conductor.WithRequestObserver(s.measurer.Observe), conductor.WithAnswerObserver(s.measurer.CountAnswer),
-		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithLossObserver(s.examineLoss))
+		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()))
 	s.prober = prober.New(s.conductor.Probe)
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
@@ -190,7 +201,7 @@
 	defer cancel()
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
-		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune,
+		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly,
 	} {
 		group.Go(func() error {
 			loop(running)
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -3,27 +3,32 @@
 // content, so that a resend by the caller, with another ID and to another instance,
 // counts as the same request.
 //
-// All requests that ran on a target when it crashed become suspects. A suspect has
-// one owner, the instance that saw the crash; meanwhile all other instances refuse
-// it. The owner runs one copy of the suspect at a time, and no two suspects run on
-// one target. Before the owner runs a suspect, it claims a target, announces
-// suspect and target to its peers and waits for their answers. It continues only if
-// no peer claims either of them. A second crash convicts the suspect, and a
-// convicted request is refused for convictionTTL. A suspect that gets past the
-// point of its first crash is cleared.
+// All requests that ran on a target when it crashed are reported. From some number of
+// crashes on a request is a suspect: one copy of it runs at a time, and no two suspects
+// run on one target, so that a further crash shows which of them was the cause. A
+// convicted request is refused until a deadline. A suspect that gets past the point of
+// its crash is cleared. There are two ways to agree on who runs a suspect:
 //
-// This guarantees that a request crashes at most two targets before it is convicted,
-// whatever the number of resends and instances, provided that each resend follows
-// the end of the previous send and that peers answer within the timeout of an
-// announcement. The guarantee has limits. Copies that are sent at the same time
-// before the first crash are not yet suspects and may each crash one target. If a
-// suspect shares its target with a request of another instance that crashes a target
-// for the first time, the crash is attributed to the suspect instead of that request.
-// A suspect that runs on two targets that crash for other reasons is convicted as well.
+// Owners (the default). A request is a suspect from its first crash on and convicted by
+// its second. A suspect has one owner, the instance that saw the crash; meanwhile all
+// other instances refuse it. Before the owner runs a suspect, it claims a target,
+// announces suspect and target to its peers and waits for their answers. It continues
+// only if no peer claims either of them. This guarantees that a request crashes at most
+// two targets before it is convicted, whatever the number of resends and instances,
+// provided that each resend follows the end of the previous send and that peers answer
+// within the timeout of an announcement. Copies that are sent at the same time before the
+// first crash are not yet suspects and may each crash one target.
+//
+// Trials (WithTrials), for many instances, and targets that often end for other reasons. A
+// request is a suspect from its second crash on. One instance, the examiner, decides for
+// all others: it collects the crashes, permits the runs of suspects, which are then called
+// trials, and tells all others its verdicts. See trial.go.
+//
+// If a suspect shares its target with a request that crashes a target for the first time,
+// the crash is attributed to the suspect instead of that request.
 package quarantiner
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -40,17 +45,26 @@
 )
 
 const (
-	// convictingCrashes is the number of crashes that convicts a request.
-	convictingCrashes = 2
-	// suspectTTL is how long a request remains a suspect after its latest crash.
+	// suspectTTL is how long a crash counts against a request after its latest one.
 	suspectTTL = 10 * time.Minute
 	// convictionTTL is how long a request remains convicted.
 	convictionTTL = time.Hour
 	// clearedTTL is how long the verdict that a suspect was cleared is sent to peers.
 	clearedTTL = 5 * time.Second
+	// maxRecords bounds the requests that an instance remembers.
 	maxRecords = 4096
 )
 
+// rules say when a request is a suspect and when it is convicted.
+type rules struct {
+	suspectCrashes    int
+	convictingCrashes int
+	// hasTrials reports that crashes alone convict nobody: one of them must have ended a trial.
+	hasTrials bool
+}
+
+var ownerRules = rules{suspectCrashes: 1, convictingCrashes: 2}
+
 // Place identifies one incarnation of a target. An incarnation crashes at most once,
 // so that a place also identifies a crash.
 type Place struct {
@@ -60,49 +74,10 @@
 
 func (p Place) String() string { return p.Target + "/" + p.Incarnation }
 
-// record is the state of one fingerprint.
-type record struct {
-	crashes        []string // places of the crashes that count against the request, sorted
-	clearedCrashes []string // places of the crashes it was cleared of, sorted
-	owner          string
-	// term increases when another instance replaces an owner that is not alive.
-	term int
-	// target is the target that the owner has claimed for the suspect; empty for none.
-	target   string
-	deadline time.Time
-}
-
-func (r *record) isSuspect() bool   { return len(r.crashes) > 0 }
-func (r *record) isConvicted() bool { return len(r.crashes) >= convictingCrashes }
-
-// addCrash counts the crash of a place, at most once.
-func (r *record) addCrash(place string, now time.Time) {
-	if slices.Contains(r.clearedCrashes, place) || slices.Contains(r.crashes, place) {
-		return
-	}
-	r.crashes = insertSorted(r.crashes, place)
-	ttl := suspectTTL
-	if r.isConvicted() {
-		ttl = convictionTTL
-	}
-	if deadline := now.Add(ttl); deadline.After(r.deadline) {
-		r.deadline = deadline
-	}
-}
-
-// insertSorted returns a copy of a sorted slice with s inserted, or the
-// slice itself if it contains s.
-func insertSorted(sorted []string, s string) []string {
-	i, found := slices.BinarySearch(sorted, s)
-	if found {
-		return sorted
-	}
-	return slices.Insert(slices.Clone(sorted), i, s)
-}
-
 // Quarantiner holds the suspects and convicted requests known to one instance.
 type Quarantiner struct {
 	instance string
+	rules    rules
 	// alive reports whether a peer is alive. The suspects of one that is not can be
 	// taken over.
 	alive func(instance string) bool
@@ -111,12 +86,19 @@
 	records map[Fingerprint]*record
 	// attributions holds the suspect that a crash is attributed to, by place.
 	attributions map[string]attribution
+	// crashedAt holds when a crash was first reported, by place; only with trials.
+	crashedAt map[string]time.Time
+	// changed holds the records whose verdict peers have not been told; only with trials.
+	changed map[Fingerprint]bool
+	counts  Counts
 }
 
 // attribution names the suspect that a crash is attributed to, until a deadline.
 type attribution struct {
 	fingerprint Fingerprint
 	deadline    time.Time
+	// isTrial reports that the crash ended a trial of the suspect.
+	isTrial bool
 }
 
 // Option configures a Quarantiner.
@@ -128,11 +110,17 @@
 	return func(q *Quarantiner) { q.alive = alive }
 }
 
+// WithTrials makes an examiner decide on suspects in place of their owners.
+func WithTrials() Option {
+	return func(q *Quarantiner) { q.rules = trialRules }
+}
+
 // New returns the quarantiner of an instance, without suspects.
 func New(instance string, opts ...Option) *Quarantiner {
 	q := &Quarantiner{
-		instance: instance, alive: func(string) bool { return true },
+		instance: instance, rules: ownerRules, alive: func(string) bool { return true },
 		records: map[Fingerprint]*record{}, attributions: map[string]attribution{},
+		crashedAt: map[string]time.Time{}, changed: map[Fingerprint]bool{},
 	}
 	for _, opt := range opts {
 		opt(q)
@@ -149,18 +137,50 @@
 	return r
 }
 
+// makeRecord returns the record of a fingerprint, and creates it if there is none.
+func (q *Quarantiner) makeRecord(now time.Time, f Fingerprint, owner string, term int) *record {
+	r := q.activeRecord(now, f)
+	if r == nil {
+		q.prune(now)
+		r = &record{owner: owner, term: term}
+		q.records[f] = r
+	}
+	return r
+}
+
+func (q *Quarantiner) isSuspect(r *record) bool { return len(r.crashes) >= q.rules.suspectCrashes }
+
+func (q *Quarantiner) isConvicted(now time.Time, r *record) bool {
+	if q.rules.hasTrials {
+		return now.Before(r.verdict.convictedUntil)
+	}
+	return len(r.crashes) >= q.rules.convictingCrashes
+}
+
+// countCrash counts the crash of a place against a request.
+func (q *Quarantiner) countCrash(now time.Time, r *record, place string) {
+	if !r.addCrash(place) {
+		return
+	}
+	ttl := suspectTTL
+	if q.isConvicted(now, r) {
+		ttl = convictionTTL
+	}
+	r.extend(now.Add(ttl))
+}
+
 // Check reports whether a request is a suspect. The error is ErrConvicted or
-// ErrElsewhere if it must not run here.
+// ErrElsewhere if it must not run here, or ErrWait if that is about to be decided.
 func (q *Quarantiner) Check(now time.Time, f Fingerprint) (suspect bool, err error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r := q.activeRecord(now, f)
 	switch {
-	case r == nil || !r.isSuspect():
+	case r == nil || !q.isSuspect(r):
 		return false, nil
-	case r.isConvicted():
-		return true, ErrConvicted
-	case r.owner != q.instance && q.alive(r.owner):
+	case q.isConvicted(now, r):
+		return true, q.convictedError(now, r)
+	case !q.rules.hasTrials && r.owner != q.instance && q.alive(r.owner):
 		return true, ErrElsewhere
 	}
 	return true, nil
@@ -173,7 +193,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r := q.activeRecord(now, f)
-	isSuspect := r != nil && r.isSuspect()
+	isSuspect := r != nil && q.isSuspect(r)
 	if (isSuspect || !shared) && q.hasOtherSuspect(now, target, f) {
 		return ErrWait
 	}
@@ -201,10 +221,17 @@
 	return false
 }
 
-// hasValidClaim reports whether a claim of a target counts: its record has not
-// expired and its owner is alive.
+// hasValidClaim reports whether a claim of a target counts: its record has not expired, nor
+// has the claim, and its owner is alive.
 func (q *Quarantiner) hasValidClaim(now time.Time, r *record) bool {
-	return now.Before(r.deadline) && (r.owner == q.instance || q.alive(r.owner))
+	switch {
+	case r.target == "" || !now.Before(r.deadline):
+		return false
+	case q.rules.hasTrials:
+		return now.Before(r.claimDeadline)
+	default:
+		return r.owner == q.instance || q.alive(r.owner)
+	}
 }
 
 // Confirm returns nil if a suspect that was claimed and announced may run, that is,
@@ -216,11 +243,11 @@
 	defer q.mu.Unlock()
 	r := q.activeRecord(now, f)
 	switch {
-	case r == nil || !r.isSuspect():
+	case r == nil || !q.isSuspect(r):
 		return nil
 	case r.owner != q.instance:
 		return ErrElsewhere
-	case r.isConvicted():
+	case q.isConvicted(now, r):
 		r.target = ""
 		return ErrConvicted
 	}
@@ -240,22 +267,29 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	name := place.String()
-	if _, known := q.attributions[name]; !known {
-		if suspect, found := q.suspectOn(now, place.Target); found {
-			q.attributions[name] = attribution{fingerprint: suspect, deadline: now.Add(suspectTTL)}
-		}
-	}
-	if b, known := q.attributions[name]; known && b.fingerprint != f {
+	if suspect, known := q.attribute(now, place); known && suspect != f {
 		return false
 	}
-	r := q.activeRecord(now, f)
-	if r == nil {
-		q.prune(now)
-		r = &record{owner: q.instance}
-		q.records[f] = r
+	r := q.makeRecord(now, f, q.instance, 0)
+	q.countCrash(now, r, name)
+	return q.isConvicted(now, r)
+}
+
+// attribute returns the suspect that a crash is attributed to; false if none ran there.
+func (q *Quarantiner) attribute(now time.Time, place Place) (suspect Fingerprint, known bool) {
+	name := place.String()
+	if a, known := q.attributions[name]; known {
+		return a.fingerprint, true
+	}
+	claimed := place.Target
+	if q.rules.hasTrials {
+		claimed = name
+	}
+	suspect, found := q.suspectOn(now, claimed)
+	if found {
+		q.attributions[name] = attribution{fingerprint: suspect, deadline: now.Add(suspectTTL), isTrial: q.rules.hasTrials}
 	}
-	r.addCrash(name, now)
-	return r.isConvicted()
+	return suspect, found
 }
 
 // suspectOn returns the suspect that runs on a target. If several suspects have
@@ -263,7 +297,7 @@
 func (q *Quarantiner) suspectOn(now time.Time, target string) (suspect Fingerprint, found bool) {
 	owner := ""
 	for f, r := range q.records {
-		if r.target != target || !r.isSuspect() || !q.hasValidClaim(now, r) {
+		if r.target != target || !q.isSuspect(r) || !q.hasValidClaim(now, r) {
 			continue
 		}
 		if !found || r.owner < owner {
@@ -287,10 +321,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r := q.activeRecord(now, f)
-	if r == nil || r.isConvicted() || r.owner != q.instance {
+	if r == nil || q.isConvicted(now, r) || r.owner != q.instance {
 		return
 	}
-	if !r.isSuspect() {
+	if !q.isSuspect(r) {
 		return
 	}
 	r.clearCrashes(r.crashes)
@@ -298,27 +332,52 @@
 	r.deadline = now.Add(clearedTTL)
 }
 
-// clearCrashes removes the crashes of places from the record. Later reports of
-// them no longer count.
-func (r *record) clearCrashes(places []string) {
-	for _, place := range places {
-		r.clearedCrashes = insertSorted(r.clearedCrashes, place)
-	}
-	r.crashes = slices.DeleteFunc(slices.Clone(r.crashes), func(place string) bool {
-		return slices.Contains(r.clearedCrashes, place)
-	})
-}
-
-// prune deletes what has expired, and cleared records if there are too many records.
+// prune deletes what has expired, and what matters least if there are too many records.
 func (q *Quarantiner) prune(now time.Time) {
 	for f, r := range q.records {
-		if !now.Before(r.deadline) || len(q.records) >= maxRecords && !r.isSuspect() {
-			delete(q.records, f)
+		if !now.Before(r.deadline) || len(q.records) >= maxRecords && len(r.crashes) == 0 {
+			q.remove(f)
 		}
 	}
+	for len(q.records) >= maxRecords {
+		q.remove(q.leastImportant(now))
+	}
 	for place, b := range q.attributions {
 		if !now.Before(b.deadline) {
 			delete(q.attributions, place)
 		}
 	}
+	for place, at := range q.crashedAt {
+		if !now.Before(at.Add(suspectTTL)) {
+			delete(q.crashedAt, place)
+		}
+	}
+}
+
+func (q *Quarantiner) remove(f Fingerprint) {
+	delete(q.records, f)
+	delete(q.changed, f)
+}
+
+// leastImportant returns the record to drop for another one: one that is not convicted before
+// a convicted one, of few crashes before one of many, and of these the one that ends first.
+func (q *Quarantiner) leastImportant(now time.Time) Fingerprint {
+	var least Fingerprint
+	var found *record
+	for f, r := range q.records {
+		if found == nil || q.isLessImportant(now, r, found) {
+			least, found = f, r
+		}
+	}
+	return least
+}
+
+func (q *Quarantiner) isLessImportant(now time.Time, a, b *record) bool {
+	if isConvicted := q.isConvicted(now, a); isConvicted != q.isConvicted(now, b) {
+		return !isConvicted
+	}
+	if len(a.crashes) != len(b.crashes) {
+		return len(a.crashes) < len(b.crashes)
+	}
+	return a.deadline.Before(b.deadline)
 }
--- /dev/null
+++ b/internal/request/quarantiner/record.go
@@ -0,0 +1,61 @@
+package quarantiner
+
+import (
+	"slices"
+	"time"
+)
+
+// record is the state of one fingerprint.
+type record struct {
+	crashes        []string // places of the crashes that count against the request, sorted
+	clearedCrashes []string // places of the crashes it was cleared of, sorted
+	owner          string
+	// term increases when another instance replaces an owner that is not alive.
+	term int
+	// target is the target that was claimed for the suspect; empty for none.
+	target string
+	// claimDeadline is when the claim ends by itself; zero if it ends with its owner.
+	claimDeadline time.Time
+	deadline      time.Time
+	// verdict is what peers are told of the record; only with trials.
+	verdict sharedVerdict
+	// trialEndedAt is when a crash ended the last trial that this instance has permitted.
+	trialEndedAt time.Time
+}
+
+// addCrash counts the crash of a place, at most once, and reports whether it is new.
+func (r *record) addCrash(place string) bool {
+	if slices.Contains(r.clearedCrashes, place) || slices.Contains(r.crashes, place) {
+		return false
+	}
+	r.crashes = insertSorted(r.crashes, place)
+	return true
+}
+
+// extend moves the deadline of the record to a later one.
+func (r *record) extend(deadline time.Time) {
+	if deadline.After(r.deadline) {
+		r.deadline = deadline
+	}
+}
+
+// clearCrashes removes the crashes of places from the record. Later reports of
+// them no longer count.
+func (r *record) clearCrashes(places []string) {
+	for _, place := range places {
+		r.clearedCrashes = insertSorted(r.clearedCrashes, place)
+	}
+	r.crashes = slices.DeleteFunc(slices.Clone(r.crashes), func(place string) bool {
+		return slices.Contains(r.clearedCrashes, place)
+	})
+}
+
+// insertSorted returns a copy of a sorted slice with s inserted, or the
+// slice itself if it contains s.
+func insertSorted(sorted []string, s string) []string {
+	i, found := slices.BinarySearch(sorted, s)
+	if found {
+		return sorted
+	}
+	return slices.Insert(slices.Clone(sorted), i, s)
+}
--- /dev/null
+++ b/internal/request/quarantiner/trial_history_test.go
@@ -0,0 +1,633 @@
+package quarantiner_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusring/crocusring/internal/request/quarantiner"
+)
+
+// event is something that happens at a virtual time.
+type event struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].order < q[j].order
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// simRun is a run of a content at a target.
+type simRun struct {
+	content  *simContent
+	instance *simInstance
+	target   *simTarget
+	place    quarantiner.Place
+	isTrial  bool
+	ended    func(isLost bool)
+}
+
+// simTarget is a target that serves runs until it ends.
+type simTarget struct {
+	name        string
+	incarnation int
+	isUp        bool
+	runs        []*simRun
+}
+
+// simContent is the content of requests that a caller sends again and again.
+type simContent struct {
+	fingerprint quarantiner.Fingerprint
+	endsTargets bool
+	targetsLost int
+	trialsLost  int
+	// clearEnds counts the targets that nothing else can have ended, secondEndAt is when the second
+	// of them did, and lateRuns the number of its runs that began without a permit although all
+	// instances had to know that.
+	clearEnds      int
+	secondEndAt    time.Time
+	lateRuns       int
+	sends          int
+	answered       int
+	refusedForGood int
+	// endedTrials counts its trials that something else ended, and endedAlone those at whose time no
+	// other target ended.
+	endedTrials, endedAlone int
+}
+
+// simInstance is an instance with its real quarantiner.
+type simInstance struct {
+	number int
+	isUp   bool
+	q      *quarantiner.Quarantiner
+	// starts counts its incarnations.
+	starts int
+	// knowsPeers is set once it has read the verdicts of a peer, or if it was there from the start.
+	knowsPeers bool
+	// reports holds what it has to tell examiners.
+	reports []*simReport
+}
+
+type simReport struct {
+	at       time.Time
+	place    quarantiner.Place
+	content  quarantiner.Fingerprint
+	informed map[[2]int]bool // by instance and incarnation
+}
+
+// simEnd is the end of a target under some contents.
+type simEnd struct {
+	at       time.Time
+	contents []*simContent
+}
+
+// simulation plays callers, instances and targets in virtual time. The decisions are those of
+// the real quarantiner; messages take time and can be lost.
+type simulation struct {
+	t         *testing.T
+	random    *rand.Rand
+	now       time.Time
+	until     time.Time
+	queue     eventQueue
+	order     int
+	instances []*simInstance
+	targets   []*simTarget
+	contents  []*simContent
+	// lossShare is the share of verdicts that are lost on their way to a peer.
+	lossShare float64
+	// ends holds the ends of targets on which something ran, except by a trial of what ends targets.
+	ends []simEnd
+	// spreadTime is how long all instances may take to know of a suspect.
+	spreadTime time.Duration
+	// takeovers counts how often the examiner ended, and takenOverAt is when it last did or came back.
+	takeovers   int
+	takenOverAt time.Time
+}
+
+const (
+	simDoubt     = 500 * time.Millisecond
+	simHop       = 2 * time.Millisecond
+	simWait      = 50 * time.Millisecond
+	simMaxWaits  = 10
+	simAttempts  = 2
+	simHeartbeat = 250 * time.Millisecond
+	// simStart is how long an instance that starts has heard from no peer.
+	simStart = 100 * time.Millisecond
+	// simFresh is how long a report is one that something follows from.
+	simFresh = 2 * time.Second
+)
+
+func newSimulation(t *testing.T, seed uint64, instances, targets int) *simulation {
+	s := &simulation{t: t, random: rand.New(rand.NewPCG(seed, 7)), now: start, until: start.Add(20 * time.Second), spreadTime: 6 * simHop}
+	for n := range instances {
+		i := &simInstance{number: n}
+		s.startInstance(i)
+		i.knowsPeers = true
+		s.instances = append(s.instances, i)
+	}
+	for n := range targets {
+		s.targets = append(s.targets, &simTarget{name: fmt.Sprintf("t%d", n), isUp: true})
+	}
+	s.every(simHeartbeat, s.exchange)
+	return s
+}
+
+func (s *simulation) startInstance(i *simInstance) {
+	i.isUp = true
+	i.starts++
+	i.q = quarantiner.New(fmt.Sprintf("i%d", i.number), quarantiner.WithTrials())
+	i.reports, i.knowsPeers = nil, false
+	starts := i.starts
+	s.after(simStart, func() {
+		peers := slices.DeleteFunc(slices.Clone(s.instances), func(p *simInstance) bool { return p == i || !p.isUp })
+		if i.starts == starts && len(peers) > 0 {
+			i.q.MergeShared(s.now, peers[s.random.IntN(len(peers))].q.Shared(s.now))
+			i.knowsPeers = true
+		}
+	})
+}
+
+func (s *simulation) after(d time.Duration, do func()) {
+	s.order++
+	heap.Push(&s.queue, event{s.now.Add(d), s.order, do})
+}
+
+func (s *simulation) every(d time.Duration, do func()) {
+	s.after(d, func() {
+		do()
+		s.every(d, do)
+	})
+}
+
+func (s *simulation) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(s.random.Float64()*float64(high-low))
+}
+
+func (s *simulation) play() {
+	for len(s.queue) > 0 && s.now.Before(s.until) {
+		next := heap.Pop(&s.queue).(event)
+		s.now = next.at
+		next.do()
+	}
+}
+
+// examiners returns the live instances that examine, the examiner first.
+func (s *simulation) examiners() []*simInstance {
+	out := []*simInstance{}
+	for _, i := range s.instances {
+		if i.isUp && len(out) < 2 {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// spread tells all instances the verdicts that an examiner has reached.
+func (s *simulation) spread(from *simInstance) {
+	changes := from.q.Changes(s.now)
+	if len(changes) == 0 {
+		return
+	}
+	for _, to := range s.instances {
+		if to == from || s.random.Float64() < s.lossShare {
+			continue
+		}
+		s.after(s.between(simHop, 2*simHop), func() {
+			if to.isUp {
+				to.q.MergeShared(s.now, changes)
+			}
+		})
+	}
+}
+
+// exchange makes each instance compare its verdicts with those of its peers, and pass its reports
+// on to new examiners.
+func (s *simulation) exchange() {
+	for _, i := range s.instances {
+		if !i.isUp {
+			continue
+		}
+		for _, peer := range s.instances {
+			if peer.isUp && i.q.Digest(s.now) != peer.q.Digest(s.now) {
+				i.q.MergeShared(s.now, peer.q.Shared(s.now))
+			}
+		}
+		for _, r := range i.reports {
+			s.tell(i, r)
+		}
+	}
+}
+
+// tell passes a report on to the examiners that have not received it.
+func (s *simulation) tell(from *simInstance, r *simReport) {
+	for n, e := range s.examiners() {
+		key := [2]int{e.number, e.starts}
+		if r.informed[key] {
+			continue
+		}
+		r.informed[key] = true
+		contents := []quarantiner.Fingerprint{r.content}
+		if n > 0 || s.now.Sub(r.at) > simFresh {
+			e.q.KeepCrash(s.now, r.place, contents)
+			continue
+		}
+		e.q.MergeShared(s.now, from.q.VerdictsOn(s.now, contents))
+		e.q.ReportCrash(s.now, r.place, contents)
+		from.q.MergeShared(s.now, e.q.VerdictsOn(s.now, contents))
+		s.spread(e)
+	}
+}
+
+// send sends a content once; done is called with the result of the send.
+func (s *simulation) send(c *simContent, done func(isAnswered bool)) {
+	live := slices.DeleteFunc(slices.Clone(s.instances), func(i *simInstance) bool { return !i.isUp })
+	if len(live) == 0 {
+		s.after(simWait, func() { done(false) })
+		return
+	}
+	c.sends++
+	s.attempt(c, live[s.random.IntN(len(live))], 0, 0, done)
+}
+
+func (s *simulation) attempt(c *simContent, i *simInstance, attempts, waits int, done func(isAnswered bool)) {
+	up := slices.DeleteFunc(slices.Clone(s.targets), func(t *simTarget) bool { return !t.isUp })
+	if !i.isUp || attempts >= simAttempts || waits > simMaxWaits || len(up) == 0 {
+		s.after(simHop, func() { done(false) })
+		return
+	}
+	target := up[s.random.IntN(len(up))]
+	place := quarantiner.Place{Target: target.name, Incarnation: strconv.Itoa(target.incarnation)}
+	isSuspect, err := i.q.Check(s.now, c.fingerprint)
+	if errors.Is(err, quarantiner.ErrWait) {
+		s.after(simWait, func() { s.attempt(c, i, attempts, waits+1, done) })
+		return
+	}
+	if err != nil {
+		c.refusedForGood++
+		s.after(simHop, func() { done(false) })
+		return
+	}
+	run := &simRun{content: c, instance: i, target: target, place: place}
+	run.ended = func(isLost bool) { s.onRunEnd(run, isLost, attempts, done) }
+	if !isSuspect {
+		s.begin(run)
+		return
+	}
+	examiner := s.examiners()[0]
+	starts := examiner.starts
+	known := i.q.VerdictsOn(s.now, []quarantiner.Fingerprint{c.fingerprint})
+	s.after(simHop, func() { // the question reaches the examiner
+		if examiner.isUp {
+			examiner.q.MergeShared(s.now, known)
+		}
+		isTrial, _ := examiner.q.Check(s.now, c.fingerprint)
+		isPermitted := examiner.isUp && examiner.starts == starts &&
+			examiner.q.BeginTrial(s.now, c.fingerprint, place, s.now.Add(2*time.Second)) == nil
+		var verdicts []quarantiner.Verdict
+		if examiner.isUp {
+			verdicts = examiner.q.VerdictsOn(s.now, []quarantiner.Fingerprint{c.fingerprint})
+		}
+		s.after(simHop, func() { // the answer
+			i.q.MergeShared(s.now, verdicts)
+			if !isPermitted {
+				s.after(simWait, func() { s.attempt(c, i, attempts, waits+1, done) })
+				return
+			}
+			run.isTrial = isTrial
+			s.begin(run)
+		})
+	})
+}
+
+// begin begins a run, which ends by itself unless its target ends before.
+func (s *simulation) begin(run *simRun) {
+	if !run.target.isUp || strconv.Itoa(run.target.incarnation) != run.place.Incarnation {
+		s.after(simHop, func() { run.ended(false) }) // refused connection: not run
+		return
+	}
+	run.target.runs = append(run.target.runs, run)
+	c := run.content
+	if !run.isTrial && run.instance.knowsPeers && s.mustBeKnown(c) {
+		c.lateRuns++
+	}
+	s.after(s.between(20*time.Millisecond, 100*time.Millisecond), func() {
+		at := slices.Index(run.target.runs, run)
+		switch {
+		case at < 0:
+		case c.endsTargets:
+			s.endByRun(run)
+		default:
+			run.target.runs = slices.Delete(run.target.runs, at, at+1)
+			c.answered++
+			run.ended(false)
+		}
+	})
+}
+
+// mustBeKnown reports whether all instances must know that a content is a suspect.
+func (s *simulation) mustBeKnown(c *simContent) bool {
+	isSettled := s.takeovers == 0 || s.now.Sub(s.takenOverAt) > 2*simHeartbeat
+	return !c.secondEndAt.IsZero() && s.now.Sub(c.secondEndAt) > s.spreadTime && isSettled
+}
+
+// endByRun ends the target of a run by its content.
+func (s *simulation) endByRun(run *simRun) {
+	c := run.content
+	c.targetsLost++
+	if run.isTrial {
+		c.trialsLost++
+	} else {
+		s.noteEnd(run.target)
+	}
+	if !run.isBesideOther() {
+		c.clearEnds++
+	}
+	if c.clearEnds == 2 && c.secondEndAt.IsZero() {
+		c.secondEndAt = s.now
+	}
+	s.endTarget(run.target, c)
+}
+
+// isBesideOther reports whether another run on the target of a run is a trial, or may have ended
+// the target as well: the end is then held against that one.
+func (r *simRun) isBesideOther() bool {
+	return slices.ContainsFunc(r.target.runs, func(other *simRun) bool {
+		return other.content != r.content && (other.isTrial || other.content.endsTargets)
+	})
+}
+
+// endTarget ends a target with all runs there; another incarnation starts later. cause is nil
+// if no run has ended it.
+func (s *simulation) endTarget(target *simTarget, cause *simContent) {
+	lost := target.runs
+	target.runs, target.isUp = nil, false
+	for _, run := range lost {
+		if run.isTrial && run.content != cause {
+			s.noteEndedTrial(run.content)
+		}
+		s.after(s.between(simHop/2, simHop), func() { run.ended(true) })
+	}
+	s.after(s.between(300*time.Millisecond, 2*time.Second), func() {
+		target.incarnation++
+		target.isUp = true
+	})
+}
+
+// kill ends targets from outside, all at nearly the same time.
+func (s *simulation) kill(targets []*simTarget) {
+	for _, target := range targets {
+		s.after(s.between(0, 50*time.Millisecond), func() {
+			if !target.isUp {
+				return
+			}
+			s.noteEnd(target)
+			s.endTarget(target, nil)
+		})
+	}
+}
+
+// noteEnd records the end of a target.
+func (s *simulation) noteEnd(target *simTarget) {
+	end := simEnd{at: s.now}
+	for _, run := range target.runs {
+		end.contents = append(end.contents, run.content)
+	}
+	if len(end.contents) > 0 {
+		s.ends = append(s.ends, end)
+	}
+}
+
+// noteEndedTrial records that something else ends a trial, and whether it ends nothing else.
+func (s *simulation) noteEndedTrial(c *simContent) {
+	c.endedTrials++
+	at := s.now
+	s.after(simDoubt, func() {
+		near := 0
+		for _, end := range s.ends {
+			if end.at.Sub(at).Abs() < simDoubt-10*simHop && !slices.Contains(end.contents, c) {
+				near++
+			}
+		}
+		if near == 0 {
+			c.endedAlone++
+		}
+	})
+}
+
+// onRunEnd is what an instance does at the end of a run.
+func (s *simulation) onRunEnd(run *simRun, isLost bool, attempts int, done func(isAnswered bool)) {
+	c, i := run.content, run.instance
+	if !i.isUp {
+		done(false)
+		return
+	}
+	isAnswered := !isLost && c.answered > 0 && !c.endsTargets
+	if isLost {
+		report := &simReport{at: s.now, place: run.place, content: c.fingerprint, informed: map[[2]int]bool{}}
+		i.reports = append(i.reports, report)
+		s.after(simHop, func() {
+			if i.isUp {
+				s.tell(i, report)
+			}
+		})
+		s.after(4*simHop, func() { s.attempt(c, i, attempts+1, 0, done) })
+		return
+	}
+	examiner := s.examiners()[0]
+	if run.isTrial || attempts > 0 {
+		s.after(simHop, func() {
+			if examiner.isUp {
+				examiner.q.EndTrial(s.now, c.fingerprint, run.place, isAnswered)
+				s.spread(examiner)
+			}
+		})
+	}
+	done(isAnswered)
+}
+
+// addContent adds a content that a caller sends until it is answered, a few times for one that
+// ends no targets, or again and again.
+func (s *simulation) addContent(endsTargets bool, copies int) *simContent {
+	c := &simContent{fingerprint: fingerprint(100 + len(s.contents)), endsTargets: endsTargets}
+	s.contents = append(s.contents, c)
+	var sendAgain func(left int)
+	sendAgain = func(left int) {
+		s.send(c, func(isAnswered bool) {
+			if left > 0 && !isAnswered {
+				s.after(s.between(20*time.Millisecond, 800*time.Millisecond), func() { sendAgain(left - 1) })
+			}
+		})
+	}
+	left := 6
+	if endsTargets {
+		left = 1000
+	}
+	for range copies {
+		sendAgain(left)
+	}
+	return c
+}
+
+// addTraffic makes callers send contents that end no targets.
+func (s *simulation) addTraffic() {
+	s.every(8*time.Millisecond, func() { s.addContent(false, 1) })
+}
+
+func (s *simulation) randomTargets(n int) []*simTarget {
+	out := []*simTarget{}
+	for _, at := range s.random.Perm(len(s.targets))[:n] {
+		out = append(out, s.targets[at])
+	}
+	return out
+}
+
+// addKills kills one target now and then, and several at once.
+func (s *simulation) addKills(meanGap time.Duration) {
+	var next func()
+	next = func() {
+		n := 1
+		if s.random.IntN(2) == 0 {
+			n = 2 + s.random.IntN(len(s.targets)/3)
+		}
+		s.kill(s.randomTargets(n))
+		s.after(s.between(meanGap/4, 2*meanGap), next)
+	}
+	s.after(meanGap, next)
+}
+
+// addRestarts ends the examiner now and then; it starts without a memory.
+func (s *simulation) addRestarts(meanGap time.Duration) {
+	s.every(meanGap, func() {
+		i := s.instances[0]
+		i.isUp = false
+		s.takeovers++
+		s.takenOverAt = s.now
+		s.after(s.between(100*time.Millisecond, time.Second), func() {
+			s.startInstance(i)
+			s.takenOverAt = s.now
+		})
+	})
+}
+
+// assertStopped checks that what ends targets runs only by permit once all instances must know
+// that it has ended two, and that few of these trials are permitted. A target that it ends while
+// another such request is about to run there on trial is held against that one.
+func (s *simulation) assertStopped(maxTrials int) {
+	trials := 0
+	for _, c := range s.contents {
+		trials += c.trialsLost
+	}
+	for _, c := range s.contents {
+		if c.endsTargets {
+			require.Positive(s.t, c.targetsLost)
+			assert.LessOrEqual(s.t, c.lateRuns, trials-c.trialsLost, "runs without a permit")
+			assert.LessOrEqual(s.t, c.trialsLost, maxTrials, "trials")
+		}
+	}
+}
+
+// assertInnocentServed checks that no other content is refused for good, unless something else
+// ended its trial and no other target at that time, or three of its trials.
+func (s *simulation) assertInnocentServed() {
+	for _, c := range s.contents {
+		if !c.endsTargets && c.endedAlone == 0 && c.endedTrials < 3 {
+			assert.Zero(s.t, c.refusedForGood, "requests refused that end no targets")
+		}
+	}
+}
+
+func (s *simulation) refusedInnocent() (refused, sends int) {
+	for _, c := range s.contents {
+		if !c.endsTargets {
+			refused += c.refusedForGood
+			sends += c.sends
+		}
+	}
+	return refused, sends
+}
+
+const historySeeds = 40
+
+// eachHistory plays a history for each seed.
+func eachHistory(t *testing.T, play func(s *simulation)) {
+	for seed := range uint64(historySeeds) {
+		s := newSimulation(t, seed, 4, 12)
+		s.addTraffic()
+		play(s)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+// TestOnlyRequestsThatEndTargetsAreStopped checks both sides of the error in random histories:
+// what ends targets is stopped within its bound, what does not is served.
+func TestOnlyRequestsThatEndTargetsAreStopped(t *testing.T) {
+	t.Run("sent again by one caller", func(t *testing.T) {
+		eachHistory(t, func(s *simulation) {
+			s.addContent(true, 1)
+			s.play()
+			s.assertStopped(1)
+			s.assertInnocentServed()
+		})
+	})
+	t.Run("in copies at the same moment, and several of them", func(t *testing.T) {
+		eachHistory(t, func(s *simulation) {
+			for range 3 {
+				s.addContent(true, 1+s.random.IntN(5))
+			}
+			s.play()
+			s.assertStopped(5) // one more for each of the two others
+			s.assertInnocentServed()
+		})
+	})
+	t.Run("while targets are killed, one or several at once", func(t *testing.T) {
+		refused, sends := 0, 0
+		eachHistory(t, func(s *simulation) {
+			s.addKills(700 * time.Millisecond)
+			s.addContent(true, 1+s.random.IntN(3))
+			s.play()
+			s.assertStopped(3)
+			s.assertInnocentServed()
+			r, n := s.refusedInnocent()
+			refused, sends = refused+r, sends+n
+		})
+		t.Logf("%d of %d sends refused that end no targets", refused, sends)
+		assert.LessOrEqual(t, refused, sends/500, "the users' bound on proper requests that are denied")
+	})
+	t.Run("while verdicts are lost and the examiner starts anew", func(t *testing.T) {
+		eachHistory(t, func(s *simulation) {
+			s.lossShare = 0.3
+			s.spreadTime = simHeartbeat + 6*simHop
+			s.addRestarts(1500 * time.Millisecond)
+			s.addContent(true, 1)
+			s.play()
+			require.Positive(t, s.takeovers)
+			s.assertStopped(3)
+			s.assertInnocentServed()
+		})
+	})
+}
--- a/internal/request/quarantiner/verdict.go
+++ b/internal/request/quarantiner/verdict.go
@@ -27,25 +27,25 @@
 	for f, r := range q.records {
 		switch {
 		case !now.Before(r.deadline):
-		case r.isConvicted():
-			convicted = append(convicted, verdictOf(f, r))
+		case q.isConvicted(now, r):
+			convicted = append(convicted, q.verdictOf(now, f, r))
 		case r.owner == q.instance:
-			verdicts = append(verdicts, verdictOf(f, r))
+			verdicts = append(verdicts, q.verdictOf(now, f, r))
 		}
 	}
 	slices.SortFunc(convicted, func(a, b messenger.Verdict) int { return b.Deadline.Compare(a.Deadline) })
 	return append(verdicts, convicted[:min(maxConvicted, len(convicted))]...)
 }
 
-func verdictOf(f Fingerprint, r *record) messenger.Verdict {
+func (q *Quarantiner) verdictOf(now time.Time, f Fingerprint, r *record) messenger.Verdict {
 	v := messenger.Verdict{
 		Fingerprint: f.String(), Deadline: r.deadline,
 		Crashes: len(r.crashes), Places: slices.Clone(r.crashes), Owner: r.owner, Term: r.term, Target: r.target,
 	}
 	switch {
-	case r.isConvicted():
+	case q.isConvicted(now, r):
 		v.State = stateConvicted
-	case r.isSuspect():
+	case q.isSuspect(r):
 		v.State = stateSuspect
 	default:
 		v.State = stateCleared
@@ -69,12 +69,7 @@
 }
 
 func (q *Quarantiner) merge(f Fingerprint, v messenger.Verdict, now time.Time) {
-	r := q.activeRecord(now, f)
-	if r == nil {
-		q.prune(now)
-		r = &record{owner: v.Owner, term: v.Term}
-		q.records[f] = r
-	}
+	r := q.makeRecord(now, f, v.Owner, v.Term)
 	isOlder := v.Term < r.term || v.Term == r.term && v.Owner > r.owner
 	if !isOlder && (r.owner != v.Owner || v.Owner != q.instance) {
 		r.owner = v.Owner
@@ -83,18 +78,18 @@
 	}
 	if v.State == stateCleared {
 		r.clearCrashes(v.Places)
-		if !r.isSuspect() {
+		if !q.isSuspect(r) {
 			r.deadline = v.Deadline
 		}
 	} else {
-		wasSuspect := r.isSuspect()
+		wasSuspect := q.isSuspect(r)
 		for _, place := range v.Places {
 			if wasSuspect && !slices.Contains(r.crashes, place) {
 				// A suspect runs with no other suspect on its target, so the crash is
 				// attributed to it alone.
 				q.attributions[place] = attribution{fingerprint: f, deadline: now.Add(suspectTTL)}
 			}
-			r.addCrash(place, now)
+			q.countCrash(now, r, place)
 		}
 	}
 	// The deadline is bounded, so that a peer whose clock is ahead cannot extend it
--- a/internal/state/measurer/event.go
+++ b/internal/state/measurer/event.go
@@ -12,9 +12,19 @@
 	CutTargetEnded   Event = "Cut.TargetEnded"
 	CutTargetPresent Event = "Cut.TargetPresent"
 	CutTargetUnknown Event = "Cut.TargetUnknown"
+	// QuarantineSuspects and QuarantineConvictions count the verdicts that this instance has
+	// reached on requests under which targets ended, QuarantineTakenBack the convictions that
+	// were refuted, and QuarantineRefused the requests that it has refused for one.
+	QuarantineSuspects    Event = "Quarantine.Suspects"
+	QuarantineConvictions Event = "Quarantine.Convictions"
+	QuarantineTakenBack   Event = "Quarantine.TakenBack"
+	QuarantineRefused     Event = "Quarantine.Refused"
 )
 
-var events = []Event{CutTargetEnded, CutTargetPresent, CutTargetUnknown}
+var events = []Event{
+	CutTargetEnded, CutTargetPresent, CutTargetUnknown,
+	QuarantineSuspects, QuarantineConvictions, QuarantineTakenBack, QuarantineRefused,
+}
 
 // registerEvents registers the counters of all events, so that they are shown before the first.
 func (m *Measurer) registerEvents() {
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -94,6 +94,28 @@
 	Version int64 `json:"Version"`
 }
 
+// CrashReport tells the examiner of a service that a target ended while requests
+// of the sender ran on it. The answer is a GatewayVerdicts on these requests.
+type CrashReport struct {
+	// Contents holds the fingerprints of the contents of the requests.
+	Contents []string `json:"Contents"`
+
+	// IsCopy reports that another instance is the examiner, and that the receiver may
+	// have to take its place.
+	IsCopy bool `json:"IsCopy"`
+
+	// StartMilliseconds identifies the incarnation: the start time of its process, in
+	// milliseconds of Unix time.
+	StartMilliseconds int64 `json:"StartMilliseconds"`
+
+	// Target corresponds to the JSON schema field "Target".
+	Target string `json:"Target"`
+
+	// Verdicts holds what the sender knows of these requests, for an examiner that
+	// has just started.
+	Verdicts []GatewayVerdict `json:"Verdicts"`
+}
+
 // Demand is the recent demand for one model at one instance. Rate is in requests
 // per second.
 type Demand struct {
@@ -394,6 +416,10 @@
 	// TargetsVersion is the version up to which the instance has read the target
 	// table.
 	TargetsVersion int64 `json:"TargetsVersion"`
+
+	// VerdictDigest identifies the verdicts on requests that the instance knows; 0
+	// for none.
+	VerdictDigest int64 `json:"VerdictDigest"`
 }
 
 // GatewayOverlay is a change of the models or adapters that a target holds which
@@ -457,6 +483,47 @@
 	StoreAddress string `json:"StoreAddress"`
 }
 
+// GatewayVerdict is the verdict on a request, identified by its content, under
+// which targets have ended. Times are relative, since the clocks of instances
+// cannot be compared.
+type GatewayVerdict struct {
+	// AgeMilliseconds is the time since the verdict.
+	AgeMilliseconds float64 `json:"AgeMilliseconds"`
+
+	// Content is the fingerprint of the content, in hexadecimal.
+	Content string `json:"Content"`
+
+	// ConvictedMilliseconds is the time for which the request is refused; 0 or less
+	// if it is not.
+	ConvictedMilliseconds float64 `json:"ConvictedMilliseconds"`
+
+	// Crashes holds the incarnations of targets that ended under the request; none if
+	// it was cleared.
+	Crashes []string `json:"Crashes"`
+
+	// RemainingMilliseconds is the time until the verdict is forgotten.
+	RemainingMilliseconds float64 `json:"RemainingMilliseconds"`
+
+	// Revision is higher in a later verdict.
+	Revision int64 `json:"Revision"`
+
+	// TrialCrashes holds those that ended while no other suspect ran there.
+	TrialCrashes []string `json:"TrialCrashes"`
+}
+
+// GatewayVerdicts tells verdicts to other instances.
+type GatewayVerdicts struct {
+	// DataCentre is the data centre of the examiner that has reached them.
+	DataCentre string `json:"DataCentre"`
+
+	// IsPassedOn reports that an instance in the data centre of the receivers has
+	// forwarded the message.
+	IsPassedOn bool `json:"IsPassedOn"`
+
+	// Verdicts holds the verdicts.
+	Verdicts []GatewayVerdict `json:"Verdicts"`
+}
+
 // Heartbeat is the state that an instance sends to a peer at each exchange.
 // Demands are sent only to the holder of the control lease.
 type Heartbeat struct {
@@ -1068,6 +1135,41 @@
 	Failed []Row `json:"Failed"`
 }
 
+// TrialRequest asks the examiner of a service to permit the run of a suspect, or
+// tells it that such a run is over or that a request was answered whole.
+type TrialRequest struct {
+	// Content corresponds to the JSON schema field "Content".
+	Content string `json:"Content"`
+
+	// IsAnswered reports that the answer was complete and a success.
+	IsAnswered bool `json:"IsAnswered"`
+
+	// IsEnded reports that the run is over and did not end its target.
+	IsEnded bool `json:"IsEnded"`
+
+	// RemainingMilliseconds is the time until the deadline of the request.
+	RemainingMilliseconds float64 `json:"RemainingMilliseconds"`
+
+	// StartMilliseconds identifies the incarnation of the target.
+	StartMilliseconds int64 `json:"StartMilliseconds"`
+
+	// Target corresponds to the JSON schema field "Target".
+	Target string `json:"Target"`
+
+	// Verdicts holds what the sender knows of the request, for an examiner that has
+	// just started.
+	Verdicts []GatewayVerdict `json:"Verdicts"`
+}
+
+// TrialResponse is the answer to a TrialRequest.
+type TrialResponse struct {
+	// IsPermitted is false if the request has to wait or is convicted.
+	IsPermitted bool `json:"IsPermitted"`
+
+	// Verdicts holds the verdict on the request, if there is one.
+	Verdicts []GatewayVerdict `json:"Verdicts"`
+}
+
 // Verdict is the state of a request fingerprint that was on a target when the
 // target crashed. State is Suspect, Convicted or Cleared. Places are the crashed
 // incarnations; for Cleared, those whose crash the request did not cause. Owner is
