Let a broken-off stream go on only with its own continuation

Met by another operator: a stream had begun and broke off, and callers found the answer of the next target in the middle of it, or its end as that of the stream. Six of 21 kinds of answers did that here: a success of another content type, the stream from its start, the last event again, an event without an ID, and an empty success with a length or chunks, which ended the stream as complete. Errors, refusals, redirections and answers of no or another request did not.

An answer goes on with a stream now only if it has its content type and its first event follows the last one that the caller has; one without events shows no end. Everything else is a lost answer: another target may go on, or the stream is cut and looks so.

--- a/internal/gateway/conductor/reply.go
+++ b/internal/gateway/conductor/reply.go
@@ -22,6 +22,8 @@
 	// pendingHeader holds the headers of a stream until they are sent with its first
 	// event.
 	pendingHeader http.Header
+	// mediaType is the content type of the stream that has begun, without parameters.
+	mediaType string
 	// lastEvent is the ID of the last event that was sent to the caller.
 	lastEvent string
 	// fallback is a target's error answer. It is delivered if a retry gets no better
--- a/internal/gateway/conductor/stream.go
+++ b/internal/gateway/conductor/stream.go
@@ -28,6 +28,10 @@
 func (c *Conductor) relayStream(ctx context.Context, r *reply, ticket *balancer.Ticket, answer *connector.Answer) result {
 	q := r.request
 	flusher := http.NewResponseController(r.writer)
+	next, err := r.newContinuation(string(answer.Header.ContentType()))
+	if err != nil {
+		return c.rejectContinuation(q, ticket, answer, err)
+	}
 	if !r.headSent {
 		// The headers are sent with the first event. Until then the answer can still be
 		// replaced by another one.
@@ -39,6 +43,9 @@
 	for {
 		events, readErr := stream.Next()
 		if len(events) > 0 {
+			if err := next.check(events); err != nil {
+				return c.rejectContinuation(q, ticket, answer, err)
+			}
 			if err := r.writeEvents(flusher, events); err != nil {
 				ticket.End(balancer.Abandoned)
 				return lost
@@ -46,6 +53,8 @@
 			gaps.mark(c.now())
 		}
 		switch {
+		case errors.Is(readErr, io.EOF) && next.isEmpty():
+			return c.rejectContinuation(q, ticket, answer, errors.Wrap(errNoContinuation, "no events"))
 		case readErr != nil:
 			return c.endStream(ctx, r, ticket, answer, streamEnd{cause: readErr, unfinishedBytes: stream.Unfinished(), longestGap: gaps.longest})
 		case stream.Unfinished() > maxEventBytes || gaps.isStalled(c.now(), q):
@@ -57,6 +66,14 @@
 	}
 }
 
+// rejectContinuation records that an answer does not go on with the stream that has begun.
+func (c *Conductor) rejectContinuation(q *request, ticket *balancer.Ticket, answer *connector.Answer, err error) result {
+	answer.Discard()
+	ticket.End(balancer.Failed)
+	c.log.Info("stream not continued", "request", q.id, "target", ticket.Target.ID, "error", err.Error())
+	return lost
+}
+
 // streamEnd describes how the answer of a target to a stream ended.
 type streamEnd struct {
 	// cause is io.EOF if the stream is complete.
