Bear odd entries and numbers in every table and message that an instance reads

Met by another operator: one odd entry among those of the replicas, and the machines that read the list ended again and again, or stopped following it. Not met: nesting (the decoder stops at 10,000 levels) and rows that are no JSON.

--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -291,7 +291,7 @@
 	if err != nil {
 		return err
 	}
-	next := Record{Holder: l.instance, Incarnation: l.incarnation, Fence: old.Fence + 1, Lapses: l.expiry()}
+	next := Record{Holder: l.instance, Incarnation: l.incarnation, Fence: nextFence(old, fence), Lapses: l.expiry()}
 	conditions := []messenger.Condition{
 		{Table: leaseTable, Key: leaseKey, Version: version},
 		{Table: leaseTable, Key: fenceKey, Version: fence.Version},
@@ -402,8 +402,23 @@
 		return row, Record{}, err
 	}
 	var record Record
-	if err := json.Unmarshal(row.Value, &record); err != nil {
-		return row, record, errors.Wrap(err, "lease row")
+	if json.Unmarshal(row.Value, &record) != nil || record.Fence < 0 || record.Fence > maxFence {
+		// Nobody can renew what is not a lease: it is free once it has not changed for its TTL.
+		return row, Record{}, nil
 	}
 	return row, record, nil
 }
+
+// maxFence is more than the number of holders that there ever were. A higher fencing token was not
+// written by an instance.
+const maxFence = 1 << 53
+
+// nextFence returns the fencing token that follows those of the lease row and of the fence row,
+// either of which another writer may have spoiled.
+func nextFence(old Record, fenceRow messenger.Row) int64 {
+	var last int64
+	if json.Unmarshal(fenceRow.Value, &last) != nil || last < 0 || last > maxFence {
+		last = 0
+	}
+	return max(old.Fence, last) + 1
+}
--- a/internal/edge/commander/commander.go
+++ b/internal/edge/commander/commander.go
@@ -118,6 +118,9 @@
 	if err != nil {
 		return keeper.Report{}, wrapQuiet(errors.Wrap(ErrNoReport, err.Error()), err)
 	}
+	if err := checkReport(&report); err != nil {
+		return keeper.Report{}, err
+	}
 	holdings := make([]keeper.Holding, 0, len(report.Holdings))
 	for _, h := range report.Holdings {
 		holdings = append(holdings, keeper.Holding{
@@ -141,6 +144,23 @@
 	}, nil
 }
 
+// maxReported bounds the numbers of a report, so that sums of them do not overflow.
+const maxReported = 1 << 53
+
+// checkReport returns ErrNoReport if a number of a report is past its range.
+func checkReport(r *messenger.EngineReport) error {
+	numbers := []int64{r.MemoryBytes, r.UsedBytes, int64(r.Running), int64(r.Queued), r.HighestFence}
+	for _, h := range r.Holdings {
+		numbers = append(numbers, h.Bytes, int64(h.Running))
+	}
+	for _, n := range numbers {
+		if n < 0 || n > maxReported {
+			return errors.Wrapf(ErrNoReport, "%d is past its range", n)
+		}
+	}
+	return nil
+}
+
 // Events reads the cache events after the sequence number since. The error is
 // ErrNoReport; it may be a *QuietError too.
 func (c *Client) Events(address string, since int64) (messenger.CacheEvents, error) {
--- a/internal/edge/lister/lister.go
+++ b/internal/edge/lister/lister.go
@@ -3,6 +3,7 @@
 package lister
 
 import (
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -47,7 +48,7 @@
 func (c *Client) List() ([]messenger.ListedInstance, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var list messenger.InstanceList
+	var list struct{ Instances []json.RawMessage }
 	tag, err := c.poster.DoWithETag(poster.Call{
 		Method:   fasthttp.MethodGet,
 		URL:      c.base + "/v1/instances",
@@ -62,6 +63,19 @@
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
 	c.tag = tag
-	c.lastList = list.Instances
-	return list.Instances, nil
+	c.lastList = decodeEntries(list.Instances)
+	return c.lastList, nil
+}
+
+// decodeEntries decodes the entries of a list and leaves out those that cannot be read: another
+// writer may have left them.
+func decodeEntries(entries []json.RawMessage) []messenger.ListedInstance {
+	out := make([]messenger.ListedInstance, 0, len(entries))
+	for _, entry := range entries {
+		var in messenger.ListedInstance
+		if json.Unmarshal(entry, &in) == nil && in.ID != "" {
+			out = append(out, in)
+		}
+	}
+	return out
 }
--- a/internal/gateway/supervisor/limits.go
+++ b/internal/gateway/supervisor/limits.go
@@ -77,7 +77,12 @@
 	})
 }
 
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+// maxMilliseconds bounds the times in messages: a century, which a duration can hold.
+const maxMilliseconds = 100 * 365 * 24 * 3600 * 1000.0
+
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(min(max(ms, -maxMilliseconds), maxMilliseconds) * float64(time.Millisecond))
+}
 
 func toMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
@@ -89,7 +94,9 @@
 }
 
 func (s *Supervisor) decodeLimit(in messenger.TargetLimit) limiter.Limit {
-	return limiter.Limit{IsNamed: in.IsNamed, PerSecond: in.PerSecond, SeenAt: s.limiter.Now().Add(-milliseconds(in.AgeMilliseconds))}
+	return limiter.Limit{
+		IsNamed: in.IsNamed, PerSecond: max(in.PerSecond, 0), SeenAt: s.limiter.Now().Add(-milliseconds(max(in.AgeMilliseconds, 0))),
+	}
 }
 
 // knownLimit returns the limit to send together with the load of a target; nil if none is
--- a/internal/gateway/supervisor/loads.go
+++ b/internal/gateway/supervisor/loads.go
@@ -74,12 +74,15 @@
 	return out
 }
 
+// maxLoad bounds the load that a peer reports, so that sums do not overflow.
+const maxLoad = 1 << 30
+
 // applyLoad passes the load of a peer to the balancer. A whole load is valid until a
 // deadline.
 func (s *Supervisor) applyLoad(in messenger.GatewayLoad, until time.Time) {
 	loads := make(map[string]balancer.Load, len(in.Targets))
 	for id, l := range in.Targets {
-		loads[id] = balancer.Load{InFlight: l.InFlight, Pending: l.Pending}
+		loads[id] = balancer.Load{InFlight: min(max(l.InFlight, 0), maxLoad), Pending: min(max(l.Pending, 0), maxLoad)}
 	}
 	if !in.IsWhole {
 		until = time.Time{}
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -30,6 +30,9 @@
 	pathVerdicts = "/verdicts"
 )
 
+// maxMembers is more instances than a system has.
+const maxMembers = 100_000
+
 // tableTimeout bounds the read of a table from a peer.
 const tableTimeout = time.Second
 
@@ -85,11 +88,11 @@
 	s.comparePeerVerdicts(status)
 	s.tally.SetPeerDemand(status.Instance, status.Demand, until)
 	now := time.Now()
-	s.limiter.ReceiveReport(status.Instance, limiter.Report{Digest: status.LimitDigest, Size: status.LimitMembers}, until.Sub(now))
+	s.limiter.ReceiveReport(status.Instance, limiter.Report{Digest: status.LimitDigest, Size: min(max(status.LimitMembers, 0), maxMembers)}, until.Sub(now))
 	for _, o := range status.Overlays {
 		s.balancer.Overlay(balancer.Overlay{
 			Target: o.Target, Model: o.Model, Adapter: o.Adapter, Held: o.Held,
-			Since: now.Add(-time.Duration(o.AgeMilliseconds) * time.Millisecond),
+			Since: now.Add(-milliseconds(float64(max(o.AgeMilliseconds, 0)))),
 		})
 	}
 }
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -313,6 +313,10 @@
 			s.log.Error(err, "row of an instance cannot be read", "key", row.Key)
 			continue
 		}
+		if registrar.CheckAddress(instance.PeerAddress) != nil || instance.Instance != row.Key {
+			s.log.Info("row names no instance", "key", row.Key, "instance", instance.Instance, "address", instance.PeerAddress)
+			continue
+		}
 		out = append(out, instance)
 	}
 	return out
--- a/internal/gateway/tallier/tallier.go
+++ b/internal/gateway/tallier/tallier.go
@@ -155,12 +155,18 @@
 	out := make(map[Key]Demand, len(demand))
 	for _, d := range demand {
 		out[Key{d.Service, d.Model, d.Adapter}] = Demand{
-			Rate: d.Rate, Waiting: d.Waiting, Runs: d.Runs, RunSeconds: d.RunSeconds, ReadSeconds: d.ReadSeconds,
+			Rate: bounded(d.Rate), Waiting: int(bounded(float64(d.Waiting))), Runs: bounded(d.Runs),
+			RunSeconds: bounded(d.RunSeconds), ReadSeconds: bounded(d.ReadSeconds),
 		}
 	}
 	return out
 }
 
+// maxReported bounds each number that an instance reports.
+const maxReported = 1e12
+
+func bounded(x float64) float64 { return min(max(x, 0), maxReported) }
+
 // TotalDemand returns the sum of the demand at all instances.
 func (t *Tallier) TotalDemand() map[Key]Demand {
 	total := byKey(t.LocalDemand())
--- a/internal/node/runner/shares.go
+++ b/internal/node/runner/shares.go
@@ -72,7 +72,9 @@
 	var roster lender.Roster
 	if row.Version > 0 {
 		if err := json.Unmarshal(row.Value, &roster); err != nil {
-			return errors.Wrap(err, "roster row")
+			// Another writer has spoiled the row: the holder of the lease replaces it.
+			n.log.Error(err, "roster row cannot be read")
+			roster = n.sharer.lender.Roster()
 		}
 	}
 	now := n.now()
