--- a/internal/edge/commander/commander.go
+++ b/internal/edge/commander/commander.go
@@ -149,7 +149,8 @@
 
 // checkReport returns ErrNoReport if a number of a report is past its range.
 func checkReport(r *messenger.EngineReport) error {
-	numbers := []int64{r.MemoryBytes, r.UsedBytes, int64(r.Running), int64(r.Queued), r.HighestFence}
+	numbers := make([]int64, 0, 5+2*len(r.Holdings))
+	numbers = append(numbers, r.MemoryBytes, r.UsedBytes, int64(r.Running), int64(r.Queued), r.HighestFence)
 	for _, h := range r.Holdings {
 		numbers = append(numbers, h.Bytes, int64(h.Running))
 	}
