Pair each answer on a kept connection with its own question

The client of orders, states, store and peers took what came next on the connection: the answer to the call before was that to this one, for as long as the connection lived, and a connection that the other end had closed made a call fail with an unknown outcome. An order that was accepted could be taken for refused, a 412 could end the term.

A kept connection on which anything has arrived between two calls is passed over now. In the product the result of an order has the order's ID, which is checked now.

--- a/internal/edge/commander/commander.go
+++ b/internal/edge/commander/commander.go
@@ -97,6 +97,8 @@
 		return errors.Wrap(ErrNotApplied, err.Error())
 	case err != nil:
 		return wrapQuiet(errors.Wrap(ErrUnknownOutcome, err.Error()), err)
+	case result.ID != order.ID:
+		return errors.Wrapf(ErrUnknownOutcome, "result of order %q", result.ID)
 	case result.Refusal == "OldFence":
 		return ErrStaleFence
 	case !result.Applied:
--- a/internal/edge/commander/commander_test.go
+++ b/internal/edge/commander/commander_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/crocusring/crocusring/internal/wire/messenger"
 	"github.com/crocusring/crocusring/internal/wire/poster"
 )
 
@@ -36,3 +37,20 @@
 		})
 	}
 }
+
+// TestResultOfAnotherOrderIsUnknown guards against an earlier result, once more on a kept
+// connection, that is taken for that of the order.
+func TestResultOfAnotherOrderIsUnknown(t *testing.T) {
+	for body, want := range map[string]error{
+		`{"ID":"o1","Applied":true}`:           nil,
+		`{"ID":"o1","Refusal":"OldFence"}`:     ErrStaleFence,
+		`{"ID":"o0","Applied":true}`:           ErrUnknownOutcome,
+		`{"ID":"o0","Refusal":"OldFence"}`:     ErrUnknownOutcome,
+		`{"Refusal":"Full","HighestFence":12}`: ErrUnknownOutcome,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+		t.Cleanup(server.Close)
+		err := New(poster.New()).Send(strings.TrimPrefix(server.URL, "http://"), messenger.EngineOrder{ID: "o1"})
+		assert.ErrorIs(t, err, want, body)
+	}
+}
--- a/internal/edge/connector/answer.go
+++ b/internal/edge/connector/answer.go
@@ -4,11 +4,9 @@
 	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http/httputil"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -237,24 +235,3 @@
 	}
 	return n, io.EOF
 }
-
-// isOpen reports whether the peer of an idle connection has neither closed it nor
-// sent unsolicited bytes.
-func isOpen(c net.Conn) bool {
-	sys, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, _, recvErr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = recvErr == syscall.EAGAIN || recvErr == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && open
-}
--- a/internal/edge/connector/connector.go
+++ b/internal/edge/connector/connector.go
@@ -14,6 +14,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/crocusring/crocusring/internal/wire/peeker"
 )
 
 var (
@@ -254,7 +256,7 @@
 		if c == nil {
 			break
 		}
-		if p.now().Before(c.expires) && isOpen(c.Conn) {
+		if p.now().Before(c.expires) && peeker.IsIdle(c.Conn) {
 			return c, nil
 		}
 		c.Close()
@@ -301,7 +303,7 @@
 // put returns a connection to the pool. keepAlive is the idle timeout that the target
 // announced; 0 for none.
 func (p *Pool) put(c *conn, keepAlive time.Duration) {
-	// A read deadline that has passed would make isOpen fail.
+	// A read deadline that has passed would make peeker.IsIdle fail.
 	if err := c.SetReadDeadline(time.Time{}); err != nil {
 		c.Close()
 		return
--- a/internal/wire/poster/poster.go
+++ b/internal/wire/poster/poster.go
@@ -73,7 +73,7 @@
 			if err != nil {
 				return nil, errors.Wrap(ErrNotSent, err.Error())
 			}
-			return conn, nil
+			return &checkedConn{Conn: conn}, nil
 		},
 		MaxConnsPerHost:           maxConnections,
 		MaxIdleConnDuration:       maxIdleTime,
@@ -97,6 +97,10 @@
 	Deadline time.Time
 	// ETag is the entity tag (ETag) of an earlier answer that the caller has, if any.
 	ETag string
+	// IsAlone asks for a connection that no other call uses before or after this one, for an
+	// answer that nothing else pairs with its request. All calls of a client that needs this must
+	// ask for it.
+	IsAlone bool
 	// Header is an additional header of the request; none if its name is empty.
 	Header Header
 }
@@ -147,7 +151,10 @@
 	if !time.Now().Before(call.Deadline) {
 		return "", errors.Wrapf(ErrNotSent, "%s: deadline passed", call.URL)
 	}
-	if err := c.http.DoDeadline(req, resp, call.Deadline); err != nil {
+	if call.IsAlone {
+		req.SetConnectionClose()
+	}
+	if err := c.do(req, resp, call.Deadline); err != nil {
 		return "", classify(call.URL, err)
 	}
 	etag = string(resp.Header.Peek(fasthttp.HeaderETag))
@@ -168,6 +175,17 @@
 	return etag, nil
 }
 
+// do sends a request and reads its answer. Kept connections that turn out not to be idle are
+// passed over: nothing was written to them.
+func (c *Client) do(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
+	for {
+		err := c.http.DoDeadline(req, resp, deadline)
+		if !errors.Is(err, errNotIdle) {
+			return err
+		}
+	}
+}
+
 func classify(url string, err error) error {
 	if errors.Is(err, ErrNotSent) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return errors.Wrapf(ErrNotSent, "%s: %v", url, err)
