Drop a target at once that left while only this instance was cut off

Each status tells now for how long its sender has followed the table without an outage. If that is longer than this instance was without the store, there was no outage: what is missing has left. The word may come after the first read; it is looked for every 250 ms then. TestEntryThatLeftDuringACutIsRemovedAtOnce failed before.

--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -35,6 +35,9 @@
 	returnGracePeriod = 2200 * time.Millisecond
 	// outageThreshold is how long calls must have failed to count as an outage.
 	outageThreshold = 700 * time.Millisecond
+	// peerCheckInterval is the longest time between two looks whether a peer has had the store
+	// during the last outage.
+	peerCheckInterval = 250 * time.Millisecond
 )
 
 // Changes are the rows of a table that changed up to a version.
@@ -54,6 +57,9 @@
 	// PeerSnapshot returns the copy of a peer that is newer than a version, or
 	// false if no peer has one.
 	PeerSnapshot func(table string, newer int64) (messenger.TableSnapshot, bool)
+	// PeerHasHadStore reports whether a peer has had the store ever since a time: what is missing
+	// then was removed, and did not expire during an outage.
+	PeerHasHadStore func(since time.Time) bool
 }
 
 // Follower maintains a copy of one table. The zero value is not usable; see New.
@@ -91,6 +97,10 @@
 	// returnDeadline is when the entries that expired during the last outage must have
 	// returned.
 	returnDeadline time.Time
+	// outageBegan is when the store last answered before that outage.
+	outageBegan time.Time
+	// hasStoreSince is since when there was no outage of the store; zero before its first answer.
+	hasStoreSince time.Time
 }
 
 // Option configures a follower.
@@ -119,6 +129,9 @@
 	for _, option := range options {
 		option(f)
 	}
+	if f.source.PeerHasHadStore == nil {
+		f.source.PeerHasHadStore = func(time.Time) bool { return false }
+	}
 	return f
 }
 
@@ -231,14 +244,14 @@
 	return out
 }
 
-// untilNextReturnDeadline returns the time until the next missing entry is removed, at
+// untilNextReturnDeadline returns the time until the next missing entry is removed, or may be, at
 // most maxFeedWait.
 func (f *Follower) untilNextReturnDeadline() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	wait := maxFeedWait
 	for _, deadline := range f.returnDeadlines {
-		wait = min(wait, max(deadline.Sub(f.now()), 0))
+		wait = min(wait, peerCheckInterval, max(deadline.Sub(f.now()), 0))
 	}
 	return wait
 }
@@ -247,10 +260,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answeredAt = now.Add(-f.relayedAge)
+	if f.hasStoreSince.IsZero() {
+		f.hasStoreSince = now
+	}
 	if f.failingSince.IsZero() {
 		return
 	}
 	if now.Sub(f.failingSince) > outageThreshold {
+		f.hasStoreSince = now
 		f.log.Info("store is back", "table", f.table, "awayMilliseconds", now.Sub(f.failingSince).Milliseconds())
 	}
 	f.failingSince = time.Time{}
@@ -271,8 +288,20 @@
 func (f *Follower) mayHaveExpired(now time.Time) bool {
 	if !f.failingSince.IsZero() && now.Sub(f.failingSince) > outageThreshold {
 		f.returnDeadline = now.Add(returnGracePeriod)
+		f.outageBegan = f.answeredAt
+	}
+	return now.Before(f.returnDeadline) && !f.source.PeerHasHadStore(f.outageBegan)
+}
+
+// HasStoreFor returns how long there was no outage of the store; 0 during one and before the
+// first answer.
+func (f *Follower) HasStoreFor() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.hasStoreSince.IsZero() || !f.failingSince.IsZero() {
+		return 0
 	}
-	return now.Before(f.returnDeadline)
+	return f.now().Sub(f.hasStoreSince)
 }
 
 // applyChanges applies changes from the feed.
@@ -352,12 +381,14 @@
 	return dropped
 }
 
-// removeExpired removes the entries that did not return before their deadline.
+// removeExpired removes the entries that did not return before their deadline, or of which a peer
+// knows that they were removed.
 func (f *Follower) removeExpired(now time.Time) {
 	f.mu.Lock()
 	dropped := []string{}
+	mayReturn := len(f.returnDeadlines) == 0 || !f.source.PeerHasHadStore(f.outageBegan)
 	for key, deadline := range f.returnDeadlines {
-		if f.failingSince.IsZero() && !now.Before(deadline) {
+		if f.failingSince.IsZero() && (!now.Before(deadline) || !mayReturn) {
 			delete(f.returnDeadlines, key)
 			delete(f.rows, key)
 			dropped = append(dropped, key)
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -21,12 +21,14 @@
 	table              messenger.TableSnapshot
 	changes            []Changes
 	peer               *messenger.TableSnapshot
-	applied            map[string]int64
+	// peerHasStoreSince is since when a peer has had the store; zero for no such peer.
+	peerHasStoreSince time.Time
+	applied           map[string]int64
 }
 
 func newTestStore() (*testStore, *Follower) {
 	s := &testStore{now: time.Unix(1000, 0), applied: map[string]int64{}}
-	f := New("targets", Source{Read: s.read, Follow: s.follow, PeerSnapshot: s.peerSnapshot}, s.apply)
+	f := New("targets", Source{Read: s.read, Follow: s.follow, PeerSnapshot: s.peerSnapshot, PeerHasHadStore: s.peerHasHadStore}, s.apply)
 	f.now = func() time.Time { return s.now }
 	return s, f
 }
@@ -60,6 +62,10 @@
 	return *s.peer, true
 }
 
+func (s *testStore) peerHasHadStore(since time.Time) bool {
+	return !s.peerHasStoreSince.IsZero() && s.peerHasStoreSince.Before(since)
+}
+
 func (s *testStore) apply(rows []messenger.StoreRow, removed []string) {
 	for _, key := range removed {
 		delete(s.applied, key)
@@ -157,6 +163,56 @@
 	})
 }
 
+// TestEntryThatLeftDuringACutIsRemovedAtOnce guards against an instance that was cut off and keeps
+// a target that has left, as if it could return, while its peers have had the store all the while.
+func TestEntryThatLeftDuringACutIsRemovedAtOnce(t *testing.T) {
+	cut := func(peerHasStoreFor time.Duration) (*testStore, *Follower) {
+		s, f := newTestStore()
+		s.table = snapshot(5, row("a", 3), row("b", 5))
+		f.Step()
+		s.now = s.now.Add(time.Second)
+		f.Step()
+		s.outage(f, 4*time.Second)
+		if peerHasStoreFor > 0 {
+			s.peerHasStoreSince = s.now.Add(-peerHasStoreFor)
+		}
+		s.isHistoryTruncated = true
+		s.table = snapshot(9, row("b", 8))
+		f.Step()
+		return s, f
+	}
+	t.Run("a peer has had the store before the cut and since", func(t *testing.T) {
+		s, _ := cut(10 * time.Second)
+		assert.NotContains(t, s.applied, "a")
+	})
+	t.Run("the peer was without it as well", func(t *testing.T) {
+		s, _ := cut(2 * time.Second)
+		assert.Contains(t, s.applied, "a")
+	})
+	t.Run("a peer says so later", func(t *testing.T) {
+		s, f := cut(0)
+		assert.Contains(t, s.applied, "a")
+		assert.LessOrEqual(t, f.untilNextReturnDeadline(), peerCheckInterval)
+		s.now = s.now.Add(peerCheckInterval)
+		s.peerHasStoreSince = s.now.Add(-10 * time.Second)
+		f.Step()
+		assert.NotContains(t, s.applied, "a")
+	})
+	t.Run("what an instance tells of itself", func(t *testing.T) {
+		s, f := newTestStore()
+		assert.Zero(t, f.HasStoreFor())
+		f.Step()
+		s.now = s.now.Add(3 * time.Second)
+		f.Step()
+		assert.Equal(t, 3*time.Second, f.HasStoreFor())
+		s.outage(f, 2*time.Second)
+		assert.Zero(t, f.HasStoreFor())
+		f.Step()
+		s.now = s.now.Add(time.Second)
+		assert.Equal(t, time.Second, f.HasStoreFor())
+	})
+}
+
 func TestPeerSnapshotDuringOutage(t *testing.T) {
 	t.Run("at the start, at once", func(t *testing.T) {
 		s, f := newTestStore()
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -50,6 +50,7 @@
 		Holder: isHolder && !s.leaving.Load(), LoadAddress: s.settings.LoadAddress, Demand: []messenger.GatewayDemand{},
 		Overlays: []messenger.GatewayOverlay{}, Load: messenger.GatewayLoad{Targets: messenger.GatewayLoadTargets{}},
 		LimitDigest: report.Digest, LimitMembers: report.Size, VerdictDigest: s.quarantiner.Digest(time.Now()),
+		HasStoreMilliseconds: s.targets.HasStoreFor().Milliseconds(),
 	}
 	if to.DataCentre == s.settings.DataCentre || s.cell() == nil {
 		status.Load = s.ownLoad(nil)
@@ -133,6 +134,18 @@
 	return snapshot, true
 }
 
+// peerHasHadStore reports whether a peer says that it has followed the target table without an
+// outage of the store ever since a time.
+func (s *Supervisor) peerHasHadStore(since time.Time) bool {
+	for _, peer := range s.informer.Peers() {
+		hasStoreSince := peer.ReceivedAt.Add(-milliseconds(float64(peer.LastStatus.HasStoreMilliseconds)))
+		if hasStoreSince.Before(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // fetchTable returns a peer's copy of a table.
 func (s *Supervisor) fetchTable(address, table string) (messenger.TableSnapshot, error) {
 	var out messenger.TableSnapshot
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -168,7 +168,7 @@
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func (s *Supervisor) initFollowers() {
-	source := follower.Source{Read: s.readTable, Follow: s.followTable, PeerSnapshot: s.peerSnapshot}
+	source := follower.Source{Read: s.readTable, Follow: s.followTable, PeerSnapshot: s.peerSnapshot, PeerHasHadStore: s.peerHasHadStore}
 	log := follower.WithLog(s.log)
 	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait())
 	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargets, log,
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -374,6 +374,10 @@
 	// Demand corresponds to the JSON schema field "Demand".
 	Demand []GatewayDemand `json:"Demand"`
 
+	// HasStoreMilliseconds is how long the instance has followed the target table
+	// without an outage of the store; 0 during one.
+	HasStoreMilliseconds int64 `json:"HasStoreMilliseconds"`
+
 	// Holder reports whether the instance holds the lease on orders.
 	Holder bool `json:"Holder"`
 
