Let the soak send requests that end their targets

Two new checks: SentOn (more targets end under a request than three, one more for each further copy, and two for trials at whose end others end too) and Denied (more of the other requests refused for good than 5 and one in 500). Both are seen to fail in TestCheckerDetectsViolations. A caller that comes back after a refusal sends the same content now.

--- a/internal/tool/soaker/callers.go
+++ b/internal/tool/soaker/callers.go
@@ -83,8 +83,9 @@
 	if len(r.models) > 0 {
 		model = r.models[random.IntN(len(r.models))]
 	}
+	body := fmt.Sprint(random.Uint32())
 	for range 2 {
-		answer := c.sendOnce(ctx, caller, random, address, r, model)
+		answer := c.sendOnce(ctx, caller, random, address, content{route: r, model: model, body: body})
 		switch {
 		case answer.Err != nil:
 			return false
@@ -96,19 +97,31 @@
 	return true
 }
 
+// content is what a request asks for: the same each time it is sent.
+type content struct {
+	route       route
+	model       string
+	body        string
+	endsTargets bool
+}
+
 // sendOnce sends a request once, under a new ID, and passes the result to the checker.
-func (c *callerGroup) sendOnce(ctx context.Context, caller *simulator.Caller, random *rand.Rand, address string, r route, model string) simulator.Answer {
+func (c *callerGroup) sendOnce(ctx context.Context, caller *simulator.Caller, random *rand.Rand, address string, what content) simulator.Answer {
+	r := what.route
 	call := simulator.Call{
 		ID: fmt.Sprintf("%x-%d", c.seed, c.requestCount.Add(1)), Host: host, Method: http.MethodPost, Path: r.Prefix + "x",
-		Body: fmt.Sprint(random.Uint32()), Model: model, Timeout: time.Duration(r.TimeoutMS) * time.Millisecond,
+		Body: what.body, Model: what.model, Timeout: time.Duration(r.TimeoutMS) * time.Millisecond,
 	}
 	sendCtx, cancel := context.WithTimeout(ctx, call.Timeout+5*time.Second)
 	defer cancel()
 	c.soak.checker.RequestSent(call, r, c.soak.instanceAt(address))
+	if what.endsTargets {
+		c.soak.checker.MarkCrashing(call.ID)
+	}
 	isAfterRecovery := c.soak.isAfterRecovery()
 	mark := c.soak.lastDisturbance()
 	wasUndisturbed := c.soak.isUndisturbedSince(mark)
-	cancels := random.Float64() < cancelShare
+	cancels := random.Float64() < cancelShare && !what.endsTargets
 	if cancels {
 		cancelTimer := time.AfterFunc(time.Duration(random.IntN(400))*time.Millisecond, func() {
 			if wasUndisturbed && c.soak.isUndisturbedSince(mark) {
--- a/internal/tool/soaker/checker.go
+++ b/internal/tool/soaker/checker.go
@@ -53,6 +53,10 @@
 	WorkedOn Promise = "WorkedOn"
 	// NotBack means that requests are not served again although all disturbances ended.
 	NotBack Promise = "NotBack"
+	// SentOn means that a request under which targets had ended was sent on.
+	SentOn Promise = "SentOn"
+	// Denied means that requests that end no targets were refused for good.
+	Denied Promise = "Denied"
 	// OwnEnd means that an instance exited without being asked to, or failed to start.
 	OwnEnd Promise = "OwnEnd"
 )
@@ -87,6 +91,8 @@
 	services []string
 	runs     []simulator.Run
 	refused  bool
+	// endsTargets reports that its content ends the targets that run it.
+	endsTargets bool
 	// isUnanswered reports that the caller got a broken answer, or none from a target, in
 	// time and with nothing disturbed.
 	isUnanswered bool
@@ -128,6 +134,8 @@
 	links               targetHistory
 	leaveSeenAt         map[noticeKey]time.Time // when an instance passed on that a target leaves
 	quiet               map[noticeKey]*quietNotice
+	ends                map[string]int // number of targets that ended under a content, while undisturbed
+	denied              int
 	violations          []Violation
 	servedAfterRecovery int
 	sentAfterRecovery   int
@@ -139,6 +147,7 @@
 		now: time.Now, sentRequest: map[string]*sentRequest{}, holderByFence: map[int64]string{}, leftAt: map[string]time.Time{},
 		cancelledAt: map[string]time.Time{}, openRuns: map[string]int{}, targets: targetHistory{}, links: targetHistory{},
 		returnedAt: map[string]time.Time{}, leaveSeenAt: map[noticeKey]time.Time{}, quiet: map[noticeKey]*quietNotice{},
+		ends: map[string]int{},
 	}
 }
 
@@ -269,6 +278,7 @@
 	s := c.sentRequest[call.ID]
 	isFromInstance := a.Stamp == ""
 	c.noteLeave(s, a)
+	c.noteDenial(s, a)
 	switch {
 	case a.Err != nil:
 	case isFromInstance && isRefusal(a.Status):
@@ -352,6 +362,7 @@
 	if float64(c.servedAfterRecovery) < minServedShare*float64(c.sentAfterRecovery) {
 		c.add(NotBack, "%d of %d requests served after recovery", c.servedAfterRecovery, c.sentAfterRecovery)
 	}
+	c.checkDenials()
 	for id, s := range c.sentRequest {
 		if run, ok := s.wholeRun(); ok && s.isUnanswered && c.targets.isCalm(run.Target, run.Began, run.Ended) {
 			c.add(WholeLost, "%s got none from %s, which sent its answer whole", id, run.Target)
--- a/internal/tool/soaker/checker_test.go
+++ b/internal/tool/soaker/checker_test.go
@@ -55,6 +55,19 @@
 	return simulator.Answer{Status: 503, Began: c.time, Ended: c.time.Add(10 * time.Millisecond)}
 }
 
+// deny lets instances refuse requests for good.
+func deny(c *testChecker, endsTargets bool) {
+	for n := range 2 * deniedSlack {
+		call := testCall(fmt.Sprint(n))
+		c.RequestSent(call, safeRoute, "i1")
+		if endsTargets {
+			c.MarkCrashing(call.ID)
+		}
+		c.Answered(call, simulator.Answer{Status: 400, Began: c.time, Ended: c.time}, true, false)
+	}
+	c.Finish()
+}
+
 // passOnLeave lets i1 pass on an answer of t1 that says that it leaves.
 func passOnLeave(c *testChecker) {
 	c.RequestSent(testCall("a"), safeRoute, "i1")
@@ -277,6 +290,24 @@
 			c.time = c.time.Add(drainTimeout + time.Millisecond)
 			c.Began(c.testRun("a", "t1", plainService))
 		}},
+		"a request that ends targets sent on": {want: []Promise{SentOn}, do: func(c *testChecker) {
+			for range maxEnds + 1 {
+				c.TargetEnded("bad", true)
+			}
+		}},
+		"two requests that end few targets": {do: func(c *testChecker) {
+			for range maxEnds {
+				c.TargetEnded("bad", true)
+				c.TargetEnded("worse", true)
+			}
+		}},
+		"a request that ends targets while instances are disturbed": {do: func(c *testChecker) {
+			for n := range 50 {
+				c.TargetEnded("bad", n%maxEnds > 0)
+			}
+		}},
+		"requests refused for good":                  {want: []Promise{Denied}, do: func(c *testChecker) { deny(c, false) }},
+		"requests that end targets refused for good": {do: func(c *testChecker) { deny(c, true) }},
 		"request after a target has returned": {do: func(c *testChecker) {
 			c.RequestSent(testCall("a"), orderRoute, "i1")
 			c.TargetLeft("t1")
--- a/internal/tool/soaker/faults.go
+++ b/internal/tool/soaker/faults.go
@@ -165,6 +165,9 @@
 		t.target.AskQuiet(quiet)
 		return fmt.Sprintf("%s for %v", t.target.ID, quiet), nil
 	}},
+	{name: "request ends its targets", keepsTimeBounds: true, begin: func(s *soak, random *rand.Rand) (string, func()) {
+		return s.beginCrashing(random)
+	}},
 	{name: "manifest changes", keepsTimeBounds: true, begin: func(s *soak, random *rand.Rand) (string, func()) {
 		return s.changeManifest(random), nil
 	}},
--- a/internal/tool/soaker/soaker.go
+++ b/internal/tool/soaker/soaker.go
@@ -85,6 +85,7 @@
 	routes          []route
 	services        map[string]*simulator.Engine
 	checker         *Checker
+	callers         *callerGroup
 	activeFaults    sync.WaitGroup
 	manifestVersion int
 	// lastDisturbedNanos is when a disturbance of the store or of an instance last began or
@@ -99,6 +100,7 @@
 // The error reports that the run itself failed.
 func Run(ctx context.Context, settings Settings) ([]Violation, error) {
 	s := &soak{settings: settings, start: time.Now(), checker: NewChecker()}
+	s.callers = &callerGroup{soak: s, seed: settings.Seed}
 	defer s.close()
 	if err := s.setUp(); err != nil {
 		return nil, err
@@ -109,9 +111,8 @@
 	running, stop := context.WithCancel(ctx)
 	defer stop()
 	var callers sync.WaitGroup
-	callerGroup := &callerGroup{soak: s, seed: settings.Seed}
 	for n := range settings.Callers {
-		callers.Go(func() { callerGroup.run(running, n) })
+		callers.Go(func() { s.callers.run(running, n) })
 	}
 	go s.sendHeartbeats(running)
 	s.injectFaults(rand.New(rand.NewPCG(settings.Seed, 1)), time.Now().Add(settings.Length))
@@ -206,7 +207,7 @@
 }
 
 func (s *soak) addTargets() error {
-	observer := simulator.Observer{Began: s.checker.Began, Ended: s.checker.Ended, Ordered: s.checker.Ordered, Exceeded: s.checker.Exceeded, TurnedAway: s.checker.TurnedAway}
+	observer := simulator.Observer{Began: s.checker.Began, Ended: s.checker.Ended, Ordered: s.checker.Ordered, Exceeded: s.checker.Exceeded, TurnedAway: s.checker.TurnedAway, Crashed: s.targetCrashed}
 	engine := simulator.TargetConfig{
 		Service: engineService, Models: models, Events: streamEvents, Pause: 20 * time.Millisecond, LoadTime: 400 * time.Millisecond, Slots: 8,
 		WeightMegabytes: targetMegabytes, AdapterSlots: maxAdapters, Unframed: unframedShare,
