Tell a crash to whoever examines next while something may follow from it

An instance goes on to tell its reports of crashes to the instances that become examiners; only copies were sent, from which nothing follows, also where no examiner had answered the report itself. A target that was leaving is not probed, the examiners of a service are computed once a round, and only a run whose target is known to have ended makes its request tell the examiner how it goes on.

--- a/internal/gateway/conductor/content.go
+++ b/internal/gateway/conductor/content.go
@@ -46,15 +46,16 @@
 	// that Lost is called for.
 	EndRun func(run Run, isAnswered bool)
 	// Lost is called for each run whose connection was cut before the whole answer arrived. The
-	// request goes on once it returns.
-	Lost func(ctx context.Context, run Run)
+	// request goes on once it returns. It reports whether the end of the target is held against
+	// the content.
+	Lost func(ctx context.Context, run Run) (isHeldAgainst bool)
 	// Refused is called for each request that is refused since its content is convicted.
 	Refused func()
 }
 
 func noQuarantine() Quarantine {
 	return Quarantine{
-		IsEmpty: func() bool { return true }, Lost: func(context.Context, Run) {}, EndRun: func(Run, bool) {},
+		IsEmpty: func() bool { return true }, Lost: func(context.Context, Run) bool { return false }, EndRun: func(Run, bool) {},
 	}
 }
 
@@ -162,9 +163,8 @@
 	switch {
 	case q.isCut:
 		q.isCut = false
-		q.isHeldAgainst = true
 		q.run.Content = c.contentOf(q)
-		c.quarantine.Lost(ctx, q.run)
+		q.isHeldAgainst = c.quarantine.Lost(ctx, q.run) || q.isHeldAgainst
 	case q.run.IsTrial || (isAnswered && q.isHeldAgainst):
 		q.run.Content = c.contentOf(q)
 		c.quarantine.EndRun(q.run, isAnswered)
--- a/internal/gateway/conductor/content_test.go
+++ b/internal/gateway/conductor/content_test.go
@@ -62,13 +62,14 @@
 	}
 }
 
-func (q *quarantine) noteLost(_ context.Context, run conductor.Run) {
+func (q *quarantine) noteLost(_ context.Context, run conductor.Run) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.lost = append(q.lost, run)
 	if q.convictAfter > 0 && len(q.lost) >= q.convictAfter {
 		q.verdict = quarantiner.ErrConvicted
 	}
+	return true
 }
 
 func (q *quarantine) noteRefused() {
--- a/internal/gateway/supervisor/crash_reports.go
+++ b/internal/gateway/supervisor/crash_reports.go
@@ -12,6 +12,9 @@
 const (
 	// crashReportTTL is how long an instance passes its reports on to new examiners.
 	crashReportTTL = 10 * time.Minute
+	// freshReportTime is how long something may follow from a report that no examiner has had.
+	// Later ones only count when a further crash is reported.
+	freshReportTime = 2 * time.Second
 	// maxCrashReports bounds the reports that an instance keeps.
 	maxCrashReports = 1024
 )
@@ -25,10 +28,10 @@
 // crashReport is what this instance has to tell the examiners of a service about the end of a
 // target.
 type crashReport struct {
-	service  string
-	place    quarantiner.Place
-	message  messenger.CrashReport
-	deadline time.Time
+	service string
+	place   quarantiner.Place
+	message messenger.CrashReport
+	addedAt time.Time
 	// informed are the examiners that have received the report as it is.
 	informed []examiner
 }
@@ -44,18 +47,17 @@
 	return &crashReports{reports: map[quarantiner.Place]*crashReport{}}
 }
 
-// add adds a content to the report of the end of a target, and returns the report.
-func (c *crashReports) add(now time.Time, service string, message messenger.CrashReport) {
+// add adds the contents of a message to the report of the end of a target, and returns the report.
+func (c *crashReports) add(now time.Time, service string, place quarantiner.Place, message messenger.CrashReport) crashReport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	place := placeOf(message.Target, message.StartMilliseconds)
 	r := c.reports[place]
 	if r == nil {
 		c.prune(now)
-		r = &crashReport{service: service, place: place, message: message, deadline: now.Add(crashReportTTL)}
-		r.message.IsCopy, r.message.Verdicts = true, []messenger.GatewayVerdict{}
+		r = &crashReport{service: service, place: place, message: message, addedAt: now}
+		r.message.Verdicts = []messenger.GatewayVerdict{}
 		c.reports[place] = r
-		return
+		return *r
 	}
 	for _, content := range message.Contents {
 		if !slices.Contains(r.message.Contents, content) {
@@ -63,17 +65,18 @@
 			r.informed = nil
 		}
 	}
+	return *r
 }
 
 // prune drops the reports that have expired and, if there are too many, the oldest one.
 func (c *crashReports) prune(now time.Time) {
 	var oldest *crashReport
 	for place, r := range c.reports {
-		if !now.Before(r.deadline) {
+		if now.Sub(r.addedAt) > crashReportTTL {
 			delete(c.reports, place)
 			continue
 		}
-		if oldest == nil || r.deadline.Before(oldest.deadline) {
+		if oldest == nil || r.addedAt.Before(oldest.addedAt) {
 			oldest = r
 		}
 	}
@@ -82,19 +85,24 @@
 	}
 }
 
-// due returns the reports that one of the examiners of their service has not received.
+// due returns the reports that one of the examiners of their service has not received. Only the
+// first examiner acts on them, and only while they are fresh; the others keep a copy.
 func (c *crashReports) due(now time.Time, examiners func(service string) []examiner) map[examiner][]crashReport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := map[examiner][]crashReport{}
 	for _, r := range c.reports {
-		if !now.Before(r.deadline) {
+		age := now.Sub(r.addedAt)
+		if age > crashReportTTL {
 			continue
 		}
-		for _, e := range examiners(r.service) {
-			if !slices.Contains(r.informed, e) {
-				out[e] = append(out[e], *r)
+		for n, e := range examiners(r.service) {
+			if slices.Contains(r.informed, e) {
+				continue
 			}
+			report := *r
+			report.message.IsCopy = n > 0 || age > freshReportTime
+			out[e] = append(out[e], report)
 		}
 	}
 	return out
--- a/internal/gateway/supervisor/losses.go
+++ b/internal/gateway/supervisor/losses.go
@@ -19,9 +19,16 @@
 const maxLossWait = 60 * time.Millisecond
 
 // examineLoss finds out whether the target of a run whose connection was cut has ended, and
-// reports it to the examiner then. It returns once that is known, or after maxLossWait.
-func (s *Supervisor) examineLoss(ctx context.Context, run conductor.Run) {
-	mayCount := s.mayHaveCrashed(run.Target)
+// reports it to the examiner then. It returns once that is known, or after maxLossWait, and
+// reports whether the target is known to have ended.
+func (s *Supervisor) examineLoss(ctx context.Context, run conductor.Run) (hasEnded bool) {
+	if !s.mayHaveCrashed(run.Target) {
+		s.recordLoss(run, measurer.CutTargetLeaving)
+		if run.IsTrial {
+			go s.endTrial(run, false)
+		}
+		return false
+	}
 	target := prober.Incarnation{Target: run.Target.ID, StartMilliseconds: run.Target.StartMilliseconds}
 	examination := s.prober.Examine(target, run.Target.Address)
 	settled := make(chan struct{})
@@ -30,10 +37,10 @@
 		if examination.Presence() != connector.Absent {
 			close(settled) // the target accepts connections, or cannot be reached
 			<-examination.Done
-			s.endLoss(run, examination.Presence(), mayCount)
+			s.endLoss(run, examination.Presence())
 			return
 		}
-		s.endLoss(run, connector.Absent, mayCount)
+		s.endLoss(run, connector.Absent)
 		close(settled)
 	}()
 	timer := time.NewTimer(maxLossWait)
@@ -43,13 +50,14 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	return examination.Presence() == connector.Absent
 }
 
 // endLoss acts on what the probe of the target of a lost run has shown.
-func (s *Supervisor) endLoss(run conductor.Run, presence connector.Presence, mayCount bool) {
-	s.recordLoss(run, presence, mayCount)
+func (s *Supervisor) endLoss(run conductor.Run, presence connector.Presence) {
+	s.recordLoss(run, lossEvents[presence])
 	switch {
-	case presence == connector.Absent && mayCount:
+	case presence == connector.Absent:
 		s.reportCrash(run)
 	case run.IsTrial:
 		s.endTrial(run, false)
@@ -74,9 +82,8 @@
 }
 
 // recordLoss logs and counts a run whose connection was cut.
-func (s *Supervisor) recordLoss(run conductor.Run, presence connector.Presence, mayCount bool) {
-	event := lossEvents[presence]
+func (s *Supervisor) recordLoss(run conductor.Run, event measurer.Event) {
 	s.measurer.CountEvent(event, 1)
 	s.log.Info("connection of request cut", "request", run.Request, "target", run.Target.ID, "born", run.Target.StartMilliseconds,
-		"content", run.Content.String(), "found", string(event), "isTrial", run.IsTrial, "isExpected", !mayCount)
+		"content", run.Content.String(), "found", string(event), "isTrial", run.IsTrial)
 }
--- a/internal/gateway/supervisor/quarantine.go
+++ b/internal/gateway/supervisor/quarantine.go
@@ -64,20 +64,21 @@
 }
 
 // consult passes a message to the examiner of a service, or to the one that takes its place if
-// it does not answer. atSelf is called if that is this instance. The error is errNoExaminer.
-func (s *Supervisor) consult(service string, atSelf func(), path string, in, out any) error {
+// it does not answer, and returns which one has taken it. atSelf is called if that is this
+// instance. The error is errNoExaminer.
+func (s *Supervisor) consult(service string, atSelf func(), path string, in, out any) (examiner, error) {
 	for _, e := range s.examiners(service) {
 		if e.instance == s.settings.Instance {
 			atSelf()
-			return nil
+			return e, nil
 		}
 		err := s.postToPeer(e.instance, path, in, out)
 		if err == nil {
-			return nil
+			return e, nil
 		}
 		s.log.Info("examiner does not answer", "examiner", e.instance, "path", path, "error", err.Error())
 	}
-	return errNoExaminer
+	return examiner{}, errNoExaminer
 }
 
 // postToPeer sends a message to a live peer by name.
@@ -94,28 +95,35 @@
 // reportCrash tells the examiner that the target of a run has ended, and takes over what it
 // says to that.
 func (s *Supervisor) reportCrash(run conductor.Run) {
-	report := messenger.CrashReport{
-		Target: run.Target.ID, StartMilliseconds: run.Target.StartMilliseconds, Contents: []string{run.Content.String()},
-		Verdicts: s.knownVerdicts(run.Content),
-	}
-	s.crashReports.add(time.Now(), run.Service, report)
 	place := placeOf(run.Target.ID, run.Target.StartMilliseconds)
+	report := s.crashReports.add(time.Now(), run.Service, place, messenger.CrashReport{
+		Target: run.Target.ID, StartMilliseconds: run.Target.StartMilliseconds, Contents: []string{run.Content.String()},
+	})
+	message := report.message
+	message.Verdicts = s.knownVerdicts(run.Content)
 	var answer messenger.GatewayVerdicts
-	err := s.consult(run.Service, func() { s.receiveCrash(place, []quarantiner.Fingerprint{run.Content}) }, pathCrash, report, &answer)
+	e, err := s.consult(run.Service, func() { s.receiveCrash(place, parseContents(message.Contents)) }, pathCrash, message, &answer)
 	if err != nil {
 		s.log.Info("crash not reported", "request", run.Request, "target", run.Target.ID, "error", err.Error())
 		return
 	}
+	s.crashReports.markInformed(report, e)
 	s.mergeVerdicts(answer.Verdicts)
 }
 
-// passOnCrashes passes the reports of this instance on to those that have become examiners since.
+// passOnCrashes passes the reports of this instance on to those that have become examiners since,
+// and to the second one of each service.
 func (s *Supervisor) passOnCrashes() {
-	for e, reports := range s.crashReports.due(time.Now(), s.examiners) {
+	known := map[string][]examiner{}
+	examiners := func(service string) []examiner {
+		if known[service] == nil {
+			known[service] = s.examiners(service)
+		}
+		return known[service]
+	}
+	for e, reports := range s.crashReports.due(time.Now(), examiners) {
 		for _, report := range reports {
-			if e.instance == s.settings.Instance {
-				s.quarantiner.KeepCrash(time.Now(), report.place, parseContents(report.message.Contents))
-			} else if err := s.postToPeer(e.instance, pathCrash, report.message, nil); err != nil {
+			if err := s.passOnCrash(e, report); err != nil {
 				s.log.V(1).Info("crash not passed on", "target", report.message.Target, "peer", e.instance, "error", err.Error())
 				break // the others would wait as long in vain
 			}
@@ -124,6 +132,24 @@
 	}
 }
 
+func (s *Supervisor) passOnCrash(e examiner, report crashReport) error {
+	if e.instance != s.settings.Instance {
+		return s.postToPeer(e.instance, pathCrash, report.message, nil)
+	}
+	s.acceptCrash(report.place, report.message)
+	return nil
+}
+
+// acceptCrash records a report as the examiner, or for when this instance becomes one.
+func (s *Supervisor) acceptCrash(place quarantiner.Place, report messenger.CrashReport) {
+	requests := parseContents(report.Contents)
+	if report.IsCopy {
+		s.quarantiner.KeepCrash(time.Now(), place, requests)
+		return
+	}
+	s.receiveCrash(place, requests)
+}
+
 // passOnInterval is the time between two looks for new examiners.
 const passOnInterval = 250 * time.Millisecond
 
@@ -152,13 +178,8 @@
 		return
 	}
 	requests := parseContents(report.Contents)
-	place := placeOf(report.Target, report.StartMilliseconds)
 	s.mergeVerdicts(report.Verdicts)
-	if report.IsCopy {
-		s.quarantiner.KeepCrash(time.Now(), place, requests)
-	} else {
-		s.receiveCrash(place, requests)
-	}
+	s.acceptCrash(placeOf(report.Target, report.StartMilliseconds), report)
 	s.encode(ctx, s.encodeVerdicts(s.quarantiner.VerdictsOn(time.Now(), requests)))
 }
 
@@ -168,7 +189,7 @@
 	place := placeOf(run.Target.ID, run.Target.StartMilliseconds)
 	var own error
 	answer := messenger.TrialResponse{IsPermitted: true}
-	err := s.consult(run.Service, func() { own = s.quarantiner.BeginTrial(time.Now(), run.Content, place, run.Deadline) },
+	_, err := s.consult(run.Service, func() { own = s.quarantiner.BeginTrial(time.Now(), run.Content, place, run.Deadline) },
 		pathTrial, s.trialRequest(run), &answer)
 	s.mergeVerdicts(answer.Verdicts)
 	switch {
@@ -204,7 +225,7 @@
 	request.IsEnded, request.IsAnswered = true, isAnswered
 	place := placeOf(run.Target.ID, run.Target.StartMilliseconds)
 	var answer messenger.TrialResponse
-	err := s.consult(run.Service, func() { s.receiveTrialEnd(run.Content, place, isAnswered) }, pathTrial, request, &answer)
+	_, err := s.consult(run.Service, func() { s.receiveTrialEnd(run.Content, place, isAnswered) }, pathTrial, request, &answer)
 	if err != nil {
 		s.log.Info("end of trial not reported", "request", run.Request, "error", err.Error())
 		return
--- a/internal/state/measurer/event.go
+++ b/internal/state/measurer/event.go
@@ -7,11 +7,13 @@
 
 // Events.
 const (
-	// CutTargetEnded, CutTargetPresent and CutTargetUnknown count requests whose connection to a
-	// target was cut, by whether the target has ended.
+	// CutTargetEnded, CutTargetPresent, CutTargetUnknown and CutTargetLeaving count requests whose
+	// connection to a target was cut, by whether the target has ended. One that was leaving or
+	// gone was expected to end.
 	CutTargetEnded   Event = "Cut.TargetEnded"
 	CutTargetPresent Event = "Cut.TargetPresent"
 	CutTargetUnknown Event = "Cut.TargetUnknown"
+	CutTargetLeaving Event = "Cut.TargetLeaving"
 	// QuarantineSuspects and QuarantineConvictions count the verdicts that this instance has
 	// reached on requests under which targets ended, QuarantineTakenBack the convictions that
 	// were refuted, and QuarantineRefused the requests that it has refused for one.
@@ -22,7 +24,7 @@
 )
 
 var events = []Event{
-	CutTargetEnded, CutTargetPresent, CutTargetUnknown,
+	CutTargetEnded, CutTargetPresent, CutTargetUnknown, CutTargetLeaving,
 	QuarantineSuspects, QuarantineConvictions, QuarantineTakenBack, QuarantineRefused,
 }
 
