--- a/internal/request/quarantiner/trial_test.go
+++ b/internal/request/quarantiner/trial_test.go
@@ -253,3 +253,11 @@
 		_, _ = q.Check(start, innocent)
 	}
 }
+
+func BenchmarkFingerprint(b *testing.B) {
+	body := make([]byte, 1200)
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = quarantiner.FingerprintOf([]byte("POST"), []byte("h.example"), []byte("/lohu930/2f"), nil, body)
+	}
+}
