Clear a suspect by any answer that is no failure, and count kept crashes

Two gaps found when reading: a suspect whose answer is 404 or 409 stayed a suspect for 10 minutes, although it had run to its end; and an examiner that had kept two crashes before it became the examiner made the request no suspect when one of them was reported once more.

--- a/internal/gateway/conductor/content.go
+++ b/internal/gateway/conductor/content.go
@@ -42,8 +42,8 @@
 	// quarantiner.ErrConvicted or quarantiner.ErrWait.
 	BeginTrial func(ctx context.Context, run Run) error
 	// EndRun is called when a run has ended of a content that something is held against.
-	// isAnswered reports that the answer was complete and a success. It is not called for a run
-	// that Lost is called for.
+	// isAnswered reports that the answer was complete and no failure of the target. It is not
+	// called for a run that Lost is called for.
 	EndRun func(run Run, isAnswered bool)
 	// Lost is called for each run whose connection was cut before the whole answer arrived. The
 	// request goes on once it returns. It reports whether the end of the target is held against
@@ -159,7 +159,8 @@
 
 // observeRunEnd reports how a run has ended, as far as that says something of its content.
 func (c *Conductor) observeRunEnd(ctx context.Context, q *request, result result) {
-	isAnswered := result == finished && q.status >= http.StatusOK && q.status < http.StatusMultipleChoices
+	// A target that fails may not have run the request.
+	isAnswered := result == finished && q.status < http.StatusInternalServerError
 	switch {
 	case q.isCut:
 		q.isCut = false
--- a/internal/gateway/conductor/content_test.go
+++ b/internal/gateway/conductor/content_test.go
@@ -191,6 +191,19 @@
 	})
 }
 
+// TestWhichAnswersClearSuspect guards against a suspect that is cleared by a target that did not
+// run it, and against one that never is since its answer is no success.
+func TestWhichAnswersClearSuspect(t *testing.T) {
+	for status, want := range map[int]int{200: 1, 204: 1, 404: 1, 409: 1, 500: 0, 504: 0} {
+		q := &quarantine{isSuspect: true}
+		x := newTarget(t, func(w net.Conn, r *http.Request, _ int) bool { return answer(w, r, status, "") })
+		_, _, err := send(t, setupQuarantine(t, q, x), "POST", "/unsafe/a", "b")
+		require.NoError(t, err)
+		assert.Equal(t, want, q.snapshot().answered, status)
+		assert.Len(t, q.snapshot().ended, 1)
+	}
+}
+
 // TestOnlyCutConnectionsAreLosses guards against blaming requests for targets that are silent,
 // turn them away, fail or answer wrongly.
 func TestOnlyCutConnectionsAreLosses(t *testing.T) {
--- a/internal/request/quarantiner/trial.go
+++ b/internal/request/quarantiner/trial.go
@@ -137,15 +137,17 @@
 func (q *Quarantiner) holdAgainst(now time.Time, r *record, f Fingerprint, place string) {
 	before := len(r.crashes)
 	q.countCrash(now, r, place)
-	if len(r.crashes) == before || !q.isSuspect(r) {
-		return
-	}
-	if !r.verdict.isShared {
+	isNew := len(r.crashes) != before
+	switch {
+	case !q.isSuspect(r):
+	case !r.verdict.isShared: // also if KeepCrash has counted the crash before
 		r.verdict.isShared = true
 		r.verdict.since = now
 		q.counts.Suspects++
+		q.change(f, r)
+	case isNew:
+		q.change(f, r)
 	}
-	q.change(f, r)
 }
 
 // change marks a verdict as one that peers have to be told.
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -1145,7 +1145,7 @@
 	// Content corresponds to the JSON schema field "Content".
 	Content string `json:"Content"`
 
-	// IsAnswered reports that the answer was complete and a success.
+	// IsAnswered reports that the answer was complete and no failure of the target.
 	IsAnswered bool `json:"IsAnswered"`
 
 	// IsEnded reports that the run is over and did not end its target.
