--- a/internal/gateway/conductor/content.go
+++ b/internal/gateway/conductor/content.go
@@ -10,7 +10,6 @@
 
 	"github.com/crocusring/crocusring/internal/edge/connector"
 	"github.com/crocusring/crocusring/internal/edge/splitter"
-	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 	"github.com/crocusring/crocusring/internal/request/quarantiner"
 )
@@ -171,27 +170,3 @@
 		c.quarantine.EndRun(q.run, isAnswered)
 	}
 }
-
-// pickAndBegin picks a target once. The error is that of the balancer, of the limit of the
-// target, or one of beginRun; isPicked reports which.
-func (c *Conductor) pickAndBegin(ctx context.Context, q *request) (ticket *balancer.Ticket, isPicked bool, err error) {
-	ticket, err = c.balancer.Pick(c.registry.View(), balancer.Request{
-		Service: q.service, Model: q.demand.Model, Adapter: q.demand.Adapter, PromptTokens: q.demand.PromptTokens,
-		Tokens: q.demand.Tokens, MaxEventGapMilliseconds: float64(q.route.EventGapGoalMilliseconds), Affinity: q.affinity, Excluded: q.excluded,
-	})
-	if err != nil {
-		return nil, false, err
-	}
-	err = c.beginRun(ctx, q, ticket.Target)
-	if err == nil {
-		err = c.acquirePermit(ctx, ticket.Target)
-		if err != nil {
-			c.cancelRun(q)
-		}
-	}
-	if err != nil {
-		ticket.End(balancer.Abandoned)
-		return nil, true, err
-	}
-	return ticket, true, nil
-}
--- a/internal/gateway/supervisor/verdicts.go
+++ b/internal/gateway/supervisor/verdicts.go
@@ -17,8 +17,9 @@
 // verdictPullInterval is the shortest time between two reads of the verdicts of a peer.
 const verdictPullInterval = time.Second
 
-// spreadVerdicts tells the other instances the verdicts that this one has reached as examiner:
-// those of its data centre, and the representatives of the others, which pass them on.
+// spreadVerdicts tells the other instances the verdicts that this one has reached as examiner: all
+// of them, or, from a cell, those of its data centre and the first ones of the others, of which
+// the representative passes them on.
 func (s *Supervisor) spreadVerdicts() {
 	now := time.Now()
 	s.countVerdicts()
