Stop a request that ends plain services, in the product too

They go through the quarantiner as requests to models do, with the choice of a target as the only difference. Targets of plain services report no incarnation, so that crashes of one within 10 s count once; whether one has crashed is asked by a new connection. TestRequestThatEndsPlainServicesIsStopped failed before. Product only: the gateway uses none of this code.

--- a/internal/edge/forwarder/forwarder.go
+++ b/internal/edge/forwarder/forwarder.go
@@ -67,6 +67,12 @@
 // Prune closes idle connections that have expired at now.
 func (c *Client) Prune(now time.Time) { c.pools.Prune(now) }
 
+// HasEnded reports whether the process at address has ended: it refuses connections, or they are
+// closed as soon as they are made.
+func (c *Client) HasEnded(address string, until time.Time) bool {
+	return c.pools.For(address).Probe(until, func() {}) == connector.Absent
+}
+
 // Do sends a request to the service at address. Path and query are sent verbatim.
 // The error is ErrTooLarge, ErrCrossed or one of the connector's.
 func (c *Client) Do(address string, call Call) (Answer, error) {
--- a/internal/edge/listener/service.go
+++ b/internal/edge/listener/service.go
@@ -10,6 +10,7 @@
 	"github.com/crocusring/crocusring/internal/edge/forwarder"
 	"github.com/crocusring/crocusring/internal/request/deduper"
 	"github.com/crocusring/crocusring/internal/request/dispatcher"
+	"github.com/crocusring/crocusring/internal/request/quarantiner"
 )
 
 // splitServicePath splits the URI of a request line, exactly as the caller sent it,
@@ -84,6 +85,7 @@
 		// A caller may forbid repeats of a repeatable service, not the reverse.
 		Repeatable: a.repeatable && service.Repeatable,
 	}
+	job.Fingerprint = quarantiner.FingerprintOf([]byte(a.team.Name), []byte(name), []byte(job.Method), []byte(pathQuery), []byte(job.ContentType), job.Body)
 	if a.key == nil {
 		// A call that must not be repeated is not canceled midway.
 		if job.Repeatable {
--- a/internal/request/dispatcher/choice.go
+++ b/internal/request/dispatcher/choice.go
@@ -64,14 +64,19 @@
 	if waitsForQuiet(err, job.Deadline) {
 		return true
 	}
-	until, limit := &a.suspectWaitUntil, maxSuspectWait
-	switch {
-	case errors.Is(err, quarantiner.ErrWait):
-	case errors.Is(err, router.ErrNoTarget) && hasOnlyLeaving():
-		until, limit = &a.moveWaitUntil, maxMoveWait
-	default:
-		return false
+	if d.waitsForSuspect(a, err) {
+		return true
 	}
+	return errors.Is(err, router.ErrNoTarget) && hasOnlyLeaving() && d.isWithin(&a.moveWaitUntil, maxMoveWait)
+}
+
+// waitsForSuspect reports whether a request that has to wait for suspects goes on waiting.
+func (d *Dispatcher) waitsForSuspect(a *attempts, err error) bool {
+	return errors.Is(err, quarantiner.ErrWait) && d.isWithin(&a.suspectWaitUntil, maxSuspectWait)
+}
+
+// isWithin reports whether the end of a wait has not passed. It is set if the wait begins now.
+func (d *Dispatcher) isWithin(until *time.Time, limit time.Duration) bool {
 	now := d.now()
 	if until.IsZero() {
 		*until = now.Add(limit)
@@ -86,20 +91,35 @@
 	if err := checkActive(job.Context, now, job.Deadline); err != nil {
 		return nil, err
 	}
-	isSuspect, err := d.quarantiner.Check(now, job.Fingerprint)
+	return d.tryClaim(now, job.Fingerprint, a, func(excluded []string) (*keeper.Target, error) {
+		view := d.fleet.View()
+		return router.Pick(now, view.Holders(job.Name), router.Query{
+			Name: job.Name, DataCentre: d.dataCentre, Excluded: excluded, Seed: rand.Uint64(),
+			Cached: d.prefixes.Targets(now, job.Prefix), Peers: max(0, len(view.Instances)-1),
+		})
+	})
+}
+
+// choose chooses a target, but none of those that are excluded. The error is one of the router.
+type choose func(excluded []string) (*keeper.Target, error)
+
+// tryClaim chooses a target that the quarantiner allows for a request, and claims it if the
+// request is a suspect. The error is one of the quarantiner or the router.
+func (d *Dispatcher) tryClaim(now time.Time, f quarantiner.Fingerprint, a *attempts, choose choose) (*keeper.Target, error) {
+	isSuspect, err := d.quarantiner.Check(now, f)
 	if err != nil {
 		return nil, err
 	}
-	target, err := d.claim(now, job, a, false)
+	target, err := d.claim(now, f, a, choose, false)
 	if errors.Is(err, quarantiner.ErrWait) && !isSuspect {
-		target, err = d.claim(now, job, a, true)
+		target, err = d.claim(now, f, a, choose, true)
 	}
 	if err != nil || !isSuspect {
 		return target, err
 	}
 	d.announce()
-	if err := d.quarantiner.Confirm(d.now(), job.Fingerprint); err != nil {
-		d.quarantiner.End(target.ID, job.Fingerprint)
+	if err := d.quarantiner.Confirm(d.now(), f); err != nil {
+		d.quarantiner.End(target.ID, f)
 		a.endReturn(target)
 		return nil, err
 	}
@@ -108,17 +128,13 @@
 
 // claim claims the best target that the quarantiner allows for the request. If
 // shared is set, a request that is no suspect may run beside a suspect. The error
-// is quarantiner.ErrWait or a *router.QuietError if targets hold the model but none of them
+// is quarantiner.ErrWait or a *router.QuietError if there are targets but none of them
 // is allowed now.
-func (d *Dispatcher) claim(now time.Time, job *Job, a *attempts, shared bool) (*keeper.Target, error) {
+func (d *Dispatcher) claim(now time.Time, f quarantiner.Fingerprint, a *attempts, choose choose, shared bool) (*keeper.Target, error) {
 	excluded := slices.Clone(a.tried)
 	var errBusy error
 	for {
-		view := d.fleet.View()
-		target, err := router.Pick(now, view.Holders(job.Name), router.Query{
-			Name: job.Name, DataCentre: d.dataCentre, Excluded: excluded, Seed: rand.Uint64(),
-			Cached: d.prefixes.Targets(now, job.Prefix), Peers: max(0, len(view.Instances)-1),
-		})
+		target, err := choose(excluded)
 		if err != nil && errBusy != nil {
 			return nil, errBusy
 		}
@@ -131,7 +147,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if errBusy = d.begin(now, target, job, a, shared); errBusy == nil {
+		if errBusy = d.begin(now, target, f, a, shared); errBusy == nil {
 			return target, nil
 		}
 		excluded = append(excluded, target.ID)
@@ -140,12 +156,12 @@
 
 // begin counts a request at a target if the quarantiner allows it there and the target has
 // not asked for quiet since it was chosen.
-func (d *Dispatcher) begin(now time.Time, target *keeper.Target, job *Job, a *attempts, shared bool) error {
+func (d *Dispatcher) begin(now time.Time, target *keeper.Target, f quarantiner.Fingerprint, a *attempts, shared bool) error {
 	isReturn, ok := target.BeginRequest(now)
 	if !ok {
 		return &router.QuietError{Until: now}
 	}
-	if err := d.quarantiner.Begin(now, target.ID, job.Fingerprint, shared); err != nil {
+	if err := d.quarantiner.Begin(now, target.ID, f, shared); err != nil {
 		if isReturn {
 			target.EndReturn()
 		}
--- a/internal/request/dispatcher/service.go
+++ b/internal/request/dispatcher/service.go
@@ -4,10 +4,16 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"github.com/crocusring/crocusring/internal/edge/connector"
 	"github.com/crocusring/crocusring/internal/edge/forwarder"
+	"github.com/crocusring/crocusring/internal/request/quarantiner"
 	"github.com/crocusring/crocusring/internal/request/router"
 	"github.com/crocusring/crocusring/internal/state/keeper"
 )
@@ -23,6 +29,7 @@
 	Body        []byte
 	Deadline    time.Time
 	Repeatable  bool
+	Fingerprint quarantiner.Fingerprint
 	// Context cancels the request, as in Job.
 	Context context.Context
 }
@@ -69,11 +76,33 @@
 	if err == nil && !a.asksQuiet {
 		a.allowMoreReturns(target)
 	}
+	d.observeServiceRun(job, target, answer, err)
 	return answer, err
 }
 
+// crashPeriod is the time within which two crashes of a plain service are taken for one: its
+// targets report no incarnation that would tell them apart.
+const crashPeriod = 10 * time.Second
+
+// observeServiceRun records how the run of a request at a plain service ended, as far as that
+// says something of its content.
+func (d *Dispatcher) observeServiceRun(job *ServiceJob, target *keeper.Target, answer forwarder.Answer, err error) {
+	now := d.now()
+	if errors.Is(err, connector.ErrCut) && d.services.HasEnded(target.Address, now.Add(probeTimeout)) {
+		place := quarantiner.Place{Target: target.ID, Incarnation: "at " + strconv.FormatInt(now.Unix()/int64(crashPeriod.Seconds()), 10)}
+		if d.quarantiner.Crashed(now, place, job.Fingerprint) {
+			go d.announce() // the caller does not wait for it
+		}
+	}
+	d.quarantiner.End(target.ID, job.Fingerprint)
+	if err == nil && answer.Status < http.StatusInternalServerError {
+		d.quarantiner.Clear(now, job.Fingerprint)
+	}
+}
+
 // pickService chooses a target and counts the request as in flight there. It waits for a
-// target that has asked for quiet if the deadline of the request allows it.
+// target that has asked for quiet if the deadline of the request allows it, and for other
+// suspects to finish.
 func (d *Dispatcher) pickService(job *ServiceJob, a *attempts) (*keeper.Target, error) {
 	for {
 		target, err := d.tryPickService(job, a)
@@ -81,7 +110,7 @@
 			target.Counter.InFlight.Add(1)
 			return target, nil
 		}
-		if !waitsForQuiet(err, job.Deadline) {
+		if !waitsForQuiet(err, job.Deadline) && !d.waitsForSuspect(a, err) {
 			return nil, err
 		}
 		time.Sleep(pickPollInterval)
@@ -93,18 +122,11 @@
 	if err := checkActive(job.Context, now, job.Deadline); err != nil {
 		return nil, err
 	}
-	target, err := router.Pick(now, serviceTargets(d.fleet.View(), job.Service), router.Query{
-		DataCentre: d.dataCentre, Excluded: a.tried, Seed: rand.Uint64(),
+	return d.tryClaim(now, job.Fingerprint, a, func(excluded []string) (*keeper.Target, error) {
+		return router.Pick(now, serviceTargets(d.fleet.View(), job.Service), router.Query{
+			DataCentre: d.dataCentre, Excluded: excluded, Seed: rand.Uint64(),
+		})
 	})
-	if err != nil {
-		return nil, err
-	}
-	isReturn, ok := target.BeginRequest(now)
-	if !ok {
-		return nil, &router.QuietError{Until: now}
-	}
-	a.isReturn = isReturn
-	return target, nil
 }
 
 // serviceTargets returns the known targets of a service, sorted by ID.
