--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -211,7 +211,7 @@
 	return nil
 }
 
-// hasOtherSuspect reports whether a suspect other than f has claimed a target.
+// hasOtherSuspect reports whether a suspect other than f has claimed a target, or a place.
 func (q *Quarantiner) hasOtherSuspect(now time.Time, target string, f Fingerprint) bool {
 	for other, r := range q.records {
 		if other != f && r.target == target && q.hasValidClaim(now, r) {
@@ -283,7 +283,7 @@
 	}
 	claimed := place.Target
 	if q.rules.hasTrials {
-		claimed = name
+		claimed = name // the crash of an earlier incarnation says nothing of a trial
 	}
 	suspect, found := q.suspectOn(now, claimed)
 	if found {
--- a/internal/request/quarantiner/record.go
+++ b/internal/request/quarantiner/record.go
@@ -12,7 +12,8 @@
 	owner          string
 	// term increases when another instance replaces an owner that is not alive.
 	term int
-	// target is the target that was claimed for the suspect; empty for none.
+	// target is the target that was claimed for the suspect, or, with trials, the place; empty for
+	// none.
 	target string
 	// claimDeadline is when the claim ends by itself; zero if it ends with its owner.
 	claimDeadline time.Time
