Tell peers of a request that has crashed very many targets

A verdict that named more than 64 crashes was ignored by the instances that got it: of a request that many callers had sent at the same moment, only the examiner knew. A verdict names 64 of them at most now. TestVerdictsReachPeers failed before. Found when reading; behaviour with fewer ends is unchanged.

--- a/internal/request/quarantiner/share.go
+++ b/internal/request/quarantiner/share.go
@@ -8,7 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxSharedCrashes bounds the crashes that a verdict names.
+// maxSharedCrashes bounds the crashes that a verdict names: copies of a request that are sent at the
+// same moment can crash more targets.
 const maxSharedCrashes = 64
 
 // Verdict is what an examiner tells its peers of a request that is or was a suspect.
@@ -71,7 +72,9 @@
 func (r *record) share(f Fingerprint) Verdict {
 	v := r.verdict
 	return Verdict{
-		Fingerprint: f, Revision: v.revision, Crashes: r.crashes, TrialCrashes: v.trialCrashes,
+		Fingerprint: f, Revision: v.revision,
+		Crashes:      r.crashes[:min(len(r.crashes), maxSharedCrashes)],
+		TrialCrashes: v.trialCrashes[max(len(v.trialCrashes)-maxSharedCrashes, 0):],
 		Since: v.since, ConvictedUntil: v.convictedUntil, Deadline: r.deadline,
 	}
 }
--- a/internal/request/quarantiner/trial_test.go
+++ b/internal/request/quarantiner/trial_test.go
@@ -194,6 +194,15 @@
 		assertVerdict(t, late, settled, bad, true, quarantiner.ErrConvicted)
 		assert.Equal(t, peer.Digest(start), late.Digest(start))
 	})
+	t.Run("also if the request has crashed very many", func(t *testing.T) {
+		q, other := newExaminer(), quarantiner.New("entry-5", quarantiner.WithTrials())
+		for n := range 200 {
+			report(q, 0, fmt.Sprintf("x%d", n), bad)
+		}
+		tryAndCrash(t, q, 0, "last", bad)
+		other.MergeShared(start, q.Changes(start))
+		assertVerdict(t, other, settled, bad, true, quarantiner.ErrConvicted)
+	})
 	t.Run("an outdated verdict is ignored", func(t *testing.T) {
 		old := peer.Shared(start)
 		examiner.Refute(start.Add(settled), bad)
