--- a/internal/request/quarantiner/share.go
+++ b/internal/request/quarantiner/share.go
@@ -75,7 +75,7 @@
 		Fingerprint: f, Revision: v.revision,
 		Crashes:      r.crashes[:min(len(r.crashes), maxSharedCrashes)],
 		TrialCrashes: v.trialCrashes[max(len(v.trialCrashes)-maxSharedCrashes, 0):],
-		Since: v.since, ConvictedUntil: v.convictedUntil, Deadline: r.deadline,
+		Since:        v.since, ConvictedUntil: v.convictedUntil, Deadline: r.deadline,
 	}
 }
 
