--- a/internal/request/quarantiner/trial_history_test.go
+++ b/internal/request/quarantiner/trial_history_test.go
@@ -85,6 +85,9 @@
 	q      *quarantiner.Quarantiner
 	// starts counts its incarnations.
 	starts int
+	// isCut is set while it reaches no other instance, and healedAt is when it last did again.
+	isCut    bool
+	healedAt time.Time
 	// knowsPeers is set once it has read the verdicts of a peer, or if it was there from the start.
 	knowsPeers bool
 	// reports holds what it has to tell examiners.
@@ -122,7 +125,8 @@
 	ends []simEnd
 	// spreadTime is how long all instances may take to know of a suspect.
 	spreadTime time.Duration
-	// takeovers counts how often the examiner ended, and takenOverAt is when it last did or came back.
+	// takeovers counts how often the examiner ended or an instance was cut off, and takenOverAt is when
+	// one last was or came back.
 	takeovers   int
 	takenOverAt time.Time
 }
@@ -194,17 +198,20 @@
 	}
 }
 
-// examiners returns the live instances that examine, the examiner first.
-func (s *simulation) examiners() []*simInstance {
+// examiners returns the instances that examine as an instance sees it, the examiner first.
+func (s *simulation) examiners(of *simInstance) []*simInstance {
 	out := []*simInstance{}
 	for _, i := range s.instances {
-		if i.isUp && len(out) < 2 {
+		if i.isUp && reaches(of, i) && len(out) < 2 {
 			out = append(out, i)
 		}
 	}
 	return out
 }
 
+// reaches reports whether a message of an instance reaches another one.
+func reaches(from, to *simInstance) bool { return from == to || !from.isCut && !to.isCut }
+
 // spread tells all instances the verdicts that an examiner has reached.
 func (s *simulation) spread(from *simInstance) {
 	changes := from.q.Changes(s.now)
@@ -212,7 +219,7 @@
 		return
 	}
 	for _, to := range s.instances {
-		if to == from || s.random.Float64() < s.lossShare {
+		if to == from || !reaches(from, to) || s.random.Float64() < s.lossShare {
 			continue
 		}
 		s.after(s.between(simHop, 2*simHop), func() {
@@ -231,7 +238,7 @@
 			continue
 		}
 		for _, peer := range s.instances {
-			if peer.isUp && i.q.Digest(s.now) != peer.q.Digest(s.now) {
+			if peer.isUp && reaches(i, peer) && i.q.Digest(s.now) != peer.q.Digest(s.now) {
 				i.q.MergeShared(s.now, peer.q.Shared(s.now))
 			}
 		}
@@ -243,7 +250,7 @@
 
 // tell passes a report on to the examiners that have not received it.
 func (s *simulation) tell(from *simInstance, r *simReport) {
-	for n, e := range s.examiners() {
+	for n, e := range s.examiners(from) {
 		key := [2]int{e.number, e.starts}
 		if r.informed[key] {
 			continue
@@ -296,7 +303,7 @@
 		s.begin(run)
 		return
 	}
-	examiner := s.examiners()[0]
+	examiner := s.examiners(i)[0]
 	starts := examiner.starts
 	known := i.q.VerdictsOn(s.now, []quarantiner.Fingerprint{c.fingerprint})
 	s.after(simHop, func() { // the question reaches the examiner
@@ -330,7 +337,7 @@
 	}
 	run.target.runs = append(run.target.runs, run)
 	c := run.content
-	if !run.isTrial && run.instance.knowsPeers && s.mustBeKnown(c) {
+	if !run.isTrial && run.instance.knowsPeers && s.isInTouch(run.instance) && s.mustBeKnown(c) {
 		c.lateRuns++
 	}
 	s.after(s.between(20*time.Millisecond, 100*time.Millisecond), func() {
@@ -347,6 +354,11 @@
 	})
 }
 
+// isInTouch reports whether an instance must know what the others know.
+func (s *simulation) isInTouch(i *simInstance) bool {
+	return !i.isCut && s.now.Sub(i.healedAt) > 2*simHeartbeat
+}
+
 // mustBeKnown reports whether all instances must know that a content is a suspect.
 func (s *simulation) mustBeKnown(c *simContent) bool {
 	isSettled := s.takeovers == 0 || s.now.Sub(s.takenOverAt) > 2*simHeartbeat
@@ -456,7 +468,7 @@
 		s.after(4*simHop, func() { s.attempt(c, i, attempts+1, 0, done) })
 		return
 	}
-	examiner := s.examiners()[0]
+	examiner := s.examiners(i)[0]
 	if run.isTrial || attempts > 0 {
 		s.after(simHop, func() {
 			if examiner.isUp {
@@ -532,6 +544,22 @@
 	})
 }
 
+// addCuts cuts one instance after the other off from the others for a while.
+func (s *simulation) addCuts(meanGap time.Duration) {
+	s.every(meanGap, func() {
+		i := s.instances[s.random.IntN(len(s.instances))]
+		if i.isCut {
+			return
+		}
+		i.isCut = true
+		s.takeovers++
+		s.takenOverAt = s.now
+		s.after(s.between(200*time.Millisecond, 2*meanGap), func() {
+			i.isCut, i.healedAt, s.takenOverAt = false, s.now, s.now
+		})
+	})
+}
+
 // assertStopped checks that what ends targets runs only by permit once all instances must know
 // that it has ended two, and that few of these trials are permitted. A target that it ends while
 // another such request is about to run there on trial is held against that one.
@@ -618,6 +646,16 @@
 		t.Logf("%d of %d sends refused that end no targets", refused, sends)
 		assert.LessOrEqual(t, refused, sends/500, "the users' bound on proper requests that are denied")
 	})
+	t.Run("while instances are cut off from one another", func(t *testing.T) {
+		eachHistory(t, func(s *simulation) {
+			s.addCuts(2 * time.Second)
+			s.addContent(true, 1)
+			s.play()
+			require.Positive(t, s.takeovers)
+			s.assertStopped(3 + s.takeovers) // each side has an examiner of its own
+			s.assertInnocentServed()
+		})
+	})
 	t.Run("while verdicts are lost and the examiner starts anew", func(t *testing.T) {
 		eachHistory(t, func(s *simulation) {
 			s.lossShare = 0.3
