Send the same prompt under the same ID in the soak

Cause: the soak's caller put the ID of the request into the last part of X-Prompt-Prefix. The header says what is run and belongs to the content, so that each send of a request that ends engines was another content. Change: the last part's ID follows from the body.

--- a/internal/tool/soaker/callers.go
+++ b/internal/tool/soaker/callers.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -105,13 +107,21 @@
 	endsTargets bool
 }
 
+// call returns the call that asks for the content. Calls of one content differ only in their ID.
+func (c content) call(id string) simulator.Call {
+	prompt := fnv.New64a()
+	_, _ = prompt.Write([]byte(c.body)) // never returns an error
+	return simulator.Call{
+		ID: id, Host: host, Method: http.MethodPost, Path: c.route.Prefix + "x",
+		Body: c.body, Model: c.model, Prompt: strconv.FormatUint(prompt.Sum64(), 16),
+		Timeout: time.Duration(c.route.TimeoutMS) * time.Millisecond,
+	}
+}
+
 // sendOnce sends a request once, under a new ID, and passes the result to the checker.
 func (c *callerGroup) sendOnce(ctx context.Context, caller *simulator.Caller, random *rand.Rand, address string, what content) simulator.Answer {
 	r := what.route
-	call := simulator.Call{
-		ID: fmt.Sprintf("%x-%d", c.seed, c.requestCount.Add(1)), Host: host, Method: http.MethodPost, Path: r.Prefix + "x",
-		Body: what.body, Model: what.model, Timeout: time.Duration(r.TimeoutMS) * time.Millisecond,
-	}
+	call := what.call(fmt.Sprintf("%x-%d", c.seed, c.requestCount.Add(1)))
 	sendCtx, cancel := context.WithTimeout(ctx, call.Timeout+5*time.Second)
 	defer cancel()
 	c.soak.checker.RequestSent(call, r, c.soak.instanceAt(address))
