--- a/internal/tool/soaker/process.go
+++ b/internal/tool/soaker/process.go
@@ -113,3 +113,15 @@
 		<-exited
 	}
 }
+
+// maxLastLines is the number of bytes of a log that lastLines returns at most.
+const maxLastLines = 4000
+
+// lastLines returns the end of the log of the instance.
+func (p *process) lastLines() string {
+	text, err := os.ReadFile(filepath.Join(p.logDirectory, p.name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-maxLastLines):])
+}
--- a/internal/tool/soaker/soaker.go
+++ b/internal/tool/soaker/soaker.go
@@ -288,18 +288,23 @@
 func (s *soak) awaitReady() error {
 	caller := simulator.NewCaller()
 	defer caller.Close()
+	var missing []*process
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(heartbeatInterval) {
-		n := 0
+		missing = nil
 		for _, p := range s.processes {
-			if caller.Ready(p.readinessAddress) {
-				n++
+			if !caller.Ready(p.readinessAddress) {
+				missing = append(missing, p)
 			}
 		}
-		if n == len(s.processes) {
+		if len(missing) == 0 {
 			return nil
 		}
 	}
-	return errors.New("the instances are not ready")
+	out := errors.New("the instances are not ready")
+	for _, p := range missing {
+		out = errors.Wrapf(out, "%s, its last lines of log: %s", p.name, p.lastLines())
+	}
+	return out
 }
 
 // sendHeartbeats makes the targets write their entries until ctx is done.
