Act on a lost run in one place, whatever is known of its target

No change in behaviour but that the line and the count of a run on a leaving target no longer hold up its request. What is logged, counted and told of a trial stood twice: for a target that was leaving, and for one that was probed. endLoss takes the event that both count. Run: tests of supervisor, quarantiner and platform.

--- a/internal/gateway/supervisor/losses.go
+++ b/internal/gateway/supervisor/losses.go
@@ -23,10 +23,7 @@
 // reports whether the target is known to have ended.
 func (s *Supervisor) examineLoss(ctx context.Context, run conductor.Run) (hasEnded bool) {
 	if !s.mayHaveCrashed(run.Target) {
-		s.recordLoss(run, measurer.CutTargetLeaving)
-		if run.IsTrial {
-			go s.endTrial(run, false)
-		}
+		go s.endLoss(run, measurer.CutTargetLeaving)
 		return false
 	}
 	target := prober.Incarnation{Target: run.Target.ID, StartMilliseconds: run.Target.StartMilliseconds}
@@ -37,10 +34,10 @@
 		if examination.Presence() != connector.Absent {
 			close(settled) // the target accepts connections, or cannot be reached
 			<-examination.Done
-			s.endLoss(run, examination.Presence())
+			s.endLoss(run, lossEvents[examination.Presence()])
 			return
 		}
-		s.endLoss(run, connector.Absent)
+		s.endLoss(run, measurer.CutTargetEnded)
 		close(settled)
 	}()
 	timer := time.NewTimer(maxLossWait)
@@ -53,11 +50,13 @@
 	return examination.Presence() == connector.Absent
 }
 
-// endLoss acts on what the probe of the target of a lost run has shown.
-func (s *Supervisor) endLoss(run conductor.Run, presence connector.Presence) {
-	s.recordLoss(run, lossEvents[presence])
+// endLoss counts, logs and reports a run whose connection was cut, by what is known of its target.
+func (s *Supervisor) endLoss(run conductor.Run, event measurer.Event) {
+	s.measurer.CountEvent(event, 1)
+	s.log.Info("connection of request cut", "request", run.Request, "target", run.Target.ID, "born", run.Target.StartMilliseconds,
+		"content", run.Content.String(), "found", string(event), "isTrial", run.IsTrial)
 	switch {
-	case presence == connector.Absent:
+	case event == measurer.CutTargetEnded:
 		s.reportCrash(run)
 	case run.IsTrial:
 		s.endTrial(run, false)
@@ -80,10 +79,3 @@
 var lossEvents = map[connector.Presence]measurer.Event{
 	connector.Absent: measurer.CutTargetEnded, connector.Present: measurer.CutTargetPresent, connector.Unknown: measurer.CutTargetUnknown,
 }
-
-// recordLoss logs and counts a run whose connection was cut.
-func (s *Supervisor) recordLoss(run conductor.Run, event measurer.Event) {
-	s.measurer.CountEvent(event, 1)
-	s.log.Info("connection of request cut", "request", run.Request, "target", run.Target.ID, "born", run.Target.StartMilliseconds,
-		"content", run.Content.String(), "found", string(event), "isTrial", run.IsTrial)
-}
