Repeat what supervisor does at intervals in one loop

prune and passOnCrashesRegularly were the same loop line by line. sendSums and maintainLease keep theirs: these carry state from one turn to the next. Run: tests of supervisor.

--- a/internal/gateway/supervisor/quarantine.go
+++ b/internal/gateway/supervisor/quarantine.go
@@ -154,16 +154,7 @@
 const passOnInterval = 250 * time.Millisecond
 
 func (s *Supervisor) passOnCrashesRegularly(ctx context.Context) {
-	ticker := time.NewTicker(passOnInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.passOnCrashes()
-		}
-	}
+	every(ctx, passOnInterval, s.passOnCrashes)
 }
 
 // receiveCrash records a crash as the examiner, and tells all instances what follows.
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -356,21 +356,28 @@
 // prune regularly removes expired state and updates the number of instances that share
 // the retry budget.
 func (s *Supervisor) prune(ctx context.Context) {
-	ticker := time.NewTicker(pruneInterval)
+	every(ctx, pruneInterval, func() {
+		s.conductor.Prune()
+		s.prober.Prune()
+		view := s.registry.View()
+		s.balancer.Prune(view)
+		s.limiter.Prune(func(target string) bool { return view.Targets[target] != nil })
+		if s.instances.Version() > 0 {
+			s.budget.SetInstances(max(int(s.instanceCount.Load()), len(s.informer.Peers())+1))
+		}
+	})
+}
+
+// every calls do after each interval until ctx is done.
+func every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.conductor.Prune()
-			s.prober.Prune()
-			view := s.registry.View()
-			s.balancer.Prune(view)
-			s.limiter.Prune(func(target string) bool { return view.Targets[target] != nil })
-			if s.instances.Version() > 0 {
-				s.budget.SetInstances(max(int(s.instanceCount.Load()), len(s.informer.Peers())+1))
-			}
+			do()
 		}
 	}
 }
