--- a/internal/request/quarantiner/record.go
+++ b/internal/request/quarantiner/record.go
@@ -26,7 +26,7 @@
 
 // addCrash counts the crash of a place, at most once, and reports whether it is new.
 func (r *record) addCrash(place string) bool {
-	if slices.Contains(r.clearedCrashes, place) || slices.Contains(r.crashes, place) {
+	if contains(r.clearedCrashes, place) || contains(r.crashes, place) {
 		return false
 	}
 	r.crashes = insertSorted(r.crashes, place)
@@ -47,7 +47,7 @@
 		r.clearedCrashes = insertSorted(r.clearedCrashes, place)
 	}
 	r.crashes = slices.DeleteFunc(slices.Clone(r.crashes), func(place string) bool {
-		return slices.Contains(r.clearedCrashes, place)
+		return contains(r.clearedCrashes, place)
 	})
 }
 
@@ -60,3 +60,8 @@
 	}
 	return slices.Insert(slices.Clone(sorted), i, s)
 }
+
+func contains(sorted []string, s string) bool {
+	_, found := slices.BinarySearch(sorted, s)
+	return found
+}
--- a/internal/request/quarantiner/share.go
+++ b/internal/request/quarantiner/share.go
@@ -114,9 +114,7 @@
 			return false
 		}
 	}
-	if r == nil {
-		r = q.makeRecord(now, v.Fingerprint, q.instance, 0)
-	}
+	r = q.makeRecord(now, v.Fingerprint, q.instance, 0)
 	if len(v.Crashes) == 0 {
 		r.clearCrashes(r.crashes)
 	}
@@ -137,11 +135,6 @@
 	return b
 }
 
-func contains(sorted []string, s string) bool {
-	_, found := slices.BinarySearch(sorted, s)
-	return found
-}
-
 // Digest identifies the verdicts that an instance knows; 0 if it knows none.
 func (q *Quarantiner) Digest(now time.Time) int64 {
 	q.mu.Lock()
--- a/internal/request/quarantiner/verdict.go
+++ b/internal/request/quarantiner/verdict.go
@@ -84,7 +84,7 @@
 	} else {
 		wasSuspect := q.isSuspect(r)
 		for _, place := range v.Places {
-			if wasSuspect && !slices.Contains(r.crashes, place) {
+			if wasSuspect && !contains(r.crashes, place) {
 				// A suspect runs with no other suspect on its target, so the crash is
 				// attributed to it alone.
 				q.attributions[place] = attribution{fingerprint: f, deadline: now.Add(suspectTTL)}
