--- a/internal/tool/soaker/callers.go
+++ b/internal/tool/soaker/callers.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"fmt"
-	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -109,11 +108,9 @@
 
 // call returns the call that asks for the content. Calls of one content differ only in their ID.
 func (c content) call(id string) simulator.Call {
-	prompt := fnv.New64a()
-	_, _ = prompt.Write([]byte(c.body)) // never returns an error
 	return simulator.Call{
 		ID: id, Host: host, Method: http.MethodPost, Path: c.route.Prefix + "x",
-		Body: c.body, Model: c.model, Prompt: strconv.FormatUint(prompt.Sum64(), 16),
+		Body: c.body, Model: c.model, Prompt: hex.EncodeToString([]byte(c.body)),
 		Timeout: time.Duration(c.route.TimeoutMS) * time.Millisecond,
 	}
 }
