--- a/internal/gateway/limiter/history_test.go
+++ b/internal/gateway/limiter/history_test.go
@@ -1,7 +1,6 @@
 package limiter_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -9,6 +8,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/crocusring/crocusring/internal/fake/scheduler"
 	"github.com/crocusring/crocusring/internal/gateway/limiter"
 )
 
@@ -25,27 +25,6 @@
 	limitSlack  = 5
 )
 
-// event is an action at a virtual time.
-type event struct {
-	at     time.Time
-	number int
-	run    func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(a, b int) bool {
-	return q[a].at.Before(q[b].at) || (q[a].at.Equal(q[b].at) && q[a].number < q[b].number)
-}
-func (q eventQueue) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // node is a simulated instance.
 type node struct {
 	limiter.Member
@@ -59,10 +38,8 @@
 
 // history is a random history of instances before one target in virtual time.
 type history struct {
+	*scheduler.Scheduler
 	random *rand.Rand
-	now    time.Time
-	queue  eventQueue
-	count  int
 	nodes  []*node
 	// cutPair holds two instances that do not reach each other.
 	cutPair [2]*node
@@ -88,7 +65,7 @@
 
 func newHistory(seed uint64, nodes int) *history {
 	h := &history{
-		random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), registeredAt: map[limiter.Member]time.Time{},
+		Scheduler: scheduler.New(time.Unix(1000, 0)), random: rand.New(rand.NewPCG(seed, 7)), registeredAt: map[limiter.Member]time.Time{},
 		target: limiter.Target{ID: "t", DataCentre: "a"},
 	}
 	for range nodes {
@@ -97,11 +74,6 @@
 	return h
 }
 
-func (h *history) after(d time.Duration, run func()) {
-	h.count++
-	heap.Push(&h.queue, event{at: h.now.Add(d), number: h.count, run: run})
-}
-
 // onNode runs an action of an instance, when it is no longer frozen and unless it has been
 // restarted.
 func (h *history) onNode(n *node, d time.Duration, run func()) {
@@ -110,13 +82,13 @@
 	attempt = func() {
 		switch {
 		case n.incarnation != incarnation:
-		case h.now.Before(n.frozenUntil):
-			h.after(n.frozenUntil.Sub(h.now), attempt)
+		case h.Now().Before(n.frozenUntil):
+			h.After(n.frozenUntil.Sub(h.Now()), attempt)
 		default:
 			run()
 		}
 	}
-	h.after(d, attempt)
+	h.After(d, attempt)
 }
 
 func (h *history) addNode() {
@@ -131,9 +103,9 @@
 	n.heard = map[string]time.Time{}
 	n.hasLeft = false
 	if _, ok := h.registeredAt[n.Member]; !ok {
-		h.registeredAt[n.Member] = h.now
+		h.registeredAt[n.Member] = h.Now()
 	}
-	n.Limiter = limiter.New(n.Member, 5, limiter.WithClock(func() time.Time { return h.now }))
+	n.Limiter = limiter.New(n.Member, 5, limiter.WithClock(h.Now))
 	h.onNode(n, h.delay(statusInterval), func() { h.sendStatus(n) })
 	h.onNode(n, h.delay(time.Second), func() { h.demand(n) })
 }
@@ -154,7 +126,7 @@
 		switch at, ok := n.heard[other.Name]; {
 		case other.hasLeft:
 			left = append(left, other.Name)
-		case ok && other != n && h.now.Sub(at) < statusTTL:
+		case ok && other != n && h.Now().Sub(at) < statusTTL:
 			live = append(live, other.Member)
 		}
 	}
@@ -165,7 +137,7 @@
 			continue
 		}
 		h.onNode(other, h.delay(200*time.Millisecond), func() {
-			other.heard[n.Name] = h.now
+			other.heard[n.Name] = h.Now()
 			other.ReceiveReport(n.Name, report, statusTTL)
 		})
 	}
@@ -176,7 +148,7 @@
 func (h *history) registered() []limiter.Member {
 	out := []limiter.Member{}
 	for _, n := range h.nodes {
-		if at, ok := h.registeredAt[n.Member]; ok && h.now.Sub(at) >= registerDelay {
+		if at, ok := h.registeredAt[n.Member]; ok && h.Now().Sub(at) >= registerDelay {
 			out = append(out, n.Member)
 		}
 	}
@@ -188,7 +160,7 @@
 	n.hasLeft = true
 	n.incarnation++
 	delete(h.registeredAt, n.Member)
-	h.after(h.delay(10*time.Second), func() {
+	h.After(h.delay(10*time.Second), func() {
 		if n.hasLeft {
 			h.start(n)
 		}
@@ -232,12 +204,12 @@
 
 // send sends a request and lets the instance see the limit in its answer.
 func (h *history) send(n *node) {
-	sentAt, id := h.now, h.target.ID
+	sentAt, id := h.Now(), h.target.ID
 	knew, ok := n.Limit(id)
 	h.arrive(ok && knew.IsNamed)
 	isNamed, perSecond := h.isNamed, h.limit
 	h.onNode(n, h.delay(100*time.Millisecond), func() {
-		limit := limiter.Limit{IsNamed: isNamed, PerSecond: perSecond, SeenAt: h.now}
+		limit := limiter.Limit{IsNamed: isNamed, PerSecond: perSecond, SeenAt: h.Now()}
 		if !isNamed {
 			limit.SeenAt = sentAt
 		}
@@ -250,15 +222,15 @@
 	if isTold {
 		h.told++
 	}
-	if !h.isNamed || !isTold || h.now.Sub(h.namedAt) < learnTime {
+	if !h.isNamed || !isTold || h.Now().Sub(h.namedAt) < learnTime {
 		return
 	}
-	h.arrivals = append(h.arrivals, h.now)
-	for h.now.Sub(h.arrivals[0]) > window {
+	h.arrivals = append(h.arrivals, h.Now())
+	for h.Now().Sub(h.arrivals[0]) > window {
 		h.arrivals = h.arrivals[1:]
 	}
 	if allowed := limitFactor*h.highestLimit()*window.Seconds() + limitSlack; float64(len(h.arrivals)) > allowed {
-		h.excess = fmt.Sprintf("%v: %d requests in %v, allowed %.1f", h.now.Sub(time.Unix(1000, 0)), len(h.arrivals), window, allowed)
+		h.excess = fmt.Sprintf("%v: %d requests in %v, allowed %.1f", h.Now().Sub(time.Unix(1000, 0)), len(h.arrivals), window, allowed)
 	}
 }
 
@@ -268,7 +240,7 @@
 	highest := h.limit
 	for i, c := range h.limits {
 		isLast := i == len(h.limits)-1
-		if isLast || h.now.Sub(h.limits[i+1].at) < window+learnTime {
+		if isLast || h.Now().Sub(h.limits[i+1].at) < window+learnTime {
 			highest = max(highest, c.perSecond)
 		}
 	}
@@ -277,20 +249,20 @@
 
 func (h *history) setLimit(perSecond float64) {
 	if !h.isNamed {
-		h.namedAt, h.arrivals, h.limits = h.now, nil, nil
+		h.namedAt, h.arrivals, h.limits = h.Now(), nil, nil
 	}
 	h.isNamed = true
 	h.limit = perSecond
-	h.limits = append(h.limits, limitChange{h.now, h.limit})
+	h.limits = append(h.limits, limitChange{h.Now(), h.limit})
 }
 
 // disturb changes something at random.
 func (h *history) disturb() {
-	h.after(h.delay(6*time.Second), h.disturb)
+	h.After(h.delay(6*time.Second), h.disturb)
 	n := h.nodes[h.random.IntN(len(h.nodes))]
 	switch h.random.IntN(10) {
 	case 0:
-		n.frozenUntil = h.now.Add(h.delay(8 * time.Second))
+		n.frozenUntil = h.Now().Add(h.delay(8 * time.Second))
 	case 1:
 		h.start(n)
 	case 2:
@@ -322,10 +294,8 @@
 }
 
 func (h *history) play(length time.Duration) {
-	for end := h.now.Add(length); h.excess == "" && h.now.Before(end); {
-		next := heap.Pop(&h.queue).(event)
-		h.now = next.at
-		next.run()
+	for end := h.Now().Add(length); h.excess == "" && h.Now().Before(end); {
+		h.Step()
 	}
 }
 
@@ -335,7 +305,7 @@
 	for seed := range uint64(100) {
 		h := newHistory(seed, 1+int(seed%9))
 		h.setLimit([]float64{0, 0.3, 1, 1.2, 3, 10, 40}[seed%7])
-		h.after(h.delay(10*time.Second), h.disturb)
+		h.After(h.delay(10*time.Second), h.disturb)
 		h.play(historyLength)
 		assert.Empty(t, h.excess, "seed %d", seed)
 	}
--- a/internal/request/quarantiner/trial_history_test.go
+++ b/internal/request/quarantiner/trial_history_test.go
@@ -1,7 +1,6 @@
 package quarantiner_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -13,33 +12,10 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/crocusring/crocusring/internal/fake/scheduler"
 	"github.com/crocusring/crocusring/internal/request/quarantiner"
 )
 
-// event is something that happens at a virtual time.
-type event struct {
-	at    time.Time
-	order int
-	do    func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].order < q[j].order
-	}
-	return q[i].at.Before(q[j].at)
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // simRun is a run of a content at a target.
 type simRun struct {
 	content  *simContent
@@ -110,12 +86,10 @@
 // simulation plays callers, instances and targets in virtual time. The decisions are those of
 // the real quarantiner; messages take time and can be lost.
 type simulation struct {
+	*scheduler.Scheduler
 	t         *testing.T
 	random    *rand.Rand
-	now       time.Time
 	until     time.Time
-	queue     eventQueue
-	order     int
 	instances []*simInstance
 	targets   []*simTarget
 	contents  []*simContent
@@ -145,7 +119,7 @@
 )
 
 func newSimulation(t *testing.T, seed uint64, instances, targets int) *simulation {
-	s := &simulation{t: t, random: rand.New(rand.NewPCG(seed, 7)), now: start, until: start.Add(20 * time.Second), spreadTime: 6 * simHop}
+	s := &simulation{t: t, random: rand.New(rand.NewPCG(seed, 7)), Scheduler: scheduler.New(start), until: start.Add(20 * time.Second), spreadTime: 6 * simHop}
 	for n := range instances {
 		i := &simInstance{number: n}
 		s.startInstance(i)
@@ -155,7 +129,7 @@
 	for n := range targets {
 		s.targets = append(s.targets, &simTarget{name: fmt.Sprintf("t%d", n), isUp: true})
 	}
-	s.every(simHeartbeat, s.exchange)
+	s.Every(simHeartbeat, s.exchange)
 	return s
 }
 
@@ -165,36 +139,21 @@
 	i.q = quarantiner.New(fmt.Sprintf("i%d", i.number), quarantiner.WithTrials())
 	i.reports, i.knowsPeers = nil, false
 	starts := i.starts
-	s.after(simStart, func() {
+	s.After(simStart, func() {
 		peers := slices.DeleteFunc(slices.Clone(s.instances), func(p *simInstance) bool { return p == i || !p.isUp })
 		if i.starts == starts && len(peers) > 0 {
-			i.q.MergeShared(s.now, peers[s.random.IntN(len(peers))].q.Shared(s.now))
+			i.q.MergeShared(s.Now(), peers[s.random.IntN(len(peers))].q.Shared(s.Now()))
 			i.knowsPeers = true
 		}
 	})
 }
 
-func (s *simulation) after(d time.Duration, do func()) {
-	s.order++
-	heap.Push(&s.queue, event{s.now.Add(d), s.order, do})
-}
-
-func (s *simulation) every(d time.Duration, do func()) {
-	s.after(d, func() {
-		do()
-		s.every(d, do)
-	})
-}
-
 func (s *simulation) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(s.random.Float64()*float64(high-low))
 }
 
 func (s *simulation) play() {
-	for len(s.queue) > 0 && s.now.Before(s.until) {
-		next := heap.Pop(&s.queue).(event)
-		s.now = next.at
-		next.do()
+	for s.Now().Before(s.until) && s.Step() {
 	}
 }
 
@@ -214,7 +173,7 @@
 
 // spread tells all instances the verdicts that an examiner has reached.
 func (s *simulation) spread(from *simInstance) {
-	changes := from.q.Changes(s.now)
+	changes := from.q.Changes(s.Now())
 	if len(changes) == 0 {
 		return
 	}
@@ -222,9 +181,9 @@
 		if to == from || !reaches(from, to) || s.random.Float64() < s.lossShare {
 			continue
 		}
-		s.after(s.between(simHop, 2*simHop), func() {
+		s.After(s.between(simHop, 2*simHop), func() {
 			if to.isUp {
-				to.q.MergeShared(s.now, changes)
+				to.q.MergeShared(s.Now(), changes)
 			}
 		})
 	}
@@ -238,8 +197,8 @@
 			continue
 		}
 		for _, peer := range s.instances {
-			if peer.isUp && reaches(i, peer) && i.q.Digest(s.now) != peer.q.Digest(s.now) {
-				i.q.MergeShared(s.now, peer.q.Shared(s.now))
+			if peer.isUp && reaches(i, peer) && i.q.Digest(s.Now()) != peer.q.Digest(s.Now()) {
+				i.q.MergeShared(s.Now(), peer.q.Shared(s.Now()))
 			}
 		}
 		for _, r := range i.reports {
@@ -257,13 +216,13 @@
 		}
 		r.informed[key] = true
 		contents := []quarantiner.Fingerprint{r.content}
-		if n > 0 || s.now.Sub(r.at) > simFresh {
-			e.q.KeepCrash(s.now, r.place, contents)
+		if n > 0 || s.Now().Sub(r.at) > simFresh {
+			e.q.KeepCrash(s.Now(), r.place, contents)
 			continue
 		}
-		e.q.MergeShared(s.now, from.q.VerdictsOn(s.now, contents))
-		e.q.ReportCrash(s.now, r.place, contents)
-		from.q.MergeShared(s.now, e.q.VerdictsOn(s.now, contents))
+		e.q.MergeShared(s.Now(), from.q.VerdictsOn(s.Now(), contents))
+		e.q.ReportCrash(s.Now(), r.place, contents)
+		from.q.MergeShared(s.Now(), e.q.VerdictsOn(s.Now(), contents))
 		s.spread(e)
 	}
 }
@@ -272,7 +231,7 @@
 func (s *simulation) send(c *simContent, done func(isAnswered bool)) {
 	live := slices.DeleteFunc(slices.Clone(s.instances), func(i *simInstance) bool { return !i.isUp })
 	if len(live) == 0 {
-		s.after(simWait, func() { done(false) })
+		s.After(simWait, func() { done(false) })
 		return
 	}
 	c.sends++
@@ -282,19 +241,19 @@
 func (s *simulation) attempt(c *simContent, i *simInstance, attempts, waits int, done func(isAnswered bool)) {
 	up := slices.DeleteFunc(slices.Clone(s.targets), func(t *simTarget) bool { return !t.isUp })
 	if !i.isUp || attempts >= simAttempts || waits > simMaxWaits || len(up) == 0 {
-		s.after(simHop, func() { done(false) })
+		s.After(simHop, func() { done(false) })
 		return
 	}
 	target := up[s.random.IntN(len(up))]
 	place := quarantiner.Place{Target: target.name, Incarnation: strconv.Itoa(target.incarnation)}
-	isSuspect, err := i.q.Check(s.now, c.fingerprint)
+	isSuspect, err := i.q.Check(s.Now(), c.fingerprint)
 	if errors.Is(err, quarantiner.ErrWait) {
-		s.after(simWait, func() { s.attempt(c, i, attempts, waits+1, done) })
+		s.After(simWait, func() { s.attempt(c, i, attempts, waits+1, done) })
 		return
 	}
 	if err != nil {
 		c.refusedForGood++
-		s.after(simHop, func() { done(false) })
+		s.After(simHop, func() { done(false) })
 		return
 	}
 	run := &simRun{content: c, instance: i, target: target, place: place}
@@ -305,22 +264,22 @@
 	}
 	examiner := s.examiners(i)[0]
 	starts := examiner.starts
-	known := i.q.VerdictsOn(s.now, []quarantiner.Fingerprint{c.fingerprint})
-	s.after(simHop, func() { // the question reaches the examiner
+	known := i.q.VerdictsOn(s.Now(), []quarantiner.Fingerprint{c.fingerprint})
+	s.After(simHop, func() { // the question reaches the examiner
 		if examiner.isUp {
-			examiner.q.MergeShared(s.now, known)
+			examiner.q.MergeShared(s.Now(), known)
 		}
-		isTrial, _ := examiner.q.Check(s.now, c.fingerprint)
+		isTrial, _ := examiner.q.Check(s.Now(), c.fingerprint)
 		isPermitted := examiner.isUp && examiner.starts == starts &&
-			examiner.q.BeginTrial(s.now, c.fingerprint, place, s.now.Add(2*time.Second)) == nil
+			examiner.q.BeginTrial(s.Now(), c.fingerprint, place, s.Now().Add(2*time.Second)) == nil
 		var verdicts []quarantiner.Verdict
 		if examiner.isUp {
-			verdicts = examiner.q.VerdictsOn(s.now, []quarantiner.Fingerprint{c.fingerprint})
+			verdicts = examiner.q.VerdictsOn(s.Now(), []quarantiner.Fingerprint{c.fingerprint})
 		}
-		s.after(simHop, func() { // the answer
-			i.q.MergeShared(s.now, verdicts)
+		s.After(simHop, func() { // the answer
+			i.q.MergeShared(s.Now(), verdicts)
 			if !isPermitted {
-				s.after(simWait, func() { s.attempt(c, i, attempts, waits+1, done) })
+				s.After(simWait, func() { s.attempt(c, i, attempts, waits+1, done) })
 				return
 			}
 			run.isTrial = isTrial
@@ -332,7 +291,7 @@
 // begin begins a run, which ends by itself unless its target ends before.
 func (s *simulation) begin(run *simRun) {
 	if !run.target.isUp || strconv.Itoa(run.target.incarnation) != run.place.Incarnation {
-		s.after(simHop, func() { run.ended(false) }) // refused connection: not run
+		s.After(simHop, func() { run.ended(false) }) // refused connection: not run
 		return
 	}
 	run.target.runs = append(run.target.runs, run)
@@ -340,7 +299,7 @@
 	if !run.isTrial && run.instance.knowsPeers && s.isInTouch(run.instance) && s.mustBeKnown(c) {
 		c.lateRuns++
 	}
-	s.after(s.between(20*time.Millisecond, 100*time.Millisecond), func() {
+	s.After(s.between(20*time.Millisecond, 100*time.Millisecond), func() {
 		at := slices.Index(run.target.runs, run)
 		switch {
 		case at < 0:
@@ -356,13 +315,13 @@
 
 // isInTouch reports whether an instance must know what the others know.
 func (s *simulation) isInTouch(i *simInstance) bool {
-	return !i.isCut && s.now.Sub(i.healedAt) > 2*simHeartbeat
+	return !i.isCut && s.Now().Sub(i.healedAt) > 2*simHeartbeat
 }
 
 // mustBeKnown reports whether all instances must know that a content is a suspect.
 func (s *simulation) mustBeKnown(c *simContent) bool {
-	isSettled := s.takeovers == 0 || s.now.Sub(s.takenOverAt) > 2*simHeartbeat
-	return !c.secondEndAt.IsZero() && s.now.Sub(c.secondEndAt) > s.spreadTime && isSettled
+	isSettled := s.takeovers == 0 || s.Now().Sub(s.takenOverAt) > 2*simHeartbeat
+	return !c.secondEndAt.IsZero() && s.Now().Sub(c.secondEndAt) > s.spreadTime && isSettled
 }
 
 // endByRun ends the target of a run by its content.
@@ -378,7 +337,7 @@
 		c.clearEnds++
 	}
 	if c.clearEnds == 2 && c.secondEndAt.IsZero() {
-		c.secondEndAt = s.now
+		c.secondEndAt = s.Now()
 	}
 	s.endTarget(run.target, c)
 }
@@ -400,9 +359,9 @@
 		if run.isTrial && run.content != cause {
 			s.noteEndedTrial(run.content)
 		}
-		s.after(s.between(simHop/2, simHop), func() { run.ended(true) })
+		s.After(s.between(simHop/2, simHop), func() { run.ended(true) })
 	}
-	s.after(s.between(300*time.Millisecond, 2*time.Second), func() {
+	s.After(s.between(300*time.Millisecond, 2*time.Second), func() {
 		target.incarnation++
 		target.isUp = true
 	})
@@ -411,7 +370,7 @@
 // kill ends targets from outside, all at nearly the same time.
 func (s *simulation) kill(targets []*simTarget) {
 	for _, target := range targets {
-		s.after(s.between(0, 50*time.Millisecond), func() {
+		s.After(s.between(0, 50*time.Millisecond), func() {
 			if !target.isUp {
 				return
 			}
@@ -423,7 +382,7 @@
 
 // noteEnd records the end of a target.
 func (s *simulation) noteEnd(target *simTarget) {
-	end := simEnd{at: s.now}
+	end := simEnd{at: s.Now()}
 	for _, run := range target.runs {
 		end.contents = append(end.contents, run.content)
 	}
@@ -435,8 +394,8 @@
 // noteEndedTrial records that something else ends a trial, and whether it ends nothing else.
 func (s *simulation) noteEndedTrial(c *simContent) {
 	c.endedTrials++
-	at := s.now
-	s.after(simDoubt, func() {
+	at := s.Now()
+	s.After(simDoubt, func() {
 		near := 0
 		for _, end := range s.ends {
 			if end.at.Sub(at).Abs() < simDoubt-10*simHop && !slices.Contains(end.contents, c) {
@@ -458,21 +417,21 @@
 	}
 	isAnswered := !isLost && c.answered > 0 && !c.endsTargets
 	if isLost {
-		report := &simReport{at: s.now, place: run.place, content: c.fingerprint, informed: map[[2]int]bool{}}
+		report := &simReport{at: s.Now(), place: run.place, content: c.fingerprint, informed: map[[2]int]bool{}}
 		i.reports = append(i.reports, report)
-		s.after(simHop, func() {
+		s.After(simHop, func() {
 			if i.isUp {
 				s.tell(i, report)
 			}
 		})
-		s.after(4*simHop, func() { s.attempt(c, i, attempts+1, 0, done) })
+		s.After(4*simHop, func() { s.attempt(c, i, attempts+1, 0, done) })
 		return
 	}
 	examiner := s.examiners(i)[0]
 	if run.isTrial || attempts > 0 {
-		s.after(simHop, func() {
+		s.After(simHop, func() {
 			if examiner.isUp {
-				examiner.q.EndTrial(s.now, c.fingerprint, run.place, isAnswered)
+				examiner.q.EndTrial(s.Now(), c.fingerprint, run.place, isAnswered)
 				s.spread(examiner)
 			}
 		})
@@ -489,7 +448,7 @@
 	sendAgain = func(left int) {
 		s.send(c, func(isAnswered bool) {
 			if left > 0 && !isAnswered {
-				s.after(s.between(20*time.Millisecond, 800*time.Millisecond), func() { sendAgain(left - 1) })
+				s.After(s.between(20*time.Millisecond, 800*time.Millisecond), func() { sendAgain(left - 1) })
 			}
 		})
 	}
@@ -505,7 +464,7 @@
 
 // addTraffic makes callers send contents that end no targets.
 func (s *simulation) addTraffic() {
-	s.every(8*time.Millisecond, func() { s.addContent(false, 1) })
+	s.Every(8*time.Millisecond, func() { s.addContent(false, 1) })
 }
 
 func (s *simulation) randomTargets(n int) []*simTarget {
@@ -525,37 +484,37 @@
 			n = 2 + s.random.IntN(len(s.targets)/3)
 		}
 		s.kill(s.randomTargets(n))
-		s.after(s.between(meanGap/4, 2*meanGap), next)
+		s.After(s.between(meanGap/4, 2*meanGap), next)
 	}
-	s.after(meanGap, next)
+	s.After(meanGap, next)
 }
 
 // addRestarts ends the examiner now and then; it starts without a memory.
 func (s *simulation) addRestarts(meanGap time.Duration) {
-	s.every(meanGap, func() {
+	s.Every(meanGap, func() {
 		i := s.instances[0]
 		i.isUp = false
 		s.takeovers++
-		s.takenOverAt = s.now
-		s.after(s.between(100*time.Millisecond, time.Second), func() {
+		s.takenOverAt = s.Now()
+		s.After(s.between(100*time.Millisecond, time.Second), func() {
 			s.startInstance(i)
-			s.takenOverAt = s.now
+			s.takenOverAt = s.Now()
 		})
 	})
 }
 
 // addCuts cuts one instance after the other off from the others for a while.
 func (s *simulation) addCuts(meanGap time.Duration) {
-	s.every(meanGap, func() {
+	s.Every(meanGap, func() {
 		i := s.instances[s.random.IntN(len(s.instances))]
 		if i.isCut {
 			return
 		}
 		i.isCut = true
 		s.takeovers++
-		s.takenOverAt = s.now
-		s.after(s.between(200*time.Millisecond, 2*meanGap), func() {
-			i.isCut, i.healedAt, s.takenOverAt = false, s.now, s.now
+		s.takenOverAt = s.Now()
+		s.After(s.between(200*time.Millisecond, 2*meanGap), func() {
+			i.isCut, i.healedAt, s.takenOverAt = false, s.Now(), s.Now()
 		})
 	})
 }
