Log the parts of a lost request's prompt, and how far its answer was

Callers saw streams cut at one end of an engine after the other; the line of a lost request named a hash of its whole content, so that one could not see whether two of them share anything. It now names the shared parts, those of them that were answered here within 3 s, whether some of the answer had arrived, and the time since the send; one counter more. Nothing is decided by it.

--- a/internal/gateway/conductor/accept.go
+++ b/internal/gateway/conductor/accept.go
@@ -119,7 +119,8 @@
 	q.demand = Demand{Service: q.service, Model: model, Adapter: adapter, PromptTokens: prompt, Tokens: prompt + output}
 	digest := xxhash.New()
 	_, _ = digest.WriteString(value)
-	for _, part := range c.headers.ParsePrefix(q.httpRequest.Header.Get(c.headers.Prefix)) {
+	q.parts = c.headers.ParsePrefix(q.httpRequest.Header.Get(c.headers.Prefix))
+	for _, part := range q.parts {
 		_, _ = digest.WriteString(part)
 	}
 	q.affinity = digest.Sum64() | 1 // 0 means no affinity
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -180,7 +180,9 @@
 	// service.
 	demand   Demand
 	affinity uint64
-	arrived  time.Time
+	// parts holds the parts of the prompt that other requests may bear as well.
+	parts   []string
+	arrived time.Time
 	// deadline is when the final answer is due.
 	deadline time.Time
 	// sent counts the sends of which at least a byte may have reached a target.
--- a/internal/gateway/conductor/content.go
+++ b/internal/gateway/conductor/content.go
@@ -24,6 +24,11 @@
 	Service string
 	Target  *registrar.Target
 	Content quarantiner.Fingerprint
+	// Parts holds the parts of the prompt that other requests may bear as well.
+	Parts  []string
+	SentAt time.Time
+	// HasBegun reports that some of the body of the answer has arrived.
+	HasBegun bool
 	// Deadline is when the final answer to the request is due.
 	Deadline time.Time
 	// IsTrial reports that Quarantine.BeginTrial has permitted the run of a suspect.
@@ -44,6 +49,9 @@
 	// isAnswered reports that the answer was complete and no failure of the target. It is not
 	// called for a run that Lost is called for.
 	EndRun func(run Run, isAnswered bool)
+	// Answered is called for each run whose answer was complete and no failure of the target, if
+	// its prompt has parts that other requests may bear.
+	Answered func(run Run)
 	// Lost is called for each run whose connection was cut before the whole answer arrived. The
 	// request goes on once it returns. It reports whether the end of the target is held against
 	// the content.
@@ -55,6 +63,7 @@
 func noQuarantine() Quarantine {
 	return Quarantine{
 		IsEmpty: func() bool { return true }, Lost: func(context.Context, Run) bool { return false }, EndRun: func(Run, bool) {},
+		Answered: func(Run) {},
 	}
 }
 
@@ -107,7 +116,7 @@
 // beginRun returns nil if a request may be sent to a target now, as far as its content goes.
 // The error is quarantiner.ErrConvicted or quarantiner.ErrWait.
 func (c *Conductor) beginRun(ctx context.Context, q *request, target *registrar.Target) error {
-	q.run = Run{Request: q.id, Service: q.service, Target: target, Deadline: q.deadline}
+	q.run = Run{Request: q.id, Service: q.service, Target: target, Parts: q.parts, SentAt: c.now(), Deadline: q.deadline}
 	if c.quarantine.IsEmpty() {
 		return nil
 	}
@@ -160,6 +169,9 @@
 func (c *Conductor) observeRunEnd(ctx context.Context, q *request, result result) {
 	// A target that fails may not have run the request.
 	isAnswered := result == finished && q.status < http.StatusInternalServerError
+	if isAnswered && len(q.parts) > 0 {
+		c.quarantine.Answered(q.run)
+	}
 	switch {
 	case q.isCut:
 		q.isCut = false
--- a/internal/gateway/conductor/content_test.go
+++ b/internal/gateway/conductor/content_test.go
@@ -36,7 +36,7 @@
 func (q *quarantine) option() conductor.Option {
 	return conductor.WithQuarantine(conductor.Quarantine{
 		IsEmpty: func() bool { return false }, Check: q.check, BeginTrial: q.beginTrial, EndRun: q.endRun, Lost: q.noteLost,
-		Refused: q.noteRefused,
+		Refused: q.noteRefused, Answered: func(conductor.Run) {},
 	})
 }
 
@@ -221,23 +221,29 @@
 		return false
 	}
 	for name, x := range map[string]struct {
-		path   string
-		script func(net.Conn, *http.Request, int) bool
-		lost   int
+		path     string
+		script   func(net.Conn, *http.Request, int) bool
+		lost     int
+		hasBegun bool
 	}{
-		"no answer":          {"/unsafe/a", cut, 1},
-		"half an answer":     {"/unsafe/a", half, 1},
-		"half a stream":      {"/stream/a", func(w net.Conn, r *http.Request, _ int) bool { return stream(w, r, 1, 9, 3) }, 1},
-		"an unframed stream": {"/stream/a", unframed, 1},
-		"whole":              {"/unsafe/a", whole, 0},
-		"refused":            {"/unsafe/a", notRun, 0},
-		"failed":             {"/unsafe/a", func(w net.Conn, r *http.Request, _ int) bool { return answer(w, r, 500, "") }, 0},
-		"silent":             {"/unsafe/a", silent, 0},
+		"no answer":          {"/unsafe/a", cut, 1, false},
+		"half an answer":     {"/unsafe/a", half, 1, true},
+		"half a stream":      {"/stream/a", func(w net.Conn, r *http.Request, _ int) bool { return stream(w, r, 1, 9, 3) }, 1, true},
+		"no whole event":     {"/stream/a", func(w net.Conn, r *http.Request, _ int) bool { return stream(w, r, 1, 9, 1) }, 1, false},
+		"an unframed stream": {"/stream/a", unframed, 1, false},
+		"whole":              {"/unsafe/a", whole, 0, false},
+		"refused":            {"/unsafe/a", notRun, 0, false},
+		"failed":             {"/unsafe/a", func(w net.Conn, r *http.Request, _ int) bool { return answer(w, r, 500, "") }, 0, false},
+		"silent":             {"/unsafe/a", silent, 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			q := &quarantine{}
 			_, _, _ = send(t, setupQuarantine(t, q, newTarget(t, x.script)), "POST", x.path, "b")
-			assert.Len(t, q.snapshot().lost, x.lost)
+			lost := q.snapshot().lost
+			require.Len(t, lost, x.lost)
+			for _, run := range lost {
+				assert.Equal(t, x.hasBegun, run.HasBegun)
+			}
 		})
 	}
 }
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -211,6 +211,7 @@
 func (c *Conductor) relayBuffered(ctx context.Context, reply *reply, ticket *balancer.Ticket, answer *connector.Answer) result {
 	q := reply.request
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
+	q.run.HasBegun = len(body) > 0
 	if err != nil {
 		ticket.End(lostOutcome(ctx))
 		q.noteCut(err)
--- a/internal/gateway/conductor/stream.go
+++ b/internal/gateway/conductor/stream.go
@@ -51,6 +51,7 @@
 				return lost
 			}
 			gaps.mark(c.now())
+			q.run.HasBegun = true
 		}
 		switch {
 		case errors.Is(readErr, io.EOF) && next.isEmpty():
--- a/internal/gateway/supervisor/losses.go
+++ b/internal/gateway/supervisor/losses.go
@@ -54,7 +54,11 @@
 func (s *Supervisor) endLoss(run conductor.Run, event measurer.Event) {
 	s.measurer.CountEvent(event, 1)
 	s.log.Info("connection of request cut", "request", run.Request, "target", run.Target.ID, "born", run.Target.StartMilliseconds,
-		"content", run.Content.String(), "found", string(event), "isTrial", run.IsTrial)
+		"content", run.Content.String(), "parts", run.Parts, "partsAnswered", s.recentlyAnswered(run), "hasBegun", run.HasBegun,
+		"sinceSendMilliseconds", time.Since(run.SentAt).Milliseconds(), "found", string(event), "isTrial", run.IsTrial)
+	if event == measurer.CutTargetEnded && !run.HasBegun {
+		s.measurer.CountEvent(measurer.CutUnanswered, 1)
+	}
 	switch {
 	case event == measurer.CutTargetEnded:
 		s.reportCrash(run)
@@ -63,6 +67,30 @@
 	}
 }
 
+// answerAge is the age up to which answers on a part of a prompt are recent.
+const answerAge = 3 * time.Second
+
+// noteAnswer records that a run was answered whole.
+func (s *Supervisor) noteAnswer(run conductor.Run) {
+	now := time.Now()
+	for _, part := range run.Parts {
+		s.answers.Note(now, quarantiner.PartTrait(run.Service, part))
+	}
+}
+
+// recentlyAnswered returns the parts of a run's prompt on which this instance has lately relayed
+// a whole answer.
+func (s *Supervisor) recentlyAnswered(run conductor.Run) []string {
+	answered := []string{}
+	since := time.Now().Add(-answerAge)
+	for _, part := range run.Parts {
+		if at, known := s.answers.Last(quarantiner.PartTrait(run.Service, part)); known && at.After(since) {
+			answered = append(answered, part)
+		}
+	}
+	return answered
+}
+
 // mayHaveCrashed reports whether the end of a target says something about the requests that ran
 // there: it does not if the target was leaving, or known to be gone.
 func (s *Supervisor) mayHaveCrashed(target *registrar.Target) bool {
--- a/internal/gateway/supervisor/quarantine.go
+++ b/internal/gateway/supervisor/quarantine.go
@@ -37,6 +37,7 @@
 		Check:      func(f quarantiner.Fingerprint) (bool, error) { return s.quarantiner.Check(time.Now(), f) },
 		BeginTrial: s.beginTrial,
 		EndRun:     func(run conductor.Run, isAnswered bool) { go s.endTrial(run, isAnswered) },
+		Answered:   s.noteAnswer,
 		Lost:       s.examineLoss,
 		Refused:    func() { s.measurer.CountEvent(measurer.QuarantineRefused, 1) },
 	}
--- a/internal/state/measurer/event.go
+++ b/internal/state/measurer/event.go
@@ -14,6 +14,8 @@
 	CutTargetPresent Event = "Cut.TargetPresent"
 	CutTargetUnknown Event = "Cut.TargetUnknown"
 	CutTargetLeaving Event = "Cut.TargetLeaving"
+	// CutUnanswered counts those whose target has ended before any of the answer had arrived.
+	CutUnanswered Event = "Cut.Unanswered"
 	// QuarantineSuspects and QuarantineConvictions count the verdicts that this instance has
 	// reached on requests under which targets ended, QuarantineTakenBack the convictions that
 	// were refuted, and QuarantineRefused the requests that it has refused for one.
@@ -24,7 +26,7 @@
 )
 
 var events = []Event{
-	CutTargetEnded, CutTargetPresent, CutTargetUnknown, CutTargetLeaving,
+	CutTargetEnded, CutTargetPresent, CutTargetUnknown, CutTargetLeaving, CutUnanswered,
 	QuarantineSuspects, QuarantineConvictions, QuarantineTakenBack, QuarantineRefused,
 }
 
