--- a/internal/tool/soaker/crashing.go
+++ b/internal/tool/soaker/crashing.go
@@ -65,7 +65,7 @@
 func (s *soak) targetCrashed(run simulator.Run) {
 	go func() {
 		endDisturbance := s.checker.TargetDisturbed(run.Target)
-		s.checker.TargetEnded(run.Body, s.isUndisturbedSince(s.lastDisturbance()))
+		s.checker.TargetEnded(run.Cause, s.isUndisturbedSince(s.lastDisturbance()))
 		time.Sleep(crashedTime)
 		for _, t := range s.targets {
 			if t.target.ID == run.Target {
