--- a/internal/gateway/conductor/accept.go
+++ b/internal/gateway/conductor/accept.go
@@ -3,12 +3,15 @@
 import (
 	"io"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
+	"github.com/crocusring/crocusring/internal/request/quarantiner"
 	"github.com/crocusring/crocusring/internal/state/measurer"
 )
 
@@ -52,7 +55,9 @@
 		q.deadline = q.capAtDeadline(now.Add(time.Duration(route.TimeoutMilliseconds) * time.Millisecond))
 	}
 	q.service = pickBackend(route, q.id)
-	if refusal := c.checkContent(q); refusal != nil {
+	q.parts = c.partsOf(r)
+	c.quarantine.Arrived(q.service, q.parts)
+	if refusal := c.checkTraits(q); refusal != nil {
 		return nil, refusal
 	}
 	c.budget.CountRequest(q.service)
@@ -107,6 +112,28 @@
 	return body, nil
 }
 
+// maxPartBytes bounds the length of the name of a part. Of a longer one the hash is used.
+const maxPartBytes = 64
+
+// partsOf returns the parts of the prompt that other requests may bear as well, each once.
+func (c *Conductor) partsOf(r *http.Request) []string {
+	values := r.Header.Values(c.headers.Prefix)
+	if len(values) == 0 {
+		return nil
+	}
+	all := c.headers.ParsePrefix(strings.Join(values, ","))
+	parts := all[:0]
+	for _, part := range all {
+		if len(part) > maxPartBytes {
+			part = quarantiner.FingerprintOf([]byte(part)).String()
+		}
+		if part != "" && !slices.Contains(parts, part) {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
 // parseDemand reads the headers that describe what the request asks of an engine. A
 // request without a model header has no demand.
 func (c *Conductor) parseDemand(q *request) {
@@ -119,7 +146,6 @@
 	q.demand = Demand{Service: q.service, Model: model, Adapter: adapter, PromptTokens: prompt, Tokens: prompt + output}
 	digest := xxhash.New()
 	_, _ = digest.WriteString(value)
-	q.parts = c.headers.ParsePrefix(q.httpRequest.Header.Get(c.headers.Prefix))
 	for _, part := range q.parts {
 		_, _ = digest.WriteString(part)
 	}
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -195,8 +195,6 @@
 	// run is the last send, and isCut is set if its connection was cut.
 	run   Run
 	isCut bool
-	// isHeldAgainst is set if targets may have ended under the content of the request.
-	isHeldAgainst bool
 	// status is that of the last answer of a target that ran the request.
 	status   int
 	excluded map[string]bool // the IDs of the targets that the request was offered to
--- a/internal/gateway/conductor/conductor_test.go
+++ b/internal/gateway/conductor/conductor_test.go
@@ -37,7 +37,7 @@
 	},
 	ParseModel:  func(v string) (string, string) { m, a, _ := strings.Cut(v, "/"); return m, a },
 	ParseTokens: func(string) (int, int) { return 100, 10 },
-	ParsePrefix: func(string) []string { return nil },
+	ParsePrefix: func(v string) []string { return strings.Split(v, ",") },
 }
 
 // target is a TCP server that calls a script for each request. The script writes the raw
--- a/internal/gateway/conductor/content.go
+++ b/internal/gateway/conductor/content.go
@@ -14,8 +14,8 @@
 	"github.com/crocusring/crocusring/internal/request/quarantiner"
 )
 
-// maxTrialWait is how long a request under whose content targets have ended waits for another
-// run of that content to end.
+// maxTrialWait is how long a request with a trait under which targets have ended waits for another
+// run of that trait to end.
 const maxTrialWait = 500 * time.Millisecond
 
 // Run is one send of a request to a target.
@@ -33,42 +33,55 @@
 	Deadline time.Time
 	// IsTrial reports that Quarantine.BeginTrial has permitted the run of a suspect.
 	IsTrial bool
+	// IsHeldAgainst reports that targets may have ended under the request before.
+	IsHeldAgainst bool
 }
 
-// Quarantine holds the functions that keep back requests whose content ends targets.
+// Traits returns the traits of the request. Content has to be set.
+func (r Run) Traits() []quarantiner.Trait {
+	traits := make([]quarantiner.Trait, 0, 1+len(r.Parts))
+	traits = append(traits, quarantiner.ContentTrait(r.Content))
+	for _, part := range r.Parts {
+		traits = append(traits, quarantiner.PartTrait(r.Service, part))
+	}
+	return traits
+}
+
+// Quarantine holds the functions that keep back requests with traits that end targets.
 type Quarantine struct {
-	// IsEmpty reports that nothing is held against any content.
+	// IsEmpty reports that nothing is held against any trait.
 	IsEmpty func() bool
-	// Check reports whether a content is a suspect. The error is quarantiner.ErrConvicted or
-	// quarantiner.ErrWait.
-	Check func(content quarantiner.Fingerprint) (isSuspect bool, err error)
+	// Arrived is called for each request to a service, with the parts of its prompt that other
+	// requests may bear.
+	Arrived func(service string, parts []string)
+	// Check reports whether a request with some traits needs a permit. The error is
+	// quarantiner.ErrConvicted or quarantiner.ErrWait.
+	Check func(traits []quarantiner.Trait) (isSuspect bool, err error)
 	// BeginTrial returns nil if the run of a suspect may begin. The error is
 	// quarantiner.ErrConvicted or quarantiner.ErrWait.
 	BeginTrial func(ctx context.Context, run Run) error
-	// EndRun is called when a run has ended of a content that something is held against.
-	// isAnswered reports that the answer was complete and no failure of the target. It is not
-	// called for a run that Lost is called for.
+	// EndRun is called when a run has ended that was a trial, or whose answer was complete and no
+	// failure of the target, which isAnswered reports. It is not called for a run that Lost is
+	// called for.
 	EndRun func(run Run, isAnswered bool)
-	// Answered is called for each run whose answer was complete and no failure of the target, if
-	// its prompt has parts that other requests may bear.
-	Answered func(run Run)
 	// Lost is called for each run whose connection was cut before the whole answer arrived. The
 	// request goes on once it returns. It reports whether the end of the target is held against
-	// the content.
+	// the request.
 	Lost func(ctx context.Context, run Run) (isHeldAgainst bool)
-	// Refused is called for each request that is refused since its content is convicted.
-	Refused func()
+	// Refused is called for each request that is refused since it is convicted, with what the
+	// verdict rests on.
+	Refused func(verdict error)
 }
 
 func noQuarantine() Quarantine {
 	return Quarantine{
-		IsEmpty: func() bool { return true }, Lost: func(context.Context, Run) bool { return false }, EndRun: func(Run, bool) {},
-		Answered: func(Run) {},
+		IsEmpty: func() bool { return true }, Arrived: func(string, []string) {},
+		Lost: func(context.Context, Run) bool { return false }, EndRun: func(Run, bool) {},
 	}
 }
 
-// WithQuarantine sets the functions that keep back requests whose content ends targets. By
-// default nothing is held against any content.
+// WithQuarantine sets the functions that keep back requests with traits that end targets. By
+// default nothing is held against any.
 func WithQuarantine(q Quarantine) Option { return func(c *Conductor) { c.quarantine = q } }
 
 // Probe reports whether a target accepts connections; see connector.Pool.Probe.
@@ -94,43 +107,47 @@
 	return q.content
 }
 
-// checkContent returns the refusal of a request whose content is convicted, or nil.
-func (c *Conductor) checkContent(q *request) *Refusal {
+// checkTraits returns the refusal of a request that is convicted for one of its traits, or nil.
+func (c *Conductor) checkTraits(q *request) *Refusal {
 	if c.quarantine.IsEmpty() {
 		return nil
 	}
-	_, err := c.quarantine.Check(c.contentOf(q))
+	run := Run{Service: q.service, Content: c.contentOf(q), Parts: q.parts}
+	_, err := c.quarantine.Check(run.Traits())
 	if errors.Is(err, quarantiner.ErrConvicted) {
 		return c.convictedRefusal(err)
 	}
 	return nil
 }
 
-// convictedRefusal returns the refusal of a request whose content is convicted. It tells its
-// caller not to come back.
+// convictedRefusal returns the refusal of a convicted request. It tells its caller not to come
+// back.
 func (c *Conductor) convictedRefusal(verdict error) *Refusal {
-	c.quarantine.Refused()
+	c.quarantine.Refused(verdict)
 	return &Refusal{Status: c.headers.ConvictedStatus, Reason: verdict.Error()}
 }
 
-// beginRun returns nil if a request may be sent to a target now, as far as its content goes.
+// beginRun returns nil if a request may be sent to a target now, as far as its traits go.
 // The error is quarantiner.ErrConvicted or quarantiner.ErrWait.
 func (c *Conductor) beginRun(ctx context.Context, q *request, target *registrar.Target) error {
-	q.run = Run{Request: q.id, Service: q.service, Target: target, Parts: q.parts, SentAt: c.now(), Deadline: q.deadline}
+	q.run = Run{
+		Request: q.id, Service: q.service, Target: target, Parts: q.parts, SentAt: c.now(), Deadline: q.deadline,
+		IsHeldAgainst: q.run.IsHeldAgainst,
+	}
 	if c.quarantine.IsEmpty() {
 		return nil
 	}
 	q.run.Content = c.contentOf(q)
-	isSuspect, err := c.quarantine.Check(q.run.Content)
+	isSuspect, err := c.quarantine.Check(q.run.Traits())
 	if err != nil || !isSuspect {
 		return err
 	}
-	q.isHeldAgainst = true
+	q.run.IsHeldAgainst = true
 	if err := c.quarantine.BeginTrial(ctx, q.run); err != nil {
 		return err
 	}
 	q.run.IsTrial = true
-	c.log.Info("suspect sent", "request", q.id, "target", target.ID, "content", q.run.Content.String())
+	c.log.Info("suspect sent", "request", q.id, "target", target.ID, "content", q.run.Content.String(), "parts", q.parts)
 	return nil
 }
 
@@ -165,20 +182,19 @@
 	q.isCut = errors.Is(err, connector.ErrCut) || errors.Is(err, splitter.ErrTruncated)
 }
 
-// observeRunEnd reports how a run has ended, as far as that says something of its content.
+// observeRunEnd reports how a run has ended, as far as that says something of its traits.
 func (c *Conductor) observeRunEnd(ctx context.Context, q *request, result result) {
 	// A target that fails may not have run the request.
 	isAnswered := result == finished && q.status < http.StatusInternalServerError
-	if isAnswered && len(q.parts) > 0 {
-		c.quarantine.Answered(q.run)
-	}
 	switch {
 	case q.isCut:
 		q.isCut = false
 		q.run.Content = c.contentOf(q)
-		q.isHeldAgainst = c.quarantine.Lost(ctx, q.run) || q.isHeldAgainst
-	case q.run.IsTrial || (isAnswered && q.isHeldAgainst):
-		q.run.Content = c.contentOf(q)
+		q.run.IsHeldAgainst = c.quarantine.Lost(ctx, q.run) || q.run.IsHeldAgainst
+	case isAnswered || q.run.IsTrial:
+		if q.run.IsHeldAgainst {
+			q.run.Content = c.contentOf(q)
+		}
 		c.quarantine.EndRun(q.run, isAnswered)
 	}
 }
--- a/internal/gateway/conductor/content_test.go
+++ b/internal/gateway/conductor/content_test.go
@@ -26,7 +26,7 @@
 	trial   error
 	// convictAfter is the number of lost runs from which on contents are convicted; 0 for never.
 	convictAfter int
-	checked      []quarantiner.Fingerprint
+	checked      [][]quarantiner.Trait
 	lost         []conductor.Run
 	ended        []conductor.Run
 	answered     int
@@ -36,14 +36,14 @@
 func (q *quarantine) option() conductor.Option {
 	return conductor.WithQuarantine(conductor.Quarantine{
 		IsEmpty: func() bool { return false }, Check: q.check, BeginTrial: q.beginTrial, EndRun: q.endRun, Lost: q.noteLost,
-		Refused: q.noteRefused, Answered: func(conductor.Run) {},
+		Refused: q.noteRefused, Arrived: func(string, []string) {},
 	})
 }
 
-func (q *quarantine) check(f quarantiner.Fingerprint) (bool, error) {
+func (q *quarantine) check(traits []quarantiner.Trait) (bool, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.checked = append(q.checked, f)
+	q.checked = append(q.checked, traits)
 	return q.isSuspect, q.verdict
 }
 
@@ -72,7 +72,7 @@
 	return true
 }
 
-func (q *quarantine) noteRefused() {
+func (q *quarantine) noteRefused(error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.refused++
@@ -102,7 +102,7 @@
 		_, _, err := send(t, server, method, path, body, more...)
 		require.NoError(t, err)
 		checked := q.snapshot().checked
-		return checked[len(checked)-1]
+		return checked[len(checked)-1][0].Fingerprint
 	}
 	first := contentOf("POST", "/safe/a?q=1", "body")
 	for name, f := range map[string]quarantiner.Fingerprint{
--- a/internal/gateway/conductor/headers.go
+++ b/internal/gateway/conductor/headers.go
@@ -63,6 +63,8 @@
 
 	ParseModel  func(value string) (model, adapter string)
 	ParseTokens func(value string) (prompt, output int)
+	// ParsePrefix returns the parts of a prompt that other requests may bear as well, a bounded
+	// number of them, in the same spelling for the same part. A part may come more than once.
 	ParsePrefix func(value string) []string
 	// ParseRateLimit returns false if value is no rate.
 	ParseRateLimit func(value string) (perSecond float64, ok bool)
--- a/internal/gateway/conductor/notice_test.go
+++ b/internal/gateway/conductor/notice_test.go
@@ -145,14 +145,22 @@
 	}
 }
 
-// BenchmarkRequest measures a request to a target that announces nothing.
+// BenchmarkRequest measures a request to a target that announces nothing, while nothing is
+// suspected.
 func BenchmarkRequest(b *testing.B) {
-	c := newConductor([]*target{newTarget(b, ok)})
-	r := httptest.NewRequest(http.MethodGet, "http://h.example/safe/", nil)
-	r.Header.Set("Test-Id", "id-1")
-	r.Header.Set("Test-Deadline", "3000")
-	b.ReportAllocs()
-	for b.Loop() {
-		c.ServeHTTP(httptest.NewRecorder(), r)
+	for name, prompt := range map[string]string{"plain": "", "prompt": "5c1e07a2,91bd3f06,e4402b7d"} {
+		b.Run(name, func(b *testing.B) {
+			c := newConductor([]*target{newTarget(b, ok)})
+			r := httptest.NewRequest(http.MethodGet, "http://h.example/safe/", nil)
+			r.Header.Set("Test-Id", "id-1")
+			r.Header.Set("Test-Deadline", "3000")
+			if prompt != "" {
+				r.Header.Set("Test-Prefix", prompt)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				c.ServeHTTP(httptest.NewRecorder(), r)
+			}
+		})
 	}
 }
--- a/internal/gateway/supervisor/crash_reports.go
+++ b/internal/gateway/supervisor/crash_reports.go
@@ -15,8 +15,10 @@
 	// freshReportTime is how long something may follow from a report that no examiner has had.
 	// Later ones only count when a further crash is reported.
 	freshReportTime = 2 * time.Second
-	// maxCrashReports bounds the reports that an instance keeps.
+	// maxCrashReports bounds the reports that an instance keeps, and maxReportLosses the losses that
+	// each names.
 	maxCrashReports = 1024
+	maxReportLosses = 256
 )
 
 // examiner is an incarnation of an instance that examines the requests of a service.
@@ -47,7 +49,7 @@
 	return &crashReports{reports: map[quarantiner.Place]*crashReport{}}
 }
 
-// add adds the contents of a message to the report of the end of a target, and returns the report.
+// add adds the losses of a message to the report of the end of a target, and returns the report.
 func (c *crashReports) add(now time.Time, service string, place quarantiner.Place, message messenger.CrashReport) crashReport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -59,9 +61,9 @@
 		c.reports[place] = r
 		return *r
 	}
-	for _, content := range message.Contents {
-		if !slices.Contains(r.message.Contents, content) {
-			r.message.Contents = append(slices.Clone(r.message.Contents), content)
+	for _, loss := range message.Losses {
+		if !slices.Contains(r.message.Losses, loss) && len(r.message.Losses) < maxReportLosses {
+			r.message.Losses = append(slices.Clone(r.message.Losses), loss)
 			r.informed = nil
 		}
 	}
@@ -108,12 +110,12 @@
 	return out
 }
 
-// markInformed records that an examiner has received a report with certain contents.
+// markInformed records that an examiner has received a report with certain losses.
 func (c *crashReports) markInformed(sent crashReport, e examiner) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.reports[sent.place]
-	if r != nil && len(r.message.Contents) == len(sent.message.Contents) && !slices.Contains(r.informed, e) {
+	if r != nil && len(r.message.Losses) == len(sent.message.Losses) && !slices.Contains(r.informed, e) {
 		r.informed = append(r.informed, e)
 	}
 }
--- a/internal/gateway/supervisor/crash_reports_test.go
+++ b/internal/gateway/supervisor/crash_reports_test.go
@@ -17,7 +17,7 @@
 	start := time.Unix(1000, 0)
 	c := newCrashReports()
 	add := func(now time.Time, target, content string) crashReport {
-		return c.add(now, "s", placeOf(target, 1), messenger.CrashReport{Target: target, StartMilliseconds: 1, Contents: []string{content}})
+		return c.add(now, "s", placeOf(target, 1), messenger.CrashReport{Target: target, StartMilliseconds: 1, Losses: []messenger.Loss{{Trait: messenger.Trait{Kind: "Content", Name: content}}}})
 	}
 	first, second, third := examiner{"a", 1}, examiner{"b", 1}, examiner{"c", 1}
 	order := []examiner{first, second}
@@ -49,16 +49,21 @@
 		report = add(start, "t1", "y")
 		c.markInformed(stale, first)
 		reports := due(start)
-		assert.Equal(t, []string{"x", "y"}, reports[first][0].message.Contents)
+		require.Len(t, reports[first][0].message.Losses, 2)
+		assert.Equal(t, "y", reports[first][0].message.Losses[1].Trait.Name)
 		assert.Len(t, reports[second], 1)
 		add(start, "t1", "y")
-		assert.Len(t, due(start)[first][0].message.Contents, 2)
+		assert.Len(t, due(start)[first][0].message.Losses, 2)
 	})
 	t.Run("reports are bounded and end", func(t *testing.T) {
 		for n := range 2 * maxCrashReports {
 			add(start.Add(time.Duration(n)), fmt.Sprintf("u%d", n), "x")
 		}
+		for n := range 2 * maxReportLosses {
+			add(start, "t1", fmt.Sprint(n))
+		}
 		assert.LessOrEqual(t, len(c.reports), maxCrashReports)
+		assert.LessOrEqual(t, len(c.reports[placeOf("t1", 1)].message.Losses), maxReportLosses)
 		assert.Empty(t, due(start.Add(2*crashReportTTL)))
 	})
 }
--- a/internal/gateway/supervisor/losses.go
+++ b/internal/gateway/supervisor/losses.go
@@ -67,24 +67,13 @@
 	}
 }
 
-// answerAge is the age up to which answers on a part of a prompt are recent.
-const answerAge = 3 * time.Second
-
-// noteAnswer records that a run was answered whole.
-func (s *Supervisor) noteAnswer(run conductor.Run) {
-	now := time.Now()
-	for _, part := range run.Parts {
-		s.answers.Note(now, quarantiner.PartTrait(run.Service, part))
-	}
-}
-
-// recentlyAnswered returns the parts of a run's prompt on which this instance has lately relayed
-// a whole answer.
+// recentlyAnswered returns the parts of a run's prompt for which an answer speaks that this instance
+// has relayed.
 func (s *Supervisor) recentlyAnswered(run conductor.Run) []string {
 	answered := []string{}
-	since := time.Now().Add(-answerAge)
+	now := time.Now()
 	for _, part := range run.Parts {
-		if at, known := s.answers.Last(quarantiner.PartTrait(run.Service, part)); known && at.After(since) {
+		if s.quarantiner.HasAnswer(now, quarantiner.PartTrait(run.Service, part)) {
 			answered = append(answered, part)
 		}
 	}
--- a/internal/gateway/supervisor/odd_status_test.go
+++ b/internal/gateway/supervisor/odd_status_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,15 +54,16 @@
 
 func TestOddVerdictOfPeerIsBounded(t *testing.T) {
 	s := newOddStatusSupervisor()
-	content := "000102030405060708090a0b0c0d0e0f"
+	content := messenger.Trait{Kind: "Content", Name: "000102030405060708090a0b0c0d0e0f"}
+	odd := []messenger.Trait{{Kind: "Content", Name: "odd"}, {Kind: "Part", Name: strings.Repeat("x", 1000)}, {Kind: "Odd"}}
 	s.mergeVerdicts([]messenger.GatewayVerdict{
-		{Content: "odd", Crashes: []string{"a", "b", "c"}, ConvictedMilliseconds: 1e300, RemainingMilliseconds: 1e300},
-		{Content: content, Crashes: []string{"a", "b", "c"}, ConvictedMilliseconds: 1e300, RemainingMilliseconds: 1e300, AgeMilliseconds: -1e300},
-		{Content: content, Revision: math.MaxInt64, Crashes: make([]string, 100_000), ConvictedMilliseconds: 1, RemainingMilliseconds: 1},
+		{Trait: messenger.Trait{Kind: "Content", Name: "odd"}, Crashes: []string{"a", "b", "c"}, ConvictedMilliseconds: 1e300, RemainingMilliseconds: 1e300},
+		{Trait: content, Crashes: []string{"a", "b", "c"}, ConvictedMilliseconds: 1e300, RemainingMilliseconds: 1e300, AgeMilliseconds: -1e300},
+		{Trait: content, Revision: math.MaxInt64, Crashes: make([]string, 100_000), ConvictedMilliseconds: 1, RemainingMilliseconds: 1},
 	})
-	requests := parseContents([]string{content, "odd"})
-	require.Len(t, requests, 1)
-	_, err := s.quarantiner.Check(time.Now().Add(time.Hour), requests[0])
+	traits := decodeTraits(append(odd, content))
+	require.Len(t, traits, 1)
+	_, err := s.quarantiner.CheckAll(time.Now().Add(time.Hour), traits)
 	assert.NoError(t, err, "no verdict lasts for ever")
 }
 
--- a/internal/gateway/supervisor/quarantine.go
+++ b/internal/gateway/supervisor/quarantine.go
@@ -29,17 +29,17 @@
 // errNoExaminer reports that no instance decides on the suspects of a service now.
 var errNoExaminer = errors.New("no examiner answers")
 
-// quarantine returns the functions by which the conductor keeps back requests whose content
-// ends targets.
+// quarantine returns the functions by which the conductor keeps back requests with traits that
+// end targets.
 func (s *Supervisor) quarantine() conductor.Quarantine {
 	return conductor.Quarantine{
 		IsEmpty:    s.quarantiner.IsEmpty,
-		Check:      func(f quarantiner.Fingerprint) (bool, error) { return s.quarantiner.Check(time.Now(), f) },
+		Arrived:    s.countBearers,
+		Check:      func(traits []quarantiner.Trait) (bool, error) { return s.quarantiner.CheckAll(time.Now(), traits) },
 		BeginTrial: s.beginTrial,
-		EndRun:     func(run conductor.Run, isAnswered bool) { go s.endTrial(run, isAnswered) },
-		Answered:   s.noteAnswer,
+		EndRun:     s.endRun,
 		Lost:       s.examineLoss,
-		Refused:    func() { s.measurer.CountEvent(measurer.QuarantineRefused, 1) },
+		Refused:    s.countRefused,
 	}
 }
 
@@ -93,17 +93,53 @@
 	})
 }
 
+// countBearers counts a request by the parts of its prompt.
+func (s *Supervisor) countBearers(service string, parts []string) {
+	if len(parts) == 0 {
+		return
+	}
+	s.quarantiner.CountRequest()
+	for _, part := range parts {
+		s.quarantiner.CountBearer(quarantiner.PartTrait(service, part))
+	}
+}
+
+// countRefused counts a request that is refused for a verdict.
+func (s *Supervisor) countRefused(verdict error) {
+	s.measurer.CountEvent(measurer.QuarantineRefused, 1)
+	var convicted *quarantiner.ConvictedError
+	if errors.As(verdict, &convicted) && convicted.Trait.Kind == quarantiner.Part {
+		s.measurer.CountEvent(measurer.QuarantineRefusedForPart, 1)
+	}
+}
+
+// endRun records that a run has ended that was answered whole, or that was a trial.
+func (s *Supervisor) endRun(run conductor.Run, isAnswered bool) {
+	now := time.Now()
+	isHeld := run.IsHeldAgainst
+	if isAnswered {
+		for _, part := range run.Parts {
+			s.quarantiner.RememberAnswer(now, quarantiner.PartTrait(run.Service, part))
+		}
+		isHeld = isHeld || (len(run.Parts) > 0 && !s.quarantiner.IsEmpty() && s.quarantiner.IsAnyHeld(now, run.Traits()))
+	}
+	if run.IsTrial || (isAnswered && isHeld) {
+		go s.endTrial(run, isAnswered)
+	}
+}
+
 // reportCrash tells the examiner that the target of a run has ended, and takes over what it
 // says to that.
 func (s *Supervisor) reportCrash(run conductor.Run) {
 	place := placeOf(run.Target.ID, run.Target.StartMilliseconds)
+	losses := s.quarantiner.Losses(time.Now(), run.Traits(), run.HasBegun)
 	report := s.crashReports.add(time.Now(), run.Service, place, messenger.CrashReport{
-		Target: run.Target.ID, StartMilliseconds: run.Target.StartMilliseconds, Contents: []string{run.Content.String()},
+		Target: run.Target.ID, StartMilliseconds: run.Target.StartMilliseconds, Losses: encodeLosses(losses),
 	})
 	message := report.message
-	message.Verdicts = s.knownVerdicts(run.Content)
+	message.Verdicts = s.knownVerdicts(traitsOf(losses))
 	var answer messenger.GatewayVerdicts
-	e, err := s.consult(run.Service, func() { s.receiveCrash(place, parseContents(message.Contents)) }, pathCrash, message, &answer)
+	e, err := s.consult(run.Service, func() { s.receiveCrash(place, decodeLosses(message.Losses)) }, pathCrash, message, &answer)
 	if err != nil {
 		s.log.Info("crash not reported", "request", run.Request, "target", run.Target.ID, "error", err.Error())
 		return
@@ -143,12 +179,12 @@
 
 // acceptCrash records a report as the examiner, or for when this instance becomes one.
 func (s *Supervisor) acceptCrash(place quarantiner.Place, report messenger.CrashReport) {
-	requests := parseContents(report.Contents)
+	losses := decodeLosses(report.Losses)
 	if report.IsCopy {
-		s.quarantiner.KeepCrash(time.Now(), place, requests)
+		s.quarantiner.KeepCrash(time.Now(), place, losses)
 		return
 	}
-	s.receiveCrash(place, requests)
+	s.receiveCrash(place, losses)
 }
 
 // passOnInterval is the time between two looks for new examiners.
@@ -159,8 +195,8 @@
 }
 
 // receiveCrash records a crash as the examiner, and tells all instances what follows.
-func (s *Supervisor) receiveCrash(place quarantiner.Place, requests []quarantiner.Fingerprint) {
-	s.quarantiner.ReportCrash(time.Now(), place, requests)
+func (s *Supervisor) receiveCrash(place quarantiner.Place, losses []quarantiner.Loss) {
+	s.quarantiner.ReportCrash(time.Now(), place, losses)
 	s.spreadVerdicts()
 }
 
@@ -169,10 +205,9 @@
 	if !s.decode(ctx, &report) {
 		return
 	}
-	requests := parseContents(report.Contents)
 	s.mergeVerdicts(report.Verdicts)
 	s.acceptCrash(placeOf(report.Target, report.StartMilliseconds), report)
-	s.encode(ctx, s.encodeVerdicts(s.quarantiner.VerdictsOn(time.Now(), requests)))
+	s.encode(ctx, s.encodeVerdicts(s.quarantiner.VerdictsOn(time.Now(), traitsOf(decodeLosses(report.Losses)))))
 }
 
 // beginTrial asks the examiner whether the run of a suspect may begin. The error is
@@ -181,7 +216,7 @@
 	place := placeOf(run.Target.ID, run.Target.StartMilliseconds)
 	var own error
 	answer := messenger.TrialResponse{IsPermitted: true}
-	_, err := s.consult(run.Service, func() { own = s.quarantiner.BeginTrial(time.Now(), run.Content, place, run.Deadline) },
+	_, err := s.consult(run.Service, func() { own = s.quarantiner.BeginTrial(time.Now(), run.Traits(), place, run.Deadline) },
 		pathTrial, s.trialRequest(run), &answer)
 	s.mergeVerdicts(answer.Verdicts)
 	switch {
@@ -190,7 +225,7 @@
 	case own != nil:
 		return own
 	case !answer.IsPermitted:
-		_, err := s.quarantiner.Check(time.Now(), run.Content)
+		_, err := s.quarantiner.CheckAll(time.Now(), run.Traits())
 		if err == nil {
 			err = quarantiner.ErrWait
 		}
@@ -199,15 +234,15 @@
 	return nil
 }
 
-// knownVerdicts returns what this instance knows of a content, for an examiner that does not.
-func (s *Supervisor) knownVerdicts(content quarantiner.Fingerprint) []messenger.GatewayVerdict {
-	return s.encodeVerdicts(s.quarantiner.VerdictsOn(time.Now(), []quarantiner.Fingerprint{content})).Verdicts
+// knownVerdicts returns what this instance knows of some traits, for an examiner that does not.
+func (s *Supervisor) knownVerdicts(traits []quarantiner.Trait) []messenger.GatewayVerdict {
+	return s.encodeVerdicts(s.quarantiner.VerdictsOn(time.Now(), traits)).Verdicts
 }
 
 func (s *Supervisor) trialRequest(run conductor.Run) messenger.TrialRequest {
 	return messenger.TrialRequest{
-		Content: run.Content.String(), Target: run.Target.ID, StartMilliseconds: run.Target.StartMilliseconds,
-		RemainingMilliseconds: toMilliseconds(time.Until(run.Deadline)), Verdicts: s.knownVerdicts(run.Content),
+		Traits: encodeTraits(run.Traits()), Target: run.Target.ID, StartMilliseconds: run.Target.StartMilliseconds,
+		RemainingMilliseconds: toMilliseconds(time.Until(run.Deadline)), Verdicts: s.knownVerdicts(run.Traits()),
 	}
 }
 
@@ -217,7 +252,7 @@
 	request.IsEnded, request.IsAnswered = true, isAnswered
 	place := placeOf(run.Target.ID, run.Target.StartMilliseconds)
 	var answer messenger.TrialResponse
-	_, err := s.consult(run.Service, func() { s.receiveTrialEnd(run.Content, place, isAnswered) }, pathTrial, request, &answer)
+	_, err := s.consult(run.Service, func() { s.receiveTrialEnd(trialEnd{run.Traits(), place, isAnswered, time.Now()}) }, pathTrial, request, &answer)
 	if err != nil {
 		s.log.Info("end of trial not reported", "request", run.Request, "error", err.Error())
 		return
@@ -225,8 +260,38 @@
 	s.mergeVerdicts(answer.Verdicts)
 }
 
-func (s *Supervisor) receiveTrialEnd(content quarantiner.Fingerprint, place quarantiner.Place, isAnswered bool) {
-	s.quarantiner.EndTrial(time.Now(), content, place, isAnswered)
+// object tells the examiners of verdicts the answers of this instance that speak against them.
+func (s *Supervisor) object(verdicts []quarantiner.Verdict) {
+	now := time.Now()
+	for _, a := range s.quarantiner.Objections(now, verdicts) {
+		traits := []quarantiner.Trait{a.Trait}
+		request := messenger.TrialRequest{
+			Traits: encodeTraits(traits), IsEnded: true, IsAnswered: true, AnsweredMilliseconds: toMilliseconds(now.Sub(a.At)),
+			Verdicts: []messenger.GatewayVerdict{},
+		}
+		go func() {
+			end := trialEnd{traits: traits, isAnswered: true, answeredAt: a.At}
+			if _, err := s.consult(a.Trait.Service, func() { s.receiveTrialEnd(end) }, pathTrial, request, nil); err != nil {
+				s.log.Info("answer not reported", "trait", a.Trait.Label(), "error", err.Error())
+			}
+		}()
+	}
+}
+
+// trialEnd is the end of a run that did not end its target. Its place is empty if no trial is meant.
+type trialEnd struct {
+	traits     []quarantiner.Trait
+	place      quarantiner.Place
+	isAnswered bool
+	answeredAt time.Time
+}
+
+func (s *Supervisor) receiveTrialEnd(end trialEnd) {
+	now := time.Now()
+	s.quarantiner.EndTrial(now, end.traits, end.place)
+	if end.isAnswered {
+		s.quarantiner.NoteAnswer(now, end.traits, end.answeredAt)
+	}
 	s.spreadVerdicts()
 }
 
@@ -235,8 +300,8 @@
 	if !s.decode(ctx, &request) {
 		return
 	}
-	content, ok := quarantiner.ParseFingerprint(request.Content)
-	if !ok {
+	traits := decodeTraits(request.Traits)
+	if len(traits) == 0 {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
@@ -245,25 +310,15 @@
 	now := time.Now()
 	answer := messenger.TrialResponse{IsPermitted: true}
 	if request.IsEnded {
-		s.receiveTrialEnd(content, place, request.IsAnswered)
+		answeredAt := now.Add(-max(milliseconds(request.AnsweredMilliseconds), 0))
+		s.receiveTrialEnd(trialEnd{traits, place, request.IsAnswered, answeredAt})
 	} else {
 		remaining := min(milliseconds(request.RemainingMilliseconds), maxTrialTime)
-		answer.IsPermitted = s.quarantiner.BeginTrial(now, content, place, now.Add(remaining)) == nil
+		answer.IsPermitted = s.quarantiner.BeginTrial(now, traits, place, now.Add(remaining)) == nil
 	}
-	answer.Verdicts = s.knownVerdicts(content)
+	answer.Verdicts = s.knownVerdicts(traits)
 	s.encode(ctx, answer)
 }
 
 // maxTrialTime bounds the time for which a trial keeps others from running.
 const maxTrialTime = time.Minute
-
-// parseContents returns the fingerprints of contents, without those that are none.
-func parseContents(texts []string) []quarantiner.Fingerprint {
-	out := make([]quarantiner.Fingerprint, 0, len(texts))
-	for _, text := range texts {
-		if f, ok := quarantiner.ParseFingerprint(text); ok {
-			out = append(out, f)
-		}
-	}
-	return out
-}
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -96,7 +96,6 @@
 	limiter      *limiter.Limiter
 	prober       *prober.Prober
 	quarantiner  *quarantiner.Quarantiner
-	answers      *quarantiner.Answers
 	crashReports *crashReports
 	budget       *budgeter.Budgeter
 	loadChanges  *loadChanges
@@ -134,7 +133,6 @@
 	s.limiter = limiter.New(limiter.Member{Name: settings.Instance, DataCentre: settings.DataCentre}, minCellSize)
 	s.balancer = balancer.New(balancer.WithLoadChanged(s.loadChanges.add), balancer.WithLimits(s.limiter.BlockedFor))
 	s.quarantiner = quarantiner.New(settings.Instance, quarantiner.WithTrials())
-	s.answers = quarantiner.NewAnswers()
 	s.crashReports = newCrashReports()
 	bounds := settings.Bounds
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
--- a/internal/gateway/supervisor/verdicts.go
+++ b/internal/gateway/supervisor/verdicts.go
@@ -98,8 +98,10 @@
 	out := messenger.GatewayVerdicts{DataCentre: s.settings.DataCentre, Verdicts: []messenger.GatewayVerdict{}}
 	for _, v := range verdicts {
 		out.Verdicts = append(out.Verdicts, messenger.GatewayVerdict{
-			Content: v.Fingerprint.String(), Revision: v.Revision, Crashes: notNil(v.Crashes), TrialCrashes: notNil(v.TrialCrashes),
-			AgeMilliseconds: toMilliseconds(now.Sub(v.Since)), RemainingMilliseconds: toMilliseconds(v.Deadline.Sub(now)),
+			Trait: encodeTrait(v.Trait), Tied: encodeTraits(v.Tied), Revision: v.Revision,
+			Crashes: notNil(v.Crashes), Begun: notNil(v.Begun), TrialCrashes: notNil(v.TrialCrashes),
+			AgeMilliseconds: toMilliseconds(now.Sub(v.Since)), FirstCrashMilliseconds: toMilliseconds(now.Sub(v.FirstCrash)),
+			RemainingMilliseconds: toMilliseconds(v.Deadline.Sub(now)),
 			ConvictedMilliseconds: max(toMilliseconds(v.ConvictedUntil.Sub(now)), 0),
 		})
 	}
@@ -122,27 +124,31 @@
 	now := time.Now()
 	verdicts := make([]quarantiner.Verdict, 0, len(in))
 	for _, v := range in {
-		f, ok := quarantiner.ParseFingerprint(v.Content)
-		if !ok {
+		trait, ok := quarantiner.ParseTrait(quarantiner.Kind(v.Trait.Kind), v.Trait.Service, v.Trait.Name)
+		tied := decodeTraits(v.Tied)
+		if !ok || len(tied) != len(v.Tied) {
 			continue
 		}
 		decoded := quarantiner.Verdict{
-			Fingerprint: f, Revision: v.Revision, Crashes: v.Crashes, TrialCrashes: v.TrialCrashes,
-			Since: now.Add(-milliseconds(v.AgeMilliseconds)), Deadline: now.Add(milliseconds(v.RemainingMilliseconds)),
+			Trait: trait, Tied: tied, Revision: v.Revision, Crashes: v.Crashes, Begun: v.Begun, TrialCrashes: v.TrialCrashes,
+			Since: now.Add(-milliseconds(v.AgeMilliseconds)), FirstCrash: now.Add(-milliseconds(v.FirstCrashMilliseconds)),
+			Deadline: now.Add(milliseconds(v.RemainingMilliseconds)),
 		}
 		if v.ConvictedMilliseconds > 0 {
 			decoded.ConvictedUntil = now.Add(milliseconds(v.ConvictedMilliseconds))
 		}
 		verdicts = append(verdicts, decoded)
 	}
-	s.logVerdicts(s.quarantiner.MergeShared(now, verdicts), now, false)
+	added := s.quarantiner.MergeShared(now, verdicts)
+	s.logVerdicts(added, now, false)
+	s.object(added)
 }
 
 // logVerdicts logs verdicts that are new to this instance, and whether it has reached them.
 func (s *Supervisor) logVerdicts(verdicts []quarantiner.Verdict, now time.Time, isExaminer bool) {
 	for _, v := range verdicts {
-		s.log.Info("verdict on content", "content", v.Fingerprint.String(), "verdict", v.Name(now), "targets", v.Crashes,
-			"trials", len(v.TrialCrashes), "revision", v.Revision, "ageMilliseconds", now.Sub(v.Since).Milliseconds(),
+		s.log.Info("verdict", "kind", string(v.Trait.Kind), "name", v.Trait.Label(), "service", v.Trait.Service, "verdict", v.Name(now),
+			"targets", v.Crashes, "begunAt", len(v.Begun), "trials", len(v.TrialCrashes), "tied", len(v.Tied), "revision", v.Revision, "ageMilliseconds", now.Sub(v.Since).Milliseconds(),
 			"refusedMilliseconds", max(v.ConvictedUntil.Sub(now).Milliseconds(), 0), "isExaminer", isExaminer)
 	}
 }
--- a/internal/request/quarantiner/judgement.go
+++ b/internal/request/quarantiner/judgement.go
@@ -1,40 +1,62 @@
 package quarantiner
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// judgeRecentTrials judges each request whose trial a crash has just ended. A later report can
+// judgeRecentTrials judges each trait whose trial a crash has just ended. A later report can
 // change the judgement within doubtWindow.
 func (q *Quarantiner) judgeRecentTrials(now time.Time) {
-	for f, r := range q.records {
+	for t, r := range q.records {
 		if now.Sub(r.trialEndedAt) <= doubtWindow {
-			q.judge(now, f, r)
+			q.judge(now, t, r)
 		}
 	}
 }
 
-// judge convicts a request whose trial a crash has ended, or takes the conviction back.
-func (q *Quarantiner) judge(now time.Time, f Fingerprint, r *record) {
+// judge convicts a trait whose trial a crash has ended, or takes the conviction back.
+func (q *Quarantiner) judge(now time.Time, t Trait, r *record) {
 	v := &r.verdict
-	isProven := len(v.trialCrashes) >= maxTrialCrashes || !q.isDoubtful(f, r)
-	isDue := len(r.crashes) >= q.rules.convictingCrashes && isProven
+	tied := q.tiedWith(t, r)
+	isDue := q.isHeld(now, t, r) && q.isProven(t, r) && !q.isOutranked(t, r)
 	switch isConvicted := q.isConvicted(now, r); {
-	case isDue && !isConvicted:
-		v.since, v.convictedUntil = now, now.Add(trialConvictionTTL)
+	case isDue && isConvicted:
+		if len(tied) < len(v.tied) {
+			v.tied = tied
+			q.change(t, r)
+		}
+	case isDue:
+		v.since, v.convictedUntil, v.tied = now, now.Add(trialConvictionTTL), tied
 		r.extend(v.convictedUntil.Add(suspectTTL))
 		q.counts.Convictions++
-		q.change(f, r)
-		q.explainCrashes(now, f, r)
-	case !isDue && isConvicted:
-		v.convictedUntil = time.Time{}
+		q.change(t, r)
+		q.explainCrashes(now, t, r)
+	case isConvicted:
+		v.convictedUntil, v.tied = time.Time{}, nil
 		q.counts.TakenBack++
-		q.change(f, r)
+		q.change(t, r)
+	}
+}
+
+// isProven reports whether the crashes of a trait, and the trials that they have ended, show that it
+// is the cause.
+func (q *Quarantiner) isProven(t Trait, r *record) bool {
+	crashes, enoughTrials := q.rules.convictingCrashes, enoughTrialCrashes
+	if len(r.begun) > 0 {
+		crashes, enoughTrials = begunConvictingCrashes, enoughBegunTrialCrashes
+	}
+	trials := len(r.verdict.trialCrashes)
+	if trials == 0 || len(r.crashes) < crashes {
+		return false
 	}
+	return trials >= enoughTrials || !q.isDoubtful(t, r)
 }
 
-// isDoubtful reports whether the last crash that ended a trial of a request may have another
-// cause: a target on which the request did not run ended at the same moment, or another suspect
-// ran beside it.
-func (q *Quarantiner) isDoubtful(f Fingerprint, r *record) bool {
+// isDoubtful reports whether the last crash that ended a trial of a trait may have another cause: a
+// target on which no request with the trait ran ended at the same moment, or a suspect ran beside it
+// that explains as much.
+func (q *Quarantiner) isDoubtful(t Trait, r *record) bool {
 	for place, at := range q.crashedAt {
 		isNear := at.Sub(r.trialEndedAt).Abs() <= doubtWindow
 		_, hasCause := q.attributions[place]
@@ -42,30 +64,70 @@
 			return true
 		}
 	}
-	last := r.verdict.trialCrashes[len(r.verdict.trialCrashes)-1]
+	last := r.lastTrialCrash()
 	for other, o := range q.records {
-		if other != f && q.isSuspect(o) && contains(o.crashes, last) {
+		isBeside := other != t && contains(o.crashes, last) && !slices.Contains(o.verdict.trialCrashes, last)
+		if isBeside && q.isSuspect(o) && len(o.crashes) >= len(r.crashes) {
 			return true
 		}
 	}
 	return false
 }
 
-// explainCrashes clears all other requests of the crashes of one that is convicted.
-func (q *Quarantiner) explainCrashes(now time.Time, cause Fingerprint, convicted *record) {
+// isOutranked reports whether another trait of the same run explains more than one whose trial a
+// crash has ended: more crashes, or as many by fewer requests. Two that explain as much may come
+// apart in a further trial; after some of them both are taken for the cause.
+func (q *Quarantiner) isOutranked(t Trait, r *record) bool {
+	for other, o := range q.records {
+		if other == t || !o.sharesTrial(r) || len(o.crashes) < len(r.crashes) {
+			continue
+		}
+		isNarrower := t.isShared() && !other.isShared()
+		if len(o.crashes) > len(r.crashes) || isNarrower {
+			return true
+		}
+	}
+	return len(r.verdict.trialCrashes) < tiedTrialCrashes && len(q.tiedWith(t, r)) > 0
+}
+
+// tiedWith returns the traits of the same run that explain as much as one whose trial a crash has
+// ended, by as many requests.
+func (q *Quarantiner) tiedWith(t Trait, r *record) []Trait {
+	tied := []Trait{}
+	for other, o := range q.records {
+		if other != t && o.sharesTrial(r) && len(o.crashes) == len(r.crashes) && other.isShared() == t.isShared() {
+			tied = append(tied, other)
+		}
+	}
+	return tied
+}
+
+// explainCrashes clears all others of the crashes of a trait that is convicted. What the same run
+// bore and explains as much stays a suspect, unless fewer requests bear it.
+func (q *Quarantiner) explainCrashes(now time.Time, cause Trait, convicted *record) {
+	a := attribution{traits: []Trait{cause}, deadline: now.Add(suspectTTL)}
 	for _, place := range convicted.crashes {
 		if _, known := q.attributions[place]; !known {
-			q.attributions[place] = attribution{fingerprint: cause, deadline: now.Add(suspectTTL)}
+			q.attributions[place] = a
 		}
 	}
-	for f, r := range q.records {
-		if f == cause {
+	q.clearOthers(convicted.crashes, func(t Trait, r *record) bool {
+		isNarrower := cause.isShared() && !t.isShared()
+		explainsAsMuch := convicted.sharesTrial(r) && len(r.crashes) >= len(convicted.crashes) && !isNarrower
+		return t == cause || explainsAsMuch || !a.explains(t)
+	})
+}
+
+// clearOthers clears all traits of the crashes of places, but for some that are kept.
+func (q *Quarantiner) clearOthers(places []string, isKept func(t Trait, r *record) bool) {
+	for t, r := range q.records {
+		if isKept(t, r) {
 			continue
 		}
 		before := len(r.crashes)
-		r.clearCrashes(convicted.crashes)
+		r.clearCrashes(places)
 		if len(r.crashes) != before && r.verdict.isShared {
-			q.change(f, r)
+			q.change(t, r)
 		}
 	}
 }
--- a/internal/request/quarantiner/owner.go
+++ b/internal/request/quarantiner/owner.go
@@ -1,18 +1,21 @@
 package quarantiner
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Check reports whether a request is a suspect. The error is ErrConvicted or
 // ErrElsewhere if it must not run here, or ErrWait if that is about to be decided.
 func (q *Quarantiner) Check(now time.Time, f Fingerprint) (suspect bool, err error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := q.activeRecord(now, f)
+	r := q.activeRecord(now, ContentTrait(f))
 	switch {
 	case r == nil || !q.isSuspect(r):
 		return false, nil
 	case q.isConvicted(now, r):
-		return true, q.convictedError(now, r)
+		return true, q.convictedError(now, ContentTrait(f), r)
 	case !q.rules.hasTrials && r.owner != q.instance && q.alive(r.owner):
 		return true, ErrElsewhere
 	}
@@ -25,9 +28,9 @@
 func (q *Quarantiner) Begin(now time.Time, target string, f Fingerprint, shared bool) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := q.activeRecord(now, f)
+	r := q.activeRecord(now, ContentTrait(f))
 	isSuspect := r != nil && q.isSuspect(r)
-	if (isSuspect || !shared) && q.hasOtherSuspect(now, target, f) {
+	if (isSuspect || !shared) && q.hasOtherSuspect(now, target, ContentTrait(f)) {
 		return ErrWait
 	}
 	if !isSuspect {
@@ -51,7 +54,7 @@
 func (q *Quarantiner) Confirm(now time.Time, f Fingerprint) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := q.activeRecord(now, f)
+	r := q.activeRecord(now, ContentTrait(f))
 	switch {
 	case r == nil || !q.isSuspect(r):
 		return nil
@@ -62,7 +65,7 @@
 		return ErrConvicted
 	}
 	for other, o := range q.records {
-		if other != f && o.target == r.target && o.owner < q.instance && q.hasValidClaim(now, o) {
+		if other != ContentTrait(f) && o.target == r.target && o.owner < q.instance && q.hasValidClaim(now, o) {
 			r.target = ""
 			return ErrWait
 		}
@@ -77,10 +80,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	name := place.String()
-	if suspect, known := q.attribute(now, place); known && suspect != f {
+	if suspects := q.attribute(now, place).traits; len(suspects) > 0 && !slices.Contains(suspects, ContentTrait(f)) {
 		return false
 	}
-	r := q.makeRecord(now, f, q.instance, 0)
+	r := q.makeRecord(now, ContentTrait(f), q.instance, 0)
 	q.countCrash(now, r, name)
 	return q.isConvicted(now, r)
 }
@@ -89,7 +92,7 @@
 func (q *Quarantiner) End(target string, f Fingerprint) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if r := q.records[f]; r != nil && r.owner == q.instance && r.target == target {
+	if r := q.records[ContentTrait(f)]; r != nil && r.owner == q.instance && r.target == target {
 		r.target = ""
 	}
 }
@@ -98,7 +101,7 @@
 func (q *Quarantiner) Clear(now time.Time, f Fingerprint) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := q.activeRecord(now, f)
+	r := q.activeRecord(now, ContentTrait(f))
 	if r == nil || q.isConvicted(now, r) || r.owner != q.instance {
 		return
 	}
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -29,6 +29,8 @@
 package quarantiner
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -83,22 +85,26 @@
 	alive func(instance string) bool
 
 	mu      sync.Mutex
-	records map[Fingerprint]*record
+	records map[Trait]*record
 	// attributions holds the suspect that a crash is attributed to, by place.
 	attributions map[string]attribution
 	// crashedAt holds when a crash was first reported, by place; only with trials.
 	crashedAt map[string]time.Time
 	// changed holds the records whose verdict peers have not been told; only with trials.
-	changed map[Fingerprint]bool
+	changed map[Trait]bool
 	counts  Counts
+	traffic *traffic
 }
 
-// attribution names the suspect that a crash is attributed to, until a deadline.
+// attribution names the suspects that a crash is attributed to, until a deadline.
 type attribution struct {
-	fingerprint Fingerprint
-	deadline    time.Time
-	// isTrial reports that the crash ended a trial of the suspect.
+	// traits holds the suspect, or all suspects that one run bore.
+	traits   []Trait
+	deadline time.Time
+	// isTrial reports that the crash ended a trial of the suspects.
 	isTrial bool
+	// spared holds what the crash was not held against since it ended a trial.
+	spared []Loss
 }
 
 // Option configures a Quarantiner.
@@ -119,8 +125,8 @@
 func New(instance string, opts ...Option) *Quarantiner {
 	q := &Quarantiner{
 		instance: instance, rules: ownerRules, alive: func(string) bool { return true },
-		records: map[Fingerprint]*record{}, attributions: map[string]attribution{},
-		crashedAt: map[string]time.Time{}, changed: map[Fingerprint]bool{},
+		records: map[Trait]*record{}, attributions: map[string]attribution{},
+		crashedAt: map[string]time.Time{}, changed: map[Trait]bool{}, traffic: newTraffic(),
 	}
 	for _, opt := range opts {
 		opt(q)
@@ -128,22 +134,23 @@
 	return q
 }
 
-// activeRecord returns the record of a fingerprint if it has not expired, or nil.
-func (q *Quarantiner) activeRecord(now time.Time, f Fingerprint) *record {
-	r := q.records[f]
+// activeRecord returns the record of a trait if it has not expired, or nil.
+func (q *Quarantiner) activeRecord(now time.Time, t Trait) *record {
+	r := q.records[t]
 	if r == nil || !now.Before(r.deadline) {
 		return nil
 	}
 	return r
 }
 
-// makeRecord returns the record of a fingerprint, and creates it if there is none.
-func (q *Quarantiner) makeRecord(now time.Time, f Fingerprint, owner string, term int) *record {
-	r := q.activeRecord(now, f)
+// makeRecord returns the record of a trait, and creates it if there is none.
+func (q *Quarantiner) makeRecord(now time.Time, t Trait, owner string, term int) *record {
+	r := q.activeRecord(now, t)
 	if r == nil {
 		q.prune(now)
 		r = &record{owner: owner, term: term}
-		q.records[f] = r
+		t.Service, t.Name = strings.Clone(t.Service), strings.Clone(t.Name)
+		q.records[t] = r
 	}
 	return r
 }
@@ -169,10 +176,10 @@
 	r.extend(now.Add(ttl))
 }
 
-// hasOtherSuspect reports whether a suspect other than f has claimed a target, or a place.
-func (q *Quarantiner) hasOtherSuspect(now time.Time, target string, f Fingerprint) bool {
+// hasOtherSuspect reports whether a suspect other than some traits has claimed a target, or a place.
+func (q *Quarantiner) hasOtherSuspect(now time.Time, target string, traits ...Trait) bool {
 	for other, r := range q.records {
-		if other != f && r.target == target && q.hasValidClaim(now, r) {
+		if r.target == target && q.hasValidClaim(now, r) && !slices.Contains(traits, other) {
 			return true
 		}
 	}
@@ -192,43 +199,47 @@
 	}
 }
 
-// attribute returns the suspect that a crash is attributed to; false if none ran there.
-func (q *Quarantiner) attribute(now time.Time, place Place) (suspect Fingerprint, known bool) {
+// attribute returns the suspects that a crash is attributed to; none if none ran there.
+func (q *Quarantiner) attribute(now time.Time, place Place) attribution {
 	name := place.String()
 	if a, known := q.attributions[name]; known {
-		return a.fingerprint, true
+		return a
 	}
 	claimed := place.Target
 	if q.rules.hasTrials {
 		claimed = name // the crash of an earlier incarnation says nothing of a trial
 	}
-	suspect, found := q.suspectOn(now, claimed)
-	if found {
-		q.attributions[name] = attribution{fingerprint: suspect, deadline: now.Add(suspectTTL), isTrial: q.rules.hasTrials}
+	a := attribution{traits: q.suspectsOn(now, claimed), deadline: now.Add(suspectTTL), isTrial: q.rules.hasTrials}
+	if len(a.traits) > 0 {
+		q.attributions[name] = a
 	}
-	return suspect, found
+	return a
 }
 
-// suspectOn returns the suspect that runs on a target. If several suspects have
-// claimed it, only the one whose owner has the lowest ID was confirmed.
-func (q *Quarantiner) suspectOn(now time.Time, target string) (suspect Fingerprint, found bool) {
+// suspectsOn returns the suspects that run on a target. If the suspects of several owners have
+// claimed it, only those of the owner with the lowest ID were confirmed.
+func (q *Quarantiner) suspectsOn(now time.Time, target string) []Trait {
+	var suspects []Trait
 	owner := ""
-	for f, r := range q.records {
+	for t, r := range q.records {
 		if r.target != target || !q.isSuspect(r) || !q.hasValidClaim(now, r) {
 			continue
 		}
-		if !found || r.owner < owner {
-			suspect, owner, found = f, r.owner, true
+		if len(suspects) == 0 || r.owner < owner {
+			suspects, owner = nil, r.owner
+		}
+		if r.owner == owner {
+			suspects = append(suspects, t)
 		}
 	}
-	return suspect, found
+	return suspects
 }
 
 // prune deletes what has expired, and what matters least if there are too many records.
 func (q *Quarantiner) prune(now time.Time) {
-	for f, r := range q.records {
+	for t, r := range q.records {
 		if !now.Before(r.deadline) || len(q.records) >= maxRecords && len(r.crashes) == 0 {
-			q.remove(f)
+			q.remove(t)
 		}
 	}
 	for len(q.records) >= maxRecords {
@@ -246,19 +257,19 @@
 	}
 }
 
-func (q *Quarantiner) remove(f Fingerprint) {
-	delete(q.records, f)
-	delete(q.changed, f)
+func (q *Quarantiner) remove(t Trait) {
+	delete(q.records, t)
+	delete(q.changed, t)
 }
 
 // leastImportant returns the record to drop for another one: one that is not convicted before
 // a convicted one, of few crashes before one of many, and of these the one that ends first.
-func (q *Quarantiner) leastImportant(now time.Time) Fingerprint {
-	var least Fingerprint
+func (q *Quarantiner) leastImportant(now time.Time) Trait {
+	var least Trait
 	var found *record
-	for f, r := range q.records {
+	for t, r := range q.records {
 		if found == nil || q.isLessImportant(now, r, found) {
-			least, found = f, r
+			least, found = t, r
 		}
 	}
 	return least
--- a/internal/request/quarantiner/record.go
+++ b/internal/request/quarantiner/record.go
@@ -5,11 +5,13 @@
 	"time"
 )
 
-// record is the state of one fingerprint.
+// record is the state of one trait.
 type record struct {
 	crashes        []string // places of the crashes that count against the request, sorted
 	clearedCrashes []string // places of the crashes it was cleared of, sorted
-	owner          string
+	// begun holds the places at which a run was lost whose answer had begun, sorted.
+	begun []string
+	owner string
 	// term increases when another instance replaces an owner that is not alive.
 	term int
 	// target is the target that was claimed for the suspect, or, with trials, the place; empty for
@@ -46,9 +48,10 @@
 	for _, place := range places {
 		r.clearedCrashes = insertSorted(r.clearedCrashes, place)
 	}
-	r.crashes = slices.DeleteFunc(slices.Clone(r.crashes), func(place string) bool {
-		return contains(r.clearedCrashes, place)
-	})
+	isCleared := func(place string) bool { return contains(r.clearedCrashes, place) }
+	r.crashes = slices.DeleteFunc(slices.Clone(r.crashes), isCleared)
+	r.begun = slices.DeleteFunc(slices.Clone(r.begun), isCleared)
+	r.verdict.trialCrashes = slices.DeleteFunc(slices.Clone(r.verdict.trialCrashes), isCleared)
 }
 
 // insertSorted returns a copy of a sorted slice with s inserted, or the
@@ -65,3 +68,17 @@
 	_, found := slices.BinarySearch(sorted, s)
 	return found
 }
+
+// lastTrialCrash returns the last crash that ended a trial; empty for none.
+func (r *record) lastTrialCrash() string {
+	if len(r.verdict.trialCrashes) == 0 {
+		return ""
+	}
+	return r.verdict.trialCrashes[len(r.verdict.trialCrashes)-1]
+}
+
+// sharesTrial reports whether the last trial of another record that a crash has ended was one of
+// this record, too.
+func (r *record) sharesTrial(other *record) bool {
+	return slices.Contains(r.verdict.trialCrashes, other.lastTrialCrash())
+}
--- a/internal/request/quarantiner/share.go
+++ b/internal/request/quarantiner/share.go
@@ -1,30 +1,34 @@
 package quarantiner
 
 import (
-	"encoding/binary"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // maxSharedCrashes bounds the crashes that a verdict names: copies of a request that are sent at the
 // same moment can crash more targets.
 const maxSharedCrashes = 64
 
-// Verdict is what an examiner tells its peers of a request that is or was a suspect.
+// Verdict is what an examiner tells its peers of a trait that is or was a suspect.
 type Verdict struct {
-	Fingerprint Fingerprint
+	Trait Trait
 	// Revision is higher in a later verdict.
 	Revision int64
-	// Crashes holds the places that are held against the request; none if it was cleared.
+	// Crashes holds the places that are held against the trait; none if it was cleared.
 	Crashes []string
+	// Begun holds those of them at which the answer to a lost request had begun.
+	Begun []string
+	// FirstCrash is when the first of them ended, as far as the examiner knows.
+	FirstCrash time.Time
 	// TrialCrashes holds those of them that ended a trial.
 	TrialCrashes []string
-	// Since is when the request was convicted, or else when it became a suspect.
+	// Since is when the trait was convicted, or else when it became a suspect.
 	Since time.Time
-	// ConvictedUntil is zero if the request is not convicted.
+	// ConvictedUntil is zero if the trait is not convicted.
 	ConvictedUntil time.Time
+	// Tied holds the traits that were convicted together with it: only requests that bear all are
+	// refused.
+	Tied []Trait
 	// Deadline is when the verdict ends.
 	Deadline time.Time
 }
@@ -34,9 +38,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	out := make([]Verdict, 0, len(q.changed))
-	for f := range q.changed {
-		if r := q.activeRecord(now, f); r != nil {
-			out = append(out, r.share(f))
+	for t := range q.changed {
+		if r := q.activeRecord(now, t); r != nil {
+			out = append(out, q.share(t, r))
 		}
 	}
 	clear(q.changed)
@@ -48,35 +52,47 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	out := []Verdict{}
-	for f, r := range q.records {
+	for t, r := range q.records {
 		if r.verdict.isShared && now.Before(r.deadline) {
-			out = append(out, r.share(f))
+			out = append(out, q.share(t, r))
 		}
 	}
 	return out
 }
 
-// VerdictsOn returns the verdicts on some requests.
-func (q *Quarantiner) VerdictsOn(now time.Time, requests []Fingerprint) []Verdict {
+// VerdictsOn returns the verdicts on some traits.
+func (q *Quarantiner) VerdictsOn(now time.Time, traits []Trait) []Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	out := []Verdict{}
-	for _, f := range requests {
-		if r := q.activeRecord(now, f); r != nil && r.verdict.isShared {
-			out = append(out, r.share(f))
+	for _, t := range traits {
+		if r := q.activeRecord(now, t); r != nil && r.verdict.isShared {
+			out = append(out, q.share(t, r))
 		}
 	}
 	return out
 }
 
-func (r *record) share(f Fingerprint) Verdict {
+func (q *Quarantiner) share(t Trait, r *record) Verdict {
 	v := r.verdict
 	return Verdict{
-		Fingerprint: f, Revision: v.revision,
+		Trait: t, Revision: v.revision, FirstCrash: q.firstCrash(r),
 		Crashes:      r.crashes[:min(len(r.crashes), maxSharedCrashes)],
+		Begun:        r.begun[:min(len(r.begun), maxSharedCrashes)],
 		TrialCrashes: v.trialCrashes[max(len(v.trialCrashes)-maxSharedCrashes, 0):],
-		Since:        v.since, ConvictedUntil: v.convictedUntil, Deadline: r.deadline,
+		Since:        v.since, Tied: v.tied, ConvictedUntil: v.convictedUntil, Deadline: r.deadline,
+	}
+}
+
+// firstCrash returns when the first crash of a record was reported here, or that it became a suspect.
+func (q *Quarantiner) firstCrash(r *record) time.Time {
+	first := r.verdict.since
+	for _, place := range r.crashes {
+		if at, known := q.crashedAt[place]; known {
+			first = earlier(first, at)
+		}
 	}
+	return first
 }
 
 // Name returns what the verdict says at a time: Suspect, Convicted or Cleared.
@@ -92,12 +108,12 @@
 }
 
 // MergeShared adds verdicts that an examiner has reached, and returns those that are new. A
-// verdict that is not later than the known one is ignored, unless it alone convicts.
+// verdict that is not later than the known one is ignored; see goesBefore.
 func (q *Quarantiner) MergeShared(now time.Time, verdicts []Verdict) (added []Verdict) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, v := range verdicts {
-		isValid := now.Before(v.Deadline) && len(v.Crashes) <= maxSharedCrashes && len(v.TrialCrashes) <= maxSharedCrashes
+		isValid := now.Before(v.Deadline) && max(len(v.Crashes), len(v.Begun), len(v.TrialCrashes), len(v.Tied)) <= maxSharedCrashes
 		if isValid && q.mergeShared(now, v) {
 			added = append(added, v)
 		}
@@ -107,27 +123,40 @@
 
 // mergeShared adds a verdict and reports whether it is new.
 func (q *Quarantiner) mergeShared(now time.Time, v Verdict) bool {
-	r := q.activeRecord(now, v.Fingerprint)
-	if r != nil && r.verdict.isShared {
-		alone := v.Revision == r.verdict.revision && now.Before(v.ConvictedUntil) && !q.isConvicted(now, r)
-		if v.Revision <= r.verdict.revision && !alone {
-			return false
-		}
+	r := q.activeRecord(now, v.Trait)
+	if r != nil && r.verdict.isShared && !q.goesBefore(now, v, r) {
+		return false
 	}
-	r = q.makeRecord(now, v.Fingerprint, q.instance, 0)
+	r = q.makeRecord(now, v.Trait, q.instance, 0)
 	if len(v.Crashes) == 0 {
 		r.clearCrashes(r.crashes)
 	}
 	r.crashes = slices.Sorted(slices.Values(v.Crashes))
+	r.begun = slices.Sorted(slices.Values(v.Begun))
 	r.deadline = earlier(v.Deadline, now.Add(trialConvictionTTL+suspectTTL))
 	r.trialEndedAt = time.Time{}
 	r.verdict = sharedVerdict{
-		isShared: true, revision: v.Revision, trialCrashes: v.TrialCrashes, since: v.Since,
+		isShared: true, revision: v.Revision, trialCrashes: v.TrialCrashes, since: v.Since, tied: v.Tied,
 		convictedUntil: earlier(v.ConvictedUntil, now.Add(trialConvictionTTL)),
 	}
 	return true
 }
 
+// goesBefore reports whether a verdict replaces that of a record: it is later, or of two that
+// different examiners have reached at the same time the one that convicts, or else the one that
+// clears.
+func (q *Quarantiner) goesBefore(now time.Time, v Verdict, r *record) bool {
+	isConvicted := now.Before(v.ConvictedUntil)
+	switch {
+	case v.Revision != r.verdict.revision:
+		return v.Revision > r.verdict.revision
+	case isConvicted != q.isConvicted(now, r):
+		return isConvicted
+	default:
+		return len(v.Crashes) < q.rules.suspectCrashes && q.isSuspect(r)
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -140,10 +169,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	digest := uint64(0)
-	for f, r := range q.records {
+	for t, r := range q.records {
 		if r.verdict.isShared && now.Before(r.deadline) {
-			text := binary.BigEndian.AppendUint64(f[:], uint64(r.verdict.revision))
-			digest ^= xxhash.Sum64(text)
+			digest ^= t.digest(r.verdict.revision, q.isSuspect(r), q.isConvicted(now, r))
 		}
 	}
 	return int64(digest >> 1)
--- a/internal/request/quarantiner/simulation_test.go
+++ b/internal/request/quarantiner/simulation_test.go
@@ -21,6 +21,7 @@
 	target   *simTarget
 	place    quarantiner.Place
 	isTrial  bool
+	hasBegun bool
 	ended    func(isLost bool)
 }
 
@@ -32,10 +33,26 @@
 	runs        []*simRun
 }
 
+// simPart is a part of prompts.
+type simPart struct {
+	name string
+	// endsTargets is set if it ends the targets that begin to answer a request with it, or are in the
+	// middle of the answer if isMidway is set, too.
+	endsTargets, isMidway bool
+	// ends holds when targets ended under it, and runs when runs of requests with it began.
+	ends, runs []time.Time
+	// convictedAt is when a request was first refused for good for it.
+	convictedAt time.Time
+}
+
 // simContent is the content of requests that a caller sends again and again.
 type simContent struct {
 	fingerprint quarantiner.Fingerprint
+	parts       []*simPart
 	endsTargets bool
+	// keptBack counts its sends that waited for a permit, or were refused.
+	keptBack    int
+	sentAt      time.Time
 	targetsLost int
 	trialsLost  int
 	// clearEnds counts the targets that nothing else can have ended, secondEndAt is when the second
@@ -71,7 +88,7 @@
 type simReport struct {
 	at       time.Time
 	place    quarantiner.Place
-	content  quarantiner.Fingerprint
+	losses   []quarantiner.Loss
 	informed map[[2]int]bool // by instance and incarnation
 }
 
@@ -108,6 +125,7 @@
 	simHop       = 2 * time.Millisecond
 	simWait      = 50 * time.Millisecond
 	simMaxWaits  = 10
+	simMaxTrial  = 2 * time.Second
 	simAttempts  = 2
 	simHeartbeat = 250 * time.Millisecond
 	// simStart is how long an instance that starts has heard from no peer.
@@ -131,6 +149,51 @@
 	return s
 }
 
+// traits returns the traits of requests with a content.
+func (c *simContent) traits() []quarantiner.Trait {
+	out := []quarantiner.Trait{quarantiner.ContentTrait(c.fingerprint)}
+	for _, part := range c.parts {
+		out = append(out, quarantiner.PartTrait("chat", part.name))
+	}
+	return out
+}
+
+// badPart returns the part of a content that ends targets, or nil.
+func (c *simContent) badPart() *simPart {
+	for _, part := range c.parts {
+		if part.endsTargets {
+			return part
+		}
+	}
+	return nil
+}
+
+func (r *simReport) traits() []quarantiner.Trait {
+	out := []quarantiner.Trait{}
+	for _, l := range r.losses {
+		out = append(out, l.Trait)
+	}
+	return out
+}
+
+// merge adds verdicts to what an instance knows, which objects to those that its answers refute.
+func (s *simulation) merge(i *simInstance, verdicts []quarantiner.Verdict) {
+	for _, objection := range i.q.Objections(s.Now(), i.q.MergeShared(s.Now(), verdicts)) {
+		s.tellAnswer(i, []quarantiner.Trait{objection.Trait}, objection.At)
+	}
+}
+
+// tellAnswer tells the examiner that a request with some traits was answered whole at a time.
+func (s *simulation) tellAnswer(from *simInstance, traits []quarantiner.Trait, at time.Time) {
+	examiner := s.examiners(from)[0]
+	s.After(simHop, func() {
+		if examiner.isUp {
+			examiner.q.NoteAnswer(s.Now(), traits, at)
+			s.spread(examiner)
+		}
+	})
+}
+
 func (s *simulation) startInstance(i *simInstance) {
 	i.isUp = true
 	i.starts++
@@ -140,7 +203,7 @@
 	s.After(simStart, func() {
 		peers := slices.DeleteFunc(slices.Clone(s.instances), func(p *simInstance) bool { return p == i || !p.isUp })
 		if i.starts == starts && len(peers) > 0 {
-			i.q.MergeShared(s.Now(), peers[s.random.IntN(len(peers))].q.Shared(s.Now()))
+			s.merge(i, peers[s.random.IntN(len(peers))].q.Shared(s.Now()))
 			i.knowsPeers = true
 		}
 	})
@@ -181,7 +244,7 @@
 		}
 		s.After(s.between(simHop, 2*simHop), func() {
 			if to.isUp {
-				to.q.MergeShared(s.Now(), changes)
+				s.merge(to, changes)
 			}
 		})
 	}
@@ -196,7 +259,7 @@
 		}
 		for _, peer := range s.instances {
 			if peer.isUp && reaches(i, peer) && i.q.Digest(s.Now()) != peer.q.Digest(s.Now()) {
-				i.q.MergeShared(s.Now(), peer.q.Shared(s.Now()))
+				s.merge(i, peer.q.Shared(s.Now()))
 			}
 		}
 		for _, r := range i.reports {
@@ -213,14 +276,14 @@
 			continue
 		}
 		r.informed[key] = true
-		contents := []quarantiner.Fingerprint{r.content}
 		if n > 0 || s.Now().Sub(r.at) > simFresh {
-			e.q.KeepCrash(s.Now(), r.place, contents)
+			e.q.KeepCrash(s.Now(), r.place, r.losses)
 			continue
 		}
-		e.q.MergeShared(s.Now(), from.q.VerdictsOn(s.Now(), contents))
-		e.q.ReportCrash(s.Now(), r.place, contents)
-		from.q.MergeShared(s.Now(), e.q.VerdictsOn(s.Now(), contents))
+		traits := r.traits()
+		s.merge(e, from.q.VerdictsOn(s.Now(), traits))
+		e.q.ReportCrash(s.Now(), r.place, r.losses)
+		s.merge(from, e.q.VerdictsOn(s.Now(), traits))
 		s.spread(e)
 	}
 }
@@ -244,13 +307,24 @@
 	}
 	target := up[s.random.IntN(len(up))]
 	place := quarantiner.Place{Target: target.name, Incarnation: strconv.Itoa(target.incarnation)}
-	isSuspect, err := i.q.Check(s.Now(), c.fingerprint)
+	traits := c.traits()
+	if attempts == 0 && waits == 0 {
+		i.q.CountRequest()
+		for _, t := range traits[1:] {
+			i.q.CountBearer(t)
+		}
+	}
+	isSuspect, err := i.q.CheckAll(s.Now(), traits)
+	if waits == 0 && (isSuspect || err != nil) {
+		c.keptBack++
+	}
 	if errors.Is(err, quarantiner.ErrWait) {
 		s.After(simWait, func() { s.attempt(c, i, attempts, waits+1, done) })
 		return
 	}
 	if err != nil {
 		c.refusedForGood++
+		s.noteRefusal(c)
 		s.After(simHop, func() { done(false) })
 		return
 	}
@@ -262,20 +336,20 @@
 	}
 	examiner := s.examiners(i)[0]
 	starts := examiner.starts
-	known := i.q.VerdictsOn(s.Now(), []quarantiner.Fingerprint{c.fingerprint})
+	known := i.q.VerdictsOn(s.Now(), traits)
 	s.After(simHop, func() { // the question reaches the examiner
 		if examiner.isUp {
-			examiner.q.MergeShared(s.Now(), known)
+			s.merge(examiner, known)
 		}
-		isTrial, _ := examiner.q.Check(s.Now(), c.fingerprint)
+		isTrial, _ := examiner.q.CheckAll(s.Now(), traits)
 		isPermitted := examiner.isUp && examiner.starts == starts &&
-			examiner.q.BeginTrial(s.Now(), c.fingerprint, place, s.Now().Add(2*time.Second)) == nil
+			examiner.q.BeginTrial(s.Now(), traits, place, s.Now().Add(simMaxTrial)) == nil
 		var verdicts []quarantiner.Verdict
 		if examiner.isUp {
-			verdicts = examiner.q.VerdictsOn(s.Now(), []quarantiner.Fingerprint{c.fingerprint})
+			verdicts = examiner.q.VerdictsOn(s.Now(), traits)
 		}
 		s.After(simHop, func() { // the answer
-			i.q.MergeShared(s.Now(), verdicts)
+			s.merge(i, verdicts)
 			if !isPermitted {
 				s.After(simWait, func() { s.attempt(c, i, attempts, waits+1, done) })
 				return
@@ -297,20 +371,45 @@
 	if !run.isTrial && run.instance.knowsPeers && s.isInTouch(run.instance) && s.mustBeKnown(c) {
 		c.lateRuns++
 	}
+	bad := c.badPart()
+	if bad != nil {
+		bad.runs = append(bad.runs, s.Now())
+	}
 	s.After(s.between(20*time.Millisecond, 100*time.Millisecond), func() {
-		at := slices.Index(run.target.runs, run)
 		switch {
-		case at < 0:
-		case c.endsTargets:
+		case !slices.Contains(run.target.runs, run):
+		case c.endsTargets || (bad != nil && !bad.isMidway):
 			s.endByRun(run)
+		case len(c.parts) > 0:
+			run.hasBegun = true
+			s.After(s.between(200*time.Millisecond, 1500*time.Millisecond), func() { s.finish(run, bad != nil) })
 		default:
-			run.target.runs = slices.Delete(run.target.runs, at, at+1)
-			c.answered++
-			run.ended(false)
+			s.finish(run, false)
 		}
 	})
 }
 
+// finish ends a run whole, or its target, unless the target has ended before.
+func (s *simulation) finish(run *simRun, endsTarget bool) {
+	at := slices.Index(run.target.runs, run)
+	switch {
+	case at < 0:
+	case endsTarget:
+		s.endByRun(run)
+	default:
+		run.target.runs = slices.Delete(run.target.runs, at, at+1)
+		run.content.answered++
+		run.ended(false)
+	}
+}
+
+// noteRefusal records that requests with a part that ends targets are refused for good.
+func (s *simulation) noteRefusal(c *simContent) {
+	if bad := c.badPart(); bad != nil && bad.convictedAt.IsZero() {
+		bad.convictedAt = s.Now()
+	}
+}
+
 // isInTouch reports whether an instance must know what the others know.
 func (s *simulation) isInTouch(i *simInstance) bool {
 	return !i.isCut && s.Now().Sub(i.healedAt) > 2*simHeartbeat
@@ -326,6 +425,9 @@
 func (s *simulation) endByRun(run *simRun) {
 	c := run.content
 	c.targetsLost++
+	if bad := c.badPart(); bad != nil {
+		bad.ends = append(bad.ends, s.Now())
+	}
 	if run.isTrial {
 		c.trialsLost++
 	} else {
@@ -413,9 +515,9 @@
 		done(false)
 		return
 	}
-	isAnswered := !isLost && c.answered > 0 && !c.endsTargets
+	isAnswered := !isLost && c.answered > 0 && !c.endsTargets && c.badPart() == nil
 	if isLost {
-		report := &simReport{at: s.Now(), place: run.place, content: c.fingerprint, informed: map[[2]int]bool{}}
+		report := &simReport{at: s.Now(), place: run.place, losses: i.q.Losses(s.Now(), c.traits(), run.hasBegun), informed: map[[2]int]bool{}}
 		i.reports = append(i.reports, report)
 		s.After(simHop, func() {
 			if i.isUp {
@@ -425,14 +527,22 @@
 		s.After(4*simHop, func() { s.attempt(c, i, attempts+1, 0, done) })
 		return
 	}
+	traits := c.traits()
+	if isAnswered {
+		for _, t := range traits[1:] {
+			i.q.RememberAnswer(s.Now(), t)
+		}
+	}
 	examiner := s.examiners(i)[0]
-	if run.isTrial || attempts > 0 {
+	if run.isTrial {
 		s.After(simHop, func() {
 			if examiner.isUp {
-				examiner.q.EndTrial(s.Now(), c.fingerprint, run.place, isAnswered)
-				s.spread(examiner)
+				examiner.q.EndTrial(s.Now(), traits, run.place)
 			}
 		})
 	}
+	if isAnswered && (run.isTrial || attempts > 0 || i.q.IsAnyHeld(s.Now(), traits)) {
+		s.tellAnswer(i, traits, s.Now())
+	}
 	done(isAnswered)
 }
--- a/internal/request/quarantiner/answers_test.go
+++ b/internal/request/quarantiner/traffic_test.go
@@ -12,27 +12,27 @@
 
 // TestAnswersAreRemembered guards against an answer that is taken for one on another trait.
 func TestAnswersAreRemembered(t *testing.T) {
-	a := quarantiner.NewAnswers()
+	q := quarantiner.New("entry-1", quarantiner.WithTrials())
 	one := quarantiner.PartTrait("chat", "5c1e07a2")
-	_, known := a.Last(one)
+	_, known := q.LastAnswer(one)
 	assert.False(t, known)
-	a.Note(start, one)
-	at, known := a.Last(one)
+	q.RememberAnswer(start, one)
+	at, known := q.LastAnswer(one)
 	assert.True(t, known)
 	assert.Equal(t, start.UnixNano(), at.UnixNano())
 	for _, other := range []quarantiner.Trait{
-		quarantiner.PartTrait("chat", "5c1e07a3"), quarantiner.PartTrait("code", "5c1e07a2"), quarantiner.ContentTrait(bad), {},
+		quarantiner.PartTrait("chat", "5c1e07a3"), quarantiner.PartTrait("code", "5c1e07a2"), {},
 	} {
-		_, known := a.Last(other)
+		_, known := q.LastAnswer(other)
 		assert.False(t, known, other.Label())
 	}
 	t.Run("the newest of very many are", func(t *testing.T) {
 		found := 0
 		for n := range 100_000 {
-			a.Note(start.Add(time.Duration(n)), quarantiner.PartTrait("chat", fmt.Sprint(n)))
+			q.RememberAnswer(start.Add(time.Duration(n)), quarantiner.PartTrait("chat", fmt.Sprint(n)))
 		}
 		for n := 99_000; n < 100_000; n++ {
-			if _, known := a.Last(quarantiner.PartTrait("chat", fmt.Sprint(n))); known {
+			if _, known := q.LastAnswer(quarantiner.PartTrait("chat", fmt.Sprint(n))); known {
 				found++
 			}
 		}
@@ -42,12 +42,12 @@
 
 // BenchmarkNoteAnswer measures what an answer on three parts costs while nothing is suspected.
 func BenchmarkNoteAnswer(b *testing.B) {
-	a := quarantiner.NewAnswers()
+	q := quarantiner.New("entry-1", quarantiner.WithTrials())
 	parts := []string{"5c1e07a2", "91bd3f06", "e4402b7d"}
 	b.ReportAllocs()
 	for b.Loop() {
 		for _, part := range parts {
-			a.Note(start, quarantiner.PartTrait("chat", part))
+			q.RememberAnswer(start, quarantiner.PartTrait("chat", part))
 		}
 	}
 }
--- a/internal/request/quarantiner/trial.go
+++ b/internal/request/quarantiner/trial.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // trialRules make a request a suspect from its second crash on: after a first one nearly all
@@ -20,24 +22,39 @@
 	// each other. A trial is one run of a request; what ends other targets at the same moment, on
 	// which the request does not run, may have ended that of the trial too.
 	doubtWindow = 500 * time.Millisecond
-	// maxTrialCrashes is the number of crashes in trials that convict a request, whatever else
-	// ended at these moments.
-	maxTrialCrashes = 3
+	// begunConvictingCrashes is the number of crashes that convict a trait if answers had begun where
+	// targets ended: what runs long is lost by chance more often.
+	begunConvictingCrashes = 4
+	// enoughTrialCrashes is the number of crashes in trials that convict a trait whatever else ended at
+	// these moments, and enoughBegunTrialCrashes the same if answers had begun.
+	enoughTrialCrashes      = 3
+	enoughBegunTrialCrashes = 5
+	// tiedTrialCrashes is the number of crashes in trials that convict traits which were in all of
+	// them together.
+	tiedTrialCrashes = 3
 	// refutedTTL is how long peers are told that a suspect was cleared.
 	refutedTTL = time.Minute
+	// objectionTime is how long a shared trait runs freely once it is a suspect, in which instances
+	// that have relayed answers to requests with it say so. Where most requests bear it, it runs
+	// freely for commonObjectionTime, in which one of them will be answered.
+	objectionTime       = 100 * time.Millisecond
+	commonObjectionTime = 3 * time.Second
 )
 
 // sharedVerdict is what an examiner tells its peers of a record.
 type sharedVerdict struct {
-	// isShared is set once the request has been a suspect.
+	// isShared is set once the trait has been a suspect.
 	isShared bool
 	// revision increases with each change.
 	revision int64
 	// trialCrashes are the crashes that ended a trial, in the order of their reports.
 	trialCrashes []string
-	// convictedUntil is zero unless the request is convicted, or was.
+	// convictedUntil is zero unless the trait is convicted, or was.
 	convictedUntil time.Time
-	// since is when the request was convicted, or else when it became a suspect.
+	// tied holds the traits that were convicted together with it, as each run that crashed its target
+	// bore all of them. Requests that bear all are refused, others with the trait need permits.
+	tied []Trait
+	// since is when the trait was convicted, or else when it became a suspect.
 	since time.Time
 }
 
@@ -58,7 +75,9 @@
 
 // ConvictedError is an ErrConvicted that says what the verdict rests on.
 type ConvictedError struct {
-	// Crashes holds the places that the request has crashed.
+	// Trait is what is convicted.
+	Trait Trait
+	// Crashes holds the places that crashed under requests with the trait.
 	Crashes []string
 	// Age is the time since the conviction, and Left the time until it ends.
 	Age  time.Duration
@@ -66,16 +85,20 @@
 }
 
 func (e *ConvictedError) Error() string {
-	return fmt.Sprintf("%v: %d ended under it (%s); known for %d ms, refused for another %d ms",
-		ErrConvicted, len(e.Crashes), strings.Join(e.Crashes, ", "), e.Age.Milliseconds(), e.Left.Milliseconds())
+	cause := "it"
+	if e.Trait.Kind == Part {
+		cause = fmt.Sprintf("part %s of its prompt", e.Trait.Name)
+	}
+	return fmt.Sprintf("%v: %d ended under %s (%s); known for %d ms, refused for another %d ms",
+		ErrConvicted, len(e.Crashes), cause, strings.Join(e.Crashes, ", "), e.Age.Milliseconds(), e.Left.Milliseconds())
 }
 
 // Is reports whether target is ErrConvicted.
 func (e *ConvictedError) Is(target error) bool { return target == ErrConvicted }
 
-// convictedError returns the error for a convicted request. It is ErrWait at first: a report that
+// convictedError returns the error for a convicted trait. It is ErrWait at first: a report that
 // is still on its way can take the conviction back.
-func (q *Quarantiner) convictedError(now time.Time, r *record) error {
+func (q *Quarantiner) convictedError(now time.Time, t Trait, r *record) error {
 	if !q.rules.hasTrials {
 		return ErrConvicted
 	}
@@ -83,10 +106,10 @@
 	if now.Before(v.since.Add(doubtWindow)) {
 		return ErrWait
 	}
-	return &ConvictedError{Crashes: r.crashes, Age: now.Sub(v.since), Left: v.convictedUntil.Sub(now)}
+	return &ConvictedError{Trait: t, Crashes: r.crashes, Age: now.Sub(v.since), Left: v.convictedUntil.Sub(now)}
 }
 
-// IsEmpty reports whether nothing is held against any request, so that no request need be
+// IsEmpty reports whether nothing is held against any trait, so that no request need be
 // checked.
 func (q *Quarantiner) IsEmpty() bool {
 	q.mu.Lock()
@@ -94,150 +117,321 @@
 	return len(q.records) == 0
 }
 
+// CheckAll reports whether a request with some traits needs a permit of the examiner, as one of
+// them is a suspect. The error is ErrConvicted if it must not run, or ErrWait if that is about to
+// be decided.
+func (q *Quarantiner) CheckAll(now time.Time, traits []Trait) (isSuspect bool, err error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	held, _, err := q.suspectsAmong(now, traits)
+	return len(held) > 0 || err != nil, err
+}
+
+// suspectsAmong returns the traits that run by permit only, and the suspects that still run freely.
+// The error is that of a convicted one; ErrConvicted goes before ErrWait.
+func (q *Quarantiner) suspectsAmong(now time.Time, traits []Trait) (held, free []Trait, err error) {
+	for _, t := range traits {
+		r := q.activeRecord(now, t)
+		switch {
+		case r == nil || !q.isSuspect(r):
+		case q.isConvicted(now, r) && containsAll(traits, r.verdict.tied):
+			if reason := q.convictedError(now, t, r); err == nil || errors.Is(reason, ErrConvicted) {
+				err = reason
+			}
+		case q.isHeld(now, t, r):
+			held = append(held, t)
+		default:
+			free = append(free, t)
+		}
+	}
+	return held, free, err
+}
+
+// isHeld reports whether requests with a suspect need permits. A shared one needs a verdict, and
+// time for objections.
+func (q *Quarantiner) isHeld(now time.Time, t Trait, r *record) bool {
+	if !t.isShared() || q.isConvicted(now, r) {
+		return true
+	}
+	hearing := objectionTime
+	if q.traffic.isCommon(t) {
+		hearing = commonObjectionTime
+	}
+	return r.verdict.isShared && !now.Before(r.verdict.since.Add(hearing))
+}
+
+// IsAnyHeld reports whether peers have been told that one of some traits is a suspect or
+// convicted, so that the examiner has to learn of an answer.
+func (q *Quarantiner) IsAnyHeld(now time.Time, traits []Trait) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.ContainsFunc(traits, func(t Trait) bool {
+		r := q.activeRecord(now, t)
+		return r != nil && r.verdict.isShared && len(r.crashes) > 0
+	})
+}
+
+// Loss is a trait of requests that were lost with their target.
+type Loss struct {
+	Trait Trait
+	// HasBegun reports that the answer to one of them had begun.
+	HasBegun bool
+}
+
 // ReportCrash records, at the examiner, that a place crashed while requests ran on it. If a
-// trial ran there, the crash is held against its request, and against other suspects, alone.
-func (q *Quarantiner) ReportCrash(now time.Time, place Place, requests []Fingerprint) {
+// trial ran there, the crash is held against its traits, and against other suspects, alone. If one
+// of the requests was convicted, it is held against nothing else.
+func (q *Quarantiner) ReportCrash(now time.Time, place Place, losses []Loss) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	name := place.String()
-	if _, known := q.crashedAt[name]; !known {
-		q.prune(now)
-		q.crashedAt[name] = now
+	q.noteCrashTime(now, name)
+	cause := q.attribute(now, place)
+	if len(cause.traits) == 0 {
+		cause = q.attributeToConvicted(now, name, losses)
 	}
-	cause, isAttributed := q.attribute(now, place)
-	for _, f := range requests {
-		r := q.activeRecord(now, f)
-		if isAttributed && f != cause && (r == nil || !q.isSuspect(r)) {
-			continue
+	for _, l := range losses {
+		if q.isHeldAgainst(now, l.Trait, cause, q.crashedAt[name]) {
+			q.holdAgainst(now, l, name)
+		} else if cause.isTrial && !slices.Contains(cause.spared, l) {
+			cause.spared = append(cause.spared, l)
 		}
-		q.holdAgainst(now, q.makeRecord(now, f, q.instance, 0), f, name)
 	}
-	if isAttributed && q.attributions[name].isTrial && slices.Contains(requests, cause) {
-		q.endTrialByCrash(now, cause, name)
+	if cause.isTrial {
+		q.attributions[name] = cause
+		q.endTrialsByCrash(now, cause.traits, losses, name)
 	}
 	q.judgeRecentTrials(now)
 }
 
 // KeepCrash records a crash at an instance that may become the examiner. Nothing follows from
 // it yet.
-func (q *Quarantiner) KeepCrash(now time.Time, place Place, requests []Fingerprint) {
+func (q *Quarantiner) KeepCrash(now time.Time, place Place, losses []Loss) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	name := place.String()
-	cause, isAttributed := q.attribute(now, place)
-	for _, f := range requests {
-		if isAttributed && f != cause {
+	q.noteCrashTime(now, name)
+	cause := q.attribute(now, place)
+	for _, l := range losses {
+		if !q.isHeldAgainst(now, l.Trait, cause, q.crashedAt[name]) {
 			continue
 		}
-		q.countCrash(now, q.makeRecord(now, f, q.instance, 0), name)
+		r := q.makeRecord(now, l.Trait, q.instance, 0)
+		if !r.verdict.isShared { // else what counts is the verdict of the examiner
+			q.countLoss(now, r, l, name)
+		}
 	}
 }
 
-// holdAgainst counts a crash against a request and makes it a suspect if that is due.
-func (q *Quarantiner) holdAgainst(now time.Time, r *record, f Fingerprint, place string) {
-	before := len(r.crashes)
-	q.countCrash(now, r, place)
-	isNew := len(r.crashes) != before
+func (q *Quarantiner) noteCrashTime(now time.Time, place string) {
+	if _, known := q.crashedAt[place]; !known {
+		q.prune(now)
+		q.crashedAt[place] = now
+	}
+}
+
+// attributeToConvicted attributes a crash to the convicted traits among those of the requests that
+// were lost, and clears others of it that earlier reports have named.
+func (q *Quarantiner) attributeToConvicted(now time.Time, place string, losses []Loss) attribution {
+	a := attribution{deadline: now.Add(suspectTTL)}
+	for _, l := range losses {
+		if r := q.activeRecord(now, l.Trait); r != nil && q.isConvicted(now, r) {
+			a.traits = append(a.traits, l.Trait)
+		}
+	}
+	if len(a.traits) == 0 {
+		return a
+	}
+	q.attributions[place] = a
+	q.clearOthers([]string{place}, func(t Trait, _ *record) bool { return slices.Contains(a.traits, t) || !a.explains(t) })
+	return a
+}
+
+// isHeldAgainst reports whether a crash that has a cause counts against a trait.
+func (q *Quarantiner) isHeldAgainst(now time.Time, t Trait, cause attribution, endedAt time.Time) bool {
+	r := q.activeRecord(now, t)
+	isSuspect := r != nil && q.isSuspect(r)
+	switch {
+	case len(cause.traits) == 0 || slices.Contains(cause.traits, t):
+	case cause.isTrial && !isSuspect, !cause.isTrial && cause.explains(t):
+		return false
+	}
+	return !q.traffic.speaksFor(t, endedAt)
+}
+
+// explains reports whether the cause of a crash clears another trait of it. A content does not
+// clear shared traits, which it may bear itself.
+func (a attribution) explains(t Trait) bool {
+	return !t.isShared() || slices.ContainsFunc(a.traits, Trait.isShared)
+}
+
+// holdAgainst counts a crash against a trait and makes it a suspect if that is due.
+func (q *Quarantiner) holdAgainst(now time.Time, l Loss, place string) {
+	r := q.makeRecord(now, l.Trait, q.instance, 0)
+	wasSuspect := r.verdict.isShared && q.isSuspect(r)
+	before := len(r.crashes) + len(r.begun)
+	q.countLoss(now, r, l, place)
+	isNew := len(r.crashes)+len(r.begun) != before
 	switch {
 	case !q.isSuspect(r):
-	case !r.verdict.isShared: // also if KeepCrash has counted the crash before
+	case !wasSuspect: // also if KeepCrash has counted the crash before
 		r.verdict.isShared = true
 		r.verdict.since = now
 		q.counts.Suspects++
-		q.change(f, r)
+		q.change(l.Trait, r)
 	case isNew:
-		q.change(f, r)
+		q.change(l.Trait, r)
+	}
+}
+
+// countLoss counts a crash against a trait.
+func (q *Quarantiner) countLoss(now time.Time, r *record, l Loss, place string) {
+	q.countCrash(now, r, place)
+	if l.HasBegun && contains(r.crashes, place) {
+		r.begun = insertSorted(r.begun, place)
 	}
 }
 
 // change marks a verdict as one that peers have to be told.
-func (q *Quarantiner) change(f Fingerprint, r *record) {
+func (q *Quarantiner) change(t Trait, r *record) {
 	r.verdict.revision++
-	q.changed[f] = true
+	q.changed[t] = true
 }
 
-// endTrialByCrash records that a crash ended the trial of a request.
-func (q *Quarantiner) endTrialByCrash(now time.Time, f Fingerprint, place string) {
-	r := q.activeRecord(now, f)
-	if r == nil {
-		return
-	}
-	q.holdAgainst(now, r, f, place)
-	if r.target == place {
-		r.target = ""
-	}
-	if slices.Contains(r.verdict.trialCrashes, place) {
-		return
+// endTrialsByCrash records that a crash ended the trial of some traits.
+func (q *Quarantiner) endTrialsByCrash(now time.Time, traits []Trait, losses []Loss, place string) {
+	for _, t := range traits {
+		r := q.activeRecord(now, t)
+		isLost := slices.ContainsFunc(losses, func(l Loss) bool { return l.Trait == t })
+		if r == nil || !isLost || !contains(r.crashes, place) {
+			continue
+		}
+		if r.target == place {
+			r.target = ""
+		}
+		if !slices.Contains(r.verdict.trialCrashes, place) {
+			r.verdict.trialCrashes = append(r.verdict.trialCrashes, place)
+			r.trialEndedAt = q.crashedAt[place]
+			q.change(t, r)
+		}
 	}
-	r.verdict.trialCrashes = append(r.verdict.trialCrashes, place)
-	r.trialEndedAt = q.crashedAt[place]
-	q.change(f, r)
 }
 
-// BeginTrial permits, at the examiner, a run of a request at a place until a deadline. A
-// request that is no suspect needs no permit and is not recorded. The error is ErrConvicted,
-// or ErrWait if the suspect runs elsewhere or another one runs there.
-func (q *Quarantiner) BeginTrial(now time.Time, f Fingerprint, place Place, deadline time.Time) error {
+// BeginTrial permits, at the examiner, a run of a request with some traits at a place until a
+// deadline. A request without a suspect needs no permit and is not recorded. The error is
+// ErrConvicted, or ErrWait if one of the suspects runs elsewhere or another one runs there.
+func (q *Quarantiner) BeginTrial(now time.Time, traits []Trait, place Place, deadline time.Time) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := q.activeRecord(now, f)
-	switch {
-	case r == nil || !q.isSuspect(r):
-		return nil
-	case q.isConvicted(now, r):
-		return q.convictedError(now, r)
-	case q.hasValidClaim(now, r) || q.hasOtherSuspect(now, place.String(), f):
+	held, free, err := q.suspectsAmong(now, traits)
+	if err != nil || len(held) == 0 {
+		return err
+	}
+	isTried := func(t Trait) bool { return q.hasValidClaim(now, q.records[t]) }
+	if slices.ContainsFunc(held, isTried) || q.hasOtherSuspect(now, place.String(), held...) {
 		return ErrWait
 	}
-	r.target, r.claimDeadline = place.String(), deadline
+	for _, t := range append(held, slices.DeleteFunc(free, isTried)...) {
+		r := q.records[t]
+		r.target, r.claimDeadline = place.String(), deadline
+	}
 	return nil
 }
 
-// EndTrial records, at the examiner, that a trial is over and did not crash its target. If the
-// request was answered whole, nothing is held against it any more.
-func (q *Quarantiner) EndTrial(now time.Time, f Fingerprint, place Place, isAnswered bool) {
+// EndTrial records, at the examiner, that a trial is over and did not crash its target. If another
+// run has crashed the target, that is held against what it was not held against for the trial.
+func (q *Quarantiner) EndTrial(now time.Time, traits []Trait, place Place) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := q.activeRecord(now, f)
-	if r == nil {
-		return
-	}
 	name := place.String()
-	if r.target == name {
-		r.target = ""
+	for _, t := range traits {
+		if r := q.activeRecord(now, t); r != nil && r.target == name {
+			r.target = ""
+		}
 	}
-	if a := q.attributions[name]; a.fingerprint == f && a.isTrial {
-		delete(q.attributions, name) // the trial ended before its target, or never began
+	a := q.attributions[name]
+	isAttributed := slices.ContainsFunc(traits, func(t Trait) bool { return slices.Contains(a.traits, t) })
+	if !a.isTrial || !isAttributed {
+		return
 	}
-	if isAnswered {
-		q.refute(now, f, r)
+	delete(q.attributions, name) // the trial ended before its target, or never began
+	for _, l := range a.spared {
+		if q.isHeldAgainst(now, l.Trait, attribution{}, q.crashedAt[name]) {
+			q.holdAgainst(now, l, name)
+		}
 	}
 }
 
-// Refute records, at the examiner, that a request was answered whole: it does not crash its
-// targets, whatever is held against it.
-func (q *Quarantiner) Refute(now time.Time, f Fingerprint) {
+// NoteAnswer records, at the examiner, that a request with some traits was answered whole at a
+// time: its content does not crash its targets, whatever is held against it, and its shared
+// traits have not crashed those that ended before, or within answerAge after it.
+func (q *Quarantiner) NoteAnswer(now time.Time, traits []Trait, answeredAt time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if r := q.activeRecord(now, f); r != nil {
-		q.refute(now, f, r)
+	for _, t := range traits {
+		if t.isShared() {
+			q.traffic.noteAnswer(answeredAt, t)
+		}
+		r := q.activeRecord(now, t)
+		switch {
+		case r == nil || len(r.crashes) == 0:
+		case t.isShared():
+			q.clearUntil(now, t, r, answeredAt.Add(answerAge))
+		default:
+			q.refute(now, t, r)
+		}
 	}
 }
 
-func (q *Quarantiner) refute(now time.Time, f Fingerprint, r *record) {
-	if len(r.crashes) == 0 {
+// clearUntil clears a trait of the crashes before a time, and of those of unknown times.
+func (q *Quarantiner) clearUntil(now time.Time, t Trait, r *record, until time.Time) {
+	left := slices.DeleteFunc(slices.Clone(r.crashes), func(place string) bool { return q.crashedAt[place].Before(until) })
+	if len(left) == 0 {
+		q.refute(now, t, r)
 		return
 	}
+	if len(left) == len(r.crashes) {
+		return
+	}
+	r.clearCrashes(slices.DeleteFunc(slices.Clone(r.crashes), func(place string) bool { return contains(left, place) }))
+	if q.isConvicted(now, r) && len(left) < q.rules.convictingCrashes {
+		r.verdict.convictedUntil = time.Time{}
+		q.counts.TakenBack++
+	}
+	if r.verdict.isShared {
+		q.change(t, r)
+	}
+}
+
+// refute clears a trait of all that is held against it.
+func (q *Quarantiner) refute(now time.Time, t Trait, r *record) {
 	if !r.verdict.isShared {
-		q.remove(f)
+		q.remove(t)
 		return
 	}
 	if q.isConvicted(now, r) {
 		q.counts.TakenBack++
 	}
 	r.clearCrashes(r.crashes)
-	r.verdict.trialCrashes, r.verdict.convictedUntil, r.trialEndedAt = nil, time.Time{}, time.Time{}
+	r.verdict.convictedUntil, r.trialEndedAt, r.verdict.tied = time.Time{}, time.Time{}, nil
 	r.target = ""
 	r.deadline = now.Add(refutedTTL)
-	q.change(f, r)
+	q.change(t, r)
+	q.untie(t)
+}
+
+// untie records that a trait that was cleared is not convicted together with others any more.
+func (q *Quarantiner) untie(cleared Trait) {
+	for t, r := range q.records {
+		if !slices.Contains(r.verdict.tied, cleared) {
+			continue
+		}
+		r.verdict.tied = slices.DeleteFunc(slices.Clone(r.verdict.tied), func(other Trait) bool { return other == cleared })
+		q.change(t, r)
+	}
+}
+
+// containsAll reports whether traits contain all of some.
+func containsAll(traits, some []Trait) bool {
+	return !slices.ContainsFunc(some, func(t Trait) bool { return !slices.Contains(traits, t) })
 }
--- a/internal/request/quarantiner/trial_test.go
+++ b/internal/request/quarantiner/trial_test.go
@@ -18,14 +18,32 @@
 	return quarantiner.New("entry-1", quarantiner.WithTrials())
 }
 
+// contents returns the traits of requests by their contents.
+func contents(of ...quarantiner.Fingerprint) []quarantiner.Trait {
+	out := []quarantiner.Trait{}
+	for _, f := range of {
+		out = append(out, quarantiner.ContentTrait(f))
+	}
+	return out
+}
+
+// lost returns traits as those of requests that were lost before their answers had begun.
+func lost(traits ...quarantiner.Trait) []quarantiner.Loss {
+	out := []quarantiner.Loss{}
+	for _, t := range traits {
+		out = append(out, quarantiner.Loss{Trait: t})
+	}
+	return out
+}
+
 func report(q *quarantiner.Quarantiner, at time.Duration, target string, on ...quarantiner.Fingerprint) {
-	q.ReportCrash(start.Add(at), place(target), on)
+	q.ReportCrash(start.Add(at), place(target), lost(contents(on...)...))
 }
 
 // tryAndCrash permits a trial and reports that a crash ended it.
 func tryAndCrash(t *testing.T, q *quarantiner.Quarantiner, at time.Duration, target string, f quarantiner.Fingerprint, beside ...quarantiner.Fingerprint) {
 	t.Helper()
-	require.NoError(t, q.BeginTrial(start.Add(at), f, place(target), start.Add(at+time.Second)))
+	require.NoError(t, q.BeginTrial(start.Add(at), contents(f), place(target), start.Add(at+time.Second)))
 	report(q, at, target, append(beside, f)...)
 }
 
@@ -83,12 +101,12 @@
 		report(q, 0, target, bad, innocent)
 	}
 	end := start.Add(time.Second)
-	require.NoError(t, q.BeginTrial(start, bad, place("t3"), end))
-	assert.ErrorIs(t, q.BeginTrial(start, bad, place("t4"), end), quarantiner.ErrWait, "one run of a suspect")
-	assert.ErrorIs(t, q.BeginTrial(start, innocent, place("t3"), end), quarantiner.ErrWait, "one suspect on a target")
-	assert.NoError(t, q.BeginTrial(start, bystander, place("t3"), end), "others are not kept back")
-	assert.NoError(t, q.BeginTrial(start, innocent, place("t4"), end))
-	assert.NoError(t, q.BeginTrial(end, bad, place("t5"), end.Add(time.Second)), "a trial that nobody ends does not last")
+	require.NoError(t, q.BeginTrial(start, contents(bad), place("t3"), end))
+	assert.ErrorIs(t, q.BeginTrial(start, contents(bad), place("t4"), end), quarantiner.ErrWait, "one run of a suspect")
+	assert.ErrorIs(t, q.BeginTrial(start, contents(innocent), place("t3"), end), quarantiner.ErrWait, "one suspect on a target")
+	assert.NoError(t, q.BeginTrial(start, contents(bystander), place("t3"), end), "others are not kept back")
+	assert.NoError(t, q.BeginTrial(start, contents(innocent), place("t4"), end))
+	assert.NoError(t, q.BeginTrial(end, contents(bad), place("t5"), end.Add(time.Second)), "a trial that nobody ends does not last")
 }
 
 func TestSuspectThatIsAnsweredIsCleared(t *testing.T) {
@@ -97,8 +115,9 @@
 			q := newExaminer()
 			report(q, 0, "t1", innocent)
 			report(q, 0, "t2", innocent)
-			require.NoError(t, q.BeginTrial(start, innocent, place("t3"), start.Add(time.Second)))
-			q.EndTrial(start, innocent, place("t3"), true)
+			require.NoError(t, q.BeginTrial(start, contents(innocent), place("t3"), start.Add(time.Second)))
+			q.EndTrial(start, contents(innocent), place("t3"))
+			q.NoteAnswer(start, contents(innocent), start)
 			assertVerdict(t, q, 0, innocent, false, nil)
 			report(q, 0, target, innocent)
 			assertVerdict(t, q, 0, innocent, false, nil)
@@ -108,8 +127,8 @@
 		q := newExaminer()
 		report(q, 0, "t1", bad)
 		report(q, 0, "t2", bad)
-		require.NoError(t, q.BeginTrial(start, bad, place("t3"), start.Add(time.Second)))
-		q.EndTrial(start, bad, place("t3"), false)
+		require.NoError(t, q.BeginTrial(start, contents(bad), place("t3"), start.Add(time.Second)))
+		q.EndTrial(start, contents(bad), place("t3"))
 		assertVerdict(t, q, 0, bad, true, nil)
 		tryAndCrash(t, q, 0, "t4", bad)
 		assertVerdict(t, q, settled, bad, true, quarantiner.ErrConvicted)
@@ -117,7 +136,7 @@
 	t.Run("a conviction ends when an equal request ends well elsewhere", func(t *testing.T) {
 		q := newExaminer()
 		convict(t, q)
-		q.Refute(start.Add(settled), bad)
+		q.NoteAnswer(start.Add(settled), contents(bad), start.Add(settled))
 		assertVerdict(t, q, settled, bad, false, nil)
 		assert.Equal(t, 1, q.Counts().TakenBack)
 	})
@@ -158,15 +177,15 @@
 	t.Run("the end of an earlier incarnation says nothing of a trial", func(t *testing.T) {
 		q := suspect()
 		later := quarantiner.Place{Target: "t3", Incarnation: "b"}
-		require.NoError(t, q.BeginTrial(start.Add(at), innocent, later, start.Add(at+time.Second)))
+		require.NoError(t, q.BeginTrial(start.Add(at), contents(innocent), later, start.Add(at+time.Second)))
 		report(q, at, "t3", bystander)
 		assertVerdict(t, q, at+settled, innocent, true, nil)
 	})
 	t.Run("nor the end of a target at which it never began", func(t *testing.T) {
 		q := suspect()
-		require.NoError(t, q.BeginTrial(start.Add(at), innocent, place("t3"), start.Add(at+time.Second)))
+		require.NoError(t, q.BeginTrial(start.Add(at), contents(innocent), place("t3"), start.Add(at+time.Second)))
 		report(q, at, "t3", bystander)
-		q.EndTrial(start.Add(at), innocent, place("t3"), false)
+		q.EndTrial(start.Add(at), contents(innocent), place("t3"))
 		assertVerdict(t, q, at+settled, innocent, true, nil)
 	})
 }
@@ -205,7 +224,7 @@
 	})
 	t.Run("an outdated verdict is ignored", func(t *testing.T) {
 		old := peer.Shared(start)
-		examiner.Refute(start.Add(settled), bad)
+		examiner.NoteAnswer(start.Add(settled), contents(bad), start.Add(settled))
 		exchange(settled)
 		assertVerdict(t, peer, settled, bad, false, nil)
 		peer.MergeShared(start.Add(settled), old)
@@ -215,9 +234,9 @@
 		odd := quarantiner.New("entry-4", quarantiner.WithTrials())
 		forever := start.Add(100 * time.Hour)
 		odd.MergeShared(start, []quarantiner.Verdict{
-			{Fingerprint: innocent, Revision: 1, Crashes: []string{"a", "b", "c"}, ConvictedUntil: forever, Deadline: start},
-			{Fingerprint: innocent, Revision: 1, Crashes: make([]string, 1000), ConvictedUntil: forever, Deadline: forever},
-			{Fingerprint: bad, Revision: 1, Crashes: []string{"b", "a"}, ConvictedUntil: forever, Deadline: forever},
+			{Trait: quarantiner.ContentTrait(innocent), Revision: 1, Crashes: []string{"a", "b", "c"}, ConvictedUntil: forever, Deadline: start},
+			{Trait: quarantiner.ContentTrait(innocent), Revision: 1, Crashes: make([]string, 1000), ConvictedUntil: forever, Deadline: forever},
+			{Trait: quarantiner.ContentTrait(bad), Revision: 1, Crashes: []string{"b", "a"}, ConvictedUntil: forever, Deadline: forever},
 		})
 		assertVerdict(t, odd, 0, innocent, false, nil)
 		assertVerdict(t, odd, time.Minute, bad, true, quarantiner.ErrConvicted)
@@ -229,20 +248,20 @@
 func TestExaminerThatStartsKnowsWhatOthersTell(t *testing.T) {
 	examiner, next := newExaminer(), quarantiner.New("entry-2", quarantiner.WithTrials())
 	report(examiner, 0, "t1", bad)
-	next.KeepCrash(start, place("t1"), []quarantiner.Fingerprint{bad})
+	next.KeepCrash(start, place("t1"), lost(contents(bad)...))
 	assertVerdict(t, next, 0, bad, false, nil)
 	report(next, 0, "t2", bad)
 	assertVerdict(t, next, 0, bad, true, nil)
 	t.Run("also if it kept the crash that is reported to it", func(t *testing.T) {
 		q := newExaminer()
-		q.KeepCrash(start, place("t1"), []quarantiner.Fingerprint{bad})
-		q.KeepCrash(start, place("t2"), []quarantiner.Fingerprint{bad})
+		q.KeepCrash(start, place("t1"), lost(contents(bad)...))
+		q.KeepCrash(start, place("t2"), lost(contents(bad)...))
 		assert.Empty(t, q.Changes(start))
 		report(q, 0, "t2", bad)
 		assert.Len(t, q.Changes(start), 1)
 	})
 	third := quarantiner.New("entry-3", quarantiner.WithTrials())
-	third.MergeShared(start, next.VerdictsOn(start, []quarantiner.Fingerprint{bad, innocent}))
+	third.MergeShared(start, next.VerdictsOn(start, contents(bad, innocent)))
 	tryAndCrash(t, third, 0, "t3", bad)
 	assertVerdict(t, third, settled, bad, true, quarantiner.ErrConvicted)
 }
--- a/internal/request/quarantiner/verdict.go
+++ b/internal/request/quarantiner/verdict.go
@@ -24,13 +24,13 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	verdicts, convicted := []messenger.Verdict{}, []messenger.Verdict{}
-	for f, r := range q.records {
+	for t, r := range q.records {
 		switch {
 		case !now.Before(r.deadline):
 		case q.isConvicted(now, r):
-			convicted = append(convicted, q.verdictOf(now, f, r))
+			convicted = append(convicted, q.verdictOf(now, t.Fingerprint, r))
 		case r.owner == q.instance:
-			verdicts = append(verdicts, q.verdictOf(now, f, r))
+			verdicts = append(verdicts, q.verdictOf(now, t.Fingerprint, r))
 		}
 	}
 	slices.SortFunc(convicted, func(a, b messenger.Verdict) int { return b.Deadline.Compare(a.Deadline) })
@@ -69,7 +69,8 @@
 }
 
 func (q *Quarantiner) merge(f Fingerprint, v messenger.Verdict, now time.Time) {
-	r := q.makeRecord(now, f, v.Owner, v.Term)
+	t := ContentTrait(f)
+	r := q.makeRecord(now, t, v.Owner, v.Term)
 	isOlder := v.Term < r.term || v.Term == r.term && v.Owner > r.owner
 	if !isOlder && (r.owner != v.Owner || v.Owner != q.instance) {
 		r.owner = v.Owner
@@ -87,7 +88,7 @@
 			if wasSuspect && !contains(r.crashes, place) {
 				// A suspect runs with no other suspect on its target, so the crash is
 				// attributed to it alone.
-				q.attributions[place] = attribution{fingerprint: f, deadline: now.Add(suspectTTL)}
+				q.attributions[place] = attribution{traits: []Trait{t}, deadline: now.Add(suspectTTL)}
 			}
 			q.countCrash(now, r, place)
 		}
--- a/internal/state/measurer/event.go
+++ b/internal/state/measurer/event.go
@@ -23,11 +23,13 @@
 	QuarantineConvictions Event = "Quarantine.Convictions"
 	QuarantineTakenBack   Event = "Quarantine.TakenBack"
 	QuarantineRefused     Event = "Quarantine.Refused"
+	// QuarantineRefusedForPart counts those that were refused for a part of their prompts.
+	QuarantineRefusedForPart Event = "Quarantine.RefusedForPart"
 )
 
 var events = []Event{
 	CutTargetEnded, CutTargetPresent, CutTargetUnknown, CutTargetLeaving, CutUnanswered,
-	QuarantineSuspects, QuarantineConvictions, QuarantineTakenBack, QuarantineRefused,
+	QuarantineSuspects, QuarantineConvictions, QuarantineTakenBack, QuarantineRefused, QuarantineRefusedForPart,
 }
 
 // registerEvents registers the counters of all events, so that they are shown before the first.
--- a/internal/tool/explainer/explainer.go
+++ b/internal/tool/explainer/explainer.go
@@ -29,7 +29,7 @@
 
 // stateMessages are the log messages about a change of the system that an instance has detected.
 var stateMessages = []string{
-	"target", "target is gone", "target announces that it leaves", "target asks for quiet", "target is superseded at its address", "verdict on content",
+	"target", "target is gone", "target announces that it leaves", "target asks for quiet", "target is superseded at its address", "verdict",
 	"lease on orders", "store does not answer", "store is back", "manifest", "table taken from a peer", "peer is silent", "peer is there", "instance starts", "instance stops",
 }
 
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -95,15 +95,15 @@
 }
 
 // CrashReport tells the examiner of a service that a target ended while requests
-// of the sender ran on it. The answer is a GatewayVerdicts on these requests.
+// of the sender ran on it. The answer is a GatewayVerdicts on their traits.
 type CrashReport struct {
-	// Contents holds the fingerprints of the contents of the requests.
-	Contents []string `json:"Contents"`
-
 	// IsCopy reports that another instance is the examiner, and that the receiver may
 	// have to take its place.
 	IsCopy bool `json:"IsCopy"`
 
+	// Losses holds the traits of the requests.
+	Losses []Loss `json:"Losses"`
+
 	// StartMilliseconds identifies the incarnation: the start time of its process, in
 	// milliseconds of Unix time.
 	StartMilliseconds int64 `json:"StartMilliseconds"`
@@ -111,8 +111,8 @@
 	// Target corresponds to the JSON schema field "Target".
 	Target string `json:"Target"`
 
-	// Verdicts holds what the sender knows of these requests, for an examiner that
-	// has just started.
+	// Verdicts holds what the sender knows of these traits, for an examiner that has
+	// just started.
 	Verdicts []GatewayVerdict `json:"Verdicts"`
 }
 
@@ -487,30 +487,39 @@
 	StoreAddress string `json:"StoreAddress"`
 }
 
-// GatewayVerdict is the verdict on a request, identified by its content, under
-// which targets have ended. Times are relative, since the clocks of instances
-// cannot be compared.
+// GatewayVerdict is the verdict on a trait of requests under which targets have
+// ended. Times are relative, since the clocks of instances cannot be compared.
 type GatewayVerdict struct {
 	// AgeMilliseconds is the time since the verdict.
 	AgeMilliseconds float64 `json:"AgeMilliseconds"`
 
-	// Content is the fingerprint of the content, in hexadecimal.
-	Content string `json:"Content"`
+	// Begun holds those at which the answer to a lost request had begun.
+	Begun []string `json:"Begun"`
 
-	// ConvictedMilliseconds is the time for which the request is refused; 0 or less
-	// if it is not.
+	// ConvictedMilliseconds is the time for which requests with the trait are
+	// refused; 0 or less if they are not.
 	ConvictedMilliseconds float64 `json:"ConvictedMilliseconds"`
 
-	// Crashes holds the incarnations of targets that ended under the request; none if
+	// Crashes holds the incarnations of targets that ended under the trait; none if
 	// it was cleared.
 	Crashes []string `json:"Crashes"`
 
+	// FirstCrashMilliseconds is the time since the first of the crashes.
+	FirstCrashMilliseconds float64 `json:"FirstCrashMilliseconds"`
+
 	// RemainingMilliseconds is the time until the verdict is forgotten.
 	RemainingMilliseconds float64 `json:"RemainingMilliseconds"`
 
 	// Revision is higher in a later verdict.
 	Revision int64 `json:"Revision"`
 
+	// Tied holds the traits that were convicted together with it: only requests that
+	// bear all are refused.
+	Tied []Trait `json:"Tied"`
+
+	// Trait corresponds to the JSON schema field "Trait".
+	Trait Trait `json:"Trait"`
+
 	// TrialCrashes holds those that ended while no other suspect ran there.
 	TrialCrashes []string `json:"TrialCrashes"`
 }
@@ -703,6 +712,15 @@
 	Key string `json:"Key"`
 }
 
+// Loss is a trait of requests that were lost with their target.
+type Loss struct {
+	// HasBegun reports that the answer to one of them had begun.
+	HasBegun bool `json:"HasBegun"`
+
+	// Trait corresponds to the JSON schema field "Trait".
+	Trait Trait `json:"Trait"`
+}
+
 // ModelRequest asks the holder of the lease when a model will be served that no
 // target serves now.
 type ModelRequest struct {
@@ -1117,6 +1135,18 @@
 	RequestsPerSecond float64 `json:"RequestsPerSecond"`
 }
 
+// Trait is something that requests may have in common and that may crash targets.
+type Trait struct {
+	// Kind is Content or Part.
+	Kind string `json:"Kind"`
+
+	// Name is the fingerprint of a Content, in hexadecimal, or the ID of a Part.
+	Name string `json:"Name"`
+
+	// Service is empty for a Content.
+	Service string `json:"Service"`
+}
+
 // TransactRequest applies all Writes atomically if all Conditions hold.
 type TransactRequest struct {
 	// Conditions corresponds to the JSON schema field "Conditions".
@@ -1139,11 +1169,12 @@
 	Failed []Row `json:"Failed"`
 }
 
-// TrialRequest asks the examiner of a service to permit the run of a suspect, or
-// tells it that such a run is over or that a request was answered whole.
+// TrialRequest asks the examiner of a service to permit the run of a request with
+// a suspect trait, or tells it that such a run is over or that a request was
+// answered whole.
 type TrialRequest struct {
-	// Content corresponds to the JSON schema field "Content".
-	Content string `json:"Content"`
+	// AnsweredMilliseconds is the time since the answer, if there was one.
+	AnsweredMilliseconds float64 `json:"AnsweredMilliseconds"`
 
 	// IsAnswered reports that the answer was complete and no failure of the target.
 	IsAnswered bool `json:"IsAnswered"`
@@ -1157,9 +1188,12 @@
 	// StartMilliseconds identifies the incarnation of the target.
 	StartMilliseconds int64 `json:"StartMilliseconds"`
 
-	// Target corresponds to the JSON schema field "Target".
+	// Target is empty if no trial is meant.
 	Target string `json:"Target"`
 
+	// Traits holds those of the request.
+	Traits []Trait `json:"Traits"`
+
 	// Verdicts holds what the sender knows of the request, for an examiner that has
 	// just started.
 	Verdicts []GatewayVerdict `json:"Verdicts"`
