Let the soak end targets by a part of prompts, and sound prompts share parts

The soak knew requests that end targets by their whole content only, so that nothing in it could break the rule on parts. A further disturbance sends requests that share a part and are not alike otherwise, on each route of engines, and ends targets at the answer, behind its head or in its middle; sound requests share parts with one another and with these. TestCheckerDetectsViolations has a planted fault.

--- a/internal/tool/soaker/callers.go
+++ b/internal/tool/soaker/callers.go
@@ -84,9 +84,9 @@
 	if len(r.models) > 0 {
 		model = r.models[random.IntN(len(r.models))]
 	}
-	body := fmt.Sprint(random.Uint32())
+	what := content{route: r, model: model, body: fmt.Sprint(random.Uint32()), parts: soundParts(random)}
 	for range 2 {
-		answer := c.sendOnce(ctx, caller, random, address, content{route: r, model: model, body: body})
+		answer := c.sendOnce(ctx, caller, random, address, what)
 		switch {
 		case answer.Err != nil:
 			return false
@@ -100,17 +100,27 @@
 
 // content is what a request asks for: the same each time it is sent.
 type content struct {
-	route       route
-	model       string
-	body        string
+	route route
+	model string
+	body  string
+	// parts holds those of the prompt that other requests bear as well.
+	parts       []string
 	endsTargets bool
 }
 
+// documents is the number of parts of prompts that some requests share.
+const documents = 20
+
+// soundParts returns the parts of a prompt: one that all share, and one of some others.
+func soundParts(random *rand.Rand) []string {
+	return []string{simulator.CommonPart, fmt.Sprintf("d%d", random.IntN(documents))}
+}
+
 // call returns the call that asks for the content. Calls of one content differ only in their ID.
 func (c content) call(id string) simulator.Call {
 	return simulator.Call{
 		ID: id, Host: host, Method: http.MethodPost, Path: c.route.Prefix + "x",
-		Body: c.body, Model: c.model, Prompt: hex.EncodeToString([]byte(c.body)),
+		Body: c.body, Model: c.model, Parts: c.parts, Prompt: hex.EncodeToString([]byte(c.body)),
 		Timeout: time.Duration(c.route.TimeoutMS) * time.Millisecond,
 	}
 }
--- a/internal/tool/soaker/callers_test.go
+++ b/internal/tool/soaker/callers_test.go
@@ -18,7 +18,7 @@
 // TestSameContentIsSentAlike: the prompt of a request had another ID each time it was sent, so that
 // no instance could see that one request ended one engine after the other.
 func TestSameContentIsSentAlike(t *testing.T) {
-	engine := content{route: route{Route: simulator.Route{Prefix: "/talk/"}}, model: "m1", body: "ends targets 1"}
+	engine := content{route: route{Route: simulator.Route{Prefix: "/talk/"}}, model: "m1", body: "ends targets 1", parts: []string{"a1", "d1"}}
 	other := engine
 	other.body = "ends targets 2"
 	first := received(t, engine.call("1"))
--- a/internal/tool/soaker/checker.go
+++ b/internal/tool/soaker/checker.go
@@ -134,7 +134,7 @@
 	links               targetHistory
 	leaveSeenAt         map[noticeKey]time.Time // when an instance passed on that a target leaves
 	quiet               map[noticeKey]*quietNotice
-	ends                map[string]int // number of targets that ended under a content, while undisturbed
+	ends                map[string][]time.Time // when targets ended under a content or a part, while undisturbed
 	denied              int
 	violations          []Violation
 	servedAfterRecovery int
@@ -147,7 +147,7 @@
 		now: time.Now, sentRequest: map[string]*sentRequest{}, holderByFence: map[int64]string{}, leftAt: map[string]time.Time{},
 		cancelledAt: map[string]time.Time{}, openRuns: map[string]int{}, targets: targetHistory{}, links: targetHistory{},
 		returnedAt: map[string]time.Time{}, leaveSeenAt: map[noticeKey]time.Time{}, quiet: map[noticeKey]*quietNotice{},
-		ends: map[string]int{},
+		ends: map[string][]time.Time{},
 	}
 }
 
--- a/internal/tool/soaker/checker_test.go
+++ b/internal/tool/soaker/checker_test.go
@@ -55,6 +55,17 @@
 	return simulator.Answer{Status: 503, Began: c.time, Ended: c.time.Add(10 * time.Millisecond)}
 }
 
+// endByPart ends many targets by requests with a part, and some more later.
+func endByPart(c *testChecker, late int) {
+	for n := range 3*actedOnEnds + late {
+		at := c.time
+		if n >= 3*actedOnEnds {
+			at = at.Add(contactTime + time.Second)
+		}
+		c.TargetEnded(simulator.Run{Cause: "bad", Parts: []string{simulator.CommonPart, "bad"}, Ended: at}, true)
+	}
+}
+
 // deny lets instances refuse requests for good.
 func deny(c *testChecker, endsTargets bool) {
 	for n := range 2 * deniedSlack {
@@ -292,22 +303,24 @@
 		}},
 		"a request that ends targets sent on": {want: []Promise{SentOn}, do: func(c *testChecker) {
 			for range maxEnds + 1 {
-				c.TargetEnded("bad", true)
+				c.TargetEnded(simulator.Run{Cause: "bad"}, true)
 			}
 		}},
 		"two requests that end few targets": {do: func(c *testChecker) {
 			for range maxEnds {
-				c.TargetEnded("bad", true)
-				c.TargetEnded("worse", true)
+				c.TargetEnded(simulator.Run{Cause: "bad"}, true)
+				c.TargetEnded(simulator.Run{Cause: "worse"}, true)
 			}
 		}},
 		"a request that ends targets while instances are disturbed": {do: func(c *testChecker) {
 			for n := range 50 {
-				c.TargetEnded("bad", n%maxEnds > 0)
+				c.TargetEnded(simulator.Run{Cause: "bad"}, n%maxEnds > 0)
 			}
 		}},
-		"requests refused for good":                  {want: []Promise{Denied}, do: func(c *testChecker) { deny(c, false) }},
-		"requests that end targets refused for good": {do: func(c *testChecker) { deny(c, true) }},
+		"requests with a part that ends targets sent on": {want: []Promise{SentOn}, do: func(c *testChecker) { endByPart(c, maxLateEnds+1) }},
+		"requests with a part that ends few targets":     {do: func(c *testChecker) { endByPart(c, maxLateEnds) }},
+		"requests refused for good":                      {want: []Promise{Denied}, do: func(c *testChecker) { deny(c, false) }},
+		"requests that end targets refused for good":     {do: func(c *testChecker) { deny(c, true) }},
 		"request after a target has returned": {do: func(c *testChecker) {
 			c.RequestSent(testCall("a"), orderRoute, "i1")
 			c.TargetLeft("t1")
--- a/internal/tool/soaker/crashing.go
+++ b/internal/tool/soaker/crashing.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,16 +23,54 @@
 	crashingTime = 12 * time.Second
 )
 
-// beginCrashing makes some callers send a request again and again that ends each target that runs
-// it. It returns a description and a function that ends this.
-func (s *soak) beginCrashing(random *rand.Rand) (what string, end func()) {
+// crash is a kind of requests that end each target that runs them.
+type crash struct {
+	description string
+	// request returns the next request: the same each time, or another one with the same part.
+	request func(random *rand.Rand) content
+	// begin and stop make a target end on such requests, and serve them again.
+	begin, stop func(*simulator.Target)
+}
+
+// newContentCrash returns requests of one content.
+func (s *soak) newContentCrash(random *rand.Rand) crash {
 	r := pick(random, s.routes)
-	bad := content{route: r, body: fmt.Sprintf("ends targets %x", random.Uint64()), endsTargets: true}
+	bad := content{route: r, body: fmt.Sprintf("ends targets %x", random.Uint64()), parts: soundParts(random), endsTargets: true}
 	if len(r.models) > 0 {
 		bad.model = pick(random, r.models)
 	}
+	return crash{
+		description: r.Name, request: func(*rand.Rand) content { return bad },
+		begin: func(t *simulator.Target) { t.CrashOn(bad.body) }, stop: func(t *simulator.Target) { t.StopCrashingOn(bad.body) },
+	}
+}
+
+// newPartCrash returns requests that share a part of their prompts, and are not alike otherwise.
+func (s *soak) newPartCrash(random *rand.Rand) crash {
+	r := pick(random, s.routesWithModels())
+	point := pick(random, []simulator.CrashPoint{simulator.AtAnswer, simulator.AfterHead, simulator.MidAnswer})
+	part := fmt.Sprintf("bad%x", random.Uint32())
+	return crash{
+		description: fmt.Sprintf("%s, part %s, %s", r.Name, part, point),
+		request: func(random *rand.Rand) content {
+			return content{
+				route: r, model: pick(random, r.models), body: fmt.Sprint(random.Uint64()),
+				parts: append(soundParts(random), part), endsTargets: true,
+			}
+		},
+		begin: func(t *simulator.Target) { t.CrashOnPart(part, point) }, stop: func(t *simulator.Target) { t.StopCrashingOnPart(part) },
+	}
+}
+
+func (s *soak) routesWithModels() []route {
+	return slices.DeleteFunc(slices.Clone(s.routes), func(r route) bool { return len(r.models) == 0 })
+}
+
+// beginCrashing makes some callers send requests again and again that end each target that runs
+// them. It returns a description and a function that ends this.
+func (s *soak) beginCrashing(random *rand.Rand, bad crash) (what string, end func()) {
 	for _, t := range s.targets {
-		t.target.CrashOn(bad.body)
+		bad.begin(t.target)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
@@ -41,21 +80,21 @@
 		callers.Go(func() { s.sendCrashing(ctx, callerRandom, bad) })
 	}
 	until := time.Now().Add(crashingTime)
-	return fmt.Sprintf("%s, %d callers", r.Name, n), func() {
+	return fmt.Sprintf("%s, %d callers", bad.description, n), func() {
 		time.Sleep(time.Until(until))
 		cancel()
 		callers.Wait()
 		for _, t := range s.targets {
-			t.target.StopCrashingOn(bad.body)
+			bad.stop(t.target)
 		}
 	}
 }
 
-// sendCrashing sends a request to random instances until ctx is done.
-func (s *soak) sendCrashing(ctx context.Context, random *rand.Rand, bad content) {
+// sendCrashing sends such requests to random instances until ctx is done.
+func (s *soak) sendCrashing(ctx context.Context, random *rand.Rand, bad crash) {
 	for ctx.Err() == nil {
 		caller := simulator.NewCaller()
-		s.callers.sendOnce(context.Background(), caller, random, pick(random, s.processes).callerAddress, bad)
+		s.callers.sendOnce(context.Background(), caller, random, pick(random, s.processes).callerAddress, bad.request(random))
 		caller.Close()
 		time.Sleep(time.Duration(random.ExpFloat64() * float64(meanCrashingPause)))
 	}
@@ -65,7 +104,7 @@
 func (s *soak) targetCrashed(run simulator.Run) {
 	go func() {
 		endDisturbance := s.checker.TargetDisturbed(run.Target)
-		s.checker.TargetEnded(run.Cause, s.isUndisturbedSince(s.lastDisturbance()))
+		s.checker.TargetEnded(run, s.isUndisturbedSince(s.lastDisturbance()))
 		time.Sleep(crashedTime)
 		for _, t := range s.targets {
 			if t.target.ID == run.Target {
--- a/internal/tool/soaker/faults.go
+++ b/internal/tool/soaker/faults.go
@@ -166,7 +166,10 @@
 		return fmt.Sprintf("%s for %v", t.target.ID, quiet), nil
 	}},
 	{name: "request ends its targets", keepsTimeBounds: true, begin: func(s *soak, random *rand.Rand) (string, func()) {
-		return s.beginCrashing(random)
+		return s.beginCrashing(random, s.newContentCrash(random))
+	}},
+	{name: "part of prompts ends its targets", keepsTimeBounds: true, begin: func(s *soak, random *rand.Rand) (string, func()) {
+		return s.beginCrashing(random, s.newPartCrash(random))
 	}},
 	{name: "manifest changes", keepsTimeBounds: true, begin: func(s *soak, random *rand.Rand) (string, func()) {
 		return s.changeManifest(random), nil
