Blame a part for what was lost before its answers began, and less if it was answered before

What ranks two traits of one run is now the ends before an answer had begun, then all; and a shared trait that requests were answered with some time ago needs two trials.

--- a/internal/request/quarantiner/part_history_test.go
+++ b/internal/request/quarantiner/part_history_test.go
@@ -89,6 +89,18 @@
 	return bad
 }
 
+// addBadContent makes a caller send one content again and again that ends targets, and whose parts
+// sound requests share.
+func (s *simulation) addBadContent(p *prompts) {
+	c := s.newPrompt(p.first, p.documents[s.random.IntN(len(p.documents))])
+	c.endsTargets = true
+	var sendAgain func()
+	sendAgain = func() {
+		s.send(c, func(bool) { s.After(s.between(100*time.Millisecond, 500*time.Millisecond), sendAgain) })
+	}
+	s.After(s.between(0, 5*time.Second), sendAgain)
+}
+
 // assertNeverKeptBack checks that requests that share a part need no permit for it anywhere.
 func (s *simulation) assertNeverKeptBack(part *simPart) {
 	for _, i := range s.instances {
@@ -198,6 +210,24 @@
 			s.assertPartStopped(bad, maxDoubtfulEnds+sendsAtOnce*callers)
 		})
 	})
+	t.Run("beside one content that ends targets, and kills", func(t *testing.T) {
+		refused, sends := 0, 0
+		eachPartHistory(t, func(s *simulation, p *prompts) {
+			s.addKills(1500 * time.Millisecond)
+			s.addBadContent(p)
+			bad := s.addBadPart(p, "bad", s.random.IntN(2) == 0, 1, 400*time.Millisecond)
+			s.play()
+			s.assertPartStopped(bad, maxDoubtfulEnds+sendsAtOnce)
+			for _, c := range s.contents {
+				if c.badPart() == nil && !c.endsTargets {
+					refused += c.refusedForGood
+					sends += c.sends
+				}
+			}
+		})
+		t.Logf("%d of %d sound sends refused for good", refused, sends)
+		assert.LessOrEqual(t, refused, sends/500, "the users' bound on proper requests that are denied")
+	})
 	t.Run("while instances are cut off from one another", func(t *testing.T) {
 		eachPartHistory(t, func(s *simulation, p *prompts) {
 			s.addCuts(2 * time.Second)
--- a/internal/request/quarantiner/record.go
+++ b/internal/request/quarantiner/record.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -82,3 +83,10 @@
 func (r *record) sharesTrial(other *record) bool {
 	return slices.Contains(r.verdict.trialCrashes, other.lastTrialCrash())
 }
+
+// compare returns 1 if the record explains more than another one, -1 if less, and 0 if as much: more
+// crashes before an answer had begun, or as many of these and more crashes in all.
+func (r *record) compare(other *record) int {
+	unanswered, others := len(r.crashes)-len(r.begun), len(other.crashes)-len(other.begun)
+	return cmp.Or(cmp.Compare(unanswered, others), cmp.Compare(len(r.crashes), len(other.crashes)))
+}
--- a/internal/request/quarantiner/trial.go
+++ b/internal/request/quarantiner/trial.go
@@ -29,6 +29,9 @@
 	// these moments, and enoughBegunTrialCrashes the same if answers had begun.
 	enoughTrialCrashes      = 3
 	enoughBegunTrialCrashes = 5
+	// answeredTrialCrashes is the number of crashes in trials that convict a shared trait of which it
+	// is known that requests with it have been answered whole, some time ago.
+	answeredTrialCrashes = 2
 	// tiedTrialCrashes is the number of crashes in trials that convict traits which were in all of
 	// them together.
 	tiedTrialCrashes = 3
