Hold the end of a trial against all that its run bore

One content ended targets again and again; a part that it bore had two further ends by chance and was tried with it. The trial's end was held against the part alone, as the content was no suspect yet, so that the content never came to three. It is held against all traits of the run now; and a content that was lost more than once goes before a part that leads it only by ends that other suspects explain. Answers that are no trials no longer end the trial at the same target.

--- a/internal/gateway/supervisor/quarantine.go
+++ b/internal/gateway/supervisor/quarantine.go
@@ -246,11 +246,15 @@
 	}
 }
 
-// endTrial tells the examiner that a run has ended and did not end its target.
+// endTrial tells the examiner that a run has ended and did not end its target: a trial, or one that
+// was answered.
 func (s *Supervisor) endTrial(run conductor.Run, isAnswered bool) {
 	request := s.trialRequest(run)
 	request.IsEnded, request.IsAnswered = true, isAnswered
 	place := placeOf(run.Target.ID, run.Target.StartMilliseconds)
+	if !run.IsTrial {
+		request.Target, place = "", quarantiner.Place{}
+	}
 	var answer messenger.TrialResponse
 	_, err := s.consult(run.Service, func() { s.receiveTrialEnd(trialEnd{run.Traits(), place, isAnswered, time.Now()}) }, pathTrial, request, &answer)
 	if err != nil {
--- a/internal/request/quarantiner/judgement.go
+++ b/internal/request/quarantiner/judgement.go
@@ -86,14 +86,53 @@
 		if other == t || !o.sharesTrial(r) {
 			continue
 		}
-		isNarrower := t.isShared() && !other.isShared()
-		if more := o.compare(r); more > 0 || (more == 0 && isNarrower) {
+		if q.outranks(other, o, t, r) {
 			return true
 		}
 	}
 	return len(r.verdict.trialCrashes) < tiedTrialCrashes && len(q.tiedWith(t, r)) > 0
 }
 
+// outranks reports whether a trait explains more than another one of the same run. A content that
+// was lost more than once goes before a shared trait that explains hardly more: what else the
+// latter was lost by may be chance.
+func (q *Quarantiner) outranks(t Trait, r *record, other Trait, o *record) bool {
+	switch {
+	case t.isShared() == other.isShared():
+		return r.compare(o) > 0
+	case t.isShared():
+		return !q.outranks(other, o, t, r)
+	case len(r.crashes) > 1:
+		return q.lead(o, r) <= maxChanceLead
+	default:
+		return r.compare(o) >= 0
+	}
+}
+
+// lead returns the number of crashes that a record explains, another one of the same run does not,
+// and no suspect of other runs that explains further ones.
+func (q *Quarantiner) lead(r, other *record) int {
+	lead := 0
+	for _, place := range r.crashes {
+		if !contains(other.crashes, place) && !q.isExplainedElsewhere(place, r) {
+			lead++
+		}
+	}
+	return lead
+}
+
+// isExplainedElsewhere reports whether a suspect was lost at a place that was lost where the trait of
+// a record was not.
+func (q *Quarantiner) isExplainedElsewhere(place string, r *record) bool {
+	for _, o := range q.records {
+		isWider := slices.ContainsFunc(o.crashes, func(other string) bool { return !contains(r.crashes, other) })
+		if o != r && q.isSuspect(o) && contains(o.crashes, place) && isWider {
+			return true
+		}
+	}
+	return false
+}
+
 // tiedWith returns the traits of the same run that explain as much as one whose trial a crash has
 // ended, by as many requests.
 func (q *Quarantiner) tiedWith(t Trait, r *record) []Trait {
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -88,6 +88,8 @@
 	records map[Trait]*record
 	// attributions holds the suspect that a crash is attributed to, by place.
 	attributions map[string]attribution
+	// trials holds the run that a suspect was permitted, by place; only with trials.
+	trials map[string]trial
 	// crashedAt holds when a crash was first reported, by place; only with trials.
 	crashedAt map[string]time.Time
 	// changed holds the records whose verdict peers have not been told; only with trials.
@@ -96,9 +98,16 @@
 	traffic *traffic
 }
 
+// trial is the permitted run of a request that bears a suspect.
+type trial struct {
+	// traits holds all traits of the request.
+	traits   []Trait
+	deadline time.Time
+}
+
 // attribution names the suspects that a crash is attributed to, until a deadline.
 type attribution struct {
-	// traits holds the suspect, or all suspects that one run bore.
+	// traits holds the suspect, or all traits of the run that was its trial.
 	traits   []Trait
 	deadline time.Time
 	// isTrial reports that the crash ended a trial of the suspects.
@@ -126,7 +135,7 @@
 	q := &Quarantiner{
 		instance: instance, rules: ownerRules, alive: func(string) bool { return true },
 		records: map[Trait]*record{}, attributions: map[string]attribution{},
-		crashedAt: map[string]time.Time{}, changed: map[Trait]bool{}, traffic: newTraffic(),
+		trials: map[string]trial{}, crashedAt: map[string]time.Time{}, changed: map[Trait]bool{}, traffic: newTraffic(),
 	}
 	for _, opt := range opts {
 		opt(q)
@@ -205,11 +214,12 @@
 	if a, known := q.attributions[name]; known {
 		return a
 	}
-	claimed := place.Target
+	a := attribution{deadline: now.Add(suspectTTL), isTrial: q.rules.hasTrials}
 	if q.rules.hasTrials {
-		claimed = name // the crash of an earlier incarnation says nothing of a trial
+		a.traits = q.trialAt(now, name) // the crash of an earlier incarnation says nothing of a trial
+	} else {
+		a.traits = q.suspectsOn(now, place.Target)
 	}
-	a := attribution{traits: q.suspectsOn(now, claimed), deadline: now.Add(suspectTTL), isTrial: q.rules.hasTrials}
 	if len(a.traits) > 0 {
 		q.attributions[name] = a
 	}
@@ -250,6 +260,11 @@
 			delete(q.attributions, place)
 		}
 	}
+	for place, run := range q.trials {
+		if !now.Before(run.deadline) {
+			delete(q.trials, place)
+		}
+	}
 	for place, at := range q.crashedAt {
 		if !now.Before(at.Add(suspectTTL)) {
 			delete(q.crashedAt, place)
--- a/internal/request/quarantiner/trial.go
+++ b/internal/request/quarantiner/trial.go
@@ -32,6 +32,9 @@
 	// answeredTrialCrashes is the number of crashes in trials that convict a shared trait of which it
 	// is known that requests with it have been answered whole, some time ago.
 	answeredTrialCrashes = 2
+	// maxChanceLead is the number of crashes by which a shared trait may lead a content of the same run
+	// by chance.
+	maxChanceLead = 1
 	// tiedTrialCrashes is the number of crashes in trials that convict traits which were in all of
 	// them together.
 	tiedTrialCrashes = 3
@@ -338,9 +341,18 @@
 		r := q.records[t]
 		r.target, r.claimDeadline = place.String(), deadline
 	}
+	q.trials[place.String()] = trial{traits: slices.Clone(traits), deadline: deadline}
 	return nil
 }
 
+// trialAt returns the traits of the request whose trial runs at a place; none if there is none.
+func (q *Quarantiner) trialAt(now time.Time, place string) []Trait {
+	if len(q.suspectsOn(now, place)) == 0 {
+		return nil
+	}
+	return q.trials[place].traits
+}
+
 // EndTrial records, at the examiner, that a trial is over and did not crash its target. If another
 // run has crashed the target, that is held against what it was not held against for the trial.
 func (q *Quarantiner) EndTrial(now time.Time, traits []Trait, place Place) {
@@ -352,6 +364,7 @@
 			r.target = ""
 		}
 	}
+	delete(q.trials, name)
 	a := q.attributions[name]
 	isAttributed := slices.ContainsFunc(traits, func(t Trait) bool { return slices.Contains(a.traits, t) })
 	if !a.isTrial || !isAttributed {
