Pass nothing on late in a planned stop that cannot end within it

Refusing also hung on a loop that ends when nothing is active. The times of the stop are stored now: new requests are refused as not run from 30% of the grace on, also after their body was read; what was sent is sent again only if its final answer is due before the end. Connections opened before, pipelined requests, queues and requests beside others held before and hold; requests that wait for a trial or a model ask the same.

--- a/internal/gateway/conductor/accept.go
+++ b/internal/gateway/conductor/accept.go
@@ -32,8 +32,8 @@
 	switch {
 	case view.Manifest == nil:
 		return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: "no manifest yet", RetryAfter: startRetryDelay}
-	case c.refusing.Load():
-		return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: errStopping.Error(), RetryAfter: shortRetryDelay}
+	case c.isRefusing():
+		return nil, stoppingRefusal()
 	}
 	route := view.Match(r.Host, r.URL.EscapedPath())
 	if route == nil {
@@ -43,6 +43,9 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	if c.isRefusing() { // a body can be long in coming
+		return nil, stoppingRefusal()
+	}
 	q := &request{
 		id: r.Header.Get(c.headers.RequestID), httpRequest: r, body: body, route: route, arrived: now,
 		excluded: map[string]bool{}, outcome: measurer.Unknown,
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -17,7 +17,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 
 	"github.com/crocusring/crocusring/internal/edge/connector"
@@ -80,7 +79,7 @@
 	// answerEnd is called when an answer of a target that ran its request has ended.
 	answerEnd func(measurer.Answer)
 	closing   atomic.Bool
-	refusing  atomic.Bool
+	stop      atomic.Pointer[stopTimes]
 	active    atomic.Int64
 }
 
@@ -155,10 +154,6 @@
 // CloseConnections makes each answer from now on close its connection to the caller.
 func (c *Conductor) CloseConnections() { c.closing.Store(true) }
 
-// Refuse makes the conductor refuse, as not run, every new request and each one that
-// waits for a target.
-func (c *Conductor) Refuse() { c.refusing.Store(true) }
-
 // Active returns the number of requests that have no final answer yet.
 func (c *Conductor) Active() int { return int(c.active.Load()) }
 
@@ -267,10 +262,6 @@
 	return c.budget.AllowRetry(q.service)
 }
 
-// errStopping is the reason of a refusal when the instance stops and no longer waits for
-// targets.
-var errStopping = errors.New("instance stops")
-
 // maxExcluded bounds retries: a request that was offered to more targets is not sent
 // again.
 const maxExcluded = 4
--- a/internal/gateway/conductor/content.go
+++ b/internal/gateway/conductor/content.go
@@ -161,7 +161,7 @@
 // waitForTrial waits until a suspect may be tried again. It returns reason, or why the request
 // has ended, if it may wait no longer.
 func (c *Conductor) waitForTrial(ctx context.Context, q *request, reason error) error {
-	if c.refusing.Load() {
+	if c.isRefusing() {
 		return errStopping
 	}
 	if !c.now().Before(q.capWait(q.arrived.Add(maxTrialWait))) {
--- a/internal/gateway/conductor/model_wait_test.go
+++ b/internal/gateway/conductor/model_wait_test.go
@@ -112,7 +112,7 @@
 // more requests.
 func TestWaitEndsWhenInstanceStops(t *testing.T) {
 	server, _, c := setupModelConductor(t, newTarget(t, ok), func() (time.Duration, error) { return 1500 * time.Millisecond, nil })
-	time.AfterFunc(200*time.Millisecond, c.Refuse)
+	time.AfterFunc(200*time.Millisecond, func() { c.Stop(time.Now(), time.Now().Add(time.Second)) })
 	began := time.Now()
 	response, _, err := send(t, server, "POST", "/model/", "b", "Test-Model", "m")
 	require.NoError(t, err)
--- a/internal/gateway/conductor/pick.go
+++ b/internal/gateway/conductor/pick.go
@@ -31,6 +31,9 @@
 func (c *Conductor) pickTarget(ctx context.Context, q *request) (*balancer.Ticket, error) {
 	var adapterRetryAt time.Time
 	for {
+		if err := c.checkStop(q); err != nil {
+			return nil, err
+		}
 		changed, freed := c.registry.Changed(), c.balancer.CapacityFreed()
 		ticket, isPicked, err := c.pickAndBegin(ctx, q)
 		switch {
@@ -46,7 +49,7 @@
 		case isPicked:
 			continue // the balancer leaves the target out until its limit allows a request
 		}
-		if c.refusing.Load() {
+		if c.isRefusing() {
 			return nil, errStopping
 		}
 		if q.needsAdapter(err) && !c.now().Before(adapterRetryAt) {
--- a/internal/gateway/supervisor/stop.go
+++ b/internal/gateway/supervisor/stop.go
@@ -30,11 +30,9 @@
 	go s.release()
 	grace := seconds(s.settings.Bounds.GraceSeconds)
 	end := began.Add(grace - shutdownMargin)
+	s.conductor.Stop(began.Add(time.Duration(acceptShare*float64(grace))), end)
 	time.Sleep(min(leaveDelay, grace/4))
 	for time.Now().Before(end) && s.conductor.Active() > 0 {
-		if time.Since(began) > time.Duration(acceptShare*float64(grace)) {
-			s.conductor.Refuse()
-		}
 		time.Sleep(stopPollInterval)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), end)
