Refuse in a planned stop of the product what its end would cut

It is refused at once now, as not run, with the addresses of the others; keyed ones are taken all the same, since only their home knows whether they have run. The time that a stop may take is an option.

--- a/internal/edge/listener/listener.go
+++ b/internal/edge/listener/listener.go
@@ -74,6 +74,9 @@
 	// Drained reports whether, in a planned stop, the last locate answer that names
 	// this instance has expired, so that new requests are refused.
 	Drained func() bool
+	// StopsAt returns when a planned stop cuts the requests that are not answered; zero while none
+	// has begun.
+	StopsAt func() time.Time
 	// ConfirmChange is called after a change of settings was committed. It returns the
 	// instances that are not known to have applied it, and whether most instances have.
 	ConfirmChange func(revision int64) (pending []string, confirmed bool)
--- a/internal/edge/listener/request.go
+++ b/internal/edge/listener/request.go
@@ -50,6 +50,9 @@
 	if err := a.readDeadline(string(header.Peek(headerDeadline)), now); err != nil {
 		return nil, err
 	}
+	if err := l.checkTimeLeft(a); err != nil {
+		return nil, err
+	}
 	return a, a.readRepeatable(string(header.Peek(headerRepeatable)))
 }
 
@@ -67,6 +70,16 @@
 	return nil
 }
 
+// checkTimeLeft returns an error if this instance stops before the deadline of a request, so that it
+// could be cut. A keyed one may have run before, and is accepted all the same.
+func (l *Listener) checkTimeLeft(a *arrival) error {
+	stopsAt := l.StopsAt()
+	if stopsAt.IsZero() || !a.deadline.After(stopsAt) || a.key != nil {
+		return nil
+	}
+	return &notReadyError{cause: errLeaving, addresses: l.addresses(), notRun: true}
+}
+
 // notReadyError is errNotReady with the addresses of the instances to use instead.
 type notReadyError struct {
 	cause     error
--- a/internal/fake/assembler/assembler.go
+++ b/internal/fake/assembler/assembler.go
@@ -66,9 +66,10 @@
 	Services        []*servicer.Service
 	Nodes           []*Node
 
-	group  errgroup.Group
-	poster *poster.Client
-	log    logr.Logger
+	group    errgroup.Group
+	poster   *poster.Client
+	log      logr.Logger
+	nodeOpts []runner.Option
 }
 
 // Option configures a System before it starts.
@@ -83,6 +84,7 @@
 	dataCentres int
 	policy      loader.Policy
 	log         logr.Logger
+	nodeOpts    []runner.Option
 }
 
 // WithEngines sets the number of engines and their options.
@@ -105,6 +107,11 @@
 // WithPolicy sets the policy of the instances.
 func WithPolicy(p loader.Policy) Option { return func(o *options) { o.policy = p } }
 
+// WithDrainTimeout sets how long a planned stop of an instance may take.
+func WithDrainTimeout(d time.Duration) Option {
+	return func(o *options) { o.nodeOpts = append(o.nodeOpts, runner.WithDrainTimeout(d)) }
+}
+
 // WithLog sets the log of the instances.
 func WithLog(log logr.Logger) Option { return func(o *options) { o.log = log } }
 
@@ -115,7 +122,7 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	s := &System{Platform: platformer.New(), poster: poster.New(), log: o.log}
+	s := &System{Platform: platformer.New(), poster: poster.New(), log: o.log, nodeOpts: o.nodeOpts}
 	ln, err := s.serve(s.Platform.Serve)
 	if err != nil {
 		return nil, err
@@ -193,7 +200,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	node := &Node{
-		ID: settings.Instance, Address: settings.Listen, Node: runner.New(settings, s.log),
+		ID: settings.Instance, Address: settings.Listen, Node: runner.New(settings, s.log, s.nodeOpts...),
 		stop: cancel, done: make(chan struct{}), ln: breaker.New(ln),
 	}
 	s.Platform.SetInstance(messenger.ListedInstance{
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -87,8 +87,11 @@
 	orderTickActive atomic.Bool
 	leaving         atomic.Bool
 	drained         atomic.Bool
-	drainTracker    *drainTracker
-	sharer          sharer
+	drainTimeout    time.Duration
+	// stopLimit is when a planned stop ends at the latest; nil while none has begun.
+	stopLimit    atomic.Pointer[time.Time]
+	drainTracker *drainTracker
+	sharer       sharer
 	// needs holds the part of the limit of each team that this instance needs itself.
 	needs     atomic.Pointer[lender.Parts]
 	killed    context.Context
@@ -100,8 +103,14 @@
 	rates atomic.Pointer[map[string]float64]
 }
 
+// Option configures a Node.
+type Option func(*Node)
+
+// WithDrainTimeout sets how long a planned stop may take.
+func WithDrainTimeout(d time.Duration) Option { return func(n *Node) { n.drainTimeout = d } }
+
 // New returns an instance that is not started yet.
-func New(settings loader.Settings, log logr.Logger) *Node {
+func New(settings loader.Settings, log logr.Logger, opts ...Option) *Node {
 	const incarnationLength = 10
 	n := &Node{
 		settings:     settings,
@@ -110,12 +119,16 @@
 		now:          time.Now,
 		startedAt:    time.Now(),
 		drainTracker: newDrainTracker(),
+		drainTimeout: drainTimeout,
 		fleet:        keeper.NewFleet(),
 		tree:         configurer.NewTree(),
 		arbiter:      arbiter.New(),
 		keys:         deduper.New(),
 		measurer:     measurer.New(time.Now()),
 	}
+	for _, opt := range opts {
+		opt(n)
+	}
 	n.awaitTargetsUntil = n.startedAt.Add(targetsTimeout)
 	n.rates.Store(&map[string]float64{})
 	n.needs.Store(&lender.Parts{})
@@ -159,7 +172,7 @@
 		Tree: n.tree, Configurer: n.configurer, Fleet: n.fleet, Admitter: n.admitter,
 		Dispatcher: n.dispatcher, Keys: n.keys, Claimer: n.claimer,
 		Exchanger: n.exchanger, Measurer: n.measurer, Log: n.log,
-		Ready: n.checkReady, Leaving: n.leaving.Load, Drained: n.drained.Load, ConfirmChange: n.pushRevision, Status: n.status,
+		Ready: n.checkReady, Leaving: n.leaving.Load, Drained: n.drained.Load, StopsAt: n.stopsAt, ConfirmChange: n.pushRevision, Status: n.status,
 	}
 }
 
--- a/internal/node/runner/stop.go
+++ b/internal/node/runner/stop.go
@@ -99,7 +99,8 @@
 func (n *Node) stop() error {
 	n.log.Info("instance is leaving")
 	now := n.now()
-	limit := now.Add(drainTimeout)
+	limit := now.Add(n.drainTimeout)
+	n.stopLimit.Store(&limit)
 	n.leaving.Store(true)
 	n.drainTracker.begin(n.peersThatMayName(now), now.Add(maxNamedTime))
 	n.exchanger.TickAndWait()
@@ -121,6 +122,14 @@
 	return nil
 }
 
+// stopsAt returns when a planned stop ends at the latest; zero while none has begun.
+func (n *Node) stopsAt() time.Time {
+	if limit := n.stopLimit.Load(); limit != nil {
+		return *limit
+	}
+	return time.Time{}
+}
+
 // wait returns when isPending reports false, at the limit, or when the instance is killed.
 func (n *Node) wait(limit time.Time, isPending func(now time.Time) bool) {
 	for now := n.now(); isPending(now) && now.Before(limit) && n.killed.Err() == nil; now = n.now() {
