Never hold back a part that most requests bear while answers on it begin

A part that most requests bear is at the end of nearly every target: it is no suspect now unless none of the answers lost with it had begun, and does not rank among those of a run that is tried. A conviction is taken back when another one explains its ends.

--- a/internal/request/quarantiner/judgement.go
+++ b/internal/request/quarantiner/judgement.go
@@ -18,8 +18,8 @@
 // judge convicts a trait whose trial a crash has ended, or takes the conviction back.
 func (q *Quarantiner) judge(now time.Time, t Trait, r *record) {
 	v := &r.verdict
-	tied := q.tiedWith(t, r)
-	isDue := q.isHeld(now, t, r) && q.isProven(t, r) && !q.isOutranked(t, r)
+	tied := q.tiedWith(now, t, r)
+	isDue := q.isHeld(now, t, r) && q.isProven(t, r) && !q.isOutranked(now, t, r)
 	switch isConvicted := q.isConvicted(now, r); {
 	case isDue && isConvicted:
 		if len(tied) < len(v.tied) {
@@ -33,9 +33,7 @@
 		q.change(t, r)
 		q.explainCrashes(now, t, r)
 	case isConvicted:
-		v.convictedUntil, v.tied = time.Time{}, nil
-		q.counts.TakenBack++
-		q.change(t, r)
+		q.takeBack(t, r)
 	}
 }
 
@@ -80,17 +78,18 @@
 
 // isOutranked reports whether another trait of the same run explains more than one whose trial a
 // crash has ended, or as much by fewer requests. Two that explain as much may come apart in a
-// further trial; after some of them both are taken for the cause.
-func (q *Quarantiner) isOutranked(t Trait, r *record) bool {
+// further trial; after some of them both are taken for the cause. One that is not held back, as most
+// requests bear it, does not count.
+func (q *Quarantiner) isOutranked(now time.Time, t Trait, r *record) bool {
 	for other, o := range q.records {
-		if other == t || !o.sharesTrial(r) {
+		if other == t || !o.sharesTrial(r) || !q.isHeld(now, other, o) {
 			continue
 		}
 		if q.outranks(other, o, t, r) {
 			return true
 		}
 	}
-	return len(r.verdict.trialCrashes) < tiedTrialCrashes && len(q.tiedWith(t, r)) > 0
+	return len(r.verdict.trialCrashes) < tiedTrialCrashes && len(q.tiedWith(now, t, r)) > 0
 }
 
 // outranks reports whether a trait explains more than another one of the same run. A content that
@@ -135,10 +134,11 @@
 
 // tiedWith returns the traits of the same run that explain as much as one whose trial a crash has
 // ended, by as many requests.
-func (q *Quarantiner) tiedWith(t Trait, r *record) []Trait {
+func (q *Quarantiner) tiedWith(now time.Time, t Trait, r *record) []Trait {
 	tied := []Trait{}
 	for other, o := range q.records {
-		if other != t && o.sharesTrial(r) && o.compare(r) == 0 && other.isShared() == t.isShared() {
+		isRival := other != t && o.sharesTrial(r) && q.isHeld(now, other, o)
+		if isRival && o.compare(r) == 0 && other.isShared() == t.isShared() {
 			tied = append(tied, other)
 		}
 	}
@@ -169,8 +169,21 @@
 		}
 		before := len(r.crashes)
 		r.clearCrashes(places)
-		if len(r.crashes) != before && r.verdict.isShared {
+		if len(r.crashes) == before {
+			continue
+		}
+		if len(r.crashes) < q.rules.convictingCrashes && !r.verdict.convictedUntil.IsZero() {
+			q.takeBack(t, r)
+		}
+		if r.verdict.isShared {
 			q.change(t, r)
 		}
 	}
 }
+
+// takeBack ends a conviction before its time.
+func (q *Quarantiner) takeBack(t Trait, r *record) {
+	r.verdict.convictedUntil, r.verdict.tied = time.Time{}, nil
+	q.counts.TakenBack++
+	q.change(t, r)
+}
--- a/internal/request/quarantiner/trial.go
+++ b/internal/request/quarantiner/trial.go
@@ -154,16 +154,19 @@
 }
 
 // isHeld reports whether requests with a suspect need permits. A shared one needs a verdict, and
-// time for objections.
+// time for objections. One that most requests bear is at the end of nearly every target: it is not
+// held unless none of the answers that were lost with it had begun.
 func (q *Quarantiner) isHeld(now time.Time, t Trait, r *record) bool {
-	if !t.isShared() || q.isConvicted(now, r) {
+	switch {
+	case !t.isShared() || q.isConvicted(now, r):
 		return true
+	case !r.verdict.isShared:
+		return false
+	case !q.traffic.isCommon(t):
+		return !now.Before(r.verdict.since.Add(objectionTime))
+	default:
+		return len(r.begun) == 0 && !now.Before(r.verdict.since.Add(commonObjectionTime))
 	}
-	hearing := objectionTime
-	if q.traffic.isCommon(t) {
-		hearing = commonObjectionTime
-	}
-	return r.verdict.isShared && !now.Before(r.verdict.since.Add(hearing))
 }
 
 // IsAnyHeld reports whether peers have been told that one of some traits is a suspect or
@@ -411,8 +414,7 @@
 	}
 	r.clearCrashes(slices.DeleteFunc(slices.Clone(r.crashes), func(place string) bool { return contains(left, place) }))
 	if q.isConvicted(now, r) && len(left) < q.rules.convictingCrashes {
-		r.verdict.convictedUntil = time.Time{}
-		q.counts.TakenBack++
+		q.takeBack(t, r)
 	}
 	if r.verdict.isShared {
 		q.change(t, r)
