--- a/internal/tool/soaker/crashing.go
+++ b/internal/tool/soaker/crashing.go
@@ -21,6 +21,8 @@
 	// crashingTime is how long they send it: beyond the end of a phase with disturbances of the
 	// instances.
 	crashingTime = 12 * time.Second
+	// partCrashingTime is longer, as what is checked of a part begins contactTime after five ends.
+	partCrashingTime = 20 * time.Second
 )
 
 // crash is a kind of requests that end each target that runs them.
@@ -30,6 +32,7 @@
 	request func(random *rand.Rand) content
 	// begin and stop make a target end on such requests, and serve them again.
 	begin, stop func(*simulator.Target)
+	length      time.Duration
 }
 
 // newContentCrash returns requests of one content.
@@ -40,7 +43,7 @@
 		bad.model = pick(random, r.models)
 	}
 	return crash{
-		description: r.Name, request: func(*rand.Rand) content { return bad },
+		description: r.Name, length: crashingTime, request: func(*rand.Rand) content { return bad },
 		begin: func(t *simulator.Target) { t.CrashOn(bad.body) }, stop: func(t *simulator.Target) { t.StopCrashingOn(bad.body) },
 	}
 }
@@ -51,7 +54,7 @@
 	point := pick(random, []simulator.CrashPoint{simulator.AtAnswer, simulator.AfterHead, simulator.MidAnswer})
 	part := fmt.Sprintf("bad%x", random.Uint32())
 	return crash{
-		description: fmt.Sprintf("%s, part %s, %s", r.Name, part, point),
+		description: fmt.Sprintf("%s, part %s, %s", r.Name, part, point), length: partCrashingTime,
 		request: func(random *rand.Rand) content {
 			return content{
 				route: r, model: pick(random, r.models), body: fmt.Sprint(random.Uint64()),
@@ -79,7 +82,7 @@
 		callerRandom := rand.New(rand.NewPCG(random.Uint64(), 3))
 		callers.Go(func() { s.sendCrashing(ctx, callerRandom, bad) })
 	}
-	until := time.Now().Add(crashingTime)
+	until := time.Now().Add(bad.length)
 	return fmt.Sprintf("%s, %d callers", bad.description, n), func() {
 		time.Sleep(time.Until(until))
 		cancel()
