Ask for three trials of a part that explains fewer of the ends than others do

A part is convicted by one trial only if it explains at least as many of the ends since its first one as remain unexplained; else three trials, five if an answer had begun.

--- a/internal/request/quarantiner/judgement.go
+++ b/internal/request/quarantiner/judgement.go
@@ -44,15 +44,38 @@
 	if len(r.begun) > 0 {
 		crashes, enoughTrials = begunConvictingCrashes, enoughBegunTrialCrashes
 	}
-	needed := 1
-	if _, known := q.traffic.lastAnswer(t); known && t.isShared() {
-		needed = answeredTrialCrashes
-	}
 	trials := len(r.verdict.trialCrashes)
-	if trials < needed || len(r.crashes) < crashes {
+	switch {
+	case trials == 0 || len(r.crashes) < crashes:
+		return false
+	case trials >= enoughTrials:
+		return true
+	case t.isShared() && (q.isSideIssue(r) || trials < answeredTrialCrashes && q.wasAnswered(t)):
 		return false
+	default:
+		return !q.isDoubtful(t, r)
+	}
+}
+
+// wasAnswered reports whether it is known here that requests with a shared trait were answered whole.
+func (q *Quarantiner) wasAnswered(t Trait) bool {
+	_, known := q.traffic.lastAnswer(t)
+	return known
+}
+
+// isSideIssue reports whether more targets have ended since the first crash of a record, for which
+// nothing is convicted, than those that it explains: its trait may have been there by chance.
+func (q *Quarantiner) isSideIssue(r *record) bool {
+	first := q.firstCrash(r)
+	others := 0
+	for place, at := range q.crashedAt {
+		a, known := q.attributions[place]
+		isExplained := contains(r.crashes, place) || known && !a.isTrial
+		if !isExplained && !at.Before(first) {
+			others++
+		}
 	}
-	return trials >= enoughTrials || !q.isDoubtful(t, r)
+	return others > len(r.crashes)
 }
 
 // isDoubtful reports whether the last crash that ended a trial of a trait may have another cause: a
--- a/internal/request/quarantiner/part_test.go
+++ b/internal/request/quarantiner/part_test.go
@@ -179,3 +179,21 @@
 	q.EndTrial(start, contents(innocent), place("t3"))
 	assertVerdict(t, q, 0, bad, true, nil)
 }
+
+// TestPartBesideManyEndsNeedsMoreTrials guards against refusing sound requests with a part that was at
+// some of very many ends by chance.
+func TestPartBesideManyEndsNeedsMoreTrials(t *testing.T) {
+	q := newPartExaminer()
+	for n := range 8 {
+		reportLoss(q, 0, fmt.Sprintf("k%d", n), lost(quarantiner.ContentTrait(fingerprint(50+n)))...)
+	}
+	reportLoss(q, 0, "t1", lost(soundPart)...)
+	reportLoss(q, 0, "t2", lost(soundPart)...)
+	for n := range 2 {
+		at := time.Duration(n+1) * settled
+		tryTraits(t, q, at, fmt.Sprintf("x%d", n), soundPart, quarantiner.ContentTrait(fingerprint(80+n)))
+		assertTraits(t, q, at+settled/2, true, nil, soundPart)
+	}
+	tryTraits(t, q, 3*settled, "x2", soundPart, quarantiner.ContentTrait(fingerprint(90)))
+	assertTraits(t, q, 4*settled, true, quarantiner.ErrConvicted, soundPart)
+}
