Say in the package comment what is suspected, and test odd lists of parts

Read as a newcomer: the quarantiner's package comment told of contents alone; isSideIssue is isOutnumbered. A list of parts with repeats, empty and very long names is bounded (test).

--- a/internal/gateway/conductor/content_test.go
+++ b/internal/gateway/conductor/content_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -125,6 +126,24 @@
 	}
 }
 
+// TestPartsOfPromptsAreNamedInBounds guards against lists of parts that cost much memory, or that give
+// one part several names.
+func TestPartsOfPromptsAreNamedInBounds(t *testing.T) {
+	q := &quarantine{}
+	server := setupQuarantine(t, q, newTarget(t, ok))
+	long := strings.Repeat("x", 10_000)
+	_, _, err := send(t, server, "POST", "/safe/a", "body", "Test-Prefix", "a,b,a,,"+long+","+long)
+	require.NoError(t, err)
+	names := []string{}
+	for _, trait := range q.snapshot().checked[0][1:] {
+		assert.Equal(t, quarantiner.Part, trait.Kind)
+		names = append(names, trait.Name)
+	}
+	require.Len(t, names, 3)
+	assert.Equal(t, []string{"a", "b"}, names[:2])
+	assert.Less(t, len(names[2]), 100)
+}
+
 func TestConvictedRequestIsRefusedForGood(t *testing.T) {
 	x := newTarget(t, ok)
 	q := &quarantine{isSuspect: true, verdict: quarantiner.ErrConvicted}
--- a/internal/request/quarantiner/judgement.go
+++ b/internal/request/quarantiner/judgement.go
@@ -50,7 +50,7 @@
 		return false
 	case trials >= enoughTrials:
 		return true
-	case t.isShared() && (q.isSideIssue(r) || trials < answeredTrialCrashes && q.wasAnswered(t)):
+	case t.isShared() && (q.isOutnumbered(r) || trials < answeredTrialCrashes && q.wasAnswered(t)):
 		return false
 	default:
 		return !q.isDoubtful(t, r)
@@ -63,9 +63,9 @@
 	return known
 }
 
-// isSideIssue reports whether more targets have ended since the first crash of a record, for which
+// isOutnumbered reports whether more targets have ended since the first crash of a record, for which
 // nothing is convicted, than those that it explains: its trait may have been there by chance.
-func (q *Quarantiner) isSideIssue(r *record) bool {
+func (q *Quarantiner) isOutnumbered(r *record) bool {
 	first := q.firstCrash(r)
 	others := 0
 	for place, at := range q.crashedAt {
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -19,10 +19,13 @@
 // within the timeout of an announcement. Copies that are sent at the same time before the
 // first crash are not yet suspects and may each crash one target.
 //
-// Trials (WithTrials), for many instances, and targets that often end for other reasons. A
-// request is a suspect from its second crash on. One instance, the examiner, decides for
-// all others: it collects the crashes, permits the runs of suspects, which are then called
-// trials, and tells all others its verdicts. See trial.go.
+// Trials (WithTrials), for many instances, and targets that often end for other reasons. What is
+// suspected is a trait of requests: the content, or a part of a prompt, which requests share that
+// differ otherwise. A trait is a suspect from its second crash on. One instance, the examiner,
+// decides for all others: it collects the crashes (report.go), permits the runs of requests with
+// suspects, which are then called trials (trial.go), judges which trait of a run was the cause
+// (judgement.go), and tells all others its verdicts (share.go). Whole answers clear what they
+// speak for (answer.go, traffic.go).
 //
 // If a suspect shares its target with a request that crashes a target for the first time,
 // the crash is attributed to the suspect instead of that request.
