Name no content of a run whose content was not needed

An answer on a suspected part was told to the examiner with the fingerprint of nothing beside the parts; nothing came of it, but a reader wonders. Behaviour is the same.

--- a/internal/gateway/conductor/content.go
+++ b/internal/gateway/conductor/content.go
@@ -37,10 +37,12 @@
 	IsHeldAgainst bool
 }
 
-// Traits returns the traits of the request. Content has to be set.
+// Traits returns the traits of the request, without the content if that is not set.
 func (r Run) Traits() []quarantiner.Trait {
 	traits := make([]quarantiner.Trait, 0, 1+len(r.Parts))
-	traits = append(traits, quarantiner.ContentTrait(r.Content))
+	if r.Content != (quarantiner.Fingerprint{}) {
+		traits = append(traits, quarantiner.ContentTrait(r.Content))
+	}
 	for _, part := range r.Parts {
 		traits = append(traits, quarantiner.PartTrait(r.Service, part))
 	}
