--- a/internal/request/quarantiner/judgement.go
+++ b/internal/request/quarantiner/judgement.go
@@ -64,7 +64,8 @@
 }
 
 // isOutnumbered reports whether more targets have ended since the first crash of a record, for which
-// nothing is convicted, than those that it explains: its trait may have been there by chance.
+// nothing is convicted, than those that it explains: its trait may have been there by chance. If an
+// answer had begun where one ended, any other end counts.
 func (q *Quarantiner) isOutnumbered(r *record) bool {
 	first := q.firstCrash(r)
 	others := 0
@@ -75,6 +76,9 @@
 			others++
 		}
 	}
+	if len(r.begun) > 0 {
+		return others > 0
+	}
 	return others > len(r.crashes)
 }
 
--- a/internal/request/quarantiner/trial.go
+++ b/internal/request/quarantiner/trial.go
@@ -116,7 +116,7 @@
 }
 
 // isHeld reports whether requests with a suspect need permits. A shared one needs a verdict, and
-// time for objections. One that most requests bear is at the end of nearly every target: it is not
+// time for objections or a further crash. One that most requests bear is at the end of nearly every target: it is not
 // held unless none of the answers that were lost with it had begun.
 func (q *Quarantiner) isHeld(now time.Time, t Trait, r *record) bool {
 	switch {
@@ -125,7 +125,7 @@
 	case !r.verdict.isShared:
 		return false
 	case !q.traffic.isCommon(t):
-		return !now.Before(r.verdict.since.Add(objectionTime))
+		return len(r.crashes) >= q.rules.convictingCrashes || !now.Before(r.verdict.since.Add(objectionTime))
 	default:
 		return len(r.begun) == 0 && !now.Before(r.verdict.since.Add(commonObjectionTime))
 	}
