Decode the trait of a message in one place

Three places of the supervisor spelled out how a trait is parsed from a message: alone, in a list and in a loss. They call decodeTrait now. Behaviour is unchanged; the tests of the supervisor pass.

--- a/internal/gateway/supervisor/traits.go
+++ b/internal/gateway/supervisor/traits.go
@@ -17,11 +17,16 @@
 	return out
 }
 
+// decodeTrait returns the trait of a message; false if it is none.
+func decodeTrait(t messenger.Trait) (trait quarantiner.Trait, ok bool) {
+	return quarantiner.ParseTrait(quarantiner.Kind(t.Kind), t.Service, t.Name)
+}
+
 // decodeTraits returns the traits of a message, without those that are none.
 func decodeTraits(in []messenger.Trait) []quarantiner.Trait {
 	out := make([]quarantiner.Trait, 0, len(in))
 	for _, t := range in {
-		if trait, ok := quarantiner.ParseTrait(quarantiner.Kind(t.Kind), t.Service, t.Name); ok {
+		if trait, ok := decodeTrait(t); ok {
 			out = append(out, trait)
 		}
 	}
@@ -40,7 +45,7 @@
 func decodeLosses(in []messenger.Loss) []quarantiner.Loss {
 	out := make([]quarantiner.Loss, 0, len(in))
 	for _, l := range in {
-		if trait, ok := quarantiner.ParseTrait(quarantiner.Kind(l.Trait.Kind), l.Trait.Service, l.Trait.Name); ok {
+		if trait, ok := decodeTrait(l.Trait); ok {
 			out = append(out, quarantiner.Loss{Trait: trait, HasBegun: l.HasBegun})
 		}
 	}
--- a/internal/gateway/supervisor/verdicts.go
+++ b/internal/gateway/supervisor/verdicts.go
@@ -124,7 +124,7 @@
 	now := time.Now()
 	verdicts := make([]quarantiner.Verdict, 0, len(in))
 	for _, v := range in {
-		trait, ok := quarantiner.ParseTrait(quarantiner.Kind(v.Trait.Kind), v.Trait.Service, v.Trait.Name)
+		trait, ok := decodeTrait(v.Trait)
 		tied := decodeTraits(v.Tied)
 		if !ok || len(tied) != len(v.Tied) {
 			continue
