Find the traits that are tied with a trial once a judgement

A judgement looked up the rivals that explain as much, and isOutranked looked them up again, each a pass over all records. It takes them as a parameter now. Behaviour is unchanged; the tests of the quarantiner pass.

--- a/internal/request/quarantiner/judgement.go
+++ b/internal/request/quarantiner/judgement.go
@@ -19,7 +19,7 @@
 func (q *Quarantiner) judge(now time.Time, t Trait, r *record) {
 	v := &r.verdict
 	tied := q.tiedWith(now, t, r)
-	isDue := q.isHeld(now, t, r) && q.isProven(t, r) && !q.isOutranked(now, t, r)
+	isDue := q.isHeld(now, t, r) && q.isProven(t, r) && !q.isOutranked(now, t, r, tied)
 	switch isConvicted := q.isConvicted(now, r); {
 	case isDue && isConvicted:
 		if len(tied) < len(v.tied) {
@@ -108,7 +108,7 @@
 // crash has ended, or as much by fewer requests. Two that explain as much may come apart in a
 // further trial; after some of them both are taken for the cause. One that is not held back, as most
 // requests bear it, does not count.
-func (q *Quarantiner) isOutranked(now time.Time, t Trait, r *record) bool {
+func (q *Quarantiner) isOutranked(now time.Time, t Trait, r *record, tied []Trait) bool {
 	for other, o := range q.records {
 		if other == t || !o.sharesTrial(r) || !q.isHeld(now, other, o) {
 			continue
@@ -117,7 +117,7 @@
 			return true
 		}
 	}
-	return len(r.verdict.trialCrashes) < tiedTrialCrashes && len(q.tiedWith(now, t, r)) > 0
+	return len(r.verdict.trialCrashes) < tiedTrialCrashes && len(tied) > 0
 }
 
 // outranks reports whether a trait explains more than another one of the same run. A content that
