Compute the crashes that an answer clears directly

clearUntil computed the crashes that are left and then their complement. Behaviour is unchanged (r.crashes is sorted and without repeats); the tests of the quarantiner pass.

--- a/internal/request/quarantiner/answer.go
+++ b/internal/request/quarantiner/answer.go
@@ -28,16 +28,16 @@
 
 // clearUntil clears a trait of the crashes before a time, and of those of unknown times.
 func (q *Quarantiner) clearUntil(now time.Time, t Trait, r *record, until time.Time) {
-	left := slices.DeleteFunc(slices.Clone(r.crashes), func(place string) bool { return q.crashedAt[place].Before(until) })
-	if len(left) == 0 {
+	cleared := slices.DeleteFunc(slices.Clone(r.crashes), func(place string) bool { return !q.crashedAt[place].Before(until) })
+	if len(cleared) == len(r.crashes) {
 		q.refute(now, t, r)
 		return
 	}
-	if len(left) == len(r.crashes) {
+	if len(cleared) == 0 {
 		return
 	}
-	r.clearCrashes(slices.DeleteFunc(slices.Clone(r.crashes), func(place string) bool { return contains(left, place) }))
-	if q.isConvicted(now, r) && len(left) < q.rules.convictingCrashes {
+	r.clearCrashes(cleared)
+	if q.isConvicted(now, r) && len(r.crashes) < q.rules.convictingCrashes {
 		q.takeBack(t, r)
 	}
 	if r.verdict.isShared {
