--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases. They use the standard library only.
+set -euo pipefail
+cd "$(dirname "$0")/standin"
+go build -o ../../target/standin .
