Review: a late heartbeat of an earlier start brings a leaving replica back

Cause: entries of different starts of one replica are not compared by the time of the start, so that an earlier one replaces a later one.

Change: case 5, a script in which the store carries out a heartbeat of before a crash after the replica is back and has begun to leave.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 	"dark":     darkCase,
 	"memory":   memoryCase,
 	"truncate": truncateCase,
+	"stale":    staleCase,
 }
 
 // main runs the case that the first argument names: standin CASE PROGRAM RECORD.
