Review: a late order and an unload of nothing overfill a replica

Cause: an unload that a replica answers 200, since there is nothing to unload, is counted as an accepted order. The next order bears a revision that the replica reaches when it carries out an older order late.

The stand-ins move to review/platform, since a test of the project lets the platform's names stand in folders of that name only.

--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Builds the stand-ins of the cases. They use the standard library only.
 set -euo pipefail
-cd "$(dirname "$0")/standin"
+cd "$(dirname "$0")/platform"
 go build -o ../../target/standin .
--- a/review/standin/main.go
+++ b/review/platform/main.go
@@ -22,7 +22,7 @@
 	"dark":     darkCase,
 	"memory":   memoryCase,
 	"truncate": truncateCase,
-	"stale":    staleCase,
+	"limit":    limitCase,
 }
 
 // main runs the case that the first argument names: standin CASE PROGRAM RECORD.
--- a/review/standin/site.go
+++ b/review/platform/site.go
@@ -54,7 +54,7 @@
 				"name": engineService, "healthPath": "/health", "maxConnections": 240, "protocol": "h1", "tls": false,
 				"engine": map[string]any{
 					"slots": 32, "kvCapacity": 112181, "stride": 3, "hostMb": 140000.0, "diskMb": 410000.0,
-					"models":    []map[string]any{{"name": "m0", "weightsMb": 65100.0, "loadS": 1.4, "adapters": 0, "adapterMb": 12.0, "warmS": 1.2, "diskS": 1.6}},
+					"models":    []map[string]any{{"name": "m0", "weightsMb": 65100.0, "loadS": 1.4, "adapters": adapterCount, "adapterMb": 12.0, "warmS": 1.2, "diskS": 1.6}},
 					"weightsMb": 200000.0, "adapterSlots": 8, "loadsPerS": 2.1,
 				},
 			},
@@ -88,3 +88,6 @@
 		_ = os.RemoveAll(s.folder)
 	}
 }
+
+// adapterCount is the number of adapters of the model.
+var adapterCount = 0
