Decode client accounts and the limits of callers from the manifest

The manifest's accounts, public routes and caller limits were ignored, so that no part could act on them. They are decoded into registrar types; keys are kept as digests only. The rank of a request, account before route, is what engines get; without accounts it is the route's priority as before. Settings gain the bounds of revocation and quotas, the machine's memory and descriptors, and the share of hedged requests.

--- a/internal/gateway/conductor/accept.go
+++ b/internal/gateway/conductor/accept.go
@@ -50,6 +50,7 @@
 		id: r.Header.Get(c.headers.RequestID), httpRequest: r, body: body, route: route, arrived: now,
 		excluded: map[string]bool{}, outcome: measurer.Unknown,
 	}
+	q.rank = rankOf(q.account, route)
 	q.deadline = now.Add(defaultTimeout)
 	if deadline, ok := c.headers.callerDeadline(r, now); ok {
 		q.deadline = deadline
@@ -68,6 +69,24 @@
 	return q, nil
 }
 
+const (
+	// maxRank is the last rank that targets know.
+	maxRank = 9
+	// ranksPerAccount is the number of ranks of one account priority: the routes of an account
+	// are told apart within them.
+	ranksPerAccount = 3
+)
+
+// rankOf returns the rank of the requests of an account, which may be nil, on a route. The
+// priority of the account goes before that of the route.
+func rankOf(account *registrar.Account, route *registrar.Route) int {
+	rank := max(route.Priority, 0)
+	if account != nil {
+		rank = ranksPerAccount*max(account.Priority, 0) + min(rank, ranksPerAccount-1)
+	}
+	return min(rank, maxRank)
+}
+
 // pickBackend distributes requests over the services of a route by their weights. The
 // choice depends on the hash of the request ID alone, so that it needs no state.
 func pickBackend(route *registrar.Route, id string) string {
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -170,7 +170,11 @@
 	httpRequest *http.Request
 	body        []byte
 	route       *registrar.Route
-	service     string
+	// account is the account that the request is sent for; nil without one.
+	account *registrar.Account
+	// rank orders the request among those that wait, and at its target: 0 is first.
+	rank    int
+	service string
 	// demand is what the request asks of an engine; its Model is empty for a plain
 	// service.
 	demand   Demand
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -150,7 +150,7 @@
 	h.Set(c.headers.Deadline, c.millisecondsLeft(q))
 	h.Set(c.headers.ExpectInstance, target.ID)
 	if q.demand.Model != "" {
-		h.Set(c.headers.Priority, strconv.Itoa(min(max(q.route.Priority, 0), 9)))
+		h.Set(c.headers.Priority, strconv.Itoa(q.rank))
 	}
 	if reply.lastEvent != "" {
 		h.Set(c.headers.LastEvent, reply.lastEvent)
--- /dev/null
+++ b/internal/gateway/registrar/account.go
@@ -0,0 +1,52 @@
+package registrar
+
+import "crypto/sha256"
+
+// Unit states what the quota of an account counts.
+type Unit int
+
+const (
+	// CountRequests counts each request as one.
+	CountRequests Unit = iota
+	// CountTokens counts the tokens that a request names.
+	CountTokens
+)
+
+// KeyDigest identifies a key of an account. Keys are secrets, so only their digests are kept.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of a key.
+func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+
+// Account is a client account, as the manifest declares it.
+type Account struct {
+	Name string
+	Keys []KeyDigest
+	// Priority is the rank of the account's requests, before the priority of their route; 0 is
+	// the most urgent.
+	Priority int
+	Unit     Unit
+	// PlainTokens is what a request that names no tokens counts, where Unit is CountTokens.
+	PlainTokens int
+	// RatePerSecond and Burst are the quota in Unit, over all instances together; there is none
+	// if the rate is 0.
+	RatePerSecond float64
+	Burst         float64
+}
+
+// AccountOf returns the account that holds a key, or nil if there is none.
+func (v *View) AccountOf(key KeyDigest) *Account { return v.accounts[key] }
+
+// HasAccounts reports whether requests need the key of an account.
+func (v *View) HasAccounts() bool { return v.Manifest != nil && v.Manifest.Accounts != nil }
+
+// indexAccounts returns the accounts by key.
+func indexAccounts(m *Manifest) map[KeyDigest]*Account {
+	index := map[KeyDigest]*Account{}
+	for _, account := range m.Accounts {
+		for _, key := range account.Keys {
+			index[key] = account
+		}
+	}
+	return index
+}
--- a/internal/gateway/registrar/registrar.go
+++ b/internal/gateway/registrar/registrar.go
@@ -22,6 +22,8 @@
 	byService map[string][]*Target
 	// routes holds the routes of each lower-case host, longest prefix first.
 	routes map[string][]*Route
+	// accounts holds the account of each key.
+	accounts map[KeyDigest]*Account
 }
 
 // Service returns a declared service, or nil if there is none of that name.
@@ -80,7 +82,7 @@
 	if old.Manifest != nil && m.Version <= old.Manifest.Version {
 		return false
 	}
-	r.publish(&View{Manifest: m, Targets: old.Targets, byService: old.byService, routes: indexRoutes(m)})
+	r.publish(&View{Manifest: m, Targets: old.Targets, byService: old.byService, routes: indexRoutes(m), accounts: indexAccounts(m)})
 	return true
 }
 
@@ -94,7 +96,7 @@
 	targets := maps.Clone(old.Targets)
 	change(targets)
 	superseded = dropSuperseded(targets)
-	r.publish(&View{Manifest: old.Manifest, Targets: targets, byService: indexTargets(targets), routes: old.routes})
+	r.publish(&View{Manifest: old.Manifest, Targets: targets, byService: indexTargets(targets), routes: old.routes, accounts: old.accounts})
 	return superseded
 }
 
--- a/internal/gateway/registrar/types.go
+++ b/internal/gateway/registrar/types.go
@@ -21,11 +21,18 @@
 	Routes   []*Route
 	Services map[string]*Service
 	Limits   Limits
+	// Accounts holds the client accounts by name; nil if requests need no account.
+	Accounts map[string]*Account
 }
 
 // Limits restrict the requests of a caller. Zero means unlimited.
 type Limits struct {
-	BodyBytes int
+	HeaderBytes int
+	BodyBytes   int
+	// HeaderTimeoutMilliseconds is how long a caller may take to send the head of a request,
+	// and IdleTimeoutMilliseconds how long a connection may stay idle.
+	HeaderTimeoutMilliseconds int
+	IdleTimeoutMilliseconds   int
 }
 
 // Route defines which services the requests of a host and path prefix go to, and how.
@@ -50,6 +57,8 @@
 	Priority int
 	// Resumable reports whether an interrupted stream may be executed again.
 	Resumable bool
+	// IsPublic reports whether requests need no key of an account.
+	IsPublic bool
 }
 
 // IsRepeatable reports whether a request of the route may be executed again after an
--- a/internal/node/loader/gateway.go
+++ b/internal/node/loader/gateway.go
@@ -43,18 +43,27 @@
 	add(s.MetricsAddress != "" && !isAddress(s.MetricsAddress), "MetricsAddress", address+", or empty")
 	add(!isAddress(s.StoreAddress), "StoreAddress", address)
 	add(s.LogLevel < 0 || s.LogLevel > 1, "LogLevel", "must be 0 or 1")
+	add(s.MemoryMegabytes < 0, "MemoryMegabytes", notNegative)
+	add(s.MaxDescriptors < 0, "MaxDescriptors", notNegative)
+	add(s.HedgeShare < 0 || s.HedgeShare > 1, "HedgeShare", "must be from 0 to 1")
 	addBoundFaults(&s.Bounds, add)
 	return faults
 }
 
+const notNegative = "must be 0 or more"
+
 func addBoundFaults(b *messenger.GatewayBounds, add func(bad bool, key, message string)) {
 	const positive = "must be more than 0"
 	add(b.GraceSeconds <= 0, "Bounds.GraceSeconds", positive)
 	add(b.LeaseMilliseconds <= 0, "Bounds.LeaseMilliseconds", positive)
-	add(b.RetryRatio < 0, "Bounds.RetryRatio", "must be 0 or more")
+	add(b.RetryRatio < 0, "Bounds.RetryRatio", notNegative)
 	add(b.RetryWindowSeconds <= 0, "Bounds.RetryWindowSeconds", positive)
-	add(b.RetrySlack < 0, "Bounds.RetrySlack", "must be 0 or more")
+	add(b.RetrySlack < 0, "Bounds.RetrySlack", notNegative)
 	add(b.LoadWindowSeconds <= 0, "Bounds.LoadWindowSeconds", positive)
 	add(b.LocateSeconds <= 0, "Bounds.LocateSeconds", positive)
-	add(b.DrainMilliseconds < 0, "Bounds.DrainMilliseconds", "must be 0 or more")
+	add(b.DrainMilliseconds < 0, "Bounds.DrainMilliseconds", notNegative)
+	add(b.RevokeMilliseconds < 0, "Bounds.RevokeMilliseconds", notNegative)
+	add(b.QuotaWindowSeconds < 0, "Bounds.QuotaWindowSeconds", notNegative)
+	add(b.QuotaOverage < 0, "Bounds.QuotaOverage", notNegative)
+	add(b.QuotaSlack < 0, "Bounds.QuotaSlack", notNegative)
 }
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -275,6 +275,18 @@
 	// locator.
 	LocateSeconds float64 `json:"LocateSeconds"`
 
+	// QuotaOverage is the fraction by which an account may exceed its quota in a
+	// window, over all instances.
+	QuotaOverage float64 `json:"QuotaOverage"`
+
+	// QuotaSlack is what an account may use in a window beyond that, in the unit of
+	// its quota.
+	QuotaSlack float64 `json:"QuotaSlack"`
+
+	// QuotaWindowSeconds is the length of the window in which the quotas of accounts
+	// are counted; 0 if they are not enforced.
+	QuotaWindowSeconds float64 `json:"QuotaWindowSeconds"`
+
 	// RetryRatio bounds the retries as a fraction of the requests.
 	RetryRatio float64 `json:"RetryRatio"`
 
@@ -284,6 +296,10 @@
 
 	// RetryWindowSeconds is the length of the window in which retries are counted.
 	RetryWindowSeconds float64 `json:"RetryWindowSeconds"`
+
+	// RevokeMilliseconds is how long after a manifest has removed a key requests with
+	// that key may still run; 0 for no bound.
+	RevokeMilliseconds float64 `json:"RevokeMilliseconds"`
 }
 
 // GatewayDemand is the demand of the callers of an instance for a model or one of
@@ -456,6 +472,10 @@
 	// DataCentre corresponds to the JSON schema field "DataCentre".
 	DataCentre string `json:"DataCentre"`
 
+	// HedgeShare is the largest share of the requests of a service that may be sent
+	// to a second target before the first one has failed; 0 for none.
+	HedgeShare float64 `json:"HedgeShare"`
+
 	// Instance is the name of this instance.
 	Instance string `json:"Instance"`
 
@@ -469,6 +489,13 @@
 	// LogLevel is 0 to log important decisions only and 1 to log each request too.
 	LogLevel int `json:"LogLevel"`
 
+	// MaxDescriptors is the number of file descriptors that the process may open; 0
+	// if it is unknown.
+	MaxDescriptors int `json:"MaxDescriptors"`
+
+	// MemoryMegabytes is the memory of the machine; 0 if it is unknown.
+	MemoryMegabytes float64 `json:"MemoryMegabytes"`
+
 	// MetricsAddress is the address that serves counters and histograms as text;
 	// empty for none.
 	MetricsAddress string `json:"MetricsAddress"`
