Attribute requests to accounts and bound the revocation of keys

What callers saw: requests with an unknown or a revoked key ran, and targets were sent the callers' keys and no account.

Cause: the accounts of the manifest were decoded and not used.

Change: a request is attributed to the account of its key right after its route is found, and checked again before each send. Targets get the account's name and never the credential; the fingerprint of a content uses the name. An instance reads a newer manifest from the peer whose proof names it, beside its own calls to the store, and asks the store directly when its proof gets old. An instance without proof omits itself from the locator's answers while others have one.

--- a/internal/gateway/conductor/accept.go
+++ b/internal/gateway/conductor/accept.go
@@ -39,6 +39,10 @@
 	if route == nil {
 		return nil, &Refusal{Status: http.StatusNotFound, Reason: "no route"}
 	}
+	sender, refusal := c.identify(r, route)
+	if refusal != nil {
+		return nil, refusal
+	}
 	body, refusal := c.readBody(w, r, view.Manifest.Limits.BodyBytes)
 	if refusal != nil {
 		return nil, refusal
@@ -48,6 +52,7 @@
 	}
 	q := &request{
 		id: r.Header.Get(c.headers.RequestID), httpRequest: r, body: body, route: route, arrived: now,
+		account: sender.account, credential: sender.credential, hasAccounts: sender.hasAccounts,
 		excluded: map[string]bool{}, outcome: measurer.Unknown,
 	}
 	q.rank = rankOf(q.account, route)
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/crocusring/crocusring/internal/edge/connector"
+	"github.com/crocusring/crocusring/internal/gateway/authenticator"
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
 	"github.com/crocusring/crocusring/internal/gateway/limiter"
@@ -74,6 +75,7 @@
 	// or a limiter.DeniedError.
 	acquirePermit func(ctx context.Context, target *registrar.Target) error
 	quarantine    Quarantine
+	authenticator authenticator.Authenticator
 	// requestEnd is called when a request that was accepted ends.
 	requestEnd func(measurer.Request)
 	// answerEnd is called when an answer of a target that ran its request has ended.
@@ -144,6 +146,7 @@
 		ensureAdapter:    func(context.Context, string, string, string) error { return balancer.ErrNoAdapter },
 		timeUntilServed:  func(context.Context, string, string) (time.Duration, error) { return 0, balancer.ErrNoModel },
 		servingEstimates: estimateCache{byModel: map[modelKey]*servingEstimate{}},
+		authenticator:    authenticator.Authenticator{View: registry.View, IsConfirmed: func() bool { return true }},
 	}
 	for _, option := range options {
 		option(c)
@@ -172,6 +175,10 @@
 	route       *registrar.Route
 	// account is the account that the request is sent for; nil without one.
 	account *registrar.Account
+	// credential is what the caller says of its account, and hasAccounts reports whether that
+	// counts.
+	credential  authenticator.Credential
+	hasAccounts bool
 	// rank orders the request among those that wait, and at its target: 0 is first.
 	rank    int
 	service string
--- a/internal/gateway/conductor/conductor_test.go
+++ b/internal/gateway/conductor/conductor_test.go
@@ -28,16 +28,17 @@
 	NotRun: "Test-Not-Run", LastEvent: "Test-Last", Model: "Test-Model", Tokens: "Test-Tokens", Prefix: "Test-Prefix",
 	Priority: "Test-Priority", Reserved: []string{"Test-Hold", "Test-Priority", "Test-Expect"},
 	Leaving: "Test-Leaving", RetryAfter: "Retry-After",
-	Account: "Test-Account", Content: []string{"Test-Content"},
+	Credential: "Test-Credential", AccountName: "Test-Account", Content: []string{"Test-Content"},
 	MisdirectedStatus: http.StatusMisdirectedRequest, ConvictedStatus: http.StatusBadRequest,
 	ParseLeaving: func(v string) bool { return v == "1" },
 	ParseRetryAfter: func(v string) (time.Duration, bool) {
 		seconds, err := strconv.ParseFloat(v, 64)
 		return time.Duration(seconds * float64(time.Second)), err == nil
 	},
-	ParseModel:  func(v string) (string, string) { m, a, _ := strings.Cut(v, "/"); return m, a },
-	ParseTokens: func(string) (int, int) { return 100, 10 },
-	ParsePrefix: func(v string) []string { return strings.Split(v, ",") },
+	ParseCredential: func(v string) (string, bool) { key, ok := strings.CutPrefix(v, "key "); return key, ok && key != "" },
+	ParseModel:      func(v string) (string, string) { m, a, _ := strings.Cut(v, "/"); return m, a },
+	ParseTokens:     func(string) (int, int) { return 100, 10 },
+	ParsePrefix:     func(v string) []string { return strings.Split(v, ",") },
 }
 
 // target is a TCP server that calls a script for each request. The script writes the raw
--- a/internal/gateway/conductor/content.go
+++ b/internal/gateway/conductor/content.go
@@ -100,7 +100,7 @@
 	}
 	r := q.httpRequest
 	parts := [][]byte{
-		[]byte(r.Method), []byte(strings.ToLower(r.Host)), []byte(r.RequestURI), []byte(r.Header.Get(c.headers.Account)), q.body,
+		[]byte(r.Method), []byte(strings.ToLower(r.Host)), []byte(r.RequestURI), []byte(c.senderOf(q)), q.body,
 	}
 	for _, name := range c.headers.Content {
 		parts = append(parts, []byte(r.Header.Get(name)))
--- a/internal/gateway/conductor/content_test.go
+++ b/internal/gateway/conductor/content_test.go
@@ -119,7 +119,7 @@
 		"path":    contentOf("POST", "/safe/b?q=1", "body"),
 		"query":   contentOf("POST", "/safe/a?q=2", "body"),
 		"body":    contentOf("POST", "/safe/a?q=1", "bodY"),
-		"account": contentOf("POST", "/safe/a?q=1", "body", "Test-Account", "other"),
+		"account": contentOf("POST", "/safe/a?q=1", "body", "Test-Credential", "other"),
 		"model":   contentOf("POST", "/safe/a?q=1", "body", "Test-Content", "other"),
 	} {
 		assert.NotEqual(t, first, f, name)
--- a/internal/gateway/conductor/headers.go
+++ b/internal/gateway/conductor/headers.go
@@ -48,10 +48,14 @@
 	// RetryAfter holds, in a refusal with status 503, the time for which the target wants no
 	// requests of this instance.
 	RetryAfter string
-	// Account identifies the client account that a request is sent for.
-	Account string
+	// Credential holds the key by which callers name their account. Targets never get it where
+	// there are accounts.
+	Credential string
+	// AccountName holds, towards targets, the name of the account that a request is sent for. Where
+	// there are accounts, only this system sets it.
+	AccountName string
 	// Content lists further headers that say what a request asks a target to run. Together with
-	// the account, method, host, path, query and body they are the same each time a caller sends
+	// the credential or account, method, host, path, query and body they are the same each time a caller sends
 	// a request.
 	Content []string
 	// MisdirectedStatus is the HTTP status by which a target reports that it is not the
@@ -63,6 +67,8 @@
 
 	ParseModel  func(value string) (model, adapter string)
 	ParseTokens func(value string) (prompt, output int)
+	// ParseCredential returns the key that a credential names; false if it names none.
+	ParseCredential func(value string) (key string, ok bool)
 	// ParsePrefix returns the parts of a prompt that other requests may bear as well, a bounded
 	// number of them, in the same spelling for the same part. A part may come more than once.
 	ParsePrefix func(value string) []string
@@ -93,13 +99,16 @@
 }
 
 // copyRequestHeaders copies the end-to-end headers of a caller's request to the request
-// to a target, except for reserved ones.
-func (h *Headers) copyRequestHeaders(out *fasthttp.RequestHeader, in http.Header) {
+// to a target, except for reserved ones and, where there are accounts, those that name one.
+func (h *Headers) copyRequestHeaders(out *fasthttp.RequestHeader, in http.Header, hasAccounts bool) {
 	named := connectionHeaders(in)
 	for name, values := range in {
 		if slices.Contains(hopByHopHeaders, name) || slices.Contains(named, name) || h.isReserved(name) {
 			continue
 		}
+		if hasAccounts && h.namesAccount(name) {
+			continue
+		}
 		for _, value := range values {
 			out.Add(name, value)
 		}
@@ -115,6 +124,11 @@
 	return strings.EqualFold(name, h.Deadline)
 }
 
+// namesAccount reports whether a header holds a key or the name of an account.
+func (h *Headers) namesAccount(name string) bool {
+	return strings.EqualFold(name, h.Credential) || strings.EqualFold(name, h.AccountName)
+}
+
 // connectionHeaders returns the names of the headers that the Connection header lists.
 func connectionHeaders(in http.Header) []string {
 	names := []string{}
--- a/internal/gateway/conductor/pick.go
+++ b/internal/gateway/conductor/pick.go
@@ -34,12 +34,15 @@
 		if err := c.checkStop(q); err != nil {
 			return nil, err
 		}
+		if err := c.checkAccount(q); err != nil {
+			return nil, err
+		}
 		changed, freed := c.registry.Changed(), c.balancer.CapacityFreed()
 		ticket, isPicked, err := c.pickAndBegin(ctx, q)
 		switch {
 		case err == nil:
 			return ticket, nil
-		case errors.Is(err, quarantiner.ErrConvicted):
+		case errors.Is(err, quarantiner.ErrConvicted), isAccountError(err):
 			return nil, err
 		case errors.Is(err, quarantiner.ErrWait):
 			if err := c.waitForTrial(ctx, q, err); err != nil {
@@ -148,6 +151,9 @@
 	err = c.beginRun(ctx, q, ticket.Target)
 	if err == nil {
 		err = c.acquirePermit(ctx, ticket.Target)
+		if err == nil {
+			err = c.checkAccount(q) // a permit can be long in coming
+		}
 		if err != nil {
 			c.cancelRun(q)
 		}
--- a/internal/gateway/conductor/refusal.go
+++ b/internal/gateway/conductor/refusal.go
@@ -104,13 +104,19 @@
 		c.answer(r.writer, q.id, http.StatusBadGateway, "target failed; the request may have run", 0)
 	default:
 		q.outcome = measurer.Refused
-		c.refuse(r.writer, q.id, &Refusal{
-			Status: http.StatusServiceUnavailable, Reason: cause.Error(), RetryAfter: q.retryDelay(cause),
-		}, "route", q.route.Name, "service", q.service, "model", q.demand.Model, "adapter", q.demand.Adapter,
+		c.refuse(r.writer, q.id, q.refusalFor(cause), "route", q.route.Name, "service", q.service, "model", q.demand.Model, "adapter", q.demand.Adapter,
 			"waitedMilliseconds", c.now().Sub(q.arrived).Milliseconds())
 	}
 }
 
+// refusalFor returns the refusal of a request that was not run, for a cause.
+func (q *request) refusalFor(cause error) *Refusal {
+	if isAccountError(cause) {
+		return accountRefusal(q.id, cause)
+	}
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: cause.Error(), RetryAfter: q.retryDelay(cause)}
+}
+
 // isOutOfTime reports whether the deadline of the request has passed. The connection to a
 // target has the same deadline and may report its expiry slightly before the clock
 // reaches it, hence minTimeLeft.
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -146,7 +146,10 @@
 	h.SetMethod(q.httpRequest.Method)
 	h.SetRequestURI(q.httpRequest.RequestURI)
 	h.SetHost(q.httpRequest.Host)
-	c.headers.copyRequestHeaders(h, q.httpRequest.Header)
+	c.headers.copyRequestHeaders(h, q.httpRequest.Header, q.hasAccounts)
+	if q.account != nil {
+		h.Set(c.headers.AccountName, q.account.Name)
+	}
 	h.Set(c.headers.Deadline, c.millisecondsLeft(q))
 	h.Set(c.headers.ExpectInstance, target.ID)
 	if q.demand.Model != "" {
--- /dev/null
+++ b/internal/gateway/confirmer/confirmer.go
@@ -0,0 +1,104 @@
+// Package confirmer holds the proof that the manifest of an instance is current. A proof says that
+// a row version was the newest one at a time of the store's clock. Since it names the store's time,
+// instances can pass it on, and it stays true however late it arrives.
+//
+// A key may be acted on only while the proof is younger than a bound. If a manifest removes a key,
+// no proof for an earlier manifest names a later time, so each instance stops to accept the key
+// within the bound, also one that reaches neither the store nor its peers.
+package confirmer
+
+import (
+	"sync"
+	"time"
+)
+
+// Proof states that Version was the newest version of the manifest's row at a time of the store's
+// clock. The zero value proves nothing.
+type Proof struct {
+	Version           int64
+	StoreMilliseconds int64
+}
+
+// Confirmer holds the newest proof of an instance. Its methods take the upper bound of the current
+// time of the store's clock as latest; 0 if there is no reading of that clock. It is safe for
+// concurrent use. The zero value is not usable; see New.
+type Confirmer struct {
+	bound time.Duration
+
+	mu sync.Mutex
+	// applied is the version of the row whose manifest is in force.
+	applied int64
+	proof   Proof
+}
+
+// New returns a confirmer without proof. A bound of 0 means that no proof is required.
+func New(bound time.Duration) *Confirmer { return &Confirmer{bound: bound} }
+
+// SetApplied records that the manifest in a version of the row is in force.
+func (c *Confirmer) SetApplied(version int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.applied = max(c.applied, version)
+}
+
+// Confirm records that the store had no version after the applied one at a time of its clock. It
+// must be called after the rows of that answer have been applied.
+func (c *Confirmer) Confirm(storeMilliseconds, latest int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.adopt(Proof{Version: c.applied, StoreMilliseconds: storeMilliseconds}, latest)
+}
+
+// Receive adopts the proof of a peer if this instance has applied at least its version. Otherwise
+// it returns true: the manifest of the peer is newer.
+func (c *Confirmer) Receive(proof Proof, latest int64) (isNewer bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if proof.Version > c.applied {
+		return true
+	}
+	c.adopt(proof, latest)
+	return false
+}
+
+// adopt replaces the proof by a later one. A time after latest is not possible: such a proof is
+// ignored, and one that is held is of a clock that the store does not have any more. The caller
+// holds c.mu.
+func (c *Confirmer) adopt(proof Proof, latest int64) {
+	if proof.Version <= 0 || proof.StoreMilliseconds <= 0 || proof.StoreMilliseconds > latest {
+		return
+	}
+	if proof.StoreMilliseconds > c.proof.StoreMilliseconds || c.proof.StoreMilliseconds > latest {
+		c.proof = proof
+	}
+}
+
+// Proof returns the newest proof, to be passed on.
+func (c *Confirmer) Proof() Proof {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.proof
+}
+
+// IsRequired reports whether keys may be acted on only with a proof.
+func (c *Confirmer) IsRequired() bool { return c.bound > 0 }
+
+// IsCurrent reports whether keys may be acted on. The manifest in force must be looked at after
+// this call, not before.
+func (c *Confirmer) IsCurrent(latest int64) bool {
+	if !c.IsRequired() {
+		return true
+	}
+	age, ok := c.Age(latest)
+	return ok && age < c.bound
+}
+
+// Age returns the greatest possible age of the proof; false if there is none.
+func (c *Confirmer) Age(latest int64) (age time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.proof.Version == 0 || c.proof.StoreMilliseconds > latest {
+		return 0, false
+	}
+	return time.Duration(latest-c.proof.StoreMilliseconds) * time.Millisecond, true
+}
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -48,6 +48,9 @@
 	// Age is the time since the store confirmed the changes, if another instance
 	// relayed them.
 	Age time.Duration
+	// Proof says what these changes, together with those before, prove about the table; see
+	// WithProofs.
+	Proof messenger.GatewayProof
 }
 
 // Source provides access to the store and to the copies that peers have.
@@ -73,10 +76,16 @@
 	now   func() time.Time
 	log   logr.Logger
 	apply func(rows []messenger.StoreRow, removed []string)
-
-	mu      sync.Mutex
-	rows    map[string]messenger.StoreRow
-	version int64
+	// proof returns the proof to pass on, and receiveProof is called with each that arrives.
+	proof        func() messenger.GatewayProof
+	receiveProof func(messenger.GatewayProof)
+
+	// applying is held while a change is stored and applied, so that changes are applied one
+	// after another.
+	applying sync.Mutex
+	mu       sync.Mutex
+	rows     map[string]messenger.StoreRow
+	version  int64
 	// removed holds the versions at which rows were removed, for all versions after
 	// historyStart.
 	removed      map[string]int64
@@ -114,6 +123,9 @@
 // WithShortWait is for a table whose changes must take effect within seconds.
 func WithShortWait() Option { return func(f *Follower) { f.wait = shortFeedWait } }
 
+// WithMaxWait sets the maximum time that the store may hold a call for changes open.
+func WithMaxWait(wait time.Duration) Option { return func(f *Follower) { f.wait = wait } }
+
 // WithLog sets the log.
 func WithLog(log logr.Logger) Option { return func(f *Follower) { f.log = log } }
 
@@ -125,6 +137,7 @@
 	f := &Follower{
 		table: table, source: source, wait: maxFeedWait, minInterval: noMinInterval, now: time.Now, apply: apply, log: logr.Discard(),
 		rows: map[string]messenger.StoreRow{}, removed: map[string]int64{}, changed: make(chan struct{}), returnDeadlines: map[string]time.Time{},
+		proof: func() messenger.GatewayProof { return messenger.GatewayProof{} }, receiveProof: func(messenger.GatewayProof) {},
 	}
 	for _, option := range options {
 		option(f)
@@ -195,6 +208,7 @@
 		return err
 	}
 	f.applyChanges(changes)
+	f.receiveProof(changes.Proof)
 	f.mu.Lock()
 	f.relayedAge = changes.Age
 	f.mu.Unlock()
@@ -207,6 +221,7 @@
 		return err
 	}
 	f.applySnapshot(snapshot, true)
+	f.receiveProof(snapshot.Proof)
 	return nil
 }
 
@@ -236,6 +251,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := messenger.TableSnapshot{
+		Proof:   f.proof(), // before the rows, which are then at least as new
 		Version: f.version, Rows: make([]messenger.StoreRow, 0, len(f.rows)), AgeMilliseconds: f.now().Sub(f.answeredAt).Milliseconds(),
 	}
 	for _, row := range f.rows {
@@ -306,6 +322,8 @@
 
 // applyChanges applies changes from the feed.
 func (f *Follower) applyChanges(changes Changes) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	f.mu.Lock()
 	now := f.now()
 	deferRemoval := f.mayHaveExpired(now)
@@ -336,6 +354,8 @@
 // at once, or, if mayReturn is set and they may have expired during an outage, after the
 // grace period. A table older than the copy is ignored.
 func (f *Follower) applySnapshot(snapshot messenger.TableSnapshot, mayReturn bool) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	f.mu.Lock()
 	if snapshot.Version < f.version {
 		f.mu.Unlock()
@@ -384,6 +404,8 @@
 // removeExpired removes the entries that did not return before their deadline, or of which a peer
 // knows that they were removed.
 func (f *Follower) removeExpired(now time.Time) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	f.mu.Lock()
 	dropped := []string{}
 	mayReturn := len(f.returnDeadlines) == 0 || !f.source.PeerHasHadStore(f.outageBegan)
@@ -425,5 +447,5 @@
 	// No grace period: a peer that saw the outage still has the rows that may return. Rows
 	// that a peer has removed are removed here too, even if only this instance cannot reach
 	// the store.
-	f.applySnapshot(snapshot, false)
+	f.Adopt(snapshot)
 }
--- a/internal/gateway/follower/relay.go
+++ b/internal/gateway/follower/relay.go
@@ -50,6 +50,7 @@
 		return messenger.TableChanges{}, errors.Wrap(ErrHistoryTruncated, f.table)
 	}
 	out := messenger.TableChanges{
+		Proof:   f.proof(), // before the rows, which are then at least as new
 		Version: max(f.version, after), Rows: []messenger.StoreRow{}, Removed: []string{},
 		AgeMilliseconds: f.now().Sub(f.answeredAt).Milliseconds(),
 	}
@@ -70,5 +71,6 @@
 func ChangesFromPeer(in messenger.TableChanges) Changes {
 	return Changes{
 		Version: in.Version, Rows: in.Rows, Removed: in.Removed, Age: time.Duration(in.AgeMilliseconds) * time.Millisecond,
+		Proof: ProofFromPeer(in.Proof),
 	}
 }
--- /dev/null
+++ b/internal/gateway/supervisor/accounts.go
@@ -0,0 +1,186 @@
+package supervisor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/crocusring/crocusring/internal/gateway/confirmer"
+	"github.com/crocusring/crocusring/internal/gateway/follower"
+	"github.com/crocusring/crocusring/internal/gateway/informer"
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+)
+
+const (
+	// proofWaitShare is the share of the bound for which the store may hold a call for changes of
+	// the manifest open: each answer is a proof, and it may pass through two more instances.
+	proofWaitShare = 0.2
+	// confirmAgeShare is the share of the bound from which a proof is old enough to ask the store
+	// directly for another one.
+	confirmAgeShare = 0.5
+	// confirmInterval is the time between two such calls, and maxConfirmInterval is the same while
+	// only the reading of the store's clock is to be renewed.
+	confirmInterval    = 400 * time.Millisecond
+	maxConfirmInterval = 5 * time.Second
+	// maxClockMilliseconds is the uncertainty of the store's clock, in milliseconds, from which its
+	// reading is renewed. It counts in full against each proof.
+	maxClockMilliseconds = 60
+	// fetchInterval is the time between two reads of a manifest from a peer whose proof is for a
+	// newer one. It bounds the reads for a peer that names a version which does not exist.
+	fetchInterval = 200 * time.Millisecond
+)
+
+// withProofs returns the option by which the follower of the manifest passes proofs on. Where a
+// proof is required, it also has the store answer more often.
+func (s *Supervisor) withProofs() follower.Option {
+	proofs := follower.WithProofs(s.proof, s.receiveProof)
+	if !s.confirmer.IsRequired() {
+		return proofs
+	}
+	wait := milliseconds(proofWaitShare * s.settings.Bounds.RevokeMilliseconds)
+	return func(f *follower.Follower) {
+		proofs(f)
+		follower.WithMaxWait(min(wait, maxManifestWait))(f)
+	}
+}
+
+// maxManifestWait is the longest time that the store may hold a call for changes of the manifest
+// open where proofs are required.
+const maxManifestWait = 1800 * time.Millisecond
+
+// latestStoreTime returns the upper bound of the current time of the store's clock; 0 if this
+// instance has not read that clock.
+func (s *Supervisor) latestStoreTime() int64 {
+	if s.platform.Clock == nil {
+		return 0
+	}
+	_, latest, ok := s.platform.Clock()
+	if !ok {
+		return 0
+	}
+	return latest
+}
+
+// isConfirmed reports whether keys may be acted on.
+func (s *Supervisor) isConfirmed() bool {
+	return !s.confirmer.IsRequired() || s.confirmer.IsCurrent(s.latestStoreTime())
+}
+
+// isUnconfirmed reports whether this instance refuses requests with a key.
+func (s *Supervisor) isUnconfirmed() bool {
+	return s.registry.View().HasAccounts() && !s.isConfirmed()
+}
+
+// proof returns the proof to pass on to peers.
+func (s *Supervisor) proof() messenger.GatewayProof {
+	proof := s.confirmer.Proof()
+	return messenger.GatewayProof{RowVersion: proof.Version, StoreMilliseconds: proof.StoreMilliseconds}
+}
+
+// receiveProof records the proof in an answer of the store, or of a peer, whose rows have been
+// applied.
+func (s *Supervisor) receiveProof(proof messenger.GatewayProof) {
+	latest := s.latestStoreTime()
+	if proof.RowVersion == 0 {
+		s.confirmer.Confirm(proof.StoreMilliseconds, latest)
+		return
+	}
+	s.confirmer.Receive(confirmer.Proof{Version: proof.RowVersion, StoreMilliseconds: proof.StoreMilliseconds}, latest)
+}
+
+// receivePeerProof records the proof in the status of a peer. If it is for a newer manifest, that
+// manifest is read from the peer at once, whatever the own calls to the store do.
+func (s *Supervisor) receivePeerProof(status messenger.GatewayNews) {
+	if status.Proof.RowVersion <= 0 {
+		return
+	}
+	proof := confirmer.Proof{Version: status.Proof.RowVersion, StoreMilliseconds: status.Proof.StoreMilliseconds}
+	isNewer := s.confirmer.Receive(proof, s.latestStoreTime())
+	if !isNewer || !s.confirmer.IsRequired() || !s.proofFetches.begin(status.Instance, time.Now()) {
+		return
+	}
+	go func() {
+		defer s.proofFetches.end(status.Instance)
+		snapshot, err := s.fetchTable(status.PeerAddress, s.platform.ManifestTable)
+		if err != nil {
+			s.log.Info("newer manifest not read from a peer", "peer", status.Instance, "error", err.Error())
+			return
+		}
+		s.manifests.Adopt(snapshot)
+	}()
+}
+
+// confirmRegularly asks the store directly for a proof while the newest one is old, until ctx is
+// done. These calls do not wait for changes, and do not depend on those that do.
+func (s *Supervisor) confirmRegularly(ctx context.Context) {
+	if !s.confirmer.IsRequired() {
+		return
+	}
+	var last time.Time
+	every(ctx, confirmInterval, func() {
+		isDue := s.isProofOld() || (time.Since(last) >= maxConfirmInterval && s.isClockUncertain())
+		if !s.registry.View().HasAccounts() || !isDue {
+			return
+		}
+		last = time.Now()
+		if err := s.manifests.Confirm(s.platform.Follow, s.platform.Read); err != nil {
+			s.log.V(1).Info("manifest not confirmed by the store", "error", err.Error())
+		}
+	})
+}
+
+func (s *Supervisor) isProofOld() bool {
+	age, ok := s.confirmer.Age(s.latestStoreTime())
+	return !ok || age > milliseconds(confirmAgeShare*s.settings.Bounds.RevokeMilliseconds)
+}
+
+func (s *Supervisor) isClockUncertain() bool {
+	earliest, latest, ok := s.platform.Clock()
+	return !ok || latest-earliest > maxClockMilliseconds
+}
+
+// omitUnconfirmed returns which instances the locator names: without those that refuse requests with
+// a key, unless all of them do. isListed and isUnconfirmed are of this instance.
+func omitUnconfirmed(isListed, isUnconfirmed bool, peers []informer.Peer) (bool, []informer.Peer) {
+	confirmed := []informer.Peer{}
+	for _, peer := range peers {
+		if !peer.LastStatus.IsUnconfirmed {
+			confirmed = append(confirmed, peer)
+		}
+	}
+	if (!isListed || isUnconfirmed) && len(confirmed) == 0 {
+		return isListed, peers
+	}
+	return isListed && !isUnconfirmed, confirmed
+}
+
+// proofFetches are the reads of manifests from peers: one at a time from each peer, and not more
+// often than fetchInterval.
+type proofFetches struct {
+	mu sync.Mutex
+	// due holds when the manifest may be read from a peer again, and running whether it is being
+	// read.
+	due     map[string]time.Time
+	running map[string]bool
+}
+
+func newProofFetches() *proofFetches {
+	return &proofFetches{due: map[string]time.Time{}, running: map[string]bool{}}
+}
+
+// begin reports whether the manifest may be read from a peer now; end must be called then.
+func (p *proofFetches) begin(peer string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running[peer] || now.Before(p.due[peer]) {
+		return false
+	}
+	p.running[peer], p.due[peer] = true, now.Add(fetchInterval)
+	return true
+}
+
+func (p *proofFetches) end(peer string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.running, peer)
+}
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
+	"github.com/crocusring/crocusring/internal/gateway/follower"
 	"github.com/crocusring/crocusring/internal/gateway/foreman"
 	"github.com/crocusring/crocusring/internal/gateway/informer"
 	"github.com/crocusring/crocusring/internal/gateway/limiter"
@@ -51,6 +52,7 @@
 		Overlays: []messenger.GatewayOverlay{}, Load: messenger.GatewayLoad{Targets: messenger.GatewayLoadTargets{}},
 		LimitDigest: report.Digest, LimitMembers: report.Size, VerdictDigest: s.quarantiner.Digest(time.Now()),
 		HasStoreMilliseconds: s.targets.HasStoreFor().Milliseconds(),
+		Proof:                s.proof(), IsUnconfirmed: s.isUnconfirmed(),
 	}
 	if to.DataCentre == s.settings.DataCentre || s.cell() == nil {
 		status.Load = s.ownLoad(nil)
@@ -87,6 +89,7 @@
 		s.applyLoad(status.Load, until)
 	}
 	s.comparePeerVerdicts(status)
+	s.receivePeerProof(status)
 	s.tally.SetPeerDemand(status.Instance, status.Demand, until)
 	now := time.Now()
 	s.limiter.ReceiveReport(status.Instance, limiter.Report{Digest: status.LimitDigest, Size: min(max(status.LimitMembers, 0), maxMembers)}, until.Sub(now))
@@ -153,6 +156,7 @@
 		Method: http.MethodGet, URL: "http://" + address + pathTable + "?name=" + url.QueryEscape(table), Out: &out,
 		Deadline: time.Now().Add(tableTimeout),
 	})
+	out.Proof = follower.ProofFromPeer(out.Proof)
 	return out, err
 }
 
--- a/internal/gateway/supervisor/servers.go
+++ b/internal/gateway/supervisor/servers.go
@@ -132,14 +132,19 @@
 // more than maxLocations, each instance returns those that follow it by name, so that all
 // are returned equally often.
 func (s *Supervisor) locations() []string {
+	ready := []informer.Peer{}
+	for _, peer := range peersAfter(s.settings.Instance, s.informer.Peers()) {
+		if peer.LastStatus.Ready && !peer.LastStatus.Leaving {
+			ready = append(ready, peer)
+		}
+	}
+	isListed, peers := omitUnconfirmed(s.isReady(), s.isUnconfirmed(), ready)
 	out := []string{}
-	if s.isReady() {
+	if isListed {
 		out = append(out, s.settings.CallerAddress)
 	}
-	for _, peer := range peersAfter(s.settings.Instance, s.informer.Peers()) {
-		if peer.LastStatus.Ready && !peer.LastStatus.Leaving && len(out) < maxLocations {
-			out = append(out, peer.LastStatus.CallerAddress)
-		}
+	for _, peer := range peers[:min(len(peers), maxLocations-len(out))] {
+		out = append(out, peer.LastStatus.CallerAddress)
 	}
 	return out
 }
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -21,6 +21,7 @@
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
 	"github.com/crocusring/crocusring/internal/gateway/conductor"
+	"github.com/crocusring/crocusring/internal/gateway/confirmer"
 	"github.com/crocusring/crocusring/internal/gateway/follower"
 	"github.com/crocusring/crocusring/internal/gateway/foreman"
 	"github.com/crocusring/crocusring/internal/gateway/informer"
@@ -107,6 +108,8 @@
 	leaser       *leaser.Leaser
 	orderPermit  *orderPermit
 	poster       *poster.Client
+	confirmer    *confirmer.Confirmer
+	proofFetches *proofFetches
 	manifests    *follower.Follower
 	targets      *follower.Follower
 	instances    *follower.Follower
@@ -132,6 +135,8 @@
 	}
 	s.limiter = limiter.New(limiter.Member{Name: settings.Instance, DataCentre: settings.DataCentre}, minCellSize)
 	s.balancer = balancer.New(balancer.WithLoadChanged(s.loadChanges.add), balancer.WithLimits(s.limiter.BlockedFor))
+	s.confirmer = confirmer.New(milliseconds(settings.Bounds.RevokeMilliseconds))
+	s.proofFetches = newProofFetches()
 	s.quarantiner = quarantiner.New(settings.Instance, quarantiner.WithTrials())
 	s.crashReports = newCrashReports()
 	bounds := settings.Bounds
@@ -140,7 +145,8 @@
 		conductor.WithLog(log), conductor.WithLimiter(s.limiter, s.acquirePermit), conductor.WithAdapterLoader(s.ensureAdapter), conductor.WithTimeUntilServed(s.timeUntilServed),
 		conductor.WithDemandObservers(s.countDemand, s.countWaiting), conductor.WithStreamObserver(s.countStream),
 		conductor.WithRequestObserver(s.measurer.Observe), conductor.WithAnswerObserver(s.measurer.CountAnswer),
-		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()))
+		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()),
+		conductor.WithConfirmation(s.isConfirmed))
 	s.prober = prober.New(s.conductor.Probe)
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
@@ -170,7 +176,7 @@
 func (s *Supervisor) initFollowers() {
 	source := follower.Source{Read: s.readTable, Follow: s.followTable, PeerSnapshot: s.peerSnapshot, PeerHasHadStore: s.peerHasHadStore}
 	log := follower.WithLog(s.log)
-	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait())
+	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait(), s.withProofs())
 	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargets, log,
 		follower.WithShortWait(), follower.WithMinInterval(s.targetPollInterval))
 	s.instances = follower.New(instanceTable, source, s.applyInstances, log, follower.WithMinInterval(func() time.Duration { return instancePollInterval }))
@@ -201,7 +207,7 @@
 	defer cancel()
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
-		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly,
+		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly, s.confirmRegularly,
 	} {
 		group.Go(func() error {
 			loop(running)
@@ -242,10 +248,12 @@
 		manifest, err := s.platform.DecodeManifest(row.Value)
 		if err != nil {
 			s.log.Error(err, "manifest cannot be decoded", "rowVersion", row.Version)
+			s.confirmer.SetApplied(row.Version)
 			continue
 		}
 		isApplied := s.registry.SetManifest(manifest)
 		s.log.Info("manifest", "version", manifest.Version, "rowVersion", row.Version, "routes", len(manifest.Routes), "taken", isApplied)
+		s.confirmer.SetApplied(row.Version)
 	}
 }
 
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -403,6 +403,10 @@
 	// Instance corresponds to the JSON schema field "Instance".
 	Instance string `json:"Instance"`
 
+	// IsUnconfirmed reports that the sender refuses requests that carry a key, since
+	// it has no proof that its manifest is current.
+	IsUnconfirmed bool `json:"IsUnconfirmed"`
+
 	// Leaving corresponds to the JSON schema field "Leaving".
 	Leaving bool `json:"Leaving"`
 
@@ -430,6 +434,9 @@
 	// PeerAddress corresponds to the JSON schema field "PeerAddress".
 	PeerAddress string `json:"PeerAddress"`
 
+	// Proof corresponds to the JSON schema field "Proof".
+	Proof GatewayProof `json:"Proof"`
+
 	// Ready corresponds to the JSON schema field "Ready".
 	Ready bool `json:"Ready"`
 
@@ -461,6 +468,17 @@
 	Target string `json:"Target"`
 }
 
+// GatewayProof states that a row of the manifest was the newest one at a time of
+// the store's clock. It stays true however late it arrives.
+type GatewayProof struct {
+	// RowVersion is the version of the row; 0 if the proof is about the rows that it
+	// comes with.
+	RowVersion int64 `json:"RowVersion"`
+
+	// StoreMilliseconds is the time by the store's clock; 0 for no proof.
+	StoreMilliseconds int64 `json:"StoreMilliseconds"`
+}
+
 // GatewaySettings are the settings of one gateway instance.
 type GatewaySettings struct {
 	// Bounds corresponds to the JSON schema field "Bounds".
@@ -1053,6 +1071,9 @@
 	// the changes.
 	AgeMilliseconds int64 `json:"AgeMilliseconds"`
 
+	// Proof corresponds to the JSON schema field "Proof".
+	Proof GatewayProof `json:"Proof"`
+
 	// Removed corresponds to the JSON schema field "Removed".
 	Removed []string `json:"Removed"`
 
@@ -1069,6 +1090,9 @@
 	// the snapshot.
 	AgeMilliseconds int64 `json:"AgeMilliseconds"`
 
+	// Proof corresponds to the JSON schema field "Proof".
+	Proof GatewayProof `json:"Proof"`
+
 	// Rows corresponds to the JSON schema field "Rows".
 	Rows []StoreRow `json:"Rows"`
 
