Prove the bound of revocation in random histories

What callers saw: a key that a manifest removed stayed valid on an instance that got that manifest together with a following one which cannot be decoded.

Cause: of several changes in one answer only the last was kept, and the proof for it covered the manifest before both.

Change: all versions of the manifest in an answer are applied in order, and an unreadable one leaves the value before it in force, also for peers. An instance that may have missed a version proves nothing until it has a readable one. Random histories in virtual time play instances that start, stop, freeze and are cut one way, messages that are lost, late or doubled, and keys that change.

--- a/internal/gateway/confirmer/confirmer.go
+++ b/internal/gateway/confirmer/confirmer.go
@@ -28,7 +28,9 @@
 	mu sync.Mutex
 	// applied is the version of the row whose manifest is in force.
 	applied int64
-	proof   Proof
+	// unreadable is the newest version of the row whose manifest could not be put into force.
+	unreadable int64
+	proof      Proof
 }
 
 // New returns a confirmer without proof. A bound of 0 means that no proof is required.
@@ -41,11 +43,23 @@
 	c.applied = max(c.applied, version)
 }
 
+// SetUnreadable records that the manifest in a version of the row cannot be put into force. There may
+// be earlier versions that have not been seen, so that nothing is confirmed until a later version,
+// or a readable copy of that one, is applied.
+func (c *Confirmer) SetUnreadable(version int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unreadable = max(c.unreadable, version)
+}
+
 // Confirm records that the store had no version after the applied one at a time of its clock. It
 // must be called after the rows of that answer have been applied.
 func (c *Confirmer) Confirm(storeMilliseconds, latest int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.unreadable > c.applied {
+		return
+	}
 	c.adopt(Proof{Version: c.applied, StoreMilliseconds: storeMilliseconds}, latest)
 }
 
--- /dev/null
+++ b/internal/gateway/confirmer/confirmer_test.go
@@ -0,0 +1,88 @@
+package confirmer_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/crocusring/crocusring/internal/gateway/confirmer"
+)
+
+// newApplied returns a confirmer that has applied version 3, with a proof of the time 1000.
+func newApplied() *confirmer.Confirmer {
+	c := confirmer.New(5 * time.Second)
+	c.SetApplied(3)
+	c.Confirm(1000, 1001)
+	return c
+}
+
+func TestProofExpires(t *testing.T) {
+	c := newApplied()
+	assert.True(t, c.IsCurrent(5999))
+	assert.False(t, c.IsCurrent(6000), "the bound has passed")
+	assert.False(t, c.IsCurrent(0), "without a reading of the store's clock the age of a proof is unknown")
+	assert.False(t, c.IsCurrent(900), "a proof of a time to come is of another clock")
+}
+
+func TestNoProofIsRequiredWithoutBound(t *testing.T) {
+	assert.True(t, confirmer.New(0).IsCurrent(0))
+}
+
+func TestProofsOfTheStore(t *testing.T) {
+	t.Run("without a manifest nothing is proved", func(t *testing.T) {
+		c := confirmer.New(5 * time.Second)
+		c.Confirm(1000, 1001)
+		assert.False(t, c.IsCurrent(1001))
+		assert.Equal(t, confirmer.Proof{}, c.Proof())
+	})
+	t.Run("a manifest that cannot be read proves nothing of the one in force", func(t *testing.T) {
+		c := newApplied()
+		c.SetUnreadable(5)
+		c.Confirm(2000, 2001)
+		assert.EqualValues(t, 1000, c.Proof().StoreMilliseconds)
+		c.SetApplied(5)
+		c.Confirm(2000, 2001)
+		assert.EqualValues(t, 2000, c.Proof().StoreMilliseconds)
+	})
+	t.Run("a late answer does not replace a newer one", func(t *testing.T) {
+		c := newApplied()
+		c.Confirm(900, 1100)
+		assert.Equal(t, confirmer.Proof{Version: 3, StoreMilliseconds: 1000}, c.Proof())
+	})
+	t.Run("a store that counts anew replaces a proof of its earlier clock", func(t *testing.T) {
+		c := newApplied()
+		c.Confirm(10, 11)
+		assert.Equal(t, confirmer.Proof{Version: 3, StoreMilliseconds: 10}, c.Proof())
+	})
+}
+
+func TestProofsOfPeers(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		proof     confirmer.Proof
+		isAdopted bool
+		isNewer   bool
+	}{
+		{name: "of the own version", proof: confirmer.Proof{Version: 3, StoreMilliseconds: 1500}, isAdopted: true},
+		{name: "of an earlier version", proof: confirmer.Proof{Version: 2, StoreMilliseconds: 1500}, isAdopted: true},
+		{name: "of a newer version", proof: confirmer.Proof{Version: 4, StoreMilliseconds: 1500}, isNewer: true},
+		{name: "an old one", proof: confirmer.Proof{Version: 3, StoreMilliseconds: 999}},
+		{name: "of a time that the store's clock cannot have", proof: confirmer.Proof{Version: 3, StoreMilliseconds: 2001}},
+		{name: "of an absurd time", proof: confirmer.Proof{Version: 3, StoreMilliseconds: math.MaxInt64}},
+		{name: "of an absurd version", proof: confirmer.Proof{Version: math.MaxInt64, StoreMilliseconds: 1500}, isNewer: true},
+		{name: "of a negative version", proof: confirmer.Proof{Version: -1, StoreMilliseconds: 1500}},
+		{name: "of a negative time", proof: confirmer.Proof{Version: 3, StoreMilliseconds: math.MinInt64}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			confirmed := newApplied()
+			before := confirmed.Proof()
+			assert.Equal(t, c.isNewer, confirmed.Receive(c.proof, 2000))
+			if c.isAdopted {
+				before = c.proof
+			}
+			assert.Equal(t, before, confirmed.Proof())
+		})
+	}
+}
--- /dev/null
+++ b/internal/gateway/confirmer/history_test.go
@@ -0,0 +1,212 @@
+package confirmer_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusring/crocusring/internal/gateway/authenticator"
+	"github.com/crocusring/crocusring/internal/gateway/registrar"
+)
+
+// histories is the number of random histories; CI plays the default.
+var histories = flag.Int("histories", 400, "the number of random histories of revoked keys")
+
+// receiveRequests has a node receive requests again and again.
+func (w *world) receiveRequests(n *node) {
+	key, sentAt := keyName(w.random.IntN(keyCount+1)), w.Now()
+	incarnation := n.incarnation
+	w.onNode(n, w.delay(50*time.Millisecond), func() { w.accept(n, key, sentAt) })
+	w.After(100*time.Millisecond+w.delay(200*time.Millisecond), func() {
+		if n.incarnation == incarnation {
+			w.receiveRequests(n)
+		}
+	})
+}
+
+func credentialOf(key string) authenticator.Credential {
+	return authenticator.Credential{IsPresent: true, Digest: registrar.DigestKey(key)}
+}
+
+// accept is what the conductor does: a request is checked when it is accepted and before it is sent.
+func (w *world) accept(n *node, key string, sentAt time.Time) {
+	view := n.registry.View()
+	check := func(step func(error)) {
+		if w.plant == tableFirst && view.HasAccounts() {
+			// The instance is frozen between the look at the table and that at the proof.
+			w.onNode(n, w.delay(2*time.Second), func() { step(checkTableFirst(n, view, key)) })
+			return
+		}
+		_, err := n.check.Check(false, credentialOf(key))
+		step(err)
+	}
+	check(func(err error) {
+		w.judgeRefusal(n, key, err)
+		if err != nil || !n.check.IsNeeded() {
+			return
+		}
+		held := w.delay(50 * time.Millisecond)
+		if w.random.IntN(10) == 0 {
+			held += w.delay(6 * time.Second)
+		}
+		w.onNode(n, held, func() {
+			check(func(err error) {
+				if err == nil {
+					w.onNode(n, 0, func() { w.run(n, key, sentAt) })
+				}
+			})
+		})
+	})
+}
+
+func checkTableFirst(n *node, view *registrar.View, key string) error {
+	if view.AccountOf(registrar.DigestKey(key)) == nil {
+		return authenticator.ErrUnknownKey
+	}
+	if !n.check.IsConfirmed() {
+		return authenticator.ErrUnconfirmed
+	}
+	return nil
+}
+
+// run records that a target runs a request.
+func (w *world) run(n *node, key string, sentAt time.Time) {
+	w.served++
+	if !w.hadKey(key, sentAt.Add(-bound)) {
+		w.fail("%s ran at node %d at %s, sent at %s, last keys %v", key, n.index, w.Now().Sub(w.began), sentAt.Sub(w.began), w.spans[key])
+	}
+}
+
+// judgeRefusal records the refusal of a key that has been in the manifest for longer than any
+// manifest counts as recent.
+func (w *world) judgeRefusal(n *node, key string, err error) {
+	if err != nil {
+		w.refused++
+	}
+	if w.plant == noPlant && errors.Is(err, authenticator.ErrUnknownKey) && w.hasKeySince(key, w.Now().Add(-bound)) {
+		w.fail("%s is unknown at node %d at %s, in the manifest for %s, proof %+v, manifest %d",
+			key, n.index, w.Now().Sub(w.began), bound, n.confirmer.Proof(), n.registry.View().Manifest.Version)
+	}
+}
+
+func (w *world) fail(format string, values ...any) {
+	if w.violation == "" {
+		w.violation = fmt.Sprintf(format, values...)
+	}
+}
+
+// disturb changes something at random.
+func (w *world) disturb() {
+	if w.isCalm {
+		return
+	}
+	w.After(w.delay(4*time.Second), w.disturb)
+	n := w.nodes[w.random.IntN(len(w.nodes))]
+	switch w.random.IntN(9) {
+	case 0:
+		length := w.delay(9 * time.Second)
+		n.frozenUntil = w.Now().Add(length)
+		if w.plant == stoppedClock {
+			n.suspended += length
+		}
+	case 1:
+		w.start(n)
+	case 2:
+		if len(w.nodes) < maxNodes {
+			w.addNode()
+		}
+	case 3: // the store refuses an instance
+		w.cut[[2]int{n.index, storeIndex}] = true
+	case 4: // one way is cut
+		w.cut[[2]int{w.random.IntN(len(w.nodes)+1) - 1, n.index}] = true
+	case 5: // an instance reaches nobody
+		for to := storeIndex; to < len(w.nodes); to++ {
+			w.cut[[2]int{n.index, to}] = true
+		}
+	case 6: // the store is down
+		for from := range w.nodes {
+			w.cut[[2]int{from, storeIndex}] = true
+		}
+	case 7:
+		w.loss = w.random.Float64() * 0.5
+	case 8:
+		w.heal()
+	}
+}
+
+func (w *world) heal() {
+	clear(w.cut)
+	w.loss = 0
+	for _, n := range w.nodes {
+		n.frozenUntil = w.Now()
+	}
+}
+
+func (w *world) play(length time.Duration) {
+	for end := w.Now().Add(length); w.violation == "" && w.Now().Before(end); {
+		w.Step()
+	}
+}
+
+// assertServes asserts that each node accepts the keys of the store's manifest and no other one.
+func (w *world) assertServes(t *testing.T, seed uint64) {
+	t.Helper()
+	for _, n := range w.nodes {
+		for number := range keyCount + 1 {
+			key := keyName(number)
+			_, err := n.check.Check(false, credentialOf(key))
+			if w.keys[key] {
+				assert.NoError(t, err, "seed %d, node %d, %s", seed, n.index, key)
+			} else {
+				assert.ErrorIs(t, err, authenticator.ErrUnknownKey, "seed %d, node %d, %s", seed, n.index, key)
+			}
+		}
+	}
+}
+
+// TestRevokedKeysDoNotRun guards against requests that run although they were sent later than the
+// bound after a manifest removed their key, in whatever state the instances, the store and the
+// network are; against keys that are refused for good although they are in the manifest; and
+// against instances that do not serve keys again after a disturbance.
+func TestRevokedKeysDoNotRun(t *testing.T) {
+	served, refused := 0, 0
+	for seed := range uint64(*histories) {
+		w := newWorld(seed, noPlant)
+		w.play(historyLength)
+		require.Empty(t, w.violation, "seed %d", seed)
+		served, refused = served+w.served, refused+w.refused
+		w.heal()
+		w.isCalm = true
+		w.play(healTime)
+		require.Empty(t, w.violation, "seed %d", seed)
+		w.assertServes(t, seed)
+	}
+	t.Logf("%d histories: %d requests served, %d refused", *histories, served, refused)
+	assert.Greater(t, served, refused/4, "the histories show nothing if hardly any key is served")
+}
+
+// TestHistoriesFindPlantedFaults guards against histories that would not show a fault.
+func TestHistoriesFindPlantedFaults(t *testing.T) {
+	const maxSeeds = 300
+	for name, p := range map[string]plant{
+		"proofs as new as their arrival": agelessProofs, "proofs for newer manifests": anyVersion,
+		"a clock that stops with its machine": stoppedClock, "the manifest before the proof": tableFirst,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(maxSeeds) {
+				w := newWorld(seed, p)
+				w.play(historyLength)
+				if w.violation != "" {
+					t.Logf("seed %d: %s", seed, w.violation)
+					return
+				}
+			}
+			t.Errorf("not found in %d histories", maxSeeds)
+		})
+	}
+}
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -51,6 +51,8 @@
 	// Proof says what these changes, together with those before, prove about the table; see
 	// WithProofs.
 	Proof messenger.GatewayProof
+	// IsGapless reports that Rows holds every change of a row, in order, and not only the last one.
+	IsGapless bool
 }
 
 // Source provides access to the store and to the copies that peers have.
@@ -76,7 +78,8 @@
 	now   func() time.Time
 	log   logr.Logger
 	apply func(rows []messenger.StoreRow, removed []string)
-	// proof returns the proof to pass on, and receiveProof is called with each that arrives.
+	// isReadable reports whether a row can be decoded, proof returns the proof to pass on, and receiveProof is called with each that arrives.
+	isReadable   func(messenger.StoreRow) bool
 	proof        func() messenger.GatewayProof
 	receiveProof func(messenger.GatewayProof)
 
@@ -137,7 +140,8 @@
 	f := &Follower{
 		table: table, source: source, wait: maxFeedWait, minInterval: noMinInterval, now: time.Now, apply: apply, log: logr.Discard(),
 		rows: map[string]messenger.StoreRow{}, removed: map[string]int64{}, changed: make(chan struct{}), returnDeadlines: map[string]time.Time{},
-		proof: func() messenger.GatewayProof { return messenger.GatewayProof{} }, receiveProof: func(messenger.GatewayProof) {},
+		isReadable: func(messenger.StoreRow) bool { return true },
+		proof:      func() messenger.GatewayProof { return messenger.GatewayProof{} }, receiveProof: func(messenger.GatewayProof) {},
 	}
 	for _, option := range options {
 		option(f)
@@ -328,20 +332,25 @@
 	now := f.now()
 	deferRemoval := f.mayHaveExpired(now)
 	f.version = max(f.version, changes.Version)
-	rows := f.storeRows(changes.Rows)
+	rows := f.storeRows(changes.Rows, changes.IsGapless)
 	removed := f.removeRows(changes.Removed, deferRemoval)
 	f.mu.Unlock()
 	f.deliver(rows, removed)
 }
 
-// storeRows stores rows and returns those that are not older than the stored ones. The
+// storeRows stores rows and returns those that are not older than the stored ones. A row that
+// cannot be read leaves the value before it in force, if isGapless says which one that is. The
 // caller holds f.mu.
-func (f *Follower) storeRows(rows []messenger.StoreRow) []messenger.StoreRow {
+func (f *Follower) storeRows(rows []messenger.StoreRow, isGapless bool) []messenger.StoreRow {
 	stored := make([]messenger.StoreRow, 0, len(rows))
 	for _, row := range rows {
-		if known, ok := f.rows[row.Key]; ok && row.Version < known.Version {
+		known, isKnown := f.rows[row.Key]
+		if isKnown && row.Version < known.Version {
 			continue
 		}
+		if isKnown && isGapless && !f.isReadable(row) {
+			row.Value = known.Value
+		}
 		f.rows[row.Key] = row
 		delete(f.returnDeadlines, row.Key)
 		delete(f.removed, row.Key)
@@ -368,7 +377,7 @@
 	for _, row := range snapshot.Rows {
 		present[row.Key] = true
 	}
-	rows := f.storeRows(snapshot.Rows)
+	rows := f.storeRows(snapshot.Rows, false)
 	f.historyStart = f.version // the individual changes before this version are unknown
 	missing := []string{}
 	for key := range f.rows {
--- a/internal/gateway/follower/proof.go
+++ b/internal/gateway/follower/proof.go
@@ -14,6 +14,11 @@
 	return func(f *Follower) { f.proof, f.receiveProof = proof, receive }
 }
 
+// WithReadable sets the function that reports whether a row can be decoded. By default all can.
+func WithReadable(isReadable func(messenger.StoreRow) bool) Option {
+	return func(f *Follower) { f.isReadable = isReadable }
+}
+
 // ProofFromPeer returns a proof in an answer of a peer. Only the store itself may leave the version
 // out.
 func ProofFromPeer(in messenger.GatewayProof) messenger.GatewayProof {
--- a/internal/gateway/supervisor/accounts.go
+++ b/internal/gateway/supervisor/accounts.go
@@ -33,15 +33,26 @@
 // withProofs returns the option by which the follower of the manifest passes proofs on. Where a
 // proof is required, it also has the store answer more often.
 func (s *Supervisor) withProofs() follower.Option {
-	proofs := follower.WithProofs(s.proof, s.receiveProof)
-	if !s.confirmer.IsRequired() {
-		return proofs
-	}
 	wait := milliseconds(proofWaitShare * s.settings.Bounds.RevokeMilliseconds)
 	return func(f *follower.Follower) {
-		proofs(f)
-		follower.WithMaxWait(min(wait, maxManifestWait))(f)
+		follower.WithProofs(s.proof, s.receiveProof)(f)
+		follower.WithReadable(s.isReadable)(f)
+		if s.confirmer.IsRequired() {
+			follower.WithMaxWait(min(wait, maxManifestWait))(f)
+		}
+	}
+}
+
+// isReadable reports whether a row of the manifest's table can be decoded.
+func (s *Supervisor) isReadable(row messenger.StoreRow) bool {
+	if row.Key != s.platform.ManifestKey {
+		return true
+	}
+	_, err := s.platform.DecodeManifest(row.Value)
+	if err != nil {
+		s.log.Error(err, "manifest cannot be decoded", "rowVersion", row.Version)
 	}
+	return err == nil
 }
 
 // maxManifestWait is the longest time that the store may hold a call for changes of the manifest
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -239,7 +239,8 @@
 }
 
 // applyManifest applies a new manifest. If it cannot be decoded, the current one stays in
-// force.
+// force; but keys count no longer, since an earlier manifest that this instance has not seen may
+// have removed some.
 func (s *Supervisor) applyManifest(rows []messenger.StoreRow, _ []string) {
 	for _, row := range rows {
 		if row.Key != s.platform.ManifestKey {
@@ -248,7 +249,7 @@
 		manifest, err := s.platform.DecodeManifest(row.Value)
 		if err != nil {
 			s.log.Error(err, "manifest cannot be decoded", "rowVersion", row.Version)
-			s.confirmer.SetApplied(row.Version)
+			s.confirmer.SetUnreadable(row.Version)
 			continue
 		}
 		isApplied := s.registry.SetManifest(manifest)
