Give the callers of the soak accounts whose keys change

Change: the simulated platform writes accounts into manifests, callers send keys, and targets report the account and whether a key is shown. The soak checks that no request runs with an unknown key, for another account, or later than the bound after its key was revoked, and that no valid key is refused for good.

--- a/cmd/crocusring-soak/main.go
+++ b/cmd/crocusring-soak/main.go
@@ -22,6 +22,7 @@
 	Minutes   float64 `arg:"--minutes" default:"1" help:"how long to disturb"`
 	Instances int     `arg:"--instances" default:"4" help:"instances to run"`
 	Callers   int     `arg:"--callers" default:"24" help:"callers that send requests"`
+	Accounts  bool    `arg:"--accounts" help:"give the callers accounts, whose keys change"`
 	Program   string  `arg:"--program" help:"the program under test; crocusring beside this one if not given"`
 	Directory string  `arg:"--directory" help:"where settings and logs go; a new one if not given"`
 }
@@ -68,7 +69,7 @@
 // settingsOf returns the settings for the arguments, with defaults filled in.
 func settingsOf(a arguments) (soaker.Settings, error) {
 	out := soaker.Settings{
-		Seed: a.Seed, Length: time.Duration(a.Minutes * float64(time.Minute)), Instances: a.Instances, Callers: a.Callers,
+		Seed: a.Seed, Length: time.Duration(a.Minutes * float64(time.Minute)), Instances: a.Instances, Callers: a.Callers, HasAccounts: a.Accounts,
 		Program: a.Program, Directory: a.Directory, Out: os.Stdout,
 	}
 	if a.Instances < 1 || a.Callers < 1 || a.Minutes <= 0 {
--- a/internal/tool/soaker/callers.go
+++ b/internal/tool/soaker/callers.go
@@ -84,7 +84,7 @@
 	if len(r.models) > 0 {
 		model = r.models[random.IntN(len(r.models))]
 	}
-	what := content{route: r, model: model, body: fmt.Sprint(random.Uint32()), parts: soundParts(random)}
+	what := content{route: r, model: model, body: fmt.Sprint(random.Uint32()), parts: soundParts(random), key: c.soak.keys.pick(random)}
 	for range 2 {
 		answer := c.sendOnce(ctx, caller, random, address, what)
 		switch {
@@ -106,6 +106,8 @@
 	// parts holds those of the prompt that other requests bear as well.
 	parts       []string
 	endsTargets bool
+	// key is that of the caller's account; empty without accounts.
+	key string
 }
 
 // documents is the number of parts of prompts that some requests share.
@@ -121,13 +123,16 @@
 	return simulator.Call{
 		ID: id, Host: host, Method: http.MethodPost, Path: c.route.Prefix + "x",
 		Body: c.body, Model: c.model, Parts: c.parts, Prompt: hex.EncodeToString([]byte(c.body)),
-		Timeout: time.Duration(c.route.TimeoutMS) * time.Millisecond,
+		Timeout: time.Duration(c.route.TimeoutMS) * time.Millisecond, Key: c.key,
 	}
 }
 
 // sendOnce sends a request once, under a new ID, and passes the result to the checker.
 func (c *callerGroup) sendOnce(ctx context.Context, caller *simulator.Caller, random *rand.Rand, address string, what content) simulator.Answer {
 	r := what.route
+	if what.key == "" {
+		what.key = c.soak.keys.stable(random)
+	}
 	call := what.call(fmt.Sprintf("%x-%d", c.seed, c.requestCount.Add(1)))
 	sendCtx, cancel := context.WithTimeout(ctx, call.Timeout+5*time.Second)
 	defer cancel()
--- a/internal/tool/soaker/checker.go
+++ b/internal/tool/soaker/checker.go
@@ -57,6 +57,13 @@
 	SentOn Promise = "SentOn"
 	// Denied means that requests that end no targets were refused for good.
 	Denied Promise = "Denied"
+	// KeyShown means that a target was sent the key of an account.
+	KeyShown Promise = "KeyShown"
+	// KeyIgnored means that a request ran for another account than that of its key, or with a key
+	// that is unknown or had long been revoked.
+	KeyIgnored Promise = "KeyIgnored"
+	// KeyDenied means that a key was refused for good that all manifests have.
+	KeyDenied Promise = "KeyDenied"
 	// OwnEnd means that an instance exited without being asked to, or failed to start.
 	OwnEnd Promise = "OwnEnd"
 )
@@ -121,6 +128,8 @@
 // violations. The zero value is not usable; see NewChecker.
 type Checker struct {
 	now func() time.Time
+	// keys holds the keys of the accounts; nil without accounts.
+	keys *keyRing
 
 	mu            sync.Mutex
 	sentRequest   map[string]*sentRequest
@@ -197,6 +206,7 @@
 		c.add(WrongRoute, "%s %s %s ran as %s %s at %s", run.Request, s.call.Method, s.call.Path, run.Method, run.Path, run.Service)
 	}
 	c.checkLeave(s, run)
+	c.checkAccount(s, run)
 	if at, ok := c.leftAt[run.Target]; ok && run.Began.After(at.Add(drainTimeout)) {
 		c.add(AfterDrain, "%s received %s %v after it had left", run.Target, run.Request, run.Began.Sub(at))
 	}
@@ -278,9 +288,19 @@
 	s := c.sentRequest[call.ID]
 	isFromInstance := a.Stamp == ""
 	c.noteLeave(s, a)
-	c.noteDenial(s, a)
+	isAllowed := c.keys.isStable(call.Key)
+	if isAllowed {
+		c.noteDenial(s, a)
+	}
 	switch {
 	case a.Err != nil:
+	case isFromInstance && a.Status == http.StatusUnauthorized:
+		if len(s.runs) > 0 {
+			c.add(RefusalLied, "%s was refused with %d and ran at %s", call.ID, a.Status, s.runs[0].Target)
+		}
+		if c.keys != nil && isAllowed {
+			c.add(KeyDenied, "%s was refused with the key %s", call.ID, call.Key)
+		}
 	case isFromInstance && isRefusal(a.Status):
 		s.refused = true
 		if s.isAtMostOnce && len(s.runs) > 0 {
@@ -297,7 +317,7 @@
 	}
 	isBroken := a.Err != nil || (isFromInstance && a.Status == http.StatusBadGateway)
 	s.isUnanswered = isUndisturbed && isBroken && took < call.Timeout-answerSlack
-	if isAfterRecovery {
+	if isAfterRecovery && isAllowed {
 		c.sentAfterRecovery++
 		if a.Err == nil && a.Status == http.StatusOK {
 			c.servedAfterRecovery++
--- a/internal/tool/soaker/soaker.go
+++ b/internal/tool/soaker/soaker.go
@@ -59,6 +59,8 @@
 	Length    time.Duration
 	Instances int
 	Callers   int
+	// HasAccounts gives the callers accounts, whose keys change.
+	HasAccounts bool
 	// Program is the path of the program under test, Directory the folder for the settings
 	// and logs of its instances.
 	Program   string
@@ -85,6 +87,7 @@
 	routes          []route
 	services        map[string]*simulator.Engine
 	checker         *Checker
+	keys            *keyRing
 	callers         *callerGroup
 	activeFaults    sync.WaitGroup
 	manifestVersion int
@@ -100,6 +103,10 @@
 // The error reports that the run itself failed.
 func Run(ctx context.Context, settings Settings) ([]Violation, error) {
 	s := &soak{settings: settings, start: time.Now(), checker: NewChecker()}
+	if settings.HasAccounts {
+		s.keys = newKeyRing()
+		s.checker.keys = s.keys
+	}
 	s.callers = &callerGroup{soak: s, seed: settings.Seed}
 	defer s.close()
 	if err := s.setUp(); err != nil {
@@ -190,7 +197,10 @@
 		routes = append(routes, r.Route)
 	}
 	routes = append(routes, more...)
-	s.store.Put(platform.ManifestTable, platform.ManifestKey, simulator.Manifest(s.manifestVersion, host, routes, s.services))
+	accounts, revoked := s.keys.next()
+	manifest := simulator.Manifest(s.manifestVersion, host, routes, s.services)
+	s.store.Put(platform.ManifestTable, platform.ManifestKey, simulator.WithAccounts(manifest, accounts))
+	revoked()
 }
 
 // changeManifest writes a new version of the manifest with other extra routes and returns
@@ -252,6 +262,9 @@
 			RetrySlack: 50, LoadWindowSeconds: 5, LocateSeconds: 2, DrainMilliseconds: float64(leaveTimeout.Milliseconds()),
 		},
 	}
+	if s.keys != nil {
+		settings.Bounds.RevokeMilliseconds = float64(revokeTime.Milliseconds())
+	}
 	if len(s.processes) > 0 {
 		settings.Seeds = []string{s.processes[0].peerAddress}
 	}
--- a/internal/tool/soaker/soaker_test.go
+++ b/internal/tool/soaker/soaker_test.go
@@ -26,11 +26,14 @@
 	out, err := exec.Command("go", "build", "-o", program, "../../../cmd/crocusring").CombinedOutput()
 	require.NoError(t, err, string(out))
 	for _, seed := range seeds {
-		found, err := Run(t.Context(), Settings{
-			Seed: seed, Length: 8 * time.Second, Instances: 3, Callers: 12, Program: program, Directory: t.TempDir(), Out: io.Discard,
-		})
-		require.NoError(t, err)
-		assert.Empty(t, found, "seed %d", seed)
+		for _, hasAccounts := range []bool{false, true} {
+			found, err := Run(t.Context(), Settings{
+				Seed: seed, Length: 8 * time.Second, Instances: 3, Callers: 12, Program: program, Directory: t.TempDir(), Out: io.Discard,
+				HasAccounts: hasAccounts,
+			})
+			require.NoError(t, err)
+			assert.Empty(t, found, "seed %d, with accounts: %t", seed, hasAccounts)
+		}
 	}
 }
 
