Count and log refusals for keys; name the holder of a shared key

Change: metrics for requests refused for their key, for proofs that the store itself confirmed and for manifests read from peers; a log line when an instance begins or ceases to accept keys. Of two accounts with one key, the first by name holds it on all instances.

Measured: TestKeyOfTwoAccounts fails without the change; the packages pass.

--- a/internal/gateway/conductor/account.go
+++ b/internal/gateway/conductor/account.go
@@ -21,6 +21,12 @@
 	return func(c *Conductor) { c.authenticator.IsConfirmed = isConfirmed }
 }
 
+// WithAccountObserver sets the function that is called for each request that is refused for its key;
+// reason is an error of the authenticator.
+func WithAccountObserver(refused func(reason error)) Option {
+	return func(c *Conductor) { c.accountRefused = refused }
+}
+
 // sender is whom a request is sent for. The fields are those of request.
 type sender struct {
 	account     *registrar.Account
@@ -38,7 +44,7 @@
 	var err error
 	out.account, err = c.authenticator.Check(route.IsPublic, out.credential)
 	if err != nil {
-		return out, accountRefusal(r.Header.Get(c.headers.RequestID), err)
+		return out, c.accountRefusal(r.Header.Get(c.headers.RequestID), err)
 	}
 	return out, nil
 }
@@ -92,7 +98,8 @@
 }
 
 // accountRefusal returns the refusal of a request for an error of the authenticator.
-func accountRefusal(id string, cause error) *Refusal {
+func (c *Conductor) accountRefusal(id string, cause error) *Refusal {
+	c.accountRefused(cause)
 	if errors.Is(cause, authenticator.ErrUnknownKey) {
 		return &Refusal{Status: http.StatusUnauthorized, Reason: cause.Error()}
 	}
--- a/internal/gateway/conductor/account_cost_test.go
+++ b/internal/gateway/conductor/account_cost_test.go
@@ -57,3 +57,19 @@
 		_ = c.checkAccount(q)
 	}
 }
+
+// TestRankOfAccountGoesFirst guards against a route that puts the requests of an account before those
+// of a more urgent one.
+func TestRankOfAccountGoesFirst(t *testing.T) {
+	ranks := []int{}
+	for priority := range 4 {
+		for route := range 3 {
+			ranks = append(ranks, rankOf(&registrar.Account{Priority: priority}, &registrar.Route{Priority: route}))
+		}
+	}
+	assert.IsNonDecreasing(t, ranks)
+	assert.Equal(t, 0, ranks[0])
+	assert.LessOrEqual(t, ranks[len(ranks)-1], maxRank)
+	assert.Less(t, rankOf(&registrar.Account{Priority: 0}, &registrar.Route{Priority: 7}), rankOf(&registrar.Account{Priority: 1}, &registrar.Route{}))
+	assert.Equal(t, 4, rankOf(nil, &registrar.Route{Priority: 4}), "without accounts the route alone counts")
+}
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -76,6 +76,8 @@
 	acquirePermit func(ctx context.Context, target *registrar.Target) error
 	quarantine    Quarantine
 	authenticator authenticator.Authenticator
+	// accountRefused is called for each request that is refused for its key.
+	accountRefused func(reason error)
 	// requestEnd is called when a request that was accepted ends.
 	requestEnd func(measurer.Request)
 	// answerEnd is called when an answer of a target that ran its request has ended.
@@ -147,6 +149,7 @@
 		timeUntilServed:  func(context.Context, string, string) (time.Duration, error) { return 0, balancer.ErrNoModel },
 		servingEstimates: estimateCache{byModel: map[modelKey]*servingEstimate{}},
 		authenticator:    authenticator.Authenticator{View: registry.View, IsConfirmed: func() bool { return true }},
+		accountRefused:   func(error) {},
 	}
 	for _, option := range options {
 		option(c)
--- a/internal/gateway/conductor/refusal.go
+++ b/internal/gateway/conductor/refusal.go
@@ -104,15 +104,15 @@
 		c.answer(r.writer, q.id, http.StatusBadGateway, "target failed; the request may have run", 0)
 	default:
 		q.outcome = measurer.Refused
-		c.refuse(r.writer, q.id, q.refusalFor(cause), "route", q.route.Name, "service", q.service, "model", q.demand.Model, "adapter", q.demand.Adapter,
+		c.refuse(r.writer, q.id, c.refusalFor(q, cause), "route", q.route.Name, "service", q.service, "model", q.demand.Model, "adapter", q.demand.Adapter,
 			"waitedMilliseconds", c.now().Sub(q.arrived).Milliseconds())
 	}
 }
 
 // refusalFor returns the refusal of a request that was not run, for a cause.
-func (q *request) refusalFor(cause error) *Refusal {
+func (c *Conductor) refusalFor(q *request, cause error) *Refusal {
 	if isAccountError(cause) {
-		return accountRefusal(q.id, cause)
+		return c.accountRefusal(q.id, cause)
 	}
 	return &Refusal{Status: http.StatusServiceUnavailable, Reason: cause.Error(), RetryAfter: q.retryDelay(cause)}
 }
--- a/internal/gateway/registrar/account.go
+++ b/internal/gateway/registrar/account.go
@@ -1,6 +1,10 @@
 package registrar
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+	"maps"
+	"slices"
+)
 
 // Unit states what the quota of an account counts.
 type Unit int
@@ -40,12 +44,16 @@
 // HasAccounts reports whether requests need the key of an account.
 func (v *View) HasAccounts() bool { return v.Manifest != nil && v.Manifest.Accounts != nil }
 
-// indexAccounts returns the accounts by key.
+// indexAccounts returns the accounts by key. Of two accounts with the same key the first one by name
+// holds it, on all instances.
 func indexAccounts(m *Manifest) map[KeyDigest]*Account {
 	index := map[KeyDigest]*Account{}
-	for _, account := range m.Accounts {
+	for _, name := range slices.Sorted(maps.Keys(m.Accounts)) {
+		account := m.Accounts[name]
 		for _, key := range account.Keys {
-			index[key] = account
+			if index[key] == nil {
+				index[key] = account
+			}
 		}
 	}
 	return index
--- a/internal/gateway/registrar/registrar_test.go
+++ b/internal/gateway/registrar/registrar_test.go
@@ -97,3 +97,17 @@
 		assert.NotNil(t, r.View().Targets["odd"])
 	})
 }
+
+// TestKeyOfTwoAccounts guards against instances that attribute a request to different accounts.
+func TestKeyOfTwoAccounts(t *testing.T) {
+	key := registrar.DigestKey("shared")
+	accounts := map[string]*registrar.Account{}
+	for _, name := range []string{"c", "a", "b", "d"} {
+		accounts[name] = &registrar.Account{Name: name, Keys: []registrar.KeyDigest{key}}
+	}
+	for range 20 {
+		r := registrar.New()
+		r.SetManifest(&registrar.Manifest{Version: 1, Accounts: accounts})
+		assert.Equal(t, "a", r.View().AccountOf(key).Name)
+	}
+}
--- a/internal/gateway/supervisor/accounts.go
+++ b/internal/gateway/supervisor/accounts.go
@@ -5,9 +5,13 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"github.com/crocusring/crocusring/internal/gateway/authenticator"
 	"github.com/crocusring/crocusring/internal/gateway/confirmer"
 	"github.com/crocusring/crocusring/internal/gateway/follower"
 	"github.com/crocusring/crocusring/internal/gateway/informer"
+	"github.com/crocusring/crocusring/internal/state/measurer"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
@@ -82,6 +86,15 @@
 	return s.registry.View().HasAccounts() && !s.isConfirmed()
 }
 
+// countAccountRefusal counts a request that was refused for its key.
+func (s *Supervisor) countAccountRefusal(reason error) {
+	event := measurer.AccountUnknownKey
+	if errors.Is(reason, authenticator.ErrUnconfirmed) {
+		event = measurer.AccountUnconfirmed
+	}
+	s.measurer.CountEvent(event, 1)
+}
+
 // proof returns the proof to pass on to peers.
 func (s *Supervisor) proof() messenger.GatewayProof {
 	proof := s.confirmer.Proof()
@@ -112,6 +125,7 @@
 	}
 	go func() {
 		defer s.proofFetches.end(status.Instance)
+		s.measurer.CountEvent(measurer.AccountFetches, 1)
 		snapshot, err := s.fetchTable(status.PeerAddress, s.platform.ManifestTable)
 		if err != nil {
 			s.log.Info("newer manifest not read from a peer", "peer", status.Instance, "error", err.Error())
@@ -128,12 +142,20 @@
 		return
 	}
 	var last time.Time
+	wasUnconfirmed := false
 	every(ctx, confirmInterval, func() {
+		if isUnconfirmed := s.isUnconfirmed(); isUnconfirmed != wasUnconfirmed {
+			wasUnconfirmed = isUnconfirmed
+			proof := s.confirmer.Proof()
+			s.log.Info("keys of accounts", "areChecked", !isUnconfirmed, "rowVersion", proof.Version, "provedAtStoreMilliseconds", proof.StoreMilliseconds,
+				"storeMilliseconds", s.latestStoreTime())
+		}
 		isDue := s.isProofOld() || (time.Since(last) >= maxConfirmInterval && s.isClockUncertain())
 		if !s.registry.View().HasAccounts() || !isDue {
 			return
 		}
 		last = time.Now()
+		s.measurer.CountEvent(measurer.AccountDirectProofs, 1)
 		if err := s.manifests.Confirm(s.platform.Follow, s.platform.Read); err != nil {
 			s.log.V(1).Info("manifest not confirmed by the store", "error", err.Error())
 		}
--- a/internal/state/measurer/event.go
+++ b/internal/state/measurer/event.go
@@ -25,11 +25,20 @@
 	QuarantineRefused     Event = "Quarantine.Refused"
 	// QuarantineRefusedForPart counts those that were refused for a part of their prompts.
 	QuarantineRefusedForPart Event = "Quarantine.RefusedForPart"
+	// AccountUnknownKey counts requests that were refused since no account holds their key, and
+	// AccountUnconfirmed those that were refused since keys could not be checked.
+	AccountUnknownKey  Event = "Account.UnknownKey"
+	AccountUnconfirmed Event = "Account.Unconfirmed"
+	// AccountDirectProofs counts the calls by which this instance had the store itself confirm an
+	// old proof, and AccountFetches the manifests that it read from a peer with a newer one.
+	AccountDirectProofs Event = "Account.DirectProofs"
+	AccountFetches      Event = "Account.Fetches"
 )
 
 var events = []Event{
 	CutTargetEnded, CutTargetPresent, CutTargetUnknown, CutTargetLeaving, CutUnanswered,
 	QuarantineSuspects, QuarantineConvictions, QuarantineTakenBack, QuarantineRefused, QuarantineRefusedForPart,
+	AccountUnknownKey, AccountUnconfirmed, AccountDirectProofs, AccountFetches,
 }
 
 // registerEvents registers the counters of all events, so that they are shown before the first.
