--- a/internal/tool/soaker/callers.go
+++ b/internal/tool/soaker/callers.go
@@ -130,9 +130,6 @@
 // sendOnce sends a request once, under a new ID, and passes the result to the checker.
 func (c *callerGroup) sendOnce(ctx context.Context, caller *simulator.Caller, random *rand.Rand, address string, what content) simulator.Answer {
 	r := what.route
-	if what.key == "" {
-		what.key = c.soak.keys.stable(random)
-	}
 	call := what.call(fmt.Sprintf("%x-%d", c.seed, c.requestCount.Add(1)))
 	sendCtx, cancel := context.WithTimeout(ctx, call.Timeout+5*time.Second)
 	defer cancel()
--- a/internal/tool/soaker/crashing.go
+++ b/internal/tool/soaker/crashing.go
@@ -38,7 +38,7 @@
 // newContentCrash returns requests of one content.
 func (s *soak) newContentCrash(random *rand.Rand) crash {
 	r := pick(random, s.routes)
-	bad := content{route: r, body: fmt.Sprintf("ends targets %x", random.Uint64()), parts: soundParts(random), endsTargets: true}
+	bad := content{route: r, body: fmt.Sprintf("ends targets %x", random.Uint64()), parts: soundParts(random), endsTargets: true, key: s.keys.stable(random)}
 	if len(r.models) > 0 {
 		bad.model = pick(random, r.models)
 	}
@@ -58,7 +58,7 @@
 		request: func(random *rand.Rand) content {
 			return content{
 				route: r, model: pick(random, r.models), body: fmt.Sprint(random.Uint64()),
-				parts: append(soundParts(random), part), endsTargets: true,
+				parts: append(soundParts(random), part), endsTargets: true, key: s.keys.stable(random),
 			}
 		},
 		begin: func(t *simulator.Target) { t.CrashOnPart(part, point) }, stop: func(t *simulator.Target) { t.StopCrashingOnPart(part) },
