Refuse a key for good only while its manifest must be known

What callers saw: where the store was away for 3 to 5 s, a key that a new manifest had added in time could get 401, after which callers do not retry.

Cause: any proof younger than the bound of revocation counted as recent.

Change: 401 needs a proof that is younger than 3 s as well; otherwise 503. Reads of newer manifests from peers are bounded over all peers, not for each one.

Measured: TestProofExpires and TestCheck fail without the rule.

--- a/internal/gateway/authenticator/authenticator.go
+++ b/internal/gateway/authenticator/authenticator.go
@@ -12,7 +12,7 @@
 	// ErrUnknownKey reports that a request has no key of an account although it needs one, or that
 	// it has one that no account holds.
 	ErrUnknownKey = errors.New("unknown or missing key")
-	// ErrUnconfirmed reports that it is not known whether a key still holds.
+	// ErrUnconfirmed reports that it is not known whether a key holds, still or already.
 	ErrUnconfirmed = errors.New("keys cannot be checked now")
 )
 
@@ -28,8 +28,9 @@
 type Authenticator struct {
 	// View returns the current tables.
 	View func() *registrar.View
-	// IsConfirmed reports whether the manifest is known to be current enough to act on keys.
-	IsConfirmed func() bool
+	// Currency reports whether the manifest is known to be current enough to act on keys, and to
+	// call a key unknown.
+	Currency func() (isConfirmed, isRecent bool)
 }
 
 // IsNeeded reports whether requests are sent for accounts.
@@ -41,13 +42,16 @@
 	if !a.IsNeeded() || (isPublic && !credential.IsPresent) {
 		return nil, nil
 	}
-	if !a.IsConfirmed() {
-		return nil, ErrUnconfirmed
-	}
+	isConfirmed, isRecent := a.Currency()
 	// The view is read after the proof, so that it is at least as new as the proof says.
 	account := a.View().AccountOf(credential.Digest)
-	if account == nil || !credential.IsPresent {
+	isKnown := account != nil && credential.IsPresent
+	switch {
+	case isKnown && isConfirmed:
+		return account, nil
+	case !isKnown && isRecent:
 		return nil, ErrUnknownKey
+	default:
+		return nil, ErrUnconfirmed
 	}
-	return account, nil
 }
--- a/internal/gateway/authenticator/authenticator_bench_test.go
+++ b/internal/gateway/authenticator/authenticator_bench_test.go
@@ -26,9 +26,9 @@
 	proof := confirmer.New(time.Hour)
 	proof.SetApplied(1)
 	proof.Confirm(1000, 1001)
-	a := authenticator.Authenticator{View: registry.View, IsConfirmed: func() bool {
+	a := authenticator.Authenticator{View: registry.View, Currency: func() (bool, bool) {
 		_, latest, _ := clock.Bounds(timekeeper.BootTime())
-		return proof.IsCurrent(latest)
+		return proof.Currency(latest)
 	}}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/gateway/authenticator/authenticator_test.go
+++ b/internal/gateway/authenticator/authenticator_test.go
@@ -34,6 +34,7 @@
 		name          string
 		isPublic      bool
 		isUnconfirmed bool
+		isNotRecent   bool
 		credential    authenticator.Credential
 		account       string
 		err           error
@@ -42,6 +43,8 @@
 		{name: "unknown", credential: named("other"), err: authenticator.ErrUnknownKey},
 		{name: "unreadable", credential: authenticator.Credential{IsPresent: true}, err: authenticator.ErrUnknownKey},
 		{name: "missing", err: authenticator.ErrUnknownKey},
+		{name: "known, in a manifest of a while ago", isNotRecent: true, credential: named("key"), account: "a"},
+		{name: "unknown, in a manifest of a while ago", isNotRecent: true, credential: named("other"), err: authenticator.ErrUnconfirmed},
 		{name: "public and missing", isPublic: true},
 		{name: "public and unknown", isPublic: true, credential: named("other"), err: authenticator.ErrUnknownKey},
 		{name: "public and known", isPublic: true, credential: named("key"), account: "a"},
@@ -52,7 +55,7 @@
 		{name: "unconfirmed, public and known", isUnconfirmed: true, isPublic: true, credential: named("key"), err: authenticator.ErrUnconfirmed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			a := authenticator.Authenticator{View: registry.View, IsConfirmed: func() bool { return !c.isUnconfirmed }}
+			a := authenticator.Authenticator{View: registry.View, Currency: func() (bool, bool) { return !c.isUnconfirmed, !c.isUnconfirmed && !c.isNotRecent }}
 			account, err := a.Check(c.isPublic, c.credential)
 			require.ErrorIs(t, err, c.err)
 			if c.account == "" {
@@ -69,9 +72,9 @@
 // while the proof for the new one arrived.
 func TestManifestIsReadAfterProof(t *testing.T) {
 	registry := newRegistry(1, "key")
-	a := authenticator.Authenticator{View: registry.View, IsConfirmed: func() bool {
+	a := authenticator.Authenticator{View: registry.View, Currency: func() (bool, bool) {
 		setKeys(registry, 2, "other")
-		return true
+		return true, true
 	}}
 	_, err := a.Check(false, named("key"))
 	assert.ErrorIs(t, err, authenticator.ErrUnknownKey)
@@ -80,7 +83,7 @@
 func TestWithoutAccountsNothingIsChecked(t *testing.T) {
 	registry := registrar.New()
 	registry.SetManifest(&registrar.Manifest{Version: 1})
-	a := authenticator.Authenticator{View: registry.View, IsConfirmed: func() bool { return false }}
+	a := authenticator.Authenticator{View: registry.View, Currency: func() (bool, bool) { return false, false }}
 	account, err := a.Check(false, authenticator.Credential{})
 	require.NoError(t, err)
 	assert.Nil(t, account)
--- a/internal/gateway/conductor/account.go
+++ b/internal/gateway/conductor/account.go
@@ -15,10 +15,10 @@
 // half of it is added, so that they do not return at the same time.
 const unconfirmedRetryDelay = time.Second
 
-// WithConfirmation sets the function that reports whether the manifest is known to be current
-// enough to act on the keys of accounts. By default it is.
-func WithConfirmation(isConfirmed func() bool) Option {
-	return func(c *Conductor) { c.authenticator.IsConfirmed = isConfirmed }
+// WithCurrency sets the function that reports whether the manifest is known to be current enough to
+// act on the keys of accounts, and to call a key unknown. By default it is.
+func WithCurrency(currency func() (isConfirmed, isRecent bool)) Option {
+	return func(c *Conductor) { c.authenticator.Currency = currency }
 }
 
 // WithAccountObserver sets the function that is called for each request that is refused for its key;
--- a/internal/gateway/conductor/account_test.go
+++ b/internal/gateway/conductor/account_test.go
@@ -53,7 +53,10 @@
 			table[id] = &registrar.Target{ID: id, Service: "s", Address: x.address, Slots: 4}
 		}
 	})
-	options = append(options, conductor.WithConfirmation(func() bool { return !a.isUnconfirmed.Load() }))
+	options = append(options, conductor.WithCurrency(func() (bool, bool) {
+		isConfirmed := !a.isUnconfirmed.Load()
+		return isConfirmed, isConfirmed
+	}))
 	a.server = httptest.NewUnstartedServer(conductor.New(headers, a.registry, balancer.New(), newBudget(), options...))
 	a.server.Config.ConnContext = conductor.ConnContext
 	a.server.Start()
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -148,7 +148,7 @@
 		ensureAdapter:    func(context.Context, string, string, string) error { return balancer.ErrNoAdapter },
 		timeUntilServed:  func(context.Context, string, string) (time.Duration, error) { return 0, balancer.ErrNoModel },
 		servingEstimates: estimateCache{byModel: map[modelKey]*servingEstimate{}},
-		authenticator:    authenticator.Authenticator{View: registry.View, IsConfirmed: func() bool { return true }},
+		authenticator:    authenticator.Authenticator{View: registry.View, Currency: alwaysCurrent},
 		accountRefused:   func(error) {},
 	}
 	for _, option := range options {
@@ -157,6 +157,8 @@
 	return c
 }
 
+func alwaysCurrent() (isConfirmed, isRecent bool) { return true, true }
+
 // CloseConnections makes each answer from now on close its connection to the caller.
 func (c *Conductor) CloseConnections() { c.closing.Store(true) }
 
--- a/internal/gateway/confirmer/confirmer.go
+++ b/internal/gateway/confirmer/confirmer.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// applyTime is how long after its acknowledgement a manifest must be in force everywhere.
+const applyTime = 3 * time.Second
+
 // Proof states that Version was the newest version of the manifest's row at a time of the store's
 // clock. The zero value proves nothing.
 type Proof struct {
@@ -97,14 +100,14 @@
 // IsRequired reports whether keys may be acted on only with a proof.
 func (c *Confirmer) IsRequired() bool { return c.bound > 0 }
 
-// IsCurrent reports whether keys may be acted on. The manifest in force must be looked at after
-// this call, not before.
-func (c *Confirmer) IsCurrent(latest int64) bool {
+// Currency reports whether keys may be acted on, and whether the manifest in force has all keys of a
+// manifest that must be in force by now. The manifest must be looked at after this call, not before.
+func (c *Confirmer) Currency(latest int64) (isConfirmed, isRecent bool) {
 	if !c.IsRequired() {
-		return true
+		return true, true
 	}
 	age, ok := c.Age(latest)
-	return ok && age < c.bound
+	return ok && age < c.bound, ok && age < min(c.bound, applyTime)
 }
 
 // Age returns the greatest possible age of the proof; false if there is none.
--- a/internal/gateway/confirmer/confirmer_test.go
+++ b/internal/gateway/confirmer/confirmer_test.go
@@ -18,23 +18,36 @@
 	return c
 }
 
+func isConfirmed(c *confirmer.Confirmer, latest int64) bool {
+	out, _ := c.Currency(latest)
+	return out
+}
+
+func isRecent(c *confirmer.Confirmer, latest int64) bool {
+	_, out := c.Currency(latest)
+	return out
+}
+
 func TestProofExpires(t *testing.T) {
 	c := newApplied()
-	assert.True(t, c.IsCurrent(5999))
-	assert.False(t, c.IsCurrent(6000), "the bound has passed")
-	assert.False(t, c.IsCurrent(0), "without a reading of the store's clock the age of a proof is unknown")
-	assert.False(t, c.IsCurrent(900), "a proof of a time to come is of another clock")
+	assert.True(t, isConfirmed(c, 5999))
+	assert.True(t, isRecent(c, 3999))
+	assert.False(t, isRecent(c, 4000), "a manifest with another key must be in force 3 s after its acknowledgement")
+	assert.False(t, isConfirmed(c, 6000), "the bound has passed")
+	assert.False(t, isConfirmed(c, 0), "without a reading of the store's clock the age of a proof is unknown")
+	assert.False(t, isConfirmed(c, 900), "a proof of a time to come is of another clock")
 }
 
 func TestNoProofIsRequiredWithoutBound(t *testing.T) {
-	assert.True(t, confirmer.New(0).IsCurrent(0))
+	assert.True(t, isConfirmed(confirmer.New(0), 0))
+	assert.True(t, isRecent(confirmer.New(0), 0))
 }
 
 func TestProofsOfTheStore(t *testing.T) {
 	t.Run("without a manifest nothing is proved", func(t *testing.T) {
 		c := confirmer.New(5 * time.Second)
 		c.Confirm(1000, 1001)
-		assert.False(t, c.IsCurrent(1001))
+		assert.False(t, isConfirmed(c, 1001))
 		assert.Equal(t, confirmer.Proof{}, c.Proof())
 	})
 	t.Run("a manifest that cannot be read proves nothing of the one in force", func(t *testing.T) {
--- a/internal/gateway/confirmer/history_test.go
+++ b/internal/gateway/confirmer/history_test.go
@@ -68,7 +68,7 @@
 	if view.AccountOf(registrar.DigestKey(key)) == nil {
 		return authenticator.ErrUnknownKey
 	}
-	if !n.check.IsConfirmed() {
+	if isConfirmed, _ := n.check.Currency(); !isConfirmed {
 		return authenticator.ErrUnconfirmed
 	}
 	return nil
@@ -82,15 +82,15 @@
 	}
 }
 
-// judgeRefusal records the refusal of a key that has been in the manifest for longer than any
-// manifest counts as recent.
+// judgeRefusal records a refusal, and fails if it is final for a key of a manifest that must be in
+// force.
 func (w *world) judgeRefusal(n *node, key string, err error) {
 	if err != nil {
 		w.refused++
 	}
-	if w.plant == noPlant && errors.Is(err, authenticator.ErrUnknownKey) && w.hasKeySince(key, w.Now().Add(-bound)) {
+	if w.plant == noPlant && errors.Is(err, authenticator.ErrUnknownKey) && w.hasKeySince(key, w.Now().Add(-applyTime)) {
 		w.fail("%s is unknown at node %d at %s, in the manifest for %s, proof %+v, manifest %d",
-			key, n.index, w.Now().Sub(w.began), bound, n.confirmer.Proof(), n.registry.View().Manifest.Version)
+			key, n.index, w.Now().Sub(w.began), applyTime, n.confirmer.Proof(), n.registry.View().Manifest.Version)
 	}
 }
 
@@ -171,7 +171,8 @@
 
 // TestRevokedKeysDoNotRun guards against requests that run although they were sent later than the
 // bound after a manifest removed their key, in whatever state the instances, the store and the
-// network are; against keys that are refused for good although they are in the manifest; and
+// network are; against keys that are refused for good although they are in a manifest that must be in
+// force; and
 // against instances that do not serve keys again after a disturbance.
 func TestRevokedKeysDoNotRun(t *testing.T) {
 	served, refused := 0, 0
--- a/internal/gateway/confirmer/history_world_test.go
+++ b/internal/gateway/confirmer/history_world_test.go
@@ -18,6 +18,7 @@
 
 const (
 	bound          = 5 * time.Second
+	applyTime      = 3 * time.Second
 	historyLength  = 30 * time.Second
 	healTime       = 8 * time.Second
 	statusInterval = 400 * time.Millisecond
@@ -193,7 +194,9 @@
 		n.reader = 0
 	}
 	n.clock, n.confirmer, n.registry = confirmer.Clock{}, confirmer.New(bound), registrar.New()
-	n.check = authenticator.Authenticator{View: n.registry.View, IsConfirmed: func() bool { return n.confirmer.IsCurrent(w.latest(n)) }}
+	n.check = authenticator.Authenticator{
+		View: n.registry.View, Currency: func() (bool, bool) { return n.confirmer.Currency(w.latest(n)) },
+	}
 	registry, c := n.registry, n.confirmer
 	n.follower = follower.New(tableName, follower.Source{}, func(rows []messenger.StoreRow, _ []string) {
 		for _, row := range rows {
--- a/internal/gateway/supervisor/accounts.go
+++ b/internal/gateway/supervisor/accounts.go
@@ -29,9 +29,12 @@
 	// maxClockMilliseconds is the uncertainty of the store's clock, in milliseconds, from which its
 	// reading is renewed. It counts in full against each proof.
 	maxClockMilliseconds = 60
-	// fetchInterval is the time between two reads of a manifest from a peer whose proof is for a
-	// newer one. It bounds the reads for a peer that names a version which does not exist.
-	fetchInterval = 200 * time.Millisecond
+	// fetchInterval is the time between two reads of the manifest from peers whose proofs are for a
+	// newer one, and peerFetchInterval that for a peer that did not send what it has named: there
+	// may be no such version. maxFetches is the number of reads at once: one may hang.
+	fetchInterval     = 100 * time.Millisecond
+	peerFetchInterval = time.Second
+	maxFetches        = 2
 )
 
 // withProofs returns the option by which the follower of the manifest passes proofs on. Where a
@@ -76,14 +79,22 @@
 	return latest
 }
 
-// isConfirmed reports whether keys may be acted on.
-func (s *Supervisor) isConfirmed() bool {
-	return !s.confirmer.IsRequired() || s.confirmer.IsCurrent(s.latestStoreTime())
+// currency reports whether keys may be acted on, and whether a key that the manifest does not have
+// may be called unknown.
+func (s *Supervisor) currency() (isConfirmed, isRecent bool) {
+	if !s.confirmer.IsRequired() {
+		return true, true
+	}
+	return s.confirmer.Currency(s.latestStoreTime())
 }
 
 // isUnconfirmed reports whether this instance refuses requests with a key.
 func (s *Supervisor) isUnconfirmed() bool {
-	return s.registry.View().HasAccounts() && !s.isConfirmed()
+	if !s.registry.View().HasAccounts() {
+		return false
+	}
+	isConfirmed, _ := s.currency()
+	return !isConfirmed
 }
 
 // countAccountRefusal counts a request that was refused for its key.
@@ -124,7 +135,8 @@
 		return
 	}
 	go func() {
-		defer s.proofFetches.end(status.Instance)
+		hasBrought := false
+		defer func() { s.proofFetches.end(status.Instance, hasBrought) }()
 		s.measurer.CountEvent(measurer.AccountFetches, 1)
 		snapshot, err := s.fetchTable(status.PeerAddress, s.platform.ManifestTable)
 		if err != nil {
@@ -132,6 +144,7 @@
 			return
 		}
 		s.manifests.Adopt(snapshot)
+		hasBrought = !s.confirmer.Receive(proof, s.latestStoreTime())
 	}()
 }
 
@@ -187,33 +200,38 @@
 	return isListed && !isUnconfirmed, confirmed
 }
 
-// proofFetches are the reads of manifests from peers: one at a time from each peer, and not more
-// often than fetchInterval.
+// proofFetches are the reads of manifests from peers: one at a time from each peer, maxFetches from
+// all, and not more often than their intervals.
 type proofFetches struct {
 	mu sync.Mutex
-	// due holds when the manifest may be read from a peer again, and running whether it is being
-	// read.
-	due     map[string]time.Time
+	// due is when the manifest may be read again, dueOf the same for each peer, and running holds
+	// the peers that it is being read from.
+	due     time.Time
+	dueOf   map[string]time.Time
 	running map[string]bool
 }
 
 func newProofFetches() *proofFetches {
-	return &proofFetches{due: map[string]time.Time{}, running: map[string]bool{}}
+	return &proofFetches{dueOf: map[string]time.Time{}, running: map[string]bool{}}
 }
 
 // begin reports whether the manifest may be read from a peer now; end must be called then.
 func (p *proofFetches) begin(peer string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.running[peer] || now.Before(p.due[peer]) {
+	if p.running[peer] || len(p.running) >= maxFetches || now.Before(p.due) || now.Before(p.dueOf[peer]) {
 		return false
 	}
-	p.running[peer], p.due[peer] = true, now.Add(fetchInterval)
+	p.running[peer], p.due, p.dueOf[peer] = true, now.Add(fetchInterval), now.Add(peerFetchInterval)
 	return true
 }
 
-func (p *proofFetches) end(peer string) {
+// end records the end of a read. hasBrought reports that it brought the version that the peer named.
+func (p *proofFetches) end(peer string, hasBrought bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.running, peer)
+	if hasBrought {
+		delete(p.dueOf, peer)
+	}
 }
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -146,7 +146,7 @@
 		conductor.WithDemandObservers(s.countDemand, s.countWaiting), conductor.WithStreamObserver(s.countStream),
 		conductor.WithRequestObserver(s.measurer.Observe), conductor.WithAnswerObserver(s.measurer.CountAnswer),
 		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()),
-		conductor.WithConfirmation(s.isConfirmed), conductor.WithAccountObserver(s.countAccountRefusal))
+		conductor.WithCurrency(s.currency), conductor.WithAccountObserver(s.countAccountRefusal))
 	s.prober = prober.New(s.conductor.Probe)
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
