Count prompts with the speed of their target

Instances now send their measurements to the peers of their data centre with the changes of load, and each estimates a factor for the model and one for the target. The placer counts the slots of a target by the same factor.

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -65,10 +65,8 @@
 	loads    map[string]*localLoad
 	peers    map[string]*peerLoad
 	overlays map[overlayKey]overlay
-	// prefillMillis holds the estimated time to read one prompt token (prefill), in
-	// milliseconds, by model.
-	prefillMillis map[string]float64
-	sequence      int64
+	speeds   speeds
+	sequence int64
 	// freed is closed and replaced when capacity may have become free and a Pick has failed
 	// since the last time; hasWaiters records such a failure.
 	freed      chan struct{}
@@ -132,7 +130,7 @@
 func New(options ...Option) *Balancer {
 	b := &Balancer{
 		now: time.Now, random: rand.Uint64, loads: map[string]*localLoad{}, peers: map[string]*peerLoad{}, overlays: map[overlayKey]overlay{},
-		prefillMillis: map[string]float64{}, freed: make(chan struct{}), onLoadChanged: func(string) {},
+		speeds: newSpeeds(), freed: make(chan struct{}), onLoadChanged: func(string) {},
 		blockedFor: func(string) time.Duration { return 0 },
 	}
 	for _, option := range options {
@@ -162,7 +160,7 @@
 		return nil, full
 	}
 	ticket := &Ticket{
-		Target: best, balancer: b, request: r, chosenAt: now, pending: b.millisPerToken(r.Model) * float64(r.PromptTokens),
+		Target: best, balancer: b, request: r, chosenAt: now, pending: b.speeds.at(best.ID, r.Model) * float64(r.PromptTokens),
 		foundNonePending: b.totalLoad(best.ID, now).Pending == 0,
 	}
 	l := b.localLoad(best.ID)
@@ -266,6 +264,11 @@
 			delete(b.loads, id)
 		}
 	}
+	for id := range b.speeds.targets {
+		if view.Targets[id] == nil {
+			delete(b.speeds.targets, id)
+		}
+	}
 	for key, o := range b.overlays {
 		if !o.isCurrent(now) {
 			delete(b.overlays, key)
--- a/internal/gateway/balancer/choice.go
+++ b/internal/gateway/balancer/choice.go
@@ -153,7 +153,7 @@
 		}
 		return share*penalty + surcharge
 	}
-	readMillis := b.millisPerToken(r.Model) * float64(r.PromptTokens)
+	readMillis := b.speeds.at(t.ID, r.Model) * float64(r.PromptTokens)
 	isCrowded := totalLoad.Pending > 0 && r.MaxEventGapMilliseconds > 0 && totalLoad.Pending+readMillis > maxPendingGapShare*r.MaxEventGapMilliseconds
 	switch {
 	case totalLoad.InFlight >= slots+int(engineQueueShare*float64(slots)):
--- a/internal/gateway/balancer/health.go
+++ b/internal/gateway/balancer/health.go
@@ -232,7 +232,7 @@
 	delete(l.unanswered, t)
 	t.allowMoreReturns(l)
 	if t.foundNonePending {
-		b.learnPrefillTime(t.request.Model, t.request.PromptTokens, t.timeToFirstByte)
+		b.learnReadTime(t.Target.ID, t.request.Model, t.request.PromptTokens, t.timeToFirstByte)
 	}
 	t.releasePending()
 }
--- a/internal/gateway/balancer/load.go
+++ b/internal/gateway/balancer/load.go
@@ -5,19 +5,6 @@
 	"time"
 )
 
-const (
-	// defaultPrefillMillis is the assumed time to read one prompt token (prefill) until
-	// there is a measurement, in milliseconds.
-	defaultPrefillMillis = 0.05
-	// prefillSampleWeight is the weight of one measurement in the moving average of the
-	// time to read a prompt token.
-	prefillSampleWeight = 0.1
-	// minPrefillMillis and maxPrefillMillis limit the value of one measurement, in
-	// milliseconds per token.
-	minPrefillMillis = 0.002
-	maxPrefillMillis = 0.5
-)
-
 // Load is the load that one or more instances put on a target.
 type Load struct {
 	// InFlight is the number of requests in flight.
@@ -150,34 +137,6 @@
 	return sum
 }
 
-// millisPerToken returns the estimated time to read one prompt token for a model, in
-// milliseconds.
-func (b *Balancer) millisPerToken(model string) float64 {
-	if millisPerToken, ok := b.prefillMillis[model]; ok {
-		return millisPerToken
-	}
-	return defaultPrefillMillis
-}
-
-// ReadTime returns the estimated time that a target takes to read a prompt for a model.
-func (b *Balancer) ReadTime(model string, prompt int) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return time.Duration(b.millisPerToken(model) * float64(prompt) * float64(time.Millisecond))
-}
-
-// learnPrefillTime updates the estimate for a model from the time to the first byte of a
-// request that found no prompts pending at its target.
-func (b *Balancer) learnPrefillTime(model string, prompt int, timeToFirstByte time.Duration) {
-	if prompt <= 0 {
-		return
-	}
-	measured := float64(timeToFirstByte.Microseconds()) / 1000 / float64(prompt)
-	measured = min(max(measured, minPrefillMillis), maxPrefillMillis)
-	millisPerToken := b.millisPerToken(model)
-	b.prefillMillis[model] = millisPerToken + prefillSampleWeight*(measured-millisPerToken)
-}
-
 // notifyWaiters wakes the callers that wait on the channel of CapacityFreed. The lock must be
 // held.
 func (b *Balancer) notifyWaiters() {
--- /dev/null
+++ b/internal/gateway/balancer/speed.go
@@ -0,0 +1,155 @@
+package balancer
+
+import (
+	"math"
+	"time"
+)
+
+// The load pattern that this file answers: targets of one service differ in speed several
+// times, and each of many instances sends a target too few requests to notice. A prompt that is
+// sent to a slow target then takes far longer than it was counted with, and the running
+// streams there pause beyond their goal while faster targets idle.
+
+const (
+	// defaultPrefillMillis is the assumed time to read one prompt token (prefill) until
+	// there is a measurement, in milliseconds.
+	defaultPrefillMillis = 0.05
+	// minPrefillMillis and maxPrefillMillis limit the value of one measurement, in
+	// milliseconds per token.
+	minPrefillMillis = 0.002
+	maxPrefillMillis = 0.5
+	// modelSampleWeight and targetSampleWeight are the weights of one measurement in the
+	// moving averages for its model and for its target. The first measurements of a target
+	// weigh more, so that a slow one is noticed soon.
+	modelSampleWeight  = 0.1
+	targetSampleWeight = 0.1
+	// firstSampleDivisor is the inverse of the weight of the first measurement of a target.
+	firstSampleDivisor = 2
+	// minSlowness and maxSlowness limit how far the speed of a target is taken to differ from
+	// that of the others.
+	minSlowness = 0.25
+	maxSlowness = 4.0
+	// ignoredSlowness is the deviation from 1, as a factor, that is within the variation of
+	// the measurements of equal targets.
+	ignoredSlowness = 1.2
+	// maxReadSamples bounds the measurements that are kept for the peers.
+	maxReadSamples = 64
+)
+
+// ReadSample is a measurement of the time that a target took to read a prompt (prefill).
+type ReadSample struct {
+	Target string
+	Model  string
+	// MillisPerToken is that time for one token, in milliseconds.
+	MillisPerToken float64
+}
+
+// speeds estimates the time to read prompts from the measurements of all instances of a data
+// centre. The estimate is the product of a factor for the model and one for the target.
+type speeds struct {
+	models  map[string]float64 // milliseconds per token
+	targets map[string]targetSpeed
+	// unsent holds the own measurements that the peers have not been sent.
+	unsent []ReadSample
+}
+
+// targetSpeed is the estimate for a target.
+type targetSpeed struct {
+	// slowness is the time that the target takes relative to the others.
+	slowness float64
+	samples  int
+}
+
+func newSpeeds() speeds {
+	return speeds{models: map[string]float64{}, targets: map[string]targetSpeed{}}
+}
+
+// ofModel returns the time to read one prompt token for a model at a target of usual speed, in
+// milliseconds.
+func (s *speeds) ofModel(model string) float64 {
+	if millis, ok := s.models[model]; ok {
+		return millis
+	}
+	return defaultPrefillMillis
+}
+
+// slowness returns how long a target takes relative to the others; 1 if they do not differ
+// by more than the measurements vary.
+func (s *speeds) slowness(target string) float64 {
+	t, ok := s.targets[target]
+	if !ok || (t.slowness < ignoredSlowness && t.slowness > 1/ignoredSlowness) {
+		return 1
+	}
+	return t.slowness
+}
+
+// at returns the time to read one prompt token for a model at a target, in milliseconds.
+func (s *speeds) at(target, model string) float64 { return s.ofModel(model) * s.slowness(target) }
+
+// learn takes a measurement into account. What it differs from the estimate by is attributed
+// in part to the model and in part to the target.
+func (s *speeds) learn(sample ReadSample) {
+	if !(sample.MillisPerToken > 0) || sample.Target == "" {
+		return // reports of peers may hold anything
+	}
+	measured := min(max(sample.MillisPerToken, minPrefillMillis), maxPrefillMillis)
+	t, ok := s.targets[sample.Target]
+	if !ok {
+		t.slowness = 1
+	}
+	ratio := measured / (s.ofModel(sample.Model) * t.slowness)
+	weight := max(targetSampleWeight, 1/float64(firstSampleDivisor+t.samples))
+	s.models[sample.Model] = s.ofModel(sample.Model) * math.Pow(ratio, modelSampleWeight)
+	t.slowness = min(max(t.slowness*math.Pow(ratio, weight), minSlowness), maxSlowness)
+	t.samples++
+	s.targets[sample.Target] = t
+}
+
+// ReadTime returns the estimated time that a target of usual speed takes to read a prompt for
+// a model.
+func (b *Balancer) ReadTime(model string, prompt int) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Duration(b.speeds.ofModel(model) * float64(prompt) * float64(time.Millisecond))
+}
+
+// Slowness returns how long a target takes to read prompts relative to the others; 1 if it
+// does not differ from them.
+func (b *Balancer) Slowness(target string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.speeds.slowness(target)
+}
+
+// TakeReadSamples returns the measurements of this instance since the last call.
+func (b *Balancer) TakeReadSamples() []ReadSample {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := b.speeds.unsent
+	b.speeds.unsent = nil
+	return out
+}
+
+// LearnReads takes measurements of a peer into account.
+func (b *Balancer) LearnReads(samples []ReadSample) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, sample := range samples {
+		b.speeds.learn(sample)
+	}
+}
+
+// learnReadTime takes the time to the first byte of a request into account that found no
+// prompts pending at its target.
+func (b *Balancer) learnReadTime(target, model string, prompt int, timeToFirstByte time.Duration) {
+	if prompt <= 0 {
+		return
+	}
+	sample := ReadSample{
+		Target: target, Model: model, MillisPerToken: float64(timeToFirstByte.Microseconds()) / 1000 / float64(prompt),
+	}
+	b.speeds.learn(sample)
+	if len(b.speeds.unsent) < maxReadSamples {
+		b.speeds.unsent = append(b.speeds.unsent, sample)
+	}
+}
--- a/internal/gateway/foreman/target_state.go
+++ b/internal/gateway/foreman/target_state.go
@@ -248,7 +248,7 @@
 	out := &placer.Site{
 		Target: t, Models: map[string]bool{}, Adapters: map[string][]string{},
 		ChangingAdapters: map[placer.AdapterKey]bool{}, InFlight: f.balancer.TotalInFlight(t.ID),
-		Limit: f.calls.Limit(t),
+		Slowness: f.balancer.Slowness(t.ID), Limit: f.calls.Limit(t),
 	}
 	s := f.targetState(t)
 	for _, h := range t.Holdings {
--- a/internal/gateway/placer/placer.go
+++ b/internal/gateway/placer/placer.go
@@ -150,6 +150,15 @@
 	}
 }
 
+// capacityOf returns the slots of a target that requests may use, in slots of a target of usual
+// speed.
+func (p *plan) capacityOf(site *Site) float64 {
+	if site.Slowness <= 0 {
+		return p.slotsOf(site)
+	}
+	return p.slotsOf(site) / site.Slowness
+}
+
 // slotsOf returns the slots of a target that its limit lets requests use.
 func (p *plan) slotsOf(site *Site) float64 {
 	slots := float64(max(site.Target.Slots, 1))
@@ -192,7 +201,7 @@
 // availableSlotsAt returns the slots of a target that are available for a model that it
 // holds.
 func (p *plan) availableSlotsAt(site *Site, model string) float64 {
-	return max(p.slotsOf(site)-p.targetLoad[site.Target.ID]+p.workPerCopy(model), 0)
+	return max(p.capacityOf(site)-p.targetLoad[site.Target.ID]+p.workPerCopy(model), 0)
 }
 
 // shortfall returns the expected number of runs of a model that find none of the given
@@ -327,7 +336,7 @@
 	if !site.Target.HasCachedWeights(model) {
 		cost += storeLoadCost + blockedLoadCost*float64(p.fasterLoads(site, model))
 	}
-	slots := p.slotsOf(site)
+	slots := p.capacityOf(site)
 	availableSlots := max(slots-remainingLoad, 0)
 	gain := p.shortfalls[model] - p.shortfall(model, p.availableSlots[model]+availableSlots)
 	return gain*math.Exp(-seconds/gainDecaySeconds) - cost - targetLoadCost*remainingLoad/slots
--- a/internal/gateway/placer/state.go
+++ b/internal/gateway/placer/state.go
@@ -25,6 +25,9 @@
 	UnloadingModel string
 	// InFlight is the number of requests in flight at the target, from all instances.
 	InFlight int
+	// Slowness is how long the target takes for its work relative to the others; 0 if it does
+	// not differ from them.
+	Slowness float64
 	// Limit is the number of requests a second that the target takes; nil if it names no
 	// limit.
 	Limit *float64
--- a/internal/gateway/supervisor/loads.go
+++ b/internal/gateway/supervisor/loads.go
@@ -74,6 +74,22 @@
 	return out
 }
 
+func encodeReads(samples []balancer.ReadSample) []messenger.ReadSample {
+	out := make([]messenger.ReadSample, 0, len(samples))
+	for _, sample := range samples {
+		out = append(out, messenger.ReadSample{Target: sample.Target, Model: sample.Model, MillisecondsPerToken: sample.MillisPerToken})
+	}
+	return out
+}
+
+func decodeReads(in []messenger.ReadSample) []balancer.ReadSample {
+	out := make([]balancer.ReadSample, 0, len(in))
+	for _, sample := range in {
+		out = append(out, balancer.ReadSample{Target: sample.Target, Model: sample.Model, MillisPerToken: sample.MillisecondsPerToken})
+	}
+	return out
+}
+
 // maxLoad bounds the load that a peer reports, so that sums do not overflow.
 const maxLoad = 1 << 30
 
@@ -115,7 +131,9 @@
 			peers = cell // other data centres receive the sum of this one, see sendSums
 		}
 		time.Sleep(loadBatchDelay * time.Duration(max(len(peers)/peersPerBatchDelay, 1)))
-		body, err := json.Marshal(s.ownLoad(s.loadChanges.drain()))
+		load := s.ownLoad(s.loadChanges.drain())
+		load.Reads = encodeReads(s.balancer.TakeReadSamples())
+		body, err := json.Marshal(load)
 		if err != nil {
 			s.log.Error(err, "load not encoded")
 			continue
--- a/internal/gateway/supervisor/sums.go
+++ b/internal/gateway/supervisor/sums.go
@@ -72,6 +72,7 @@
 // instances both act as representative, they must not pass a sum back and forth.
 func (s *Supervisor) handleDatagram(load messenger.GatewayLoad) {
 	s.applyLoad(load, time.Now().Add(sumTTL))
+	s.balancer.LearnReads(decodeReads(load.Reads))
 	if load.DataCentre == "" || load.IsPassedOn {
 		return
 	}
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -369,6 +369,9 @@
 	// IsWhole reports that the load on all targets that are left out is zero.
 	IsWhole bool `json:"IsWhole"`
 
+	// Reads holds measurements of the sender since its last message.
+	Reads []ReadSample `json:"Reads,omitempty,omitzero"`
+
 	// Sequence corresponds to the JSON schema field "Sequence".
 	Sequence int64 `json:"Sequence"`
 
@@ -852,6 +855,20 @@
 	RetryMilliseconds float64 `json:"RetryMilliseconds"`
 }
 
+// ReadSample is a measurement of the time that a target took to read a prompt
+// (prefill).
+type ReadSample struct {
+	// MillisecondsPerToken corresponds to the JSON schema field
+	// "MillisecondsPerToken".
+	MillisecondsPerToken float64 `json:"MillisecondsPerToken"`
+
+	// Model corresponds to the JSON schema field "Model".
+	Model string `json:"Model"`
+
+	// Target corresponds to the JSON schema field "Target".
+	Target string `json:"Target"`
+}
+
 // Refusal is the error answer to callers and operators. Code is one of the
 // documented codes. NotRun reports that no target ran any part of the request.
 type Refusal struct {
