Hand out the slots of scarce plain services at one instance

Callers of a plain service that many instances share got late answers, and its targets rejected requests while other targets had room: each instance sees a few requests a second and learns the load of the others some tenths of a second late, so that all chose the same targets.

For a plain service with fewer than 2 slots per live instance, one instance now grants the slots in one order, and refuses at once what cannot start in time, with a Retry-After that follows from the backlog. The balancer counts a granted request at the named target and keeps its own view of health, limits, quiet and leaving. Loads say which requests an allocator has granted.

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -54,6 +54,8 @@
 	Affinity uint64
 	// Excluded holds the IDs of targets that have already failed this request.
 	Excluded map[string]bool
+	// Grant is the slot that an allocator has granted to the request; nil without one.
+	Grant *Grant
 }
 
 // Balancer chooses targets. The zero value is not usable; see New.
@@ -87,6 +89,8 @@
 	notice notice
 	// unanswered holds the requests that have not received the first byte of an answer.
 	unanswered map[*Ticket]bool
+	// grants holds the number of requests in flight that each allocator has granted.
+	grants map[int64]int
 }
 
 // overlayKey identifies a model at a target, or one of its adapters.
@@ -115,6 +119,9 @@
 // WithClock sets the clock that the balancer reads.
 func WithClock(now func() time.Time) Option { return func(b *Balancer) { b.now = now } }
 
+// WithRandom sets the source of random numbers by which equal targets are told apart.
+func WithRandom(random func() uint64) Option { return func(b *Balancer) { b.random = random } }
+
 // WithLoadChanged sets the function that is called with the ID of each target whose local load
 // has changed. It runs with the balancer's lock held, so it must not call the balancer.
 func WithLoadChanged(onLoadChanged func(target string)) Option {
@@ -170,6 +177,7 @@
 	l.Pending += ticket.pending
 	l.tokens += r.Tokens
 	l.unanswered[ticket] = true
+	l.countGrant(r.Grant)
 	ticket.countReturn(l)
 	b.onLoadChanged(best.ID)
 	return ticket, nil
--- a/internal/gateway/balancer/choice.go
+++ b/internal/gateway/balancer/choice.go
@@ -72,6 +72,10 @@
 	typicalHealth := b.typicalHealth(candidates, now)
 	full := &FullError{}
 	for i, t := range candidates {
+		if r.Grant != nil && t.ID != r.Grant.Target {
+			costs[i] = -1
+			continue
+		}
 		costs[i] = b.cost(t, service, r, typicalHealth, now, full)
 		if costs[i] >= 0 && (minCost < 0 || costs[i] < minCost) {
 			minCost = costs[i]
@@ -118,36 +122,15 @@
 // pending prompts, plus the share of slots in use. Targets that perform worse than the
 // other candidates get a higher cost.
 func (b *Balancer) cost(t *registrar.Target, service *registrar.Service, r Request, typical health, now time.Time, full *FullError) float64 {
-	l := b.localLoad(t.ID)
-	penalty, isExcluded := l.health.penalty(typical, now)
-	if isExcluded || l.isUnresponsive(typical, now) {
-		full.Unhealthy++
-		return -1
-	}
-	notice := l.noticeOf(t)
-	if wait := notice.pace.QuietFor(now); wait > 0 {
-		full.Quiet++
-		full.addBlocked(wait)
+	penalty, surcharge, isAccepting := b.acceptance(t, typical, now, full)
+	if !isAccepting {
 		return -1
 	}
-	if wait := b.blockedFor(t.ID); wait > 0 {
-		full.Limited++
-		full.addBlocked(wait)
-		return -1
-	}
-	if notice.pace.IsReturnBlocked() {
-		full.Slots++
-		return -1
-	}
-	surcharge := 0.0
-	if notice.isLeaving() {
-		surcharge = leavingCost
-	}
 	totalLoad := b.totalLoad(t.ID, now)
 	slots := max(t.Slots, 1)
 	share := float64(totalLoad.InFlight+1) / float64(slots)
 	if service.Engine == nil {
-		if totalLoad.InFlight >= slots*plainRequestsPerSlot {
+		if r.Grant == nil && totalLoad.InFlight >= slots*plainRequestsPerSlot {
 			full.Slots++
 			return -1
 		}
@@ -169,6 +152,36 @@
 	return ((totalLoad.Pending+readMillis)/pendingMillisPerFullBatch+share)*penalty + surcharge
 }
 
+// acceptance reports whether a target accepts a request whatever its load is; the reason why
+// not is counted in full. It returns the factor and the surcharge of its cost.
+func (b *Balancer) acceptance(t *registrar.Target, typical health, now time.Time, full *FullError) (penalty, surcharge float64, isAccepting bool) {
+	l := b.localLoad(t.ID)
+	penalty, isExcluded := l.health.penalty(typical, now)
+	if isExcluded || l.isUnresponsive(typical, now) {
+		full.Unhealthy++
+		return 0, 0, false
+	}
+	notice := l.noticeOf(t)
+	if wait := notice.pace.QuietFor(now); wait > 0 {
+		full.Quiet++
+		full.addBlocked(wait)
+		return 0, 0, false
+	}
+	if wait := b.blockedFor(t.ID); wait > 0 {
+		full.Limited++
+		full.addBlocked(wait)
+		return 0, 0, false
+	}
+	if notice.pace.IsReturnBlocked() {
+		full.Slots++
+		return 0, 0, false
+	}
+	if notice.isLeaving() {
+		surcharge = leavingCost
+	}
+	return penalty, surcharge, true
+}
+
 // isUnresponsive reports whether some request has waited so long for its first byte that
 // the target has probably stopped responding. No error would show this before the deadline
 // of the request.
--- a/internal/gateway/balancer/health.go
+++ b/internal/gateway/balancer/health.go
@@ -267,6 +267,7 @@
 	l := b.localLoad(t.Target.ID)
 	delete(l.unanswered, t)
 	l.InFlight--
+	l.endGrant(t.request.Grant, outcome)
 	l.tokens -= t.request.Tokens
 	t.endReturn(l)
 	if l.InFlight == 0 {
--- a/internal/gateway/balancer/load.go
+++ b/internal/gateway/balancer/load.go
@@ -25,6 +25,9 @@
 	// Pending is the time that the target needs to read the prompts of the requests that
 	// have no answer yet, in milliseconds.
 	Pending float64
+	// Granted is the number of requests in flight that the allocator Grantor has granted.
+	Granted int
+	Grantor int64
 }
 
 // peerLoad is the load that a peer reports: its own, or the sum over a data centre if the
@@ -83,7 +86,7 @@
 	now := b.now()
 	for id, l := range b.loads {
 		if ids[id] || (ids == nil && (l.InFlight > 0 || l.notice.isLeaveShared(now))) {
-			loads[id] = l.Load
+			loads[id] = l.withGrants()
 		}
 	}
 	return b.sequence, loads
@@ -98,7 +101,7 @@
 	b.sequence++
 	loads = map[string]Load{}
 	for id, l := range b.loads {
-		loads[id] = l.Load
+		loads[id] = l.withGrants()
 	}
 	now := b.now()
 	for _, name := range peers {
@@ -117,9 +120,17 @@
 	return b.sequence, loads
 }
 
-// plus returns the sum of two loads.
+// plus returns the sum of two loads. Of the grants of two allocators it keeps the more numerous
+// ones: the others then count like requests without a grant.
 func (l Load) plus(other Load) Load {
-	return Load{InFlight: l.InFlight + other.InFlight, Pending: l.Pending + other.Pending}
+	sum := Load{InFlight: l.InFlight + other.InFlight, Pending: l.Pending + other.Pending, Granted: l.Granted, Grantor: l.Grantor}
+	switch {
+	case other.Grantor == l.Grantor:
+		sum.Granted += other.Granted
+	case other.Granted > l.Granted:
+		sum.Granted, sum.Grantor = other.Granted, other.Grantor
+	}
+	return sum
 }
 
 // DiffLoads returns the loads in after that differ from those in before, and a zero load for
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -74,6 +74,7 @@
 	// or a limiter.DeniedError.
 	acquirePermit func(ctx context.Context, target *registrar.Target) error
 	quarantine    Quarantine
+	slots         Slots
 	// requestEnd is called when a request that was accepted ends.
 	requestEnd func(measurer.Request)
 	// answerEnd is called when an answer of a target that ran its request has ended.
@@ -140,6 +141,7 @@
 		requestEnd:       func(measurer.Request) {},
 		answerEnd:        func(measurer.Answer) {},
 		quarantine:       noQuarantine(),
+		slots:            noSlots(),
 		acquirePermit:    func(context.Context, *registrar.Target) error { return nil },
 		ensureAdapter:    func(context.Context, string, string, string) error { return balancer.ErrNoAdapter },
 		timeUntilServed:  func(context.Context, string, string) (time.Duration, error) { return 0, balancer.ErrNoModel },
@@ -197,6 +199,8 @@
 	// status is that of the last answer of a target that ran the request.
 	status   int
 	excluded map[string]bool // the IDs of the targets that the request was offered to
+	// unusedSlots counts the slots that were granted at targets that could not be used.
+	unusedSlots int
 	// outcome and firstByteAfter, the time from arrival to the first byte of an answer,
 	// are for the metrics.
 	outcome        measurer.Outcome
--- a/internal/gateway/conductor/pick.go
+++ b/internal/gateway/conductor/pick.go
@@ -39,7 +39,7 @@
 		switch {
 		case err == nil:
 			return ticket, nil
-		case errors.Is(err, quarantiner.ErrConvicted):
+		case errors.Is(err, quarantiner.ErrConvicted), isFinalSlotError(err):
 			return nil, err
 		case errors.Is(err, quarantiner.ErrWait):
 			if err := c.waitForTrial(ctx, q, err); err != nil {
@@ -47,7 +47,7 @@
 			}
 			continue
 		case isPicked:
-			continue // the balancer leaves the target out until its limit allows a request
+			continue // the balancer leaves the target out until it allows a request
 		}
 		if c.isRefusing() {
 			return nil, errStopping
@@ -135,15 +135,12 @@
 	return true
 }
 
-// pickAndBegin picks a target once. The error is that of the balancer, of the limit of the
-// target, or one of beginRun; isPicked reports which.
+// pickAndBegin picks a target once. The error is that of choose, of the limit of the target, or
+// one of beginRun; isPicked reports whether there was a target.
 func (c *Conductor) pickAndBegin(ctx context.Context, q *request) (ticket *balancer.Ticket, isPicked bool, err error) {
-	ticket, err = c.balancer.Pick(c.registry.View(), balancer.Request{
-		Service: q.service, Model: q.demand.Model, Adapter: q.demand.Adapter, PromptTokens: q.demand.PromptTokens,
-		Tokens: q.demand.Tokens, MaxEventGapMilliseconds: float64(q.route.EventGapGoalMilliseconds), Affinity: q.affinity, Excluded: q.excluded,
-	})
+	ticket, err = c.choose(ctx, q)
 	if err != nil {
-		return nil, false, err
+		return nil, errors.Is(err, errSlotUnused), err
 	}
 	err = c.beginRun(ctx, q, ticket.Target)
 	if err == nil {
--- a/internal/gateway/conductor/refusal.go
+++ b/internal/gateway/conductor/refusal.go
@@ -141,6 +141,10 @@
 	if wait := limitWait(cause); wait > 0 {
 		return q.delayUntil(wait)
 	}
+	var refused *SlotRefusedError
+	if errors.As(cause, &refused) {
+		return q.delayAfterBacklog(refused.RetryIn)
+	}
 	if errors.Is(cause, errStopping) {
 		return shortRetryDelay
 	}
--- a/internal/gateway/supervisor/loads.go
+++ b/internal/gateway/supervisor/loads.go
@@ -69,7 +69,9 @@
 		Targets: make(messenger.GatewayLoadTargets, len(loads)),
 	}
 	for id, l := range loads {
-		out.Targets[id] = messenger.TargetLoad{InFlight: l.InFlight, Pending: l.Pending, Limit: s.knownLimit(id), Leave: s.knownLeave(id)}
+		out.Targets[id] = messenger.TargetLoad{
+			InFlight: l.InFlight, Pending: l.Pending, Limit: s.knownLimit(id), Leave: s.knownLeave(id), Grants: encodeGrants(l),
+		}
 	}
 	return out
 }
@@ -82,7 +84,7 @@
 func (s *Supervisor) applyLoad(in messenger.GatewayLoad, until time.Time) {
 	loads := make(map[string]balancer.Load, len(in.Targets))
 	for id, l := range in.Targets {
-		loads[id] = balancer.Load{InFlight: min(max(l.InFlight, 0), maxLoad), Pending: min(max(l.Pending, 0), maxLoad)}
+		loads[id] = decodeLoad(l)
 	}
 	if !in.IsWhole {
 		until = time.Time{}
@@ -92,6 +94,22 @@
 	s.balancer.SetPeerLoads(loadSource(in), in.Incarnation, in.Sequence, loads, until)
 }
 
+func decodeLoad(in messenger.TargetLoad) balancer.Load {
+	out := balancer.Load{InFlight: min(max(in.InFlight, 0), maxLoad), Pending: min(max(in.Pending, 0), maxLoad)}
+	if in.Grants != nil {
+		out.Granted, out.Grantor = min(max(in.Grants.Count, 0), out.InFlight), in.Grants.Grantor
+	}
+	return out
+}
+
+// encodeGrants returns the grants in a load; nil if there are none.
+func encodeGrants(l balancer.Load) *messenger.TargetGrants {
+	if l.Granted == 0 {
+		return nil
+	}
+	return &messenger.TargetGrants{Count: l.Granted, Grantor: l.Grantor}
+}
+
 // loadSource returns the name of the source of a load. The prefix keeps the names of data
 // centres apart from those of instances.
 func loadSource(in messenger.GatewayLoad) string {
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -28,6 +28,8 @@
 	pathCrash    = "/crash"
 	pathTrial    = "/trial"
 	pathVerdicts = "/verdicts"
+	pathSlot     = "/slot"
+	pathSlotEnds = "/slotends"
 )
 
 // maxMembers is more instances than a system has.
--- a/internal/gateway/supervisor/servers.go
+++ b/internal/gateway/supervisor/servers.go
@@ -175,6 +175,10 @@
 		s.serveTrial(ctx)
 	case pathVerdicts:
 		s.serveVerdicts(ctx)
+	case pathSlot:
+		s.slots.serveAsk(ctx)
+	case pathSlotEnds:
+		s.slots.serveReleases(ctx)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -107,6 +107,7 @@
 	leaser       *leaser.Leaser
 	orderPermit  *orderPermit
 	poster       *poster.Client
+	slots        *slots
 	manifests    *follower.Follower
 	targets      *follower.Follower
 	instances    *follower.Follower
@@ -136,11 +137,13 @@
 	s.crashReports = newCrashReports()
 	bounds := settings.Bounds
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
+	s.slots = newSlots(s)
 	s.conductor = conductor.New(platform.Headers, s.registry, s.balancer, s.budget,
 		conductor.WithLog(log), conductor.WithLimiter(s.limiter, s.acquirePermit), conductor.WithAdapterLoader(s.ensureAdapter), conductor.WithTimeUntilServed(s.timeUntilServed),
 		conductor.WithDemandObservers(s.countDemand, s.countWaiting), conductor.WithStreamObserver(s.countStream),
 		conductor.WithRequestObserver(s.measurer.Observe), conductor.WithAnswerObserver(s.measurer.CountAnswer),
-		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()))
+		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()),
+		conductor.WithSlots(conductor.Slots{IsScarce: s.slots.isScarce, Acquire: s.slots.acquire}))
 	s.prober = prober.New(s.conductor.Probe)
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
@@ -201,7 +204,7 @@
 	defer cancel()
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
-		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly,
+		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly, s.slots.sendReleases, s.slots.maintain,
 	} {
 		group.Go(func() error {
 			loop(running)
--- a/internal/state/measurer/event.go
+++ b/internal/state/measurer/event.go
@@ -1,6 +1,10 @@
 package measurer
 
-import "github.com/rcrowley/go-metrics"
+import (
+	"strconv"
+
+	"github.com/rcrowley/go-metrics"
+)
 
 // Event is something that an instance counts as a whole, for no team and no model.
 type Event string
@@ -25,11 +29,20 @@
 	QuarantineRefused     Event = "Quarantine.Refused"
 	// QuarantineRefusedForPart counts those that were refused for a part of their prompts.
 	QuarantineRefusedForPart Event = "Quarantine.RefusedForPart"
+	// SlotGranted, SlotRefusedBacklog, SlotRefusedLate and SlotRefusedNoTarget count the decisions
+	// of this instance as an allocator; SlotUnanswered counts the requests of its own callers that
+	// no allocator answered.
+	SlotGranted         Event = "Slot.Granted"
+	SlotRefusedBacklog  Event = "Slot.RefusedBacklog"
+	SlotRefusedLate     Event = "Slot.RefusedLate"
+	SlotRefusedNoTarget Event = "Slot.RefusedNoTarget"
+	SlotUnanswered      Event = "Slot.Unanswered"
 )
 
 var events = []Event{
 	CutTargetEnded, CutTargetPresent, CutTargetUnknown, CutTargetLeaving, CutUnanswered,
 	QuarantineSuspects, QuarantineConvictions, QuarantineTakenBack, QuarantineRefused, QuarantineRefusedForPart,
+	SlotGranted, SlotRefusedBacklog, SlotRefusedLate, SlotRefusedNoTarget, SlotUnanswered,
 }
 
 // registerEvents registers the counters of all events, so that they are shown before the first.
@@ -43,3 +56,13 @@
 func (m *Measurer) CountEvent(event Event, n int) {
 	metrics.GetOrRegisterCounter(string(event), m.registry).Inc(int64(n))
 }
+
+// SetSlots sets how many slots of a service are in use that this instance has granted, and how
+// many requests wait for one, by rank.
+func (m *Measurer) SetSlots(service string, inUse int, waiting []int) {
+	name := m.boundedName("Slots." + service)
+	metrics.GetOrRegisterGauge(name+".InUse", m.registry).Update(int64(inUse))
+	for rank, count := range waiting {
+		metrics.GetOrRegisterGauge(name+".WaitingRank"+strconv.Itoa(rank), m.registry).Update(int64(count))
+	}
+}
--- a/internal/state/measurer/measurer.go
+++ b/internal/state/measurer/measurer.go
@@ -170,7 +170,7 @@
 var percentiles = []float64{0.5, 0.9, 0.99}
 
 // WriteText writes all metrics in the text format for scrapers: a line for each
-// counter, and for each histogram a line for its count and for each percentile.
+// counter or gauge, and for each histogram a line for its count and for each percentile.
 func (m *Measurer) WriteText(w io.Writer) error {
 	var out bytes.Buffer
 	m.registry.Each(func(name string, metric any) {
@@ -178,6 +178,8 @@
 		switch value := metric.(type) {
 		case metrics.Counter:
 			fmt.Fprintf(&out, "crocusring_%s{%s} %d\n", family, label, value.Count())
+		case metrics.Gauge:
+			fmt.Fprintf(&out, "crocusring_%s{%s} %d\n", family, label, value.Value())
 		case metrics.Histogram:
 			snapshot := value.Snapshot()
 			fmt.Fprintf(&out, "crocusring_%s_count{%s} %d\n", family, label, snapshot.Count())
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -1001,6 +1001,86 @@
 	Team string `json:"Team"`
 }
 
+// SlotRelease reports that a request with a slot has ended, or that an ask is
+// given up.
+type SlotRelease struct {
+	// IsFault reports that the target failed.
+	IsFault bool `json:"IsFault"`
+
+	// Number is that of the ask.
+	Number int64 `json:"Number"`
+}
+
+// SlotReleases is the message with the releases of some milliseconds.
+type SlotReleases struct {
+	// Incarnation corresponds to the JSON schema field "Incarnation".
+	Incarnation int64 `json:"Incarnation"`
+
+	// Instance corresponds to the JSON schema field "Instance".
+	Instance string `json:"Instance"`
+
+	// Releases corresponds to the JSON schema field "Releases".
+	Releases []SlotRelease `json:"Releases"`
+}
+
+// SlotRequest asks the allocator of a plain service for a slot at one of its
+// targets. The answer may take as long as the request can wait. Times are
+// relative, since the clocks of instances cannot be compared.
+type SlotRequest struct {
+	// Account is the client account; empty without one.
+	Account string `json:"Account"`
+
+	// AgeMilliseconds is the time since the request arrived.
+	AgeMilliseconds float64 `json:"AgeMilliseconds"`
+
+	// Avoid holds the IDs of targets that the instance does not use for the request.
+	Avoid []string `json:"Avoid"`
+
+	// Content identifies a request that a caller sends again; 0 if unknown.
+	Content int64 `json:"Content"`
+
+	// DeadlineMilliseconds is the time until its deadline.
+	DeadlineMilliseconds float64 `json:"DeadlineMilliseconds"`
+
+	// GoalMilliseconds is the time until its latency goal; negative if that has
+	// passed.
+	GoalMilliseconds float64 `json:"GoalMilliseconds"`
+
+	// Incarnation is that of the instance that asks.
+	Incarnation int64 `json:"Incarnation"`
+
+	// Instance corresponds to the JSON schema field "Instance".
+	Instance string `json:"Instance"`
+
+	// Number is used once by an incarnation.
+	Number int64 `json:"Number"`
+
+	// Rank orders requests: 0 is first.
+	Rank int `json:"Rank"`
+
+	// Service corresponds to the JSON schema field "Service".
+	Service string `json:"Service"`
+
+	// StartMilliseconds is the time until it is no longer worth starting.
+	StartMilliseconds float64 `json:"StartMilliseconds"`
+}
+
+// SlotResponse is the answer to a SlotRequest: a target, a refusal, or neither if
+// the request waits and the instance is to ask again.
+type SlotResponse struct {
+	// Grantor identifies the incarnation of the allocator.
+	Grantor int64 `json:"Grantor"`
+
+	// Refusal is the reason of a refusal; empty if the request is not refused.
+	Refusal string `json:"Refusal"`
+
+	// RetryMilliseconds is the time after which a refused request can be served.
+	RetryMilliseconds float64 `json:"RetryMilliseconds"`
+
+	// Target is empty if there is no slot.
+	Target string `json:"Target"`
+}
+
 // StatusAnswer is the state of the system as known to one instance.
 type StatusAnswer struct {
 	// Fence corresponds to the JSON schema field "Fence".
@@ -1076,6 +1156,16 @@
 	Version int64 `json:"Version"`
 }
 
+// TargetGrants counts the requests in flight at a target that an allocator has
+// granted.
+type TargetGrants struct {
+	// Count corresponds to the JSON schema field "Count".
+	Count int `json:"Count"`
+
+	// Grantor identifies the incarnation of the allocator.
+	Grantor int64 `json:"Grantor"`
+}
+
 // TargetLeave is an announcement of a target that it leaves.
 type TargetLeave struct {
 	// RemainingMilliseconds is the time until no request may be sent there any more;
@@ -1102,6 +1192,9 @@
 
 // TargetLoad is the load of an instance on one target.
 type TargetLoad struct {
+	// Grants is set if an allocator has granted some of the requests in flight.
+	Grants *TargetGrants `json:"Grants,omitempty,omitzero"`
+
 	// InFlight is the number of requests in flight.
 	InFlight int `json:"InFlight"`
 
