Use no slot at a target that has announced its leave meanwhile

A request that waited for a slot could be sent to a target of which the instance had learned meanwhile that it leaves. A slot is now used only at a target that the instance would name as usable at that time.

--- a/internal/gateway/balancer/choice.go
+++ b/internal/gateway/balancer/choice.go
@@ -65,17 +65,17 @@
 func (e *FullError) Is(target error) bool { return target == ErrFull }
 
 // choose returns the candidate with the lowest cost, or one of similar cost that has
-// likely read the shared prompt of the request; nil and the reasons if all are full.
+// likely read the shared prompt of the request; nil and the reasons if all are full. A request
+// with a slot gets the target of the slot, or none.
 func (b *Balancer) choose(candidates []*registrar.Target, service *registrar.Service, r Request, now time.Time) (*registrar.Target, *FullError) {
+	full := &FullError{}
+	if r.Grant != nil {
+		return b.usableTargets(candidates, now, full)[r.Grant.Target], full
+	}
 	costs := make([]float64, len(candidates))
 	minCost := -1.0
 	typicalHealth := b.typicalHealth(candidates, now)
-	full := &FullError{}
 	for i, t := range candidates {
-		if r.Grant != nil && t.ID != r.Grant.Target {
-			costs[i] = -1
-			continue
-		}
 		costs[i] = b.cost(t, service, r, typicalHealth, now, full)
 		if costs[i] >= 0 && (minCost < 0 || costs[i] < minCost) {
 			minCost = costs[i]
@@ -130,7 +130,7 @@
 	slots := max(t.Slots, 1)
 	share := float64(totalLoad.InFlight+1) / float64(slots)
 	if service.Engine == nil {
-		if r.Grant == nil && totalLoad.InFlight >= slots*plainRequestsPerSlot {
+		if totalLoad.InFlight >= slots*plainRequestsPerSlot {
 			full.Slots++
 			return -1
 		}
--- a/internal/gateway/balancer/grant.go
+++ b/internal/gateway/balancer/grant.go
@@ -1,6 +1,8 @@
 package balancer
 
 import (
+	"time"
+
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 )
 
@@ -26,35 +28,42 @@
 		b.hasWaiters = true
 		return nil, err
 	}
-	typical := b.typicalHealth(candidates, now)
 	full := &FullError{}
-	usable, leaving := map[string]bool{}, map[string]bool{}
-	for _, t := range candidates {
-		_, surcharge, isAccepting := b.acceptance(t, typical, now, full)
-		switch {
-		case !isAccepting:
-		case surcharge > 0:
-			leaving[t.ID] = true
-		default:
-			usable[t.ID] = true
-		}
-	}
-	if len(usable) == 0 {
-		usable = leaving
-	}
+	usable := b.usableTargets(candidates, now, full)
 	if len(usable) == 0 {
 		b.hasWaiters = true
 		return nil, full
 	}
 	out := []string{}
 	for _, t := range view.TargetsOf(r.Service) {
-		if !usable[t.ID] {
+		if usable[t.ID] == nil {
 			out = append(out, t.ID)
 		}
 	}
 	return out, nil
 }
 
+// usableTargets returns the candidates that accept a request whatever their load is, by ID. Those
+// that have announced that they leave count only if there is no other. The lock must be held.
+func (b *Balancer) usableTargets(candidates []*registrar.Target, now time.Time, full *FullError) map[string]*registrar.Target {
+	typical := b.typicalHealth(candidates, now)
+	usable, leaving := map[string]*registrar.Target{}, map[string]*registrar.Target{}
+	for _, t := range candidates {
+		_, surcharge, isAccepting := b.acceptance(t, typical, now, full)
+		switch {
+		case !isAccepting:
+		case surcharge > 0:
+			leaving[t.ID] = t
+		default:
+			usable[t.ID] = t
+		}
+	}
+	if len(usable) == 0 {
+		return leaving
+	}
+	return usable
+}
+
 // InFlightBeside returns the number of requests that all instances have in flight at a target
 // and that an allocator has not granted.
 func (b *Balancer) InFlightBeside(id string, grantor int64) int {
