--- a/internal/gateway/allocator/allocator.go
+++ b/internal/gateway/allocator/allocator.go
@@ -97,7 +97,7 @@
 // grant is a slot in use.
 type grant struct {
 	service  *service
-	target   string
+	state    *state
 	deadline time.Time
 	since    time.Time
 	// crowding is the load of the target, including this request, divided by its slots, if
@@ -162,7 +162,7 @@
 			a.releaseWaiting(now, r.Key)
 			continue
 		}
-		g.service.observe(now, g, r.IsFault)
+		g.state.observe(now.Sub(g.since), g.crowding, r.IsFault)
 		a.end(r.Key, g)
 		changed[g.service] = true
 	}
@@ -213,7 +213,7 @@
 
 func (a *Allocator) end(key Key, g *grant) {
 	delete(a.grants, key)
-	g.service.inUse[g.target]--
+	g.state.inUse--
 	g.service.granted--
 }
 
@@ -244,31 +244,33 @@
 	s.refresh(now, a.targetsOf)
 	out := []Answer{}
 	waiting := []*entry{}
+	hasRoom := s.hasRoom()
 	for _, e := range s.sequence(now) {
-		target := s.choose(e)
-		if target != nil {
-			a.grant(now, s, e, target)
-			out = append(out, Answer{Key: e.Key, Service: s.name, Target: target.ID})
-			continue
+		if hasRoom {
+			if chosen := s.choose(e.Avoid); chosen != nil {
+				a.grant(now, s, e, chosen)
+				hasRoom = s.hasRoom()
+				out = append(out, Answer{Key: e.Key, Service: s.name, Target: chosen.ID})
+				continue
+			}
 		}
 		reason := s.refusalReason(now, e, len(waiting))
 		if reason == "" {
 			waiting = append(waiting, e)
 			continue
 		}
-		out = append(out, Answer{Key: e.Key, Service: s.name, Reason: reason, RetryIn: s.returns.add(now, e.Content, s.drainTime(len(waiting)), s.rate(nil))})
+		out = append(out, Answer{Key: e.Key, Service: s.name, Reason: reason, RetryIn: s.returns.add(now, e.Content, s.drainTime(len(waiting)), s.fullRate)})
 	}
 	s.waiting = waiting
 	return out
 }
 
-func (a *Allocator) grant(now time.Time, s *service, e *entry, target *Target) {
-	s.inUse[target.ID]++
+func (a *Allocator) grant(now time.Time, s *service, e *entry, t *target) {
+	t.inUse++
 	s.granted++
 	s.countUse(e)
 	a.grants[e.Key] = &grant{
-		service: s, target: target.ID, deadline: e.Deadline, since: now,
-		crowding: max(1, float64(s.load(target))/float64(target.slots())),
+		service: s, state: t.state, deadline: e.Deadline, since: now, crowding: t.crowding(),
 	}
 	if e.Deadline.Before(s.nextExpiry) {
 		s.nextExpiry = e.Deadline
--- a/internal/gateway/allocator/queue.go
+++ b/internal/gateway/allocator/queue.go
@@ -79,13 +79,12 @@
 	if len(s.waiting) <= 1 {
 		return slices.Clone(s.waiting)
 	}
-	work := s.meanWork()
 	byRank := [MaxRank + 1][]*entry{}
 	for _, e := range s.waiting {
 		byRank[e.Rank] = append(byRank[e.Rank], e)
 	}
 	for rank, entries := range byRank {
-		byRank[rank] = s.orderRank(now, work, entries)
+		byRank[rank] = s.orderRank(now, s.meanWork, entries)
 	}
 	return s.mergeRanks(byRank, len(s.waiting))
 }
--- a/internal/gateway/supervisor/slots_test.go
+++ b/internal/gateway/supervisor/slots_test.go
@@ -27,11 +27,13 @@
 	scarceService = "scarce"
 	// settleTime is how long a test waits for messages between instances.
 	settleTime = 2 * time.Second
+	// statusPause is the time between two statuses of a peer.
+	statusPause = 100 * time.Millisecond
 )
 
 // newSlotInstance returns an instance that serves its peers, and that knows one target of a
 // scarce service with six slots.
-func newSlotInstance(t *testing.T, name string) *Supervisor {
+func newSlotInstance(t testing.TB, name string) *Supervisor {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -52,13 +54,23 @@
 	return s
 }
 
-// useAllocators makes an instance ask some instances, in this order.
-func (s *Supervisor) useAllocators(peers map[string]string, names ...string) {
+// useAllocators makes an instance ask some instances, in this order. It hears of the peers among
+// them until the test ends.
+func (s *Supervisor) useAllocators(t testing.TB, peers map[string]string, names ...string) {
+	t.Helper()
 	live := map[string]int64{s.settings.Instance: s.incarnation}
-	for name, address := range peers {
-		s.informer.ReceiveStatus(messenger.GatewayNews{Instance: name, Incarnation: 1, PeerAddress: address, Ready: true})
+	receive := func() {
+		for name, address := range peers {
+			s.informer.ReceiveStatus(messenger.GatewayNews{Instance: name, Incarnation: 1, PeerAddress: address, Ready: true})
+		}
+	}
+	for name := range peers {
 		live[name] = 1
 	}
+	receive()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go every(ctx, statusPause, receive)
 	s.slots.members.Store(&slotMembers{names: names, live: live, allocators: map[string][]string{scarceService: names}})
 }
 
@@ -68,10 +80,10 @@
 }
 
 // pair returns an instance and its allocator.
-func pair(t *testing.T) (asker, granter *Supervisor) {
+func pair(t testing.TB) (asker, granter *Supervisor) {
 	t.Helper()
 	asker, granter = newSlotInstance(t, "asker"), newSlotInstance(t, "granter")
-	asker.useAllocators(map[string]string{"granter": granter.settings.PeerAddress}, "granter")
+	asker.useAllocators(t, map[string]string{"granter": granter.settings.PeerAddress}, "granter")
 	return asker, granter
 }
 
@@ -115,7 +127,7 @@
 		t.Run(fmt.Sprintf("the asker is the allocator: %v", isOwn), func(t *testing.T) {
 			asker, granter := pair(t)
 			if isOwn {
-				asker.useAllocators(nil, "asker")
+				asker.useAllocators(t, nil, "asker")
 				granter = asker
 			}
 			grants := fillSlots(t, asker)
@@ -157,7 +169,7 @@
 	t.Cleanup(lost.Close)
 	t.Cleanup(func() { close(ended) })
 	lostAddress := strings.TrimPrefix(lost.URL, "http://")
-	asker.useAllocators(map[string]string{"lost": lostAddress, "second": second.settings.PeerAddress}, "lost", "second")
+	asker.useAllocators(t, map[string]string{"lost": lostAddress, "second": second.settings.PeerAddress}, "lost", "second")
 	began := time.Now()
 	_, err := asker.slots.acquire(t.Context(), slotAsk(time.Second))
 	require.ErrorIs(t, err, conductor.ErrNoAllocator)
@@ -165,10 +177,10 @@
 	_, err = asker.slots.acquire(t.Context(), slotAsk(time.Second))
 	require.NoError(t, err, "the one that takes its place")
 	assert.Equal(t, 1, second.granted())
-	asker.useAllocators(nil, "lost")
+	asker.useAllocators(t, nil, "lost")
 	_, err = asker.slots.acquire(t.Context(), slotAsk(time.Second))
 	require.ErrorIs(t, err, conductor.ErrNoAllocator, "at once")
-	asker.useAllocators(nil)
+	asker.useAllocators(t, nil)
 	_, err = asker.slots.acquire(t.Context(), slotAsk(time.Second))
 	require.ErrorIs(t, err, conductor.ErrNoAllocator, "there is none")
 }
@@ -186,7 +198,7 @@
 	}}
 	go func() { _ = slow.Serve(listener) }()
 	t.Cleanup(func() { _ = slow.Shutdown() })
-	asker.useAllocators(map[string]string{"granter": listener.Addr().String()}, "granter")
+	asker.useAllocators(t, map[string]string{"granter": listener.Addr().String()}, "granter")
 	_, err = asker.slots.acquire(t.Context(), slotAsk(time.Second))
 	require.ErrorIs(t, err, conductor.ErrNoAllocator)
 	assertGranted(t, granter, 0)
@@ -207,7 +219,7 @@
 	}}
 	go func() { _ = lossy.Serve(listener) }()
 	t.Cleanup(func() { _ = lossy.Shutdown() })
-	asker.useAllocators(map[string]string{"granter": listener.Addr().String()}, "granter")
+	asker.useAllocators(t, map[string]string{"granter": listener.Addr().String()}, "granter")
 	for _, grant := range fillSlots(t, asker) {
 		grant.Release(false)
 	}
@@ -220,7 +232,7 @@
 		t.Run(fmt.Sprintf("the asker is the allocator: %v", isOwn), func(t *testing.T) {
 			asker, granter := pair(t)
 			if isOwn {
-				asker.useAllocators(nil, "asker")
+				asker.useAllocators(t, nil, "asker")
 				granter = asker
 			}
 			fillSlots(t, asker)
@@ -283,7 +295,7 @@
 					targets[id] = &registrar.Target{ID: id, Service: scarceService, Address: fmt.Sprintf("127.0.0.1:%d", 100+i), Slots: 6}
 				}
 			})
-			s.useAllocators(nil, names[:test.instances]...)
+			s.useAllocators(t, nil, names[:test.instances]...)
 			assert.Equal(t, test.want, s.slots.isScarce(test.service))
 		})
 	}
