--- a/internal/gateway/balancer/choice.go
+++ b/internal/gateway/balancer/choice.go
@@ -65,12 +65,16 @@
 func (e *FullError) Is(target error) bool { return target == ErrFull }
 
 // choose returns the candidate with the lowest cost, or one of similar cost that has
-// likely read the shared prompt of the request; nil and the reasons if all are full.
+// likely read the shared prompt of the request; nil and the reasons if all are full. A request
+// with a slot gets the target of the slot, or none.
 func (b *Balancer) choose(candidates []*registrar.Target, service *registrar.Service, r Request, now time.Time) (*registrar.Target, *FullError) {
+	full := &FullError{}
+	if r.Grant != nil {
+		return b.usableTargets(candidates, now, full)[r.Grant.Target], full
+	}
 	costs := make([]float64, len(candidates))
 	minCost := -1.0
 	typicalHealth := b.typicalHealth(candidates, now)
-	full := &FullError{}
 	for i, t := range candidates {
 		costs[i] = b.cost(t, service, r, typicalHealth, now, full)
 		if costs[i] >= 0 && (minCost < 0 || costs[i] < minCost) {
@@ -118,31 +122,10 @@
 // pending prompts, plus the share of slots in use. Targets that perform worse than the
 // other candidates get a higher cost.
 func (b *Balancer) cost(t *registrar.Target, service *registrar.Service, r Request, typical health, now time.Time, full *FullError) float64 {
-	l := b.localLoad(t.ID)
-	penalty, isExcluded := l.health.penalty(typical, now)
-	if isExcluded || l.isUnresponsive(typical, now) {
-		full.Unhealthy++
-		return -1
-	}
-	notice := l.noticeOf(t)
-	if wait := notice.pace.QuietFor(now); wait > 0 {
-		full.Quiet++
-		full.addBlocked(wait)
-		return -1
-	}
-	if wait := b.blockedFor(t.ID); wait > 0 {
-		full.Limited++
-		full.addBlocked(wait)
+	penalty, surcharge, isAccepting := b.acceptance(t, typical, now, full)
+	if !isAccepting {
 		return -1
 	}
-	if notice.pace.IsReturnBlocked() {
-		full.Slots++
-		return -1
-	}
-	surcharge := 0.0
-	if notice.isLeaving() {
-		surcharge = leavingCost
-	}
 	totalLoad := b.totalLoad(t.ID, now)
 	slots := max(t.Slots, 1)
 	share := float64(totalLoad.InFlight+1) / float64(slots)
@@ -169,6 +152,36 @@
 	return ((totalLoad.Pending+readMillis)/pendingMillisPerFullBatch+share)*penalty + surcharge
 }
 
+// acceptance reports whether a target accepts a request whatever its load is; the reason why
+// not is counted in full. It returns the factor and the surcharge of its cost.
+func (b *Balancer) acceptance(t *registrar.Target, typical health, now time.Time, full *FullError) (penalty, surcharge float64, isAccepting bool) {
+	l := b.localLoad(t.ID)
+	penalty, isExcluded := l.health.penalty(typical, now)
+	if isExcluded || l.isUnresponsive(typical, now) {
+		full.Unhealthy++
+		return 0, 0, false
+	}
+	notice := l.noticeOf(t)
+	if wait := notice.pace.QuietFor(now); wait > 0 {
+		full.Quiet++
+		full.addBlocked(wait)
+		return 0, 0, false
+	}
+	if wait := b.blockedFor(t.ID); wait > 0 {
+		full.Limited++
+		full.addBlocked(wait)
+		return 0, 0, false
+	}
+	if notice.pace.IsReturnBlocked() {
+		full.Slots++
+		return 0, 0, false
+	}
+	if notice.isLeaving() {
+		surcharge = leavingCost
+	}
+	return penalty, surcharge, true
+}
+
 // isUnresponsive reports whether some request has waited so long for its first byte that
 // the target has probably stopped responding. No error would show this before the deadline
 // of the request.
