--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -48,6 +48,11 @@
 	// Age is the time since the store confirmed the changes, if another instance
 	// relayed them.
 	Age time.Duration
+	// Proof says what these changes, together with those before, prove about the table; see
+	// WithProofs.
+	Proof messenger.GatewayProof
+	// IsGapless reports that Rows holds every change of a row, in order, and not only the last one.
+	IsGapless bool
 }
 
 // Source provides access to the store and to the copies that peers have.
@@ -73,10 +78,17 @@
 	now   func() time.Time
 	log   logr.Logger
 	apply func(rows []messenger.StoreRow, removed []string)
-
-	mu      sync.Mutex
-	rows    map[string]messenger.StoreRow
-	version int64
+	// isReadable reports whether a row can be decoded, proof returns the proof to pass on, and receiveProof is called with each that arrives.
+	isReadable   func(messenger.StoreRow) bool
+	proof        func() messenger.GatewayProof
+	receiveProof func(messenger.GatewayProof)
+
+	// applying is held while a change is stored and applied, so that changes are applied one
+	// after another.
+	applying sync.Mutex
+	mu       sync.Mutex
+	rows     map[string]messenger.StoreRow
+	version  int64
 	// removed holds the versions at which rows were removed, for all versions after
 	// historyStart.
 	removed      map[string]int64
@@ -114,6 +126,9 @@
 // WithShortWait is for a table whose changes must take effect within seconds.
 func WithShortWait() Option { return func(f *Follower) { f.wait = shortFeedWait } }
 
+// WithMaxWait sets the maximum time that the store may hold a call for changes open.
+func WithMaxWait(wait time.Duration) Option { return func(f *Follower) { f.wait = wait } }
+
 // WithLog sets the log.
 func WithLog(log logr.Logger) Option { return func(f *Follower) { f.log = log } }
 
@@ -125,6 +140,8 @@
 	f := &Follower{
 		table: table, source: source, wait: maxFeedWait, minInterval: noMinInterval, now: time.Now, apply: apply, log: logr.Discard(),
 		rows: map[string]messenger.StoreRow{}, removed: map[string]int64{}, changed: make(chan struct{}), returnDeadlines: map[string]time.Time{},
+		isReadable: func(messenger.StoreRow) bool { return true },
+		proof:      func() messenger.GatewayProof { return messenger.GatewayProof{} }, receiveProof: func(messenger.GatewayProof) {},
 	}
 	for _, option := range options {
 		option(f)
@@ -195,6 +212,7 @@
 		return err
 	}
 	f.applyChanges(changes)
+	f.receiveProof(changes.Proof)
 	f.mu.Lock()
 	f.relayedAge = changes.Age
 	f.mu.Unlock()
@@ -207,6 +225,7 @@
 		return err
 	}
 	f.applySnapshot(snapshot, true)
+	f.receiveProof(snapshot.Proof)
 	return nil
 }
 
@@ -236,6 +255,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := messenger.TableSnapshot{
+		Proof:   f.proof(), // before the rows, which are then at least as new
 		Version: f.version, Rows: make([]messenger.StoreRow, 0, len(f.rows)), AgeMilliseconds: f.now().Sub(f.answeredAt).Milliseconds(),
 	}
 	for _, row := range f.rows {
@@ -306,24 +326,31 @@
 
 // applyChanges applies changes from the feed.
 func (f *Follower) applyChanges(changes Changes) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	f.mu.Lock()
 	now := f.now()
 	deferRemoval := f.mayHaveExpired(now)
 	f.version = max(f.version, changes.Version)
-	rows := f.storeRows(changes.Rows)
+	rows := f.storeRows(changes.Rows, changes.IsGapless)
 	removed := f.removeRows(changes.Removed, deferRemoval)
 	f.mu.Unlock()
 	f.deliver(rows, removed)
 }
 
-// storeRows stores rows and returns those that are not older than the stored ones. The
+// storeRows stores rows and returns those that are not older than the stored ones. A row that
+// cannot be read leaves the value before it in force, if isGapless says which one that is. The
 // caller holds f.mu.
-func (f *Follower) storeRows(rows []messenger.StoreRow) []messenger.StoreRow {
+func (f *Follower) storeRows(rows []messenger.StoreRow, isGapless bool) []messenger.StoreRow {
 	stored := make([]messenger.StoreRow, 0, len(rows))
 	for _, row := range rows {
-		if known, ok := f.rows[row.Key]; ok && row.Version < known.Version {
+		known, isKnown := f.rows[row.Key]
+		if isKnown && row.Version < known.Version {
 			continue
 		}
+		if isKnown && isGapless && !f.isReadable(row) {
+			row.Value = known.Value
+		}
 		f.rows[row.Key] = row
 		delete(f.returnDeadlines, row.Key)
 		delete(f.removed, row.Key)
@@ -336,6 +363,8 @@
 // at once, or, if mayReturn is set and they may have expired during an outage, after the
 // grace period. A table older than the copy is ignored.
 func (f *Follower) applySnapshot(snapshot messenger.TableSnapshot, mayReturn bool) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	f.mu.Lock()
 	if snapshot.Version < f.version {
 		f.mu.Unlock()
@@ -348,7 +377,7 @@
 	for _, row := range snapshot.Rows {
 		present[row.Key] = true
 	}
-	rows := f.storeRows(snapshot.Rows)
+	rows := f.storeRows(snapshot.Rows, false)
 	f.historyStart = f.version // the individual changes before this version are unknown
 	missing := []string{}
 	for key := range f.rows {
@@ -384,6 +413,8 @@
 // removeExpired removes the entries that did not return before their deadline, or of which a peer
 // knows that they were removed.
 func (f *Follower) removeExpired(now time.Time) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	f.mu.Lock()
 	dropped := []string{}
 	mayReturn := len(f.returnDeadlines) == 0 || !f.source.PeerHasHadStore(f.outageBegan)
@@ -425,5 +456,5 @@
 	// No grace period: a peer that saw the outage still has the rows that may return. Rows
 	// that a peer has removed are removed here too, even if only this instance cannot reach
 	// the store.
-	f.applySnapshot(snapshot, false)
+	f.Adopt(snapshot)
 }
