Measure the speed of targets only where no slot is waited for

At high load the time to the first byte holds the wait for a slot and for prompts that this instance has not heard of. Only targets with half of their slots free are measured now, and a measurement above the estimate weighs less than one below.

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -168,7 +168,7 @@
 	}
 	ticket := &Ticket{
 		Target: best, balancer: b, request: r, chosenAt: now, pending: b.speeds.at(best.ID, r.Model) * float64(r.PromptTokens),
-		foundNonePending: b.totalLoad(best.ID, now).Pending == 0,
+		measuresRead: isMeasurable(b.totalLoad(best.ID, now), best),
 	}
 	l := b.localLoad(best.ID)
 	l.InFlight++
--- a/internal/gateway/balancer/health.go
+++ b/internal/gateway/balancer/health.go
@@ -211,9 +211,9 @@
 	// pending is what the request still contributes to the pending time of its target, in
 	// milliseconds.
 	pending float64
-	// foundNonePending records that no prompts were pending at the target when it was
-	// chosen.
-	foundNonePending bool
+	// measuresRead records that the time to the first byte measures the time to read the
+	// prompt.
+	measuresRead bool
 	// isReturn records that the target had just begun to take requests again.
 	isReturn bool
 	ended    bool
@@ -231,7 +231,7 @@
 	l := b.localLoad(t.Target.ID)
 	delete(l.unanswered, t)
 	t.allowMoreReturns(l)
-	if t.foundNonePending {
+	if t.measuresRead {
 		b.learnReadTime(t.Target.ID, t.request.Model, t.request.PromptTokens, t.timeToFirstByte)
 	}
 	t.releasePending()
--- a/internal/gateway/balancer/speed.go
+++ b/internal/gateway/balancer/speed.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/crocusring/crocusring/internal/gateway/registrar"
 )
 
 // The load pattern that this file answers: targets of one service differ in speed several
@@ -23,6 +25,12 @@
 	// weigh more, so that a slow one is noticed soon.
 	modelSampleWeight  = 0.1
 	targetSampleWeight = 0.1
+	// delayedSampleShare is the weight of a measurement above the estimate relative to one
+	// below: requests that this instance does not know of yet only ever prolong it.
+	delayedSampleShare = 0.4
+	// maxMeasuredLoad is the share of the slots of a target in use up to which a measurement
+	// counts: at a full target the time includes the wait for a slot.
+	maxMeasuredLoad = 0.5
 	// firstSampleDivisor is the inverse of the weight of the first measurement of a target.
 	firstSampleDivisor = 2
 	// minSlowness and maxSlowness limit how far the speed of a target is taken to differ from
@@ -98,8 +106,12 @@
 		t.slowness = 1
 	}
 	ratio := measured / (s.ofModel(sample.Model) * t.slowness)
-	weight := max(targetSampleWeight, 1/float64(firstSampleDivisor+t.samples))
-	s.models[sample.Model] = s.ofModel(sample.Model) * math.Pow(ratio, modelSampleWeight)
+	share := 1.0
+	if ratio > 1 {
+		share = delayedSampleShare
+	}
+	weight := share * max(targetSampleWeight, 1/float64(firstSampleDivisor+t.samples))
+	s.models[sample.Model] = s.ofModel(sample.Model) * math.Pow(ratio, share*modelSampleWeight)
 	t.slowness = min(max(t.slowness*math.Pow(ratio, weight), minSlowness), maxSlowness)
 	t.samples++
 	s.targets[sample.Target] = t
@@ -139,8 +151,13 @@
 	}
 }
 
-// learnReadTime takes the time to the first byte of a request into account that found no
-// prompts pending at its target.
+// isMeasurable reports whether a request that finds a load at its target measures the time to
+// read its prompt: no other prompt is pending, and it waits for no slot.
+func isMeasurable(load Load, target *registrar.Target) bool {
+	return load.Pending == 0 && float64(load.InFlight) <= maxMeasuredLoad*float64(target.Slots)
+}
+
+// learnReadTime takes the time to the first byte of a request that measures it into account.
 func (b *Balancer) learnReadTime(target, model string, prompt int, timeToFirstByte time.Duration) {
 	if prompt <= 0 {
 		return
--- a/internal/gateway/balancer/speed_test.go
+++ b/internal/gateway/balancer/speed_test.go
@@ -44,7 +44,7 @@
 	b := balancer.New()
 	b.LearnReads(samplesOf(map[string]float64{"a": 1, "b": 1, "c": 1}, testModels, 400))
 	for _, target := range []string{"a", "b", "c", "unknown"} {
-		assert.InDelta(t, 1, b.Slowness(target), 0.3)
+		assert.InDelta(t, 1, b.Slowness(target), 0.3, target)
 	}
 }
 
