Send no load datagrams for requests with a slot

Each request with a slot changed a load twice, and each change went to every peer of the data centre, although its allocator knows of it. Such changes now wait for the next status or sum; what a target announces still goes at once. Numbers in the messages about slots are shorter.

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -179,7 +179,7 @@
 	l.unanswered[ticket] = true
 	l.countGrant(r.Grant)
 	ticket.countReturn(l)
-	b.onLoadChanged(best.ID)
+	b.reportChange(r.Grant, best.ID)
 	return ticket, nil
 }
 
--- a/internal/gateway/balancer/grant.go
+++ b/internal/gateway/balancer/grant.go
@@ -87,6 +87,21 @@
 	return count
 }
 
+// reportChange reports that the load of a target has changed, unless by a request with a slot:
+// the allocator knows of it, and the others do not choose by themselves. The lock must be held.
+func (b *Balancer) reportChange(grant *Grant, id string) {
+	if grant == nil {
+		b.onLoadChanged(id)
+	}
+}
+
+// ReportChange has peers told at once what is known of a target.
+func (b *Balancer) ReportChange(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.onLoadChanged(id)
+}
+
 // countGrant counts a request by its allocator. The lock must be held.
 func (l *localLoad) countGrant(grant *Grant) {
 	if grant == nil {
--- a/internal/gateway/balancer/grant_test.go
+++ b/internal/gateway/balancer/grant_test.go
@@ -134,3 +134,18 @@
 		assert.Zero(t, allocator.InFlightBeside("p0", grantor))
 	})
 }
+
+// TestGrantedRequestsAreNotReported guards against messages to all peers for each request of a
+// service whose slots an allocator hands out.
+func TestGrantedRequestsAreNotReported(t *testing.T) {
+	reports := []string{}
+	b := balancer.New(balancer.WithLoadChanged(func(id string) { reports = append(reports, id) }))
+	ticket := mustPick(t, b, view(2), granted("p0", &[]bool{}))
+	ticket.FirstByte()
+	ticket.End(balancer.Answered)
+	assert.Empty(t, reports)
+	b.ReportChange("p0")
+	assert.Equal(t, []string{"p0"}, reports)
+	mustPick(t, b, view(1), plainRequest)
+	assert.Len(t, reports, 2)
+}
--- a/internal/gateway/balancer/health.go
+++ b/internal/gateway/balancer/health.go
@@ -244,7 +244,7 @@
 	l := b.localLoad(t.Target.ID)
 	l.Pending = max(l.Pending-t.pending, 0)
 	t.pending = 0
-	b.onLoadChanged(t.Target.ID)
+	b.reportChange(t.request.Grant, t.Target.ID)
 	b.notifyWaiters()
 }
 
--- a/internal/gateway/conductor/limit.go
+++ b/internal/gateway/conductor/limit.go
@@ -29,6 +29,7 @@
 		return
 	}
 	if c.limiter.Observe(target.ID, limit) {
+		c.balancer.ReportChange(target.ID)
 		c.log.Info("limit of target changed", "target", target.ID, "isNamed", limit.IsNamed, "perSecond", limit.PerSecond)
 	}
 }
--- a/internal/gateway/conductor/notice.go
+++ b/internal/gateway/conductor/notice.go
@@ -33,6 +33,7 @@
 func (c *Conductor) observeLeave(target *registrar.Target) {
 	takesRequestsFor := max(c.drainTime-leaveMargin, 0)
 	if c.balancer.AnnounceLeave(target, c.now().Add(takesRequestsFor)) {
+		c.balancer.ReportChange(target.ID)
 		c.log.Info("target announces that it leaves", "target", target.ID, "born", target.StartMilliseconds,
 			"takesRequestsMilliseconds", takesRequestsFor.Milliseconds())
 	}
--- a/internal/gateway/conductor/slot.go
+++ b/internal/gateway/conductor/slot.go
@@ -127,7 +127,7 @@
 		ask.Account = q.account.Name
 	}
 	content := c.contentOf(q)
-	ask.Content = int64(binary.LittleEndian.Uint64(content[:]))
+	ask.Content = int64(binary.LittleEndian.Uint32(content[:]))
 	return ask
 }
 
--- a/internal/gateway/supervisor/slot_messages.go
+++ b/internal/gateway/supervisor/slot_messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -61,15 +62,18 @@
 	out := messenger.SlotRequest{
 		Service: ask.Service, Instance: s.supervisor.settings.Instance, Incarnation: s.supervisor.incarnation, Number: number,
 		Rank: ask.Rank, Account: ask.Account, Content: ask.Content, Avoid: notNil(ask.Avoid),
-		AgeMilliseconds: toMilliseconds(now.Sub(ask.Arrived)), StartMilliseconds: toMilliseconds(ask.LatestStart.Sub(now)),
-		GoalMilliseconds: maxMilliseconds, DeadlineMilliseconds: toMilliseconds(ask.Deadline.Sub(now)),
+		AgeMilliseconds: tenths(now.Sub(ask.Arrived)), StartMilliseconds: tenths(ask.LatestStart.Sub(now)),
+		GoalMilliseconds: maxMilliseconds, DeadlineMilliseconds: tenths(ask.Deadline.Sub(now)),
 	}
 	if !ask.Goal.IsZero() {
-		out.GoalMilliseconds = toMilliseconds(ask.Goal.Sub(now))
+		out.GoalMilliseconds = tenths(ask.Goal.Sub(now))
 	}
 	return out
 }
 
+// tenths returns a time in milliseconds, rounded to tenths to keep messages short.
+func tenths(d time.Duration) float64 { return math.Round(10*toMilliseconds(d)) / 10 }
+
 // maxSlotTime bounds how long a peer may use a slot.
 const maxSlotTime = time.Minute
 
@@ -92,7 +96,7 @@
 		return messenger.SlotResponse{Grantor: s.grantor}
 	}
 	return messenger.SlotResponse{
-		Target: answer.Target, Grantor: s.grantor, Refusal: string(answer.Reason), RetryMilliseconds: toMilliseconds(answer.RetryIn),
+		Target: answer.Target, Grantor: s.grantor, Refusal: string(answer.Reason), RetryMilliseconds: tenths(answer.RetryIn),
 	}
 }
 
--- a/internal/gateway/supervisor/slots.go
+++ b/internal/gateway/supervisor/slots.go
@@ -93,9 +93,10 @@
 	return out
 }
 
-// grantorOf identifies an incarnation of an instance; it is never 0.
+// grantorOf identifies an incarnation of an instance; it is never 0. It is short, since loads
+// bear it.
 func grantorOf(instance string, incarnation int64) int64 {
-	return int64(xxhash.Sum64String(fmt.Sprintf("%s/%d", instance, incarnation))>>1) | 1
+	return int64(uint32(xxhash.Sum64String(fmt.Sprintf("%s/%d", instance, incarnation)))) | 1
 }
 
 // isScarce reports whether an allocator hands out the slots of a service.
