--- a/internal/gateway/supervisor/slots.go
+++ b/internal/gateway/supervisor/slots.go
@@ -63,6 +63,8 @@
 	waiters map[allocator.Key]chan allocator.Answer
 	// silences holds the allocators that did not answer.
 	silences map[string]silence
+	// known holds the allocator that was last asked, by service.
+	known map[string]string
 }
 
 // slotMembers are the instances that may be allocators.
@@ -86,7 +88,7 @@
 func newSlots(s *Supervisor) *slots {
 	out := &slots{
 		supervisor: s, grantor: grantorOf(s.settings.Instance, s.incarnation), client: poster.New(), releases: newReleaseQueue(),
-		waiters: map[allocator.Key]chan allocator.Answer{}, silences: map[string]silence{},
+		waiters: map[allocator.Key]chan allocator.Answer{}, silences: map[string]silence{}, known: map[string]string{},
 	}
 	out.allocator = allocator.New(out.targetsOf)
 	out.members.Store(&slotMembers{live: map[string]int64{}, allocators: map[string][]string{}})
@@ -124,12 +126,24 @@
 func (s *slots) allocatorOf(service string) string {
 	for _, name := range s.members.Load().allocatorsOf(service) {
 		if !s.isSilent(name) {
+			s.noteAllocator(service, name)
 			return name
 		}
 	}
 	return ""
 }
 
+// noteAllocator logs which instance is asked for the slots of a service, when that changes.
+func (s *slots) noteAllocator(service, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.known[service] == name {
+		return
+	}
+	s.known[service] = name
+	s.supervisor.log.Info("allocator of service", "service", service, "allocator", name)
+}
+
 // allocatorsOf returns the instances that hand out the slots of a service, in the order in which
 // to ask them.
 func (m *slotMembers) allocatorsOf(service string) []string {
