Keep one request waiting at small targets, and ask for known slots only

A target of one or two slots was sent no request beyond them, so that its slot was idle for a round trip after each release. Targets that do not say how many slots they have are chosen without an allocator, as before.

--- a/internal/gateway/allocator/target.go
+++ b/internal/gateway/allocator/target.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// slotsPerWaiting is the number of slots of a target for which one more request is sent
-	// there than it can run, so that a slot that becomes free is not idle for a round trip.
+	// slotsPerWaiting is the number of slots of a target, or a part of them, for which one more
+	// request is sent there than it can run, so that a slot that becomes free is not idle for a round trip.
 	slotsPerWaiting = 3
 	// initialWork is the assumed time of a request at a target until there is a measurement.
 	initialWork = 50 * time.Millisecond
@@ -56,7 +56,7 @@
 func (t *target) slots() int { return max(t.Slots, 1) }
 
 // capacity is the number of requests that a target is sent at most.
-func (t *target) capacity() int { return t.slots() + t.slots()/slotsPerWaiting }
+func (t *target) capacity() int { return t.slots() + (t.slots()+slotsPerWaiting-1)/slotsPerWaiting }
 
 func (t *target) load() int { return t.inUse + t.Others }
 
--- a/internal/gateway/supervisor/slots.go
+++ b/internal/gateway/supervisor/slots.go
@@ -114,8 +114,8 @@
 	limit := min(scarceSlotsPerInstance*instances, maxAllocatedSlots)
 	count := 0
 	for _, t := range view.TargetsOf(service) {
-		count += max(t.Slots, 1)
-		if count >= limit {
+		count += t.Slots
+		if t.Slots <= 0 || count >= limit { // a target may not say how many it has
 			return false
 		}
 	}
