Bound what waits for slots, and look for expired ones less often

Asks that wait hold a connection each, so that a service with a long latency goal could have used up the connections to its allocator. At most 256 requests to a service wait now.

--- a/internal/gateway/allocator/allocator.go
+++ b/internal/gateway/allocator/allocator.go
@@ -12,8 +12,13 @@
 	"time"
 )
 
-// MaxRank is the last rank of requests.
-const MaxRank = 9
+const (
+	// MaxRank is the last rank of requests.
+	MaxRank = 9
+	// MaxWaiting is the number of requests to a service that wait at most: each one holds a
+	// connection between instances.
+	MaxWaiting = 256
+)
 
 // Key identifies an ask: the incarnation of the instance that asks, and a number that it uses
 // once.
--- a/internal/gateway/allocator/allocator_test.go
+++ b/internal/gateway/allocator/allocator_test.go
@@ -262,6 +262,16 @@
 		assert.Greater(t, refusals, 10)
 		assert.Less(t, refusals, 35)
 	})
+	t.Run("when more wait than may, however long they can", func(t *testing.T) {
+		s := newService(six("a"))
+		fill(t, s)
+		for n := range allocator.MaxWaiting + 1 {
+			patient := ask(n, 0)
+			patient.Goal, patient.LatestStart = at(1_000_000), at(1_000_000)
+			answers := s.Ask(at(n), patient)
+			assert.Equal(t, n == allocator.MaxWaiting, len(answers) == 1)
+		}
+	})
 	t.Run("at its latest start", func(t *testing.T) {
 		s := newService(six("a"))
 		fill(t, s)
--- a/internal/gateway/allocator/service.go
+++ b/internal/gateway/allocator/service.go
@@ -140,7 +140,7 @@
 	// The request waits at its target as well, for one of the slots to become free.
 	wait := time.Duration(float64(before+1) / rate * float64(time.Second))
 	wait += s.meanWork / slotsPerWaiting
-	if now.Add(wait).After(e.LatestStart) {
+	if before >= MaxWaiting || now.Add(wait).After(e.LatestStart) {
 		return Backlog
 	}
 	return ""
--- a/internal/gateway/allocator/simulation_test.go
+++ b/internal/gateway/allocator/simulation_test.go
@@ -31,6 +31,7 @@
 	sumInterval    = 150 * time.Millisecond
 	statusInterval = 700 * time.Millisecond
 	releaseBatch   = 3 * time.Millisecond
+	tickInterval   = 250 * time.Millisecond
 	askTimeout     = 150 * time.Millisecond
 	maxHold        = 100 * time.Millisecond
 	silentTime     = 500 * time.Millisecond
@@ -207,7 +208,7 @@
 		s.every(statusInterval, func() { s.sendStatus(instance) })
 	}
 	s.every(sumInterval, s.sendSums)
-	s.every(50*time.Millisecond, func() {
+	s.every(tickInterval, func() {
 		live := map[string]int64{}
 		for i := range instanceCount {
 			live[nameOf(i)] = 1
--- a/internal/gateway/supervisor/slot_messages.go
+++ b/internal/gateway/supervisor/slot_messages.go
@@ -75,7 +75,7 @@
 func tenths(d time.Duration) float64 { return math.Round(10*toMilliseconds(d)) / 10 }
 
 // maxSlotTime bounds how long a peer may use a slot.
-const maxSlotTime = time.Minute
+const maxSlotTime = 10 * time.Minute
 
 func decodeAsk(in messenger.SlotRequest) allocator.Ask {
 	now := time.Now()
--- a/internal/gateway/supervisor/slots.go
+++ b/internal/gateway/supervisor/slots.go
@@ -38,10 +38,9 @@
 	maxSilentTime = 2 * time.Second
 	// deliveryTime bounds the time between a decision and its delivery within the process.
 	deliveryTime = 5 * time.Millisecond
-	// slotTickInterval is the time between two looks for expired slots and asks, and
-	// slotMembersInterval that between two looks for the live instances.
-	slotTickInterval    = 50 * time.Millisecond
-	slotMembersInterval = 250 * time.Millisecond
+	// slotTickInterval is the time between two looks for the live instances and for expired
+	// slots.
+	slotTickInterval = 250 * time.Millisecond
 )
 
 // slots gets slots of scarce plain services for the requests of this instance, and hands out
@@ -87,7 +86,7 @@
 
 func newSlots(s *Supervisor) *slots {
 	out := &slots{
-		supervisor: s, grantor: grantorOf(s.settings.Instance, s.incarnation), client: poster.New(), releases: newReleaseQueue(),
+		supervisor: s, grantor: grantorOf(s.settings.Instance, s.incarnation), client: poster.New(poster.WithMaxConnections(allocator.MaxWaiting)), releases: newReleaseQueue(),
 		waiters: map[allocator.Key]chan allocator.Answer{}, silences: map[string]silence{}, known: map[string]string{},
 	}
 	out.allocator = allocator.New(out.targetsOf)
@@ -196,15 +195,10 @@
 
 // maintain regularly ends what has expired, and updates the live instances and the metrics.
 func (s *slots) maintain(ctx context.Context) {
-	var membersDue time.Time
 	every(ctx, slotTickInterval, func() {
-		now := time.Now()
-		if !now.Before(membersDue) {
-			membersDue = now.Add(slotMembersInterval)
-			s.updateMembers()
-			s.observe()
-		}
-		s.deliver(s.allocator.Tick(now, s.members.Load().live))
+		s.updateMembers()
+		s.deliver(s.allocator.Tick(time.Now(), s.members.Load().live))
+		s.observe()
 	})
 }
 
--- a/internal/gateway/supervisor/slots_test.go
+++ b/internal/gateway/supervisor/slots_test.go
@@ -258,7 +258,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go granter.slots.maintain(ctx)
-	time.Sleep(2 * slotMembersInterval)
+	time.Sleep(2 * slotTickInterval)
 	assert.Equal(t, 8, granter.granted(), "while its status is valid")
 	assert.Eventually(t, func() bool { return granter.granted() == 0 }, 3*time.Second, 10*time.Millisecond)
 }
--- a/internal/wire/poster/poster.go
+++ b/internal/wire/poster/poster.go
@@ -64,9 +64,17 @@
 	},
 }
 
+// Option configures a client in New.
+type Option func(*Client)
+
+// WithMaxConnections sets how many connections a client opens to one address, by default 64.
+func WithMaxConnections(count int) Option {
+	return func(c *Client) { c.http.MaxConnsPerHost = count }
+}
+
 // New returns a client that does not retry requests.
-func New() *Client {
-	return &Client{http: &fasthttp.Client{
+func New(options ...Option) *Client {
+	c := &Client{http: &fasthttp.Client{
 		Name: userAgent,
 		Dial: func(addr string) (net.Conn, error) {
 			conn, err := dialer.Dial("tcp", addr)
@@ -83,6 +91,10 @@
 		},
 		MaxResponseBodySize: maxAnswerBytes,
 	}}
+	for _, option := range options {
+		option(c)
+	}
+	return c
 }
 
 // Call describes one request and its answer. If In is not nil, it is encoded as the
