--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/crocusring/crocusring/internal/edge/connector"
+	"github.com/crocusring/crocusring/internal/gateway/authenticator"
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
 	"github.com/crocusring/crocusring/internal/gateway/limiter"
@@ -75,6 +76,9 @@
 	acquirePermit func(ctx context.Context, target *registrar.Target) error
 	quarantine    Quarantine
 	slots         Slots
+	authenticator authenticator.Authenticator
+	// accountRefused is called for each request that is refused for its key.
+	accountRefused func(reason error)
 	// requestEnd is called when a request that was accepted ends.
 	requestEnd func(measurer.Request)
 	// answerEnd is called when an answer of a target that ran its request has ended.
@@ -146,6 +150,8 @@
 		ensureAdapter:    func(context.Context, string, string, string) error { return balancer.ErrNoAdapter },
 		timeUntilServed:  func(context.Context, string, string) (time.Duration, error) { return 0, balancer.ErrNoModel },
 		servingEstimates: estimateCache{byModel: map[modelKey]*servingEstimate{}},
+		authenticator:    authenticator.Authenticator{View: registry.View, IsConfirmed: func() bool { return true }},
+		accountRefused:   func(error) {},
 	}
 	for _, option := range options {
 		option(c)
@@ -174,6 +180,10 @@
 	route       *registrar.Route
 	// account is the account that the request is sent for; nil without one.
 	account *registrar.Account
+	// credential is what the caller says of its account, and hasAccounts reports whether that
+	// counts.
+	credential  authenticator.Credential
+	hasAccounts bool
 	// rank orders the request among those that wait, and at its target: 0 is first.
 	rank    int
 	service string
