--- a/internal/gateway/supervisor/slots.go
+++ b/internal/gateway/supervisor/slots.go
@@ -38,10 +38,9 @@
 	maxSilentTime = 2 * time.Second
 	// deliveryTime bounds the time between a decision and its delivery within the process.
 	deliveryTime = 5 * time.Millisecond
-	// slotTickInterval is the time between two looks for expired slots and asks, and
-	// slotMembersInterval that between two looks for the live instances.
-	slotTickInterval    = 50 * time.Millisecond
-	slotMembersInterval = 250 * time.Millisecond
+	// slotTickInterval is the time between two looks for the live instances and for expired
+	// slots.
+	slotTickInterval = 250 * time.Millisecond
 )
 
 // slots gets slots of scarce plain services for the requests of this instance, and hands out
@@ -63,6 +62,8 @@
 	waiters map[allocator.Key]chan allocator.Answer
 	// silences holds the allocators that did not answer.
 	silences map[string]silence
+	// known holds the allocator that was last asked, by service.
+	known map[string]string
 }
 
 // slotMembers are the instances that may be allocators.
@@ -85,17 +86,18 @@
 
 func newSlots(s *Supervisor) *slots {
 	out := &slots{
-		supervisor: s, grantor: grantorOf(s.settings.Instance, s.incarnation), client: poster.New(), releases: newReleaseQueue(),
-		waiters: map[allocator.Key]chan allocator.Answer{}, silences: map[string]silence{},
+		supervisor: s, grantor: grantorOf(s.settings.Instance, s.incarnation), client: poster.New(poster.WithMaxConnections(allocator.MaxWaiting)), releases: newReleaseQueue(),
+		waiters: map[allocator.Key]chan allocator.Answer{}, silences: map[string]silence{}, known: map[string]string{},
 	}
 	out.allocator = allocator.New(out.targetsOf)
 	out.members.Store(&slotMembers{live: map[string]int64{}, allocators: map[string][]string{}})
 	return out
 }
 
-// grantorOf identifies an incarnation of an instance; it is never 0.
+// grantorOf identifies an incarnation of an instance; it is never 0. It is short, since loads
+// bear it.
 func grantorOf(instance string, incarnation int64) int64 {
-	return int64(xxhash.Sum64String(fmt.Sprintf("%s/%d", instance, incarnation))>>1) | 1
+	return int64(uint32(xxhash.Sum64String(fmt.Sprintf("%s/%d", instance, incarnation)))) | 1
 }
 
 // isScarce reports whether an allocator hands out the slots of a service.
@@ -111,8 +113,8 @@
 	limit := min(scarceSlotsPerInstance*instances, maxAllocatedSlots)
 	count := 0
 	for _, t := range view.TargetsOf(service) {
-		count += max(t.Slots, 1)
-		if count >= limit {
+		count += t.Slots
+		if t.Slots <= 0 || count >= limit { // a target may not say how many it has
 			return false
 		}
 	}
@@ -123,12 +125,24 @@
 func (s *slots) allocatorOf(service string) string {
 	for _, name := range s.members.Load().allocatorsOf(service) {
 		if !s.isSilent(name) {
+			s.noteAllocator(service, name)
 			return name
 		}
 	}
 	return ""
 }
 
+// noteAllocator logs which instance is asked for the slots of a service, when that changes.
+func (s *slots) noteAllocator(service, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.known[service] == name {
+		return
+	}
+	s.known[service] = name
+	s.supervisor.log.Info("allocator of service", "service", service, "allocator", name)
+}
+
 // allocatorsOf returns the instances that hand out the slots of a service, in the order in which
 // to ask them.
 func (m *slotMembers) allocatorsOf(service string) []string {
@@ -181,15 +195,10 @@
 
 // maintain regularly ends what has expired, and updates the live instances and the metrics.
 func (s *slots) maintain(ctx context.Context) {
-	var membersDue time.Time
 	every(ctx, slotTickInterval, func() {
-		now := time.Now()
-		if !now.Before(membersDue) {
-			membersDue = now.Add(slotMembersInterval)
-			s.updateMembers()
-			s.observe()
-		}
-		s.deliver(s.allocator.Tick(now, s.members.Load().live))
+		s.updateMembers()
+		s.deliver(s.allocator.Tick(time.Now(), s.members.Load().live))
+		s.observe()
 	})
 }
 
