Bound the memory and the connections that clients take from an instance

Callers could take all memory of an instance by bodies, heads with many lines and connections, and end it by using up its descriptors: nothing bounded the sum of what it held, and a lack of descriptors ended a listener for good. A guard now wraps each listener. It charges what is read to one budget before it is kept, bounds connections and heads, reads and writes by progress, and outlasts a lack of descriptors. Go's memory limit follows from MemoryMegabytes.

--- a/internal/gateway/conductor/abort.go
+++ b/internal/gateway/conductor/abort.go
@@ -19,8 +19,8 @@
 // Before HTTP/1.1 an answer has no chunks and a close ends it, so that the connection must
 // be reset for the caller to tell the difference.
 func abort(r *http.Request) {
-	conn, isTCP := r.Context().Value(connKey{}).(*net.TCPConn)
-	if isTCP && !r.ProtoAtLeast(1, 1) {
+	conn, canReset := r.Context().Value(connKey{}).(interface{ SetLinger(seconds int) error })
+	if canReset && !r.ProtoAtLeast(1, 1) {
 		_ = conn.SetLinger(0) // makes the close a reset; it fails only if the connection is closed
 	}
 	panic(http.ErrAbortHandler)
--- a/internal/gateway/conductor/accept.go
+++ b/internal/gateway/conductor/accept.go
@@ -1,28 +1,20 @@
 package conductor
 
 import (
-	"io"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-faster/errors"
 
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 	"github.com/crocusring/crocusring/internal/request/quarantiner"
 	"github.com/crocusring/crocusring/internal/state/measurer"
 )
 
-const (
-	// defaultTimeout sets the deadline of a request that has no valid deadline header.
-	defaultTimeout = 15 * time.Second
-	// defaultMaxBodyBytes bounds a request body where the manifest sets no limit.
-	defaultMaxBodyBytes = 8 << 20
-	// bodyReadTimeout bounds how long a caller may take to send a request body.
-	bodyReadTimeout = 10 * time.Second
-)
+// defaultTimeout sets the deadline of a request that has no valid deadline header.
+const defaultTimeout = 15 * time.Second
 
 // accept matches a request to its route, reads its body and sets its deadline. It returns
 // a refusal if the request cannot be served.
@@ -107,33 +99,6 @@
 	return route.Backends[len(route.Backends)-1].Service
 }
 
-func (c *Conductor) readBody(w http.ResponseWriter, r *http.Request, maxBytes int) ([]byte, *Refusal) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
-	}
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(c.now().Add(bodyReadTimeout)); err != nil {
-		c.log.V(1).Info("cannot set the read deadline of a request body", "error", err.Error())
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(maxBytes)))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "body too large"}
-	case err != nil:
-		return nil, &Refusal{Status: http.StatusBadRequest, Reason: "body cannot be read: " + err.Error()}
-	}
-	// The server goes on reading the connection to detect that the caller has closed it,
-	// and that read must not fail at the deadline of the body.
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		c.log.V(1).Info("cannot clear the read deadline of a request body", "error", err.Error())
-	}
-	return body, nil
-}
-
 // maxPartBytes bounds the length of the name of a part. Of a longer one the hash is used.
 const maxPartBytes = 64
 
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/crocusring/crocusring/internal/edge/connector"
+	"github.com/crocusring/crocusring/internal/edge/guarder"
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
 	"github.com/crocusring/crocusring/internal/gateway/limiter"
@@ -78,9 +79,11 @@
 	requestEnd func(measurer.Request)
 	// answerEnd is called when an answer of a target that ran its request has ended.
 	answerEnd func(measurer.Answer)
-	closing   atomic.Bool
-	stop      atomic.Pointer[stopTimes]
-	active    atomic.Int64
+	// refusedBody is called when a request is refused for its body.
+	refusedBody func(guarder.Cause)
+	closing     atomic.Bool
+	stop        atomic.Pointer[stopTimes]
+	active      atomic.Int64
 }
 
 // Option configures a conductor in New.
@@ -139,6 +142,7 @@
 		streamEnd:        func(Demand, time.Duration) {},
 		requestEnd:       func(measurer.Request) {},
 		answerEnd:        func(measurer.Answer) {},
+		refusedBody:      func(guarder.Cause) {},
 		quarantine:       noQuarantine(),
 		acquirePermit:    func(context.Context, *registrar.Target) error { return nil },
 		ensureAdapter:    func(context.Context, string, string, string) error { return balancer.ErrNoAdapter },
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -212,6 +212,7 @@
 	q := reply.request
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
 	q.run.HasBegun = len(body) > 0
+	holdOf(q.httpRequest).Relay(int64(cap(body)))
 	if err != nil {
 		ticket.End(lostOutcome(ctx))
 		q.noteCut(err)
--- /dev/null
+++ b/internal/gateway/supervisor/guards.go
@@ -0,0 +1,147 @@
+package supervisor
+
+import (
+	"bytes"
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/crocusring/crocusring/internal/edge/guarder"
+	"github.com/crocusring/crocusring/internal/state/measurer"
+)
+
+const (
+	// requestTimeout bounds how long a request to another address than that of callers may
+	// take to arrive, and otherIdleTimeout how long such a connection may be idle.
+	requestTimeout   = 10 * time.Second
+	otherIdleTimeout = time.Minute
+	// quietTimeout is how long a connection to these addresses may send nothing within a
+	// request before it is closed for a new one. The longest wait there is adapterTimeout.
+	quietTimeout = 3 * time.Second
+	// maxMessageBytes bounds a message of a peer, and maxQueryBytes the body of a request to
+	// the other addresses, which have no use for one.
+	maxMessageBytes = 16 << 20
+	maxQueryBytes   = 4 << 10
+	// maxIdleMargin is added to the idle timeout of the manifest, so that the caller closes a
+	// connection first.
+	maxIdleMargin = time.Second
+)
+
+// Shares of the descriptors of the connections at each address. The rest is for connections
+// to targets, peers and the store: each request of a caller may need one.
+const (
+	callerConnShare    = 0.45
+	peerConnShare      = 0.1
+	locatorConnShare   = 0.06
+	readinessConnShare = 0.02
+	metricsConnShare   = 0.02
+)
+
+// guards bound what clients take from this instance.
+type guards struct {
+	budget    *guarder.Budget
+	byAddress map[string]*guarder.Guard
+}
+
+func (g *guards) of(address string) *guarder.Guard { return g.byAddress[address] }
+
+// newGuards returns the guards of all addresses, and gives Go's runtime its memory limit.
+func (s *Supervisor) newGuards() *guards {
+	sizes := guarder.SizesOf(s.settings.MemoryMegabytes, s.settings.MaxDescriptors)
+	sizes.Apply()
+	out := &guards{budget: guarder.NewBudget(sizes.BudgetBytes), byAddress: map[string]*guarder.Guard{}}
+	add := func(address string, share float64, options ...guarder.Option) {
+		options = append(options, guarder.WithRefusals(s.countRefusedClient))
+		out.byAddress[address] = guarder.New(out.budget, sizes.Conns(share), options...)
+	}
+	metered := []guarder.Option{guarder.WithMetering(guarder.Control), guarder.WithBriefRequests(quietTimeout)}
+	add(s.settings.PeerAddress, peerConnShare, metered...)
+	add(s.settings.ReadinessAddress, readinessConnShare, metered...)
+	add(s.settings.LocatorAddress, locatorConnShare, metered...)
+	add(s.settings.MetricsAddress, metricsConnShare, metered...)
+	add(s.settings.CallerAddress, callerConnShare, guarder.WithLimits(s.callerLimits))
+	s.log.Info("bounds for clients", "budgetBytes", sizes.BudgetBytes, "heapBytes", sizes.HeapBytes,
+		"descriptors", sizes.Descriptors, "callerConnections", sizes.Conns(callerConnShare))
+	return out
+}
+
+// callerLimits returns the limits of the manifest in force, with defaults for those it does
+// not set.
+func (s *Supervisor) callerLimits() guarder.Limits {
+	out := guarder.DefaultLimits()
+	manifest := s.registry.View().Manifest
+	if manifest == nil {
+		return out
+	}
+	limits := manifest.Limits
+	if limits.HeaderBytes > 0 {
+		out.HeadBytes = min(limits.HeaderBytes, guarder.DefaultHeadBytes)
+	}
+	if limits.HeaderTimeoutMilliseconds > 0 {
+		out.HeadTimeout = time.Duration(limits.HeaderTimeoutMilliseconds) * time.Millisecond
+	}
+	if limits.IdleTimeoutMilliseconds > 0 {
+		out.IdleTimeout = time.Duration(limits.IdleTimeoutMilliseconds)*time.Millisecond + maxIdleMargin
+	}
+	return out
+}
+
+func (s *Supervisor) countRefusedClient(cause guarder.Cause) {
+	s.measurer.CountEvent(measurer.ClientEvent(string(cause)), 1)
+}
+
+// guardedServer returns the server of an address other than that of callers.
+func (s *Supervisor) guardedServer(address string, handler fasthttp.RequestHandler) *fasthttp.Server {
+	maxBytes := maxQueryBytes
+	if address == s.settings.PeerAddress {
+		maxBytes = maxMessageBytes
+	}
+	return &fasthttp.Server{
+		Handler: readWhole(handler, maxBytes), IdleTimeout: otherIdleTimeout, ReadTimeout: requestTimeout, NoDefaultServerHeader: true,
+		NoDefaultDate: true, MaxRequestBodySize: maxBytes, ConnState: guarder.FastState,
+		// The memory of a body is taken as it arrives, not as it is announced.
+		StreamRequestBody: true,
+	}
+}
+
+var errMessageTooLarge = errors.New("message too large")
+
+// readWhole reads the body of a request before it is handled.
+func readWhole(handler fasthttp.RequestHandler, maxBytes int) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		body, err := readMessage(ctx.RequestBodyStream(), maxBytes)
+		guarder.HoldOf(ctx.Conn()).SetEvictable(false, time.Now())
+		switch {
+		case errors.Is(err, errMessageTooLarge):
+			ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
+			ctx.SetConnectionClose()
+			return
+		case err != nil:
+			ctx.SetStatusCode(fasthttp.StatusRequestTimeout)
+			ctx.SetConnectionClose()
+			return
+		}
+		if body != nil {
+			ctx.Request.SetBodyRaw(body)
+		}
+		handler(ctx)
+	}
+}
+
+// readMessage reads a body of at most maxBytes; nil has none.
+func readMessage(body io.Reader, maxBytes int) ([]byte, error) {
+	if body == nil {
+		return nil, nil
+	}
+	var out bytes.Buffer
+	n, err := io.Copy(&out, io.LimitReader(body, int64(maxBytes)+1))
+	switch {
+	case err != nil:
+		return nil, errors.Wrap(err, "read message")
+	case n > int64(maxBytes):
+		return nil, errMessageTooLarge
+	}
+	return out.Bytes(), nil
+}
--- a/internal/gateway/supervisor/servers.go
+++ b/internal/gateway/supervisor/servers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"slices"
@@ -12,22 +14,15 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/crocusring/crocusring/internal/edge/guarder"
 	"github.com/crocusring/crocusring/internal/gateway/conductor"
 	"github.com/crocusring/crocusring/internal/gateway/informer"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-const (
-	// headTimeout bounds how long a caller may take to send the head of a request.
-	headTimeout = 10 * time.Second
-	// idleTimeout is longer than callers keep an idle connection open.
-	idleTimeout = 60 * time.Second
-	// maxHeaderBytes bounds the head of a request.
-	maxHeaderBytes = 64 << 10
-	// maxLocationSeconds is how long callers may use the addresses from a locator. It is
-	// short, so that callers soon notice an instance that stops or starts.
-	maxLocationSeconds = 1.0
-)
+// maxLocationSeconds is how long callers may use the addresses from a locator. It is
+// short, so that callers soon notice an instance that stops or starts.
+const maxLocationSeconds = 1.0
 
 // servers holds the open listeners of an instance.
 type servers struct {
@@ -55,12 +50,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
-		server := &fasthttp.Server{
-			Handler: handler, IdleTimeout: idleTimeout, ReadTimeout: headTimeout, NoDefaultServerHeader: true,
-			NoDefaultDate: true, MaxRequestBodySize: 16 << 20,
-		}
+		server := s.guardedServer(address, handler)
 		out.others = append(out.others, server)
-		go func() { out.failed <- server.Serve(listener) }()
+		go func() { out.failed <- server.Serve(s.guards.of(address).Wrap(listener)) }()
 	}
 	if err := s.listenLoads(out); err != nil {
 		return nil, err
@@ -69,12 +61,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
+	// The guard bounds the time of heads and of idle connections, and the size of heads.
 	out.callers = &http.Server{
-		Handler: s.conductor, ConnContext: conductor.ConnContext,
-		ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: s.conductor, ConnContext: conductor.ConnContext, ConnState: guarder.HTTPState,
+		MaxHeaderBytes: guarder.DefaultHeadBytes, ErrorLog: log.New(io.Discard, "", 0),
 	}
 	go func() {
-		if err := out.callers.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		err := out.callers.Serve(s.guards.of(s.settings.CallerAddress).Wrap(listener))
+		if !errors.Is(err, http.ErrServerClosed) {
 			out.failed <- err
 		}
 	}()
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -102,6 +102,7 @@
 	measurer     *measurer.Measurer
 	tally        *tallier.Tallier
 	conductor    *conductor.Conductor
+	guards       *guards
 	foreman      *foreman.Foreman
 	informer     *informer.Informer
 	leaser       *leaser.Leaser
@@ -140,7 +141,9 @@
 		conductor.WithLog(log), conductor.WithLimiter(s.limiter, s.acquirePermit), conductor.WithAdapterLoader(s.ensureAdapter), conductor.WithTimeUntilServed(s.timeUntilServed),
 		conductor.WithDemandObservers(s.countDemand, s.countWaiting), conductor.WithStreamObserver(s.countStream),
 		conductor.WithRequestObserver(s.measurer.Observe), conductor.WithAnswerObserver(s.measurer.CountAnswer),
-		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()))
+		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()),
+		conductor.WithBodyObserver(s.countRefusedClient))
+	s.guards = s.newGuards()
 	s.prober = prober.New(s.conductor.Probe)
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
--- a/internal/state/measurer/event.go
+++ b/internal/state/measurer/event.go
@@ -27,6 +27,10 @@
 	QuarantineRefusedForPart Event = "Quarantine.RefusedForPart"
 )
 
+// ClientEvent returns the event that a client was refused, or its connection closed, for a
+// cause. There are few causes.
+func ClientEvent(cause string) Event { return Event("Client." + cause) }
+
 var events = []Event{
 	CutTargetEnded, CutTargetPresent, CutTargetUnknown, CutTargetLeaving, CutUnanswered,
 	QuarantineSuspects, QuarantineConvictions, QuarantineTakenBack, QuarantineRefused, QuarantineRefusedForPart,
