Guard the product's own listener, and show the budget in the metrics

An instance with the project's own interface took the memory of a body of 8 MiB as soon as one was announced, for any number of connections, and answered a body that came too slowly with 400. A body that is refused releases its memory at once, not when its connection is closed, so that one that arrives gets it: TestBodies failed for that.

--- a/internal/edge/guarder/budget.go
+++ b/internal/edge/guarder/budget.go
@@ -25,6 +25,9 @@
 
 var shareNames = [shareCount]string{Control: "Control", Reading: "Reading", Relaying: "Relaying"}
 
+// Shares returns all shares.
+func Shares() []Share { return []Share{Control, Reading, Relaying} }
+
 func (s Share) String() string { return shareNames[s] }
 
 // reserves are the reserves of the shares, in hundredths of the budget.
--- a/internal/edge/listener/listener.go
+++ b/internal/edge/listener/listener.go
@@ -20,6 +20,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusring/crocusring/internal/control/configurer"
+	"github.com/crocusring/crocusring/internal/edge/guarder"
 	"github.com/crocusring/crocusring/internal/edge/relayer"
 	"github.com/crocusring/crocusring/internal/peer/exchanger"
 	"github.com/crocusring/crocusring/internal/request/admitter"
@@ -90,6 +91,7 @@
 
 	relay    *relayer.Client
 	server   *fasthttp.Server
+	guard    *guarder.Guard
 	inFlight atomic.Int64
 	now      func() time.Time
 
@@ -112,8 +114,11 @@
 		Config: parts, relay: relayer.New(parts.Home.Instance), now: time.Now,
 		locatedUntil: map[string]time.Time{}, busyConns: map[net.Conn]struct{}{},
 	}
+	l.guard = newGuard(parts)
 	l.server = &fasthttp.Server{
-		Handler:               l.handle,
+		Handler:               guarder.ReadWhole(l.handle, maxBodyBytes, handleReadError),
+		StreamRequestBody:     true,
+		ReadTimeout:           requestTimeout,
 		ErrorHandler:          handleReadError,
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadBufferSize:        maxHeaderBytes,
@@ -129,7 +134,7 @@
 
 // Serve accepts connections on ln and answers their requests until Shutdown.
 func (l *Listener) Serve(ln net.Listener) error {
-	return l.server.Serve(ln)
+	return l.server.Serve(l.guard.Wrap(ln))
 }
 
 // Prune closes connections to peers that have not been used for a while.
@@ -155,6 +160,7 @@
 }
 
 func (l *Listener) trackConn(conn net.Conn, state fasthttp.ConnState) {
+	guarder.FastState(conn, state)
 	l.busyMu.Lock()
 	defer l.busyMu.Unlock()
 	if state == fasthttp.StateActive {
@@ -180,13 +186,20 @@
 }
 
 func handleReadError(ctx *fasthttp.RequestCtx, err error) {
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		drain(ctx.Conn())
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.Is(err, guarder.ErrBodyTooLarge) {
+		drain(guarder.Unmetered(ctx.Conn()))
 		writeRefusal(ctx, fasthttp.StatusRequestEntityTooLarge, messenger.Refusal{
 			Code: CodeTooLarge, Message: err.Error(), NotRun: true,
 		})
 		return
 	}
+	var timeout net.Error
+	if errors.Is(err, fasthttp.ErrTimeout) || (errors.As(err, &timeout) && timeout.Timeout()) {
+		writeRefusal(ctx, fasthttp.StatusRequestTimeout, messenger.Refusal{
+			Code: CodeTooSlow, Message: "the request was not there in time", NotRun: true,
+		})
+		return
+	}
 	refuse(ctx, "", errors.Wrap(errBadRequest, err.Error()))
 }
 
--- a/internal/edge/listener/refusal.go
+++ b/internal/edge/listener/refusal.go
@@ -27,6 +27,7 @@
 	CodeUnknownService = "UnknownService"
 	CodeNotFound       = "NotFound"
 	CodeTooLarge       = "TooLarge"
+	CodeTooSlow        = "TooSlow"
 	CodeOverLimit      = "OverLimit"
 	CodeQuarantined    = "Quarantined"
 	CodeDeadlinePassed = "DeadlinePassed"
--- a/internal/gateway/conductor/body.go
+++ b/internal/gateway/conductor/body.go
@@ -53,6 +53,7 @@
 	err := reader.read(r.ContentLength)
 	reader.hold.SetEvictable(false, time.Now())
 	if err != nil {
+		reader.hold.Release(int64(cap(reader.buffer)))
 		w.Header().Set("Connection", "close") // the rest of the body is not read
 		return nil, c.bodyRefusal(err)
 	}
--- a/internal/gateway/supervisor/guards.go
+++ b/internal/gateway/supervisor/guards.go
@@ -1,8 +1,6 @@
 package supervisor
 
 import (
-	"bytes"
-	"io"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -99,49 +97,28 @@
 		maxBytes = maxMessageBytes
 	}
 	return &fasthttp.Server{
-		Handler: readWhole(handler, maxBytes), IdleTimeout: otherIdleTimeout, ReadTimeout: requestTimeout, NoDefaultServerHeader: true,
+		Handler: guarder.ReadWhole(handler, maxBytes, refuseMessage), IdleTimeout: otherIdleTimeout, ReadTimeout: requestTimeout, NoDefaultServerHeader: true,
 		NoDefaultDate: true, MaxRequestBodySize: maxBytes, ConnState: guarder.FastState,
 		// The memory of a body is taken as it arrives, not as it is announced.
 		StreamRequestBody: true,
 	}
 }
 
-var errMessageTooLarge = errors.New("message too large")
-
-// readWhole reads the body of a request before it is handled.
-func readWhole(handler fasthttp.RequestHandler, maxBytes int) fasthttp.RequestHandler {
-	return func(ctx *fasthttp.RequestCtx) {
-		body, err := readMessage(ctx.RequestBodyStream(), maxBytes)
-		guarder.HoldOf(ctx.Conn()).SetEvictable(false, time.Now())
-		switch {
-		case errors.Is(err, errMessageTooLarge):
-			ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
-			ctx.SetConnectionClose()
-			return
-		case err != nil:
-			ctx.SetStatusCode(fasthttp.StatusRequestTimeout)
-			ctx.SetConnectionClose()
-			return
-		}
-		if body != nil {
-			ctx.Request.SetBodyRaw(body)
-		}
-		handler(ctx)
+// refuseMessage refuses a request whose body was not read.
+func refuseMessage(ctx *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, guarder.ErrBodyTooLarge) {
+		ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
+		return
 	}
+	ctx.SetStatusCode(fasthttp.StatusRequestTimeout)
 }
 
-// readMessage reads a body of at most maxBytes; nil has none.
-func readMessage(body io.Reader, maxBytes int) ([]byte, error) {
-	if body == nil {
-		return nil, nil
-	}
-	var out bytes.Buffer
-	n, err := io.Copy(&out, io.LimitReader(body, int64(maxBytes)+1))
-	switch {
-	case err != nil:
-		return nil, errors.Wrap(err, "read message")
-	case n > int64(maxBytes):
-		return nil, errMessageTooLarge
+// registerGauges adds the use of the budget and the open connections to the metrics.
+func (s *Supervisor) registerGauges() {
+	s.measurer.RegisterGauge("Memory.Limit", s.guards.budget.Limit)
+	for _, share := range guarder.Shares() {
+		s.measurer.RegisterGauge("Memory."+share.String(), func() int64 { return s.guards.budget.Used(share) })
 	}
-	return out.Bytes(), nil
+	callers := s.guards.of(s.settings.CallerAddress)
+	s.measurer.RegisterGauge("Connections.Callers", func() int64 { return int64(callers.Open()) })
 }
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -144,6 +144,7 @@
 		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()),
 		conductor.WithBodyObserver(s.countRefusedClient))
 	s.guards = s.newGuards()
+	s.registerGauges()
 	s.prober = prober.New(s.conductor.Probe)
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
--- a/internal/state/measurer/measurer.go
+++ b/internal/state/measurer/measurer.go
@@ -134,6 +134,11 @@
 	return rates
 }
 
+// RegisterGauge adds a metric whose value is read when the metrics are written.
+func (m *Measurer) RegisterGauge(name string, value func() int64) {
+	m.registry.GetOrRegister(name, metrics.NewFunctionalGauge(value))
+}
+
 func (m *Measurer) histogram(name string) metrics.Histogram {
 	return m.registry.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, decayAlpha))
@@ -170,7 +175,7 @@
 var percentiles = []float64{0.5, 0.9, 0.99}
 
 // WriteText writes all metrics in the text format for scrapers: a line for each
-// counter, and for each histogram a line for its count and for each percentile.
+// counter and gauge, and for each histogram a line for its count and for each percentile.
 func (m *Measurer) WriteText(w io.Writer) error {
 	var out bytes.Buffer
 	m.registry.Each(func(name string, metric any) {
@@ -178,6 +183,8 @@
 		switch value := metric.(type) {
 		case metrics.Counter:
 			fmt.Fprintf(&out, "crocusring_%s{%s} %d\n", family, label, value.Count())
+		case metrics.Gauge:
+			fmt.Fprintf(&out, "crocusring_%s{%s} %d\n", family, label, value.Value())
 		case metrics.Histogram:
 			snapshot := value.Snapshot()
 			fmt.Fprintf(&out, "crocusring_%s_count{%s} %d\n", family, label, snapshot.Count())
