--- a/internal/gateway/supervisor/guards.go
+++ b/internal/gateway/supervisor/guards.go
@@ -41,15 +41,15 @@
 type guards struct {
 	budget    *guarder.Budget
 	byAddress map[string]*guarder.Guard
+	sizes     guarder.Sizes
 }
 
 func (g *guards) of(address string) *guarder.Guard { return g.byAddress[address] }
 
-// newGuards returns the guards of all addresses, and gives Go's runtime its memory limit.
+// newGuards returns the guards of all addresses.
 func (s *Supervisor) newGuards() *guards {
 	sizes := guarder.SizesOf(s.settings.MemoryMegabytes, s.settings.MaxDescriptors)
-	sizes.Apply()
-	out := &guards{budget: guarder.NewBudget(sizes.BudgetBytes), byAddress: map[string]*guarder.Guard{}}
+	out := &guards{sizes: sizes, budget: guarder.NewBudget(sizes.BudgetBytes), byAddress: map[string]*guarder.Guard{}}
 	add := func(address string, share float64, options ...guarder.Option) {
 		options = append(options, guarder.WithRefusals(s.countRefusedClient))
 		out.byAddress[address] = guarder.New(out.budget, sizes.Conns(share), options...)
@@ -60,9 +60,15 @@
 	add(s.settings.LocatorAddress, locatorConnShare, metered...)
 	add(s.settings.MetricsAddress, metricsConnShare, metered...)
 	add(s.settings.CallerAddress, callerConnShare, guarder.WithLimits(s.callerLimits))
+	return out
+}
+
+// boundMemory gives Go's runtime the memory limit of the machine.
+func (s *Supervisor) boundMemory() {
+	sizes := s.guards.sizes
+	sizes.Apply()
 	s.log.Info("bounds for clients", "budgetBytes", sizes.BudgetBytes, "heapBytes", sizes.HeapBytes,
 		"descriptors", sizes.Descriptors, "callerConnections", sizes.Conns(callerConnShare))
-	return out
 }
 
 // callerLimits returns the limits of the manifest in force, with defaults for those it does
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -194,6 +194,7 @@
 	s.readersAwaitedUntil = time.Now().Add(maxStartWait)
 	s.log.Info("instance starts", "instance", s.settings.Instance, "incarnation", s.incarnation,
 		"callers", s.settings.CallerAddress, "peers", s.settings.PeerAddress)
+	s.boundMemory()
 	for _, seed := range s.settings.Seeds {
 		s.informer.AddAddress(seed)
 	}
