--- a/internal/edge/guarder/sizes.go
+++ b/internal/edge/guarder/sizes.go
@@ -71,10 +71,15 @@
 }
 
 // Conns returns the number of connections of a listener that may use a share, from 0 to 1, of
-// the descriptors, and the same share of half of the budget.
+// the descriptors.
 func (s Sizes) Conns(share float64) int {
-	byMemory := float64(s.BudgetBytes) / 2 / connBytes
-	return max(int(share*min(float64(s.Descriptors), byMemory)), minConns)
+	return max(int(share*float64(s.Descriptors)), minConns)
+}
+
+// CallerConns returns the same for callers, whose connections may use half of the budget.
+func (s Sizes) CallerConns(share float64) int {
+	byMemory := int(s.BudgetBytes / 2 / connBytes)
+	return max(min(s.Conns(share), byMemory), minConns)
 }
 
 // Apply gives the limit of the heap to Go's runtime.
--- a/internal/edge/listener/guard.go
+++ b/internal/edge/listener/guard.go
@@ -23,6 +23,6 @@
 			parts.Measurer.CountEvent(measurer.ClientEvent(string(cause)), 1)
 		}
 	}
-	return guarder.New(guarder.NewBudget(sizes.BudgetBytes), sizes.Conns(connShare),
+	return guarder.New(guarder.NewBudget(sizes.BudgetBytes), sizes.CallerConns(connShare),
 		guarder.WithMetering(guarder.Reading), guarder.WithRefusals(refused))
 }
--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -54,6 +54,8 @@
 	Affinity uint64
 	// Excluded holds the IDs of targets that have already failed this request.
 	Excluded map[string]bool
+	// Grant is the slot that an allocator has granted to the request; nil without one.
+	Grant *Grant
 }
 
 // Balancer chooses targets. The zero value is not usable; see New.
@@ -65,10 +67,8 @@
 	loads    map[string]*localLoad
 	peers    map[string]*peerLoad
 	overlays map[overlayKey]overlay
-	// prefillMillis holds the estimated time to read one prompt token (prefill), in
-	// milliseconds, by model.
-	prefillMillis map[string]float64
-	sequence      int64
+	speeds   speeds
+	sequence int64
 	// freed is closed and replaced when capacity may have become free and a Pick has failed
 	// since the last time; hasWaiters records such a failure.
 	freed      chan struct{}
@@ -87,6 +87,8 @@
 	notice notice
 	// unanswered holds the requests that have not received the first byte of an answer.
 	unanswered map[*Ticket]bool
+	// grants holds the number of requests in flight that each allocator has granted.
+	grants map[int64]int
 }
 
 // overlayKey identifies a model at a target, or one of its adapters.
@@ -115,6 +117,9 @@
 // WithClock sets the clock that the balancer reads.
 func WithClock(now func() time.Time) Option { return func(b *Balancer) { b.now = now } }
 
+// WithRandom sets the source of random numbers by which equal targets are told apart.
+func WithRandom(random func() uint64) Option { return func(b *Balancer) { b.random = random } }
+
 // WithLoadChanged sets the function that is called with the ID of each target whose local load
 // has changed. It runs with the balancer's lock held, so it must not call the balancer.
 func WithLoadChanged(onLoadChanged func(target string)) Option {
@@ -132,7 +137,7 @@
 func New(options ...Option) *Balancer {
 	b := &Balancer{
 		now: time.Now, random: rand.Uint64, loads: map[string]*localLoad{}, peers: map[string]*peerLoad{}, overlays: map[overlayKey]overlay{},
-		prefillMillis: map[string]float64{}, freed: make(chan struct{}), onLoadChanged: func(string) {},
+		speeds: newSpeeds(), freed: make(chan struct{}), onLoadChanged: func(string) {},
 		blockedFor: func(string) time.Duration { return 0 },
 	}
 	for _, option := range options {
@@ -162,7 +167,7 @@
 		return nil, full
 	}
 	ticket := &Ticket{
-		Target: best, balancer: b, request: r, chosenAt: now, pending: b.millisPerToken(r.Model) * float64(r.PromptTokens),
+		Target: best, balancer: b, request: r, chosenAt: now, pending: b.speeds.at(best.ID, r.Model) * float64(r.PromptTokens),
 		foundNonePending: b.totalLoad(best.ID, now).Pending == 0,
 	}
 	l := b.localLoad(best.ID)
@@ -170,6 +175,7 @@
 	l.Pending += ticket.pending
 	l.tokens += r.Tokens
 	l.unanswered[ticket] = true
+	l.countGrant(r.Grant)
 	ticket.countReturn(l)
 	b.onLoadChanged(best.ID)
 	return ticket, nil
@@ -266,6 +272,11 @@
 			delete(b.loads, id)
 		}
 	}
+	for id := range b.speeds.targets {
+		if view.Targets[id] == nil {
+			delete(b.speeds.targets, id)
+		}
+	}
 	for key, o := range b.overlays {
 		if !o.isCurrent(now) {
 			delete(b.overlays, key)
--- a/internal/gateway/supervisor/guards.go
+++ b/internal/gateway/supervisor/guards.go
@@ -50,16 +50,16 @@
 func (s *Supervisor) newGuards() *guards {
 	sizes := guarder.SizesOf(s.settings.MemoryMegabytes, s.settings.MaxDescriptors)
 	out := &guards{sizes: sizes, budget: guarder.NewBudget(sizes.BudgetBytes), byAddress: map[string]*guarder.Guard{}}
-	add := func(address string, share float64, options ...guarder.Option) {
+	add := func(address string, conns int, options ...guarder.Option) {
 		options = append(options, guarder.WithRefusals(s.countRefusedClient))
-		out.byAddress[address] = guarder.New(out.budget, sizes.Conns(share), options...)
+		out.byAddress[address] = guarder.New(out.budget, conns, options...)
 	}
 	metered := []guarder.Option{guarder.WithMetering(guarder.Control), guarder.WithBriefRequests(quietTimeout)}
-	add(s.settings.PeerAddress, peerConnShare, metered...)
-	add(s.settings.ReadinessAddress, readinessConnShare, metered...)
-	add(s.settings.LocatorAddress, locatorConnShare, metered...)
-	add(s.settings.MetricsAddress, metricsConnShare, metered...)
-	add(s.settings.CallerAddress, callerConnShare, guarder.WithLimits(s.callerLimits))
+	add(s.settings.PeerAddress, sizes.Conns(peerConnShare), metered...)
+	add(s.settings.ReadinessAddress, sizes.Conns(readinessConnShare), metered...)
+	add(s.settings.LocatorAddress, sizes.Conns(locatorConnShare), metered...)
+	add(s.settings.MetricsAddress, sizes.Conns(metricsConnShare), metered...)
+	add(s.settings.CallerAddress, sizes.CallerConns(callerConnShare), guarder.WithLimits(s.callerLimits))
 	return out
 }
 
@@ -68,7 +68,7 @@
 	sizes := s.guards.sizes
 	sizes.Apply()
 	s.log.Info("bounds for clients", "budgetBytes", sizes.BudgetBytes, "heapBytes", sizes.HeapBytes,
-		"descriptors", sizes.Descriptors, "callerConnections", sizes.Conns(callerConnShare))
+		"descriptors", sizes.Descriptors, "callerConnections", sizes.CallerConns(callerConnShare))
 }
 
 // callerLimits returns the limits of the manifest in force, with defaults for those it does
--- a/internal/state/measurer/measurer.go
+++ b/internal/state/measurer/measurer.go
@@ -175,7 +175,7 @@
 var percentiles = []float64{0.5, 0.9, 0.99}
 
 // WriteText writes all metrics in the text format for scrapers: a line for each
-// counter and gauge, and for each histogram a line for its count and for each percentile.
+// counter or gauge, and for each histogram a line for its count and for each percentile.
 func (m *Measurer) WriteText(w io.Writer) error {
 	var out bytes.Buffer
 	m.registry.Each(func(name string, metric any) {
