--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/crocusring/crocusring/internal/edge/connector"
+	"github.com/crocusring/crocusring/internal/edge/guarder"
 	"github.com/crocusring/crocusring/internal/gateway/authenticator"
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
@@ -75,6 +76,7 @@
 	// or a limiter.DeniedError.
 	acquirePermit func(ctx context.Context, target *registrar.Target) error
 	quarantine    Quarantine
+	slots         Slots
 	authenticator authenticator.Authenticator
 	// accountRefused is called for each request that is refused for its key.
 	accountRefused func(reason error)
@@ -82,9 +84,11 @@
 	requestEnd func(measurer.Request)
 	// answerEnd is called when an answer of a target that ran its request has ended.
 	answerEnd func(measurer.Answer)
-	closing   atomic.Bool
-	stop      atomic.Pointer[stopTimes]
-	active    atomic.Int64
+	// refusedBody is called when a request is refused for its body.
+	refusedBody func(guarder.Cause)
+	closing     atomic.Bool
+	stop        atomic.Pointer[stopTimes]
+	active      atomic.Int64
 }
 
 // Option configures a conductor in New.
@@ -143,7 +147,9 @@
 		streamEnd:        func(Demand, time.Duration) {},
 		requestEnd:       func(measurer.Request) {},
 		answerEnd:        func(measurer.Answer) {},
+		refusedBody:      func(guarder.Cause) {},
 		quarantine:       noQuarantine(),
+		slots:            noSlots(),
 		acquirePermit:    func(context.Context, *registrar.Target) error { return nil },
 		ensureAdapter:    func(context.Context, string, string, string) error { return balancer.ErrNoAdapter },
 		timeUntilServed:  func(context.Context, string, string) (time.Duration, error) { return 0, balancer.ErrNoModel },
@@ -209,6 +215,8 @@
 	// status is that of the last answer of a target that ran the request.
 	status   int
 	excluded map[string]bool // the IDs of the targets that the request was offered to
+	// unusedSlots counts the slots that were granted at targets that could not be used.
+	unusedSlots int
 	// outcome and firstByteAfter, the time from arrival to the first byte of an answer,
 	// are for the metrics.
 	outcome        measurer.Outcome
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -103,11 +103,13 @@
 	measurer     *measurer.Measurer
 	tally        *tallier.Tallier
 	conductor    *conductor.Conductor
+	guards       *guards
 	foreman      *foreman.Foreman
 	informer     *informer.Informer
 	leaser       *leaser.Leaser
 	orderPermit  *orderPermit
 	poster       *poster.Client
+	slots        *slots
 	confirmer    *confirmer.Confirmer
 	proofFetches *proofFetches
 	manifests    *follower.Follower
@@ -141,12 +143,17 @@
 	s.crashReports = newCrashReports()
 	bounds := settings.Bounds
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
+	s.slots = newSlots(s)
 	s.conductor = conductor.New(platform.Headers, s.registry, s.balancer, s.budget,
 		conductor.WithLog(log), conductor.WithLimiter(s.limiter, s.acquirePermit), conductor.WithAdapterLoader(s.ensureAdapter), conductor.WithTimeUntilServed(s.timeUntilServed),
 		conductor.WithDemandObservers(s.countDemand, s.countWaiting), conductor.WithStreamObserver(s.countStream),
 		conductor.WithRequestObserver(s.measurer.Observe), conductor.WithAnswerObserver(s.measurer.CountAnswer),
 		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()),
-		conductor.WithCurrency(s.currency), conductor.WithAccountObserver(s.countAccountRefusal))
+		conductor.WithSlots(conductor.Slots{IsScarce: s.slots.isScarce, Acquire: s.slots.acquire}),
+		conductor.WithCurrency(s.currency), conductor.WithAccountObserver(s.countAccountRefusal),
+		conductor.WithBodyObserver(s.countRefusedClient))
+	s.guards = s.newGuards()
+	s.registerGauges()
 	s.prober = prober.New(s.conductor.Probe)
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
@@ -196,6 +203,7 @@
 	s.readersAwaitedUntil = time.Now().Add(maxStartWait)
 	s.log.Info("instance starts", "instance", s.settings.Instance, "incarnation", s.incarnation,
 		"callers", s.settings.CallerAddress, "peers", s.settings.PeerAddress)
+	s.boundMemory()
 	for _, seed := range s.settings.Seeds {
 		s.informer.AddAddress(seed)
 	}
@@ -207,7 +215,8 @@
 	defer cancel()
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
-		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly, s.confirmRegularly,
+		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly, s.slots.sendReleases, s.slots.maintain,
+		s.confirmRegularly,
 	} {
 		group.Go(func() error {
 			loop(running)
