--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -150,7 +150,7 @@
 		conductor.WithRequestObserver(s.measurer.Observe), conductor.WithAnswerObserver(s.measurer.CountAnswer),
 		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()),
 		conductor.WithSlots(conductor.Slots{IsScarce: s.slots.isScarce, Acquire: s.slots.acquire}),
-		conductor.WithConfirmation(s.isConfirmed), conductor.WithAccountObserver(s.countAccountRefusal),
+		conductor.WithCurrency(s.currency), conductor.WithAccountObserver(s.countAccountRefusal),
 		conductor.WithBodyObserver(s.countRefusedClient))
 	s.guards = s.newGuards()
 	s.registerGauges()
