--- a/internal/gateway/conductor/slot_test.go
+++ b/internal/gateway/conductor/slot_test.go
@@ -231,3 +231,22 @@
 }
 
 func newLimiter() *limiter.Limiter { return limiter.New(limiter.Member{}, 1) }
+
+// TestKeyIsRemovedWhileWaitingForSlot guards against requests that are sent with a key that was
+// removed while they waited, and against slots that they keep.
+func TestKeyIsRemovedWhileWaitingForSlot(t *testing.T) {
+	x := newTarget(t, ok)
+	var a *accounts
+	g := &slotGiver{script: func(context.Context, conductor.SlotAsk, int) (string, error) {
+		a.setKey(2, "other")
+		return "a", nil
+	}}
+	a = setupAccounts(t, []*target{x}, g.option(true))
+	got, _, err := send(t, a.server, http.MethodPost, "/unsafe/x", "b", "Test-Credential", "key k")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusUnauthorized, got.StatusCode)
+	assert.Zero(t, x.requests())
+	assert.Equal(t, []string{"a"}, g.releases())
+	assert.Equal(t, "east", g.asked()[0].Account)
+	assert.Equal(t, 4, g.asked()[0].Rank)
+}
