--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/crocusring/crocusring/internal/edge/connector"
+	"github.com/crocusring/crocusring/internal/edge/guarder"
 	"github.com/crocusring/crocusring/internal/gateway/authenticator"
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
@@ -83,9 +84,11 @@
 	requestEnd func(measurer.Request)
 	// answerEnd is called when an answer of a target that ran its request has ended.
 	answerEnd func(measurer.Answer)
-	closing   atomic.Bool
-	stop      atomic.Pointer[stopTimes]
-	active    atomic.Int64
+	// refusedBody is called when a request is refused for its body.
+	refusedBody func(guarder.Cause)
+	closing     atomic.Bool
+	stop        atomic.Pointer[stopTimes]
+	active      atomic.Int64
 }
 
 // Option configures a conductor in New.
@@ -144,6 +147,7 @@
 		streamEnd:        func(Demand, time.Duration) {},
 		requestEnd:       func(measurer.Request) {},
 		answerEnd:        func(measurer.Answer) {},
+		refusedBody:      func(guarder.Cause) {},
 		quarantine:       noQuarantine(),
 		slots:            noSlots(),
 		acquirePermit:    func(context.Context, *registrar.Target) error { return nil },
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -103,6 +103,7 @@
 	measurer     *measurer.Measurer
 	tally        *tallier.Tallier
 	conductor    *conductor.Conductor
+	guards       *guards
 	foreman      *foreman.Foreman
 	informer     *informer.Informer
 	leaser       *leaser.Leaser
@@ -149,7 +150,10 @@
 		conductor.WithRequestObserver(s.measurer.Observe), conductor.WithAnswerObserver(s.measurer.CountAnswer),
 		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()),
 		conductor.WithSlots(conductor.Slots{IsScarce: s.slots.isScarce, Acquire: s.slots.acquire}),
-		conductor.WithConfirmation(s.isConfirmed), conductor.WithAccountObserver(s.countAccountRefusal))
+		conductor.WithConfirmation(s.isConfirmed), conductor.WithAccountObserver(s.countAccountRefusal),
+		conductor.WithBodyObserver(s.countRefusedClient))
+	s.guards = s.newGuards()
+	s.registerGauges()
 	s.prober = prober.New(s.conductor.Probe)
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
@@ -199,6 +203,7 @@
 	s.readersAwaitedUntil = time.Now().Add(maxStartWait)
 	s.log.Info("instance starts", "instance", s.settings.Instance, "incarnation", s.incarnation,
 		"callers", s.settings.CallerAddress, "peers", s.settings.PeerAddress)
+	s.boundMemory()
 	for _, seed := range s.settings.Seeds {
 		s.informer.AddAddress(seed)
 	}
--- a/internal/state/measurer/measurer.go
+++ b/internal/state/measurer/measurer.go
@@ -134,6 +134,11 @@
 	return rates
 }
 
+// RegisterGauge adds a metric whose value is read when the metrics are written.
+func (m *Measurer) RegisterGauge(name string, value func() int64) {
+	m.registry.GetOrRegister(name, metrics.NewFunctionalGauge(value))
+}
+
 func (m *Measurer) histogram(name string) metrics.Histogram {
 	return m.registry.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, decayAlpha))
