--- a/internal/gateway/conductor/reply.go
+++ b/internal/gateway/conductor/reply.go
@@ -67,10 +67,14 @@
 	}
 }
 
+// relayBufferBytes is the size of the buffer through which io.Copy relays an answer.
+const relayBufferBytes = 32 << 10
+
 // relayUnbuffered relays an answer that is too long to be read to its end first. If the
 // answer ends early or reaches MaxAnswerBytes, the connection to the caller is aborted.
 func (r *reply) relayUnbuffered(ctx context.Context, ticket *balancer.Ticket, answer *connector.Answer, head []byte) result {
 	r.headSent = true
+	holdOf(r.request.httpRequest).Relay(relayBufferBytes)
 	r.writer.WriteHeader(answer.Header.StatusCode())
 	n, err := io.Copy(r.writer, io.LimitReader(io.MultiReader(bytes.NewReader(head), answer), MaxAnswerBytes))
 	isWhole := err == nil && n < MaxAnswerBytes
