Count no order that a target may not have accepted

Callers lost the runs of a target that was ordered to load a ninth adapter into 8 slots: an unload that found nothing was counted as an accepted order, so that the next order was decided on a number that the target reached later, by an order of the earlier holder that it executed late.

The number of accepted orders is now a lower bound that rises only by orders that were certainly accepted. It is kept with what the target holds after that many. An unload that may have found nothing frees its slot once the target no longer reports the adapter. The placer evicts only where one eviction makes room.

--- a/internal/gateway/foreman/adapters.go
+++ b/internal/gateway/foreman/adapters.go
@@ -134,6 +134,7 @@
 	d.targetState.expectLoad(placer.AdapterKey{Model: key.Model, Adapter: key.Adapter}, deadline)
 	if move.EvictedAdapter != "" {
 		evicted := placer.AdapterKey{Model: move.EvictedModel, Adapter: move.EvictedAdapter}
+		d.targetState.evictions++
 		d.targetState.unloading[evicted] = &pendingUnload{deadline: deadline, seenInTable: isInTable(move.Site.Target, evicted)}
 	}
 	return reservation{AdapterMove: move, decision: d}, true
@@ -170,31 +171,74 @@
 // the target table no longer shows it; the adapter that was to replace it must then be
 // loaded elsewhere.
 func (f *Foreman) evict(r reservation) error {
-	target := r.decision.target
+	target, s := r.decision.target, r.decision.targetState
 	order := Order{Model: r.EvictedModel, Adapter: r.EvictedAdapter, IsUnload: true}
 	f.addOverlay(target, order)
-	done, err := f.sendOrder(r.decision, order)
-	if err == nil && !done {
-		return errors.Wrap(ErrBusy, "adapter in use")
-	}
-	if isOutcomeUnknown(err) {
-		return err
-	}
+	inProgress, err := f.unloadAdapter(r.decision, order)
 	f.mu.Lock()
+	s.evictions--
 	h := placer.AdapterKey{Model: order.Model, Adapter: order.Adapter}
-	delete(r.decision.targetState.unloading, h)
+	if !inProgress {
+		delete(s.unloading, h)
+	}
 	if err == nil {
-		delete(r.decision.targetState.unconfirmedLoads, h)
-		r.decision.targetState.unloaded[h] = f.now().Add(unloadedTTL)
+		delete(s.unconfirmedLoads, h)
+		s.unloaded[h] = f.now().Add(unloadedTTL)
 	}
 	f.mu.Unlock()
-	if err != nil {
+	if err != nil && !inProgress {
 		order.IsUnload = false
 		f.addOverlay(target, order) // the adapter is still loaded
 	}
 	return err
 }
 
+// unloadAdapter sends the order to unload an adapter, and reports whether the unload may be in
+// progress if the adapter is not known to be unloaded.
+func (f *Foreman) unloadAdapter(d decision, order Order) (inProgress bool, err error) {
+	done, err := f.sendOrder(d, order)
+	switch {
+	case err != nil:
+		return isOutcomeUnknown(err), err
+	case !done:
+		return true, errors.Wrap(ErrBusy, "adapter in use")
+	}
+	err = f.awaitUnload(d, order)
+	return err != nil, err
+}
+
+// awaitUnload waits, after a target answered an unload as done, until it is known that the adapter
+// is gone and how many orders the target has accepted. Where that is not known, the answer may have
+// been about an earlier unload, which may still wait for a run. The error is ErrBusy if the target
+// still reports the adapter.
+func (f *Foreman) awaitUnload(d decision, order Order) error {
+	if f.knowsOrders(d.targetState) {
+		return nil
+	}
+	h := placer.AdapterKey{Model: order.Model, Adapter: order.Adapter}
+	for end := f.now().Add(maxStateAge); f.now().Before(end); time.Sleep(reportInterval) {
+		if err := f.queryState(d); err != nil {
+			return err
+		}
+		f.mu.Lock()
+		_, mayHold := d.targetState.orders.held[h]
+		f.mu.Unlock()
+		if !mayHold {
+			return nil
+		}
+	}
+	return errors.Wrap(ErrBusy, "adapter still reported")
+}
+
+func (f *Foreman) knowsOrders(s *targetState) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.orders.isKnown
+}
+
+// reportInterval is the time between two questions for a report that shows the latest order.
+const reportInterval = 100 * time.Millisecond
+
 // unloadedTTL is longer than the target table takes to show an unload.
 const unloadedTTL = 10 * time.Second
 
--- a/internal/gateway/foreman/adapters_test.go
+++ b/internal/gateway/foreman/adapters_test.go
@@ -91,7 +91,7 @@
 		e := c.engines["t0"]
 		e.addAdapters("m0/x0", "m0/x1", "m0/x2")
 		c.publish(f.registry)
-		f.targetState(f.registry.View().Targets["t0"]).acceptedOrders = e.acceptedOrders
+		f.targetState(f.registry.View().Targets["t0"]).orders.learn(State{Orders: e.acceptedOrders}, time.Now())
 		e.acceptedOrders++
 		e.addAdapters("m0/x9")
 		_, _ = ensureAdapter(t, f, "a1") // refused or served
--- a/internal/gateway/foreman/foreman.go
+++ b/internal/gateway/foreman/foreman.go
@@ -196,7 +196,7 @@
 		if !ok {
 			return false, preferUnknown(lastErr, ErrNotHolder)
 		}
-		orders, err := f.acceptedOrderCount(d, attempt > 0)
+		orders, err := f.acceptedOrderCount(d, order, attempt > 0)
 		if err != nil {
 			return false, preferUnknown(lastErr, err)
 		}
@@ -233,11 +233,12 @@
 }
 
 // acceptedOrderCount returns the number of orders that a target has accepted. It queries
-// the target if the number is not known, or if isRetry is set, since the target may
-// have refused the known one. The number must match the holdings that the decision was
-// based on: the error is ErrBusy if the target holds more than those.
-func (f *Foreman) acceptedOrderCount(d decision, isRetry bool) (int64, error) {
-	if isRetry || !f.knowsAcceptedOrders(d.targetState) {
+// the target if the number is not known, if isRetry is set, since the target may have
+// refused the known one, or if the order is an unload that may find nothing. The number
+// must match the holdings that the decision was based on: the error is ErrBusy if the
+// target holds more than those.
+func (f *Foreman) acceptedOrderCount(d decision, order Order, isRetry bool) (int64, error) {
+	if isRetry || f.mustQuery(d.targetState, order) {
 		if err := f.queryState(d); err != nil {
 			return 0, err
 		}
@@ -247,16 +248,17 @@
 	switch {
 	case d.targetState.unexpectedReports != d.unexpectedReports:
 		return 0, errors.Wrap(ErrBusy, "target holds more than the decision accounted for")
-	case d.targetState.acceptedOrders < 0:
+	case !d.targetState.orders.isKnown:
 		return 0, errors.Wrap(ErrBusy, "a new term has begun")
 	}
-	return d.targetState.acceptedOrders, nil
+	return d.targetState.orders.accepted, nil
 }
 
-func (f *Foreman) knowsAcceptedOrders(s *targetState) bool {
+func (f *Foreman) mustQuery(s *targetState, order Order) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return s.acceptedOrders >= 0
+	mayFindNothing := order.IsUnload && !s.orders.held[placer.AdapterKey{Model: order.Model, Adapter: order.Adapter}]
+	return !s.orders.isKnown || mayFindNothing
 }
 
 // queryState asks a target for its number of accepted orders and its holdings.
@@ -268,16 +270,8 @@
 		return err
 	}
 	f.mu.Lock()
-	// The report may predate the latest order.
-	if f.now().Sub(s.acceptedAt) < maxStateAge {
-		state.Orders = max(s.acceptedOrders, state.Orders)
-	}
-	s.acceptedOrders = state.Orders
-	if state.Busy {
-		// The effect of the current order is known only once it is done: query again then.
-		s.acceptedOrders = -1
-	}
-	unexpected := s.mergeReport(d.target, state, f.now())
+	reported := s.orders.learn(state, f.now())
+	unexpected := s.mergeReport(d.target, reported, f.now())
 	f.mu.Unlock()
 	for _, h := range unexpected {
 		f.addOverlay(d.target, Order{Model: h.Model, Adapter: h.Adapter})
@@ -302,14 +296,11 @@
 // maxStateAge is how old a target's report of its state may be.
 const maxStateAge = 600 * time.Millisecond
 
-// recordAccepted updates the state of a target after it accepted an order.
+// recordAccepted updates the state of a target after it answered an order as accepted or done.
 func (f *Foreman) recordAccepted(s *targetState, order Order, done bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !done || order.IsUnload {
-		s.acceptedOrders++
-		s.acceptedAt = f.now()
-	}
+	s.orders.recordAnswer(order, done, f.now())
 	if !done {
 		s.extendDeadline(order, f.now().Add(acceptedOrderTTL))
 	}
--- a/internal/gateway/foreman/target_state.go
+++ b/internal/gateway/foreman/target_state.go
@@ -11,22 +11,18 @@
 
 // targetState is the holder's knowledge of a target beyond the target table. The
 // holdings recorded here, together with those in the table, always include everything
-// that the target holds after the orders counted in acceptedOrders. A decision that fits
+// that the target holds after the orders counted in orders. A decision that fits
 // into the recorded holdings therefore fits into the actual ones. Requests refused for
 // lack of a model or an adapter do not change this state, since a refusal may predate
 // the load.
 type targetState struct {
 	orderMu sync.Mutex // held while an order is sent
-	// acceptedOrders is the number of orders that the target has accepted; -1 if the
-	// target must be asked.
-	acceptedOrders int64
+	orders  orderCount
 	// incarnation is the start time of the target's process, in milliseconds of Unix time.
 	incarnation int64
 	// unexpectedReports counts how often the target reported holdings that were not
 	// recorded.
 	unexpectedReports int
-	// acceptedAt is when the target accepted the latest order.
-	acceptedAt time.Time
 	// pending is the load or unload of a model that is in progress or whose outcome is
 	// unknown; nil if there is none.
 	pending *pendingOrder
@@ -36,6 +32,8 @@
 	// unloading holds the adapters that are being unloaded; each occupies a slot until
 	// it is unloaded.
 	unloading map[placer.AdapterKey]*pendingUnload
+	// evictions is the number of reservations whose adapter to evict is not unloaded yet.
+	evictions int
 	// unloaded holds the adapters that are unloaded although the table may still show
 	// them, each with the deadline after which the table is trusted again.
 	unloaded map[placer.AdapterKey]time.Time
@@ -92,7 +90,7 @@
 	s := f.targets[t.ID]
 	if s == nil || s.incarnation < t.StartMilliseconds {
 		s = &targetState{
-			acceptedOrders: -1, incarnation: t.StartMilliseconds, unconfirmedLoads: map[placer.AdapterKey]*unconfirmedLoad{},
+			orders: orderCount{held: map[placer.AdapterKey]bool{}}, incarnation: t.StartMilliseconds, unconfirmedLoads: map[placer.AdapterKey]*unconfirmedLoad{},
 			unloading: map[placer.AdapterKey]*pendingUnload{}, unloaded: map[placer.AdapterKey]time.Time{},
 		}
 		f.targets[t.ID] = s
@@ -108,14 +106,7 @@
 }
 
 // mergeReport records reported holdings that were not recorded, and returns them.
-func (s *targetState) mergeReport(t *registrar.Target, state State, now time.Time) []placer.AdapterKey {
-	reported := append([]placer.AdapterKey(nil), state.LoadingAdapters...)
-	for _, h := range state.Holdings {
-		reported = append(reported, placer.AdapterKey{Model: h.Model})
-		for _, adapter := range h.Adapters {
-			reported = append(reported, placer.AdapterKey{Model: h.Model, Adapter: adapter})
-		}
-	}
+func (s *targetState) mergeReport(t *registrar.Target, reported []placer.AdapterKey, now time.Time) []placer.AdapterKey {
 	unexpected := []placer.AdapterKey{}
 	for _, h := range reported {
 		if !s.mayHold(t, h) {
@@ -190,7 +181,7 @@
 // beginTerm resets the state for a new term. Another holder may have sent orders since
 // the last term, so a pending order no longer justifies a subsequent one.
 func (s *targetState) beginTerm() {
-	s.acceptedOrders = -1
+	s.orders.isKnown = false
 	clear(s.unloaded)
 	if s.pending != nil && !s.pending.order.IsUnload {
 		s.expectLoad(placer.AdapterKey{Model: s.pending.order.Model}, s.pending.deadline)
@@ -204,7 +195,11 @@
 	for h, unload := range s.unloading {
 		held := isInTable(t, h)
 		unload.seenInTable = unload.seenInTable || held
-		if (unload.seenInTable && !held) || now.After(unload.deadline) {
+		isDone := unload.seenInTable && !held
+		if isDone {
+			s.orders.observeUnload(h)
+		}
+		if isDone || now.After(unload.deadline) {
 			delete(s.unloading, h)
 		}
 	}
@@ -220,6 +215,7 @@
 			delete(s.unloaded, h)
 		}
 	}
+	s.orders.observeTable(t)
 	s.reconcilePending(t, now)
 }
 
@@ -232,6 +228,9 @@
 	isDone := held
 	if s.pending.order.IsUnload {
 		isDone = s.pending.seenInTable && !held
+		if isDone {
+			s.orders.observeUnload(placer.AdapterKey{Model: s.pending.order.Model})
+		}
 	}
 	if !isDone && now.Before(s.pending.deadline) {
 		return
@@ -264,6 +263,9 @@
 			addHeld(out, placer.AdapterKey{Model: o.Model, Adapter: o.Adapter})
 		}
 	}
+	for h := range s.orders.held {
+		addHeld(out, h)
+	}
 	for h := range s.unconfirmedLoads {
 		addHeld(out, h)
 		out.ChangingAdapters[h] = true
@@ -281,6 +283,7 @@
 	if s.nextModel != "" {
 		out.Models[s.nextModel] = true
 	}
+	out.Evicting = s.evictions
 	out.Unavailable = f.now().Before(s.backoffUntil) || f.balancer.IsCoolingDown(t.ID)
 	out.Busy = out.Unavailable || s.pending != nil || s.nextModel != ""
 	return out
--- a/internal/gateway/placer/adapters.go
+++ b/internal/gateway/placer/adapters.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/crocusring/crocusring/internal/gateway/registrar"
 	"github.com/crocusring/crocusring/internal/gateway/tallier"
 )
 
@@ -52,13 +53,23 @@
 	if usedSlots < engine.MaxAdapters && fits {
 		return AdapterMove{Site: site}, load + float64(usedSlots)/float64(engine.MaxAdapters), true
 	}
+	if usedSlots-site.Evicting > engine.MaxAdapters {
+		return AdapterMove{}, 0, false // one eviction does not make room
+	}
 	victim, rate := leastRequestedAdapter(state, site)
-	if victim.Adapter == "" {
+	if victim.Adapter == "" || !fitsInsteadOf(engine, site, victim.Model, model) {
 		return AdapterMove{}, 0, false
 	}
 	return AdapterMove{Site: site, EvictedModel: victim.Model, EvictedAdapter: victim.Adapter}, load + 1 + rate, true
 }
 
+// fitsInsteadOf reports whether an adapter of a model fits into the memory of a target in place of
+// one of the model evicted.
+func fitsInsteadOf(engine *registrar.Engine, site *Site, evicted, model string) bool {
+	added := engine.Models[model].AdapterMegabytes - engine.Models[evicted].AdapterMegabytes
+	return added <= 0 || UsedMegabytes(engine, site)+added <= engine.WeightMegabytes
+}
+
 // leastRequestedAdapter returns the adapter of a target with the lowest request rate, and that
 // rate; its name is empty if none can be evicted.
 func leastRequestedAdapter(state State, site *Site) (tallier.Key, float64) {
--- a/internal/gateway/placer/state.go
+++ b/internal/gateway/placer/state.go
@@ -23,6 +23,8 @@
 	Unavailable bool
 	// UnloadingModel is the model that is being unloaded; empty if there is none.
 	UnloadingModel string
+	// Evicting is the number of adapters that are being evicted, each for one that is counted already.
+	Evicting int
 	// InFlight is the number of requests in flight at the target, from all instances.
 	InFlight int
 	// Limit is the number of requests a second that the target takes; nil if it names no
