Take an answer ended by a close for whole only if its target goes on

Callers got half of an answer without a length as a whole success when its target was killed: the operating system closes the connections of a killed process without a reset, and a close was taken for the end of the answer.

Where only the close ends an answer, the instance now makes a new connection to the target and compares its start time. If that does not prove that the target goes on, the answer ends as broken off; a resumable stream goes on at another target. The product's forwarder to plain services does the same.

--- a/internal/edge/forwarder/forwarder.go
+++ b/internal/edge/forwarder/forwarder.go
@@ -73,6 +73,17 @@
 	return c.pools.For(address).Probe(until, func() {}) == connector.Absent
 }
 
+// presence probes an address until a deadline, or for probeTimeout if that is sooner.
+func (c *Client) presence(address string, deadline time.Time) connector.Presence {
+	if latest := time.Now().Add(probeTimeout); latest.Before(deadline) {
+		deadline = latest
+	}
+	return c.pools.For(address).Probe(deadline, func() {})
+}
+
+// probeTimeout bounds the time that the end of an answer waits for the probe of its service.
+const probeTimeout = 300 * time.Millisecond
+
 // Do sends a request to the service at address. Path and query are sent verbatim.
 // The error is ErrTooLarge, ErrCrossed or one of the connector's.
 func (c *Client) Do(address string, call Call) (Answer, error) {
@@ -109,6 +120,9 @@
 	if len(body) > maxAnswerBytes {
 		return Answer{}, ErrTooLarge
 	}
+	if answer.Framing() == connector.FramedByClose && c.presence(address, call.AnswerDeadline) != connector.Present {
+		return Answer{}, errors.Wrap(connector.ErrCut, "closed by a service that may have ended")
+	}
 	return Answer{
 		Status:      answer.Header.StatusCode(),
 		ContentType: string(answer.Header.ContentType()),
--- a/internal/edge/forwarder/forwarder_test.go
+++ b/internal/edge/forwarder/forwarder_test.go
@@ -29,6 +29,7 @@
 		"chunks, cut":          {head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", responder.Close, connector.ErrCut},
 		"chunks, reset":        {head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", responder.Reset, connector.ErrCut},
 		"neither":              {head + "\r\nbody", responder.Close, nil},
+		"neither, ended":       {head + "\r\nbo", responder.End, connector.ErrCut},
 		"neither, reset":       {head + "\r\nbody", responder.Reset, connector.ErrCut},
 		"neither, in the head": {head, responder.Close, connector.ErrCut},
 	} {
--- a/internal/fake/responder/responder.go
+++ b/internal/fake/responder/responder.go
@@ -22,11 +22,14 @@
 	Close Ending = iota
 	// Reset resets the connection, as the crash of a process does.
 	Reset
+	// End stops the server and closes the connection without a reset, as the operating system does
+	// for a killed process.
+	End
 )
 
-func (e Ending) String() string { return [...]string{"close", "reset"}[e] }
+func (e Ending) String() string { return [...]string{"close", "reset", "end"}[e] }
 
-// Endings lists both endings.
+// Endings lists the endings of a connection to a server that goes on.
 var Endings = []Ending{Close, Reset}
 
 // Responder is a server. The zero value is not usable; see New.
@@ -71,6 +74,9 @@
 	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 		return
 	}
+	if r.ending == End {
+		r.Close()
+	}
 	_, _ = io.WriteString(conn, r.text.Load().(string)) // a client that has left reads nothing
 	if r.ending == Reset {
 		breaker.ResetOnClose(conn)
--- a/internal/gateway/conductor/conductor_test.go
+++ b/internal/gateway/conductor/conductor_test.go
@@ -11,12 +11,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/crocusring/crocusring/internal/fake/breaker"
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
 	"github.com/crocusring/crocusring/internal/gateway/conductor"
@@ -48,6 +50,10 @@
 	seen    []*http.Request
 	bodies  []string
 	closed  chan struct{}
+	// listener is closed to end the target.
+	listener net.Listener
+	// resetsNew makes the target reset new connections.
+	resetsNew atomic.Bool
 }
 
 func newTarget(t testing.TB, script func(w net.Conn, r *http.Request, n int) (keep bool)) *target {
@@ -55,13 +61,18 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close() })
-	x := &target{address: ln.Addr().String(), closed: make(chan struct{}, 16)}
+	x := &target{address: ln.Addr().String(), closed: make(chan struct{}, 16), listener: ln}
 	go func() {
 		for {
 			conn, err := ln.Accept()
 			if err != nil {
 				return
 			}
+			if x.resetsNew.Load() {
+				breaker.ResetOnClose(conn)
+				conn.Close()
+				continue
+			}
 			go x.serve(conn, script)
 		}
 	}()
--- a/internal/gateway/conductor/reply.go
+++ b/internal/gateway/conductor/reply.go
@@ -73,6 +73,9 @@
 	r.headSent = true
 	r.writer.WriteHeader(answer.Header.StatusCode())
 	n, err := io.Copy(r.writer, io.LimitReader(io.MultiReader(bytes.NewReader(head), answer), MaxAnswerBytes))
+	if err == nil {
+		err = r.conductor.checkEnd(ctx, ticket.Target, answer)
+	}
 	isWhole := err == nil && n < MaxAnswerBytes
 	r.conductor.noteAnswerEnd(answer, isWhole)
 	if !isWhole {
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -212,6 +212,9 @@
 	q := reply.request
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
 	q.run.HasBegun = len(body) > 0
+	if err == nil && len(body) < maxBufferedBytes {
+		err = c.checkEnd(ctx, ticket.Target, answer)
+	}
 	if err != nil {
 		ticket.End(lostOutcome(ctx))
 		q.noteCut(err)
--- a/internal/gateway/conductor/stream.go
+++ b/internal/gateway/conductor/stream.go
@@ -88,6 +88,11 @@
 func (c *Conductor) endStream(ctx context.Context, r *reply, ticket *balancer.Ticket, answer *connector.Answer, end streamEnd) result {
 	q := r.request
 	isWhole := errors.Is(end.cause, io.EOF)
+	if isWhole {
+		if err := c.checkEnd(ctx, ticket.Target, answer); err != nil {
+			isWhole, end.cause = false, err
+		}
+	}
 	c.noteAnswerEnd(answer, isWhole)
 	switch {
 	case !isWhole:
