Order entries of targets by start before heartbeat

Requests reached a leaving target after its drain time: a heartbeat of the process before it under the same ID, which the store executed late, said that it was ready and replaced its entry, since only entries of one start were compared.

Entries are ordered by start, then by heartbeat. The new tests fail on the code before.

--- a/internal/gateway/registrar/registrar_test.go
+++ b/internal/gateway/registrar/registrar_test.go
@@ -68,6 +68,8 @@
 	assert.False(t, (&registrar.Target{StartMilliseconds: 5, Heartbeat: 9}).IsOlderThan(known))
 	assert.False(t, (&registrar.Target{StartMilliseconds: 6, Heartbeat: 1}).IsOlderThan(known), "the heartbeats of a new process start anew")
 	assert.False(t, (&registrar.Target{StartMilliseconds: 5, Heartbeat: 1}).IsOlderThan(nil))
+	assert.True(t, (&registrar.Target{StartMilliseconds: 4, Heartbeat: 99}).IsOlderThan(known), "a late heartbeat of an earlier process")
+	assert.False(t, (&registrar.Target{Heartbeat: 1}).IsOlderThan(known), "an unknown start is not earlier")
 }
 
 // TestSupersededTarget checks that a target which crashed and restarted under another ID
--- a/internal/gateway/registrar/types.go
+++ b/internal/gateway/registrar/types.go
@@ -130,7 +130,8 @@
 	InMemory []string
 	OnDisk   []string
 	// Heartbeat counts the reports of the process since its start. Of two entries of
-	// one process the one with the higher count is newer.
+	// one process the one with the higher count is newer. The store may execute a write late, also
+	// one of an earlier process.
 	Heartbeat int64
 	// Version is the version of the table row that the entry was read from.
 	Version int64
@@ -143,9 +144,17 @@
 	Adapters []string
 }
 
-// IsOlderThan reports whether other is a later entry of the same process.
+// IsOlderThan reports whether other is an entry of a process that started later under the same
+// ID, or a later entry of the same process. A start that is not known is not earlier.
 func (t *Target) IsOlderThan(other *Target) bool {
-	return other != nil && t.StartMilliseconds == other.StartMilliseconds && t.Heartbeat < other.Heartbeat
+	switch {
+	case other == nil:
+		return false
+	case t.StartMilliseconds == other.StartMilliseconds:
+		return t.Heartbeat < other.Heartbeat
+	default:
+		return t.StartMilliseconds > 0 && t.StartMilliseconds < other.StartMilliseconds
+	}
 }
 
 // HasCachedWeights reports whether the target can load a model without the weight store,
