Keep verdicts on requests that crash targets in the table service

A request that was refused since it crashes targets crashed four more when all instances were lost at once: verdicts were kept in their memory only.

The examiner writes one row for each conviction, with the trait and the deadline by the store's clock, and removes it when it is lifted; one instance removes expired rows and those beyond 512. An instance that starts reads them together with the targets, and keeps the first targets back until it has, at most 1 s.

Cost: one read a start, one read every 30 s in all, two writes a conviction.

--- /dev/null
+++ b/internal/gateway/archivist/archivist.go
@@ -0,0 +1,155 @@
+// Package archivist decides which verdicts on requests that end targets are kept in the table
+// service, so that they outlast the loss of all instances: one row for each conviction, written once
+// by the instance that decides, and removed when the conviction is lifted or has expired. The number
+// of rows is bounded. The package does no I/O: callers write the changes that it returns, and pass
+// the time of the store's clock.
+package archivist
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/crocusring/crocusring/internal/request/quarantiner"
+)
+
+const (
+	// MaxRows bounds the rows in the table. Those that end first are removed beyond it.
+	MaxRows = 512
+	// maxOwnRows bounds the rows that one instance writes, so that the bound on all of them is
+	// hardly exceeded between two sweeps.
+	maxOwnRows = 256
+	// maxBatch bounds the changes that are written in one transaction.
+	maxBatch = 64
+)
+
+// Row is the row of a conviction.
+type Row struct {
+	Key   string
+	Trait quarantiner.Trait
+	Tied  []quarantiner.Trait
+	// DeadlineMilliseconds is by the store's clock.
+	DeadlineMilliseconds int64
+}
+
+// KeyOf returns the key of the row of a trait.
+func KeyOf(t quarantiner.Trait) string {
+	return quarantiner.FingerprintOf([]byte(t.Kind), []byte(t.Service), []byte(t.Label())).String()
+}
+
+// Change is a row to write, or to remove.
+type Change struct {
+	Row       Row
+	IsRemoval bool
+}
+
+// Archivist holds what is to be written. The zero value is not usable; see New.
+type Archivist struct {
+	mu sync.Mutex
+	// known maps the keys of the rows that may be in the table to their deadlines.
+	known map[string]int64
+	// pending holds the changes that are not written yet, by key.
+	pending map[string]Change
+}
+
+// New returns an archivist that knows of no rows.
+func New() *Archivist { return &Archivist{known: map[string]int64{}, pending: map[string]Change{}} }
+
+// Decided records verdicts that this instance has reached, at the time clock of the store's clock.
+func (a *Archivist) Decided(now time.Time, clock int64, verdicts []quarantiner.Verdict) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.forgetExpired(clock)
+	for _, v := range verdicts {
+		key := KeyOf(v.Trait)
+		if !now.Before(v.ConvictedUntil) {
+			a.lift(key)
+			continue
+		}
+		if _, isKnown := a.known[key]; isKnown || len(a.known) >= maxOwnRows {
+			continue
+		}
+		deadline := clock + v.ConvictedUntil.Sub(now).Milliseconds()
+		a.known[key] = deadline
+		a.pending[key] = Change{Row: Row{Key: key, Trait: v.Trait, Tied: v.Tied, DeadlineMilliseconds: deadline}}
+	}
+}
+
+// lift removes the row of a verdict that has ended, if there may be one.
+func (a *Archivist) lift(key string) {
+	if _, isKnown := a.known[key]; isKnown {
+		delete(a.known, key)
+		a.pending[key] = Change{Row: Row{Key: key}, IsRemoval: true}
+	}
+}
+
+// Heard records verdicts that another instance has reached and writes itself.
+func (a *Archivist) Heard(now time.Time, clock int64, verdicts []quarantiner.Verdict) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.forgetExpired(clock)
+	for _, v := range verdicts {
+		key := KeyOf(v.Trait)
+		if now.Before(v.ConvictedUntil) && len(a.known) < MaxRows {
+			a.known[key] = clock + v.ConvictedUntil.Sub(now).Milliseconds()
+		} else {
+			delete(a.known, key)
+		}
+	}
+}
+
+func (a *Archivist) forgetExpired(clock int64) {
+	for key, deadline := range a.known {
+		if deadline <= clock {
+			delete(a.known, key)
+		}
+	}
+}
+
+// Pending returns changes to write, at most as many as fit into one transaction.
+func (a *Archivist) Pending() []Change {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make([]Change, 0, min(len(a.pending), maxBatch))
+	for _, change := range a.pending {
+		if len(out) == maxBatch {
+			break
+		}
+		out = append(out, change)
+	}
+	return out
+}
+
+// Written records that changes were written.
+func (a *Archivist) Written(changes []Change) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, change := range changes {
+		current := a.pending[change.Row.Key]
+		if current.IsRemoval == change.IsRemoval && current.Row.DeadlineMilliseconds == change.Row.DeadlineMilliseconds {
+			delete(a.pending, change.Row.Key)
+		}
+	}
+}
+
+// Sweep returns the removals of the rows that have expired by the store's clock, that were lifted,
+// or that are too many.
+func Sweep(clock int64, rows []Row, isLifted func(quarantiner.Trait) bool) []Change {
+	var out []Change
+	kept := make([]Row, 0, len(rows))
+	for _, row := range rows {
+		if row.DeadlineMilliseconds <= clock || isLifted(row.Trait) {
+			out = append(out, Change{Row: row, IsRemoval: true})
+		} else {
+			kept = append(kept, row)
+		}
+	}
+	slices.SortFunc(kept, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(b.DeadlineMilliseconds, a.DeadlineMilliseconds), cmp.Compare(a.Key, b.Key))
+	})
+	for _, row := range kept[min(MaxRows, len(kept)):] {
+		out = append(out, Change{Row: row, IsRemoval: true})
+	}
+	return out[:min(len(out), maxBatch)]
+}
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -97,6 +97,7 @@
 	prober       *prober.Prober
 	quarantiner  *quarantiner.Quarantiner
 	crashReports *crashReports
+	verdictRows  *verdictRows
 	budget       *budgeter.Budgeter
 	loadChanges  *loadChanges
 	measurer     *measurer.Measurer
@@ -134,6 +135,7 @@
 	s.balancer = balancer.New(balancer.WithLoadChanged(s.loadChanges.add), balancer.WithLimits(s.limiter.BlockedFor))
 	s.quarantiner = quarantiner.New(settings.Instance, quarantiner.WithTrials())
 	s.crashReports = newCrashReports()
+	s.verdictRows = newVerdictRows()
 	bounds := settings.Bounds
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
 	s.conductor = conductor.New(platform.Headers, s.registry, s.balancer, s.budget,
@@ -171,7 +173,7 @@
 	source := follower.Source{Read: s.readTable, Follow: s.followTable, PeerSnapshot: s.peerSnapshot, PeerHasHadStore: s.peerHasHadStore}
 	log := follower.WithLog(s.log)
 	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait())
-	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargets, log,
+	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargetsOnceVerdictsAreRead, log,
 		follower.WithShortWait(), follower.WithMinInterval(s.targetPollInterval))
 	s.instances = follower.New(instanceTable, source, s.applyInstances, log, follower.WithMinInterval(func() time.Duration { return instancePollInterval }))
 }
@@ -201,7 +203,7 @@
 	defer cancel()
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
-		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly,
+		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly, s.keepVerdicts,
 	} {
 		group.Go(func() error {
 			loop(running)
@@ -249,6 +251,12 @@
 	}
 }
 
+// applyTargetsOnceVerdictsAreRead applies targets, the first ones once the verdicts were read.
+func (s *Supervisor) applyTargetsOnceVerdictsAreRead(rows []messenger.StoreRow, removed []string) {
+	s.awaitVerdicts()
+	s.applyTargets(rows, removed)
+}
+
 func (s *Supervisor) applyTargets(rows []messenger.StoreRow, removed []string) {
 	superseded := s.registry.Update(func(targets map[string]*registrar.Target) {
 		for _, key := range removed {
--- a/internal/gateway/supervisor/verdicts.go
+++ b/internal/gateway/supervisor/verdicts.go
@@ -28,6 +28,7 @@
 		return
 	}
 	s.logVerdicts(changes, now, true)
+	s.noteDecided(changes)
 	message := s.encodeVerdicts(changes)
 	peers := s.informer.Peers()
 	recipients := peers
@@ -141,6 +142,7 @@
 	}
 	added := s.quarantiner.MergeShared(now, verdicts)
 	s.logVerdicts(added, now, false)
+	s.noteHeard(added)
 	s.object(added)
 }
 
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -1266,6 +1266,20 @@
 	Term int `json:"Term"`
 }
 
+// VerdictRow is the row of the store that keeps a conviction for when all
+// instances are lost.
+type VerdictRow struct {
+	// DeadlineMilliseconds is the time of the store's clock until which the trait is
+	// refused.
+	DeadlineMilliseconds int64 `json:"DeadlineMilliseconds"`
+
+	// Tied holds the traits that were convicted together with it.
+	Tied []Trait `json:"Tied"`
+
+	// Trait corresponds to the JSON schema field "Trait".
+	Trait Trait `json:"Trait"`
+}
+
 // Write sets or deletes one row.
 type Write struct {
 	// Delete corresponds to the JSON schema field "Delete".
