Take a run that fell silent for lost if its target has started again

A request was never refused although it crashed each target: the targets went dark, so that no connection was cut, and its runs ended by the caller's leaving.

A later start at the address of its target makes it a loss, unless the target was leaving or has answered another run since. The trial of a suspect goes on until that is known.

--- a/internal/edge/connector/answer.go
+++ b/internal/edge/connector/answer.go
@@ -120,6 +120,9 @@
 	}
 }
 
+// LastHeard returns when the last byte was received. The answer must not be closed.
+func (a *Answer) LastHeard() time.Time { return a.conn.lastActivity }
+
 // SetDeadline replaces the deadline for the whole answer.
 func (a *Answer) SetDeadline(until time.Time) {
 	a.call.AnswerDeadline = until
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -191,9 +191,11 @@
 	mayHaveRun bool
 	// content is the fingerprint of the content; zero until it is needed. See contentOf.
 	content quarantiner.Fingerprint
-	// run is the last send, and isCut is set if its connection was cut.
-	run   Run
-	isCut bool
+	// run is the last send. isCut is set if its connection was cut, and silentSince if it ended while
+	// the connection was open: when the target was last heard of.
+	run         Run
+	isCut       bool
+	silentSince time.Time
 	// status is that of the last answer of a target that ran the request.
 	status   int
 	excluded map[string]bool // the IDs of the targets that the request was offered to
--- a/internal/gateway/conductor/content.go
+++ b/internal/gateway/conductor/content.go
@@ -63,13 +63,17 @@
 	// quarantiner.ErrConvicted or quarantiner.ErrWait.
 	BeginTrial func(ctx context.Context, run Run) error
 	// EndRun is called when a run has ended that was a trial, or whose answer was complete and no
-	// failure of the target, which isAnswered reports. It is not called for a run that Lost is
-	// called for.
+	// failure of the target, which isAnswered reports. It is not called for a run that Lost or
+	// Silent is called for.
 	EndRun func(run Run, isAnswered bool)
 	// Lost is called for each run whose connection was cut before the whole answer arrived. The
 	// request goes on once it returns. It reports whether the end of the target is held against
 	// the request.
 	Lost func(ctx context.Context, run Run) (isHeldAgainst bool)
+	// Silent is called in place of EndRun for a run that ended without a whole answer although its
+	// connection was open, as its caller left or its deadline passed, after its target had been
+	// silent for minSilence or longer.
+	Silent func(run Run, since time.Time)
 	// Refused is called for each request that is refused since it is convicted, with what the
 	// verdict rests on.
 	Refused func(verdict error)
@@ -78,7 +82,7 @@
 func noQuarantine() Quarantine {
 	return Quarantine{
 		IsEmpty: func() bool { return true }, Arrived: func(string, []string) {},
-		Lost: func(context.Context, Run) bool { return false }, EndRun: func(Run, bool) {},
+		Lost: func(context.Context, Run) bool { return false }, EndRun: func(Run, bool) {}, Silent: func(Run, time.Time) {},
 	}
 }
 
@@ -179,20 +183,34 @@
 	}
 }
 
-// noteCut records that the connection of the run was cut, if that is what err says.
-func (q *request) noteCut(err error) {
+// minSilence is how long a target must have been silent for the end of a run to be suspicious:
+// longer than the pause between two events of a sound stream.
+const minSilence = 500 * time.Millisecond
+
+// noteLoss records that the run ended without a whole answer: by a cut connection, or, if that is not
+// what err says, with a target that was last heard of at a time.
+func (q *request) noteLoss(err error, lastHeard time.Time) {
 	q.isCut = errors.Is(err, connector.ErrCut) || errors.Is(err, splitter.ErrTruncated)
+	isOpen := errors.Is(err, connector.ErrCanceled) || errors.Is(err, connector.ErrDeadline) || errors.Is(err, connector.ErrSilent)
+	if isOpen {
+		q.silentSince = lastHeard
+	}
 }
 
 // observeRunEnd reports how a run has ended, as far as that says something of its traits.
 func (c *Conductor) observeRunEnd(ctx context.Context, q *request, result result) {
 	// A target that fails may not have run the request.
 	isAnswered := result == finished && q.status < http.StatusInternalServerError
+	silentSince := q.silentSince
+	q.silentSince = time.Time{}
 	switch {
 	case q.isCut:
 		q.isCut = false
 		q.run.Content = c.contentOf(q)
 		q.run.IsHeldAgainst = c.quarantine.Lost(ctx, q.run) || q.run.IsHeldAgainst
+	case !silentSince.IsZero() && c.now().Sub(silentSince) >= minSilence:
+		q.run.Content = c.contentOf(q)
+		c.quarantine.Silent(q.run, silentSince)
 	case isAnswered || q.run.IsTrial:
 		if q.run.IsHeldAgainst {
 			q.run.Content = c.contentOf(q)
--- a/internal/gateway/conductor/content_test.go
+++ b/internal/gateway/conductor/content_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -29,6 +30,7 @@
 	convictAfter int
 	checked      [][]quarantiner.Trait
 	lost         []conductor.Run
+	silent       []conductor.Run
 	ended        []conductor.Run
 	answered     int
 	refused      int
@@ -37,7 +39,7 @@
 func (q *quarantine) option() conductor.Option {
 	return conductor.WithQuarantine(conductor.Quarantine{
 		IsEmpty: func() bool { return false }, Check: q.check, BeginTrial: q.beginTrial, EndRun: q.endRun, Lost: q.noteLost,
-		Refused: q.noteRefused, Arrived: func(string, []string) {},
+		Silent: q.noteSilent, Refused: q.noteRefused, Arrived: func(string, []string) {},
 	})
 }
 
@@ -73,6 +75,12 @@
 	return true
 }
 
+func (q *quarantine) noteSilent(run conductor.Run, _ time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.silent = append(q.silent, run)
+}
+
 func (q *quarantine) noteRefused(error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -83,7 +91,7 @@
 func (q *quarantine) snapshot() *quarantine {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return &quarantine{checked: q.checked, lost: q.lost, ended: q.ended, answered: q.answered, refused: q.refused}
+	return &quarantine{checked: q.checked, lost: q.lost, silent: q.silent, ended: q.ended, answered: q.answered, refused: q.refused}
 }
 
 func setupQuarantine(t *testing.T, q *quarantine, targets ...*target) *httptest.Server {
@@ -266,3 +274,53 @@
 		})
 	}
 }
+
+// TestSilentRunsAreNoted guards against targets that end in silence and are held against nobody, and
+// against blaming requests whose caller left a target that went on.
+func TestSilentRunsAreNoted(t *testing.T) {
+	halfStream := func(pause time.Duration) func(w net.Conn, r *http.Request, _ int) bool {
+		return func(w net.Conn, r *http.Request, _ int) bool {
+			fmt.Fprintf(w, "HTTP/1.1 200 X\r\nTest-Id: %s\r\nTest-Stamp: s\r\n\r\n", r.Header.Get("Test-Id"))
+			for i := 1; i < 20; i++ {
+				if _, err := fmt.Fprint(w, events(i, i)); err != nil {
+					break
+				}
+				time.Sleep(pause)
+			}
+			return false
+		}
+	}
+	silent := func(net.Conn, *http.Request, int) bool {
+		time.Sleep(3 * time.Second)
+		return false
+	}
+	for name, c := range map[string]struct {
+		path   string
+		script func(net.Conn, *http.Request, int) bool
+		leave  time.Duration
+		silent int
+	}{
+		"before the answer":                {"/long/a", silent, 700 * time.Millisecond, 1},
+		"in a stream":                      {"/long-stream/a", halfStream(2 * time.Second), 700 * time.Millisecond, 1},
+		"the caller leaves at once":        {"/long/a", silent, 100 * time.Millisecond, 0},
+		"the caller leaves a sound stream": {"/long-stream/a", halfStream(50 * time.Millisecond), 700 * time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := &quarantine{}
+			server := setupQuarantine(t, q, newTarget(t, c.script))
+			ctx, cancel := context.WithTimeout(t.Context(), c.leave)
+			defer cancel()
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+c.path, strings.NewReader("b"))
+			require.NoError(t, err)
+			request.Host = "h.example"
+			request.Header.Set("Test-Id", "id-1")
+			if response, err := http.DefaultClient.Do(request); err == nil {
+				_, _ = io.Copy(io.Discard, response.Body)
+				response.Body.Close()
+			}
+			time.Sleep(50 * time.Millisecond)
+			assert.Len(t, q.snapshot().silent, c.silent)
+			assert.Empty(t, q.snapshot().lost)
+		})
+	}
+}
--- a/internal/gateway/conductor/reply.go
+++ b/internal/gateway/conductor/reply.go
@@ -80,7 +80,7 @@
 	r.conductor.noteAnswerEnd(answer, isWhole)
 	if !isWhole {
 		ticket.End(lostOutcome(ctx))
-		r.request.noteCut(err)
+		r.request.noteLoss(err, answer.LastHeard())
 		return lost
 	}
 	ticket.End(balancer.Answered)
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		q.mayHaveRun = true
 		ticket.End(lostOutcome(ctx))
-		q.noteCut(err)
+		q.noteLoss(err, q.run.SentAt)
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			c.log.Info("no answer from target", "request", q.id, "target", target.ID, "error", err.Error(),
 				"sinceChoiceMilliseconds", c.now().Sub(ticket.ChosenAt()).Milliseconds())
@@ -217,7 +217,7 @@
 	}
 	if err != nil {
 		ticket.End(lostOutcome(ctx))
-		q.noteCut(err)
+		q.noteLoss(err, answer.LastHeard())
 		c.noteAnswerEnd(answer, false)
 		c.log.Info("answer cut by target", "request", q.id, "target", ticket.Target.ID, "framing", answer.Framing().String(), "error", err.Error())
 		return lost
--- a/internal/gateway/conductor/stream.go
+++ b/internal/gateway/conductor/stream.go
@@ -97,7 +97,7 @@
 	switch {
 	case !isWhole:
 		ticket.End(lostOutcome(ctx))
-		q.noteCut(end.cause)
+		q.noteLoss(end.cause, answer.LastHeard())
 		c.log.Info("stream cut by target", "request", q.id, "target", ticket.Target.ID, "lastEvent", r.lastEvent,
 			"framing", answer.Framing().String(), "bytesAfterLastEvent", end.unfinishedBytes, "error", end.cause.Error())
 		return lost
--- a/internal/gateway/supervisor/losses.go
+++ b/internal/gateway/supervisor/losses.go
@@ -26,8 +26,7 @@
 		go s.endLoss(run, measurer.CutTargetLeaving)
 		return false
 	}
-	target := prober.Incarnation{Target: run.Target.ID, StartMilliseconds: run.Target.StartMilliseconds}
-	examination := s.prober.Examine(target, run.Target.Address)
+	examination := s.prober.Examine(incarnationOf(run.Target), run.Target.Address)
 	settled := make(chan struct{})
 	go func() {
 		<-examination.Settled
@@ -80,6 +79,45 @@
 	return answered
 }
 
+// noteSilence keeps a run whose target fell silent until it is known whether the target has ended: a
+// later start at the same address shows it. The trial of a suspect goes on until then.
+func (s *Supervisor) noteSilence(run conductor.Run, since time.Time) {
+	s.silences.Add(time.Now(), prober.Silence{
+		Target: incarnationOf(run.Target), Address: run.Target.Address, Since: since,
+		Settled: func(hasEnded bool) { go s.endSilence(run, hasEnded) },
+	})
+	s.observeSilences()
+}
+
+func (s *Supervisor) endSilence(run conductor.Run, hasEnded bool) {
+	switch {
+	case hasEnded:
+		s.endLoss(run, measurer.CutTargetEnded)
+	case run.IsTrial:
+		s.endTrial(run, false)
+	}
+}
+
+// observeSilences settles the runs whose targets have started anew.
+func (s *Supervisor) observeSilences() {
+	if s.silences.IsEmpty() {
+		return
+	}
+	starts := map[string]int64{}
+	targets := s.registry.View().Targets
+	for _, t := range targets {
+		starts[t.Address] = max(starts[t.Address], t.StartMilliseconds)
+	}
+	isLeaving := func(i prober.Incarnation) bool {
+		return s.balancer.IsLeaving(&registrar.Target{ID: i.Target, StartMilliseconds: i.StartMilliseconds})
+	}
+	s.silences.Observe(time.Now(), func(address string) int64 { return starts[address] }, isLeaving)
+}
+
+func incarnationOf(t *registrar.Target) prober.Incarnation {
+	return prober.Incarnation{Target: t.ID, StartMilliseconds: t.StartMilliseconds}
+}
+
 // mayHaveCrashed reports whether the end of a target says something about the requests that ran
 // there: it does not if the target was leaving, or known to be gone.
 func (s *Supervisor) mayHaveCrashed(target *registrar.Target) bool {
--- a/internal/gateway/supervisor/quarantine.go
+++ b/internal/gateway/supervisor/quarantine.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/crocusring/crocusring/internal/gateway/conductor"
+	"github.com/crocusring/crocusring/internal/gateway/prober"
 	"github.com/crocusring/crocusring/internal/request/quarantiner"
 	"github.com/crocusring/crocusring/internal/state/measurer"
 	"github.com/crocusring/crocusring/internal/state/ranker"
@@ -39,6 +40,7 @@
 		BeginTrial: s.beginTrial,
 		EndRun:     s.endRun,
 		Lost:       s.examineLoss,
+		Silent:     s.noteSilence,
 		Refused:    s.countRefused,
 	}
 }
@@ -118,6 +120,7 @@
 	now := time.Now()
 	isHeld := run.IsHeldAgainst
 	if isAnswered {
+		s.silences.Heard(incarnationOf(run.Target), now)
 		for _, part := range run.Parts {
 			s.quarantiner.RememberAnswer(now, quarantiner.PartTrait(run.Service, part))
 		}
@@ -216,7 +219,7 @@
 	place := placeOf(run.Target.ID, run.Target.StartMilliseconds)
 	var own error
 	answer := messenger.TrialResponse{IsPermitted: true}
-	_, err := s.consult(run.Service, func() { own = s.quarantiner.BeginTrial(time.Now(), run.Traits(), place, run.Deadline) },
+	_, err := s.consult(run.Service, func() { own = s.quarantiner.BeginTrial(time.Now(), run.Traits(), place, trialDeadline(run)) },
 		pathTrial, s.trialRequest(run), &answer)
 	s.mergeVerdicts(answer.Verdicts)
 	switch {
@@ -239,10 +242,14 @@
 	return s.encodeVerdicts(s.quarantiner.VerdictsOn(time.Now(), traits)).Verdicts
 }
 
+// trialDeadline returns when a trial ends by itself: once it can no longer be known whether a target
+// that fell silent has ended.
+func trialDeadline(run conductor.Run) time.Time { return run.Deadline.Add(prober.SilenceTTL) }
+
 func (s *Supervisor) trialRequest(run conductor.Run) messenger.TrialRequest {
 	return messenger.TrialRequest{
 		Traits: encodeTraits(run.Traits()), Target: run.Target.ID, StartMilliseconds: run.Target.StartMilliseconds,
-		RemainingMilliseconds: toMilliseconds(time.Until(run.Deadline)), Verdicts: s.knownVerdicts(run.Traits()),
+		RemainingMilliseconds: toMilliseconds(time.Until(trialDeadline(run))), Verdicts: s.knownVerdicts(run.Traits()),
 	}
 }
 
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -95,6 +95,7 @@
 	balancer     *balancer.Balancer
 	limiter      *limiter.Limiter
 	prober       *prober.Prober
+	silences     prober.Silences
 	quarantiner  *quarantiner.Quarantiner
 	crashReports *crashReports
 	verdictRows  *verdictRows
@@ -272,6 +273,7 @@
 	for _, id := range superseded {
 		s.log.Info("target is superseded at its address", "target", id)
 	}
+	s.observeSilences()
 }
 
 func (s *Supervisor) applyTarget(targets map[string]*registrar.Target, row messenger.StoreRow) {
@@ -295,6 +297,9 @@
 	if old != nil && old.StartMilliseconds != target.StartMilliseconds {
 		s.balancer.ResetTarget(target.ID)
 	}
+	if target.Leaving {
+		s.silences.Left(time.Now(), incarnationOf(target))
+	}
 	s.limiter.SetIncarnation(target.ID, target.StartMilliseconds)
 	targets[row.Key] = target
 }
@@ -368,6 +373,7 @@
 	every(ctx, pruneInterval, func() {
 		s.conductor.Prune()
 		s.prober.Prune()
+		s.observeSilences()
 		view := s.registry.View()
 		s.balancer.Prune(view)
 		s.limiter.Prune(func(target string) bool { return view.Targets[target] != nil })
