--- a/internal/gateway/balancer/health.go
+++ b/internal/gateway/balancer/health.go
@@ -232,7 +232,7 @@
 	delete(l.unanswered, t)
 	t.allowMoreReturns(l)
 	if t.foundNonePending {
-		b.learnPrefillTime(t.request.Model, t.request.PromptTokens, t.timeToFirstByte)
+		b.learnReadTime(t.Target.ID, t.request.Model, t.request.PromptTokens, t.timeToFirstByte)
 	}
 	t.releasePending()
 }
@@ -267,6 +267,7 @@
 	l := b.localLoad(t.Target.ID)
 	delete(l.unanswered, t)
 	l.InFlight--
+	l.endGrant(t.request.Grant, outcome)
 	l.tokens -= t.request.Tokens
 	t.endReturn(l)
 	if l.InFlight == 0 {
