Look at the target again right before a request is sent

A request reached a leaving target 3,288 ms after its leaving was acknowledged. A target is chosen from the view of that moment; the request may then wait for permits and for a connection, and was sent without another look.

Once there is a connection, the call is withdrawn if the target's entry is gone, of another start or leaving, or its announced time is over, and another target is chosen.

That this was the cause of that one request is not proved.

--- a/internal/edge/connector/connector.go
+++ b/internal/edge/connector/connector.go
@@ -24,6 +24,8 @@
 	// ErrRefused is an ErrNotSent whose cause is that the target refuses connections,
 	// as when its process is not running.
 	ErrRefused = errors.Wrap(ErrNotSent, "connection refused")
+	// ErrWithdrawn is an ErrNotSent of a call that was withdrawn while its connection was made.
+	ErrWithdrawn = errors.Wrap(ErrNotSent, "call withdrawn")
 	// ErrSilent means that the target sent nothing until the deadline of the head or
 	// for the gap between two reads, while the deadline of the whole answer had not
 	// passed.
@@ -132,6 +134,9 @@
 	// Fresh requires a new connection. A request that must not be repeated needs
 	// one, since the target may close a pooled connection just as it is used.
 	Fresh bool
+	// IsWithdrawn, if set, is asked once there is a connection, right before the request is sent: the
+	// reasons for which the target was chosen may not hold any more.
+	IsWithdrawn func() bool
 	// FirstByte is the deadline for the head of the answer.
 	FirstByte time.Time
 	// AnswerDeadline is the deadline for the whole answer.
@@ -165,6 +170,10 @@
 		c.Close()
 		return nil, errors.Wrap(ErrNotSent, ErrCanceled.Error())
 	}
+	if call.IsWithdrawn != nil && call.IsWithdrawn() {
+		c.Close()
+		return nil, errors.Wrap(ErrWithdrawn, p.address)
+	}
 	a := &Answer{pool: p, conn: c, call: call}
 	a.watch()
 	c.written = 0
--- a/internal/edge/connector/connector_test.go
+++ b/internal/edge/connector/connector_test.go
@@ -252,3 +252,30 @@
 		}
 	}
 }
+
+// TestWithdrawnCallSendsNothing guards against a request that is sent over a connection that took so
+// long to make that its target is not to be sent anything any more.
+func TestWithdrawnCallSendsNothing(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	received := make(chan int, 1)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		n, _ := io.Copy(io.Discard, conn)
+		received <- int(n)
+	}()
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	deadline := time.Now().Add(time.Second)
+	_, err = connector.New(ln.Addr().String()).Do(connector.Call{
+		Request: request, FirstByte: deadline, AnswerDeadline: deadline, IsWithdrawn: func() bool { return true },
+	})
+	require.ErrorIs(t, err, connector.ErrNotSent)
+	require.ErrorIs(t, err, connector.ErrWithdrawn)
+	assert.Zero(t, <-received)
+}
--- a/internal/gateway/balancer/notice.go
+++ b/internal/gateway/balancer/notice.go
@@ -107,6 +107,14 @@
 	return b.noticeOf(t).isLeaving()
 }
 
+// HasLeft reports whether a target has announced in an answer that it leaves, and takes no requests
+// any more.
+func (b *Balancer) HasLeft(t *registrar.Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.noticeOf(t).hasLeft(b.now())
+}
+
 // AskQuiet records that a target wants no requests of this instance for a time, and returns
 // for how long it gets none. It gets a few at first then.
 func (b *Balancer) AskQuiet(t *registrar.Target, delay time.Duration) time.Duration {
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -60,13 +60,14 @@
 	target := ticket.Target
 	call := connector.Call{
 		Request: c.buildRequest(q, reply, target), Context: ctx, FirstByte: q.deadline, AnswerDeadline: q.deadline,
+		IsWithdrawn: func() bool { return !c.takesRequests(target) },
 	}
 	sentAt := c.noteSend(q, target)
 	answer, err := c.pools.For(target.Address).Do(call)
 	fasthttp.ReleaseRequest(call.Request)
 	q.excluded[target.ID] = true
 	if errors.Is(err, connector.ErrNotSent) {
-		ticket.End(unreachedOutcome(ctx))
+		ticket.End(unreachedOutcome(ctx, err))
 		return unreached
 	}
 	q.sent++
@@ -122,10 +123,18 @@
 	return errAnswerMismatch
 }
 
+// takesRequests reports whether the target that was chosen may still be sent a request. Between the
+// choice and the send, the request may have waited for a permit or a connection, while the target
+// has become known as leaving, was replaced, or has left the target table.
+func (c *Conductor) takesRequests(target *registrar.Target) bool {
+	known := c.registry.View().Targets[target.ID]
+	return known != nil && known.StartMilliseconds == target.StartMilliseconds && !known.Leaving && !c.balancer.HasLeft(target)
+}
+
 // unreachedOutcome returns the balancer outcome of a request that could not be sent: it
-// counts against the target unless the request had already ended.
-func unreachedOutcome(ctx context.Context) balancer.Outcome {
-	if ctx.Err() != nil {
+// counts against the target unless the request had already ended or was withdrawn.
+func unreachedOutcome(ctx context.Context, err error) balancer.Outcome {
+	if ctx.Err() != nil || errors.Is(err, connector.ErrWithdrawn) {
 		return balancer.Abandoned
 	}
 	return balancer.Unreached
