--- a/internal/gateway/placer/state.go
+++ b/internal/gateway/placer/state.go
@@ -23,6 +23,8 @@
 	Unavailable bool
 	// UnloadingModel is the model that is being unloaded; empty if there is none.
 	UnloadingModel string
+	// Evicting is the number of adapters that are being evicted, each for one that is counted already.
+	Evicting int
 	// InFlight is the number of requests in flight at the target, from all instances.
 	InFlight int
 	// Slowness is how long the target takes for its work relative to the others; 0 if it does
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -96,8 +96,10 @@
 	balancer     *balancer.Balancer
 	limiter      *limiter.Limiter
 	prober       *prober.Prober
+	silences     prober.Silences
 	quarantiner  *quarantiner.Quarantiner
 	crashReports *crashReports
+	verdictRows  *verdictRows
 	budget       *budgeter.Budgeter
 	loadChanges  *loadChanges
 	measurer     *measurer.Measurer
@@ -141,6 +143,7 @@
 	s.proofFetches = newProofFetches()
 	s.quarantiner = quarantiner.New(settings.Instance, quarantiner.WithTrials())
 	s.crashReports = newCrashReports()
+	s.verdictRows = newVerdictRows()
 	bounds := settings.Bounds
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
 	s.slots = newSlots(s)
@@ -184,7 +187,7 @@
 	source := follower.Source{Read: s.readTable, Follow: s.followTable, PeerSnapshot: s.peerSnapshot, PeerHasHadStore: s.peerHasHadStore}
 	log := follower.WithLog(s.log)
 	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait(), s.withProofs())
-	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargets, log,
+	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargetsOnceVerdictsAreRead, log,
 		follower.WithShortWait(), follower.WithMinInterval(s.targetPollInterval))
 	s.instances = follower.New(instanceTable, source, s.applyInstances, log, follower.WithMinInterval(func() time.Duration { return instancePollInterval }))
 }
@@ -216,7 +219,7 @@
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
 		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly, s.slots.sendReleases, s.slots.maintain,
-		s.confirmRegularly,
+		s.confirmRegularly, s.keepVerdicts,
 	} {
 		group.Go(func() error {
 			loop(running)
@@ -267,6 +270,12 @@
 	}
 }
 
+// applyTargetsOnceVerdictsAreRead applies targets, the first ones once the verdicts were read.
+func (s *Supervisor) applyTargetsOnceVerdictsAreRead(rows []messenger.StoreRow, removed []string) {
+	s.awaitVerdicts()
+	s.applyTargets(rows, removed)
+}
+
 func (s *Supervisor) applyTargets(rows []messenger.StoreRow, removed []string) {
 	superseded := s.registry.Update(func(targets map[string]*registrar.Target) {
 		for _, key := range removed {
@@ -282,6 +291,7 @@
 	for _, id := range superseded {
 		s.log.Info("target is superseded at its address", "target", id)
 	}
+	s.observeSilences()
 }
 
 func (s *Supervisor) applyTarget(targets map[string]*registrar.Target, row messenger.StoreRow) {
@@ -294,7 +304,8 @@
 	target.Version = row.Version
 	old := targets[row.Key]
 	if target.IsOlderThan(old) {
-		s.log.Info("entry is older than the known one", "target", target.ID, "heartbeat", target.Heartbeat, "known", old.Heartbeat)
+		s.log.Info("entry is older than the known one", "target", target.ID, "born", target.StartMilliseconds, "knownBorn", old.StartMilliseconds,
+			"heartbeat", target.Heartbeat, "known", old.Heartbeat)
 		return
 	}
 	if old == nil || old.StartMilliseconds != target.StartMilliseconds || old.Leaving != target.Leaving {
@@ -304,6 +315,9 @@
 	if old != nil && old.StartMilliseconds != target.StartMilliseconds {
 		s.balancer.ResetTarget(target.ID)
 	}
+	if target.Leaving {
+		s.silences.Left(time.Now(), incarnationOf(target))
+	}
 	s.limiter.SetIncarnation(target.ID, target.StartMilliseconds)
 	targets[row.Key] = target
 }
@@ -377,6 +391,7 @@
 	every(ctx, pruneInterval, func() {
 		s.conductor.Prune()
 		s.prober.Prune()
+		s.observeSilences()
 		view := s.registry.View()
 		s.balancer.Prune(view)
 		s.limiter.Prune(func(target string) bool { return view.Targets[target] != nil })
