Keep the quotas of accounts at granters that hold delegated shares

Accounts had no quota: an account at many times its usual rate slowed all others down. The quota of an account is divided into three parts, each kept by the granter to which the instances delegate their shares in their statuses.

--- a/internal/gateway/conductor/accept.go
+++ b/internal/gateway/conductor/accept.go
@@ -66,6 +66,9 @@
 	}
 	c.budget.CountRequest(q.service)
 	c.parseDemand(q)
+	if refusal := c.checkQuota(q); refusal != nil {
+		return nil, refusal
+	}
 	return q, nil
 }
 
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -74,6 +74,8 @@
 	// or a limiter.DeniedError.
 	acquirePermit func(ctx context.Context, target *registrar.Target) error
 	quarantine    Quarantine
+	// chargeQuota is nil if there are no quotas.
+	chargeQuota ChargeQuota
 	// requestEnd is called when a request that was accepted ends.
 	requestEnd func(measurer.Request)
 	// answerEnd is called when an answer of a target that ran its request has ended.
@@ -201,6 +203,8 @@
 	// are for the metrics.
 	outcome        measurer.Outcome
 	firstByteAfter time.Duration
+	// quotaEnd ends the charge to the quota of the account; nil without one.
+	quotaEnd func(hasRun bool)
 }
 
 // ServeHTTP forwards one request and writes its final answer.
@@ -224,6 +228,7 @@
 // observeEnd reports how a request ended. It also runs when the answer is aborted by a
 // panic.
 func (c *Conductor) observeEnd(q *request) {
+	q.endQuota()
 	c.requestEnd(measurer.Request{
 		Team: q.route.Name, Class: q.service, Outcome: q.outcome, Elapsed: c.now().Sub(q.arrived), UntilFirstByte: q.firstByteAfter,
 	})
--- /dev/null
+++ b/internal/gateway/conductor/quota.go
@@ -0,0 +1,69 @@
+package conductor
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/crocusring/crocusring/internal/gateway/limiter"
+	"github.com/crocusring/crocusring/internal/gateway/registrar"
+)
+
+const (
+	// noGranterRetryDelay is long enough for most replacements of a granter.
+	noGranterRetryDelay = time.Second
+	// retryAfterResolution is that of the Retry-After header.
+	retryAfterResolution = 10 * time.Millisecond
+)
+
+// ChargeQuota charges a request to the quota of its account. It returns the function to call when
+// the request has ended, with whether it may have run. The error is a limiter.ErrOverQuota or a
+// limiter.ErrNoGranter.
+type ChargeQuota func(ctx context.Context, account *registrar.Account, amount float64) (end func(hasRun bool), err error)
+
+// WithQuota sets the function that charges requests to the quotas of their accounts. By default
+// there are no quotas.
+func WithQuota(charge ChargeQuota) Option {
+	return func(c *Conductor) { c.chargeQuota = charge }
+}
+
+// checkQuota charges a request to the quota of its account, once for all its attempts, or returns
+// the refusal of a request that the quota leaves no room for.
+func (c *Conductor) checkQuota(q *request) *Refusal {
+	if c.chargeQuota == nil || q.account == nil || q.account.RatePerSecond <= 0 {
+		return nil
+	}
+	end, err := c.chargeQuota(q.httpRequest.Context(), q.account, c.quotaAmount(q))
+	var over *limiter.QuotaError
+	switch {
+	case err == nil:
+		q.quotaEnd = end
+		return nil
+	case errors.As(err, &over):
+		return &Refusal{Status: http.StatusTooManyRequests, Reason: limiter.ErrOverQuota.Error(), RetryAfter: over.RetryIn + retryAfterResolution}
+	default:
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: err.Error(), RetryAfter: noGranterRetryDelay}
+	}
+}
+
+// quotaAmount returns what a request counts in the unit of its account's quota.
+func (c *Conductor) quotaAmount(q *request) float64 {
+	if q.account.Unit == registrar.CountRequests {
+		return 1
+	}
+	value := q.httpRequest.Header.Get(c.headers.Tokens)
+	if value == "" {
+		return float64(q.account.PlainTokens)
+	}
+	prompt, output := c.headers.ParseTokens(value)
+	return float64(max(prompt, 0)) + float64(max(output, 0))
+}
+
+// endQuota returns what was charged for a request that no target can have run.
+func (q *request) endQuota() {
+	if q.quotaEnd != nil {
+		q.quotaEnd(q.mayHaveRun)
+	}
+}
--- a/internal/gateway/limiter/granter.go
+++ b/internal/gateway/limiter/granter.go
@@ -30,7 +30,7 @@
 	Limit Limit
 }
 
-// bucket is the token bucket of a target at its granter.
+// bucket is the token bucket of a target or of an account at its granter.
 type bucket struct {
 	tokens    float64
 	perSecond float64
@@ -76,14 +76,20 @@
 // changed at any time since then, so that the lower one counts.
 func (b *bucket) refill(now time.Time, limit, share float64) {
 	perSecond := share * limit
-	elapsed := max(now.Sub(b.updatedAt).Seconds(), 0)
-	b.tokens = min(b.tokens+elapsed*min(b.perSecond, perSecond), 1+share+perSecond*burstTime.Seconds())
-	b.perSecond, b.updatedAt = perSecond, now
+	b.add(now, perSecond, 1+share+perSecond*burstTime.Seconds())
 	if perSecond == 0 {
 		b.tokens = 0 // another instance may grant now
 	}
 }
 
+// add adds the tokens since the last call, at the lower of the last rate and the present one,
+// up to a capacity.
+func (b *bucket) add(now time.Time, perSecond, capacity float64) {
+	elapsed := max(now.Sub(b.updatedAt).Seconds(), 0)
+	b.tokens = min(b.tokens+elapsed*min(b.perSecond, perSecond), capacity)
+	b.perSecond, b.updatedAt = perSecond, now
+}
+
 // take takes a token, or returns the time after which to ask again. Those that are denied
 // are told one turn after the other, so that the permits reach all of them.
 func (b *bucket) take(now time.Time) (isTaken bool, retryIn time.Duration) {
--- a/internal/gateway/limiter/membership.go
+++ b/internal/gateway/limiter/membership.go
@@ -53,6 +53,8 @@
 type presence struct {
 	at      time.Time
 	isHeard bool
+	// leftAt is when it was first known to have left; zero if it has not. Only Quotas use it.
+	leftAt time.Time
 }
 
 // vote is the last report of another member.
--- /dev/null
+++ b/internal/gateway/limiter/quota_service_test.go
@@ -0,0 +1,145 @@
+package limiter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/crocusring/crocusring/internal/gateway/limiter"
+)
+
+const (
+	// utilisation is the use of accounts as a share of their quotas.
+	utilisation = 0.55
+	// minTokens and maxTokens bound what a request counts.
+	minTokens, maxTokens = 700, 5_000
+	fleetSize            = 84
+	fleetCentres         = 3
+	settleIn             = 15 * time.Second
+)
+
+// fleet is a large system with many accounts that keep to their quotas.
+type fleet struct {
+	*quotaSystem
+	// centre is where the callers of an account are; those of others are everywhere.
+	centre map[string]int
+	// wrong counts the requests within the quota that were refused, by account.
+	wrong    map[string]int
+	waited   time.Duration
+	lastFail time.Time
+}
+
+// newFleet returns a fleet of which each instance sees about 3 requests a second.
+func newFleet(seed uint64) *fleet {
+	quotas := map[string]limiter.Quota{}
+	for i, rate := range []float64{14_000, 14_000, 14_000, 15_000, 16_000, 18_000, 20_000, 22_000, 25_000, 30_000, 40_000, 50_000, 80_000, 120_000, 180_000, 260_000} {
+		quotas[fmt.Sprintf("account%02d", i)] = limiter.Quota{PerSecond: rate}
+	}
+	f := &fleet{newQuotaSystem(seed, fleetSize, fleetCentres, quotas), map[string]int{}, map[string]int{}, 0, time.Time{}}
+	for i := range len(quotas) {
+		account := fmt.Sprintf("account%02d", i)
+		f.After(f.delay(time.Second), func() { f.send(account) })
+	}
+	f.play(settleIn)
+	f.reset()
+	return f
+}
+
+func (f *fleet) reset() {
+	f.asked, f.messages, f.onPath, f.served, f.denied, f.unknown = 0, 0, 0, 0, 0, 0
+	f.wrong, f.waited = map[string]int{}, 0
+}
+
+func (f *fleet) send(account string) {
+	const meanTokens = (minTokens + maxTokens) / 2
+	perSecond := utilisation * f.quotas[account].PerSecond / meanTokens
+	f.After(time.Duration(f.random.ExpFloat64()/perSecond*float64(time.Second)), func() { f.send(account) })
+	n := f.nodes[f.random.IntN(len(f.nodes))]
+	centre, isFixed := f.centre[account]
+	for n.isDown || (isFixed && n.dataCentre != centre) {
+		n = f.nodes[f.random.IntN(len(f.nodes))]
+	}
+	amount := minTokens + f.random.Float64()*(maxTokens-minTokens)
+	startedAt := f.Now()
+	f.request(n, account, amount, true, func(err error) { f.count(account, amount, startedAt, err) })
+}
+
+func (f *fleet) count(account string, amount float64, startedAt time.Time, err error) {
+	f.waited += f.Now().Sub(startedAt)
+	if err == nil {
+		f.served++
+		return
+	}
+	if errors.Is(err, limiter.ErrNoGranter) {
+		f.unknown++
+	}
+	f.denied++
+	total := amount
+	for _, u := range f.uses[account] {
+		if f.Now().Sub(u.at) < quotaBounds.Window {
+			total += u.amount
+		}
+	}
+	if total <= f.quotas[account].PerSecond*quotaBounds.Window.Seconds() {
+		f.wrong[account]++
+		f.lastFail = f.Now()
+	}
+}
+
+func (f *fleet) wrongShare() float64 {
+	total := 0
+	for _, n := range f.wrong {
+		total += n
+	}
+	return float64(total) / float64(f.served+f.denied)
+}
+
+func (f *fleet) log(t *testing.T, length time.Duration) {
+	t.Helper()
+	t.Logf("%d requests, %.3f%% wrongly refused %v, %d without a granter, %.0f%% waited for a granter, mean wait %v, %.2f messages a second and instance",
+		f.served+f.denied, 100*f.wrongShare(), f.wrong, f.unknown, 100*float64(f.onPath)/float64(f.asked),
+		f.waited/time.Duration(f.asked), float64(f.messages)/length.Seconds()/fleetSize)
+}
+
+// TestRequestsWithinQuotaAreServed guards against requests that are refused for a quota that
+// they keep to: each instance sees few requests of an account, and one may be large against its
+// rate.
+func TestRequestsWithinQuotaAreServed(t *testing.T) {
+	const length = 40 * time.Second
+	tests := []struct {
+		name    string
+		disturb func(f *fleet)
+		most    float64
+	}{
+		{"undisturbed", func(*fleet) {}, 0.0005},
+		{"a fifth is killed at once", func(f *fleet) {
+			for _, i := range f.random.Perm(fleetSize)[:fleetSize/5] {
+				f.kill(f.nodes[i])
+			}
+		}, 0.01},
+		{"instances are killed one after the other and start again", func(f *fleet) {
+			for i, k := range f.random.Perm(fleetSize)[:12] {
+				f.After(time.Duration(i)*2*time.Second, func() { f.kill(f.nodes[k]) })
+				f.After(time.Duration(i)*2*time.Second+6*time.Second, func() { f.start(f.nodes[k]) })
+			}
+		}, 0.01},
+		{"callers move to one data centre", func(f *fleet) {
+			for account := range f.quotas {
+				f.centre[account] = 0
+			}
+		}, 0.0005},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(1)
+			tt.disturb(f)
+			f.play(length)
+			assert.Empty(t, f.excess)
+			f.log(t, length)
+			assert.LessOrEqual(t, f.wrongShare(), tt.most)
+		})
+	}
+}
--- a/internal/gateway/supervisor/limits.go
+++ b/internal/gateway/supervisor/limits.go
@@ -139,6 +139,7 @@
 		left = append(left, s.settings.Instance)
 	}
 	s.limiter.SetMembers(live, left, s.informer.StatusTTL())
+	s.updateQuotaMembers(left)
 }
 
 // registerLimitMembers passes the rows of the table of instances to the limiter.
@@ -150,6 +151,7 @@
 		}
 	}
 	s.limiter.SetRegistered(members)
+	s.registerQuotaMembers(members)
 }
 
 // acquireControlPermit returns nil if an order or a question may be sent to a target now: it
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -28,6 +28,7 @@
 	pathCrash    = "/crash"
 	pathTrial    = "/trial"
 	pathVerdicts = "/verdicts"
+	pathQuota    = "/quota"
 )
 
 // maxMembers is more instances than a system has.
@@ -73,6 +74,7 @@
 
 func (s *Supervisor) sendStatus(address string, status messenger.GatewayNews, deadline time.Time) (messenger.GatewayNews, error) {
 	var answer messenger.GatewayNews
+	status.Quota = s.delegation(s.quotas.nameAt(address))
 	err := s.poster.Do(poster.Call{
 		Method: http.MethodPost, URL: "http://" + address + pathStatus, In: status, Out: &answer, Deadline: deadline,
 	})
@@ -87,6 +89,7 @@
 		s.applyLoad(status.Load, until)
 	}
 	s.comparePeerVerdicts(status)
+	s.receiveDelegation(status)
 	s.tally.SetPeerDemand(status.Instance, status.Demand, until)
 	now := time.Now()
 	s.limiter.ReceiveReport(status.Instance, limiter.Report{Digest: status.LimitDigest, Size: min(max(status.LimitMembers, 0), maxMembers)}, until.Sub(now))
--- a/internal/gateway/supervisor/servers.go
+++ b/internal/gateway/supervisor/servers.go
@@ -157,7 +157,9 @@
 		var status messenger.GatewayNews
 		if s.decode(ctx, &status) {
 			s.informer.ReceiveStatus(status)
-			s.encode(ctx, s.status(informer.Recipient{IsHolder: status.Holder, DataCentre: status.DataCentre}))
+			answer := s.status(informer.Recipient{IsHolder: status.Holder, DataCentre: status.DataCentre})
+			answer.Quota = s.delegation(status.Instance)
+			s.encode(ctx, answer)
 		}
 	case pathChanges:
 		s.serveChanges(ctx)
@@ -173,6 +175,8 @@
 		s.serveCrash(ctx)
 	case pathTrial:
 		s.serveTrial(ctx)
+	case pathQuota:
+		s.serveQuota(ctx)
 	case pathVerdicts:
 		s.serveVerdicts(ctx)
 	default:
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -94,6 +94,7 @@
 	registry     *registrar.Registrar
 	balancer     *balancer.Balancer
 	limiter      *limiter.Limiter
+	quotas       *quotaKeeper
 	prober       *prober.Prober
 	quarantiner  *quarantiner.Quarantiner
 	crashReports *crashReports
@@ -131,6 +132,7 @@
 		registry: registrar.New(), loadChanges: newLoadChanges(), measurer: measurer.New(time.Now()), tally: tallier.New(), poster: poster.New(),
 	}
 	s.limiter = limiter.New(limiter.Member{Name: settings.Instance, DataCentre: settings.DataCentre}, minCellSize)
+	s.quotas = newQuotaKeeper(settings)
 	s.balancer = balancer.New(balancer.WithLoadChanged(s.loadChanges.add), balancer.WithLimits(s.limiter.BlockedFor))
 	s.quarantiner = quarantiner.New(settings.Instance, quarantiner.WithTrials())
 	s.crashReports = newCrashReports()
@@ -140,7 +142,8 @@
 		conductor.WithLog(log), conductor.WithLimiter(s.limiter, s.acquirePermit), conductor.WithAdapterLoader(s.ensureAdapter), conductor.WithTimeUntilServed(s.timeUntilServed),
 		conductor.WithDemandObservers(s.countDemand, s.countWaiting), conductor.WithStreamObserver(s.countStream),
 		conductor.WithRequestObserver(s.measurer.Observe), conductor.WithAnswerObserver(s.measurer.CountAnswer),
-		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()))
+		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()),
+		conductor.WithQuota(s.chargeQuota))
 	s.prober = prober.New(s.conductor.Probe)
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
@@ -201,7 +204,7 @@
 	defer cancel()
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
-		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly,
+		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly, s.askForQuotas,
 	} {
 		group.Go(func() error {
 			loop(running)
@@ -245,6 +248,7 @@
 			continue
 		}
 		isApplied := s.registry.SetManifest(manifest)
+		s.applyQuotas()
 		s.log.Info("manifest", "version", manifest.Version, "rowVersion", row.Version, "routes", len(manifest.Routes), "taken", isApplied)
 	}
 }
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -430,6 +430,9 @@
 	// PeerAddress corresponds to the JSON schema field "PeerAddress".
 	PeerAddress string `json:"PeerAddress"`
 
+	// Quota is absent if the sender keeps no quotas of accounts.
+	Quota *QuotaDelegation `json:"Quota,omitempty,omitzero"`
+
 	// Ready corresponds to the JSON schema field "Ready".
 	Ready bool `json:"Ready"`
 
@@ -852,6 +855,89 @@
 	RetryMilliseconds float64 `json:"RetryMilliseconds"`
 }
 
+// QuotaAsk is the part of a QuotaRequest for one account.
+type QuotaAsk struct {
+	// Account corresponds to the JSON schema field "Account".
+	Account string `json:"Account"`
+
+	// Ahead is the amount that is expected to be used beyond that before the lease
+	// ends.
+	Ahead float64 `json:"Ahead"`
+
+	// Ended corresponds to the JSON schema field "Ended".
+	Ended []QuotaLeaseEnd `json:"Ended"`
+
+	// IsLast is true if the request is denied unless this granter grants what it
+	// needs.
+	IsLast bool `json:"IsLast"`
+
+	// Need is the amount for a request at hand.
+	Need float64 `json:"Need"`
+}
+
+// QuotaDelegation states for which parts of the quotas of accounts the sender
+// delegates its share to the recipient.
+type QuotaDelegation struct {
+	// EchoNanoseconds is the last stamp of the recipient that the sender has
+	// received; 0 for none. The delegation counts from then on.
+	EchoNanoseconds int64 `json:"EchoNanoseconds"`
+
+	// Members is the number of instances that the sender knows of, including silent
+	// ones.
+	Members int `json:"Members"`
+
+	// Parts has a bit for each part that is delegated to the recipient.
+	Parts int64 `json:"Parts"`
+
+	// StampNanoseconds is the time of the sender's clock.
+	StampNanoseconds int64 `json:"StampNanoseconds"`
+
+	// TTLMilliseconds is how long the delegation is valid.
+	TTLMilliseconds float64 `json:"TTLMilliseconds"`
+}
+
+// QuotaGrant is the decision on a QuotaAsk: a lease of an amount, which can be
+// less than was asked for.
+type QuotaGrant struct {
+	// Amount corresponds to the JSON schema field "Amount".
+	Amount float64 `json:"Amount"`
+
+	// ID corresponds to the JSON schema field "ID".
+	ID int64 `json:"ID"`
+
+	// IsKnown is false if the recipient knows no quota of the account or holds no
+	// share of it.
+	IsKnown bool `json:"IsKnown"`
+
+	// RetryMilliseconds is the time until a missing amount is there.
+	RetryMilliseconds float64 `json:"RetryMilliseconds"`
+
+	// ValidMilliseconds is the time from the sending of the request for which the
+	// amount can be used.
+	ValidMilliseconds float64 `json:"ValidMilliseconds"`
+}
+
+// QuotaLeaseEnd reports a lease that its holder uses no more.
+type QuotaLeaseEnd struct {
+	// ID corresponds to the JSON schema field "ID".
+	ID int64 `json:"ID"`
+
+	// Unused is the part of its amount that did not run.
+	Unused float64 `json:"Unused"`
+}
+
+// QuotaRequest asks a granter for amounts of the quotas of accounts.
+type QuotaRequest struct {
+	// Asks corresponds to the JSON schema field "Asks".
+	Asks []QuotaAsk `json:"Asks"`
+}
+
+// QuotaResponse holds the decisions on a QuotaRequest, in its order.
+type QuotaResponse struct {
+	// Grants corresponds to the JSON schema field "Grants".
+	Grants []QuotaGrant `json:"Grants"`
+}
+
 // Refusal is the error answer to callers and operators. Code is one of the
 // documented codes. NotRun reports that no target ran any part of the request.
 type Refusal struct {
