--- a/internal/gateway/limiter/pool.go
+++ b/internal/gateway/limiter/pool.go
@@ -226,8 +226,9 @@
 // message.
 func (q *Quotas) otherAsks(granter, except string, now time.Time) []QuotaAsk {
 	out := []QuotaAsk{}
-	for account, p := range q.pools {
-		if account != except && p.isDue(now) && slices.Contains(q.granters(account), granter) {
+	for _, account := range q.accounts {
+		p := q.pools[account]
+		if p != nil && account != except && p.isDue(now) && slices.Contains(q.granters(account), granter) {
 			out = append(out, p.askAhead(account, granter, now))
 		}
 	}
@@ -458,24 +459,39 @@
 	defer q.mu.Unlock()
 	now := q.now()
 	out := map[string][]QuotaAsk{}
-	for account, p := range q.pools {
-		p.endLeases(now)
-		if p.isDue(now) {
-			if granter := q.firstGranter(account, now); granter != "" {
-				out[granter] = append(out[granter], p.askAhead(account, granter, now))
-			}
+	for _, account := range q.accounts {
+		if p := q.pools[account]; p != nil {
+			p.endLeases(now)
+			q.addAskAhead(out, account, p, now)
 		}
 	}
-	for account, p := range q.pools {
-		for granter, ended := range p.ended {
-			if asks, ok := out[granter]; ok || hasUnused(ended) {
-				out[granter] = append(asks, QuotaAsk{Account: account, Ended: p.takeEnded(granter, now)})
-			}
+	for _, account := range q.accounts {
+		if p := q.pools[account]; p != nil {
+			p.addEnded(out, account, now)
 		}
 	}
 	return out
 }
 
+func (q *Quotas) addAskAhead(out map[string][]QuotaAsk, account string, p *pool, now time.Time) {
+	if !p.isDue(now) {
+		return
+	}
+	if granter := q.firstGranter(account, now); granter != "" {
+		out[granter] = append(out[granter], p.askAhead(account, granter, now))
+	}
+}
+
+// addEnded adds the reports of ended leases to the messages that are sent anyway, and to those
+// that are worth one.
+func (p *pool) addEnded(out map[string][]QuotaAsk, account string, now time.Time) {
+	for granter, ended := range p.ended {
+		if asks, ok := out[granter]; ok || hasUnused(ended) {
+			out[granter] = append(asks, QuotaAsk{Account: account, Ended: p.takeEnded(granter, now)})
+		}
+	}
+}
+
 // firstGranter returns the first granter that has not denied an amount lately.
 func (q *Quotas) firstGranter(account string, now time.Time) string {
 	for _, granter := range q.granters(account) {
--- a/internal/gateway/limiter/quota.go
+++ b/internal/gateway/limiter/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -27,7 +28,7 @@
 	minLeaseTime = 500 * time.Millisecond
 	// handoverShare is the share of a rate that a granter grants while it does not know what
 	// was granted before it. The higher it is, the less of the window can be used at once.
-	handoverShare = 0.6
+	handoverShare = 0.7
 	// fallbackShare is the share of the margin that instances use while no granter answers.
 	fallbackShare = 0.05
 	// sendDelay is how long after its charge a request can run. The window in which amounts
@@ -67,6 +68,7 @@
 
 	mu        sync.Mutex
 	quotas    map[string]Quota // by the name of the account
+	accounts  []string         // those with a quota, in order
 	startedAt time.Time
 	// The remaining fields are those of delegations, of the granter and of the asker.
 	delegations delegations
@@ -104,12 +106,14 @@
 func (q *Quotas) SetQuotas(quotas map[string]Quota) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.quotas = quotas
+	q.quotas, q.accounts = quotas, sortedNames(quotas)
 	isGone := func(account string) bool { return quotas[account].PerSecond <= 0 }
 	maps.DeleteFunc(q.ledgers, func(account string, _ *ledger) bool { return isGone(account) })
 	maps.DeleteFunc(q.pools, func(account string, _ *pool) bool { return isGone(account) })
 }
 
+func sortedNames(quotas map[string]Quota) []string { return slices.Sorted(maps.Keys(quotas)) }
+
 // partsOf returns the parts of the quota of an account.
 func partsOf(account string) [partsPerQuota]int {
 	first := int(xxhash.Sum64String(account)%partGroups) * partsPerQuota
--- a/internal/gateway/limiter/quota_service_test.go
+++ b/internal/gateway/limiter/quota_service_test.go
@@ -176,3 +176,69 @@
 	t.Logf("last refusal %v after the restart", f.lastRefusal.Sub(at))
 	assert.Less(t, f.lastRefusal.Sub(at), 15*time.Second)
 }
+
+// TestFloodedAccount guards against an account whose callers send far more than its quota: it gets
+// its quota and not much less, other accounts are not refused for it, and a caller that comes
+// back when it was told is served.
+func TestFloodedAccount(t *testing.T) {
+	const factor, length = 10, 30 * time.Second
+	f := newFleet(3)
+	flood := &flood{fleet: f, account: "account05"}
+	flood.send(factor)
+	f.play(10 * time.Second)
+	f.reset()
+	flood.results = floodResult{}
+	f.play(length)
+	assert.Empty(t, f.excess)
+	r := flood.results
+	quota := f.quotas[flood.account].PerSecond * length.Seconds()
+	t.Logf("used %.2f of the quota, new callers served %d of %d, returning callers %d of %d, %v told on average, %.1f messages a second and instance",
+		r.used/quota, r.newServed, r.newCallers, r.backServed, r.backCallers, r.told/time.Duration(max(r.newCallers-r.newServed, 1)), float64(f.messages)/length.Seconds()/fleetSize)
+	t.Logf("others: %v", f.wrong)
+	assert.Greater(t, r.used, 0.85*quota)
+	delete(f.wrong, flood.account)
+	assert.LessOrEqual(t, f.wrongShare(), 0.002)
+}
+
+// flood sends requests of an account far beyond its quota. Each caller comes back once, when it
+// was told.
+type flood struct {
+	*fleet
+	account string
+	results floodResult
+}
+
+type floodResult struct {
+	newCallers, newServed, backCallers, backServed int
+	used                                           float64
+	told                                           time.Duration
+}
+
+func (f *flood) send(factor float64) {
+	const meanTokens = (minTokens + maxTokens) / 2
+	perSecond := factor * f.quotas[f.account].PerSecond / meanTokens
+	f.After(time.Duration(f.random.ExpFloat64()/perSecond*float64(time.Second)), func() { f.send(factor) })
+	amount := minTokens + f.random.Float64()*(maxTokens-minTokens)
+	f.results.newCallers++
+	f.request(f.nodes[f.random.IntN(len(f.nodes))], f.account, amount, true, func(err error) {
+		var over *limiter.QuotaError
+		switch {
+		case err == nil:
+			f.results.newServed++
+			f.results.used += amount
+		case errors.As(err, &over):
+			f.results.told += over.RetryIn
+			f.After(over.RetryIn+3*time.Millisecond, func() { f.comeBack(amount) })
+		}
+	})
+}
+
+func (f *flood) comeBack(amount float64) {
+	f.results.backCallers++
+	f.request(f.nodes[f.random.IntN(len(f.nodes))], f.account, amount, true, func(err error) {
+		if err == nil {
+			f.results.backServed++
+			f.results.used += amount
+		}
+	})
+}
