Serve callers that come back when they were told before new ones

A caller beyond the quota of its account was told a time at which new requests had taken what was free: 3% of those that came back were served, against 11% of new ones, at ten times the quota. The granter that the content of a request prefers now promises an amount for a time and keeps it then, and any granter adds to it.

--- a/internal/gateway/conductor/quota.go
+++ b/internal/gateway/conductor/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net/http"
 	"time"
 
@@ -19,9 +20,9 @@
 )
 
 // ChargeQuota charges a request to the quota of its account. It returns the function to call when
-// the request has ended, with whether it may have run. The error is a limiter.ErrOverQuota or a
-// limiter.ErrNoGranter.
-type ChargeQuota func(ctx context.Context, account *registrar.Account, amount float64) (end func(hasRun bool), err error)
+// the request has ended, with whether it may have run. The function caller identifies the content
+// of the request. The error is a limiter.ErrOverQuota or a limiter.ErrNoGranter.
+type ChargeQuota func(ctx context.Context, account *registrar.Account, amount float64, caller func() int64) (end func(hasRun bool), err error)
 
 // WithQuota sets the function that charges requests to the quotas of their accounts. By default
 // there are no quotas.
@@ -35,7 +36,10 @@
 	if c.chargeQuota == nil || q.account == nil || q.account.RatePerSecond <= 0 {
 		return nil
 	}
-	end, err := c.chargeQuota(q.httpRequest.Context(), q.account, c.quotaAmount(q))
+	end, err := c.chargeQuota(q.httpRequest.Context(), q.account, c.quotaAmount(q), func() int64 {
+		content := c.contentOf(q)
+		return int64(binary.LittleEndian.Uint64(content[:]) >> 1)
+	})
 	var over *limiter.QuotaError
 	switch {
 	case err == nil:
--- a/internal/gateway/limiter/ledger.go
+++ b/internal/gateway/limiter/ledger.go
@@ -14,7 +14,7 @@
 	aheadShare    = 0.25
 	maxAheadShare = 0.4
 	// maxQuotaRetryDelay bounds the time after which a caller may come back.
-	maxQuotaRetryDelay = 10 * time.Second
+	maxQuotaRetryDelay = 30 * time.Second
 )
 
 // EndedLease is a lease that its holder charges no more requests to, with the part of its amount
@@ -31,9 +31,15 @@
 	// beyond it before the lease ends.
 	Need  float64
 	Ahead float64
+	// Total is the whole amount of that request, and Caller identifies its content; 0 if it is
+	// not known.
+	Total  float64
+	Caller int64
 	// IsLast is true if the request is denied unless this granter grants what is needed.
 	IsLast bool
-	Ended  []EndedLease
+	// IsPromised is true if another granter promised the amount for now, but has too little.
+	IsPromised bool
+	Ended      []EndedLease
 }
 
 // QuotaGrant is the answer to a QuotaAsk.
@@ -48,6 +54,8 @@
 	ValidFor time.Duration
 	// RetryIn is the time until the missing amount is there; 0 if nothing is missing.
 	RetryIn time.Duration
+	// IsPromised is true if the caller was promised the amount for now.
+	IsPromised bool
 }
 
 // ledger is a granter's record of what it has granted of one quota.
@@ -61,8 +69,7 @@
 	// used holds what was used of ended leases, by bin, from the bin first on.
 	used  []float64
 	first int64
-	// nextTurn is when the amounts that denied requests were told to wait for are there.
-	nextTurn time.Time
+	promises
 }
 
 // grantedLease is a lease; once it has ended its use counts in a bin.
@@ -222,21 +229,26 @@
 	}
 	l := q.ledgers[ask.Account]
 	if l == nil {
-		l = &ledger{leases: map[int64]*grantedLease{}, first: binOf(now)}
+		l = &ledger{leases: map[int64]*grantedLease{}, first: binOf(now), promises: promises{callers: map[int64]promise{}}}
 		q.ledgers[ask.Account] = l
 	}
 	allowance := q.allowance(ask.Account, now)
 	l.settle(now, allowance.window)
 	l.report(ask.Ended, now)
-	share := allowance.share()
-	if share <= 0 {
+	if allowance.share() <= 0 {
 		return out
 	}
 	out.IsKnown, out.ValidFor = true, minLeaseTime
 	free, need := l.free(now, allowance), positive(ask.Need)
+	out.IsPromised = ask.IsPromised || l.isDue(ask.Caller, now)
+	if !out.IsPromised {
+		free = l.unpromised(free, now)
+	}
 	out.Amount = min(need, free)
 	if out.Amount < need {
-		out.RetryIn = l.turn(now, need, l.timeUntil(now, need, allowance), share*quota.PerSecond, ask.IsLast)
+		out.RetryIn = l.deny(now, ask, need, allowance, quota.PerSecond)
+	} else {
+		delete(l.callers, ask.Caller)
 	}
 	if ahead := l.ahead(ask, free-out.Amount, allowance); ahead > 0 {
 		out.Amount += ahead
@@ -264,17 +276,3 @@
 	}
 	return max(amount, 0)
 }
-
-// turn returns the time after which a needed amount is there. Requests that are denied it are
-// told one turn after the other, so that the amounts reach all of them.
-func (l *ledger) turn(now time.Time, need float64, earliest time.Duration, perSecond float64, isDenied bool) time.Duration {
-	due := later(l.nextTurn, now.Add(earliest))
-	wait := min(due.Sub(now), maxQuotaRetryDelay)
-	if isDenied {
-		l.nextTurn = due.Add(secondsOf(min(need/perSecond, maxQuotaRetryDelay.Seconds())))
-		if latest := now.Add(maxQuotaRetryDelay); l.nextTurn.After(latest) {
-			l.nextTurn = latest
-		}
-	}
-	return wait
-}
--- a/internal/gateway/limiter/limiter.go
+++ b/internal/gateway/limiter/limiter.go
@@ -1,5 +1,6 @@
 // Package limiter keeps the requests to a target within the limit that the target names in
-// its answers, over all instances together and whatever their number.
+// its answers, and what client accounts use within their quotas, over all instances together
+// and whatever their number.
 //
 // For each target one instance is the granter: the one that all instances of a group prefer
 // by rendezvous hashing. An instance that knows a limit sends a request to that target only
@@ -11,6 +12,10 @@
 // than an earlier report of it stays valid anywhere. So it counts for one granter at a time,
 // and the shares that are in use add up to one at most.
 //
+// A quota is kept by several granters (see Quotas). Each instance delegates its share of each
+// part of a quota to one granter at a time, by its name and for a limited time, so that the loss
+// of other instances changes nothing, and a granter counts what was used in the window.
+//
 // The package does no I/O: a caller carries permits and statuses between instances.
 package limiter
 
--- a/internal/gateway/limiter/pool.go
+++ b/internal/gateway/limiter/pool.go
@@ -1,37 +1,13 @@
 package limiter
 
 import (
-	"fmt"
 	"math"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-faster/errors"
 )
 
-// ErrOverQuota means that the quota of an account leaves no room for a request now.
-var ErrOverQuota = errors.New("quota of the account is used up")
-
-// ErrNoGranter means that no instance can tell now whether a quota leaves room for a request.
-var ErrNoGranter = errors.New("quota of the account is not known now")
-
-// MaxQuotaWait is the longest time for which a request is held, once, until its quota leaves room
-// for it. Its caller would come back no sooner.
-const MaxQuotaWait = 300 * time.Millisecond
-
-// QuotaError is an ErrOverQuota with the time after which to come back.
-type QuotaError struct {
-	RetryIn time.Duration
-}
-
-func (e *QuotaError) Error() string {
-	return fmt.Sprintf("%v for %d ms", ErrOverQuota, e.RetryIn.Milliseconds())
-}
-
-// Is reports whether target is ErrOverQuota.
-func (e *QuotaError) Is(target error) bool { return target == ErrOverQuota }
-
 const (
 	// aheadTime is the time of recent use for which an instance asks ahead.
 	aheadTime = maxLeaseTime
@@ -47,7 +23,7 @@
 	// is asked again, and denialShare is that time as a share of the time until the amount is
 	// there.
 	minDenialTime = 250 * time.Millisecond
-	maxDenialTime = time.Second
+	maxDenialTime = 2500 * time.Millisecond
 	denialShare   = 0.25
 	// silentGranterTime is that time for a granter that gave no answer.
 	silentGranterTime = time.Second
@@ -100,43 +76,6 @@
 	isSilent bool
 }
 
-// portion is the part of a charge that one lease covers.
-type portion struct {
-	lease  *lease
-	amount float64
-}
-
-// Charge is what a request has been charged, and while amounts are missing what it still needs.
-type Charge struct {
-	account  string
-	amount   float64
-	portions []portion
-	missing  float64
-	// asked holds the granters that were asked for this request.
-	asked []string
-	// hasAnswer reports whether one of them answered.
-	hasAnswer bool
-}
-
-// IsWhole reports whether nothing is missing.
-func (c *Charge) IsWhole() bool { return c.missing <= roundingError }
-
-// Begin charges a request of an account from the leases of this instance. If the charge is not
-// whole, the caller must ask granters (see NextGranter) and then call Finish.
-func (q *Quotas) Begin(account string, amount float64) *Charge {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	c := &Charge{account: account}
-	if q.quotas[account].PerSecond <= 0 || amount <= 0 {
-		return c
-	}
-	c.amount, c.missing = amount, amount
-	p, now := q.pool(account), q.now()
-	p.noteUse(now, amount)
-	p.charge(c, now)
-	return c
-}
-
 func (q *Quotas) pool(account string) *pool {
 	p := q.pools[account]
 	if p == nil {
@@ -178,68 +117,23 @@
 	}
 }
 
-// NextGranter returns the granter to ask for what a charge misses, with the asks to send; the
-// granter is empty if there is none left to ask. The caller must pass the answer to Receive and
-// the charge with it.
-func (q *Quotas) NextGranter(c *Charge) (granter string, asks []QuotaAsk) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	p, now := q.pools[c.account], q.now()
-	if c.IsWhole() || p == nil {
-		return "", nil
-	}
-	for _, candidate := range q.granters(c.account) {
-		if d, ok := p.denials[candidate]; ok && now.Before(d.until) {
-			c.hasAnswer = c.hasAnswer || !d.isSilent
-			continue
-		}
-		if !slices.Contains(c.asked, candidate) {
-			granter = candidate
-			break
-		}
-	}
-	if granter == "" {
-		return "", nil
-	}
-	c.asked = append(c.asked, granter)
-	ask := QuotaAsk{Account: c.account, Need: c.missing, Ended: p.takeEnded(granter, now)}
-	ask.IsLast = q.isLast(p, c, now)
-	if !p.isAsking {
-		ask.Ahead = p.ahead(now)
-	}
-	return granter, append([]QuotaAsk{ask}, q.otherAsks(granter, c.account, now)...)
-}
-
-// isLast reports whether there is no further granter to ask for a charge.
-func (q *Quotas) isLast(p *pool, c *Charge, now time.Time) bool {
-	for _, candidate := range q.granters(c.account) {
-		d, ok := p.denials[candidate]
-		isDenied := ok && now.Before(d.until)
-		if !isDenied && !slices.Contains(c.asked, candidate) {
-			return false
-		}
-	}
-	return true
-}
-
 // otherAsks returns the asks ahead for the other accounts that a granter can answer in the same
 // message.
 func (q *Quotas) otherAsks(granter, except string, now time.Time) []QuotaAsk {
 	out := []QuotaAsk{}
 	for _, account := range q.accounts {
 		p := q.pools[account]
-		if p != nil && account != except && p.isDue(now) && slices.Contains(q.granters(account), granter) {
+		if p != nil && account != except && p.isDue(now) && slices.Contains(q.granters(account, 0), granter) {
 			out = append(out, p.askAhead(account, granter, now))
 		}
 	}
 	return out
 }
 
-// granters returns the granters of an account in the order in which this instance asks them.
-func (q *Quotas) granters(account string) []string {
+// granters returns the granters of an account, starting with that of a part.
+func (q *Quotas) granters(account string, first int) []string {
 	out := make([]string, 0, partsPerQuota)
 	parts := partsOf(account)
-	first := q.pool(account).first
 	for i := range parts {
 		holder := q.delegations.holders[parts[(first+i)%partsPerQuota]]
 		if !slices.Contains(out, holder) {
@@ -291,33 +185,6 @@
 	return out
 }
 
-// Receive records the answer of a granter to asks that were sent at sentAt, or the error of a
-// call that got none, and charges what the charge c, which may be nil, still misses.
-func (q *Quotas) Receive(c *Charge, granter string, asks []QuotaAsk, grants []QuotaGrant, sentAt time.Time, err error) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	now := q.now()
-	for _, ask := range asks {
-		p := q.pool(ask.Account)
-		p.isAsking = false
-		if err != nil {
-			p.deny(granter, now, silentGranterTime, 0, true)
-		}
-	}
-	if err == nil {
-		for _, grant := range grants {
-			q.receive(granter, grant, sentAt, now)
-		}
-	}
-	if c == nil {
-		return
-	}
-	for _, grant := range grants {
-		c.hasAnswer = c.hasAnswer || (err == nil && grant.Account == c.account && grant.IsKnown)
-	}
-	q.pool(c.account).charge(c, now)
-}
-
 func (q *Quotas) receive(granter string, grant QuotaGrant, sentAt, now time.Time) {
 	p := q.pool(grant.Account)
 	if !grant.IsKnown {
@@ -348,72 +215,6 @@
 	p.first = (p.first + 1) % partsPerQuota
 }
 
-// Finish returns nil if a charge is whole. If not, it returns what was charged and a
-// DeniedError with the time after which to come back, or ErrNoGranter.
-func (q *Quotas) Finish(c *Charge) error {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if c.amount == 0 {
-		return nil // the account has no quota
-	}
-	p, now := q.pool(c.account), q.now()
-	c.dropExpired(now)
-	if c.IsWhole() {
-		return nil
-	}
-	if !c.hasAnswer && q.takeFallback(p, c, now) {
-		return nil
-	}
-	p.settle(c, false, now)
-	if !c.hasAnswer {
-		return ErrNoGranter
-	}
-	return &QuotaError{RetryIn: p.retryIn(now)}
-}
-
-// dropExpired drops the portions whose leases have expired while granters were asked.
-func (c *Charge) dropExpired(now time.Time) {
-	c.portions = slices.DeleteFunc(c.portions, func(p portion) bool {
-		isExpired := !now.Before(p.lease.endsAt)
-		if isExpired {
-			c.missing += p.amount
-		}
-		return isExpired
-	})
-}
-
-// retryIn returns the time until the first granter has the missing amount.
-func (p *pool) retryIn(now time.Time) time.Duration {
-	wait := maxQuotaRetryDelay
-	for _, d := range p.denials {
-		if !d.isSilent && now.Before(d.until) {
-			wait = min(wait, d.retryAt.Sub(now))
-		}
-	}
-	return max(wait, askInFlightDelay)
-}
-
-// takeFallback charges what is missing to this instance's fixed part of the margin.
-func (q *Quotas) takeFallback(p *pool, c *Charge, now time.Time) bool {
-	part := q.bounds.fallback(q.quotas[c.account]) / float64(q.memberCount(now))
-	p.fallback.add(now, part/2/q.bounds.Window.Seconds(), part/2)
-	if p.fallback.tokens < c.missing {
-		return false
-	}
-	p.fallback.tokens -= c.missing
-	c.missing = 0
-	return true
-}
-
-// Return ends a charge. What did not run can be used again until its lease ends.
-func (q *Quotas) Return(c *Charge, hasRun bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if p := q.pools[c.account]; p != nil {
-		p.settle(c, hasRun, q.now())
-	}
-}
-
 func (p *pool) settle(c *Charge, hasRun bool, now time.Time) {
 	for _, part := range c.portions {
 		l := part.lease
@@ -494,7 +295,7 @@
 
 // firstGranter returns the first granter that has not denied an amount lately.
 func (q *Quotas) firstGranter(account string, now time.Time) string {
-	for _, granter := range q.granters(account) {
+	for _, granter := range q.granters(account, q.pools[account].first) {
 		if d, ok := q.pools[account].denials[granter]; !ok || !now.Before(d.until) {
 			return granter
 		}
--- a/internal/gateway/supervisor/quotas.go
+++ b/internal/gateway/supervisor/quotas.go
@@ -80,22 +80,22 @@
 }
 
 // chargeQuota charges a request to the quota of its account.
-func (s *Supervisor) chargeQuota(ctx context.Context, account *registrar.Account, amount float64) (end func(hasRun bool), err error) {
+func (s *Supervisor) chargeQuota(ctx context.Context, account *registrar.Account, amount float64, caller func() int64) (end func(hasRun bool), err error) {
 	if s.quotas == nil {
 		return func(bool) {}, nil
 	}
-	charge, err := s.acquireQuota(ctx, account.Name, amount)
+	charge, err := s.acquireQuota(ctx, account.Name, amount, caller)
 	var over *limiter.QuotaError
 	if errors.As(err, &over) && over.RetryIn <= limiter.MaxQuotaWait {
 		select {
 		case <-ctx.Done():
 		case <-time.After(over.RetryIn):
-			charge, err = s.acquireQuota(ctx, account.Name, amount)
+			charge, err = s.acquireQuota(ctx, account.Name, amount, caller)
 		}
 	}
 	s.measurer.CountAdmission(account.Name, admissionOf(err), amount)
 	if err != nil {
-		s.log.Info("request not admitted by quota", "account", account.Name, "amount", amount, "error", err.Error())
+		s.log.V(1).Info("request not admitted by quota", "account", account.Name, "amount", amount, "error", err.Error())
 		return nil, err
 	}
 	return func(hasRun bool) { s.quotas.Return(charge, hasRun) }, nil
@@ -103,8 +103,11 @@
 
 // acquireQuota charges a request to the leases of this instance, and asks granters for what they
 // lack.
-func (s *Supervisor) acquireQuota(ctx context.Context, account string, amount float64) (*limiter.Charge, error) {
+func (s *Supervisor) acquireQuota(ctx context.Context, account string, amount float64, caller func() int64) (*limiter.Charge, error) {
 	charge := s.quotas.Begin(account, amount)
+	if !charge.IsWhole() {
+		charge.Caller = caller()
+	}
 	for ctx.Err() == nil {
 		granter, asks := s.quotas.NextGranter(charge)
 		if granter == "" {
@@ -162,7 +165,10 @@
 		for _, e := range ask.Ended {
 			ended = append(ended, messenger.QuotaLeaseEnd{ID: e.ID, Unused: e.Unused})
 		}
-		out.Asks = append(out.Asks, messenger.QuotaAsk{Account: ask.Account, Need: ask.Need, Ahead: ask.Ahead, IsLast: ask.IsLast, Ended: ended})
+		out.Asks = append(out.Asks, messenger.QuotaAsk{
+			Account: ask.Account, Need: ask.Need, Ahead: ask.Ahead, Total: ask.Total, Caller: ask.Caller,
+			IsLast: ask.IsLast, IsPromised: ask.IsPromised, Ended: ended,
+		})
 	}
 	return out
 }
@@ -174,7 +180,10 @@
 		for _, e := range ask.Ended {
 			ended = append(ended, limiter.EndedLease{ID: e.ID, Unused: e.Unused})
 		}
-		out = append(out, limiter.QuotaAsk{Account: ask.Account, Need: ask.Need, Ahead: ask.Ahead, IsLast: ask.IsLast, Ended: ended})
+		out = append(out, limiter.QuotaAsk{
+			Account: ask.Account, Need: ask.Need, Ahead: ask.Ahead, Total: ask.Total, Caller: ask.Caller,
+			IsLast: ask.IsLast, IsPromised: ask.IsPromised, Ended: ended,
+		})
 	}
 	return out
 }
@@ -186,6 +195,7 @@
 		out = append(out, limiter.QuotaGrant{
 			Account: asks[i].Account, IsKnown: grant.IsKnown, ID: grant.ID, Amount: max(grant.Amount, 0),
 			ValidFor: milliseconds(grant.ValidMilliseconds), RetryIn: milliseconds(grant.RetryMilliseconds),
+			IsPromised: grant.IsPromised,
 		})
 	}
 	return out
@@ -203,6 +213,7 @@
 			out.Grants = append(out.Grants, messenger.QuotaGrant{
 				IsKnown: grant.IsKnown, ID: grant.ID, Amount: grant.Amount,
 				ValidMilliseconds: toMilliseconds(grant.ValidFor), RetryMilliseconds: toMilliseconds(grant.RetryIn),
+				IsPromised: grant.IsPromised,
 			})
 		}
 	}
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -864,6 +864,9 @@
 	// ends.
 	Ahead float64 `json:"Ahead"`
 
+	// Caller identifies the content of the request at hand; 0 if it is not known.
+	Caller int64 `json:"Caller"`
+
 	// Ended corresponds to the JSON schema field "Ended".
 	Ended []QuotaLeaseEnd `json:"Ended"`
 
@@ -871,8 +874,15 @@
 	// needs.
 	IsLast bool `json:"IsLast"`
 
+	// IsPromised is true if another granter promised the amount for now, but has too
+	// little.
+	IsPromised bool `json:"IsPromised"`
+
 	// Need is the amount for a request at hand.
 	Need float64 `json:"Need"`
+
+	// Total is the whole amount of the request at hand.
+	Total float64 `json:"Total"`
 }
 
 // QuotaDelegation states for which parts of the quotas of accounts the sender
@@ -909,6 +919,9 @@
 	// share of it.
 	IsKnown bool `json:"IsKnown"`
 
+	// IsPromised is true if the caller was promised the amount for now.
+	IsPromised bool `json:"IsPromised"`
+
 	// RetryMilliseconds is the time until a missing amount is there.
 	RetryMilliseconds float64 `json:"RetryMilliseconds"`
 
