--- a/internal/gateway/balancer/load.go
+++ b/internal/gateway/balancer/load.go
@@ -5,19 +5,6 @@
 	"time"
 )
 
-const (
-	// defaultPrefillMillis is the assumed time to read one prompt token (prefill) until
-	// there is a measurement, in milliseconds.
-	defaultPrefillMillis = 0.05
-	// prefillSampleWeight is the weight of one measurement in the moving average of the
-	// time to read a prompt token.
-	prefillSampleWeight = 0.1
-	// minPrefillMillis and maxPrefillMillis limit the value of one measurement, in
-	// milliseconds per token.
-	minPrefillMillis = 0.002
-	maxPrefillMillis = 0.5
-)
-
 // Load is the load that one or more instances put on a target.
 type Load struct {
 	// InFlight is the number of requests in flight.
@@ -25,6 +12,9 @@
 	// Pending is the time that the target needs to read the prompts of the requests that
 	// have no answer yet, in milliseconds.
 	Pending float64
+	// Granted is the number of requests in flight that the allocator Grantor has granted.
+	Granted int
+	Grantor int64
 }
 
 // peerLoad is the load that a peer reports: its own, or the sum over a data centre if the
@@ -83,7 +73,7 @@
 	now := b.now()
 	for id, l := range b.loads {
 		if ids[id] || (ids == nil && (l.InFlight > 0 || l.notice.isLeaveShared(now))) {
-			loads[id] = l.Load
+			loads[id] = l.withGrants()
 		}
 	}
 	return b.sequence, loads
@@ -98,7 +88,7 @@
 	b.sequence++
 	loads = map[string]Load{}
 	for id, l := range b.loads {
-		loads[id] = l.Load
+		loads[id] = l.withGrants()
 	}
 	now := b.now()
 	for _, name := range peers {
@@ -117,9 +107,17 @@
 	return b.sequence, loads
 }
 
-// plus returns the sum of two loads.
+// plus returns the sum of two loads. Of the grants of two allocators it keeps the more numerous
+// ones: the others then count like requests without a grant.
 func (l Load) plus(other Load) Load {
-	return Load{InFlight: l.InFlight + other.InFlight, Pending: l.Pending + other.Pending}
+	sum := Load{InFlight: l.InFlight + other.InFlight, Pending: l.Pending + other.Pending, Granted: l.Granted, Grantor: l.Grantor}
+	switch {
+	case other.Grantor == l.Grantor:
+		sum.Granted += other.Granted
+	case other.Granted > l.Granted:
+		sum.Granted, sum.Grantor = other.Granted, other.Grantor
+	}
+	return sum
 }
 
 // DiffLoads returns the loads in after that differ from those in before, and a zero load for
@@ -150,34 +148,6 @@
 	return sum
 }
 
-// millisPerToken returns the estimated time to read one prompt token for a model, in
-// milliseconds.
-func (b *Balancer) millisPerToken(model string) float64 {
-	if millisPerToken, ok := b.prefillMillis[model]; ok {
-		return millisPerToken
-	}
-	return defaultPrefillMillis
-}
-
-// ReadTime returns the estimated time that a target takes to read a prompt for a model.
-func (b *Balancer) ReadTime(model string, prompt int) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return time.Duration(b.millisPerToken(model) * float64(prompt) * float64(time.Millisecond))
-}
-
-// learnPrefillTime updates the estimate for a model from the time to the first byte of a
-// request that found no prompts pending at its target.
-func (b *Balancer) learnPrefillTime(model string, prompt int, timeToFirstByte time.Duration) {
-	if prompt <= 0 {
-		return
-	}
-	measured := float64(timeToFirstByte.Microseconds()) / 1000 / float64(prompt)
-	measured = min(max(measured, minPrefillMillis), maxPrefillMillis)
-	millisPerToken := b.millisPerToken(model)
-	b.prefillMillis[model] = millisPerToken + prefillSampleWeight*(measured-millisPerToken)
-}
-
 // notifyWaiters wakes the callers that wait on the channel of CapacityFreed. The lock must be
 // held.
 func (b *Balancer) notifyWaiters() {
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -20,6 +20,8 @@
 	"github.com/go-logr/logr"
 
 	"github.com/crocusring/crocusring/internal/edge/connector"
+	"github.com/crocusring/crocusring/internal/edge/guarder"
+	"github.com/crocusring/crocusring/internal/gateway/authenticator"
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
 	"github.com/crocusring/crocusring/internal/gateway/limiter"
@@ -75,14 +77,20 @@
 	acquirePermit func(ctx context.Context, target *registrar.Target) error
 	quarantine    Quarantine
 	// chargeQuota is nil if there are no quotas.
-	chargeQuota ChargeQuota
+	chargeQuota   ChargeQuota
+	slots         Slots
+	authenticator authenticator.Authenticator
+	// accountRefused is called for each request that is refused for its key.
+	accountRefused func(reason error)
 	// requestEnd is called when a request that was accepted ends.
 	requestEnd func(measurer.Request)
 	// answerEnd is called when an answer of a target that ran its request has ended.
 	answerEnd func(measurer.Answer)
-	closing   atomic.Bool
-	stop      atomic.Pointer[stopTimes]
-	active    atomic.Int64
+	// refusedBody is called when a request is refused for its body.
+	refusedBody func(guarder.Cause)
+	closing     atomic.Bool
+	stop        atomic.Pointer[stopTimes]
+	active      atomic.Int64
 }
 
 // Option configures a conductor in New.
@@ -141,11 +149,15 @@
 		streamEnd:        func(Demand, time.Duration) {},
 		requestEnd:       func(measurer.Request) {},
 		answerEnd:        func(measurer.Answer) {},
+		refusedBody:      func(guarder.Cause) {},
 		quarantine:       noQuarantine(),
+		slots:            noSlots(),
 		acquirePermit:    func(context.Context, *registrar.Target) error { return nil },
 		ensureAdapter:    func(context.Context, string, string, string) error { return balancer.ErrNoAdapter },
 		timeUntilServed:  func(context.Context, string, string) (time.Duration, error) { return 0, balancer.ErrNoModel },
 		servingEstimates: estimateCache{byModel: map[modelKey]*servingEstimate{}},
+		authenticator:    authenticator.Authenticator{View: registry.View, IsConfirmed: func() bool { return true }},
+		accountRefused:   func(error) {},
 	}
 	for _, option := range options {
 		option(c)
@@ -174,6 +186,10 @@
 	route       *registrar.Route
 	// account is the account that the request is sent for; nil without one.
 	account *registrar.Account
+	// credential is what the caller says of its account, and hasAccounts reports whether that
+	// counts.
+	credential  authenticator.Credential
+	hasAccounts bool
 	// rank orders the request among those that wait, and at its target: 0 is first.
 	rank    int
 	service string
@@ -199,6 +215,8 @@
 	// status is that of the last answer of a target that ran the request.
 	status   int
 	excluded map[string]bool // the IDs of the targets that the request was offered to
+	// unusedSlots counts the slots that were granted at targets that could not be used.
+	unusedSlots int
 	// outcome and firstByteAfter, the time from arrival to the first byte of an answer,
 	// are for the metrics.
 	outcome        measurer.Outcome
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -146,7 +146,10 @@
 	h.SetMethod(q.httpRequest.Method)
 	h.SetRequestURI(q.httpRequest.RequestURI)
 	h.SetHost(q.httpRequest.Host)
-	c.headers.copyRequestHeaders(h, q.httpRequest.Header)
+	c.headers.copyRequestHeaders(h, q.httpRequest.Header, q.hasAccounts)
+	if q.account != nil {
+		h.Set(c.headers.AccountName, q.account.Name)
+	}
 	h.Set(c.headers.Deadline, c.millisecondsLeft(q))
 	h.Set(c.headers.ExpectInstance, target.ID)
 	if q.demand.Model != "" {
@@ -212,6 +215,7 @@
 	q := reply.request
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
 	q.run.HasBegun = len(body) > 0
+	holdOf(q.httpRequest).Relay(int64(cap(body)))
 	if err != nil {
 		ticket.End(lostOutcome(ctx))
 		q.noteCut(err)
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -21,6 +21,7 @@
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
 	"github.com/crocusring/crocusring/internal/gateway/conductor"
+	"github.com/crocusring/crocusring/internal/gateway/confirmer"
 	"github.com/crocusring/crocusring/internal/gateway/follower"
 	"github.com/crocusring/crocusring/internal/gateway/foreman"
 	"github.com/crocusring/crocusring/internal/gateway/informer"
@@ -103,11 +104,15 @@
 	measurer     *measurer.Measurer
 	tally        *tallier.Tallier
 	conductor    *conductor.Conductor
+	guards       *guards
 	foreman      *foreman.Foreman
 	informer     *informer.Informer
 	leaser       *leaser.Leaser
 	orderPermit  *orderPermit
 	poster       *poster.Client
+	slots        *slots
+	confirmer    *confirmer.Confirmer
+	proofFetches *proofFetches
 	manifests    *follower.Follower
 	targets      *follower.Follower
 	instances    *follower.Follower
@@ -134,16 +139,24 @@
 	s.limiter = limiter.New(limiter.Member{Name: settings.Instance, DataCentre: settings.DataCentre}, minCellSize)
 	s.quotas = newQuotaKeeper(settings)
 	s.balancer = balancer.New(balancer.WithLoadChanged(s.loadChanges.add), balancer.WithLimits(s.limiter.BlockedFor))
+	s.confirmer = confirmer.New(milliseconds(settings.Bounds.RevokeMilliseconds))
+	s.proofFetches = newProofFetches()
 	s.quarantiner = quarantiner.New(settings.Instance, quarantiner.WithTrials())
 	s.crashReports = newCrashReports()
 	bounds := settings.Bounds
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
+	s.slots = newSlots(s)
 	s.conductor = conductor.New(platform.Headers, s.registry, s.balancer, s.budget,
 		conductor.WithLog(log), conductor.WithLimiter(s.limiter, s.acquirePermit), conductor.WithAdapterLoader(s.ensureAdapter), conductor.WithTimeUntilServed(s.timeUntilServed),
 		conductor.WithDemandObservers(s.countDemand, s.countWaiting), conductor.WithStreamObserver(s.countStream),
 		conductor.WithRequestObserver(s.measurer.Observe), conductor.WithAnswerObserver(s.measurer.CountAnswer),
 		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()),
-		conductor.WithQuota(s.chargeQuota))
+		conductor.WithQuota(s.chargeQuota),
+		conductor.WithSlots(conductor.Slots{IsScarce: s.slots.isScarce, Acquire: s.slots.acquire}),
+		conductor.WithConfirmation(s.isConfirmed), conductor.WithAccountObserver(s.countAccountRefusal),
+		conductor.WithBodyObserver(s.countRefusedClient))
+	s.guards = s.newGuards()
+	s.registerGauges()
 	s.prober = prober.New(s.conductor.Probe)
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
@@ -173,7 +186,7 @@
 func (s *Supervisor) initFollowers() {
 	source := follower.Source{Read: s.readTable, Follow: s.followTable, PeerSnapshot: s.peerSnapshot, PeerHasHadStore: s.peerHasHadStore}
 	log := follower.WithLog(s.log)
-	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait())
+	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait(), s.withProofs())
 	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargets, log,
 		follower.WithShortWait(), follower.WithMinInterval(s.targetPollInterval))
 	s.instances = follower.New(instanceTable, source, s.applyInstances, log, follower.WithMinInterval(func() time.Duration { return instancePollInterval }))
@@ -193,6 +206,7 @@
 	s.readersAwaitedUntil = time.Now().Add(maxStartWait)
 	s.log.Info("instance starts", "instance", s.settings.Instance, "incarnation", s.incarnation,
 		"callers", s.settings.CallerAddress, "peers", s.settings.PeerAddress)
+	s.boundMemory()
 	for _, seed := range s.settings.Seeds {
 		s.informer.AddAddress(seed)
 	}
@@ -204,7 +218,8 @@
 	defer cancel()
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
-		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly, s.askForQuotas,
+		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly, s.slots.sendReleases, s.slots.maintain,
+		s.confirmRegularly, s.askForQuotas,
 	} {
 		group.Go(func() error {
 			loop(running)
@@ -236,7 +251,8 @@
 }
 
 // applyManifest applies a new manifest. If it cannot be decoded, the current one stays in
-// force.
+// force; but keys count no longer, since an earlier manifest that this instance has not seen may
+// have removed some.
 func (s *Supervisor) applyManifest(rows []messenger.StoreRow, _ []string) {
 	for _, row := range rows {
 		if row.Key != s.platform.ManifestKey {
@@ -245,11 +261,13 @@
 		manifest, err := s.platform.DecodeManifest(row.Value)
 		if err != nil {
 			s.log.Error(err, "manifest cannot be decoded", "rowVersion", row.Version)
+			s.confirmer.SetUnreadable(row.Version)
 			continue
 		}
 		isApplied := s.registry.SetManifest(manifest)
 		s.applyQuotas()
 		s.log.Info("manifest", "version", manifest.Version, "rowVersion", row.Version, "routes", len(manifest.Routes), "taken", isApplied)
+		s.confirmer.SetApplied(row.Version)
 	}
 }
 
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -369,6 +369,9 @@
 	// IsWhole reports that the load on all targets that are left out is zero.
 	IsWhole bool `json:"IsWhole"`
 
+	// Reads holds measurements of the sender since its last message.
+	Reads []ReadSample `json:"Reads,omitempty,omitzero"`
+
 	// Sequence corresponds to the JSON schema field "Sequence".
 	Sequence int64 `json:"Sequence"`
 
@@ -403,6 +406,10 @@
 	// Instance corresponds to the JSON schema field "Instance".
 	Instance string `json:"Instance"`
 
+	// IsUnconfirmed reports that the sender refuses requests that carry a key, since
+	// it has no proof that its manifest is current.
+	IsUnconfirmed bool `json:"IsUnconfirmed"`
+
 	// Leaving corresponds to the JSON schema field "Leaving".
 	Leaving bool `json:"Leaving"`
 
@@ -430,6 +437,9 @@
 	// PeerAddress corresponds to the JSON schema field "PeerAddress".
 	PeerAddress string `json:"PeerAddress"`
 
+	// Proof corresponds to the JSON schema field "Proof".
+	Proof GatewayProof `json:"Proof"`
+
 	// Quota is absent if the sender keeps no quotas of accounts.
 	Quota *QuotaDelegation `json:"Quota,omitempty,omitzero"`
 
@@ -464,6 +474,17 @@
 	Target string `json:"Target"`
 }
 
+// GatewayProof states that a row of the manifest was the newest one at a time of
+// the store's clock. It stays true however late it arrives.
+type GatewayProof struct {
+	// RowVersion is the version of the row; 0 if the proof is about the rows that it
+	// comes with.
+	RowVersion int64 `json:"RowVersion"`
+
+	// StoreMilliseconds is the time by the store's clock; 0 for no proof.
+	StoreMilliseconds int64 `json:"StoreMilliseconds"`
+}
+
 // GatewaySettings are the settings of one gateway instance.
 type GatewaySettings struct {
 	// Bounds corresponds to the JSON schema field "Bounds".
@@ -951,6 +972,20 @@
 	Grants []QuotaGrant `json:"Grants"`
 }
 
+// ReadSample is a measurement of the time that a target took to read a prompt
+// (prefill).
+type ReadSample struct {
+	// MillisecondsPerToken corresponds to the JSON schema field
+	// "MillisecondsPerToken".
+	MillisecondsPerToken float64 `json:"MillisecondsPerToken"`
+
+	// Model corresponds to the JSON schema field "Model".
+	Model string `json:"Model"`
+
+	// Target corresponds to the JSON schema field "Target".
+	Target string `json:"Target"`
+}
+
 // Refusal is the error answer to callers and operators. Code is one of the
 // documented codes. NotRun reports that no target ran any part of the request.
 type Refusal struct {
@@ -1100,6 +1135,86 @@
 	Team string `json:"Team"`
 }
 
+// SlotRelease reports that a request with a slot has ended, or that an ask is
+// given up.
+type SlotRelease struct {
+	// IsFault reports that the target failed.
+	IsFault bool `json:"IsFault"`
+
+	// Number is that of the ask.
+	Number int64 `json:"Number"`
+}
+
+// SlotReleases is the message with the releases of some milliseconds.
+type SlotReleases struct {
+	// Incarnation corresponds to the JSON schema field "Incarnation".
+	Incarnation int64 `json:"Incarnation"`
+
+	// Instance corresponds to the JSON schema field "Instance".
+	Instance string `json:"Instance"`
+
+	// Releases corresponds to the JSON schema field "Releases".
+	Releases []SlotRelease `json:"Releases"`
+}
+
+// SlotRequest asks the allocator of a plain service for a slot at one of its
+// targets. The answer may take as long as the request can wait. Times are
+// relative, since the clocks of instances cannot be compared.
+type SlotRequest struct {
+	// Account is the client account; empty without one.
+	Account string `json:"Account"`
+
+	// AgeMilliseconds is the time since the request arrived.
+	AgeMilliseconds float64 `json:"AgeMilliseconds"`
+
+	// Avoid holds the IDs of targets that the instance does not use for the request.
+	Avoid []string `json:"Avoid"`
+
+	// Content identifies a request that a caller sends again; 0 if unknown.
+	Content int64 `json:"Content"`
+
+	// DeadlineMilliseconds is the time until its deadline.
+	DeadlineMilliseconds float64 `json:"DeadlineMilliseconds"`
+
+	// GoalMilliseconds is the time until its latency goal; negative if that has
+	// passed.
+	GoalMilliseconds float64 `json:"GoalMilliseconds"`
+
+	// Incarnation is that of the instance that asks.
+	Incarnation int64 `json:"Incarnation"`
+
+	// Instance corresponds to the JSON schema field "Instance".
+	Instance string `json:"Instance"`
+
+	// Number is used once by an incarnation.
+	Number int64 `json:"Number"`
+
+	// Rank orders requests: 0 is first.
+	Rank int `json:"Rank"`
+
+	// Service corresponds to the JSON schema field "Service".
+	Service string `json:"Service"`
+
+	// StartMilliseconds is the time until it is no longer worth starting.
+	StartMilliseconds float64 `json:"StartMilliseconds"`
+}
+
+// SlotResponse is the answer to a SlotRequest: a target, a refusal, or neither if
+// the request waits and the instance is to ask again.
+type SlotResponse struct {
+	// Grantor identifies the incarnation of the allocator.
+	Grantor int64 `json:"Grantor"`
+
+	// Refusal is the reason of a refusal; empty if the request is not refused.
+	Refusal string `json:"Refusal"`
+
+	// RetryMilliseconds is the time after which a refused request can be served.
+	RetryMilliseconds float64 `json:"RetryMilliseconds"`
+
+	// Target is empty if there is no slot.
+	Target string `json:"Target"`
+}
+
 // StatusAnswer is the state of the system as known to one instance.
 type StatusAnswer struct {
 	// Fence corresponds to the JSON schema field "Fence".
@@ -1152,6 +1267,9 @@
 	// the changes.
 	AgeMilliseconds int64 `json:"AgeMilliseconds"`
 
+	// Proof corresponds to the JSON schema field "Proof".
+	Proof GatewayProof `json:"Proof"`
+
 	// Removed corresponds to the JSON schema field "Removed".
 	Removed []string `json:"Removed"`
 
@@ -1168,6 +1286,9 @@
 	// the snapshot.
 	AgeMilliseconds int64 `json:"AgeMilliseconds"`
 
+	// Proof corresponds to the JSON schema field "Proof".
+	Proof GatewayProof `json:"Proof"`
+
 	// Rows corresponds to the JSON schema field "Rows".
 	Rows []StoreRow `json:"Rows"`
 
@@ -1175,6 +1296,16 @@
 	Version int64 `json:"Version"`
 }
 
+// TargetGrants counts the requests in flight at a target that an allocator has
+// granted.
+type TargetGrants struct {
+	// Count corresponds to the JSON schema field "Count".
+	Count int `json:"Count"`
+
+	// Grantor identifies the incarnation of the allocator.
+	Grantor int64 `json:"Grantor"`
+}
+
 // TargetLeave is an announcement of a target that it leaves.
 type TargetLeave struct {
 	// RemainingMilliseconds is the time until no request may be sent there any more;
@@ -1201,6 +1332,9 @@
 
 // TargetLoad is the load of an instance on one target.
 type TargetLoad struct {
+	// Grants is set if an allocator has granted some of the requests in flight.
+	Grants *TargetGrants `json:"Grants,omitempty,omitzero"`
+
 	// InFlight is the number of requests in flight.
 	InFlight int `json:"InFlight"`
 
