--- a/internal/gateway/limiter/delegation.go
+++ b/internal/gateway/limiter/delegation.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -231,14 +232,14 @@
 	}
 	// Leases of an earlier incarnation may be in use for a while.
 	earliest := q.startedAt.Add(maxLeaseTime)
+	mask := uint64(1<<partsPerQuota-1) << parts[0]
 	for _, r := range d.received {
 		if !now.Before(r.expiresAt) {
 			continue
 		}
-		for _, part := range parts {
-			if r.Parts&(1<<part) != 0 {
-				a.add(unit, now.Sub(later(r.since[part], earliest)))
-			}
+		for held := r.Parts & mask; held != 0; held &= held - 1 {
+			part := bits.TrailingZeros64(held)
+			a.add(unit, now.Sub(later(r.since[part], earliest)))
 		}
 	}
 	return a
