Charge a request anew if it has waited before it is sent

A request that waits for a slot for seconds ran in another window than the one in which it was charged, so that what had waited and what was charged later could together exceed the bound. A charge older than 300 ms is returned and taken anew before the first send; attempts after it are not charged. TestOldChargeIsRenewed guards it.

--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -222,7 +222,8 @@
 	outcome        measurer.Outcome
 	firstByteAfter time.Duration
 	// quotaEnd ends the charge to the quota of the account; nil without one.
-	quotaEnd func(hasRun bool)
+	quotaEnd  func(hasRun bool)
+	chargedAt time.Time
 }
 
 // ServeHTTP forwards one request and writes its final answer.
@@ -261,6 +262,12 @@
 			reply.finishWithError(err)
 			return
 		}
+		if err := c.renewCharge(q); err != nil {
+			ticket.End(balancer.Abandoned)
+			c.observeRunEnd(ctx, q, unreached)
+			reply.finishWithError(err)
+			return
+		}
 		result := c.send(ctx, reply, ticket)
 		c.observeRunEnd(ctx, q, result)
 		if result == finished {
--- a/internal/gateway/conductor/quota.go
+++ b/internal/gateway/conductor/quota.go
@@ -33,23 +33,48 @@
 // checkQuota charges a request to the quota of its account, once for all its attempts, or returns
 // the refusal of a request that the quota leaves no room for.
 func (c *Conductor) checkQuota(q *request) *Refusal {
-	if c.chargeQuota == nil || q.account == nil || q.account.RatePerSecond <= 0 {
+	if err := c.renewCharge(q); err != nil {
+		return quotaRefusal(err)
+	}
+	return nil
+}
+
+// renewCharge charges a request that has not been sent and has no charge. A charge from which on
+// it has waited for long is returned first: the quota counts what runs in a window.
+func (c *Conductor) renewCharge(q *request) error {
+	if c.chargeQuota == nil || q.account == nil || q.account.RatePerSecond <= 0 || q.sent > 0 {
 		return nil
 	}
-	end, err := c.chargeQuota(q.httpRequest.Context(), q.account, c.quotaAmount(q), func() int64 {
+	if q.quotaEnd != nil {
+		if c.now().Sub(q.chargedAt) <= limiter.MaxChargeAge {
+			return nil
+		}
+		q.quotaEnd(false)
+	}
+	var err error
+	q.quotaEnd, err = c.chargeQuota(q.httpRequest.Context(), q.account, c.quotaAmount(q), func() int64 {
 		content := c.contentOf(q)
 		return int64(binary.LittleEndian.Uint64(content[:]) >> 1)
 	})
+	q.chargedAt = c.now()
+	if err != nil {
+		q.quotaEnd = nil
+	}
+	return err
+}
+
+// isQuotaError reports whether err is one of a charge.
+func isQuotaError(err error) bool {
+	return errors.Is(err, limiter.ErrOverQuota) || errors.Is(err, limiter.ErrNoGranter)
+}
+
+// quotaRefusal returns the refusal of a request for an error of a charge.
+func quotaRefusal(err error) *Refusal {
 	var over *limiter.QuotaError
-	switch {
-	case err == nil:
-		q.quotaEnd = end
-		return nil
-	case errors.As(err, &over):
+	if errors.As(err, &over) {
 		return &Refusal{Status: http.StatusTooManyRequests, Reason: limiter.ErrOverQuota.Error(), RetryAfter: over.RetryIn + retryAfterResolution}
-	default:
-		return &Refusal{Status: http.StatusServiceUnavailable, Reason: err.Error(), RetryAfter: noGranterRetryDelay}
 	}
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: err.Error(), RetryAfter: noGranterRetryDelay}
 }
 
 // quotaAmount returns what a request counts in the unit of its account's quota.
--- a/internal/gateway/conductor/quota_test.go
+++ b/internal/gateway/conductor/quota_test.go
@@ -105,3 +105,25 @@
 		assert.Equal(t, []bool{hasRun}, charged.ended)
 	}
 }
+
+// TestOldChargeIsRenewed guards against requests that were charged long before they are sent, and
+// then run together with what was charged later, and against retries that are charged again.
+func TestOldChargeIsRenewed(t *testing.T) {
+	charged := &charges{}
+	c := newQuotaConductor(charged)
+	now := time.Unix(1000, 0)
+	c.now = func() time.Time { return now }
+	q := newAccountRequest(&registrar.Account{RatePerSecond: 1}, "")
+	require.Nil(t, c.checkQuota(q))
+	now = now.Add(limiter.MaxChargeAge)
+	require.NoError(t, c.renewCharge(q))
+	assert.Len(t, charged.amounts, 1)
+	now = now.Add(time.Millisecond)
+	require.NoError(t, c.renewCharge(q))
+	assert.Len(t, charged.amounts, 2)
+	assert.Equal(t, []bool{false}, charged.ended)
+	q.sent = 1
+	now = now.Add(time.Minute)
+	require.NoError(t, c.renewCharge(q))
+	assert.Len(t, charged.amounts, 2, "an attempt after the first one is not charged")
+}
--- a/internal/gateway/conductor/refusal.go
+++ b/internal/gateway/conductor/refusal.go
@@ -114,6 +114,9 @@
 	if isAccountError(cause) {
 		return c.accountRefusal(q.id, cause)
 	}
+	if isQuotaError(cause) {
+		return quotaRefusal(cause)
+	}
 	return &Refusal{Status: http.StatusServiceUnavailable, Reason: cause.Error(), RetryAfter: q.retryDelay(cause)}
 }
 
--- a/internal/gateway/limiter/delegation.go
+++ b/internal/gateway/limiter/delegation.go
@@ -103,7 +103,7 @@
 			d.known[name] = p
 		}
 	}
-	d.dropAbsent(now, len(live), d.ttl()+maxLeaseTime+q.bounds.Window+sendDelay)
+	d.dropAbsent(now, len(live), d.ttl()+maxLeaseTime+q.bounds.Window+MaxChargeAge)
 	if !slices.Equal(live, d.live) {
 		d.live = live
 		for part := range d.holders {
@@ -222,7 +222,7 @@
 func (q *Quotas) allowance(account string, now time.Time) allowance {
 	d, quota, parts := &q.delegations, q.quotas[account], partsOf(account)
 	a := allowance{
-		window: q.bounds.Window + sendDelay, total: q.bounds.total(quota) - q.bounds.fallback(quota), perSecond: handoverShare * quota.PerSecond,
+		window: q.bounds.Window + MaxChargeAge, total: q.bounds.total(quota) - q.bounds.fallback(quota), perSecond: handoverShare * quota.PerSecond,
 	}
 	unit := 1 / float64(q.memberCount(now)*partsPerQuota)
 	for _, part := range parts {
--- a/internal/gateway/limiter/quota.go
+++ b/internal/gateway/limiter/quota.go
@@ -31,11 +31,12 @@
 	handoverShare = 0.7
 	// fallbackShare is the share of the margin that instances use while no granter answers.
 	fallbackShare = 0.05
-	// sendDelay is how long after its charge a request can run. The window in which amounts
-	// are counted is longer by this.
-	sendDelay = 300 * time.Millisecond
 )
 
+// MaxChargeAge is how long after its charge a request may be sent. The window in which amounts are
+// counted is longer by this.
+const MaxChargeAge = 300 * time.Millisecond
+
 // Quota is the quota of an account in its own unit, over all instances.
 type Quota struct {
 	PerSecond float64
