--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -156,7 +156,7 @@
 		ensureAdapter:    func(context.Context, string, string, string) error { return balancer.ErrNoAdapter },
 		timeUntilServed:  func(context.Context, string, string) (time.Duration, error) { return 0, balancer.ErrNoModel },
 		servingEstimates: estimateCache{byModel: map[modelKey]*servingEstimate{}},
-		authenticator:    authenticator.Authenticator{View: registry.View, IsConfirmed: func() bool { return true }},
+		authenticator:    authenticator.Authenticator{View: registry.View, Currency: alwaysCurrent},
 		accountRefused:   func(error) {},
 	}
 	for _, option := range options {
@@ -165,6 +165,8 @@
 	return c
 }
 
+func alwaysCurrent() (isConfirmed, isRecent bool) { return true, true }
+
 // CloseConnections makes each answer from now on close its connection to the caller.
 func (c *Conductor) CloseConnections() { c.closing.Store(true) }
 
@@ -209,9 +211,11 @@
 	mayHaveRun bool
 	// content is the fingerprint of the content; zero until it is needed. See contentOf.
 	content quarantiner.Fingerprint
-	// run is the last send, and isCut is set if its connection was cut.
-	run   Run
-	isCut bool
+	// run is the last send. isCut is set if its connection was cut, and silentSince if it ended while
+	// the connection was open: when the target was last heard of.
+	run         Run
+	isCut       bool
+	silentSince time.Time
 	// status is that of the last answer of a target that ran the request.
 	status   int
 	excluded map[string]bool // the IDs of the targets that the request was offered to
--- a/internal/gateway/conductor/stream.go
+++ b/internal/gateway/conductor/stream.go
@@ -88,11 +88,16 @@
 func (c *Conductor) endStream(ctx context.Context, r *reply, ticket *balancer.Ticket, answer *connector.Answer, end streamEnd) result {
 	q := r.request
 	isWhole := errors.Is(end.cause, io.EOF)
+	if isWhole {
+		if err := c.checkEnd(ctx, ticket.Target, answer); err != nil {
+			isWhole, end.cause = false, err
+		}
+	}
 	c.noteAnswerEnd(answer, isWhole)
 	switch {
 	case !isWhole:
 		ticket.End(lostOutcome(ctx))
-		q.noteCut(end.cause)
+		q.noteLoss(end.cause, answer.LastHeard())
 		c.log.Info("stream cut by target", "request", q.id, "target", ticket.Target.ID, "lastEvent", r.lastEvent,
 			"framing", answer.Framing().String(), "bytesAfterLastEvent", end.unfinishedBytes, "error", end.cause.Error())
 		return lost
