--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -76,6 +76,8 @@
 	// or a limiter.DeniedError.
 	acquirePermit func(ctx context.Context, target *registrar.Target) error
 	quarantine    Quarantine
+	// chargeQuota is nil if there are no quotas.
+	chargeQuota   ChargeQuota
 	slots         Slots
 	authenticator authenticator.Authenticator
 	// accountRefused is called for each request that is refused for its key.
@@ -223,6 +225,9 @@
 	// are for the metrics.
 	outcome        measurer.Outcome
 	firstByteAfter time.Duration
+	// quotaEnd ends the charge to the quota of the account; nil without one.
+	quotaEnd  func(hasRun bool)
+	chargedAt time.Time
 }
 
 // ServeHTTP forwards one request and writes its final answer.
@@ -246,6 +251,7 @@
 // observeEnd reports how a request ended. It also runs when the answer is aborted by a
 // panic.
 func (c *Conductor) observeEnd(q *request) {
+	q.endQuota()
 	c.requestEnd(measurer.Request{
 		Team: q.route.Name, Class: q.service, Outcome: q.outcome, Elapsed: c.now().Sub(q.arrived), UntilFirstByte: q.firstByteAfter,
 	})
@@ -260,6 +266,12 @@
 			reply.finishWithError(err)
 			return
 		}
+		if err := c.renewCharge(q); err != nil {
+			ticket.End(balancer.Abandoned)
+			c.observeRunEnd(ctx, q, unreached)
+			reply.finishWithError(err)
+			return
+		}
 		result := c.send(ctx, reply, ticket)
 		c.observeRunEnd(ctx, q, result)
 		if result == finished {
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -95,6 +95,7 @@
 	registry     *registrar.Registrar
 	balancer     *balancer.Balancer
 	limiter      *limiter.Limiter
+	quotas       *quotaKeeper
 	prober       *prober.Prober
 	silences     prober.Silences
 	quarantiner  *quarantiner.Quarantiner
@@ -138,6 +139,7 @@
 		registry: registrar.New(), loadChanges: newLoadChanges(), measurer: measurer.New(time.Now()), tally: tallier.New(), poster: poster.New(),
 	}
 	s.limiter = limiter.New(limiter.Member{Name: settings.Instance, DataCentre: settings.DataCentre}, minCellSize)
+	s.quotas = newQuotaKeeper(settings)
 	s.balancer = balancer.New(balancer.WithLoadChanged(s.loadChanges.add), balancer.WithLimits(s.limiter.BlockedFor))
 	s.confirmer = confirmer.New(milliseconds(settings.Bounds.RevokeMilliseconds))
 	s.proofFetches = newProofFetches()
@@ -152,6 +154,7 @@
 		conductor.WithDemandObservers(s.countDemand, s.countWaiting), conductor.WithStreamObserver(s.countStream),
 		conductor.WithRequestObserver(s.measurer.Observe), conductor.WithAnswerObserver(s.measurer.CountAnswer),
 		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()),
+		conductor.WithQuota(s.chargeQuota),
 		conductor.WithSlots(conductor.Slots{IsScarce: s.slots.isScarce, Acquire: s.slots.acquire}),
 		conductor.WithCurrency(s.currency), conductor.WithAccountObserver(s.countAccountRefusal),
 		conductor.WithBodyObserver(s.countRefusedClient))
@@ -219,7 +222,7 @@
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
 		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly, s.slots.sendReleases, s.slots.maintain,
-		s.confirmRegularly, s.keepVerdicts,
+		s.confirmRegularly, s.keepVerdicts, s.askForQuotas,
 	} {
 		group.Go(func() error {
 			loop(running)
@@ -265,6 +268,7 @@
 			continue
 		}
 		isApplied := s.registry.SetManifest(manifest)
+		s.applyQuotas()
 		s.log.Info("manifest", "version", manifest.Version, "rowVersion", row.Version, "routes", len(manifest.Routes), "taken", isApplied)
 		s.confirmer.SetApplied(row.Version)
 	}
