--- a/internal/edge/guarder/conn.go
+++ b/internal/edge/guarder/conn.go
@@ -50,6 +50,9 @@
 	headFrom time.Time
 	// quietSince is when the connection became idle or last sent something.
 	quietSince time.Time
+	// writeFrom is when the current part of an answer was given to the client; zero while
+	// nothing is written.
+	writeFrom time.Time
 }
 
 // HoldOf returns the hold of a connection; nil if it is not guarded.
@@ -109,12 +112,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	quiet := now.Sub(c.quietSince)
-	out := quietness{isUnused: !c.hasAsked, since: c.quietSince}
-	if c.isActive {
+	out := quietness{rank: rankIdle, since: c.quietSince}
+	switch {
+	case c.isActive && !c.writeFrom.IsZero():
+		out.rank, out.since = rankUnread, c.writeFrom
+		out.isClosable = now.Sub(c.writeFrom) >= minUnread
+	case c.isActive:
+		out.rank = rankUnread
 		out.isClosable = c.guard.closeAfter > 0 && quiet >= c.guard.closeAfter
-	} else {
+	default:
 		out.isClosable = quiet >= minQuiet
 	}
+	if !c.hasAsked {
+		out.rank = rankUnused
+	}
 	return out
 }
 
@@ -224,7 +235,9 @@
 			return written, err
 		}
 		part := p[written:min(len(p), written+writePartBytes)]
+		c.noteWrite(time.Now())
 		n, err := c.Conn.Write(part)
+		c.noteWrite(time.Time{})
 		written += n
 		if err != nil {
 			c.noteWriteError(err)
@@ -236,6 +249,12 @@
 	}
 }
 
+func (c *Conn) noteWrite(from time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeFrom = from
+}
+
 func (c *Conn) noteWriteError(err error) {
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() {
--- a/internal/edge/guarder/guard.go
+++ b/internal/edge/guarder/guard.go
@@ -53,6 +53,8 @@
 	firstByteTimeout = 10 * time.Second
 	// minQuiet is how long a connection must have been quiet to be closed for a new one.
 	minQuiet = 100 * time.Millisecond
+	// minUnread is how long a client must have left a part of an answer unread for the same.
+	minUnread = 500 * time.Millisecond
 )
 
 // DefaultLimits returns the default limits.
@@ -178,7 +180,8 @@
 }
 
 // closeQuiet closes the connection that is best closed: one that has never sent a whole
-// request, else an idle one, and of these the one that has been quiet for longest.
+// request, else an idle one, else one whose answer is not read, and of these the one that has
+// been quiet for longest.
 func (g *Guard) closeQuiet(now time.Time) bool {
 	g.mu.Lock()
 	var chosen *Conn
@@ -203,13 +206,24 @@
 // quietness is how well a connection can be closed.
 type quietness struct {
 	isClosable bool
-	isUnused   bool
+	rank       closeRank
 	since      time.Time
 }
 
+// closeRank orders connections that can be closed: the first one goes first.
+type closeRank int
+
+const (
+	// rankUnused connections have never sent a whole request.
+	rankUnused closeRank = iota
+	rankIdle
+	// rankUnread connections have an answer that is not read, or a request that does not go on.
+	rankUnread
+)
+
 func (q quietness) goesBefore(other quietness) bool {
-	if q.isUnused != other.isUnused {
-		return q.isUnused
+	if q.rank != other.rank {
+		return q.rank < other.rank
 	}
 	return q.since.Before(other.since)
 }
--- a/internal/edge/guarder/guard_test.go
+++ b/internal/edge/guarder/guard_test.go
@@ -130,6 +130,17 @@
 	}
 }
 
+// TestUnreadAnswerMakesRoom guards against clients that keep new ones out by answers that they
+// do not read.
+func TestUnreadAnswerMakesRoom(t *testing.T) {
+	address := startServer(t, 64, New(NewBudget(testLimit), 2))
+	for range 2 {
+		dial(t, address, request+"\r\n")
+	}
+	time.Sleep(2 * minUnread)
+	assertAnswer(t, dial(t, address, request+"\r\n"), "HTTP/1.1 200")
+}
+
 // failingListener fails with each of some errors before it accepts.
 type failingListener struct {
 	net.Listener
