--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -168,7 +168,7 @@
 	}
 	ticket := &Ticket{
 		Target: best, balancer: b, request: r, chosenAt: now, pending: b.speeds.at(best.ID, r.Model) * float64(r.PromptTokens),
-		foundNonePending: b.totalLoad(best.ID, now).Pending == 0,
+		measuresRead: isMeasurable(b.totalLoad(best.ID, now), best),
 	}
 	l := b.localLoad(best.ID)
 	l.InFlight++
@@ -177,7 +177,7 @@
 	l.unanswered[ticket] = true
 	l.countGrant(r.Grant)
 	ticket.countReturn(l)
-	b.onLoadChanged(best.ID)
+	b.reportChange(r.Grant, best.ID)
 	return ticket, nil
 }
 
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -21,6 +21,7 @@
 
 	"github.com/crocusring/crocusring/internal/edge/connector"
 	"github.com/crocusring/crocusring/internal/edge/guarder"
+	"github.com/crocusring/crocusring/internal/gateway/authenticator"
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
 	"github.com/crocusring/crocusring/internal/gateway/limiter"
@@ -76,6 +77,9 @@
 	acquirePermit func(ctx context.Context, target *registrar.Target) error
 	quarantine    Quarantine
 	slots         Slots
+	authenticator authenticator.Authenticator
+	// accountRefused is called for each request that is refused for its key.
+	accountRefused func(reason error)
 	// requestEnd is called when a request that was accepted ends.
 	requestEnd func(measurer.Request)
 	// answerEnd is called when an answer of a target that ran its request has ended.
@@ -150,6 +154,8 @@
 		ensureAdapter:    func(context.Context, string, string, string) error { return balancer.ErrNoAdapter },
 		timeUntilServed:  func(context.Context, string, string) (time.Duration, error) { return 0, balancer.ErrNoModel },
 		servingEstimates: estimateCache{byModel: map[modelKey]*servingEstimate{}},
+		authenticator:    authenticator.Authenticator{View: registry.View, Currency: alwaysCurrent},
+		accountRefused:   func(error) {},
 	}
 	for _, option := range options {
 		option(c)
@@ -157,6 +163,8 @@
 	return c
 }
 
+func alwaysCurrent() (isConfirmed, isRecent bool) { return true, true }
+
 // CloseConnections makes each answer from now on close its connection to the caller.
 func (c *Conductor) CloseConnections() { c.closing.Store(true) }
 
@@ -178,6 +186,10 @@
 	route       *registrar.Route
 	// account is the account that the request is sent for; nil without one.
 	account *registrar.Account
+	// credential is what the caller says of its account, and hasAccounts reports whether that
+	// counts.
+	credential  authenticator.Credential
+	hasAccounts bool
 	// rank orders the request among those that wait, and at its target: 0 is first.
 	rank    int
 	service string
@@ -197,9 +209,11 @@
 	mayHaveRun bool
 	// content is the fingerprint of the content; zero until it is needed. See contentOf.
 	content quarantiner.Fingerprint
-	// run is the last send, and isCut is set if its connection was cut.
-	run   Run
-	isCut bool
+	// run is the last send. isCut is set if its connection was cut, and silentSince if it ended while
+	// the connection was open: when the target was last heard of.
+	run         Run
+	isCut       bool
+	silentSince time.Time
 	// status is that of the last answer of a target that ran the request.
 	status   int
 	excluded map[string]bool // the IDs of the targets that the request was offered to
--- a/internal/gateway/conductor/conductor_test.go
+++ b/internal/gateway/conductor/conductor_test.go
@@ -11,12 +11,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/crocusring/crocusring/internal/fake/breaker"
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
 	"github.com/crocusring/crocusring/internal/gateway/conductor"
@@ -28,16 +30,17 @@
 	NotRun: "Test-Not-Run", LastEvent: "Test-Last", Model: "Test-Model", Tokens: "Test-Tokens", Prefix: "Test-Prefix",
 	Priority: "Test-Priority", Reserved: []string{"Test-Hold", "Test-Priority", "Test-Expect"},
 	Leaving: "Test-Leaving", RetryAfter: "Retry-After",
-	Account: "Test-Account", Content: []string{"Test-Content"},
+	Credential: "Test-Credential", AccountName: "Test-Account", Content: []string{"Test-Content"},
 	MisdirectedStatus: http.StatusMisdirectedRequest, ConvictedStatus: http.StatusBadRequest,
 	ParseLeaving: func(v string) bool { return v == "1" },
 	ParseRetryAfter: func(v string) (time.Duration, bool) {
 		seconds, err := strconv.ParseFloat(v, 64)
 		return time.Duration(seconds * float64(time.Second)), err == nil
 	},
-	ParseModel:  func(v string) (string, string) { m, a, _ := strings.Cut(v, "/"); return m, a },
-	ParseTokens: func(string) (int, int) { return 100, 10 },
-	ParsePrefix: func(v string) []string { return strings.Split(v, ",") },
+	ParseCredential: func(v string) (string, bool) { key, ok := strings.CutPrefix(v, "key "); return key, ok && key != "" },
+	ParseModel:      func(v string) (string, string) { m, a, _ := strings.Cut(v, "/"); return m, a },
+	ParseTokens:     func(string) (int, int) { return 100, 10 },
+	ParsePrefix:     func(v string) []string { return strings.Split(v, ",") },
 }
 
 // target is a TCP server that calls a script for each request. The script writes the raw
@@ -48,6 +51,10 @@
 	seen    []*http.Request
 	bodies  []string
 	closed  chan struct{}
+	// listener is closed to end the target.
+	listener net.Listener
+	// resetsNew makes the target reset new connections.
+	resetsNew atomic.Bool
 }
 
 func newTarget(t testing.TB, script func(w net.Conn, r *http.Request, n int) (keep bool)) *target {
@@ -55,13 +62,18 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close() })
-	x := &target{address: ln.Addr().String(), closed: make(chan struct{}, 16)}
+	x := &target{address: ln.Addr().String(), closed: make(chan struct{}, 16), listener: ln}
 	go func() {
 		for {
 			conn, err := ln.Accept()
 			if err != nil {
 				return
 			}
+			if x.resetsNew.Load() {
+				breaker.ResetOnClose(conn)
+				conn.Close()
+				continue
+			}
 			go x.serve(conn, script)
 		}
 	}()
--- a/internal/gateway/registrar/registrar_test.go
+++ b/internal/gateway/registrar/registrar_test.go
@@ -68,6 +68,8 @@
 	assert.False(t, (&registrar.Target{StartMilliseconds: 5, Heartbeat: 9}).IsOlderThan(known))
 	assert.False(t, (&registrar.Target{StartMilliseconds: 6, Heartbeat: 1}).IsOlderThan(known), "the heartbeats of a new process start anew")
 	assert.False(t, (&registrar.Target{StartMilliseconds: 5, Heartbeat: 1}).IsOlderThan(nil))
+	assert.True(t, (&registrar.Target{StartMilliseconds: 4, Heartbeat: 99}).IsOlderThan(known), "a late heartbeat of an earlier process")
+	assert.False(t, (&registrar.Target{Heartbeat: 1}).IsOlderThan(known), "an unknown start is not earlier")
 }
 
 // TestSupersededTarget checks that a target which crashed and restarted under another ID
@@ -97,3 +99,17 @@
 		assert.NotNil(t, r.View().Targets["odd"])
 	})
 }
+
+// TestKeyOfTwoAccounts guards against instances that attribute a request to different accounts.
+func TestKeyOfTwoAccounts(t *testing.T) {
+	key := registrar.DigestKey("shared")
+	accounts := map[string]*registrar.Account{}
+	for _, name := range []string{"c", "a", "b", "d"} {
+		accounts[name] = &registrar.Account{Name: name, Keys: []registrar.KeyDigest{key}}
+	}
+	for range 20 {
+		r := registrar.New()
+		r.SetManifest(&registrar.Manifest{Version: 1, Accounts: accounts})
+		assert.Equal(t, "a", r.View().AccountOf(key).Name)
+	}
+}
--- a/internal/gateway/supervisor/servers.go
+++ b/internal/gateway/supervisor/servers.go
@@ -78,7 +78,7 @@
 // isReady reports whether callers should use this instance.
 func (s *Supervisor) isReady() bool {
 	view := s.registry.View()
-	return view.Manifest != nil && s.targets.Version() > 0 && !s.leaving.Load()
+	return view.Manifest != nil && s.targets.Version() > 0 && !s.verdictRows.isWaiting.Load() && !s.leaving.Load()
 }
 
 func (s *Supervisor) serveReadiness(ctx *fasthttp.RequestCtx) {
@@ -126,14 +126,19 @@
 // more than maxLocations, each instance returns those that follow it by name, so that all
 // are returned equally often.
 func (s *Supervisor) locations() []string {
+	ready := []informer.Peer{}
+	for _, peer := range peersAfter(s.settings.Instance, s.informer.Peers()) {
+		if peer.LastStatus.Ready && !peer.LastStatus.Leaving {
+			ready = append(ready, peer)
+		}
+	}
+	isListed, peers := omitUnconfirmed(s.isReady(), s.isUnconfirmed(), ready)
 	out := []string{}
-	if s.isReady() {
+	if isListed {
 		out = append(out, s.settings.CallerAddress)
 	}
-	for _, peer := range peersAfter(s.settings.Instance, s.informer.Peers()) {
-		if peer.LastStatus.Ready && !peer.LastStatus.Leaving && len(out) < maxLocations {
-			out = append(out, peer.LastStatus.CallerAddress)
-		}
+	for _, peer := range peers[:min(len(peers), maxLocations-len(out))] {
+		out = append(out, peer.LastStatus.CallerAddress)
 	}
 	return out
 }
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -21,6 +21,7 @@
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
 	"github.com/crocusring/crocusring/internal/gateway/conductor"
+	"github.com/crocusring/crocusring/internal/gateway/confirmer"
 	"github.com/crocusring/crocusring/internal/gateway/follower"
 	"github.com/crocusring/crocusring/internal/gateway/foreman"
 	"github.com/crocusring/crocusring/internal/gateway/informer"
@@ -95,8 +96,10 @@
 	balancer     *balancer.Balancer
 	limiter      *limiter.Limiter
 	prober       *prober.Prober
+	silences     prober.Silences
 	quarantiner  *quarantiner.Quarantiner
 	crashReports *crashReports
+	verdictRows  *verdictRows
 	budget       *budgeter.Budgeter
 	loadChanges  *loadChanges
 	measurer     *measurer.Measurer
@@ -109,6 +112,8 @@
 	orderPermit  *orderPermit
 	poster       *poster.Client
 	slots        *slots
+	confirmer    *confirmer.Confirmer
+	proofFetches *proofFetches
 	manifests    *follower.Follower
 	targets      *follower.Follower
 	instances    *follower.Follower
@@ -134,8 +139,11 @@
 	}
 	s.limiter = limiter.New(limiter.Member{Name: settings.Instance, DataCentre: settings.DataCentre}, minCellSize)
 	s.balancer = balancer.New(balancer.WithLoadChanged(s.loadChanges.add), balancer.WithLimits(s.limiter.BlockedFor))
+	s.confirmer = confirmer.New(milliseconds(settings.Bounds.RevokeMilliseconds))
+	s.proofFetches = newProofFetches()
 	s.quarantiner = quarantiner.New(settings.Instance, quarantiner.WithTrials())
 	s.crashReports = newCrashReports()
+	s.verdictRows = newVerdictRows()
 	bounds := settings.Bounds
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
 	s.slots = newSlots(s)
@@ -145,6 +153,7 @@
 		conductor.WithRequestObserver(s.measurer.Observe), conductor.WithAnswerObserver(s.measurer.CountAnswer),
 		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()),
 		conductor.WithSlots(conductor.Slots{IsScarce: s.slots.isScarce, Acquire: s.slots.acquire}),
+		conductor.WithCurrency(s.currency), conductor.WithAccountObserver(s.countAccountRefusal),
 		conductor.WithBodyObserver(s.countRefusedClient))
 	s.guards = s.newGuards()
 	s.registerGauges()
@@ -177,8 +186,8 @@
 func (s *Supervisor) initFollowers() {
 	source := follower.Source{Read: s.readTable, Follow: s.followTable, PeerSnapshot: s.peerSnapshot, PeerHasHadStore: s.peerHasHadStore}
 	log := follower.WithLog(s.log)
-	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait())
-	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargets, log,
+	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait(), s.withProofs())
+	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargetsOnceVerdictsAreRead, log,
 		follower.WithShortWait(), follower.WithMinInterval(s.targetPollInterval))
 	s.instances = follower.New(instanceTable, source, s.applyInstances, log, follower.WithMinInterval(func() time.Duration { return instancePollInterval }))
 }
@@ -210,6 +219,7 @@
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
 		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly, s.slots.sendReleases, s.slots.maintain,
+		s.confirmRegularly, s.keepVerdicts,
 	} {
 		group.Go(func() error {
 			loop(running)
@@ -241,7 +251,8 @@
 }
 
 // applyManifest applies a new manifest. If it cannot be decoded, the current one stays in
-// force.
+// force; but keys count no longer, since an earlier manifest that this instance has not seen may
+// have removed some.
 func (s *Supervisor) applyManifest(rows []messenger.StoreRow, _ []string) {
 	for _, row := range rows {
 		if row.Key != s.platform.ManifestKey {
@@ -250,13 +261,21 @@
 		manifest, err := s.platform.DecodeManifest(row.Value)
 		if err != nil {
 			s.log.Error(err, "manifest cannot be decoded", "rowVersion", row.Version)
+			s.confirmer.SetUnreadable(row.Version)
 			continue
 		}
 		isApplied := s.registry.SetManifest(manifest)
 		s.log.Info("manifest", "version", manifest.Version, "rowVersion", row.Version, "routes", len(manifest.Routes), "taken", isApplied)
+		s.confirmer.SetApplied(row.Version)
 	}
 }
 
+// applyTargetsOnceVerdictsAreRead applies targets, the first ones once the verdicts were read.
+func (s *Supervisor) applyTargetsOnceVerdictsAreRead(rows []messenger.StoreRow, removed []string) {
+	s.awaitVerdicts()
+	s.applyTargets(rows, removed)
+}
+
 func (s *Supervisor) applyTargets(rows []messenger.StoreRow, removed []string) {
 	superseded := s.registry.Update(func(targets map[string]*registrar.Target) {
 		for _, key := range removed {
@@ -272,6 +291,7 @@
 	for _, id := range superseded {
 		s.log.Info("target is superseded at its address", "target", id)
 	}
+	s.observeSilences()
 }
 
 func (s *Supervisor) applyTarget(targets map[string]*registrar.Target, row messenger.StoreRow) {
@@ -284,7 +304,8 @@
 	target.Version = row.Version
 	old := targets[row.Key]
 	if target.IsOlderThan(old) {
-		s.log.Info("entry is older than the known one", "target", target.ID, "heartbeat", target.Heartbeat, "known", old.Heartbeat)
+		s.log.Info("entry is older than the known one", "target", target.ID, "born", target.StartMilliseconds, "knownBorn", old.StartMilliseconds,
+			"heartbeat", target.Heartbeat, "known", old.Heartbeat)
 		return
 	}
 	if old == nil || old.StartMilliseconds != target.StartMilliseconds || old.Leaving != target.Leaving {
@@ -294,6 +315,9 @@
 	if old != nil && old.StartMilliseconds != target.StartMilliseconds {
 		s.balancer.ResetTarget(target.ID)
 	}
+	if target.Leaving {
+		s.silences.Left(time.Now(), incarnationOf(target))
+	}
 	s.limiter.SetIncarnation(target.ID, target.StartMilliseconds)
 	targets[row.Key] = target
 }
@@ -367,6 +391,7 @@
 	every(ctx, pruneInterval, func() {
 		s.conductor.Prune()
 		s.prober.Prune()
+		s.observeSilences()
 		view := s.registry.View()
 		s.balancer.Prune(view)
 		s.limiter.Prune(func(target string) bool { return view.Targets[target] != nil })
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -406,6 +406,10 @@
 	// Instance corresponds to the JSON schema field "Instance".
 	Instance string `json:"Instance"`
 
+	// IsUnconfirmed reports that the sender refuses requests that carry a key, since
+	// it has no proof that its manifest is current.
+	IsUnconfirmed bool `json:"IsUnconfirmed"`
+
 	// Leaving corresponds to the JSON schema field "Leaving".
 	Leaving bool `json:"Leaving"`
 
@@ -433,6 +437,9 @@
 	// PeerAddress corresponds to the JSON schema field "PeerAddress".
 	PeerAddress string `json:"PeerAddress"`
 
+	// Proof corresponds to the JSON schema field "Proof".
+	Proof GatewayProof `json:"Proof"`
+
 	// Ready corresponds to the JSON schema field "Ready".
 	Ready bool `json:"Ready"`
 
@@ -464,6 +471,17 @@
 	Target string `json:"Target"`
 }
 
+// GatewayProof states that a row of the manifest was the newest one at a time of
+// the store's clock. It stays true however late it arrives.
+type GatewayProof struct {
+	// RowVersion is the version of the row; 0 if the proof is about the rows that it
+	// comes with.
+	RowVersion int64 `json:"RowVersion"`
+
+	// StoreMilliseconds is the time by the store's clock; 0 for no proof.
+	StoreMilliseconds int64 `json:"StoreMilliseconds"`
+}
+
 // GatewaySettings are the settings of one gateway instance.
 type GatewaySettings struct {
 	// Bounds corresponds to the JSON schema field "Bounds".
@@ -1150,6 +1168,9 @@
 	// the changes.
 	AgeMilliseconds int64 `json:"AgeMilliseconds"`
 
+	// Proof corresponds to the JSON schema field "Proof".
+	Proof GatewayProof `json:"Proof"`
+
 	// Removed corresponds to the JSON schema field "Removed".
 	Removed []string `json:"Removed"`
 
@@ -1166,6 +1187,9 @@
 	// the snapshot.
 	AgeMilliseconds int64 `json:"AgeMilliseconds"`
 
+	// Proof corresponds to the JSON schema field "Proof".
+	Proof GatewayProof `json:"Proof"`
+
 	// Rows corresponds to the JSON schema field "Rows".
 	Rows []StoreRow `json:"Rows"`
 
@@ -1376,6 +1400,20 @@
 	Term int `json:"Term"`
 }
 
+// VerdictRow is the row of the store that keeps a conviction for when all
+// instances are lost.
+type VerdictRow struct {
+	// DeadlineMilliseconds is the time of the store's clock until which the trait is
+	// refused.
+	DeadlineMilliseconds int64 `json:"DeadlineMilliseconds"`
+
+	// Tied holds the traits that were convicted together with it.
+	Tied []Trait `json:"Tied"`
+
+	// Trait corresponds to the JSON schema field "Trait".
+	Trait Trait `json:"Trait"`
+}
+
 // Write sets or deletes one row.
 type Write struct {
 	// Delete corresponds to the JSON schema field "Delete".
