Evict heads only after a second without progress

The presumed cause, not traced: on a busy machine the instance had not come to read on after their heads within 200 ms, and ended them for others, though they held 36 KB each.

--- a/internal/edge/guarder/budget.go
+++ b/internal/edge/guarder/budget.go
@@ -37,6 +37,9 @@
 	// minEvictAge is how long a hold must have made no progress to be evicted: the pauses of
 	// an ordinary sender are shorter.
 	minEvictAge = 200 * time.Millisecond
+	// minSmallEvictAge is the same for a hold of up to smallBytes beside its connection, such as
+	// a head: its end frees little, and a busy machine may not have come to read on.
+	minSmallEvictAge = time.Second
 	// progressBytes is what a hold must grow by to count as making progress, so that single
 	// bytes keep no hold from being evicted.
 	progressBytes = 8 << 10
@@ -111,7 +114,7 @@
 func (b *Budget) oldest(s Share, now time.Time) *Hold {
 	var out *Hold
 	for h := range b.holds {
-		isOld := !h.isWaiting && now.Sub(h.progressAt) >= minEvictAge
+		isOld := !h.isWaiting && now.Sub(h.progressAt) >= h.minEvictAge()
 		if h.share == s && isOld && (out == nil || h.progressAt.Before(out.progressAt)) {
 			out = h
 		}
@@ -137,6 +140,13 @@
 	progressFrom int64
 }
 
+func (h *Hold) minEvictAge() time.Duration {
+	if h.bytes <= connBytes+smallBytes {
+		return minSmallEvictAge
+	}
+	return minEvictAge
+}
+
 // Open returns an empty hold in a share. evict is called at most once, if the hold must be
 // released for others.
 func (b *Budget) Open(s Share, evict func()) *Hold {
