--- a/internal/gateway/limiter/quota_service_test.go
+++ b/internal/gateway/limiter/quota_service_test.go
@@ -119,7 +119,7 @@
 
 // TestRequestsWithinQuotaAreServed guards against requests that are refused for a quota that
 // they keep to: each instance sees few requests of an account, and one may be large against its
-// rate. While granters are replaced some are refused; the shares were measured on several seeds.
+// rate. None should be refused; while granters are replaced one in 100 may be.
 func TestRequestsWithinQuotaAreServed(t *testing.T) {
 	const length = 40 * time.Second
 	tests := []struct {
@@ -132,7 +132,7 @@
 			for _, i := range f.random.Perm(fleetSize)[:fleetSize/5] {
 				f.kill(f.nodes[i])
 			}
-		}, 0.015},
+		}, 0.01},
 		{"instances are killed one after the other and start again", func(f *fleet) {
 			for i, k := range f.random.Perm(fleetSize)[:12] {
 				f.After(time.Duration(i)*2*time.Second, func() { f.kill(f.nodes[k]) })
