Use the speed of targets only where targets are uneven

The speeds now count only where the slowest tenth of the targets is twice as slow as the fastest tenth, from three measurements on, and relative to their median.

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -272,11 +272,7 @@
 			delete(b.loads, id)
 		}
 	}
-	for id := range b.speeds.targets {
-		if view.Targets[id] == nil {
-			delete(b.speeds.targets, id)
-		}
-	}
+	b.speeds.update(func(target string) bool { return view.Targets[target] != nil })
 	for key, o := range b.overlays {
 		if !o.isCurrent(now) {
 			delete(b.overlays, key)
--- a/internal/gateway/balancer/speed.go
+++ b/internal/gateway/balancer/speed.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
@@ -38,8 +39,16 @@
 	minSlowness = 0.25
 	maxSlowness = 4.0
 	// ignoredSlowness is the deviation from 1, as a factor, that is within the variation of
-	// the measurements of equal targets.
+	// the measurements of equal targets, and minSamples the number of measurements before
+	// which a target counts as equal to the others.
 	ignoredSlowness = 1.2
+	minSamples      = 3
+	// minUnevenness is the ratio of the slowness of the slowest tenth of the targets to that of
+	// the fastest tenth from which their speeds count. Below it they are equal, and what is
+	// measured is their load.
+	minUnevenness = 2.0
+	// minUnevenTargets is the number of measured targets below which that ratio says nothing.
+	minUnevenTargets = 8
 	// maxReadSamples bounds the measurements that are kept for the peers.
 	maxReadSamples = 64
 )
@@ -57,6 +66,10 @@
 type speeds struct {
 	models  map[string]float64 // milliseconds per token
 	targets map[string]targetSpeed
+	// isUneven reports whether the targets differ in speed, and usual is the median of their
+	// slowness: only the product of the factors for model and target is measured.
+	isUneven bool
+	usual    float64
 	// unsent holds the own measurements that the peers have not been sent.
 	unsent []ReadSample
 }
@@ -69,11 +82,10 @@
 }
 
 func newSpeeds() speeds {
-	return speeds{models: map[string]float64{}, targets: map[string]targetSpeed{}}
+	return speeds{models: map[string]float64{}, targets: map[string]targetSpeed{}, usual: 1}
 }
 
-// ofModel returns the time to read one prompt token for a model at a target of usual speed, in
-// milliseconds.
+// ofModel returns the factor for a model, in milliseconds per token.
 func (s *speeds) ofModel(model string) float64 {
 	if millis, ok := s.models[model]; ok {
 		return millis
@@ -85,14 +97,22 @@
 // by more than the measurements vary.
 func (s *speeds) slowness(target string) float64 {
 	t, ok := s.targets[target]
-	if !ok || (t.slowness < ignoredSlowness && t.slowness > 1/ignoredSlowness) {
+	if !ok || !s.isUneven || t.samples < minSamples {
+		return 1
+	}
+	slowness := t.slowness / s.usual
+	if slowness < ignoredSlowness && slowness > 1/ignoredSlowness {
 		return 1
 	}
-	return t.slowness
+	return slowness
 }
 
-// at returns the time to read one prompt token for a model at a target, in milliseconds.
-func (s *speeds) at(target, model string) float64 { return s.ofModel(model) * s.slowness(target) }
+// atUsual returns the time to read one prompt token for a model at a target of usual speed, in
+// milliseconds.
+func (s *speeds) atUsual(model string) float64 { return s.ofModel(model) * s.usual }
+
+// at returns the same at a certain target.
+func (s *speeds) at(target, model string) float64 { return s.atUsual(model) * s.slowness(target) }
 
 // learn takes a measurement into account. What it differs from the estimate by is attributed
 // in part to the model and in part to the target.
@@ -117,12 +137,31 @@
 	s.targets[sample.Target] = t
 }
 
+// update decides whether the targets differ in speed, and drops those that are gone.
+func (s *speeds) update(isKnown func(target string) bool) {
+	measured := make([]float64, 0, len(s.targets))
+	for id, t := range s.targets {
+		switch {
+		case !isKnown(id):
+			delete(s.targets, id)
+		case t.samples >= minSamples:
+			measured = append(measured, t.slowness)
+		}
+	}
+	s.isUneven, s.usual = false, 1
+	if n := len(measured); n >= minUnevenTargets {
+		slices.Sort(measured)
+		s.isUneven = measured[n-1-n/10] >= minUnevenness*measured[n/10]
+		s.usual = measured[n/2]
+	}
+}
+
 // ReadTime returns the estimated time that a target of usual speed takes to read a prompt for
 // a model.
 func (b *Balancer) ReadTime(model string, prompt int) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return time.Duration(b.speeds.ofModel(model) * float64(prompt) * float64(time.Millisecond))
+	return time.Duration(b.speeds.atUsual(model) * float64(prompt) * float64(time.Millisecond))
 }
 
 // Slowness returns how long a target takes to read prompts relative to the others; 1 if it
--- a/internal/gateway/balancer/speed_test.go
+++ b/internal/gateway/balancer/speed_test.go
@@ -1,6 +1,7 @@
 package balancer_test
 
 import (
+	"fmt"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
+	"github.com/crocusring/crocusring/internal/gateway/registrar"
 )
 
 // samplesOf returns measurements of targets with the given slowness, each for a random model of
@@ -29,47 +31,71 @@
 
 var testModels = map[string]float64{"small": 0.02, "large": 0.08}
 
+// unevenView returns a view of 12 engines, with the slowness of each: a third is slow and a third
+// fast.
+func unevenView() (*registrar.View, map[string]float64) {
+	slowness := map[string]float64{}
+	for i := range 12 {
+		slowness[fmt.Sprintf("e%d", i)] = []float64{0.6, 1, 1.6}[i%3]
+	}
+	return view(len(slowness)), slowness
+}
+
+// learned returns a balancer that has learned the measurements of targets.
+func learned(v *registrar.View, samples []balancer.ReadSample) *balancer.Balancer {
+	b, _ := newTest()
+	b.LearnReads(samples)
+	b.Prune(v)
+	return b
+}
+
 // TestSlowTargetIsToldFromLargeModel guards against prompts that are counted with the time of a
 // usual target at a slow one, whose streams then pause.
 func TestSlowTargetIsToldFromLargeModel(t *testing.T) {
-	b := balancer.New()
-	b.LearnReads(samplesOf(map[string]float64{"slow": 1.6, "usual": 1, "fast": 0.6}, testModels, 400))
-	assert.InDelta(t, 1.6/0.6, b.Slowness("slow")/b.Slowness("fast"), 0.7)
+	v, slowness := unevenView()
+	b := learned(v, samplesOf(slowness, testModels, 2000))
+	assert.InDelta(t, 1.6/0.6, b.Slowness("e2")/b.Slowness("e0"), 0.7)
 	ratio := float64(b.ReadTime("large", 1000)) / float64(b.ReadTime("small", 1000))
 	assert.InDelta(t, 4, ratio, 0.8)
 }
 
-// TestEqualTargetsCountAsEqual guards against a choice of targets by the noise of measurements.
+// TestEqualTargetsCountAsEqual guards against a choice of targets by the noise of measurements,
+// also if a few of them are slow for a while.
 func TestEqualTargetsCountAsEqual(t *testing.T) {
-	b := balancer.New()
-	b.LearnReads(samplesOf(map[string]float64{"a": 1, "b": 1, "c": 1}, testModels, 400))
-	for _, target := range []string{"a", "b", "c", "unknown"} {
-		assert.InDelta(t, 1, b.Slowness(target), 0.3, target)
+	v, slowness := unevenView()
+	for id := range slowness {
+		slowness[id] = 1
+	}
+	slowness["e3"] = 3
+	b := learned(v, samplesOf(slowness, testModels, 2000))
+	for id := range slowness {
+		assert.InDelta(t, 1, b.Slowness(id), 1e-9, id)
 	}
 }
 
 // TestOddMeasurementsOfPeers guards against a peer whose measurements make a target look
 // endlessly slow or fast.
 func TestOddMeasurementsOfPeers(t *testing.T) {
-	b := balancer.New()
+	v, slowness := unevenView()
+	samples := samplesOf(slowness, testModels, 2000)
 	for range 100 {
 		for _, millis := range []float64{math.Inf(1), math.NaN(), -1, 0, 1e300} {
-			b.LearnReads([]balancer.ReadSample{{Target: "t", Model: "m", MillisPerToken: millis}})
+			samples = append(samples, balancer.ReadSample{Target: "e1", Model: "odd", MillisPerToken: millis})
 		}
 	}
-	assert.LessOrEqual(t, b.Slowness("t"), 4.0)
-	assert.Less(t, b.ReadTime("m", 1000), time.Second)
+	b := learned(v, samples)
+	assert.LessOrEqual(t, b.Slowness("e1"), 4.0)
+	assert.Less(t, b.ReadTime("odd", 1000), time.Second)
 }
 
 // TestFastTargetTakesMoreOfTheLoad guards against equal numbers of prompts for targets of unequal
 // speed.
 func TestFastTargetTakesMoreOfTheLoad(t *testing.T) {
-	b, _ := newTest()
-	v := view(2)
-	b.LearnReads(samplesOf(map[string]float64{"e0": 1.6, "e1": 0.6}, map[string]float64{"m": 0.05}, 400))
-	counts := map[string]int{}
-	for range 4 {
-		counts[mustPick(t, b, v, engineRequest(1000)).Target.ID]++
+	v, slowness := unevenView()
+	b := learned(v, samplesOf(slowness, map[string]float64{"m": 0.05}, 2000))
+	counts := map[float64]int{}
+	for range 24 {
+		counts[slowness[mustPick(t, b, v, engineRequest(1000)).Target.ID]]++
 	}
-	assert.Greater(t, counts["e1"], counts["e0"])
+	assert.Greater(t, counts[0.6], counts[1.6])
 }
