Let the balancer choose targets with idle room for second runs

Pick with IsHedge returns only targets with a free slot that are not quiet, limited, leaving or worse than the others, and none while more than 0.7 of the slots of the service are in use. Such a Pick wakes no waiters.

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -56,6 +56,9 @@
 	Excluded map[string]bool
 	// Grant is the slot that an allocator has granted to the request; nil without one.
 	Grant *Grant
+	// IsHedge limits the choice to targets with idle room that are neither leaving nor worse
+	// than the others, of a service that is not short of room.
+	IsHedge bool
 }
 
 // Balancer chooses targets. The zero value is not usable; see New.
@@ -158,12 +161,15 @@
 	}
 	candidates, err := b.candidates(view, r, now)
 	if err != nil {
-		b.hasWaiters = true
+		b.hasWaiters = b.hasWaiters || !r.IsHedge
 		return nil, err
 	}
+	if r.IsHedge && b.isShort(view, r.Service, now) {
+		return nil, ErrShort
+	}
 	best, full := b.choose(candidates, service, r, now)
 	if best == nil {
-		b.hasWaiters = true
+		b.hasWaiters = b.hasWaiters || !r.IsHedge
 		return nil, full
 	}
 	ticket := &Ticket{
--- a/internal/gateway/balancer/choice.go
+++ b/internal/gateway/balancer/choice.go
@@ -129,6 +129,10 @@
 	totalLoad := b.totalLoad(t.ID, now)
 	slots := max(t.Slots, 1)
 	share := float64(totalLoad.InFlight+1) / float64(slots)
+	if r.IsHedge && (totalLoad.InFlight >= slots || penalty > 1 || surcharge > 0) {
+		full.Slots++
+		return -1
+	}
 	if service.Engine == nil {
 		if totalLoad.InFlight >= slots*plainRequestsPerSlot {
 			full.Slots++
