Send slow repeatable requests to a second target

Callers waited for a slow or silent target although another one could answer sooner. The conductor now sends a repeatable request without a good answer to a second target after the delay of the hedger. The first run that has a whole buffered answer, or a whole first event, claims the reply; the connection of the other is closed and its ticket ends as abandoned.

--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -24,6 +24,7 @@
 	"github.com/crocusring/crocusring/internal/gateway/authenticator"
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
+	"github.com/crocusring/crocusring/internal/gateway/hedger"
 	"github.com/crocusring/crocusring/internal/gateway/limiter"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 	"github.com/crocusring/crocusring/internal/request/quarantiner"
@@ -78,6 +79,10 @@
 	quarantine    Quarantine
 	slots         Slots
 	authenticator authenticator.Authenticator
+	// hedger decides on second runs of requests; nil if there are none. hedgeEvent is called
+	// for each event of one.
+	hedger     *hedger.Hedger
+	hedgeEvent func(HedgeEvent)
 	// accountRefused is called for each request that is refused for its key.
 	accountRefused func(reason error)
 	// requestEnd is called when a request that was accepted ends.
@@ -217,6 +222,8 @@
 	excluded map[string]bool // the IDs of the targets that the request was offered to
 	// unusedSlots counts the slots that were granted at targets that could not be used.
 	unusedSlots int
+	// isHedged reports that the request was sent to a second target before the first had failed.
+	isHedged bool
 	// outcome and firstByteAfter, the time from arrival to the first byte of an answer,
 	// are for the metrics.
 	outcome        measurer.Outcome
@@ -258,8 +265,7 @@
 			reply.finishWithError(err)
 			return
 		}
-		result := c.send(ctx, reply, ticket)
-		c.observeRunEnd(ctx, q, result)
+		result := c.sendHedged(ctx, reply, ticket)
 		if result == finished {
 			q.outcome = measurer.Answered
 			return
--- a/internal/gateway/conductor/pick.go
+++ b/internal/gateway/conductor/pick.go
@@ -52,6 +52,7 @@
 		case isPicked:
 			continue // the balancer leaves the target out until it allows a request
 		}
+		c.noteShort(q, err)
 		if c.isRefusing() {
 			return nil, errStopping
 		}
--- a/internal/gateway/conductor/reply.go
+++ b/internal/gateway/conductor/reply.go
@@ -29,6 +29,10 @@
 	// fallback is a target's error answer. It is delivered if a retry gets no better
 	// one.
 	fallback *bufferedAnswer
+	// race decides whether this run answers the caller; nil if there is no other. number is
+	// that of this run.
+	race   *race
+	number int
 }
 
 // bufferedAnswer is an answer that was read to its end.
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -216,6 +216,10 @@
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
 	q.run.HasBegun = len(body) > 0
 	holdOf(q.httpRequest).Relay(int64(cap(body)))
+	if reply.isBeaten() {
+		ticket.End(balancer.Abandoned)
+		return lost
+	}
 	if err != nil {
 		ticket.End(lostOutcome(ctx))
 		q.noteCut(err)
@@ -235,6 +239,13 @@
 			copyAnswerHeaders(reply.fallback.header, &answer.Header)
 			return failed
 		}
+		if reply.canOtherWin() {
+			return failed // an answer that is not good does not end the other run
+		}
+	}
+	if !reply.claim() {
+		ticket.End(balancer.Abandoned)
+		return lost
 	}
 	copyAnswerHeaders(reply.writer.Header(), &answer.Header)
 	if isWhole {
--- a/internal/gateway/conductor/slot.go
+++ b/internal/gateway/conductor/slot.go
@@ -72,10 +72,7 @@
 // choose returns a target with the request counted there. It waits for a slot if an allocator
 // hands out those of the service.
 func (c *Conductor) choose(ctx context.Context, q *request) (*balancer.Ticket, error) {
-	r := balancer.Request{
-		Service: q.service, Model: q.demand.Model, Adapter: q.demand.Adapter, PromptTokens: q.demand.PromptTokens,
-		Tokens: q.demand.Tokens, MaxEventGapMilliseconds: float64(q.route.EventGapGoalMilliseconds), Affinity: q.affinity, Excluded: q.excluded,
-	}
+	r := q.balancerRequest()
 	if q.demand.Model != "" || q.unusedSlots >= maxUnusedSlots || !c.slots.IsScarce(q.service) {
 		return c.balancer.Pick(c.registry.View(), r)
 	}
@@ -93,6 +90,13 @@
 	return c.useSlot(ctx, q, r, grant)
 }
 
+func (q *request) balancerRequest() balancer.Request {
+	return balancer.Request{
+		Service: q.service, Model: q.demand.Model, Adapter: q.demand.Adapter, PromptTokens: q.demand.PromptTokens,
+		Tokens: q.demand.Tokens, MaxEventGapMilliseconds: float64(q.route.EventGapGoalMilliseconds), Affinity: q.affinity, Excluded: q.excluded,
+	}
+}
+
 // useSlot counts a request at the target of its slot, or releases the slot if the request or the
 // target cannot use it any more.
 func (c *Conductor) useSlot(ctx context.Context, q *request, r balancer.Request, grant *balancer.Grant) (*balancer.Ticket, error) {
--- a/internal/gateway/conductor/stream.go
+++ b/internal/gateway/conductor/stream.go
@@ -42,10 +42,18 @@
 	gaps := gapMeter{last: c.now()}
 	for {
 		events, readErr := stream.Next()
+		if r.isBeaten() {
+			ticket.End(balancer.Abandoned)
+			return lost
+		}
 		if len(events) > 0 {
 			if err := next.check(events); err != nil {
 				return c.rejectContinuation(q, ticket, answer, err)
 			}
+			if !r.claim() {
+				ticket.End(balancer.Abandoned)
+				return lost
+			}
 			if err := r.writeEvents(flusher, events); err != nil {
 				ticket.End(balancer.Abandoned)
 				return lost
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -24,6 +24,7 @@
 	"github.com/crocusring/crocusring/internal/gateway/confirmer"
 	"github.com/crocusring/crocusring/internal/gateway/follower"
 	"github.com/crocusring/crocusring/internal/gateway/foreman"
+	"github.com/crocusring/crocusring/internal/gateway/hedger"
 	"github.com/crocusring/crocusring/internal/gateway/informer"
 	"github.com/crocusring/crocusring/internal/gateway/limiter"
 	"github.com/crocusring/crocusring/internal/gateway/prober"
@@ -151,7 +152,7 @@
 		conductor.WithDrainTime(milliseconds(bounds.DrainMilliseconds)), conductor.WithQuarantine(s.quarantine()),
 		conductor.WithSlots(conductor.Slots{IsScarce: s.slots.isScarce, Acquire: s.slots.acquire}),
 		conductor.WithCurrency(s.currency), conductor.WithAccountObserver(s.countAccountRefusal),
-		conductor.WithBodyObserver(s.countRefusedClient))
+		conductor.WithBodyObserver(s.countRefusedClient), conductor.WithHedger(hedger.New(settings.HedgeShare), s.countHedge))
 	s.guards = s.newGuards()
 	s.registerGauges()
 	s.prober = prober.New(s.conductor.Probe)
@@ -178,6 +179,10 @@
 	return s.orderPermit.Grant()
 }
 
+func (s *Supervisor) countHedge(event conductor.HedgeEvent) {
+	s.measurer.CountEvent(measurer.HedgeEvent(string(event)), 1)
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func (s *Supervisor) initFollowers() {
--- a/internal/state/measurer/event.go
+++ b/internal/state/measurer/event.go
@@ -47,6 +47,9 @@
 	AccountFetches      Event = "Account.Fetches"
 )
 
+// HedgeEvent returns the event of the second run of a request; there are few of them.
+func HedgeEvent(name string) Event { return Event("Hedge." + name) }
+
 // ClientEvent returns the event that a client was refused, or its connection closed, for a
 // cause. There are few causes.
 func ClientEvent(cause string) Event { return Event("Client." + cause) }
@@ -56,6 +59,7 @@
 	QuarantineSuspects, QuarantineConvictions, QuarantineTakenBack, QuarantineRefused, QuarantineRefusedForPart,
 	SlotGranted, SlotRefusedBacklog, SlotRefusedLate, SlotRefusedNoTarget, SlotUnanswered,
 	AccountUnknownKey, AccountUnconfirmed, AccountDirectProofs, AccountFetches,
+	HedgeEvent("Sent"), HedgeEvent("Won"), HedgeEvent("NoRoom"), HedgeEvent("NoBudget"),
 }
 
 // registerEvents registers the counters of all events, so that they are shown before the first.
