--- a/internal/gateway/conductor/conductor_test.go
+++ b/internal/gateway/conductor/conductor_test.go
@@ -11,12 +11,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/crocusring/crocusring/internal/fake/breaker"
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
 	"github.com/crocusring/crocusring/internal/gateway/budgeter"
 	"github.com/crocusring/crocusring/internal/gateway/conductor"
@@ -49,6 +51,10 @@
 	seen    []*http.Request
 	bodies  []string
 	closed  chan struct{}
+	// listener is closed to end the target.
+	listener net.Listener
+	// resetsNew makes the target reset new connections.
+	resetsNew atomic.Bool
 }
 
 func newTarget(t testing.TB, script func(w net.Conn, r *http.Request, n int) (keep bool)) *target {
@@ -56,13 +62,18 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close() })
-	x := &target{address: ln.Addr().String(), closed: make(chan struct{}, 16)}
+	x := &target{address: ln.Addr().String(), closed: make(chan struct{}, 16), listener: ln}
 	go func() {
 		for {
 			conn, err := ln.Accept()
 			if err != nil {
 				return
 			}
+			if x.resetsNew.Load() {
+				breaker.ResetOnClose(conn)
+				conn.Close()
+				continue
+			}
 			go x.serve(conn, script)
 		}
 	}()
@@ -130,7 +141,7 @@
 }
 
 // setup starts a server with the routes /safe/, /unsafe/, /stream/ and /resume/, and with
-// /long/ and /long-stream/, which have a long timeout. All are served by targets; without
+// /long/, /long-stream/ and /late/ (two attempts), which have a long timeout. All are served by targets; without
 // targets there is no manifest.
 func setup(t *testing.T, targets ...*target) *httptest.Server {
 	t.Helper()
@@ -154,11 +165,13 @@
 		out.TimeoutMilliseconds = 30_000
 		return out
 	}
+	late := long("/late/", registrar.Safe)
+	late.MaxAttempts = 2
 	if len(targets) > 0 {
 		r.SetManifest(&registrar.Manifest{Version: 1, Services: map[string]*registrar.Service{"s": {Name: "s"}}, Routes: []*registrar.Route{
 			route("/safe/", registrar.Safe, 2, false), route("/unsafe/", registrar.Unsafe, 1, false),
 			route("/stream/", registrar.Streaming, 1, false), route("/resume/", registrar.Streaming, 2, true),
-			long("/long/", registrar.Safe), long("/long-stream/", registrar.Streaming),
+			long("/long/", registrar.Safe), long("/long-stream/", registrar.Streaming), late, route("/unsafe-two/", registrar.Unsafe, 2, false),
 		}})
 	}
 	r.Update(func(table map[string]*registrar.Target) {
--- a/internal/gateway/conductor/hedge_test.go
+++ b/internal/gateway/conductor/hedge_test.go
@@ -64,7 +64,7 @@
 		}))
 	}
 	h := hedger.New(share)
-	for _, prefix := range []string{"/safe/", "/unsafe/", "/stream/", "/resume/"} {
+	for _, prefix := range []string{"/safe/", "/unsafe/", "/stream/", "/resume/", "/late/", "/unsafe-two/"} {
 		for range 100 {
 			h.Observe(time.Now(), hedger.Route{Host: "h.example", Prefix: prefix, Service: "s"}, 30*time.Millisecond)
 		}
@@ -209,6 +209,7 @@
 		Check:      func([]quarantiner.Trait) (bool, error) { return true, nil },
 		BeginTrial: func(context.Context, conductor.Run) error { return nil }, EndRun: func(conductor.Run, bool) {},
 		Lost: func(context.Context, conductor.Run) bool { return false }, Refused: func(error) {},
+		Silent: func(conductor.Run, time.Time) {},
 	}
 	for name, c := range map[string]struct {
 		path    string
@@ -216,6 +217,7 @@
 		options []conductor.Option
 	}{
 		"unsafe":                {path: "/unsafe/x", share: allShare},
+		"unsafe, two attempts":  {path: "/unsafe-two/x", share: allShare},
 		"stream not resumable":  {path: "/stream/x", share: allShare},
 		"share is zero":         {path: "/safe/x", share: 0},
 		"share is used up":      {path: "/safe/x", share: 0.01},
@@ -299,3 +301,30 @@
 	assert.True(t, err != nil || !strings.Contains(body, "piece 4"), "the answer is cut")
 	assert.Equal(t, 2, x.runs())
 }
+
+// TestHedgeLoserIsNoEvidence guards against a run that is given up for the other one and then
+// counts as the silence or the end of its target.
+func TestHedgeLoserIsNoEvidence(t *testing.T) {
+	evidence := make(chan string, 10)
+	quarantine := conductor.Quarantine{
+		IsEmpty: func() bool { return true }, Arrived: func(string, []string) {}, EndRun: func(conductor.Run, bool) {}, Refused: func(error) {},
+		Lost: func(context.Context, conductor.Run) bool {
+			evidence <- "lost"
+			return false
+		},
+		Silent: func(conductor.Run, time.Time) { evidence <- "silent" },
+	}
+	half := func(_ *hedgeTest, w net.Conn, r *http.Request) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 X\r\nTest-Id: %s\r\nTest-Stamp: s\r\nContent-Length: 100\r\n\r\nhalf", r.Header.Get("Test-Id"))
+		return silent(nil, w, r)
+	}
+	for name, loser := range map[string]script{"no head": silent, "half an answer": half} {
+		t.Run(name, func(t *testing.T) {
+			x := newHedgeTest(t, allShare, [2]script{loser, after(700*time.Millisecond, says(200, "two"))}, conductor.WithQuarantine(quarantine))
+			_, body, err := x.get(t, "/late/x")
+			require.NoError(t, err)
+			assert.Equal(t, "two", body)
+			assert.Empty(t, evidence)
+		})
+	}
+}
--- a/internal/gateway/conductor/reply.go
+++ b/internal/gateway/conductor/reply.go
@@ -81,11 +81,14 @@
 	holdOf(r.request.httpRequest).Relay(relayBufferBytes)
 	r.writer.WriteHeader(answer.Header.StatusCode())
 	n, err := io.Copy(r.writer, io.LimitReader(io.MultiReader(bytes.NewReader(head), answer), MaxAnswerBytes))
+	if err == nil {
+		err = r.conductor.checkEnd(ctx, ticket.Target, answer)
+	}
 	isWhole := err == nil && n < MaxAnswerBytes
 	r.conductor.noteAnswerEnd(answer, isWhole)
 	if !isWhole {
 		ticket.End(lostOutcome(ctx))
-		r.request.noteCut(err)
+		r.request.noteLoss(err, answer.LastHeard())
 		return lost
 	}
 	ticket.End(balancer.Answered)
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -60,20 +60,23 @@
 	target := ticket.Target
 	call := connector.Call{
 		Request: c.buildRequest(q, reply, target), Context: ctx, FirstByte: q.deadline, AnswerDeadline: q.deadline,
+		IsWithdrawn: func() bool { return !c.takesRequests(target) },
 	}
 	sentAt := c.noteSend(q, target)
 	answer, err := c.pools.For(target.Address).Do(call)
 	fasthttp.ReleaseRequest(call.Request)
 	q.excluded[target.ID] = true
 	if errors.Is(err, connector.ErrNotSent) {
-		ticket.End(unreachedOutcome(ctx))
+		ticket.End(unreachedOutcome(ctx, err))
 		return unreached
 	}
 	q.sent++
 	if err != nil {
 		q.mayHaveRun = true
 		ticket.End(lostOutcome(ctx))
-		q.noteCut(err)
+		if !reply.isBeaten() {
+			q.noteLoss(err, q.run.SentAt)
+		}
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			c.log.Info("no answer from target", "request", q.id, "target", target.ID, "error", err.Error(),
 				"sinceChoiceMilliseconds", c.now().Sub(ticket.ChosenAt()).Milliseconds())
@@ -122,10 +125,18 @@
 	return errAnswerMismatch
 }
 
+// takesRequests reports whether the target that was chosen may still be sent a request. Between the
+// choice and the send, the request may have waited for a permit or a connection, while the target
+// has become known as leaving, was replaced, or has left the target table.
+func (c *Conductor) takesRequests(target *registrar.Target) bool {
+	known := c.registry.View().Targets[target.ID]
+	return known != nil && known.StartMilliseconds == target.StartMilliseconds && !known.Leaving && !c.balancer.HasLeft(target)
+}
+
 // unreachedOutcome returns the balancer outcome of a request that could not be sent: it
-// counts against the target unless the request had already ended.
-func unreachedOutcome(ctx context.Context) balancer.Outcome {
-	if ctx.Err() != nil {
+// counts against the target unless the request had already ended or was withdrawn.
+func unreachedOutcome(ctx context.Context, err error) balancer.Outcome {
+	if ctx.Err() != nil || errors.Is(err, connector.ErrWithdrawn) {
 		return balancer.Abandoned
 	}
 	return balancer.Unreached
@@ -216,13 +227,16 @@
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
 	q.run.HasBegun = len(body) > 0
 	holdOf(q.httpRequest).Relay(int64(cap(body)))
-	if reply.isBeaten() {
+	if err == nil && len(body) < maxBufferedBytes {
+		err = c.checkEnd(ctx, ticket.Target, answer)
+	}
+	if reply.isBeaten() { // its connection is closed by this instance, which says nothing of the target
 		ticket.End(balancer.Abandoned)
 		return lost
 	}
 	if err != nil {
 		ticket.End(lostOutcome(ctx))
-		q.noteCut(err)
+		q.noteLoss(err, answer.LastHeard())
 		c.noteAnswerEnd(answer, false)
 		c.log.Info("answer cut by target", "request", q.id, "target", ticket.Target.ID, "framing", answer.Framing().String(), "error", err.Error())
 		return lost
