--- a/internal/gateway/conductor/hedge.go
+++ b/internal/gateway/conductor/hedge.go
@@ -187,7 +187,7 @@
 	if !race.isOpen() || c.isRefusing() || q.isOutOfTime(c.now()) || !c.hedger.MayStart(c.now(), pool) {
 		return nil
 	}
-	if c.checkAccount(q) != nil || c.isSuspect(q) || (q.demand.Model == "" && c.slots.IsScarce(q.service)) {
+	if c.checkSecondAccount(q) != nil || c.isSuspect(q) || (q.demand.Model == "" && c.slots.IsScarce(q.service)) {
 		return nil
 	}
 	r := q.balancerRequest()
@@ -225,7 +225,7 @@
 	}
 	err := c.acquirePermit(ctx, ticket.Target)
 	if err == nil {
-		err = c.checkAccount(q)
+		err = c.checkSecondAccount(q)
 	}
 	if err == nil && !q.run.IsTrial && !q.run.IsHeldAgainst && reply.race.isOpen() && !c.isRefusing() {
 		return true
@@ -234,6 +234,22 @@
 	return false
 }
 
+// errNotCharged means that the first run was not charged to the quota of the account that the
+// request has now.
+var errNotCharged = errors.New("account has changed since the first run")
+
+// checkSecondAccount returns why the second run may not be sent as far as its account goes.
+func (c *Conductor) checkSecondAccount(q *request) error {
+	before := q.account
+	if err := c.checkAccount(q); err != nil {
+		return err
+	}
+	if q.account != before {
+		return errNotCharged
+	}
+	return nil
+}
+
 // isSuspect reports whether something is held against a trait of the request.
 func (c *Conductor) isSuspect(q *request) bool {
 	if c.quarantine.IsEmpty() {
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -29,6 +29,7 @@
 	pathCrash    = "/crash"
 	pathTrial    = "/trial"
 	pathVerdicts = "/verdicts"
+	pathQuota    = "/quota"
 	pathSlot     = "/slot"
 	pathSlotEnds = "/slotends"
 )
@@ -77,6 +78,7 @@
 
 func (s *Supervisor) sendStatus(address string, status messenger.GatewayNews, deadline time.Time) (messenger.GatewayNews, error) {
 	var answer messenger.GatewayNews
+	status.Quota = s.delegation(s.quotas.nameAt(address))
 	err := s.poster.Do(poster.Call{
 		Method: http.MethodPost, URL: "http://" + address + pathStatus, In: status, Out: &answer, Deadline: deadline,
 	})
@@ -91,6 +93,7 @@
 		s.applyLoad(status.Load, until)
 	}
 	s.comparePeerVerdicts(status)
+	s.receiveDelegation(status)
 	s.receivePeerProof(status)
 	s.tally.SetPeerDemand(status.Instance, status.Demand, until)
 	now := time.Now()
