--- a/internal/gateway/conductor/conductor_test.go
+++ b/internal/gateway/conductor/conductor_test.go
@@ -141,7 +141,7 @@
 }
 
 // setup starts a server with the routes /safe/, /unsafe/, /stream/ and /resume/, and with
-// /long/ and /long-stream/, which have a long timeout. All are served by targets; without
+// /long/, /long-stream/ and /late/ (two attempts), which have a long timeout. All are served by targets; without
 // targets there is no manifest.
 func setup(t *testing.T, targets ...*target) *httptest.Server {
 	t.Helper()
@@ -165,11 +165,13 @@
 		out.TimeoutMilliseconds = 30_000
 		return out
 	}
+	late := long("/late/", registrar.Safe)
+	late.MaxAttempts = 2
 	if len(targets) > 0 {
 		r.SetManifest(&registrar.Manifest{Version: 1, Services: map[string]*registrar.Service{"s": {Name: "s"}}, Routes: []*registrar.Route{
 			route("/safe/", registrar.Safe, 2, false), route("/unsafe/", registrar.Unsafe, 1, false),
 			route("/stream/", registrar.Streaming, 1, false), route("/resume/", registrar.Streaming, 2, true),
-			long("/long/", registrar.Safe), long("/long-stream/", registrar.Streaming),
+			long("/long/", registrar.Safe), long("/long-stream/", registrar.Streaming), late, route("/unsafe-two/", registrar.Unsafe, 2, false),
 		}})
 	}
 	r.Update(func(table map[string]*registrar.Target) {
--- a/internal/gateway/conductor/send.go
+++ b/internal/gateway/conductor/send.go
@@ -74,7 +74,9 @@
 	if err != nil {
 		q.mayHaveRun = true
 		ticket.End(lostOutcome(ctx))
-		q.noteLoss(err, q.run.SentAt)
+		if !reply.isBeaten() {
+			q.noteLoss(err, q.run.SentAt)
+		}
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			c.log.Info("no answer from target", "request", q.id, "target", target.ID, "error", err.Error(),
 				"sinceChoiceMilliseconds", c.now().Sub(ticket.ChosenAt()).Milliseconds())
@@ -228,6 +230,10 @@
 	if err == nil && len(body) < maxBufferedBytes {
 		err = c.checkEnd(ctx, ticket.Target, answer)
 	}
+	if reply.isBeaten() { // its connection is closed by this instance, which says nothing of the target
+		ticket.End(balancer.Abandoned)
+		return lost
+	}
 	if err != nil {
 		ticket.End(lostOutcome(ctx))
 		q.noteLoss(err, answer.LastHeard())
@@ -247,6 +253,13 @@
 			copyAnswerHeaders(reply.fallback.header, &answer.Header)
 			return failed
 		}
+		if reply.canOtherWin() {
+			return failed // an answer that is not good does not end the other run
+		}
+	}
+	if !reply.claim() {
+		ticket.End(balancer.Abandoned)
+		return lost
 	}
 	copyAnswerHeaders(reply.writer.Header(), &answer.Header)
 	if isWhole {
