--- a/internal/edge/guarder/budget.go
+++ b/internal/edge/guarder/budget.go
@@ -40,9 +40,9 @@
 	// minSmallEvictAge is the same for a hold of up to smallBytes beside its connection, such as
 	// a head: its end frees little, and a busy machine may not have come to read on.
 	minSmallEvictAge = time.Second
-	// progressBytes is what a hold must grow by to count as making progress, so that single
+	// ProgressBytes is what a hold must grow by to count as making progress, so that single
 	// bytes keep no hold from being evicted.
-	progressBytes = 8 << 10
+	ProgressBytes = 8 << 10
 	// smallBytes is the largest charge that may use the last smallShare hundredths of the
 	// budget, so that long bodies leave room for heads and short bodies.
 	smallBytes = 64 << 10
@@ -195,7 +195,7 @@
 	if h.isEvicted {
 		h.budget.ending += n
 	}
-	if h.progressAt.IsZero() || h.bytes-h.progressFrom >= progressBytes {
+	if h.progressAt.IsZero() || h.bytes-h.progressFrom >= ProgressBytes {
 		h.progressAt, h.progressFrom = now, h.bytes
 	}
 }
--- a/internal/edge/guarder/conn.go
+++ b/internal/edge/guarder/conn.go
@@ -107,12 +107,13 @@
 	c.hold.Shrink(connBytes)
 }
 
-// quietness returns how well the connection can be closed.
-func (c *Conn) quietness(now time.Time) quietness {
+// closePriority returns whether the connection may be closed for a new one, and its place in the
+// order in which connections are closed.
+func (c *Conn) closePriority(now time.Time) closePriority {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	quiet := now.Sub(c.quietSince)
-	out := quietness{rank: rankIdle, since: c.quietSince}
+	out := closePriority{rank: rankIdle, since: c.quietSince}
 	switch {
 	case c.isActive && !c.writeFrom.IsZero():
 		out.rank, out.since = rankUnread, c.writeFrom
@@ -297,6 +298,8 @@
 	// it can read the answer before the connection is reset.
 	lingerTime  = 200 * time.Millisecond
 	lingerBytes = 256 << 10
+	// lingerPartBytes is the size of one read of it.
+	lingerPartBytes = 4 << 10
 	// refusalRetrySeconds is when a client may come again that was refused for lack of memory.
 	refusalRetrySeconds = "0.5"
 )
@@ -315,7 +318,7 @@
 		return errRefused
 	}
 	_ = c.CloseWrite()
-	part := make([]byte, writePartBytes/4)
+	part := make([]byte, lingerPartBytes)
 	for read := 0; read < lingerBytes; {
 		n, err := c.Conn.Read(part)
 		if err != nil {
--- a/internal/edge/guarder/guard.go
+++ b/internal/edge/guarder/guard.go
@@ -51,9 +51,9 @@
 	writeTimeout = 5 * time.Second
 	// firstByteTimeout is how long a new connection may send nothing.
 	firstByteTimeout = 10 * time.Second
-	// minQuiet is how long a connection must have been quiet to be closed for a new one. The
-	// head of an ordinary request follows its connection at once; with 100 ms, silent clients
-	// that came again kept out most ordinary ones.
+	// minQuiet is how long a connection must have been quiet to be closed for a new one. It is
+	// short, since an ordinary client sends its head at once, and silent clients that connect
+	// again must not keep it out.
 	minQuiet = 30 * time.Millisecond
 	// minUnread is how long a client must have left a part of an answer unread for the same.
 	minUnread = 500 * time.Millisecond
@@ -103,9 +103,9 @@
 	return func(g *Guard) { g.isMetered, g.share = true, s }
 }
 
-// WithBriefRequests allows connections to be closed for new ones if they have sent nothing for
+// WithCloseAfter allows connections to be closed for new ones if they have sent nothing for
 // closeAfter, also within a request.
-func WithBriefRequests(closeAfter time.Duration) Option {
+func WithCloseAfter(closeAfter time.Duration) Option {
 	return func(g *Guard) { g.closeAfter = closeAfter }
 }
 
@@ -187,9 +187,9 @@
 func (g *Guard) closeQuiet(now time.Time) bool {
 	g.mu.Lock()
 	var chosen *Conn
-	var best quietness
+	var best closePriority
 	for c := range g.conns {
-		if q := c.quietness(now); q.isClosable && (chosen == nil || q.goesBefore(best)) {
+		if q := c.closePriority(now); q.isClosable && (chosen == nil || q.goesBefore(best)) {
 			chosen, best = c, q
 		}
 	}
@@ -205,8 +205,8 @@
 	return true
 }
 
-// quietness is how well a connection can be closed.
-type quietness struct {
+// closePriority is how well a connection can be closed.
+type closePriority struct {
 	isClosable bool
 	rank       closeRank
 	since      time.Time
@@ -223,7 +223,7 @@
 	rankUnread
 )
 
-func (q quietness) goesBefore(other quietness) bool {
+func (q closePriority) goesBefore(other closePriority) bool {
 	if q.rank != other.rank {
 		return q.rank < other.rank
 	}
--- a/internal/edge/guarder/sizes.go
+++ b/internal/edge/guarder/sizes.go
@@ -9,8 +9,8 @@
 
 const (
 	megabyte = 1_000_000
-	// unknownMegabytes is assumed where the memory of the machine is unknown. It is less than
-	// most machines have, and enough for dozens of the longest bodies.
+	// unknownMegabytes is assumed where the memory of the machine is unknown. It is low, so that a
+	// small machine does not run out of memory.
 	unknownMegabytes = 320
 	// processMegabytes is the memory of the process outside Go's heap: its program text, and
 	// the stacks of the C library.
--- a/internal/edge/listener/listener.go
+++ b/internal/edge/listener/listener.go
@@ -196,7 +196,7 @@
 	var timeout net.Error
 	if errors.Is(err, fasthttp.ErrTimeout) || (errors.As(err, &timeout) && timeout.Timeout()) {
 		writeRefusal(ctx, fasthttp.StatusRequestTimeout, messenger.Refusal{
-			Code: CodeTooSlow, Message: "the request was not there in time", NotRun: true,
+			Code: CodeTooSlow, Message: "the request did not arrive in time", NotRun: true,
 		})
 		return
 	}
--- a/internal/gateway/allocator/allocator.go
+++ b/internal/gateway/allocator/allocator.go
@@ -10,11 +10,11 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/crocusring/crocusring/internal/gateway/registrar"
 )
 
 const (
-	// MaxRank is the last rank of requests.
-	MaxRank = 9
 	// MaxWaiting is the number of requests to a service that wait at most: each one holds a
 	// connection between instances.
 	MaxWaiting = 256
@@ -139,7 +139,7 @@
 		s = newService(ask.Service)
 		a.services[ask.Service] = s
 	}
-	ask.Rank = min(max(ask.Rank, 0), MaxRank)
+	ask.Rank = min(max(ask.Rank, 0), registrar.MaxRank)
 	s.waiting = append(s.waiting, &entry{Ask: ask, isReturn: s.returns.take(now, ask.Content)})
 	return a.decide(now, s)
 }
@@ -288,7 +288,7 @@
 	// Granted is the number of slots in use that this allocator has granted.
 	Granted int
 	// Waiting holds the number of requests that wait, by rank.
-	Waiting [MaxRank + 1]int
+	Waiting [registrar.MaxRank + 1]int
 }
 
 // Statuses returns the status of each service with grants or requests that wait.
--- a/internal/gateway/allocator/queue.go
+++ b/internal/gateway/allocator/queue.go
@@ -4,14 +4,16 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/crocusring/crocusring/internal/gateway/registrar"
 )
 
-// grantsPerFairOne is the number of grants of which one goes to a rank other than the first one
+// grantsPerOtherRank is the number of grants of which one goes to a rank other than the first one
 // that waits, in turn: requests of the last rank are never starved.
-const grantsPerFairOne = 8
+const grantsPerOtherRank = 8
 
-// workMargin is the multiple of the mean work that must fit before the latency goal. With 1 every
-// tenth request was late in an overload: the work varies, and a request waits at its target too.
+// workMargin is the multiple of the mean work that must fit before the latency goal. It is more
+// than 1, since the work varies and a request may wait at its target as well.
 const workMargin = 2.0
 
 // entry is an ask that waits.
@@ -32,23 +34,24 @@
 	// one that went to another rank than the first.
 	next      int64
 	sinceFair int
-	ranks     [MaxRank + 1]int64
+	ranks     [registrar.MaxRank + 1]int64
 	accounts  map[string]int64
 }
 
 // maxAccounts bounds the accounts whose last use is known.
 const maxAccounts = 8192
 
+// countUse records that a request gets a slot: its rank and its account go to the end of the turns.
 func (s *service) countUse(e *entry) {
 	t := &s.turns
 	t.next++
-	isOthersWaiting, isFirst := false, true
+	areOthersWaiting, isFirst := false, true
 	for _, other := range s.waiting {
-		isOthersWaiting = isOthersWaiting || other.Rank != e.Rank
+		areOthersWaiting = areOthersWaiting || other.Rank != e.Rank
 		isFirst = isFirst && other.Rank >= e.Rank
 	}
 	switch {
-	case !isOthersWaiting || !isFirst:
+	case !areOthersWaiting || !isFirst:
 		t.sinceFair = 0
 	default:
 		t.sinceFair++
@@ -79,7 +82,7 @@
 	if len(s.waiting) <= 1 {
 		return slices.Clone(s.waiting)
 	}
-	byRank := [MaxRank + 1][]*entry{}
+	byRank := [registrar.MaxRank + 1][]*entry{}
 	for _, e := range s.waiting {
 		byRank[e.Rank] = append(byRank[e.Rank], e)
 	}
@@ -143,8 +146,8 @@
 }
 
 // mergeRanks merges the requests of all ranks: the first rank goes first, but one of
-// grantsPerFairOne goes to the rank of the others that was served least recently.
-func (s *service) mergeRanks(byRank [MaxRank + 1][]*entry, count int) []*entry {
+// grantsPerOtherRank goes to the rank of the others that was served least recently.
+func (s *service) mergeRanks(byRank [registrar.MaxRank + 1][]*entry, count int) []*entry {
 	out := make([]*entry, 0, count)
 	turns := s.turns
 	for len(out) < count {
@@ -160,7 +163,7 @@
 		}
 		rank := first
 		turns.sinceFair++
-		if fair < 0 || turns.sinceFair >= grantsPerFairOne {
+		if fair < 0 || turns.sinceFair >= grantsPerOtherRank {
 			turns.sinceFair = 0
 			rank = max(first, fair)
 		}
--- a/internal/gateway/allocator/service.go
+++ b/internal/gateway/allocator/service.go
@@ -9,13 +9,11 @@
 	// refreshInterval is how long the targets and the loads of others are used without another
 	// look.
 	refreshInterval = 10 * time.Millisecond
-	// maxDrainTime bounds the time after which a refused caller is to return.
-	maxDrainTime = 10 * time.Second
 	// idleTime is how long what was measured at an idle service is kept.
 	idleTime = time.Minute
 )
 
-// service is the state of a service.
+// service holds the queue, the targets and the estimates of one service.
 type service struct {
 	name    string
 	waiting []*entry
@@ -26,7 +24,7 @@
 	states      map[string]*state
 	targets     []target
 	refreshedAt time.Time
-	// granted is the number of grants.
+	// granted is the number of slots in use that this allocator has granted, at all targets.
 	granted int
 	usedAt  time.Time
 	// nextExpiry is no later than the deadline of each grant.
@@ -151,5 +149,5 @@
 	if s.fullRate == 0 {
 		return s.meanWork
 	}
-	return min(time.Duration(float64(waiting+1)/s.fullRate*float64(time.Second)), maxDrainTime)
+	return min(time.Duration(float64(waiting+1)/s.fullRate*float64(time.Second)), maxRetryDelay)
 }
--- a/internal/gateway/allocator/simulated_choice_test.go
+++ b/internal/gateway/allocator/simulated_choice_test.go
@@ -153,7 +153,7 @@
 		return
 	}
 	r := c.request()
-	r.Grant = &balancer.Grant{Target: answer.Target, Grantor: int64(ask.allocator + 1), Release: func(isFault bool) {
+	r.Grant = &balancer.Grant{Target: answer.Target, AllocatorID: int64(ask.allocator + 1), Release: func(isFault bool) {
 		s.release(ask, answer.Key, isFault)
 	}}
 	ticket, err := c.instance.balancer.Pick(s.view, r)
--- a/internal/gateway/allocator/target.go
+++ b/internal/gateway/allocator/target.go
@@ -29,7 +29,7 @@
 
 // state is what the grants and releases of a target show.
 type state struct {
-	// inUse is the number of grants.
+	// inUse is the number of slots in use at this target that the allocator has granted.
 	inUse int
 	// work is the mean time of a request that does not wait at the target, in seconds.
 	work float64
--- a/internal/gateway/authenticator/authenticator.go
+++ b/internal/gateway/authenticator/authenticator.go
@@ -12,7 +12,8 @@
 	// ErrUnknownKey reports that a request has no key of an account although it needs one, or that
 	// it has one that no account holds.
 	ErrUnknownKey = errors.New("unknown or missing key")
-	// ErrUnconfirmed reports that it is not known whether a key holds, still or already.
+	// ErrUnconfirmed reports that the manifest may be out of date: a newer one may have removed
+	// the key, or added it.
 	ErrUnconfirmed = errors.New("keys cannot be checked now")
 )
 
--- a/internal/gateway/balancer/grant.go
+++ b/internal/gateway/balancer/grant.go
@@ -10,8 +10,8 @@
 // then does not keep the request from it: the allocator knows it better.
 type Grant struct {
 	Target string
-	// Grantor identifies the incarnation of the allocator; it is never 0.
-	Grantor int64
+	// AllocatorID identifies the incarnation of the allocator; it is never 0.
+	AllocatorID int64
 	// Release is called when the request has ended, with whether the target failed. It runs with
 	// the balancer's lock held, so it must not call the balancer.
 	Release func(isFault bool)
@@ -80,7 +80,7 @@
 		}
 		load := p.targets[id].Load
 		count += load.InFlight
-		if load.Grantor == grantor {
+		if load.AllocatorID == grantor {
 			count -= min(load.Granted, load.InFlight)
 		}
 	}
@@ -110,7 +110,7 @@
 	if l.grants == nil {
 		l.grants = map[int64]int{}
 	}
-	l.grants[grant.Grantor]++
+	l.grants[grant.AllocatorID]++
 }
 
 // endGrant ends the count of a request, and releases its slot. The lock must be held.
@@ -118,9 +118,9 @@
 	if grant == nil {
 		return
 	}
-	l.grants[grant.Grantor]--
-	if l.grants[grant.Grantor] == 0 {
-		delete(l.grants, grant.Grantor)
+	l.grants[grant.AllocatorID]--
+	if l.grants[grant.AllocatorID] == 0 {
+		delete(l.grants, grant.AllocatorID)
 	}
 	grant.Release(outcome == Failed || outcome == Lost || outcome == Unreached || outcome == Shed)
 }
@@ -130,7 +130,7 @@
 func (l *localLoad) withGrants() Load {
 	out := l.Load
 	for grantor, count := range l.grants {
-		out = out.plus(Load{Granted: count, Grantor: grantor})
+		out = out.plus(Load{Granted: count, AllocatorID: grantor})
 	}
 	return out
 }
--- a/internal/gateway/balancer/grant_test.go
+++ b/internal/gateway/balancer/grant_test.go
@@ -16,7 +16,7 @@
 // granted returns a request with a slot at a target, and counts its releases.
 func granted(target string, releases *[]bool) balancer.Request {
 	r := plainRequest
-	r.Grant = &balancer.Grant{Target: target, Grantor: grantor, Release: func(isFault bool) { *releases = append(*releases, isFault) }}
+	r.Grant = &balancer.Grant{Target: target, AllocatorID: grantor, Release: func(isFault bool) { *releases = append(*releases, isFault) }}
 	return r
 }
 
@@ -118,16 +118,16 @@
 	mustPick(t, asker, v, granted("p0", &releases))
 	mustPick(t, asker, v, plainRequest)
 	_, loads := asker.LocalLoads(nil)
-	assert.Equal(t, balancer.Load{InFlight: 3, Granted: 2, Grantor: grantor}, loads["p0"])
+	assert.Equal(t, balancer.Load{InFlight: 3, Granted: 2, AllocatorID: grantor}, loads["p0"])
 	allocator, c := newTest()
 	allocator.SetPeerLoads("asker", 1, 1, loads, c.now.Add(time.Minute))
 	assert.Equal(t, 1, allocator.InFlightBeside("p0", grantor))
 	assert.Equal(t, 3, allocator.InFlightBeside("p0", grantor+1), "a new allocator starts from the loads")
 	t.Run("in the sum of a data centre", func(t *testing.T) {
-		other := balancer.Load{InFlight: 5, Granted: 1, Grantor: grantor + 1}
+		other := balancer.Load{InFlight: 5, Granted: 1, AllocatorID: grantor + 1}
 		allocator.SetPeerLoads("other", 1, 1, map[string]balancer.Load{"p0": other}, c.now.Add(time.Minute))
 		_, sums := allocator.SumLoads([]string{"asker", "other"})
-		assert.Equal(t, balancer.Load{InFlight: 8, Granted: 2, Grantor: grantor}, sums["p0"])
+		assert.Equal(t, balancer.Load{InFlight: 8, Granted: 2, AllocatorID: grantor}, sums["p0"])
 	})
 	t.Run("until they expire", func(t *testing.T) {
 		c.step(time.Hour)
--- a/internal/gateway/balancer/load.go
+++ b/internal/gateway/balancer/load.go
@@ -12,9 +12,9 @@
 	// Pending is the time that the target needs to read the prompts of the requests that
 	// have no answer yet, in milliseconds.
 	Pending float64
-	// Granted is the number of requests in flight that the allocator Grantor has granted.
-	Granted int
-	Grantor int64
+	// Granted is the number of requests in flight that the allocator AllocatorID has granted.
+	Granted     int
+	AllocatorID int64
 }
 
 // peerLoad is the load that a peer reports: its own, or the sum over a data centre if the
@@ -110,12 +110,12 @@
 // plus returns the sum of two loads. Of the grants of two allocators it keeps the more numerous
 // ones: the others then count like requests without a grant.
 func (l Load) plus(other Load) Load {
-	sum := Load{InFlight: l.InFlight + other.InFlight, Pending: l.Pending + other.Pending, Granted: l.Granted, Grantor: l.Grantor}
+	sum := Load{InFlight: l.InFlight + other.InFlight, Pending: l.Pending + other.Pending, Granted: l.Granted, AllocatorID: l.AllocatorID}
 	switch {
-	case other.Grantor == l.Grantor:
+	case other.AllocatorID == l.AllocatorID:
 		sum.Granted += other.Granted
 	case other.Granted > l.Granted:
-		sum.Granted, sum.Grantor = other.Granted, other.Grantor
+		sum.Granted, sum.AllocatorID = other.Granted, other.AllocatorID
 	}
 	return sum
 }
--- a/internal/gateway/conductor/accept.go
+++ b/internal/gateway/conductor/accept.go
@@ -70,8 +70,6 @@
 }
 
 const (
-	// maxRank is the last rank that targets know.
-	maxRank = 9
 	// ranksPerAccount is the number of ranks of one account priority: the routes of an account
 	// are told apart within them.
 	ranksPerAccount = 3
@@ -84,7 +82,7 @@
 	if account != nil {
 		rank = ranksPerAccount*max(account.Priority, 0) + min(rank, ranksPerAccount-1)
 	}
-	return min(rank, maxRank)
+	return min(rank, registrar.MaxRank)
 }
 
 // pickBackend distributes requests over the services of a route by their weights. The
--- a/internal/gateway/conductor/account.go
+++ b/internal/gateway/conductor/account.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"github.com/crocusring/crocusring/internal/gateway/authenticator"
@@ -103,6 +102,6 @@
 	if errors.Is(cause, authenticator.ErrUnknownKey) {
 		return &Refusal{Status: http.StatusUnauthorized, Reason: cause.Error()}
 	}
-	spread := unconfirmedRetryDelay / 2 * time.Duration(xxhash.Sum64String(id)%1000) / 1000
+	spread := time.Duration(spreadOf(id) * float64(unconfirmedRetryDelay/2))
 	return &Refusal{Status: http.StatusServiceUnavailable, Reason: cause.Error(), RetryAfter: unconfirmedRetryDelay + spread}
 }
--- a/internal/gateway/conductor/account_cost_test.go
+++ b/internal/gateway/conductor/account_cost_test.go
@@ -69,7 +69,7 @@
 	}
 	assert.IsNonDecreasing(t, ranks)
 	assert.Equal(t, 0, ranks[0])
-	assert.LessOrEqual(t, ranks[len(ranks)-1], maxRank)
+	assert.LessOrEqual(t, ranks[len(ranks)-1], registrar.MaxRank)
 	assert.Less(t, rankOf(&registrar.Account{Priority: 0}, &registrar.Route{Priority: 7}), rankOf(&registrar.Account{Priority: 1}, &registrar.Route{}))
 	assert.Equal(t, 4, rankOf(nil, &registrar.Route{Priority: 4}), "without accounts the route alone counts")
 }
--- a/internal/gateway/conductor/body.go
+++ b/internal/gateway/conductor/body.go
@@ -80,7 +80,7 @@
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: err.Error(), RetryAfter: shortRetryDelay}
 	case errors.As(err, &timeout) && timeout.Timeout():
 		c.refusedBody(BodyTooSlow)
-		return &Refusal{Status: http.StatusRequestTimeout, Reason: "body was not there in time"}
+		return &Refusal{Status: http.StatusRequestTimeout, Reason: "body did not arrive in time"}
 	default:
 		return &Refusal{Status: http.StatusBadRequest, Reason: "body cannot be read: " + err.Error()}
 	}
@@ -98,7 +98,7 @@
 	}
 	for {
 		if length < 0 && len(b.buffer) == cap(b.buffer) {
-			// Another byte than the last one is too much.
+			// Room for one byte more than maxBytes shows whether the body is too long.
 			if err := b.grow(min(max(2*int64(cap(b.buffer)), firstBodyBytes), b.maxBytes+1)); err != nil {
 				return err
 			}
@@ -150,12 +150,9 @@
 	return n, err
 }
 
-// progressBytes is how much must arrive to count as progress.
-const progressBytes = 8 << 10
-
-// noteProgress records progress each time the buffer has grown by progressBytes.
+// noteProgress records progress each time the buffer has grown by guarder.ProgressBytes.
 func (b *bodyReader) noteProgress(n int) {
-	if before := len(b.buffer); (before+n)/progressBytes > before/progressBytes {
+	if before := len(b.buffer); (before+n)/guarder.ProgressBytes > before/guarder.ProgressBytes {
 		b.hold.Progress(time.Now())
 	}
 }
--- a/internal/gateway/conductor/hedge.go
+++ b/internal/gateway/conductor/hedge.go
@@ -90,6 +90,9 @@
 	return result
 }
 
+// pool returns the targets that can serve the request.
+func (q *request) pool() hedger.Pool { return hedger.Pool{Service: q.service, Model: q.demand.Model} }
+
 func (c *Conductor) hedgeAsk(reply *reply) hedger.Ask {
 	q := reply.request
 	return hedger.Ask{
@@ -110,7 +113,7 @@
 // noteShort records that no target of a request had room.
 func (c *Conductor) noteShort(q *request, cause error) {
 	if c.hedger != nil && errors.Is(cause, balancer.ErrFull) {
-		c.hedger.NoteShort(c.now(), hedger.Pool{Service: q.service, Model: q.demand.Model})
+		c.hedger.NoteShort(c.now(), q.pool())
 	}
 }
 
@@ -160,7 +163,7 @@
 		"sinceChoiceMilliseconds", c.now().Sub(s.first.ChosenAt()).Milliseconds(), "sent", q.sent)
 	s.result = c.sendOnce(ctx, s.reply, ticket)
 	if s.result == refused {
-		c.hedger.NoteShort(c.now(), hedger.Pool{Service: q.service, Model: q.demand.Model})
+		c.hedger.NoteShort(c.now(), q.pool())
 	}
 	if s.reply.race.isWonBy(secondRun) {
 		c.hedgeEvent(HedgeWon)
@@ -183,7 +186,7 @@
 // or nil if it gets none.
 func (c *Conductor) pickSecond(ctx context.Context, reply *reply) *balancer.Ticket {
 	q, race := reply.request, reply.race
-	pool := hedger.Pool{Service: q.service, Model: q.demand.Model}
+	pool := q.pool()
 	if !race.isOpen() || c.isRefusing() || q.isOutOfTime(c.now()) || !c.hedger.MayStart(c.now(), pool) {
 		return nil
 	}
--- a/internal/gateway/conductor/quota.go
+++ b/internal/gateway/conductor/quota.go
@@ -39,8 +39,9 @@
 	return nil
 }
 
-// renewCharge charges a request that has not been sent and has no charge. A charge from which on
-// it has waited for long is returned first: the quota counts what runs in a window.
+// renewCharge charges a request that was not sent yet, unless it has a charge that is at most
+// limiter.MaxChargeAge old. An older charge is returned first, since the quota counts a request in
+// the window in which it runs.
 func (c *Conductor) renewCharge(q *request) error {
 	if c.chargeQuota == nil || q.account == nil || q.account.RatePerSecond <= 0 || q.sent > 0 {
 		return nil
--- a/internal/gateway/conductor/refusal.go
+++ b/internal/gateway/conductor/refusal.go
@@ -127,10 +127,13 @@
 	return !now.Add(minTimeLeft).Before(q.deadline)
 }
 
+// spreadOf returns a number from 0 to 1 that depends on the ID of a request alone.
+func spreadOf(id string) float64 { return float64(xxhash.Sum64String(id)%1000) / 1000 }
+
 // delayUntil returns the delay after which to retry a request that can be served after a
 // wait, so that callers that wait for the same thing do not retry at the same time.
 func (q *request) delayUntil(wait time.Duration) time.Duration {
-	jitter := knownWaitJitter * float64(wait+minRetryDelay) * float64(xxhash.Sum64String(q.id)%1000) / 1000
+	jitter := knownWaitJitter * float64(wait+minRetryDelay) * spreadOf(q.id)
 	return max(wait, shortRetryDelay) + time.Duration(jitter)
 }
 
@@ -163,6 +166,6 @@
 	if errors.Is(cause, balancer.ErrNoAdapter) {
 		delay = min(delay, maxAdapterRetryDelay)
 	}
-	spread := 1 - retryDelayJitter + 2*retryDelayJitter*float64(xxhash.Sum64String(q.id)%1000)/1000
+	spread := 1 - retryDelayJitter + 2*retryDelayJitter*spreadOf(q.id)
 	return max(time.Duration(spread*float64(delay)), minRetryDelay)
 }
--- a/internal/gateway/conductor/slot.go
+++ b/internal/gateway/conductor/slot.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"github.com/crocusring/crocusring/internal/gateway/balancer"
@@ -30,7 +29,7 @@
 	RetryIn time.Duration
 }
 
-func (e *SlotRefusedError) Error() string { return fmt.Sprintf("no slot in time: %s", e.Reason) }
+func (e *SlotRefusedError) Error() string { return fmt.Sprintf("no slot granted: %s", e.Reason) }
 
 // SlotAsk describes a request that needs a slot of a service.
 type SlotAsk struct {
@@ -146,6 +145,6 @@
 // requests that wait before it.
 func (q *request) delayAfterBacklog(wait time.Duration) time.Duration {
 	wait = max(wait, minRetryDelay)
-	jitter := knownWaitJitter * float64(wait) * float64(xxhash.Sum64String(q.id)%1000) / 1000
+	jitter := knownWaitJitter * float64(wait) * spreadOf(q.id)
 	return wait + time.Duration(jitter)
 }
--- a/internal/gateway/conductor/slot_test.go
+++ b/internal/gateway/conductor/slot_test.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &balancer.Grant{Target: target, Grantor: 1, Release: func(bool) {
+	return &balancer.Grant{Target: target, AllocatorID: 1, Release: func(bool) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.released = append(g.released, target)
--- a/internal/gateway/hedger/hedger.go
+++ b/internal/gateway/hedger/hedger.go
@@ -59,8 +59,8 @@
 	return a.IsRepeatable && !a.HasBegun && !a.IsHedged && !a.IsSuspect && !a.IsAllocated && a.Sent+2 <= a.MaxAttempts
 }
 
-// Hedger keeps the recent times to the first byte by route. It is safe for concurrent use. The
-// zero value is not usable; see New.
+// Hedger keeps, by route, the recent times until a run had a good answer; see Observe. It is safe
+// for concurrent use. The zero value is not usable; see New.
 type Hedger struct {
 	share float64
 
--- a/internal/gateway/hedger/times.go
+++ b/internal/gateway/hedger/times.go
@@ -18,7 +18,7 @@
 	refreshInterval = 250 * time.Millisecond
 )
 
-// times are the recent times to the first byte of a route.
+// times are the recent times of a route until a run had a good answer.
 type times struct {
 	present metrics.Sample
 	last    metrics.Sample
--- a/internal/gateway/limiter/charge.go
+++ b/internal/gateway/limiter/charge.go
@@ -88,16 +88,16 @@
 	if c.IsWhole() || p == nil || c.isLast {
 		return "", nil
 	}
-	open, home := q.candidates(p, c, now)
+	open, preferred := q.candidates(p, c, now)
 	switch {
 	case len(open) > 0:
 		granter = open[0]
-	case home != "":
-		granter = home
+	case preferred != "":
+		granter = preferred
 	default:
 		return "", nil
 	}
-	c.isLast = len(open) == 0 || (len(open) == 1 && granter == home)
+	c.isLast = len(open) == 0 || (len(open) == 1 && granter == preferred)
 	c.asked = append(c.asked, granter)
 	ask := QuotaAsk{
 		Account: c.account, Need: c.missing, Total: c.amount, Caller: c.Caller, IsLast: c.isLast, IsPromised: c.isPromised, Ended: p.takeEnded(granter, now),
@@ -110,7 +110,7 @@
 
 // candidates returns the granters that were not asked yet for a charge, without those that have
 // denied an amount lately, and the one that the caller prefers of those that answer.
-func (q *Quotas) candidates(p *pool, c *Charge, now time.Time) (open []string, home string) {
+func (q *Quotas) candidates(p *pool, c *Charge, now time.Time) (open []string, preferred string) {
 	first := p.first
 	if c.Caller != 0 {
 		first = int(uint64(c.Caller) % partsPerQuota)
@@ -121,15 +121,15 @@
 		if isDenied && d.isSilent {
 			continue
 		}
-		if home == "" {
-			home, isDenied = candidate, false
+		if preferred == "" {
+			preferred, isDenied = candidate, false
 		}
 		isDenied = isDenied && !c.isPromised
 		if !isDenied && !slices.Contains(c.asked, candidate) {
 			open = append(open, candidate)
 		}
 	}
-	return open, home
+	return open, preferred
 }
 
 // Receive records the answer of a granter to asks that were sent at sentAt, or the error of a
@@ -164,8 +164,8 @@
 	q.pool(c.account).charge(c, now)
 }
 
-// Finish returns nil if a charge is whole. If not, it returns what was charged and a
-// DeniedError with the time after which to come back, or ErrNoGranter.
+// Finish returns nil if a charge is whole. Otherwise it gives back what was charged and returns a
+// QuotaError with the time after which to come back, or ErrNoGranter.
 func (q *Quotas) Finish(c *Charge) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -215,7 +215,8 @@
 // takeFallback charges what is missing to this instance's fixed part of the margin.
 func (q *Quotas) takeFallback(p *pool, c *Charge, now time.Time) bool {
 	part := q.bounds.fallback(q.quotas[c.account]) / float64(q.memberCount(now))
-	p.fallback.add(now, part/2/q.bounds.Window.Seconds(), part/2)
+	half := part / 2 // one half may be used at once, the other is earned over the window
+	p.fallback.add(now, half/q.bounds.Window.Seconds(), half)
 	if p.fallback.tokens < c.missing {
 		return false
 	}
--- a/internal/gateway/limiter/delegation.go
+++ b/internal/gateway/limiter/delegation.go
@@ -11,7 +11,7 @@
 	// minDelegationTTL is how long a delegation is valid in a small system, and
 	// delegationTTLPerMember that time divided by the number of instances in a large one. It is
 	// longer than two intervals between statuses, since a delegation counts from an echo that
-	// is an interval old; with 30 ms shares were lost between statuses.
+	// is an interval old.
 	minDelegationTTL       = 2 * time.Second
 	delegationTTLPerMember = 40 * time.Millisecond
 	// absentTTL is how long an instance that has become silent still counts among all members:
@@ -249,9 +249,9 @@
 func (a *allowance) add(share float64, age time.Duration) {
 	switch {
 	case age > a.window:
-		a.settled += share
+		a.established += share
 	case age > 0:
-		a.young = append(a.young, youngShare{share, age})
+		a.recent = append(a.recent, recentShare{share, age})
 	}
 }
 
--- a/internal/gateway/limiter/ledger.go
+++ b/internal/gateway/limiter/ledger.go
@@ -173,15 +173,15 @@
 	window time.Duration
 	// total is allowed in a window and perSecond is the handover rate, both for the whole quota.
 	total, perSecond float64
-	// settled is the share that was delegated for longer than a window, and young holds the
+	// established is the share that was delegated for longer than a window, and recent holds the
 	// others.
-	settled float64
-	young   []youngShare
+	established float64
+	recent      []recentShare
 }
 
-// youngShare is a share that was delegated for age. Another granter may have used all that was
+// recentShare is a share that was delegated for age. Another granter may have used all that was
 // allowed before.
-type youngShare struct {
+type recentShare struct {
 	share float64
 	age   time.Duration
 }
@@ -189,8 +189,8 @@
 // within returns what is allowed in the last age of the window.
 func (a *allowance) within(age time.Duration) float64 {
 	whole := max(a.total-a.perSecond*(a.window-age).Seconds(), 0)
-	out := a.settled * whole
-	for _, y := range a.young {
+	out := a.established * whole
+	for _, y := range a.recent {
 		if y.age > age {
 			out += y.share * whole
 		} else {
@@ -202,8 +202,8 @@
 
 // share returns the share that was delegated to the granter.
 func (a *allowance) share() float64 {
-	total := a.settled
-	for _, y := range a.young {
+	total := a.established
+	for _, y := range a.recent {
 		total += y.share
 	}
 	return total
--- a/internal/gateway/limiter/pool.go
+++ b/internal/gateway/limiter/pool.go
@@ -27,6 +27,8 @@
 	denialShare   = 0.25
 	// silentGranterTime is that time for a granter that gave no answer.
 	silentGranterTime = time.Second
+	// sizeWeight is the weight of one request in the moving average of amounts.
+	sizeWeight = 0.125
 	// maxEnded bounds the ended leases of an account that a granter is told of in a message.
 	maxEnded = 64
 	// roundingError is the amount up to which sums of amounts count as equal.
@@ -94,7 +96,7 @@
 	if p.size == 0 {
 		p.size = amount
 	}
-	p.size += (amount - p.size) / 8
+	p.size += sizeWeight * (amount - p.size)
 }
 
 func (p *pool) recentUse(now time.Time) float64 {
--- a/internal/gateway/limiter/promise.go
+++ b/internal/gateway/limiter/promise.go
@@ -3,16 +3,16 @@
 import "time"
 
 const (
-	// reserveTime is the time before it is due from which a promised amount is kept. With none
-	// new requests take what was promised; with all promises kept, requests within the quota
-	// were refused for long after an overload.
+	// reserveTime is how long before it is due a promised amount is kept from new requests.
+	// Longer reserves refuse requests within the quota, and shorter ones leave nothing for the
+	// promise.
 	reserveTime = time.Second
 	// promiseTTL is how long a promised amount is kept for a caller that is late, and
 	// promiseTolerance how much earlier a caller may come back.
 	promiseTTL       = 500 * time.Millisecond
 	promiseTolerance = 20 * time.Millisecond
-	// turnShare is the share of the rate at which amounts are promised. At the whole rate more
-	// callers that came back found too little.
+	// turnShare is the share of the rate at which amounts are promised. The rest covers what
+	// other requests use meanwhile.
 	turnShare = 0.95
 	// maxPromises bounds the promises of an account at a granter.
 	maxPromises = 10_000
--- a/internal/gateway/limiter/quota.go
+++ b/internal/gateway/limiter/quota.go
@@ -18,8 +18,9 @@
 	// the granters of a system, so that one message can serve several accounts.
 	partGroups = 5
 	// partsPerQuota is the number of parts that a quota is divided into. Each has a granter of
-	// its own, so that the loss of some instances leaves the other parts in force. With 3 parts
-	// a fifth of 84 instances killed at once left some accounts a third of their quotas.
+	// its own, so that the loss of some instances leaves the other parts in force. The more
+	// parts, the less of a quota is missing when several granters are lost at once; the fewer,
+	// the fewer messages.
 	partsPerQuota = 12
 	partCount     = partGroups * partsPerQuota
 	// maxLeaseTime is the longest time for which granted amounts can be used.
@@ -43,11 +44,14 @@
 	Burst     float64
 }
 
-// QuotaBounds state by how much the accounts may exceed their quotas in a window.
+// QuotaBounds state by how much accounts may exceed their quotas. In any Window an account may use
+// (PerSecond x Window + Burst) x (1 + Overage) + Slack.
 type QuotaBounds struct {
-	Window  time.Duration
+	Window time.Duration
+	// Overage is a share: 0.1 is a tenth.
 	Overage float64
-	Slack   float64
+	// Slack is in the unit of the account's quota.
+	Slack float64
 }
 
 // total returns what may run in a window.
--- a/internal/gateway/prober/silence.go
+++ b/internal/gateway/prober/silence.go
@@ -31,7 +31,8 @@
 type Silences struct {
 	mu   sync.Mutex
 	open []Silence
-	// left maps the incarnations that the target table showed to leave to when it did last.
+	// left maps each incarnation that the target table has shown as leaving to the last time
+	// that it did.
 	left map[Incarnation]time.Time
 	// count is the length of open, so that nothing is locked while there are none.
 	count atomic.Int64
@@ -80,11 +81,11 @@
 	if s.IsEmpty() {
 		return
 	}
-	s.settle(func(run Silence) verdict {
+	s.settle(func(run Silence) silenceState {
 		if run.Target == target && run.Since.Before(at) {
-			return goesOn
+			return targetGoesOn
 		}
-		return open
+		return silenceOpen
 	})
 }
 
@@ -95,31 +96,31 @@
 	if s.IsEmpty() {
 		return
 	}
-	s.settle(func(run Silence) verdict {
+	s.settle(func(run Silence) silenceState {
 		_, hasLeft := s.left[run.Target]
 		switch {
 		case hasLeft || isLeaving(run.Target):
-			return goesOn
+			return targetGoesOn
 		case run.Target.StartMilliseconds > 0 && latestStart(run.Address) > run.Target.StartMilliseconds:
 			return hasEnded
 		case !now.Before(run.deadline):
-			return goesOn
+			return targetGoesOn
 		default:
-			return open
+			return silenceOpen
 		}
 	})
 }
 
-// verdict is what is known of the target of a silent run.
-type verdict int
+// silenceState is what is known of the target of a silent run.
+type silenceState int
 
 const (
-	open verdict = iota
-	goesOn
+	silenceOpen silenceState = iota
+	targetGoesOn
 	hasEnded
 )
 
-func (s *Silences) settle(judge func(Silence) verdict) {
+func (s *Silences) settle(judge func(Silence) silenceState) {
 	type settled struct {
 		run      Silence
 		hasEnded bool
@@ -129,7 +130,7 @@
 	kept := s.open[:0:0]
 	for _, run := range s.open {
 		v := judge(run)
-		if v == open {
+		if v == silenceOpen {
 			kept = append(kept, run)
 			continue
 		}
--- a/internal/gateway/registrar/account.go
+++ b/internal/gateway/registrar/account.go
@@ -16,6 +16,9 @@
 	CountTokens
 )
 
+// MaxRank is the last rank of requests; rank 0 goes first.
+const MaxRank = 9
+
 // KeyDigest identifies a key of an account. Keys are secrets, so only their digests are kept.
 type KeyDigest [sha256.Size]byte
 
--- a/internal/gateway/supervisor/accounts.go
+++ b/internal/gateway/supervisor/accounts.go
@@ -69,10 +69,7 @@
 // latestStoreTime returns the upper bound of the current time of the store's clock; 0 if this
 // instance has not read that clock.
 func (s *Supervisor) latestStoreTime() int64 {
-	if s.platform.Clock == nil {
-		return 0
-	}
-	_, latest, ok := s.platform.Clock()
+	latest, ok := s.knownStoreTime()
 	if !ok {
 		return 0
 	}
@@ -160,7 +157,7 @@
 		if isUnconfirmed := s.isUnconfirmed(); isUnconfirmed != wasUnconfirmed {
 			wasUnconfirmed = isUnconfirmed
 			proof := s.confirmer.Proof()
-			s.log.Info("keys of accounts", "areChecked", !isUnconfirmed, "rowVersion", proof.Version, "provedAtStoreMilliseconds", proof.StoreMilliseconds,
+			s.log.Info("acceptance of account keys changed", "areAccepted", !isUnconfirmed, "rowVersion", proof.Version, "provedAtStoreMilliseconds", proof.StoreMilliseconds,
 				"storeMilliseconds", s.latestStoreTime())
 		}
 		isDue := s.isProofOld() || (time.Since(last) >= maxConfirmInterval && s.isClockUncertain())
--- a/internal/gateway/supervisor/guards.go
+++ b/internal/gateway/supervisor/guards.go
@@ -54,7 +54,7 @@
 		options = append(options, guarder.WithRefusals(s.countRefusedClient))
 		out.byAddress[address] = guarder.New(out.budget, conns, options...)
 	}
-	metered := []guarder.Option{guarder.WithMetering(guarder.Control), guarder.WithBriefRequests(quietTimeout)}
+	metered := []guarder.Option{guarder.WithMetering(guarder.Control), guarder.WithCloseAfter(quietTimeout)}
 	add(s.settings.PeerAddress, sizes.Conns(peerConnShare), metered...)
 	add(s.settings.ReadinessAddress, sizes.Conns(readinessConnShare), metered...)
 	add(s.settings.LocatorAddress, sizes.Conns(locatorConnShare), metered...)
@@ -67,7 +67,7 @@
 func (s *Supervisor) boundMemory() {
 	sizes := s.guards.sizes
 	sizes.Apply()
-	s.log.Info("bounds for clients", "budgetBytes", sizes.BudgetBytes, "heapBytes", sizes.HeapBytes,
+	s.log.Info("limits on what clients may use", "budgetBytes", sizes.BudgetBytes, "heapBytes", sizes.HeapBytes,
 		"descriptors", sizes.Descriptors, "callerConnections", sizes.CallerConns(callerConnShare))
 }
 
--- a/internal/gateway/supervisor/loads.go
+++ b/internal/gateway/supervisor/loads.go
@@ -113,7 +113,7 @@
 func decodeLoad(in messenger.TargetLoad) balancer.Load {
 	out := balancer.Load{InFlight: min(max(in.InFlight, 0), maxLoad), Pending: min(max(in.Pending, 0), maxLoad)}
 	if in.Grants != nil {
-		out.Granted, out.Grantor = min(max(in.Grants.Count, 0), out.InFlight), in.Grants.Grantor
+		out.Granted, out.AllocatorID = min(max(in.Grants.Count, 0), out.InFlight), in.Grants.AllocatorID
 	}
 	return out
 }
@@ -123,7 +123,7 @@
 	if l.Granted == 0 {
 		return nil
 	}
-	return &messenger.TargetGrants{Count: l.Granted, Grantor: l.Grantor}
+	return &messenger.TargetGrants{Count: l.Granted, AllocatorID: l.AllocatorID}
 }
 
 // loadSource returns the name of the source of a load. The prefix keeps the names of data
--- a/internal/gateway/supervisor/quotas.go
+++ b/internal/gateway/supervisor/quotas.go
@@ -135,7 +135,7 @@
 	sentAt := s.limiter.Now()
 	grants, err := s.callGranter(granter, asks)
 	if err != nil {
-		s.log.Info("no answer to a request for quotas", "granter", granter, "error", err.Error())
+		s.log.Info("granter did not answer", "granter", granter, "error", err.Error())
 	}
 	s.quotas.Receive(charge, granter, asks, grants, sentAt, err)
 }
@@ -246,7 +246,7 @@
 	}
 	s.quotas.SetQuotas(quotas)
 	if s.quotas.setOn(len(quotas) > 0) {
-		s.log.Info("quotas of accounts", "accounts", len(quotas), "manifest", manifest.Version)
+		s.log.Info("keeping of quotas changed", "accounts", len(quotas), "manifest", manifest.Version)
 	}
 }
 
--- a/internal/gateway/supervisor/slot_messages.go
+++ b/internal/gateway/supervisor/slot_messages.go
@@ -93,10 +93,10 @@
 	limit := min(maxHold, max(milliseconds(request.StartMilliseconds), 0)+lateHold)
 	answer, ok := s.decide(done, decodeAsk(request), limit)
 	if !ok {
-		return messenger.SlotResponse{Grantor: s.grantor}
+		return messenger.SlotResponse{AllocatorID: s.allocatorID}
 	}
 	return messenger.SlotResponse{
-		Target: answer.Target, Grantor: s.grantor, Refusal: string(answer.Reason), RetryMilliseconds: tenths(answer.RetryIn),
+		Target: answer.Target, AllocatorID: s.allocatorID, Refusal: string(answer.Reason), RetryMilliseconds: tenths(answer.RetryIn),
 	}
 }
 
--- a/internal/gateway/supervisor/slots.go
+++ b/internal/gateway/supervisor/slots.go
@@ -22,8 +22,8 @@
 	// scarceSlotsPerInstance is the number of slots of a plain service for each live instance
 	// below which an allocator hands them out.
 	scarceSlotsPerInstance = 2
-	// maxAllocatedSlots is the number of slots of a service above which it has no allocator: one
-	// instance could not decide on all of its requests within its share of a core.
+	// maxAllocatedSlots is the number of slots of a service above which it has no allocator. It
+	// bounds the work of the one instance that decides on all requests of the service.
 	maxAllocatedSlots = 128
 	// askTimeout is how long an allocator may take to answer, and maxHold how long it keeps an ask
 	// that waits before it has the instance ask again.
@@ -48,8 +48,8 @@
 type slots struct {
 	supervisor *Supervisor
 	allocator  *allocator.Allocator
-	// grantor identifies this instance as an allocator.
-	grantor int64
+	// allocatorID identifies this instance as an allocator.
+	allocatorID int64
 	// client has connections of its own: asks that wait must not keep other messages back.
 	client  *poster.Client
 	number  atomic.Int64
@@ -60,8 +60,8 @@
 	mu sync.Mutex
 	// waiters holds a channel for each ask that this instance decides as an allocator.
 	waiters map[allocator.Key]chan allocator.Answer
-	// silences holds the allocators that did not answer.
-	silences map[string]silence
+	// pauses holds the allocators that did not answer.
+	pauses map[string]pause
 	// known holds the allocator that was last asked, by service.
 	known map[string]string
 }
@@ -78,25 +78,25 @@
 	allocators map[string][]string
 }
 
-// silence is how long an allocator that did not answer is not asked.
-type silence struct {
+// pause is how long an allocator that did not answer is not asked.
+type pause struct {
 	until time.Time
 	time  time.Duration
 }
 
 func newSlots(s *Supervisor) *slots {
 	out := &slots{
-		supervisor: s, grantor: grantorOf(s.settings.Instance, s.incarnation), client: poster.New(poster.WithMaxConnections(allocator.MaxWaiting)), releases: newReleaseQueue(),
-		waiters: map[allocator.Key]chan allocator.Answer{}, silences: map[string]silence{}, known: map[string]string{},
+		supervisor: s, allocatorID: allocatorIDOf(s.settings.Instance, s.incarnation), client: poster.New(poster.WithMaxConnections(allocator.MaxWaiting)), releases: newReleaseQueue(),
+		waiters: map[allocator.Key]chan allocator.Answer{}, pauses: map[string]pause{}, known: map[string]string{},
 	}
 	out.allocator = allocator.New(out.targetsOf)
 	out.members.Store(&slotMembers{live: map[string]int64{}, allocators: map[string][]string{}})
 	return out
 }
 
-// grantorOf identifies an incarnation of an instance; it is never 0. It is short, since loads
+// allocatorIDOf identifies an incarnation of an instance; it is never 0. It is short, since loads
 // bear it.
-func grantorOf(instance string, incarnation int64) int64 {
+func allocatorIDOf(instance string, incarnation int64) int64 {
 	return int64(uint32(xxhash.Sum64String(fmt.Sprintf("%s/%d", instance, incarnation)))) | 1
 }
 
@@ -124,7 +124,7 @@
 // allocatorOf returns the instance to ask for a slot of a service; empty if none answers.
 func (s *slots) allocatorOf(service string) string {
 	for _, name := range s.members.Load().allocatorsOf(service) {
-		if !s.isSilent(name) {
+		if !s.isPaused(name) {
 			s.noteAllocator(service, name)
 			return name
 		}
@@ -140,7 +140,7 @@
 		return
 	}
 	s.known[service] = name
-	s.supervisor.log.Info("allocator of service", "service", service, "allocator", name)
+	s.supervisor.log.Info("allocator of service changed", "service", service, "allocator", name)
 }
 
 // allocatorsOf returns the instances that hand out the slots of a service, in the order in which
@@ -174,7 +174,7 @@
 	s.members.Store(m)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	maps.DeleteFunc(s.silences, func(name string, _ silence) bool {
+	maps.DeleteFunc(s.pauses, func(name string, _ pause) bool {
 		_, isLive := m.live[name]
 		return !isLive
 	})
@@ -187,7 +187,7 @@
 	out := []allocator.Target{}
 	for _, t := range own.registry.View().TargetsOf(service) {
 		if !t.Leaving {
-			out = append(out, allocator.Target{ID: t.ID, Slots: t.Slots, Others: own.balancer.InFlightBeside(t.ID, s.grantor)})
+			out = append(out, allocator.Target{ID: t.ID, Slots: t.Slots, Others: own.balancer.InFlightBeside(t.ID, s.allocatorID)})
 		}
 	}
 	return out
@@ -227,10 +227,10 @@
 			return nil, ctx.Err()
 		case err != nil:
 			s.releases.add(name, number, false)
-			s.noteSilent(name, ask.Service, askedAt, err)
+			s.notePause(name, ask.Service, askedAt, err)
 			return nil, conductor.ErrNoAllocator
 		case answer.Target != "":
-			return &balancer.Grant{Target: answer.Target, Grantor: answer.Grantor, Release: func(isFault bool) {
+			return &balancer.Grant{Target: answer.Target, AllocatorID: answer.AllocatorID, Release: func(isFault bool) {
 				s.releases.add(name, number, isFault)
 			}}, nil
 		case answer.Refusal != "":
@@ -241,31 +241,31 @@
 	}
 }
 
-func (s *slots) isSilent(name string) bool {
+func (s *slots) isPaused(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Now().Before(s.silences[name].until)
+	return time.Now().Before(s.pauses[name].until)
 }
 
 // noteAnswer records that an allocator answers.
 func (s *slots) noteAnswer(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.silences, name)
+	delete(s.pauses, name)
 }
 
-// noteSilent records that an allocator did not answer an ask: others do not wait for it for a
+// notePause records that an allocator did not answer an ask: others do not wait for it for a
 // while.
-func (s *slots) noteSilent(name, service string, askedAt time.Time, cause error) {
+func (s *slots) notePause(name, service string, askedAt time.Time, cause error) {
 	s.supervisor.measurer.CountEvent(measurer.SlotUnanswered, 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := s.silences[name]
+	known := s.pauses[name]
 	if askedAt.Before(known.until) {
 		return // it was sent at the same time as one that got no answer
 	}
 	duration := min(max(2*known.time, silentTime), maxSilentTime)
-	s.silences[name] = silence{until: time.Now().Add(duration), time: duration}
+	s.pauses[name] = pause{until: time.Now().Add(duration), time: duration}
 	s.supervisor.log.Info("allocator does not answer", "allocator", name, "service", service,
 		"silentMilliseconds", duration.Milliseconds(), "error", cause.Error())
 }
--- a/internal/gateway/supervisor/slots_test.go
+++ b/internal/gateway/supervisor/slots_test.go
@@ -133,7 +133,7 @@
 			}
 			grants := fillSlots(t, asker)
 			assert.Equal(t, "t1", grants[0].Target)
-			assert.Equal(t, grantorOf(granter.settings.Instance, granter.incarnation), grants[0].Grantor)
+			assert.Equal(t, allocatorIDOf(granter.settings.Instance, granter.incarnation), grants[0].AllocatorID)
 			assert.Equal(t, 8, granter.granted())
 			time.AfterFunc(2*maxHold, func() { grants[0].Release(false) }) // the ask is repeated meanwhile
 			_, err := asker.slots.acquire(t.Context(), slotAsk(2*time.Second))
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -313,8 +313,8 @@
 	target.Version = row.Version
 	old := targets[row.Key]
 	if target.IsOlderThan(old) {
-		s.log.Info("entry is older than the known one", "target", target.ID, "born", target.StartMilliseconds, "knownBorn", old.StartMilliseconds,
-			"heartbeat", target.Heartbeat, "known", old.Heartbeat)
+		s.log.Info("older entry of target ignored", "target", target.ID, "born", target.StartMilliseconds, "knownBorn", old.StartMilliseconds,
+			"heartbeat", target.Heartbeat, "knownHeartbeat", old.Heartbeat)
 		return
 	}
 	if old == nil || old.StartMilliseconds != target.StartMilliseconds || old.Leaving != target.Leaving {
--- a/internal/gateway/supervisor/verdict_rows.go
+++ b/internal/gateway/supervisor/verdict_rows.go
@@ -81,7 +81,7 @@
 		if err == nil {
 			return
 		}
-		s.log.V(1).Info("verdicts in the store", "error", err.Error())
+		s.log.V(1).Info("verdicts not read from or written to the store", "error", err.Error())
 		select {
 		case <-ctx.Done():
 		case <-time.After(verdictRetryInterval):
@@ -105,7 +105,7 @@
 	for _, row := range snapshot.Rows {
 		decoded, err := decodeVerdictRow(row)
 		if err != nil {
-			s.log.Info("row names no verdict", "key", row.Key, "error", err.Error())
+			s.log.Info("row of a verdict not decoded", "key", row.Key, "error", err.Error())
 			continue
 		}
 		rows = append(rows, decoded)
--- a/internal/tool/soaker/accounts.go
+++ b/internal/tool/soaker/accounts.go
@@ -17,29 +17,29 @@
 	// unknownShare that of requests with a key that no manifest has had.
 	changingShare = 0.15
 	unknownShare  = 0.03
-	unknownKey    = "key-of-nobody"
+	unknownKey    = "unknown-key"
 	// changingAccount holds the keys that change.
 	changingAccount = 0
 )
 
-// keyRing holds the keys of the accounts: one of each account that stays, and one that each manifest
-// replaces. A nil keyRing has no accounts.
-type keyRing struct {
+// accountKeys holds the keys of the accounts: one of each account that stays, and one that each manifest
+// replaces. A nil accountKeys has no accounts.
+type accountKeys struct {
 	mu     sync.Mutex
 	number int
 	// revokedAt holds when the store acknowledged the manifest that removed a key.
 	revokedAt map[string]time.Time
 }
 
-func newKeyRing() *keyRing { return &keyRing{revokedAt: map[string]time.Time{}} }
+func newAccountKeys() *accountKeys { return &accountKeys{revokedAt: map[string]time.Time{}} }
 
 func accountName(number int) string { return fmt.Sprintf("account-%d", number) }
 func stableKey(number int) string   { return fmt.Sprintf("stable-key-%d", number) }
 func changingKey(number int) string { return fmt.Sprintf("changing-key-%d", number) }
 
-// accounts returns the accounts for the next manifest. The previous changing key is not among them.
+// next returns the accounts for the next manifest. The previous changing key is not among them.
 // revoked must be called once the store has acknowledged that manifest.
-func (k *keyRing) next() (accounts []simulator.Account, revoked func()) {
+func (k *accountKeys) next() (accounts []simulator.Account, revoked func()) {
 	if k == nil {
 		return nil, func() {}
 	}
@@ -59,7 +59,7 @@
 }
 
 // stable returns the key of an account that stays.
-func (k *keyRing) stable(random *rand.Rand) string {
+func (k *accountKeys) stable(random *rand.Rand) string {
 	if k == nil {
 		return ""
 	}
@@ -67,7 +67,7 @@
 }
 
 // pick returns a key: one that stays, one of the last that change, or an unknown one.
-func (k *keyRing) pick(random *rand.Rand) string {
+func (k *accountKeys) pick(random *rand.Rand) string {
 	if k == nil {
 		return ""
 	}
@@ -84,7 +84,7 @@
 }
 
 // account returns the account of a key that some manifest has had, and since when it is revoked.
-func (k *keyRing) account(key string) (name string, revokedAt time.Time) {
+func (k *accountKeys) account(key string) (name string, revokedAt time.Time) {
 	for n := range accountCount {
 		if key == stableKey(n) {
 			return accountName(n), time.Time{}
@@ -99,7 +99,7 @@
 }
 
 // isStable reports whether a key must always be accepted; true without accounts.
-func (k *keyRing) isStable(key string) bool {
+func (k *accountKeys) isStable(key string) bool {
 	if k == nil {
 		return true
 	}
--- a/internal/tool/soaker/accounts_test.go
+++ b/internal/tool/soaker/accounts_test.go
@@ -12,7 +12,7 @@
 // newKeyedChecker returns a checker with accounts, of which the first changing key has been replaced.
 func newKeyedChecker() *testChecker {
 	c := newTestChecker()
-	c.keys = newKeyRing()
+	c.keys = newAccountKeys()
 	_, revoked := c.keys.next()
 	revoked()
 	_, revoked = c.keys.next()
--- a/internal/tool/soaker/checker.go
+++ b/internal/tool/soaker/checker.go
@@ -129,7 +129,7 @@
 type Checker struct {
 	now func() time.Time
 	// keys holds the keys of the accounts; nil without accounts.
-	keys *keyRing
+	keys *accountKeys
 
 	mu            sync.Mutex
 	sentRequest   map[string]*sentRequest
--- a/internal/tool/soaker/soaker.go
+++ b/internal/tool/soaker/soaker.go
@@ -87,7 +87,7 @@
 	routes          []route
 	services        map[string]*simulator.Engine
 	checker         *Checker
-	keys            *keyRing
+	keys            *accountKeys
 	callers         *callerGroup
 	activeFaults    sync.WaitGroup
 	manifestVersion int
@@ -104,7 +104,7 @@
 func Run(ctx context.Context, settings Settings) ([]Violation, error) {
 	s := &soak{settings: settings, start: time.Now(), checker: NewChecker()}
 	if settings.HasAccounts {
-		s.keys = newKeyRing()
+		s.keys = newAccountKeys()
 		s.checker.keys = s.keys
 	}
 	s.callers = &callerGroup{soak: s, seed: settings.Seed}
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -1202,8 +1202,8 @@
 // SlotResponse is the answer to a SlotRequest: a target, a refusal, or neither if
 // the request waits and the instance is to ask again.
 type SlotResponse struct {
-	// Grantor identifies the incarnation of the allocator.
-	Grantor int64 `json:"Grantor"`
+	// AllocatorID identifies the incarnation of the allocator.
+	AllocatorID int64 `json:"AllocatorID"`
 
 	// Refusal is the reason of a refusal; empty if the request is not refused.
 	Refusal string `json:"Refusal"`
@@ -1299,11 +1299,11 @@
 // TargetGrants counts the requests in flight at a target that an allocator has
 // granted.
 type TargetGrants struct {
+	// AllocatorID identifies the incarnation of the allocator.
+	AllocatorID int64 `json:"AllocatorID"`
+
 	// Count corresponds to the JSON schema field "Count".
 	Count int `json:"Count"`
-
-	// Grantor identifies the incarnation of the allocator.
-	Grantor int64 `json:"Grantor"`
 }
 
 // TargetLeave is an announcement of a target that it leaves.
