Use the speed of targets for the choice only, not for refusals

What is measured of a target is an estimate; a request that any target can take is not refused for it.

--- a/internal/gateway/balancer/balancer.go
+++ b/internal/gateway/balancer/balancer.go
@@ -173,7 +173,7 @@
 		return nil, full
 	}
 	ticket := &Ticket{
-		Target: best, balancer: b, request: r, chosenAt: now, pending: b.speeds.at(best.ID, r.Model) * float64(r.PromptTokens),
+		Target: best, balancer: b, request: r, chosenAt: now, pending: b.speeds.atUsual(r.Model) * float64(r.PromptTokens),
 		measuresRead: isMeasurable(b.totalLoad(best.ID, now), best),
 	}
 	l := b.localLoad(best.ID)
--- a/internal/gateway/balancer/choice.go
+++ b/internal/gateway/balancer/choice.go
@@ -140,7 +140,7 @@
 		}
 		return share*penalty + surcharge
 	}
-	readMillis := b.speeds.at(t.ID, r.Model) * float64(r.PromptTokens)
+	readMillis := b.speeds.atUsual(r.Model) * float64(r.PromptTokens)
 	isCrowded := totalLoad.Pending > 0 && r.MaxEventGapMilliseconds > 0 && totalLoad.Pending+readMillis > maxPendingGapShare*r.MaxEventGapMilliseconds
 	switch {
 	case totalLoad.InFlight >= slots+int(engineQueueShare*float64(slots)):
@@ -153,7 +153,7 @@
 		full.Memory++
 		return -1
 	}
-	return ((totalLoad.Pending+readMillis)/pendingMillisPerFullBatch+share)*penalty + surcharge
+	return ((totalLoad.Pending+readMillis)/pendingMillisPerFullBatch+share)*b.speeds.slowness(t.ID)*penalty + surcharge
 }
 
 // acceptance reports whether a target accepts a request whatever its load is; the reason why
--- a/internal/gateway/balancer/speed.go
+++ b/internal/gateway/balancer/speed.go
@@ -111,9 +111,6 @@
 // milliseconds.
 func (s *speeds) atUsual(model string) float64 { return s.ofModel(model) * s.usual }
 
-// at returns the same at a certain target.
-func (s *speeds) at(target, model string) float64 { return s.atUsual(model) * s.slowness(target) }
-
 // learn takes a measurement into account. What it differs from the estimate by is attributed
 // in part to the model and in part to the target.
 func (s *speeds) learn(sample ReadSample) {
