--- a/internal/gateway/supervisor/losses.go
+++ b/internal/gateway/supervisor/losses.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/crocusring/crocusring/internal/edge/connector"
@@ -79,23 +80,30 @@
 	return answered
 }
 
+// maxTrialSilence is how long the trial of a suspect goes on behind a run that fell silent. Other
+// requests with the same trait wait meanwhile.
+const maxTrialSilence = 2 * time.Second
+
 // noteSilence keeps a run whose target fell silent until it is known whether the target has ended: a
-// later start at the same address shows it. The trial of a suspect goes on until then.
+// later start at the same address shows it. The trial of a suspect goes on until then, for
+// maxTrialSilence at most.
 func (s *Supervisor) noteSilence(run conductor.Run, since time.Time) {
+	endTrial := sync.OnceFunc(func() { s.endTrial(run, false) })
 	s.silences.Add(time.Now(), prober.Silence{
 		Target: incarnationOf(run.Target), Address: run.Target.Address, Since: since,
-		Settled: func(hasEnded bool) { go s.endSilence(run, hasEnded) },
+		Settled: func(hasEnded bool) {
+			switch {
+			case hasEnded:
+				go s.endLoss(run, measurer.CutTargetEnded)
+			case run.IsTrial:
+				go endTrial()
+			}
+		},
 	})
-	s.observeSilences()
-}
-
-func (s *Supervisor) endSilence(run conductor.Run, hasEnded bool) {
-	switch {
-	case hasEnded:
-		s.endLoss(run, measurer.CutTargetEnded)
-	case run.IsTrial:
-		s.endTrial(run, false)
+	if run.IsTrial {
+		time.AfterFunc(maxTrialSilence, endTrial)
 	}
+	s.observeSilences()
 }
 
 // observeSilences settles the runs whose targets have started anew.
