--- a/internal/gateway/supervisor/losses.go
+++ b/internal/gateway/supervisor/losses.go
@@ -82,7 +82,7 @@
 
 // maxTrialSilence is how long the trial of a suspect goes on behind a run that fell silent. Other
 // requests with the same trait wait meanwhile.
-const maxTrialSilence = 2 * time.Second
+const maxTrialSilence = time.Second
 
 // noteSilence keeps a run whose target fell silent until it is known whether the target has ended: a
 // later start at the same address shows it. The trial of a suspect goes on until then, for
