--- a/internal/edge/guarder/budget.go
+++ b/internal/edge/guarder/budget.go
@@ -30,8 +30,8 @@
 
 func (s Share) String() string { return shareNames[s] }
 
-// reserves are the reserves of the shares, in hundredths of the budget.
-var reserves = [shareCount]int64{Control: 15, Reading: 40, Relaying: 15}
+// reservePercents are the reserves of the shares, in hundredths of the budget.
+var reservePercents = [shareCount]int64{Control: 15, Reading: 40, Relaying: 15}
 
 const (
 	// minEvictAge is how long a hold must have made no progress to be evicted: the pauses of
@@ -43,10 +43,10 @@
 	// ProgressBytes is what a hold must grow by to count as making progress, so that single
 	// bytes keep no hold from being evicted.
 	ProgressBytes = 8 << 10
-	// smallBytes is the largest charge that may use the last smallShare hundredths of the
+	// smallBytes is the largest charge that may use the last smallPercent hundredths of the
 	// budget, so that long bodies leave room for heads and short bodies.
 	smallBytes = 64 << 10
-	smallShare = 10
+	smallPercent = 10
 )
 
 // Budget is the memory that may be held for clients. It is safe for concurrent use.
@@ -80,7 +80,7 @@
 	left := b.limit - b.used[s]
 	for other := range shareCount {
 		if other != s {
-			left -= max(b.used[other], b.limit*reserves[other]/100)
+			left -= max(b.used[other], b.limit*reservePercents[other]/100)
 		}
 	}
 	return left
@@ -91,7 +91,7 @@
 	if n <= smallBytes {
 		return n
 	}
-	return n + b.limit*smallShare/100
+	return n + b.limit*smallPercent/100
 }
 
 // evictFor evicts the holds of a share that have made no progress for longest, until n bytes
