--- a/internal/edge/guarder/budget.go
+++ b/internal/edge/guarder/budget.go
@@ -45,7 +45,7 @@
 	ProgressBytes = 8 << 10
 	// smallBytes is the largest charge that may use the last smallPercent hundredths of the
 	// budget, so that long bodies leave room for heads and short bodies.
-	smallBytes = 64 << 10
+	smallBytes   = 64 << 10
 	smallPercent = 10
 )
 
