Tell by which way each manifest reached an instance, and how old its proof is

The users' report says that a request was handled by a manifest that was too old. The log said when a manifest was applied, but not from where it came, when the store had it, or how old the proof of the instance was, so that the hypotheses of the incident (bounds that add up, a copy that loses a change, a proof that says too much) could not be told apart.

A line and a counter for each manifest that is new to an instance name its origin, the peer, the age of the peer's copy and bounds of the store's time; gauges show the version in force and the proof's age. Nothing is decided differently.

--- a/internal/gateway/confirmer/confirmer.go
+++ b/internal/gateway/confirmer/confirmer.go
@@ -46,6 +46,13 @@
 	c.applied = max(c.applied, version)
 }
 
+// Applied returns the version of the row whose manifest is in force; 0 before the first one.
+func (c *Confirmer) Applied() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.applied
+}
+
 // SetUnreadable records that the manifest in a version of the row cannot be put into force. There may
 // be earlier versions that have not been seen, so that nothing is confirmed until a later version,
 // or a readable copy of that one, is applied.
--- a/internal/gateway/supervisor/accounts.go
+++ b/internal/gateway/supervisor/accounts.go
@@ -140,6 +140,7 @@
 			s.log.Info("newer manifest not read from a peer", "peer", status.Instance, "error", err.Error())
 			return
 		}
+		s.observeSnapshot(s.platform.ManifestTable, originPeerProof, status.Instance, snapshot)
 		s.manifests.Adopt(snapshot)
 		hasBrought = !s.confirmer.Receive(proof, s.latestStoreTime())
 	}()
@@ -166,7 +167,7 @@
 		}
 		last = time.Now()
 		s.measurer.CountEvent(measurer.AccountDirectProofs, 1)
-		if err := s.manifests.Confirm(s.platform.Follow, s.platform.Read); err != nil {
+		if err := s.manifests.Confirm(s.followStore(originDirect), s.readStore(originDirect)); err != nil {
 			s.log.V(1).Info("manifest not confirmed by the store", "error", err.Error())
 		}
 	})
--- a/internal/gateway/supervisor/cell.go
+++ b/internal/gateway/supervisor/cell.go
@@ -90,7 +90,7 @@
 		}
 		s.log.V(1).Info("table not followed through a peer", "table", table, "peer", reader.LastStatus.Instance, "error", err.Error())
 	}
-	return s.platform.Follow(table, after, wait)
+	return s.followStore(originStoreFeed)(table, after, wait)
 }
 
 func (s *Supervisor) followThroughReader(reader informer.Peer, table string, after int64, wait time.Duration) (follower.Changes, error) {
@@ -112,7 +112,11 @@
 		return follower.Changes{}, err
 	}
 	changes := follower.ChangesFromPeer(in)
-	return changes, checkAge(table, changes.Age, wait)
+	err = checkAge(table, changes.Age, wait)
+	if err == nil {
+		s.observe(arrival{table: table, from: originReaderFeed, peer: reader.LastStatus.Instance, age: changes.Age, rows: changes.Rows, proof: changes.Proof})
+	}
+	return changes, err
 }
 
 // checkAge returns errStaleTable if the copy of a table from a peer is too old to be
@@ -135,11 +139,12 @@
 	for _, reader := range s.storeReaders() {
 		snapshot, err := s.readThroughReader(reader, table)
 		if err == nil {
+			s.observeSnapshot(table, originReaderTable, reader.LastStatus.Instance, snapshot)
 			return snapshot, nil
 		}
 		s.log.V(1).Info("table not read through a peer", "table", table, "peer", reader.LastStatus.Instance, "error", err.Error())
 	}
-	return s.platform.Read(table)
+	return s.readStore(originStoreTable)(table)
 }
 
 // awaitReaders delays the first reads of an instance that starts in a large system until
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -121,14 +121,14 @@
 // peerSnapshot returns the copy of a table from the peer with the newest version of it,
 // if that is newer than a given version.
 func (s *Supervisor) peerSnapshot(table string, newer int64) (messenger.TableSnapshot, bool) {
-	address := ""
+	address, name := "", ""
 	for _, peer := range s.informer.Peers() {
 		version := peer.LastStatus.ManifestVersion
 		if table == s.platform.TargetTable {
 			version = peer.LastStatus.TargetsVersion
 		}
 		if table != instanceTable && version > newer {
-			newer, address = version, peer.LastStatus.PeerAddress
+			newer, address, name = version, peer.LastStatus.PeerAddress, peer.LastStatus.Instance
 		}
 	}
 	if address == "" {
@@ -139,6 +139,7 @@
 		s.log.Info("table not read from a peer", "table", table, "address", address, "error", err.Error())
 		return messenger.TableSnapshot{}, false
 	}
+	s.observeSnapshot(table, originPeerCopy, name, snapshot)
 	return snapshot, true
 }
 
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -161,6 +161,7 @@
 		conductor.WithBodyObserver(s.countRefusedClient), conductor.WithHedger(hedger.New(settings.HedgeShare), s.countHedge))
 	s.guards = s.newGuards()
 	s.registerGauges()
+	s.registerManifestGauges()
 	s.prober = prober.New(s.conductor.Probe)
 	s.leaser = newLeaser(settings, s.incarnation, platform)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
@@ -274,7 +275,8 @@
 		}
 		isApplied := s.registry.SetManifest(manifest)
 		s.applyQuotas()
-		s.log.Info("manifest", "version", manifest.Version, "rowVersion", row.Version, "routes", len(manifest.Routes), "taken", isApplied)
+		s.log.Info("manifest", "version", manifest.Version, "rowVersion", row.Version, "routes", len(manifest.Routes), "taken", isApplied,
+			"proofAgeMilliseconds", s.proofAgeMilliseconds())
 		s.confirmer.SetApplied(row.Version)
 	}
 }
--- a/internal/state/measurer/event.go
+++ b/internal/state/measurer/event.go
@@ -50,6 +50,10 @@
 // HedgeEvent returns the event of the second run of a request; there are few of them.
 func HedgeEvent(name string) Event { return Event("Hedge." + name) }
 
+// ManifestArrival returns the event of a manifest that was new to this instance when it arrived from
+// an origin. There are few origins.
+func ManifestArrival(origin string) Event { return Event("Manifest." + origin + ".Arrived") }
+
 // ClientEvent returns the event that a client was refused, or its connection closed, for a
 // cause. There are few causes.
 func ClientEvent(cause string) Event { return Event("Client." + cause) }
