Let the accept loop yield, so that what the network has woken runs under overload

Cause: while connections wait to be accepted, Accept never blocks. The loop starts a goroutine for each, these go to the front of the run queue of the only processor and mostly run to their ends without waiting; goroutines that the network has woken come from the global queue, of which Go's scheduler takes one for each 61 others. The feed of the store, its relays, statuses, reads from peers and direct calls all wait there, so that each way of a change timed out at once, whatever their bounds. Calls that time out close their connections, new ones are dialled, and calls to granters (0.15 s) go on to the next granter: the overload feeds itself.

Change: Accept of each listener yields before it accepts, which puts the loop itself behind the goroutines that the network has woken.

--- a/internal/edge/guarder/guard.go
+++ b/internal/edge/guarder/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -136,8 +137,13 @@
 
 // Accept returns the next connection that the guard admits. A lack of descriptors or memory
 // is waited for: it must not end the listener.
+//
+// It yields first. While connections wait to be accepted, it never blocks, and Go's scheduler runs the
+// goroutines that it starts before those that the network has woken, among them those that follow the
+// store.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
+		runtime.Gosched()
 		raw, err := l.Listener.Accept()
 		switch {
 		case err == nil:
