Take an answer whose status HTTP does not define for no answer

What callers saw: a target's answer with the status line HTTP/1.1 000 reached them as 200, with the target's stamp and body, on safe and unsafe routes (MIXED).

Cause: the HTTP library keeps the status as a number and returns 200 for 0, which it also holds before any answer; 099 and 600 to 999 were passed on as they came. The class is an answer that is none; all readers of answers go through two places, the connections to targets (requests, events, probes) and the client of messages (state and orders of targets, peers, the store).

Change: both check the status line itself, also of heads behind interim ones, before the library reads it: the digits must be three, from 100 to 599. Anything else is no answer: repeatable requests are sent again, others get 502; the outcome of an order or a write is unknown.

--- a/internal/edge/connector/answer.go
+++ b/internal/edge/connector/answer.go
@@ -11,6 +11,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/crocusring/crocusring/internal/wire/peeker"
 )
 
 // maxHeads limits the heads that are read for one answer; all but the last are
@@ -73,6 +75,14 @@
 // readHead reads the head of the final answer and skips the heads of interim ones.
 func (a *Answer) readHead() error {
 	for range maxHeads {
+		// The header takes a status of 0 for 200.
+		line, err := a.conn.reader.Peek(peeker.StatusBytes)
+		if err != nil {
+			return err
+		}
+		if _, err := peeker.ParseStatus(line); err != nil {
+			return err
+		}
 		if err := a.Header.Read(a.conn.reader); err != nil {
 			return err
 		}
--- a/internal/wire/poster/conn.go
+++ b/internal/wire/poster/conn.go
@@ -17,17 +17,25 @@
 	net.Conn
 	// isBetween is set while the last request was answered and the next one has not begun.
 	isBetween bool
+	scanner   statusScanner
 }
 
 func (c *checkedConn) Read(p []byte) (int, error) {
 	c.isBetween = true
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if scanErr := c.scanner.scan(p[:n]); scanErr != nil {
+		return 0, scanErr
+	}
+	return n, err
 }
 
 func (c *checkedConn) Write(p []byte) (int, error) {
 	if c.isBetween && !peeker.IsIdle(c.Conn) {
 		return 0, errNotIdle
 	}
+	if c.isBetween {
+		c.scanner = statusScanner{}
+	}
 	c.isBetween = false
 	return c.Conn.Write(p)
 }
