Bound what is kept of an answer of a target, a peer or the store

Operators of other systems reported a replica that sent bytes without end, until the machine that had called it ran out of memory. Here the relay of answers was bounded; the client of messages kept up to 64 MB of each answer, so that 24 targets that answer the question for their state so at once make an instance take 1 GB (144 to 804 MB are there), and a chunk extension without end was read until the deadline.

What is longer is no answer and its connection is closed.

--- a/internal/wire/poster/conn.go
+++ b/internal/wire/poster/conn.go
@@ -18,11 +18,17 @@
 	// isBetween is set while the last request was answered and the next one has not begun.
 	isBetween bool
 	scanner   statusScanner
+	// maxBytes bounds the bytes of an answer, and read counts them.
+	maxBytes, read int
 }
 
 func (c *checkedConn) Read(p []byte) (int, error) {
 	c.isBetween = true
 	n, err := c.Conn.Read(p)
+	c.read += n
+	if c.read > c.maxBytes {
+		return 0, ErrTooLong
+	}
 	if scanErr := c.scanner.scan(p[:n]); scanErr != nil {
 		return 0, scanErr
 	}
@@ -34,7 +40,7 @@
 		return 0, errNotIdle
 	}
 	if c.isBetween {
-		c.scanner = statusScanner{}
+		c.scanner, c.read = statusScanner{}, 0
 	}
 	c.isBetween = false
 	return c.Conn.Write(p)
--- a/internal/wire/poster/poster.go
+++ b/internal/wire/poster/poster.go
@@ -19,6 +19,8 @@
 	// ErrNoAnswer reports that the request may have been sent and no complete and
 	// decodable answer was received, so it may or may not have taken effect.
 	ErrNoAnswer = errors.New("no answer")
+	// ErrTooLong is an ErrNoAnswer for an answer with more bytes than WithMaxAnswer allows.
+	ErrTooLong = errors.Wrap(ErrNoAnswer, "answer is too long")
 )
 
 // StatusError is an answer whose status is not 200.
@@ -42,14 +44,17 @@
 // Client sends JSON requests. The zero value is not usable; see New.
 type Client struct {
 	http *fasthttp.Client
+	// maxAnswerBytes bounds an answer with its heads.
+	maxAnswerBytes int
 }
 
 const (
-	dialTimeout    = 500 * time.Millisecond
-	maxIdleTime    = 5 * time.Second
-	maxAnswerBytes = 64 << 20
-	maxConnections = 64
-	userAgent      = "crocusring"
+	dialTimeout = 500 * time.Millisecond
+	maxIdleTime = 5 * time.Second
+	// defaultMaxAnswerBytes is more than the largest table in the largest system.
+	defaultMaxAnswerBytes = 32 << 20
+	maxConnections        = 64
+	userAgent             = "crocusring"
 
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
@@ -72,16 +77,23 @@
 	return func(c *Client) { c.http.MaxConnsPerHost = count }
 }
 
+// WithMaxAnswer sets how many bytes of an answer are read, with its heads, by default 32 MB. A longer one
+// is no answer; see ErrTooLong.
+func WithMaxAnswer(bytes int) Option {
+	return func(c *Client) { c.maxAnswerBytes, c.http.MaxResponseBodySize = bytes, bytes }
+}
+
 // New returns a client that does not retry requests.
 func New(options ...Option) *Client {
-	c := &Client{http: &fasthttp.Client{
+	c := &Client{maxAnswerBytes: defaultMaxAnswerBytes}
+	c.http = &fasthttp.Client{
 		Name: userAgent,
 		Dial: func(addr string) (net.Conn, error) {
 			conn, err := dialer.Dial("tcp", addr)
 			if err != nil {
 				return nil, errors.Wrap(ErrNotSent, err.Error())
 			}
-			return &checkedConn{Conn: conn}, nil
+			return &checkedConn{Conn: conn, maxBytes: c.maxAnswerBytes}, nil
 		},
 		MaxConnsPerHost:           maxConnections,
 		MaxIdleConnDuration:       maxIdleTime,
@@ -89,8 +101,8 @@
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
 			return false, false
 		},
-		MaxResponseBodySize: maxAnswerBytes,
-	}}
+		MaxResponseBodySize: defaultMaxAnswerBytes,
+	}
 	for _, option := range options {
 		option(c)
 	}
@@ -202,5 +214,8 @@
 	if errors.Is(err, ErrNotSent) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return errors.Wrapf(ErrNotSent, "%s: %v", url, err)
 	}
+	if errors.Is(err, ErrTooLong) || errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		return errors.Wrap(ErrTooLong, url)
+	}
 	return errors.Wrapf(ErrNoAnswer, "%s: %v", url, err)
 }
