End a relayed call for changes when the copy becomes too old

Cause: the bounds add up. A copy may be used until it is 2 s old, but the call that shows so was held for another second, and the second reader was asked only then; the store, at last, after 3.0 s. Where the second reader is held up too, one more.

Change: the reader ends a call when its copy becomes too old, and ends the next one at once.

Measured: TestChangeBehindHungReadersIsInForce: 3.004 s before, where less than 3 s are required, 2.0 s after.

--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -250,6 +250,16 @@
 	return !f.answeredAt.IsZero() && f.now().Sub(f.answeredAt) < within
 }
 
+// FreshFor returns for how long IsFresh holds for the given time; 0 if it does not.
+func (f *Follower) FreshFor(within time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.answeredAt.IsZero() {
+		return 0
+	}
+	return max(within-f.now().Sub(f.answeredAt), 0)
+}
+
 // Snapshot returns the copy of the table.
 func (f *Follower) Snapshot() messenger.TableSnapshot {
 	f.mu.Lock()
--- a/internal/gateway/supervisor/cell.go
+++ b/internal/gateway/supervisor/cell.go
@@ -123,7 +123,7 @@
 // used. The table of instances may have any age: status messages keep the addresses of
 // the instances up to date, and the table is only needed to find them.
 func checkAge(table string, age, wait time.Duration) error {
-	if table != instanceTable && age > wait+maxReaderAge {
+	if table != instanceTable && age > min(wait, maxReaderWait)+maxReaderAge {
 		return errStaleTable
 	}
 	return nil
@@ -184,15 +184,19 @@
 }
 
 // serveChanges serves the changes of a table to an instance that follows it through this
-// one.
+// one. It does not wait until the copy is too old to be used: the other instance must ask elsewhere then.
 func (s *Supervisor) serveChanges(ctx *fasthttp.RequestCtx) {
-	table := s.follower(string(ctx.QueryArgs().Peek("name")))
+	name := string(ctx.QueryArgs().Peek("name"))
+	table := s.follower(name)
 	after, err := strconv.ParseInt(string(ctx.QueryArgs().Peek("after")), 10, 64)
 	if table == nil || err != nil {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
 	wait := time.Duration(ctx.QueryArgs().GetUintOrZero("wait")) * time.Millisecond
+	if name != instanceTable {
+		wait = min(wait, table.FreshFor(maxReaderWait+maxReaderAge))
+	}
 	waiting, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	changes, err := table.Since(waiting, after)
