Ignore a status that was held up for longer than it is valid

Cause: the validity of a status counts from when it is read.

Change: a status says when it was made, on the sender's boot clock. The clocks are not compared: the status with the least difference between both clocks, per incarnation and with an allowance for drift, was the fastest one, and one that is later than that by the validity of a status is ignored, unless it says that its sender leaves.

Evidence: TestStatusThatWasHeldUpIsNotNew fails before the change and passes.

--- a/internal/gateway/informer/informer.go
+++ b/internal/gateway/informer/informer.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/crocusring/crocusring/internal/node/timekeeper"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
@@ -56,7 +57,11 @@
 	// which it expires.
 	onReceive func(status messenger.GatewayNews, until time.Time)
 	now       func() time.Time
-	log       logr.Logger
+	// bootTime is a clock that runs on while the machine is suspended, and transits hold what is known of
+	// the times that the statuses of each peer are on their way.
+	bootTime func() time.Time
+	transits map[string]*transit
+	log      logr.Logger
 
 	mu    sync.Mutex
 	peers map[string]Peer
@@ -88,6 +93,7 @@
 func New(self, dataCentre string, calls Callbacks, log logr.Logger) *Informer {
 	return &Informer{
 		self: self, ownDataCentre: dataCentre, status: calls.Status, send: calls.Send, onReceive: calls.OnReceive, now: time.Now, log: log,
+		bootTime: timekeeper.BootTime, transits: map[string]*transit{},
 		peers: map[string]Peer{}, addresses: map[string]time.Time{}, silent: map[string]bool{},
 	}
 }
@@ -107,9 +113,11 @@
 	i.mu.Lock()
 	now := i.now()
 	known, ok := i.peers[status.Instance]
+	ttl := maxMissedIntervals * i.interval(status.DataCentre == i.ownDataCentre)
+	isExpired := i.delayOf(status) >= ttl && !status.Leaving // an instance that leaves does not return
 	isOldIncarnation := ok && status.Incarnation < known.LastStatus.Incarnation && now.Before(known.ExpiresAt)
 	precedesLeaving := ok && status.Incarnation == known.LastStatus.Incarnation && known.LastStatus.Leaving && !status.Leaving
-	if isOldIncarnation || precedesLeaving { // sent before the recorded status: an instance that leaves does not return
+	if isOldIncarnation || precedesLeaving || isExpired { // sent before the recorded status: an instance that leaves does not return
 		i.mu.Unlock()
 		return
 	}
@@ -117,7 +125,7 @@
 		i.log.Info("peer is there", "peer", status.Instance, "incarnation", status.Incarnation, "address", status.PeerAddress)
 	}
 	delete(i.silent, status.Instance)
-	until := now.Add(maxMissedIntervals * i.interval(status.DataCentre == i.ownDataCentre))
+	until := now.Add(ttl)
 	i.peers[status.Instance] = Peer{LastStatus: status, ReceivedAt: now, ExpiresAt: until}
 	i.addresses[status.PeerAddress] = now.Add(addressTTL)
 	i.mu.Unlock()
@@ -164,6 +172,7 @@
 		}
 		if now.Sub(peer.ReceivedAt) > addressTTL {
 			delete(i.peers, name)
+			delete(i.transits, name)
 			delete(i.silent, name)
 		}
 	}
--- a/internal/gateway/informer/informer_test.go
+++ b/internal/gateway/informer/informer_test.go
@@ -116,3 +116,35 @@
 		assert.Len(t, a.Peers(), 1)
 	})
 }
+
+// TestStatusThatWasHeldUpIsNotNew guards against the status of a peer that has gone, read late by an instance
+// without processor time, and that has the locator name that peer again.
+func TestStatusThatWasHeldUpIsNotNew(t *testing.T) {
+	n := newNetwork("a", "b")
+	a := n.peers["a"]
+	a.bootTime = func() time.Time { return n.now }
+	const clockOffset = time.Hour
+	statusAt := func(incarnation int64, sentAt time.Time) messenger.GatewayNews {
+		return messenger.GatewayNews{
+			Instance: "b", Incarnation: incarnation, PeerAddress: "b", Ready: true, SentNanoseconds: sentAt.Add(clockOffset).UnixNano(),
+		}
+	}
+	receive := func(after, delay time.Duration, incarnation int64) {
+		n.now = n.now.Add(after)
+		a.ReceiveStatus(statusAt(incarnation, n.now.Add(-delay)))
+	}
+	receive(0, 10*time.Millisecond, 1)
+	require.Len(t, a.Peers(), 1)
+	t.Run("one that was held up for longer than it is valid", func(t *testing.T) {
+		receive(2*time.Second, 2*time.Second, 1)
+		assert.Empty(t, a.Peers())
+	})
+	t.Run("one that was held up for less", func(t *testing.T) {
+		receive(time.Second, 600*time.Millisecond, 1)
+		assert.Len(t, a.Peers(), 1)
+	})
+	t.Run("the first one of the next incarnation, whose clock is another one", func(t *testing.T) {
+		receive(time.Second, 5*time.Hour, 2)
+		assert.Len(t, a.Peers(), 1)
+	})
+}
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -55,7 +55,7 @@
 		Overlays: []messenger.GatewayOverlay{}, Load: messenger.GatewayLoad{Targets: messenger.GatewayLoadTargets{}},
 		LimitDigest: report.Digest, LimitMembers: report.Size, VerdictDigest: s.quarantiner.Digest(time.Now()),
 		HasStoreMilliseconds: s.targets.HasStoreFor().Milliseconds(),
-		Proof:                s.proof(), IsUnconfirmed: s.isUnconfirmed(),
+		Proof:                s.proof(), IsUnconfirmed: s.isUnconfirmed(), SentNanoseconds: timekeeper.BootTime().UnixNano(),
 	}
 	if to.DataCentre == s.settings.DataCentre || s.cell() == nil {
 		status.Load = s.ownLoad(nil)
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -446,6 +446,11 @@
 	// Ready corresponds to the JSON schema field "Ready".
 	Ready bool `json:"Ready"`
 
+	// SentNanoseconds is when the status was made, on a clock of the sender that runs
+	// on while its machine is suspended. The times of one incarnation can be compared
+	// with each other only.
+	SentNanoseconds int64 `json:"SentNanoseconds"`
+
 	// TargetsVersion is the version up to which the instance has read the target
 	// table.
 	TargetsVersion int64 `json:"TargetsVersion"`
