--- a/internal/edge/guarder/guard.go
+++ b/internal/edge/guarder/guard.go
@@ -130,6 +130,19 @@
 type listener struct {
 	net.Listener
 	guard *Guard
+	// accepted is the number of connections since the last yield.
+	accepted int
+}
+
+// yieldInterval is the number of connections between two yields.
+const yieldInterval = 8
+
+func (l *listener) yield() {
+	l.accepted++
+	if l.accepted >= yieldInterval {
+		l.accepted = 0
+		runtime.Gosched()
+	}
 }
 
 // acceptRetryDelay is the pause after an error that passes, such as a lack of descriptors.
@@ -138,12 +151,12 @@
 // Accept returns the next connection that the guard admits. A lack of descriptors or memory
 // is waited for: it must not end the listener.
 //
-// It yields first. While connections wait to be accepted, it never blocks, and Go's scheduler runs the
-// goroutines that it starts before those that the network has woken, among them those that follow the
-// store.
+// It yields after every few connections. While connections wait to be accepted, it never blocks, and Go's
+// scheduler runs the goroutines that serve them before those that the network has woken, among them
+// those that follow the store and the other instances.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		runtime.Gosched()
+		l.yield()
 		raw, err := l.Listener.Accept()
 		switch {
 		case err == nil:
