Name units and conditions of the late manifest's change, and use the follower's one rule of freshness

What stopped a newcomer: FreshFor repeated the condition of IsFresh; checkAge bounded a wait that its callers had bounded; times of the store's clock in a log line and a gauge had no unit; a comment gave the reason of two conditions for three. Nothing is decided differently: the tests of follower, informer, readers and arrivals pass.

--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -245,9 +245,7 @@
 
 // IsFresh reports whether the store has answered within the given time before now.
 func (f *Follower) IsFresh(within time.Duration) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.answeredAt.IsZero() && f.now().Sub(f.answeredAt) < within
+	return f.FreshFor(within) > 0
 }
 
 // FreshFor returns for how long IsFresh holds for the given time; 0 if it does not.
--- a/internal/gateway/informer/informer.go
+++ b/internal/gateway/informer/informer.go
@@ -114,10 +114,11 @@
 	now := i.now()
 	known, ok := i.peers[status.Instance]
 	ttl := maxMissedIntervals * i.interval(status.DataCentre == i.ownDataCentre)
-	isExpired := i.delayOf(status) >= ttl && !status.Leaving // an instance that leaves does not return
+	isHeldUp := i.delayOf(status) >= ttl && !status.Leaving // that an instance leaves stays true
 	isOldIncarnation := ok && status.Incarnation < known.LastStatus.Incarnation && now.Before(known.ExpiresAt)
 	precedesLeaving := ok && status.Incarnation == known.LastStatus.Incarnation && known.LastStatus.Leaving && !status.Leaving
-	if isOldIncarnation || precedesLeaving || isExpired { // sent before the recorded status: an instance that leaves does not return
+	// The first two were sent before the recorded status: an instance that leaves does not return.
+	if isOldIncarnation || precedesLeaving || isHeldUp {
 		i.mu.Unlock()
 		return
 	}
--- a/internal/gateway/supervisor/arrival.go
+++ b/internal/gateway/supervisor/arrival.go
@@ -41,9 +41,9 @@
 	proof messenger.GatewayProof
 }
 
-// observe logs and counts an answer that brings a manifest which this instance does not have yet. It
+// observeArrival logs and counts an answer that brings a manifest which this instance does not have yet. It
 // is called before the rows are applied. Two answers may bring the same manifest at once.
-func (s *Supervisor) observe(a arrival) {
+func (s *Supervisor) observeArrival(a arrival) {
 	if a.table != s.platform.ManifestTable {
 		return
 	}
@@ -54,7 +54,7 @@
 		earliest, latest, _ := s.platform.Clock()
 		s.measurer.CountEvent(measurer.ManifestArrival(string(a.from)), 1)
 		s.log.Info("manifest arrives", "rowVersion", row.Version, "from", a.from, "peer", a.peer, "ageMilliseconds", a.age.Milliseconds(),
-			"provedAtStoreMilliseconds", a.proof.StoreMilliseconds, "storeEarliest", earliest, "storeLatest", latest)
+			"provedAtStoreMilliseconds", a.proof.StoreMilliseconds, "storeEarliestMilliseconds", earliest, "storeLatestMilliseconds", latest)
 	}
 }
 
@@ -62,7 +62,7 @@
 func (s *Supervisor) followStore(from origin) func(table string, after int64, wait time.Duration) (follower.Changes, error) {
 	return func(table string, after int64, wait time.Duration) (follower.Changes, error) {
 		changes, err := s.platform.Follow(table, after, wait)
-		s.observe(arrival{table: table, from: from, rows: changes.Rows, proof: changes.Proof})
+		s.observeArrival(arrival{table: table, from: from, rows: changes.Rows, proof: changes.Proof})
 		return changes, err
 	}
 }
@@ -71,7 +71,7 @@
 func (s *Supervisor) readStore(from origin) func(table string) (messenger.TableSnapshot, error) {
 	return func(table string) (messenger.TableSnapshot, error) {
 		snapshot, err := s.platform.Read(table)
-		s.observe(arrival{table: table, from: from, rows: snapshot.Rows, proof: snapshot.Proof})
+		s.observeArrival(arrival{table: table, from: from, rows: snapshot.Rows, proof: snapshot.Proof})
 		return snapshot, err
 	}
 }
@@ -79,7 +79,7 @@
 // observeSnapshot observes a peer's copy of a table.
 func (s *Supervisor) observeSnapshot(table string, from origin, peer string, snapshot messenger.TableSnapshot) {
 	age := time.Duration(snapshot.AgeMilliseconds) * time.Millisecond
-	s.observe(arrival{table: table, from: from, peer: peer, age: age, rows: snapshot.Rows, proof: snapshot.Proof})
+	s.observeArrival(arrival{table: table, from: from, peer: peer, age: age, rows: snapshot.Rows, proof: snapshot.Proof})
 }
 
 // registerManifestGauges adds the manifest in force to the metrics, and the greatest possible age, in
@@ -92,7 +92,7 @@
 		return 0
 	})
 	s.measurer.RegisterGauge("Manifest.RowVersion", s.confirmer.Applied)
-	s.measurer.RegisterGauge("Manifest.ProofAge", s.proofAgeMilliseconds)
+	s.measurer.RegisterGauge("Manifest.ProofAgeMilliseconds", s.proofAgeMilliseconds)
 }
 
 func (s *Supervisor) proofAgeMilliseconds() int64 {
--- a/internal/gateway/supervisor/cell.go
+++ b/internal/gateway/supervisor/cell.go
@@ -114,7 +114,7 @@
 	changes := follower.ChangesFromPeer(in)
 	err = checkAge(table, changes.Age, wait)
 	if err == nil {
-		s.observe(arrival{table: table, from: originReaderFeed, peer: reader.LastStatus.Instance, age: changes.Age, rows: changes.Rows, proof: changes.Proof})
+		s.observeArrival(arrival{table: table, from: originReaderFeed, peer: reader.LastStatus.Instance, age: changes.Age, rows: changes.Rows, proof: changes.Proof})
 	}
 	return changes, err
 }
@@ -123,7 +123,7 @@
 // used. The table of instances may have any age: status messages keep the addresses of
 // the instances up to date, and the table is only needed to find them.
 func checkAge(table string, age, wait time.Duration) error {
-	if table != instanceTable && age > min(wait, maxReaderWait)+maxReaderAge {
+	if table != instanceTable && age > wait+maxReaderAge {
 		return errStaleTable
 	}
 	return nil
