--- a/internal/gateway/confirmer/clock.go
+++ b/internal/gateway/confirmer/clock.go
@@ -1,15 +1,14 @@
 package confirmer
 
-import "time"
-
-const (
-	// driftDivisor bounds the drift between the store's clock and the local one: 1 ms in a
-	// second. Either may be slewed by up to 500 ppm.
-	driftDivisor = 1000
-	// maxMilliseconds bounds the times of the store's clock, so that sums do not overflow.
-	maxMilliseconds = 1 << 42
+import (
+	"time"
+
+	"github.com/crocusring/crocusring/internal/node/timekeeper"
 )
 
+// maxMilliseconds bounds the times of the store's clock, so that sums do not overflow.
+const maxMilliseconds = 1 << 42
+
 // Clock bounds the current time of the store's clock by its readings. All local times are of a
 // clock that keeps running while the machine is suspended. The zero value has no reading. It is
 // not safe for concurrent use.
@@ -28,7 +27,7 @@
 		return
 	}
 	storeTime := time.Duration(milliseconds) * time.Millisecond
-	drift := received.Sub(sent) / driftDivisor
+	drift := timekeeper.MaxDrift(received.Sub(sent))
 	low := storeTime - localTime(received) - drift
 	high := storeTime + time.Millisecond - localTime(sent) + drift
 	if c.isKnown {
@@ -52,7 +51,7 @@
 
 // offset returns the bounds of the store's time minus the local time at the local time now.
 func (c *Clock) offset(now time.Time) (low, high time.Duration) {
-	drift := max(now.Sub(c.since), 0) / driftDivisor
+	drift := timekeeper.MaxDrift(now.Sub(c.since))
 	return c.low - drift, c.high + drift
 }
 
--- a/internal/gateway/informer/transit.go
+++ b/internal/gateway/informer/transit.go
@@ -3,12 +3,10 @@
 import (
 	"time"
 
+	"github.com/crocusring/crocusring/internal/node/timekeeper"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// driftDivisor bounds the drift between the clocks of two machines: 1 ms in a second.
-const driftDivisor = 1000
-
 // transit is what is known of the times that the statuses of a peer are on their way. Its clock and the
 // local one cannot be compared; but the status whose difference between both is the least was on its way
 // for the shortest time, and the others are late by what their differences are greater.
@@ -34,7 +32,7 @@
 		i.transits[status.Instance] = &transit{incarnation: status.Incarnation, least: difference, leastAt: now}
 		return 0
 	}
-	least := known.least + now.Sub(known.leastAt)/driftDivisor
+	least := known.least + timekeeper.MaxDrift(now.Sub(known.leastAt))
 	if difference <= least {
 		known.least, known.leastAt = difference, now
 		return 0
