Show that a manifest is missed after the store returns from a copy

Cause: a follower ignores a table whose version is below that of its copy, counts that as success, and later asks only for changes behind the old version. Change: a case with stand-ins for the store, replicas and clients; nothing of the product.

--- /dev/null
+++ b/review/standins/client.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// host is the host of all routes.
+const host = "ficu95.example"
+
+// attempt is one client attempt with its answer.
+type attempt struct {
+	id, path, instance string
+	sent, answered     time.Time
+	// status is 0 if there was no answer.
+	status int
+	stamp  string
+	body   string
+}
+
+// clients send requests to the instances and keep what they saw.
+type clients struct {
+	world  *world
+	number atomic.Int64
+	http   *http.Client
+
+	mu       sync.Mutex
+	attempts []attempt
+}
+
+func (w *world) newClients() *clients {
+	return &clients{world: w, http: &http.Client{
+		Transport:     &http.Transport{MaxIdleConnsPerHost: 16},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// send sends one request to an instance and records its answer.
+func (c *clients) send(method string, i *instance, path, model string, wait time.Duration) attempt {
+	a := attempt{id: fmt.Sprintf("%016x", c.number.Add(1)), path: path, instance: i.name, sent: time.Now()}
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader("order " + a.id)
+	}
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+i.caller+path, body)
+	if err != nil {
+		return a
+	}
+	q.Host = host
+	q.Header.Set("X-Request-Id", a.id)
+	q.Header.Set("X-Deadline-Ms", fmt.Sprint(wait.Milliseconds()))
+	if model != "" {
+		q.Header.Set("X-Model", model)
+		q.Header.Set("X-Token-Usage", "200,20")
+		q.Header.Set("X-Prompt-Prefix", "5c1e07a2:100,"+a.id+":100")
+	}
+	answer, err := c.http.Do(q)
+	if err == nil {
+		var text []byte
+		text, err = io.ReadAll(answer.Body)
+		_ = answer.Body.Close()
+		if err == nil {
+			a.status, a.stamp, a.body = answer.StatusCode, answer.Header.Get("X-Response-Stamp"), string(text)
+		}
+	}
+	a.answered = time.Now()
+	c.world.record.addf("client sent %s %s to %s at %.3f: status %d, stamp %q", a.id, path, i.name, c.world.record.seconds(a.sent), a.status, a.stamp)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempts = append(c.attempts, a)
+	return a
+}
+
+// every calls do at an interval, each time in a goroutine of its own, until ctx is done.
+func every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			go do()
+		}
+	}
+}
+
+func (c *clients) all() []attempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]attempt(nil), c.attempts...)
+}
