Show that a replica is ordered to hold more adapters than fit

Cause: a report from before an unload puts the adapter back among those that the target holds, after the target table has shown the unload. It is chosen as the victim of a second load and frees no place.

--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -43,12 +43,20 @@
 
 // send sends one request to an instance and records its answer.
 func (c *clients) send(method string, i *instance, path, model string, wait time.Duration) attempt {
+	return c.sendBody(method, i, path, model, "", wait)
+}
+
+// sendBody does the same with a body; without one, that of a POST names the request.
+func (c *clients) sendBody(method string, i *instance, path, model, text string, wait time.Duration) attempt {
 	a := attempt{id: fmt.Sprintf("%016x", c.number.Add(1)), path: path, instance: i.name, sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	var body io.Reader
 	if method == http.MethodPost {
-		body = strings.NewReader("order " + a.id)
+		if text == "" {
+			text = "order " + a.id
+		}
+		body = strings.NewReader(text)
 	}
 	q, err := http.NewRequestWithContext(ctx, method, "http://"+i.caller+path, body)
 	if err != nil {
@@ -64,11 +72,11 @@
 	}
 	answer, err := c.http.Do(q)
 	if err == nil {
-		var text []byte
-		text, err = io.ReadAll(answer.Body)
+		var content []byte
+		content, err = io.ReadAll(answer.Body)
 		_ = answer.Body.Close()
 		if err == nil {
-			a.status, a.stamp, a.body = answer.StatusCode, answer.Header.Get("X-Response-Stamp"), string(text)
+			a.status, a.stamp, a.body = answer.StatusCode, answer.Header.Get("X-Response-Stamp"), string(content)
 		}
 	}
 	a.answered = time.Now()
--- a/review/standins/holder_case.go
+++ b/review/standins/holder_case.go
@@ -16,6 +16,7 @@
 	engineName   = "lehu0a"
 	streamPath   = "/stream/"
 	adapterCount = 38
+	engineCount  = 3
 	// demandWidth is how many adapters are asked for at a time.
 	demandWidth = 6
 	// rounds is how often the planned work and the drill are played at most.
@@ -25,7 +26,7 @@
 // playHolder lets the lease on orders change hands by planned work, brings the store back from a copy
 // that is older than that, and looks whether two holders give orders with one generation number.
 func playHolder(w *world) (bool, error) {
-	engines, err := w.startEngines()
+	engines, err := w.startEngines(engineCount, adapterCount)
 	if err != nil {
 		return false, err
 	}
@@ -51,7 +52,9 @@
 }
 
 // demand is which adapters clients ask for. It moves on as in model_shift.
-type demand struct{ first atomic.Int64 }
+type demand struct {
+	first atomic.Int64
+}
 
 func (d *demand) shift(w *world) {
 	first := d.first.Add(demandWidth)
@@ -64,15 +67,16 @@
 }
 
 // startEngines starts a store, a service of model engines and four instances.
-func (w *world) startEngines() ([]*replica, error) {
+func (w *world) startEngines(count, adapters int) ([]*replica, error) {
 	var err error
 	if w.store, err = newStore(); err != nil {
 		return nil, err
 	}
-	w.store.put(tableOperator, "config", manifestText(4, streamRoute("r-stream", streamPath, engineName), engineService(engineName, adapterCount)))
+	w.store.put(tableOperator, "config", manifestText(4, streamRoute("r-stream", streamPath, engineName), engineService(engineName, adapters)))
 	engines := []*replica{}
-	for n, zone := range []string{"nl-west-a", "nl-west-b", "nl-west-c"} {
-		r, err := w.newReplica(fmt.Sprintf("i-engine-%d", n+1), engineName, zone, true)
+	zones := []string{"nl-west-a", "nl-west-b", "nl-west-c"}
+	for n := range count {
+		r, err := w.newReplica(fmt.Sprintf("i-engine-%d", n+1), engineName, zones[n%len(zones)], true)
 		if err != nil {
 			return nil, err
 		}
--- a/review/standins/replica.go
+++ b/review/standins/replica.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -33,12 +34,11 @@
 }
 
 const (
-	plainWork       = 20 * time.Millisecond
-	adapterLoadTime = 10 * time.Millisecond
-	eventTime       = 20 * time.Millisecond
-	adapterSlots    = 8
-	baseModel       = "daka51"
-	streamEvents    = 3
+	plainWork    = 20 * time.Millisecond
+	eventTime    = 20 * time.Millisecond
+	adapterSlots = 8
+	baseModel    = "daka51"
+	streamEvents = 3
 )
 
 // replica is a replica of a service. It is a model engine if hasModel is set: one that holds
@@ -58,9 +58,69 @@
 	accepted int64
 	fence    int64
 	adapters map[string]bool
-	sequence int64
-	written  string
-	era      int64
+	// inUse counts the runs of each adapter, and unloading holds the adapters that go once theirs end.
+	inUse     map[string]int
+	unloading map[string]bool
+	// reports are the earlier states, of which a report shows the one of reportLag ago.
+	reports   []reportState
+	reportLag time.Duration
+	// callTime is how long reports and orders take.
+	callTime time.Duration
+	// longest is the largest number of events of a stream.
+	longest int
+	// overfilled is how often an order made the replica hold more adapters than it has places for.
+	overfilled int
+	isDown     bool
+	crashes    []time.Time
+	sequence   int64
+	written    string
+	era        int64
+}
+
+const (
+	// crashText is what a body contains that crashes the replica that begins to run it.
+	crashText = "crash"
+	// crashTime is how long a replica is down, and expiryTime after how long its entry is removed.
+	crashTime  = 5 * time.Second
+	expiryTime = 3 * heartbeatTime
+)
+
+// crash ends the replica, and starts it again under the same ID and address after crashTime.
+func (r *replica) crash() {
+	r.mu.Lock()
+	if r.isDown {
+		r.mu.Unlock()
+		return
+	}
+	r.isDown = true
+	r.crashes = append(r.crashes, time.Now())
+	server := r.server
+	r.mu.Unlock()
+	r.world.record.addf("replica %s crashes", r.id)
+	_ = server.Close()
+	time.Sleep(expiryTime)
+	r.world.store.put(tableReplicas, r.id, nil)
+	time.Sleep(crashTime - expiryTime)
+	ln, err := net.Listen("tcp4", r.address)
+	if err != nil {
+		r.world.record.addf("replica %s does not start again: %v", r.id, err)
+		return
+	}
+	r.mu.Lock()
+	r.isDown, r.born, r.sequence, r.written = false, time.Now().UnixMilli(), 0, ""
+	r.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
+	server = r.server
+	r.mu.Unlock()
+	go func() { _ = server.Serve(ln) }()
+	r.world.record.addf("replica %s is back", r.id)
+	r.heartbeat()
+}
+
+// reportState is the state that a report shows.
+type reportState struct {
+	at       time.Time
+	models   string
+	accepted int64
 }
 
 func (w *world) newReplica(id, service, zone string, hasModel bool) (*replica, error) {
@@ -70,7 +130,7 @@
 	}
 	r := &replica{
 		id: id, service: service, zone: zone, hasModel: hasModel, address: ln.Addr().String(), world: w, born: time.Now().UnixMilli(),
-		ended: make(chan struct{}), adapters: map[string]bool{},
+		ended: make(chan struct{}), adapters: map[string]bool{}, inUse: map[string]int{}, unloading: map[string]bool{},
 	}
 	r.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
 	go func() { _ = r.server.Serve(ln) }()
@@ -103,6 +163,9 @@
 	value, era, isThere := r.world.store.lookUp(tableReplicas, r.id)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.isDown {
+		return
+	}
 	r.sequence++
 	text := r.entry()
 	isLost := era != r.era && (!isThere || !strings.HasPrefix(string(value), strings.TrimSuffix(r.written, "}")))
@@ -160,8 +223,10 @@
 	case q.URL.Path == "/health":
 		w.WriteHeader(http.StatusOK)
 	case r.hasModel && q.URL.Path == "/v1/report":
+		time.Sleep(r.callTime)
 		r.report(w)
 	case r.hasModel && q.URL.Path == "/v1/order":
+		time.Sleep(r.callTime)
 		r.takeOrder(w, q)
 	case id == "":
 		notRun(w, http.StatusBadRequest)
@@ -176,7 +241,8 @@
 }
 
 func (r *replica) serve(w http.ResponseWriter, q *http.Request, id string) {
-	if _, err := io.ReadAll(q.Body); err != nil {
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	model, adapter, _ := strings.Cut(q.Header.Get("X-Model"), "/")
@@ -186,9 +252,21 @@
 		notRun(w, http.StatusMisdirectedRequest)
 		return
 	}
+	if r.unloading[adapter] {
+		r.mu.Unlock()
+		notRun(w, http.StatusServiceUnavailable)
+		return
+	}
+	r.inUse[adapter]++
+	defer r.endUse(adapter)
 	r.runs = append(r.runs, run{request: id, service: r.service, replica: r.id, path: q.URL.Path, began: time.Now()})
 	r.mu.Unlock()
 	r.world.record.addf("replica %s (%s) runs %s %s", r.id, r.service, id, q.URL.Path)
+	if strings.Contains(string(body), crashText) {
+		go r.crash()
+		<-q.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("X-Response-Stamp", r.id+"."+id)
 	if !r.hasModel {
 		time.Sleep(plainWork)
@@ -196,19 +274,61 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := range streamEvents {
+	for n := range r.events() {
 		time.Sleep(eventTime)
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n+1, id)
 		_ = http.NewResponseController(w).Flush()
 	}
 }
 
+// events returns the number of events of a stream.
+func (r *replica) events() int {
+	if r.longest <= streamEvents {
+		return streamEvents
+	}
+	return streamEvents + rand.IntN(r.longest-streamEvents)
+}
+
+// endUse ends a run of an adapter, and its unload if that has waited for it.
+func (r *replica) endUse(adapter string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inUse[adapter]--
+	if r.inUse[adapter] == 0 && r.unloading[adapter] {
+		delete(r.unloading, adapter)
+		delete(r.adapters, adapter)
+		r.noteState()
+		r.world.record.addf("replica %s has unloaded %s, whose runs have ended", r.id, adapter)
+	}
+}
+
+// noteState keeps the state for later reports. The caller holds r.mu.
+func (r *replica) noteState() {
+	r.reports = append(r.reports, reportState{at: time.Now(), models: r.models(), accepted: r.accepted})
+}
+
+// reported returns the state that a report shows now. The caller holds r.mu.
+func (r *replica) reported() reportState {
+	out := reportState{models: fmt.Sprintf(`[{"name":%q,"version":1,"adapters":[]}]`, baseModel)}
+	limit := time.Now()
+	if r.reportLag > 0 {
+		limit = limit.Add(-r.reportLag)
+	}
+	for _, s := range r.reports {
+		if !s.at.After(limit) {
+			out = s
+		}
+	}
+	return out
+}
+
 func (r *replica) report(w http.ResponseWriter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	state := r.reported()
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = fmt.Fprintf(w, `{"born":%d,"stage":"colocated","models":%s,"busy":false,"sequence":%d,"waiting":0,"running":0,"kvUsed":0,"kvTotal":90000,"handles":0,"coming":[]}`,
-		r.born, r.models(), r.accepted)
+		r.born, state.models, state.accepted)
 }
 
 // takeOrder answers an order about an adapter. All orders of these cases are about adapters, since
@@ -223,9 +343,10 @@
 	o.replica, o.at = r.id, time.Now()
 	o.status = r.carryOut(o)
 	r.orders = append(r.orders, o)
+	held, accepted := len(r.adapters), r.accepted
 	r.mu.Unlock()
-	r.world.record.addf("replica %s answers %d to the order %s %s/%s of %s with generation number %d",
-		r.id, o.status, o.Operation, o.Model, o.Adapter, o.Holder, o.Fence)
+	r.world.record.addf("replica %s answers %d to the order %s %s/%s of %s with generation number %d; it holds %d adapters after %d orders",
+		r.id, o.status, o.Operation, o.Model, o.Adapter, o.Holder, o.Fence, held, accepted)
 	w.WriteHeader(o.status)
 }
 
@@ -239,21 +360,28 @@
 		return http.StatusConflict
 	case o.Model != baseModel || o.Adapter == "":
 		return http.StatusBadRequest
-	case isLoad == r.adapters[o.Adapter]:
+	case isLoad == r.adapters[o.Adapter], !isLoad && r.unloading[o.Adapter]:
 		r.fence = o.Fence
 		return http.StatusOK
 	}
 	r.fence = o.Fence
 	r.accepted++
-	if !isLoad {
+	defer r.noteState()
+	switch {
+	case isLoad:
+		r.adapters[o.Adapter] = true
+		if held := len(r.adapters) - len(r.unloading); held > adapterSlots {
+			r.overfilled++
+			r.world.record.addf("replica %s is ordered to hold %d adapters beside those that it unloads, and has %d places", r.id, held, adapterSlots)
+		}
+		return http.StatusAccepted
+	case r.inUse[o.Adapter] > 0:
+		r.unloading[o.Adapter] = true
+		return http.StatusAccepted
+	default:
 		delete(r.adapters, o.Adapter)
 		return http.StatusOK
 	}
-	r.adapters[o.Adapter] = true
-	if len(r.adapters) > adapterSlots {
-		r.world.record.addf("replica %s is ordered to hold %d adapters", r.id, len(r.adapters))
-	}
-	return http.StatusAccepted
 }
 
 func (r *replica) takenOrders() []order {
