Keep the stand-ins of the second review in a folder called platform

Cause: a test lets the platform's protocol names stand in folders of that name only, and the linter found two unused functions and an unchecked close. Change: move the folder; each round of the case on two holders begins anew; replicas can crash by a part of a prompt. Result: the linter has no issues in review/; TestProtocolNamesStayInThisFolder passes.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of review/6 to review/10 start.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o target/review-standins ./review/standins
+go build -o target/review-standins ./review/second/platform
--- a/review/standins/client.go
+++ b/review/second/platform/client.go
@@ -16,8 +16,8 @@
 
 // attempt is one client attempt with its answer.
 type attempt struct {
-	id, path, instance string
-	sent, answered     time.Time
+	id, path, parts, instance string
+	sent, answered            time.Time
 	// status is 0 if there was no answer.
 	status int
 	stamp  string
@@ -42,13 +42,22 @@
 }
 
 // send sends one request to an instance and records its answer.
-func (c *clients) send(method string, i *instance, path, model string, wait time.Duration) attempt {
-	return c.sendBody(method, i, path, model, "", wait)
+func (c *clients) send(method string, i *instance, path, model string, wait time.Duration) {
+	c.sendBody(method, i, path, model, "", wait)
+}
+
+// sendPrompt sends a request for the model with a prompt of some parts before its own.
+func (c *clients) sendPrompt(i *instance, path, parts string, wait time.Duration) {
+	c.sendWith(http.MethodPost, i, path, baseModel, parts, "", wait)
 }
 
 // sendBody does the same with a body; without one, that of a POST names the request.
-func (c *clients) sendBody(method string, i *instance, path, model, text string, wait time.Duration) attempt {
-	a := attempt{id: fmt.Sprintf("%016x", c.number.Add(1)), path: path, instance: i.name, sent: time.Now()}
+func (c *clients) sendBody(method string, i *instance, path, model, text string, wait time.Duration) {
+	c.sendWith(method, i, path, model, "5c1e07a2:100", text, wait)
+}
+
+func (c *clients) sendWith(method string, i *instance, path, model, parts, text string, wait time.Duration) {
+	a := attempt{id: fmt.Sprintf("%016x", c.number.Add(1)), path: path, parts: parts, instance: i.name, sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	var body io.Reader
@@ -60,7 +69,7 @@
 	}
 	q, err := http.NewRequestWithContext(ctx, method, "http://"+i.caller+path, body)
 	if err != nil {
-		return a
+		return
 	}
 	q.Host = host
 	q.Header.Set("X-Request-Id", a.id)
@@ -68,7 +77,7 @@
 	if model != "" {
 		q.Header.Set("X-Model", model)
 		q.Header.Set("X-Token-Usage", "200,20")
-		q.Header.Set("X-Prompt-Prefix", "5c1e07a2:100,"+a.id+":100")
+		q.Header.Set(prefixHeader, parts+","+a.id+":100")
 	}
 	answer, err := c.http.Do(q)
 	if err == nil {
@@ -84,7 +93,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.attempts = append(c.attempts, a)
-	return a
 }
 
 // every calls do at an interval, each time in a goroutine of its own, until ctx is done.
--- a/review/standins/holder_case.go
+++ b/review/second/platform/holder_case.go
@@ -24,12 +24,42 @@
 )
 
 // playHolder lets the lease on orders change hands by planned work, brings the store back from a copy
-// that is older than that, and looks whether two holders give orders with one generation number.
+// that is older than that, and looks whether two holders give orders with one generation number. Each
+// round begins anew, with other processes.
 func playHolder(w *world) (bool, error) {
+	var lastErr error
+	hasRun := false
+	for round := range rounds {
+		w.record.addf("round %d", round+1)
+		isBroken, err := w.playHolderRound()
+		switch {
+		case isBroken:
+			return true, nil
+		case err != nil:
+			w.record.addf("the round could not run: %v", err)
+			lastErr = err
+		default:
+			hasRun = true
+		}
+	}
+	if hasRun {
+		return false, nil
+	}
+	return false, lastErr
+}
+
+// playHolderRound plays one round from the start of all processes to their end.
+func (w *world) playHolderRound() (bool, error) {
+	defer w.clear()
 	engines, err := w.startEngines(engineCount, adapterCount)
 	if err != nil {
 		return false, err
 	}
+	defer func() {
+		for _, r := range engines {
+			r.close()
+		}
+	}()
 	c := w.newClients()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -39,16 +69,10 @@
 			c.send(http.MethodPost, i, streamPath+"x", demand.model(), 8*time.Second)
 		})
 	}
-	for round := range rounds {
-		w.record.addf("round %d", round+1)
-		if err := w.playRound(engines, demand); err != nil {
-			return false, err
-		}
-		if w.judgeHolders(engines) {
-			return true, nil
-		}
+	if err := w.playRound(engines, demand); err != nil {
+		return false, err
 	}
-	return false, nil
+	return w.judgeHolders(engines), nil
 }
 
 // demand is which adapters clients ask for. It moves on as in model_shift.
--- a/review/standins/instance.go
+++ b/review/second/platform/instance.go
@@ -64,7 +64,7 @@
 		if err != nil {
 			continue
 		}
-		defer ln.Close()
+		defer func() { _ = ln.Close() }()
 		out = append(out, address)
 	}
 	return nil, errNoPorts
--- a/review/standins/main.go
+++ b/review/second/platform/main.go
@@ -107,6 +107,12 @@
 	return exitNotRun
 }
 
+// clear ends all processes, for a round that begins anew.
+func (w *world) clear() {
+	w.end()
+	w.instances, w.store = nil, nil
+}
+
 // end ends all processes that the case started.
 func (w *world) end() {
 	for _, i := range w.instances {
--- a/review/standins/replica.go
+++ b/review/second/platform/replica.go
@@ -13,12 +13,6 @@
 	"time"
 )
 
-// run is one run of a request at a replica.
-type run struct {
-	request, service, replica, path string
-	began                           time.Time
-}
-
 // order is an order as it arrived at a replica.
 type order struct {
 	Operation string `json:"operation"`
@@ -48,12 +42,12 @@
 	hasModel          bool
 	address           string
 	world             *world
+	store             *store
 	born              int64
 	server            *http.Server
 	ended             chan struct{}
 
 	mu       sync.Mutex
-	runs     []run
 	orders   []order
 	accepted int64
 	fence    int64
@@ -80,6 +74,11 @@
 const (
 	// crashText is what a body contains that crashes the replica that begins to run it.
 	crashText = "crash"
+	// crashPart is what the names of parts of prompts begin with that do the same, and midwayPart the
+	// first part of prompts of which the answer has begun then.
+	crashPart    = "bad"
+	midwayPart   = "f2:"
+	prefixHeader = "X-Prompt-Prefix"
 	// crashTime is how long a replica is down, and expiryTime after how long its entry is removed.
 	crashTime  = 5 * time.Second
 	expiryTime = 3 * heartbeatTime
@@ -99,7 +98,7 @@
 	r.world.record.addf("replica %s crashes", r.id)
 	_ = server.Close()
 	time.Sleep(expiryTime)
-	r.world.store.put(tableReplicas, r.id, nil)
+	r.store.put(tableReplicas, r.id, nil)
 	time.Sleep(crashTime - expiryTime)
 	ln, err := net.Listen("tcp4", r.address)
 	if err != nil {
@@ -129,7 +128,7 @@
 		return nil, err
 	}
 	r := &replica{
-		id: id, service: service, zone: zone, hasModel: hasModel, address: ln.Addr().String(), world: w, born: time.Now().UnixMilli(),
+		id: id, service: service, zone: zone, hasModel: hasModel, address: ln.Addr().String(), world: w, store: w.store, born: time.Now().UnixMilli(),
 		ended: make(chan struct{}), adapters: map[string]bool{}, inUse: map[string]int{}, unloading: map[string]bool{},
 	}
 	r.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
@@ -160,7 +159,7 @@
 // heartbeat writes the entry if more than its sequence has changed, or if the store has come back
 // without it.
 func (r *replica) heartbeat() {
-	value, era, isThere := r.world.store.lookUp(tableReplicas, r.id)
+	value, era, isThere := r.store.lookUp(tableReplicas, r.id)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.isDown {
@@ -174,7 +173,7 @@
 		return
 	}
 	full := strings.TrimSuffix(text, "}") + fmt.Sprintf(`,"sequence":%d}`, r.sequence)
-	if _, era, ok := r.world.store.put(tableReplicas, r.id, []byte(full)); ok {
+	if _, era, ok := r.store.put(tableReplicas, r.id, []byte(full)); ok {
 		r.written, r.era = text, era
 	}
 }
@@ -197,7 +196,7 @@
 }
 
 func (r *replica) models() string {
-	names := []string{}
+	names := make([]string, 0, len(r.adapters))
 	for a := range r.adapters {
 		names = append(names, a)
 	}
@@ -259,10 +258,12 @@
 	}
 	r.inUse[adapter]++
 	defer r.endUse(adapter)
-	r.runs = append(r.runs, run{request: id, service: r.service, replica: r.id, path: q.URL.Path, began: time.Now()})
 	r.mu.Unlock()
 	r.world.record.addf("replica %s (%s) runs %s %s", r.id, r.service, id, q.URL.Path)
-	if strings.Contains(string(body), crashText) {
+	if r.isFatal(q, body) {
+		if strings.HasPrefix(q.Header.Get(prefixHeader), midwayPart) {
+			r.beginStream(w, id)
+		}
 		go r.crash()
 		<-q.Context().Done()
 		panic(http.ErrAbortHandler)
@@ -307,6 +308,19 @@
 	r.reports = append(r.reports, reportState{at: time.Now(), models: r.models(), accepted: r.accepted})
 }
 
+// isFatal reports whether a request crashes the replica: by its body, or by a part of its prompt.
+func (r *replica) isFatal(q *http.Request, body []byte) bool {
+	return strings.Contains(string(body), crashText) || strings.Contains(q.Header.Get(prefixHeader), crashPart)
+}
+
+// beginStream sends the head of a stream and its first event.
+func (r *replica) beginStream(w http.ResponseWriter, id string) {
+	w.Header().Set("X-Response-Stamp", r.id+"."+id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = fmt.Fprintf(w, "id: 1\ndata: %s\n\n", id)
+	_ = http.NewResponseController(w).Flush()
+}
+
 // reported returns the state that a report shows now. The caller holds r.mu.
 func (r *replica) reported() reportState {
 	out := reportState{models: fmt.Sprintf(`[{"name":%q,"version":1,"adapters":[]}]`, baseModel)}
@@ -389,9 +403,3 @@
 	defer r.mu.Unlock()
 	return slices.Clone(r.orders)
 }
-
-func (r *replica) takenRuns() []run {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.Clone(r.runs)
-}
--- a/review/standins/store.go
+++ b/review/second/platform/store.go
@@ -126,13 +126,6 @@
 	return before, s.version
 }
 
-// comeBack makes the store available again with all that it had.
-func (s *store) comeBack() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.isAway = false
-}
-
 func (s *store) apply(r row) {
 	name := r.Table + "/" + r.Key
 	if r.Removed {
