--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Builds the stand-ins that the scripts of review/6 to review/10 start.
 set -eu
-cd "$(dirname "$0")/.."
-go build -o target/review-standins ./review/second/platform
+cd "$(dirname "$0")/second/platform"
+go build -buildvcs=false -o ../../../target/review-standins .
