--- a/review/second/platform/manifest_case.go
+++ b/review/second/platform/manifest_case.go
@@ -40,10 +40,10 @@
 		}
 	}
 	const (
-		calm = 12 * time.Second
+		calm = 14 * time.Second
 		away = time.Second
 		// copyAge is how old the copy is when the store goes away.
-		copyAge = 8 * time.Second
+		copyAge = 10 * time.Second
 		// sentAfter is when the operator sends the manifest after the store is back: it is stable
 		// again.
 		sentAfter = contactTime + 200*time.Millisecond
