--- a/internal/control/leaser/clock_test.go
+++ b/internal/control/leaser/clock_test.go
@@ -25,17 +25,17 @@
 			row.Table, row.Key = table, key
 			return row, nil
 		},
-		Transact: func(req messenger.TransactRequest) ([]int64, error) {
+		Transact: func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
 			for _, condition := range req.Conditions {
 				if c.rows[condition.Key].Version != condition.Version {
 					return nil, transactor.ErrConflict
 				}
 			}
 			c.version++
-			versions := []int64{}
+			versions := []messenger.StoreVersion{}
 			for _, w := range req.Writes {
 				c.rows[w.Key] = messenger.Row{Version: c.version, Value: w.Value}
-				versions = append(versions, c.version)
+				versions = append(versions, messenger.StoreVersion{Number: c.version})
 			}
 			return versions, nil
 		},
--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -43,7 +43,7 @@
 // version of each written row.
 type Tables struct {
 	Get      func(table, key string) (messenger.Row, error)
-	Transact func(messenger.TransactRequest) ([]int64, error)
+	Transact func(messenger.TransactRequest) ([]messenger.StoreVersion, error)
 	// Clock returns bounds on the current time of the service's clock, in
 	// milliseconds, and whether they are known. If they aren't, contenders wait
 	// for the whole TTL of the lease.
@@ -53,10 +53,10 @@
 // TablesOf returns the tables of a service in which each write raises the version
 // of its row by one.
 func TablesOf(client *transactor.Client) Tables {
-	return Tables{Get: client.Get, Clock: unknownClock, Transact: func(req messenger.TransactRequest) ([]int64, error) {
-		versions := make([]int64, 0, len(req.Conditions))
+	return Tables{Get: client.Get, Clock: unknownClock, Transact: func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
+		versions := make([]messenger.StoreVersion, 0, len(req.Conditions))
 		for _, c := range req.Conditions {
-			versions = append(versions, c.Version+1)
+			versions = append(versions, messenger.StoreVersion{Era: c.Era, Number: c.Version + 1})
 		}
 		return versions, client.Transact(req)
 	}}
@@ -64,6 +64,11 @@
 
 func unknownClock() (earliest, latest int64, ok bool) { return 0, 0, false }
 
+// condition requires a version of a row of the lease table.
+func condition(key string, version messenger.StoreVersion) messenger.Condition {
+	return messenger.Condition{Table: leaseTable, Key: key, Era: version.Era, Version: version.Number}
+}
+
 // Option configures a Leaser.
 type Option func(*Leaser)
 
@@ -86,6 +91,21 @@
 	Lapses int64
 }
 
+// Acquisition describes how this instance took the lease.
+type Acquisition struct {
+	// Fence is the fencing token of the new grant, and Row the version of the row that it is in.
+	Fence int64
+	Row   messenger.StoreVersion
+	// Old is what the row said before, and OldRow its version then; zero if there was no row.
+	Old    Record
+	OldRow messenger.StoreVersion
+}
+
+// WithObserver sets the function that is called after each acquisition of the lease.
+func WithObserver(observe func(Acquisition)) Option {
+	return func(l *Leaser) { l.observe = observe }
+}
+
 // Leaser renews the lease of this instance, or follows that of another one and
 // contends for it. It is safe for concurrent use.
 type Leaser struct {
@@ -93,16 +113,17 @@
 	incarnation string
 	now         func() time.Time
 	get         func(table, key string) (messenger.Row, error)
-	transact    func(messenger.TransactRequest) ([]int64, error)
+	transact    func(messenger.TransactRequest) ([]messenger.StoreVersion, error)
 	clock       func() (earliest, latest int64, ok bool)
 	times       Times
+	observe     func(Acquisition)
 
 	callMu sync.Mutex // serializes Tick and Release, including their calls to the table service
 
 	mu           sync.Mutex
 	record       Record
-	leaseVersion int64
-	fenceVersion int64
+	leaseVersion messenger.StoreVersion
+	fenceVersion messenger.StoreVersion
 	// changeSeenAt is when this instance last saw the row change.
 	changeSeenAt time.Time
 	// heldUntil is the deadline until which this instance may act as holder.
@@ -120,7 +141,8 @@
 func New(instance, incarnation string, tables Tables, options ...Option) *Leaser {
 	l := &Leaser{
 		instance: instance, incarnation: incarnation, now: time.Now, get: tables.Get, transact: tables.Transact, clock: tables.Clock,
-		times: Times{TTL: defaultTTL, Margin: defaultMargin, RenewInterval: defaultRenewInterval},
+		observe: func(Acquisition) {},
+		times:   Times{TTL: defaultTTL, Margin: defaultMargin, RenewInterval: defaultRenewInterval},
 	}
 	if l.clock == nil {
 		l.clock = unknownClock
@@ -156,9 +178,7 @@
 		Fence:           l.record.Fence,
 		Deadline:        l.heldUntil,
 		PreviousEndedAt: l.previousEndedAt,
-		FenceCondition: messenger.Condition{
-			Table: leaseTable, Key: fenceKey, Version: l.fenceVersion,
-		},
+		FenceCondition:  condition(fenceKey, l.fenceVersion),
 	}, true
 }
 
@@ -215,7 +235,7 @@
 	l.mu.Unlock()
 	next.Renewals++
 	next.Lapses = l.expiry()
-	versions, err := l.write(next, []messenger.Condition{{Table: leaseTable, Key: leaseKey, Version: leaseVersion}}, nil)
+	versions, err := l.write(next, []messenger.Condition{condition(leaseKey, leaseVersion)}, nil)
 	switch {
 	case err == nil:
 		l.recordGrant(now, next, versions[0])
@@ -242,7 +262,7 @@
 		return cause
 	}
 	l.record = record
-	l.leaseVersion = row.Version
+	l.leaseVersion = row.StoreVersion()
 	return nil
 }
 
@@ -250,7 +270,7 @@
 	return record.Holder == l.instance && record.Incarnation == l.incarnation
 }
 
-func (l *Leaser) recordGrant(now time.Time, record Record, leaseVersion int64) {
+func (l *Leaser) recordGrant(now time.Time, record Record, leaseVersion messenger.StoreVersion) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.record = record
@@ -271,30 +291,30 @@
 	}
 	now := l.now()
 	l.mu.Lock()
-	if row.Version != l.leaseVersion || l.changeSeenAt.IsZero() {
+	if row.StoreVersion() != l.leaseVersion || l.changeSeenAt.IsZero() {
 		l.changeSeenAt = now
 	}
-	l.leaseVersion = row.Version
+	l.leaseVersion = row.StoreVersion()
 	l.record = record
 	isFree := row.Version == 0 || record.Released || l.isOwn(record) || l.hasExpired(record) || !now.Before(l.changeSeenAt.Add(l.times.TTL))
 	l.mu.Unlock()
 	if !isFree {
 		return nil
 	}
-	return l.acquire(row.Version, record)
+	return l.acquire(row.StoreVersion(), record)
 }
 
 // acquire writes the lease with the next fencing token. The deadline counts from
 // before the write.
-func (l *Leaser) acquire(version int64, old Record) error {
+func (l *Leaser) acquire(version messenger.StoreVersion, old Record) error {
 	fence, err := l.get(leaseTable, fenceKey)
 	if err != nil {
 		return err
 	}
 	next := Record{Holder: l.instance, Incarnation: l.incarnation, Fence: nextFence(old, fence), Lapses: l.expiry()}
 	conditions := []messenger.Condition{
-		{Table: leaseTable, Key: leaseKey, Version: version},
-		{Table: leaseTable, Key: fenceKey, Version: fence.Version},
+		condition(leaseKey, version),
+		condition(fenceKey, fence.StoreVersion()),
 	}
 	value, err := json.Marshal(next.Fence)
 	if err != nil {
@@ -313,6 +333,7 @@
 	l.previousEndedAt = l.grantEnd(old, now)
 	l.mu.Unlock()
 	l.recordGrant(now, next, versions[0])
+	l.observe(Acquisition{Fence: next.Fence, Row: versions[0], Old: old, OldRow: version})
 	return nil
 }
 
@@ -352,7 +373,7 @@
 
 // confirmAcquisition reads the rows after an acquisition of unknown outcome, and
 // returns their versions if the acquisition took effect.
-func (l *Leaser) confirmAcquisition(next Record, cause error) ([]int64, error) {
+func (l *Leaser) confirmAcquisition(next Record, cause error) ([]messenger.StoreVersion, error) {
 	row, record, err := l.read()
 	if err != nil || record != next {
 		return nil, cause
@@ -361,7 +382,7 @@
 	if err != nil {
 		return nil, cause
 	}
-	return []int64{row.Version, fence.Version}, nil
+	return []messenger.StoreVersion{row.StoreVersion(), fence.StoreVersion()}, nil
 }
 
 // Release gives up the lease, so that another instance can acquire it at once.
@@ -383,11 +404,11 @@
 	if _, latest, ok := l.clock(); ok {
 		next.Lapses = latest + l.times.Margin.Milliseconds() // the grant ends before this is written
 	}
-	_, err := l.write(next, []messenger.Condition{{Table: leaseTable, Key: leaseKey, Version: leaseVersion}}, nil)
+	_, err := l.write(next, []messenger.Condition{condition(leaseKey, leaseVersion)}, nil)
 	return err
 }
 
-func (l *Leaser) write(record Record, conditions []messenger.Condition, extra []messenger.Write) ([]int64, error) {
+func (l *Leaser) write(record Record, conditions []messenger.Condition, extra []messenger.Write) ([]messenger.StoreVersion, error) {
 	value, err := json.Marshal(record)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode lease")
--- a/internal/control/leaser/leaser_test.go
+++ b/internal/control/leaser/leaser_test.go
@@ -91,10 +91,10 @@
 	p.leaser = New(fmt.Sprintf("entry-%d", id), fmt.Sprintf("run-%d", c.started), Tables{})
 	p.leaser.now = func() time.Time { return c.now }
 	p.leaser.get = p.get
-	p.leaser.transact = func(req messenger.TransactRequest) ([]int64, error) {
-		versions := []int64{}
+	p.leaser.transact = func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
+		versions := []messenger.StoreVersion{}
 		for _, cond := range req.Conditions {
-			versions = append(versions, cond.Version+1)
+			versions = append(versions, messenger.StoreVersion{Number: cond.Version + 1})
 		}
 		return versions, p.transact(req)
 	}
--- a/internal/control/leaser/odd_row_test.go
+++ b/internal/control/leaser/odd_row_test.go
@@ -14,17 +14,17 @@
 // rowTable is a table in memory.
 type rowTable map[string]messenger.Row
 
-func (r rowTable) transact(req messenger.TransactRequest) ([]int64, error) {
+func (r rowTable) transact(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
 	for _, c := range req.Conditions {
 		if r[c.Key].Version != c.Version {
 			return nil, transactor.ErrConflict
 		}
 	}
-	versions := []int64{}
+	versions := []messenger.StoreVersion{}
 	for _, w := range req.Writes {
 		next := messenger.Row{Key: w.Key, Version: r[w.Key].Version + 1, Value: w.Value}
 		r[w.Key] = next
-		versions = append(versions, next.Version)
+		versions = append(versions, next.StoreVersion())
 	}
 	return versions, nil
 }
--- a/internal/gateway/authenticator/authenticator_bench_test.go
+++ b/internal/gateway/authenticator/authenticator_bench_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+
 	"github.com/crocusring/crocusring/internal/gateway/authenticator"
 	"github.com/crocusring/crocusring/internal/gateway/confirmer"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
@@ -24,7 +26,7 @@
 	var clock confirmer.Clock
 	clock.Record(1000, timekeeper.BootTime(), timekeeper.BootTime())
 	proof := confirmer.New(time.Hour)
-	proof.SetApplied(1)
+	proof.SetApplied(messenger.StoreVersion{Number: 1})
 	proof.Confirm(1000, 1001)
 	a := authenticator.Authenticator{View: registry.View, Currency: func() (bool, bool) {
 		_, latest, _ := clock.Bounds(timekeeper.BootTime())
--- a/internal/gateway/confirmer/confirmer.go
+++ b/internal/gateway/confirmer/confirmer.go
@@ -10,6 +10,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
 // applyTime is how long after its acknowledgement a manifest must be in force everywhere.
@@ -18,7 +20,7 @@
 // Proof states that Version was the newest version of the manifest's row at a time of the store's
 // clock. The zero value proves nothing.
 type Proof struct {
-	Version           int64
+	Version           messenger.StoreVersion
 	StoreMilliseconds int64
 }
 
@@ -30,9 +32,9 @@
 
 	mu sync.Mutex
 	// applied is the version of the row whose manifest is in force.
-	applied int64
+	applied messenger.StoreVersion
 	// unreadable is the newest version of the row whose manifest could not be put into force.
-	unreadable int64
+	unreadable messenger.StoreVersion
 	proof      Proof
 }
 
@@ -40,14 +42,16 @@
 func New(bound time.Duration) *Confirmer { return &Confirmer{bound: bound} }
 
 // SetApplied records that the manifest in a version of the row is in force.
-func (c *Confirmer) SetApplied(version int64) {
+func (c *Confirmer) SetApplied(version messenger.StoreVersion) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.applied = max(c.applied, version)
+	if version.IsAfter(c.applied) {
+		c.applied = version
+	}
 }
 
-// Applied returns the version of the row whose manifest is in force; 0 before the first one.
-func (c *Confirmer) Applied() int64 {
+// Applied returns the version of the row whose manifest is in force; zero before the first one.
+func (c *Confirmer) Applied() messenger.StoreVersion {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.applied
@@ -56,10 +60,12 @@
 // SetUnreadable records that the manifest in a version of the row cannot be put into force. There may
 // be earlier versions that have not been seen, so that nothing is confirmed until a later version,
 // or a readable copy of that one, is applied.
-func (c *Confirmer) SetUnreadable(version int64) {
+func (c *Confirmer) SetUnreadable(version messenger.StoreVersion) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unreadable = max(c.unreadable, version)
+	if version.IsAfter(c.unreadable) {
+		c.unreadable = version
+	}
 }
 
 // Confirm records that the store had no version after the applied one at a time of its clock. It
@@ -67,7 +73,7 @@
 func (c *Confirmer) Confirm(storeMilliseconds, latest int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unreadable > c.applied {
+	if c.unreadable.IsAfter(c.applied) {
 		return
 	}
 	c.adopt(Proof{Version: c.applied, StoreMilliseconds: storeMilliseconds}, latest)
@@ -78,7 +84,7 @@
 func (c *Confirmer) Receive(proof Proof, latest int64) (isNewer bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if proof.Version > c.applied {
+	if proof.Version.IsAfter(c.applied) {
 		return true
 	}
 	c.adopt(proof, latest)
@@ -89,7 +95,7 @@
 // ignored, and one that is held is of a clock that the store does not have any more. The caller
 // holds c.mu.
 func (c *Confirmer) adopt(proof Proof, latest int64) {
-	if proof.Version <= 0 || proof.StoreMilliseconds <= 0 || proof.StoreMilliseconds > latest {
+	if proof.Version.Number <= 0 || proof.StoreMilliseconds <= 0 || proof.StoreMilliseconds > latest {
 		return
 	}
 	if proof.StoreMilliseconds > c.proof.StoreMilliseconds || c.proof.StoreMilliseconds > latest {
@@ -121,7 +127,7 @@
 func (c *Confirmer) Age(latest int64) (age time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.proof.Version == 0 || c.proof.StoreMilliseconds > latest {
+	if c.proof.Version.IsZero() || c.proof.StoreMilliseconds > latest {
 		return 0, false
 	}
 	return time.Duration(latest-c.proof.StoreMilliseconds) * time.Millisecond, true
--- a/internal/gateway/confirmer/confirmer_test.go
+++ b/internal/gateway/confirmer/confirmer_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+
 	"github.com/stretchr/testify/assert"
 
 	"github.com/crocusring/crocusring/internal/gateway/confirmer"
@@ -13,7 +15,7 @@
 // newApplied returns a confirmer that has applied version 3, with a proof of the time 1000.
 func newApplied() *confirmer.Confirmer {
 	c := confirmer.New(5 * time.Second)
-	c.SetApplied(3)
+	c.SetApplied(messenger.StoreVersion{Number: 3})
 	c.Confirm(1000, 1001)
 	return c
 }
@@ -52,22 +54,22 @@
 	})
 	t.Run("a manifest that cannot be read proves nothing of the one in force", func(t *testing.T) {
 		c := newApplied()
-		c.SetUnreadable(5)
+		c.SetUnreadable(messenger.StoreVersion{Number: 5})
 		c.Confirm(2000, 2001)
 		assert.EqualValues(t, 1000, c.Proof().StoreMilliseconds)
-		c.SetApplied(5)
+		c.SetApplied(messenger.StoreVersion{Number: 5})
 		c.Confirm(2000, 2001)
 		assert.EqualValues(t, 2000, c.Proof().StoreMilliseconds)
 	})
 	t.Run("a late answer does not replace a newer one", func(t *testing.T) {
 		c := newApplied()
 		c.Confirm(900, 1100)
-		assert.Equal(t, confirmer.Proof{Version: 3, StoreMilliseconds: 1000}, c.Proof())
+		assert.Equal(t, confirmer.Proof{Version: messenger.StoreVersion{Number: 3}, StoreMilliseconds: 1000}, c.Proof())
 	})
 	t.Run("a store that counts anew replaces a proof of its earlier clock", func(t *testing.T) {
 		c := newApplied()
 		c.Confirm(10, 11)
-		assert.Equal(t, confirmer.Proof{Version: 3, StoreMilliseconds: 10}, c.Proof())
+		assert.Equal(t, confirmer.Proof{Version: messenger.StoreVersion{Number: 3}, StoreMilliseconds: 10}, c.Proof())
 	})
 }
 
@@ -78,15 +80,15 @@
 		isAdopted bool
 		isNewer   bool
 	}{
-		{name: "of the own version", proof: confirmer.Proof{Version: 3, StoreMilliseconds: 1500}, isAdopted: true},
-		{name: "of an earlier version", proof: confirmer.Proof{Version: 2, StoreMilliseconds: 1500}, isAdopted: true},
-		{name: "of a newer version", proof: confirmer.Proof{Version: 4, StoreMilliseconds: 1500}, isNewer: true},
-		{name: "an old one", proof: confirmer.Proof{Version: 3, StoreMilliseconds: 999}},
-		{name: "of a time that the store's clock cannot have", proof: confirmer.Proof{Version: 3, StoreMilliseconds: 2001}},
-		{name: "of an absurd time", proof: confirmer.Proof{Version: 3, StoreMilliseconds: math.MaxInt64}},
-		{name: "of an absurd version", proof: confirmer.Proof{Version: math.MaxInt64, StoreMilliseconds: 1500}, isNewer: true},
-		{name: "of a negative version", proof: confirmer.Proof{Version: -1, StoreMilliseconds: 1500}},
-		{name: "of a negative time", proof: confirmer.Proof{Version: 3, StoreMilliseconds: math.MinInt64}},
+		{name: "of the own version", proof: confirmer.Proof{Version: messenger.StoreVersion{Number: 3}, StoreMilliseconds: 1500}, isAdopted: true},
+		{name: "of an earlier version", proof: confirmer.Proof{Version: messenger.StoreVersion{Number: 2}, StoreMilliseconds: 1500}, isAdopted: true},
+		{name: "of a newer version", proof: confirmer.Proof{Version: messenger.StoreVersion{Number: 4}, StoreMilliseconds: 1500}, isNewer: true},
+		{name: "an old one", proof: confirmer.Proof{Version: messenger.StoreVersion{Number: 3}, StoreMilliseconds: 999}},
+		{name: "of a time that the store's clock cannot have", proof: confirmer.Proof{Version: messenger.StoreVersion{Number: 3}, StoreMilliseconds: 2001}},
+		{name: "of an absurd time", proof: confirmer.Proof{Version: messenger.StoreVersion{Number: 3}, StoreMilliseconds: math.MaxInt64}},
+		{name: "of an absurd version", proof: confirmer.Proof{Version: messenger.StoreVersion{Number: math.MaxInt64}, StoreMilliseconds: 1500}, isNewer: true},
+		{name: "of a negative version", proof: confirmer.Proof{Version: messenger.StoreVersion{Number: -1}, StoreMilliseconds: 1500}},
+		{name: "of a negative time", proof: confirmer.Proof{Version: messenger.StoreVersion{Number: 3}, StoreMilliseconds: math.MinInt64}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			confirmed := newApplied()
--- a/internal/gateway/confirmer/history_world_test.go
+++ b/internal/gateway/confirmer/history_world_test.go
@@ -201,11 +201,11 @@
 	n.follower = follower.New(tableName, follower.Source{}, func(rows []messenger.StoreRow, _ []string) {
 		for _, row := range rows {
 			registry.SetManifest(decode(row))
-			c.SetApplied(row.Version)
+			c.SetApplied(row.StoreVersion())
 		}
 	}, follower.WithProofs(func() messenger.GatewayProof {
 		proof := c.Proof()
-		return messenger.GatewayProof{RowVersion: proof.Version, StoreMilliseconds: proof.StoreMilliseconds}
+		return messenger.GatewayProof{RowEra: proof.Version.Era, RowVersion: proof.Version.Number, StoreMilliseconds: proof.StoreMilliseconds}
 	}, func(proof messenger.GatewayProof) { w.receiveProof(n, proof) }))
 	w.onNode(n, w.delay(statusInterval), func() { w.poll(n) })
 	w.onNode(n, w.delay(statusInterval), func() { w.sendStatuses(n) })
@@ -243,9 +243,9 @@
 // receive adopts the proof of a peer and reports whether the peer's manifest is newer.
 func (w *world) receive(n *node, proof messenger.GatewayProof) (isNewer bool) {
 	if w.plant == anyVersion {
-		proof.RowVersion = min(proof.RowVersion, max(n.confirmer.Proof().Version, 1))
+		proof.RowVersion = min(proof.RowVersion, max(n.confirmer.Proof().Version.Number, 1))
 	}
-	return n.confirmer.Receive(confirmer.Proof{Version: proof.RowVersion, StoreMilliseconds: proof.StoreMilliseconds}, w.latest(n))
+	return n.confirmer.Receive(confirmer.Proof{Version: proof.StoreVersion(), StoreMilliseconds: proof.StoreMilliseconds}, w.latest(n))
 }
 
 // onNode runs an action of a node when it is no longer frozen, unless it has been restarted.
@@ -297,7 +297,7 @@
 			w.onNode(n, d, func() { w.poll(n) })
 		}
 	}
-	if n.reader == storeIndex || n.follower.Version() == 0 {
+	if n.reader == storeIndex || n.follower.Version().IsZero() {
 		w.callStore(n, pollWait, func() { again(0) })
 	} else {
 		w.callReader(n, func() { again(0) })
@@ -336,7 +336,7 @@
 			hasAnswered = true
 			deliver(func() { w.answerFromStore(n, sent, after, end) })
 		}
-		if after < w.row.Version {
+		if after.IsBefore(w.row.StoreVersion()) {
 			answer()
 			return
 		}
@@ -345,18 +345,18 @@
 	})
 }
 
-func (w *world) answerFromStore(n *node, sent time.Time, after int64, end func()) {
+func (w *world) answerFromStore(n *node, sent time.Time, after messenger.StoreVersion, end func()) {
 	row, now, version := w.row, w.storeTime(), w.version
 	w.message(storeIndex, n.index, func() {
 		defer end()
 		n.clock.Record(now, sent, w.local(n))
 		proof := messenger.GatewayProof{StoreMilliseconds: now}
-		if after == 0 {
+		if after.IsZero() {
 			n.follower.Adopt(messenger.TableSnapshot{Version: version, Rows: []messenger.StoreRow{row}, Proof: proof})
 			return
 		}
 		changes := follower.Changes{Version: version, Proof: proof}
-		if row.Version > after {
+		if row.StoreVersion().IsAfter(after) {
 			changes.Rows = []messenger.StoreRow{row}
 		}
 		w.applyChanges(n, changes)
@@ -364,7 +364,7 @@
 }
 
 func (w *world) applyChanges(n *node, changes follower.Changes) {
-	err := n.follower.Confirm(func(string, int64, time.Duration) (follower.Changes, error) { return changes, nil }, nil)
+	err := n.follower.Confirm(func(string, messenger.StoreVersion, time.Duration) (follower.Changes, error) { return changes, nil }, nil)
 	if err != nil {
 		panic(err)
 	}
@@ -410,7 +410,7 @@
 			continue
 		}
 		w.sendStatus(n, other, func() { w.sendStatus(other, n, func() {}) })
-		if n.follower.Version() == 0 {
+		if n.follower.Version().IsZero() {
 			w.message(n.index, other.index, func() { w.sendSnapshot(other, n) })
 		}
 	}
@@ -419,7 +419,7 @@
 
 func (w *world) sendStatus(from, to *node, then func()) {
 	proof := from.confirmer.Proof()
-	message := messenger.GatewayProof{RowVersion: proof.Version, StoreMilliseconds: proof.StoreMilliseconds}
+	message := messenger.GatewayProof{RowEra: proof.Version.Era, RowVersion: proof.Version.Number, StoreMilliseconds: proof.StoreMilliseconds}
 	w.message(from.index, to.index, func() {
 		if message.RowVersion > 0 {
 			if w.plant == agelessProofs {
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -42,6 +42,8 @@
 
 // Changes are the rows of a table that changed up to a version.
 type Changes struct {
+	// Era is the era of the store in which Version was given out; 0 if the store names none.
+	Era     int64
 	Version int64
 	Rows    []messenger.StoreRow
 	Removed []string
@@ -55,13 +57,26 @@
 	IsGapless bool
 }
 
+// StoreVersion returns the version up to which the changes go.
+func (c Changes) StoreVersion() messenger.StoreVersion {
+	return messenger.StoreVersion{Era: c.Era, Number: c.Version}
+}
+
+// later returns the later one of two versions.
+func later(a, b messenger.StoreVersion) messenger.StoreVersion {
+	if a.IsBefore(b) {
+		return b
+	}
+	return a
+}
+
 // Source provides access to the store and to the copies that peers have.
 type Source struct {
 	Read   func(table string) (messenger.TableSnapshot, error)
-	Follow func(table string, after int64, wait time.Duration) (Changes, error)
+	Follow func(table string, after messenger.StoreVersion, wait time.Duration) (Changes, error)
 	// PeerSnapshot returns the copy of a peer that is newer than a version, or
 	// false if no peer has one.
-	PeerSnapshot func(table string, newer int64) (messenger.TableSnapshot, bool)
+	PeerSnapshot func(table string, newer messenger.StoreVersion) (messenger.TableSnapshot, bool)
 	// PeerHasHadStore reports whether a peer has had the store ever since a time: what is missing
 	// then was removed, and did not expire during an outage.
 	PeerHasHadStore func(since time.Time) bool
@@ -88,11 +103,11 @@
 	applying sync.Mutex
 	mu       sync.Mutex
 	rows     map[string]messenger.StoreRow
-	version  int64
+	version  messenger.StoreVersion
 	// removed holds the versions at which rows were removed, for all versions after
 	// historyStart.
-	removed      map[string]int64
-	historyStart int64
+	removed      map[string]messenger.StoreVersion
+	historyStart messenger.StoreVersion
 	// changed is closed and replaced after each change.
 	changed chan struct{}
 	// returnDeadlines holds the entries that were removed during an outage but are kept
@@ -139,7 +154,7 @@
 func New(table string, source Source, apply func(rows []messenger.StoreRow, removed []string), options ...Option) *Follower {
 	f := &Follower{
 		table: table, source: source, wait: maxFeedWait, minInterval: noMinInterval, now: time.Now, apply: apply, log: logr.Discard(),
-		rows: map[string]messenger.StoreRow{}, removed: map[string]int64{}, changed: make(chan struct{}), returnDeadlines: map[string]time.Time{},
+		rows: map[string]messenger.StoreRow{}, removed: map[string]messenger.StoreVersion{}, changed: make(chan struct{}), returnDeadlines: map[string]time.Time{},
 		isReadable: func(messenger.StoreRow) bool { return true },
 		proof:      func() messenger.GatewayProof { return messenger.GatewayProof{} }, receiveProof: func(messenger.GatewayProof) {},
 	}
@@ -199,13 +214,13 @@
 // are no longer available, and the changes otherwise.
 func (f *Follower) advance() error {
 	version := f.Version()
-	if version == 0 {
+	if version.IsZero() {
 		return f.reload()
 	}
 	wait := min(f.wait, f.untilNextReturnDeadline())
 	changes, err := f.source.Follow(f.table, version, wait)
 	if errors.Is(err, ErrHistoryTruncated) {
-		f.log.Info("history of table is truncated", "table", f.table, "version", version)
+		f.log.Info("history of table is truncated", "table", f.table, "era", version.Era, "version", version.Number)
 		return f.reload()
 	}
 	if err != nil {
@@ -229,8 +244,8 @@
 	return nil
 }
 
-// Version returns the version of the copy; 0 before the first read.
-func (f *Follower) Version() int64 {
+// Version returns the version of the copy; zero before the first read.
+func (f *Follower) Version() messenger.StoreVersion {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.version
@@ -263,8 +278,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := messenger.TableSnapshot{
-		Proof:   f.proof(), // before the rows, which are then at least as new
-		Version: f.version, Rows: make([]messenger.StoreRow, 0, len(f.rows)), AgeMilliseconds: f.now().Sub(f.answeredAt).Milliseconds(),
+		Proof: f.proof(), // before the rows, which are then at least as new
+		Era:   f.version.Era, Version: f.version.Number, Rows: make([]messenger.StoreRow, 0, len(f.rows)), AgeMilliseconds: f.now().Sub(f.answeredAt).Milliseconds(),
 	}
 	for _, row := range f.rows {
 		out.Rows = append(out.Rows, row)
@@ -339,7 +354,7 @@
 	f.mu.Lock()
 	now := f.now()
 	deferRemoval := f.mayHaveExpired(now)
-	f.version = max(f.version, changes.Version)
+	f.version = later(f.version, changes.StoreVersion())
 	rows := f.storeRows(changes.Rows, changes.IsGapless)
 	removed := f.removeRows(changes.Removed, deferRemoval)
 	f.mu.Unlock()
@@ -353,7 +368,7 @@
 	stored := make([]messenger.StoreRow, 0, len(rows))
 	for _, row := range rows {
 		known, isKnown := f.rows[row.Key]
-		if isKnown && row.Version < known.Version {
+		if isKnown && row.StoreVersion().IsBefore(known.StoreVersion()) {
 			continue
 		}
 		if isKnown && isGapless && !f.isReadable(row) {
@@ -374,13 +389,15 @@
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.mu.Lock()
-	if snapshot.Version < f.version {
+	if snapshot.StoreVersion().IsBefore(f.version) {
+		known := f.version
 		f.mu.Unlock()
-		f.log.Info("table is older than the local copy", "table", f.table, "version", snapshot.Version)
+		f.log.Info("table is older than the local copy", "table", f.table, "era", snapshot.Era, "version", snapshot.Version,
+			"knownEra", known.Era, "knownVersion", known.Number)
 		return
 	}
 	deferRemoval := mayReturn && f.mayHaveExpired(f.now())
-	f.version = max(f.version, snapshot.Version)
+	f.version = later(f.version, snapshot.StoreVersion())
 	present := make(map[string]bool, len(snapshot.Rows))
 	for _, row := range snapshot.Rows {
 		present[row.Key] = true
@@ -453,14 +470,14 @@
 // copyFromPeer copies the table from a peer that has a newer version, during an outage of
 // the store or if the first read failed.
 func (f *Follower) copyFromPeer() {
-	if f.source.PeerSnapshot == nil || (f.Version() > 0 && !f.IsFailing()) {
+	if f.source.PeerSnapshot == nil || (!f.Version().IsZero() && !f.IsFailing()) {
 		return
 	}
 	snapshot, ok := f.source.PeerSnapshot(f.table, f.Version())
 	if !ok {
 		return
 	}
-	f.log.Info("table taken from a peer", "table", f.table, "version", snapshot.Version)
+	f.log.Info("table taken from a peer", "table", f.table, "era", snapshot.Era, "version", snapshot.Version)
 	// No grace period: a peer that saw the outage still has the rows that may return. Rows
 	// that a peer has removed are removed here too, even if only this instance cannot reach
 	// the store.
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -40,7 +40,7 @@
 	return s.table, nil
 }
 
-func (s *testStore) follow(string, int64, time.Duration) (Changes, error) {
+func (s *testStore) follow(string, messenger.StoreVersion, time.Duration) (Changes, error) {
 	switch {
 	case s.isUnavailable:
 		return Changes{}, errUnavailable
@@ -55,8 +55,8 @@
 	return next, nil
 }
 
-func (s *testStore) peerSnapshot(_ string, newer int64) (messenger.TableSnapshot, bool) {
-	if s.peer == nil || s.peer.Version <= newer {
+func (s *testStore) peerSnapshot(_ string, newer messenger.StoreVersion) (messenger.TableSnapshot, bool) {
+	if s.peer == nil || !s.peer.StoreVersion().IsAfter(newer) {
 		return messenger.TableSnapshot{}, false
 	}
 	return *s.peer, true
@@ -100,7 +100,7 @@
 	assert.Equal(t, map[string]int64{"a": 3, "b": 5}, s.applied)
 	f.Step()
 	assert.Equal(t, map[string]int64{"b": 5, "c": 7}, s.applied)
-	assert.EqualValues(t, 7, f.Version())
+	assert.EqualValues(t, 7, f.Version().Number)
 }
 
 func TestMissingHistoryCausesReload(t *testing.T) {
@@ -127,7 +127,7 @@
 		s.table = snapshot(4)
 		f.Step()
 		assert.Contains(t, s.applied, "a")
-		assert.EqualValues(t, 10, f.Version())
+		assert.EqualValues(t, 10, f.Version().Number)
 	})
 }
 
@@ -264,7 +264,7 @@
 	relay.Step()
 	downstreamStore, downstream := newTestStore()
 	downstream.source.Read = func(string) (messenger.TableSnapshot, error) { return relay.Snapshot(), nil }
-	downstream.source.Follow = func(_ string, after int64, _ time.Duration) (Changes, error) {
+	downstream.source.Follow = func(_ string, after messenger.StoreVersion, _ time.Duration) (Changes, error) {
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
 		changes, err := relay.Since(ctx, after)
@@ -294,7 +294,7 @@
 	})
 	t.Run("age is passed on", func(t *testing.T) {
 		relayStore.now = relayStore.now.Add(3 * time.Second)
-		changes, err := downstream.source.Follow("targets", 12, 0)
+		changes, err := downstream.source.Follow("targets", messenger.StoreVersion{Number: 12}, 0)
 		assert.NoError(t, err)
 		assert.GreaterOrEqual(t, changes.Age, 3*time.Second)
 	})
--- a/internal/gateway/follower/proof.go
+++ b/internal/gateway/follower/proof.go
@@ -37,10 +37,10 @@
 // Confirm asks for the changes once, without waiting for one, beside the calls of Step, which may be
 // stuck. It does nothing before the first read. The error is that of follow or read.
 func (f *Follower) Confirm(
-	follow func(table string, after int64, wait time.Duration) (Changes, error), read func(table string) (messenger.TableSnapshot, error),
+	follow func(table string, after messenger.StoreVersion, wait time.Duration) (Changes, error), read func(table string) (messenger.TableSnapshot, error),
 ) error {
 	version := f.Version()
-	if version == 0 {
+	if version.IsZero() {
 		return nil
 	}
 	changes, err := follow(f.table, version, 0)
--- a/internal/gateway/follower/relay.go
+++ b/internal/gateway/follower/relay.go
@@ -17,7 +17,7 @@
 // holds f.mu.
 func (f *Follower) truncateHistory() {
 	if len(f.removed) > maxRememberedRemovals {
-		f.removed = map[string]int64{}
+		f.removed = map[string]messenger.StoreVersion{}
 		f.historyStart = f.version
 	}
 }
@@ -25,7 +25,7 @@
 // Since returns the changes after a version, for an instance that follows the table
 // through this one. If there are none, it waits for the first one until ctx is done. The
 // error is ErrHistoryTruncated.
-func (f *Follower) Since(ctx context.Context, after int64) (messenger.TableChanges, error) {
+func (f *Follower) Since(ctx context.Context, after messenger.StoreVersion) (messenger.TableChanges, error) {
 	for {
 		f.mu.Lock()
 		changed := f.changed
@@ -45,22 +45,23 @@
 }
 
 // since returns the changes after a version. The caller holds f.mu.
-func (f *Follower) since(after int64) (messenger.TableChanges, error) {
-	if f.version == 0 || after < f.historyStart {
+func (f *Follower) since(after messenger.StoreVersion) (messenger.TableChanges, error) {
+	if f.version.IsZero() || after.IsBefore(f.historyStart) {
 		return messenger.TableChanges{}, errors.Wrap(ErrHistoryTruncated, f.table)
 	}
+	version := later(f.version, after)
 	out := messenger.TableChanges{
-		Proof:   f.proof(), // before the rows, which are then at least as new
-		Version: max(f.version, after), Rows: []messenger.StoreRow{}, Removed: []string{},
+		Proof: f.proof(), // before the rows, which are then at least as new
+		Era:   version.Era, Version: version.Number, Rows: []messenger.StoreRow{}, Removed: []string{},
 		AgeMilliseconds: f.now().Sub(f.answeredAt).Milliseconds(),
 	}
 	for key, row := range f.rows {
-		if _, isMissing := f.returnDeadlines[key]; row.Version > after && !isMissing {
+		if _, isMissing := f.returnDeadlines[key]; row.StoreVersion().IsAfter(after) && !isMissing {
 			out.Rows = append(out.Rows, row)
 		}
 	}
 	for key, version := range f.removed {
-		if version > after {
+		if version.IsAfter(after) {
 			out.Removed = append(out.Removed, key)
 		}
 	}
@@ -70,7 +71,7 @@
 // ChangesFromPeer converts the changes that a peer relayed.
 func ChangesFromPeer(in messenger.TableChanges) Changes {
 	return Changes{
-		Version: in.Version, Rows: in.Rows, Removed: in.Removed, Age: time.Duration(in.AgeMilliseconds) * time.Millisecond,
+		Era: in.Era, Version: in.Version, Rows: in.Rows, Removed: in.Removed, Age: time.Duration(in.AgeMilliseconds) * time.Millisecond,
 		Proof: ProofFromPeer(in.Proof),
 	}
 }
--- a/internal/gateway/foreman/foreman.go
+++ b/internal/gateway/foreman/foreman.go
@@ -203,7 +203,7 @@
 		order.Holder, order.Fence, order.ExpectedOrders = f.holder, grant.Fence, orders
 		done, err := f.calls.Order(t, order)
 		f.log.Info("order", "target", t.ID, "model", order.Model, "adapter", order.Adapter, "unload", order.IsUnload,
-			"expectedOrders", order.ExpectedOrders, "fence", order.Fence, "done", done, "error", recorder.ErrorText(err))
+			"expectedOrders", order.ExpectedOrders, "fence", order.Fence, "outcome", outcomeOf(done, err), "error", recorder.ErrorText(err))
 		switch {
 		case err == nil:
 			f.recordAccepted(s, order, done)
@@ -223,6 +223,38 @@
 	return false, lastErr
 }
 
+// outcome tells in the log what became of an order.
+type outcome string
+
+// Outcomes. An order that was accepted is still being carried out; the effect of one that is done is in
+// place.
+const (
+	outcomeDone        outcome = "Done"
+	outcomeAccepted    outcome = "Accepted"
+	outcomeBusy        outcome = "Busy"
+	outcomeFenced      outcome = "Fenced"
+	outcomeUnknown     outcome = "Unknown"
+	outcomeNotAccepted outcome = "NotAccepted"
+)
+
+// outcomeOf returns the outcome of an order by the target's answer.
+func outcomeOf(done bool, err error) outcome {
+	switch {
+	case err == nil && done:
+		return outcomeDone
+	case err == nil:
+		return outcomeAccepted
+	case errors.Is(err, ErrBusy):
+		return outcomeBusy
+	case errors.Is(err, ErrFenced):
+		return outcomeFenced
+	case errors.Is(err, ErrUnknownOutcome):
+		return outcomeUnknown
+	default:
+		return outcomeNotAccepted
+	}
+}
+
 // preferUnknown returns the earlier error if that order may still take effect, and
 // the later error otherwise.
 func preferUnknown(earlier, later error) error {
--- a/internal/gateway/supervisor/accounts.go
+++ b/internal/gateway/supervisor/accounts.go
@@ -57,7 +57,7 @@
 	}
 	_, err := s.platform.DecodeManifest(row.Value)
 	if err != nil {
-		s.log.Error(err, "manifest cannot be decoded", "rowVersion", row.Version)
+		s.log.Error(err, "manifest cannot be decoded", "rowEra", row.Era, "rowVersion", row.Version)
 	}
 	return err == nil
 }
@@ -106,7 +106,7 @@
 // proof returns the proof to pass on to peers.
 func (s *Supervisor) proof() messenger.GatewayProof {
 	proof := s.confirmer.Proof()
-	return messenger.GatewayProof{RowVersion: proof.Version, StoreMilliseconds: proof.StoreMilliseconds}
+	return messenger.GatewayProof{RowEra: proof.Version.Era, RowVersion: proof.Version.Number, StoreMilliseconds: proof.StoreMilliseconds}
 }
 
 // receiveProof records the proof in an answer of the store, or of a peer, whose rows have been
@@ -117,7 +117,7 @@
 		s.confirmer.Confirm(proof.StoreMilliseconds, latest)
 		return
 	}
-	s.confirmer.Receive(confirmer.Proof{Version: proof.RowVersion, StoreMilliseconds: proof.StoreMilliseconds}, latest)
+	s.confirmer.Receive(confirmer.Proof{Version: proof.StoreVersion(), StoreMilliseconds: proof.StoreMilliseconds}, latest)
 }
 
 // receivePeerProof records the proof in the status of a peer. If it is for a newer manifest, that
@@ -126,7 +126,7 @@
 	if status.Proof.RowVersion <= 0 {
 		return
 	}
-	proof := confirmer.Proof{Version: status.Proof.RowVersion, StoreMilliseconds: status.Proof.StoreMilliseconds}
+	proof := confirmer.Proof{Version: status.Proof.StoreVersion(), StoreMilliseconds: status.Proof.StoreMilliseconds}
 	isNewer := s.confirmer.Receive(proof, s.latestStoreTime())
 	if !isNewer || !s.confirmer.IsRequired() || !s.proofFetches.begin(status.Instance, time.Now()) {
 		return
@@ -158,7 +158,7 @@
 		if isUnconfirmed := s.isUnconfirmed(); isUnconfirmed != wasUnconfirmed {
 			wasUnconfirmed = isUnconfirmed
 			proof := s.confirmer.Proof()
-			s.log.Info("acceptance of account keys changed", "areAccepted", !isUnconfirmed, "rowVersion", proof.Version, "provedAtStoreMilliseconds", proof.StoreMilliseconds,
+			s.log.Info("acceptance of account keys changed", "areAccepted", !isUnconfirmed, "rowEra", proof.Version.Era, "rowVersion", proof.Version.Number, "provedAtStoreMilliseconds", proof.StoreMilliseconds,
 				"storeMilliseconds", s.latestStoreTime())
 		}
 		isDue := s.isProofOld() || (time.Since(last) >= maxConfirmInterval && s.isClockUncertain())
--- a/internal/gateway/supervisor/arrival.go
+++ b/internal/gateway/supervisor/arrival.go
@@ -48,19 +48,19 @@
 		return
 	}
 	for _, row := range a.rows {
-		if row.Key != s.platform.ManifestKey || row.Version <= s.confirmer.Applied() {
+		if row.Key != s.platform.ManifestKey || !row.StoreVersion().IsAfter(s.confirmer.Applied()) {
 			continue
 		}
 		earliest, latest, _ := s.platform.Clock()
 		s.measurer.CountEvent(measurer.ManifestArrival(string(a.from)), 1)
-		s.log.Info("manifest arrives", "rowVersion", row.Version, "from", a.from, "peer", a.peer, "ageMilliseconds", a.age.Milliseconds(),
+		s.log.Info("manifest arrives", "rowEra", row.Era, "rowVersion", row.Version, "from", a.from, "peer", a.peer, "ageMilliseconds", a.age.Milliseconds(),
 			"provedAtStoreMilliseconds", a.proof.StoreMilliseconds, "storeEarliestMilliseconds", earliest, "storeLatestMilliseconds", latest)
 	}
 }
 
 // followStore returns the changes of a table from the store.
-func (s *Supervisor) followStore(from origin) func(table string, after int64, wait time.Duration) (follower.Changes, error) {
-	return func(table string, after int64, wait time.Duration) (follower.Changes, error) {
+func (s *Supervisor) followStore(from origin) func(table string, after messenger.StoreVersion, wait time.Duration) (follower.Changes, error) {
+	return func(table string, after messenger.StoreVersion, wait time.Duration) (follower.Changes, error) {
 		changes, err := s.platform.Follow(table, after, wait)
 		s.observeArrival(arrival{table: table, from: from, rows: changes.Rows, proof: changes.Proof})
 		return changes, err
@@ -91,7 +91,8 @@
 		}
 		return 0
 	})
-	s.measurer.RegisterGauge("Manifest.RowVersion", s.confirmer.Applied)
+	s.measurer.RegisterGauge("Manifest.RowEra", func() int64 { return s.confirmer.Applied().Era })
+	s.measurer.RegisterGauge("Manifest.RowVersion", func() int64 { return s.confirmer.Applied().Number })
 	s.measurer.RegisterGauge("Manifest.ProofAgeMilliseconds", s.proofAgeMilliseconds)
 }
 
--- a/internal/gateway/supervisor/arrival_test.go
+++ b/internal/gateway/supervisor/arrival_test.go
@@ -20,18 +20,18 @@
 	s.log = funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{})
 	s.platform.ManifestTable, s.platform.ManifestKey = "manifests", "config"
 	s.platform.Clock = func() (int64, int64, bool) { return 100, 200, true }
-	s.platform.Follow = func(string, int64, time.Duration) (follower.Changes, error) {
+	s.platform.Follow = func(string, messenger.StoreVersion, time.Duration) (follower.Changes, error) {
 		return follower.Changes{Version: 4, Rows: []messenger.StoreRow{{Key: "config", Version: 4}}}, nil
 	}
 	for _, from := range []origin{originStoreFeed, originDirect} {
-		_, err := s.followStore(from)("manifests", 1, 0)
+		_, err := s.followStore(from)("manifests", messenger.StoreVersion{Number: 1}, 0)
 		require.NoError(t, err)
 	}
 	require.Len(t, lines, 2)
 	assert.Contains(t, lines[0], `"from"="StoreFeed"`)
 	assert.Contains(t, lines[1], `"from"="Direct"`)
-	s.confirmer.SetApplied(4)
-	_, err := s.followStore(originDirect)("manifests", 1, 0)
+	s.confirmer.SetApplied(messenger.StoreVersion{Number: 4})
+	_, err := s.followStore(originDirect)("manifests", messenger.StoreVersion{Number: 1}, 0)
 	require.NoError(t, err)
 	assert.Len(t, lines, 2, "it has that manifest")
 }
--- a/internal/gateway/supervisor/cell.go
+++ b/internal/gateway/supervisor/cell.go
@@ -82,7 +82,7 @@
 
 // followTable returns the changes of a table from a reader, or from the store if no
 // reader has a fresh copy.
-func (s *Supervisor) followTable(table string, after int64, wait time.Duration) (follower.Changes, error) {
+func (s *Supervisor) followTable(table string, after messenger.StoreVersion, wait time.Duration) (follower.Changes, error) {
 	for _, reader := range s.storeReaders() {
 		changes, err := s.followThroughReader(reader, table, after, min(wait, maxReaderWait))
 		if err == nil || errors.Is(err, follower.ErrHistoryTruncated) {
@@ -93,9 +93,9 @@
 	return s.followStore(originStoreFeed)(table, after, wait)
 }
 
-func (s *Supervisor) followThroughReader(reader informer.Peer, table string, after int64, wait time.Duration) (follower.Changes, error) {
+func (s *Supervisor) followThroughReader(reader informer.Peer, table string, after messenger.StoreVersion, wait time.Duration) (follower.Changes, error) {
 	query := url.Values{
-		"name": {table}, "after": {strconv.FormatInt(after, 10)}, "wait": {strconv.FormatInt(wait.Milliseconds(), 10)},
+		"name": {table}, "era": {strconv.FormatInt(after.Era, 10)}, "after": {strconv.FormatInt(after.Number, 10)}, "wait": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	var in messenger.TableChanges
 	err := s.poster.Do(poster.Call{
@@ -163,7 +163,7 @@
 func (s *Supervisor) mayHaveReaders() bool {
 	instanceCount := int(s.instanceCount.Load())
 	switch {
-	case s.instances.Version() == 0:
+	case s.instances.Version().IsZero():
 		return true
 	case instanceCount < minCellSize:
 		return false
@@ -177,7 +177,7 @@
 	if err != nil {
 		return out, err
 	}
-	if out.Version == 0 || out.Version < s.follower(table).Version() {
+	if out.Version == 0 || out.StoreVersion().IsBefore(s.follower(table).Version()) {
 		return out, errStaleTable
 	}
 	return out, checkAge(table, time.Duration(out.AgeMilliseconds)*time.Millisecond, 0)
@@ -188,7 +188,7 @@
 func (s *Supervisor) serveChanges(ctx *fasthttp.RequestCtx) {
 	name := string(ctx.QueryArgs().Peek("name"))
 	table := s.follower(name)
-	after, err := strconv.ParseInt(string(ctx.QueryArgs().Peek("after")), 10, 64)
+	after, err := parseVersion(ctx.QueryArgs())
 	if table == nil || err != nil {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
@@ -207,6 +207,17 @@
 	s.encode(ctx, changes)
 }
 
+// parseVersion returns the version after which changes are asked for. The era may be missing.
+func parseVersion(query *fasthttp.Args) (out messenger.StoreVersion, err error) {
+	if query.Has("era") {
+		out.Era, err = strconv.ParseInt(string(query.Peek("era")), 10, 64)
+	}
+	if err == nil {
+		out.Number, err = strconv.ParseInt(string(query.Peek("after")), 10, 64)
+	}
+	return out, err
+}
+
 // follower returns the follower of a table that is served to peers; nil for any other
 // table.
 func (s *Supervisor) follower(table string) *follower.Follower {
--- a/internal/gateway/supervisor/cell_test.go
+++ b/internal/gateway/supervisor/cell_test.go
@@ -53,7 +53,7 @@
 			calls.reads++
 			return messenger.TableSnapshot{Version: 1}, nil
 		},
-		Follow: func(string, int64, time.Duration) (follower.Changes, error) {
+		Follow: func(string, messenger.StoreVersion, time.Duration) (follower.Changes, error) {
 			calls.follows++
 			return follower.Changes{Version: 2}, nil
 		},
@@ -77,7 +77,7 @@
 	const old = time.Minute
 	follow := func(t *testing.T, s *Supervisor, table string, want int64) {
 		t.Helper()
-		changes, err := s.followTable(table, 1, time.Second)
+		changes, err := s.followTable(table, messenger.StoreVersion{Number: 1}, time.Second)
 		require.NoError(t, err)
 		assert.Equal(t, want, changes.Version)
 	}
@@ -103,7 +103,7 @@
 	})
 	t.Run("a whole table when the history was dropped", func(t *testing.T) {
 		s, calls := newReadingInstance(t, &readerPeer{version: 7, isHistoryTruncated: true}, &readerPeer{version: 8, isHistoryTruncated: true})
-		_, err := s.followTable(targetTable, 1, time.Second)
+		_, err := s.followTable(targetTable, messenger.StoreVersion{Number: 1}, time.Second)
 		require.ErrorIs(t, err, follower.ErrHistoryTruncated)
 		table, err := s.readTable(targetTable)
 		require.NoError(t, err)
@@ -123,7 +123,7 @@
 func TestContendersTakeTurns(t *testing.T) {
 	s, _ := newReadingInstance(t)
 	s.targets.Step()
-	require.Positive(t, s.targets.Version())
+	require.Positive(t, s.targets.Version().Number)
 	assert.False(t, s.mayContend(time.Now()))
 	assert.True(t, s.mayContend(time.Now().Add(-maxReaders*contendDelay)))
 }
--- a/internal/gateway/supervisor/hung_reader_test.go
+++ b/internal/gateway/supervisor/hung_reader_test.go
@@ -26,7 +26,7 @@
 	s := New(messenger.GatewaySettings{Instance: name, DataCentre: "a"}, Platform{
 		ManifestTable: manifestTable,
 		Read:          func(string) (messenger.TableSnapshot, error) { return messenger.TableSnapshot{Version: 1}, nil },
-		Follow: func(string, int64, time.Duration) (follower.Changes, error) {
+		Follow: func(string, messenger.StoreVersion, time.Duration) (follower.Changes, error) {
 			<-t.Context().Done()
 			return follower.Changes{}, t.Context().Err()
 		},
@@ -49,7 +49,7 @@
 		Read: func(string) (messenger.TableSnapshot, error) {
 			return messenger.TableSnapshot{Version: newVersion}, nil
 		},
-		Follow: func(string, int64, time.Duration) (follower.Changes, error) {
+		Follow: func(string, messenger.StoreVersion, time.Duration) (follower.Changes, error) {
 			return follower.Changes{Version: newVersion}, nil
 		},
 	}, logr.Discard())
@@ -67,7 +67,7 @@
 	receiveStatuses()
 	go every(t.Context(), statusInterval, receiveStatuses)
 	began := time.Now() // the change is acknowledged right after the readers' last answers
-	for s.manifests.Version() < newVersion && time.Since(began) < 2*applyBound {
+	for s.manifests.Version().Number < newVersion && time.Since(began) < 2*applyBound {
 		s.manifests.Step()
 	}
 	assert.Less(t, time.Since(began), applyBound)
--- a/internal/gateway/supervisor/lease.go
+++ b/internal/gateway/supervisor/lease.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/crocusring/crocusring/internal/control/leaser"
 	"github.com/crocusring/crocusring/internal/gateway/foreman"
 	"github.com/crocusring/crocusring/internal/node/timekeeper"
@@ -34,10 +36,10 @@
 	handoverMargin = 300 * time.Millisecond
 )
 
-func newLeaser(settings messenger.GatewaySettings, incarnation int64, platform Platform) *leaser.Leaser {
-	tables := leaser.Tables{Get: platform.Get, Clock: platform.Clock, Transact: func(req messenger.TransactRequest) ([]int64, error) {
+func newLeaser(settings messenger.GatewaySettings, incarnation int64, platform Platform, log logr.Logger) *leaser.Leaser {
+	tables := leaser.Tables{Get: platform.Get, Clock: platform.Clock, Transact: func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
 		version, err := platform.Transact(req)
-		versions := make([]int64, len(req.Writes))
+		versions := make([]messenger.StoreVersion, len(req.Writes))
 		for i := range versions {
 			versions[i] = version
 		}
@@ -45,7 +47,14 @@
 	}}
 	return leaser.New(settings.Instance, strconv.FormatInt(incarnation, 10), tables,
 		leaser.WithTimes(leaser.Times{TTL: leaseTTL, Margin: leaseMargin, RenewInterval: leaseRenewInterval}),
-		leaser.WithClock(timekeeper.BootTime))
+		leaser.WithClock(timekeeper.BootTime), leaser.WithObserver(func(a leaser.Acquisition) { logAcquisition(log, a) }))
+}
+
+// logAcquisition logs from which row the lease was taken.
+func logAcquisition(log logr.Logger, a leaser.Acquisition) {
+	log.Info("lease on orders acquired", "fence", a.Fence, "era", a.Row.Era, "rowVersion", a.Row.Number,
+		"oldHolder", a.Old.Holder, "oldIncarnation", a.Old.Incarnation, "oldFence", a.Old.Fence, "oldReleased", a.Old.Released,
+		"oldEra", a.OldRow.Era, "oldRowVersion", a.OldRow.Number)
 }
 
 // orderPermit grants the right to send orders to the holder of the lease on orders once
@@ -122,7 +131,7 @@
 // instances that read the store for this one try first, and this one tries only if none
 // of them acquires it.
 func (s *Supervisor) mayContend(unheldSince time.Time) bool {
-	if s.targets.Version() == 0 {
+	if s.targets.Version().IsZero() {
 		return false
 	}
 	readers := len(s.storeReaders())
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -47,10 +47,11 @@
 func (s *Supervisor) status(to informer.Recipient) messenger.GatewayNews {
 	_, isHolder := s.leaser.Held(timekeeper.BootTime())
 	report := s.limiter.Report()
+	manifests, targets := s.manifests.Version(), s.targets.Version()
 	status := messenger.GatewayNews{
 		Instance: s.settings.Instance, Incarnation: s.incarnation, CallerAddress: s.settings.CallerAddress,
 		PeerAddress: s.settings.PeerAddress, DataCentre: s.settings.DataCentre, Ready: s.isReady(),
-		Leaving: s.leaving.Load(), ManifestVersion: s.manifests.Version(), TargetsVersion: s.targets.Version(),
+		Leaving: s.leaving.Load(), ManifestEra: manifests.Era, ManifestVersion: manifests.Number, TargetsEra: targets.Era, TargetsVersion: targets.Number,
 		Holder: isHolder && !s.leaving.Load(), LoadAddress: s.settings.LoadAddress, Demand: []messenger.GatewayDemand{},
 		Overlays: []messenger.GatewayOverlay{}, Load: messenger.GatewayLoad{Targets: messenger.GatewayLoadTargets{}},
 		LimitDigest: report.Digest, LimitMembers: report.Size, VerdictDigest: s.quarantiner.Digest(time.Now()),
@@ -120,14 +121,14 @@
 
 // peerSnapshot returns the copy of a table from the peer with the newest version of it,
 // if that is newer than a given version.
-func (s *Supervisor) peerSnapshot(table string, newer int64) (messenger.TableSnapshot, bool) {
+func (s *Supervisor) peerSnapshot(table string, newer messenger.StoreVersion) (messenger.TableSnapshot, bool) {
 	address, name := "", ""
 	for _, peer := range s.informer.Peers() {
-		version := peer.LastStatus.ManifestVersion
+		version := peer.LastStatus.ManifestStoreVersion()
 		if table == s.platform.TargetTable {
-			version = peer.LastStatus.TargetsVersion
+			version = peer.LastStatus.TargetsStoreVersion()
 		}
-		if table != instanceTable && version > newer {
+		if table != instanceTable && version.IsAfter(newer) {
 			newer, address, name = version, peer.LastStatus.PeerAddress, peer.LastStatus.Instance
 		}
 	}
--- a/internal/gateway/supervisor/servers.go
+++ b/internal/gateway/supervisor/servers.go
@@ -78,7 +78,7 @@
 // isReady reports whether callers should use this instance.
 func (s *Supervisor) isReady() bool {
 	view := s.registry.View()
-	return view.Manifest != nil && s.targets.Version() > 0 && !s.verdictRows.isWaiting.Load() && !s.leaving.Load()
+	return view.Manifest != nil && !s.targets.Version().IsZero() && !s.verdictRows.isWaiting.Load() && !s.leaving.Load()
 }
 
 func (s *Supervisor) serveReadiness(ctx *fasthttp.RequestCtx) {
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -53,11 +53,14 @@
 	DecodeManifest  func(value []byte) (*registrar.Manifest, error)
 	DecodeTarget    func(id string, value []byte) (*registrar.Target, error)
 	Read            func(table string) (messenger.TableSnapshot, error)
-	Follow          func(table string, after int64, wait time.Duration) (follower.Changes, error)
+	Follow          func(table string, after messenger.StoreVersion, wait time.Duration) (follower.Changes, error)
 	Get             func(table, key string) (messenger.Row, error)
-	Transact        func(messenger.TransactRequest) (int64, error)
+	Transact        func(messenger.TransactRequest) (messenger.StoreVersion, error)
 	// Clock returns bounds of the current time of the store's clock, in milliseconds.
 	Clock func() (earliest, latest int64, ok bool)
+	// OnEra sets the function that is called with each change of era of the store; nil if there are
+	// no eras.
+	OnEra func(onChange func(follower.EraChange))
 	Order func(target *registrar.Target, order foreman.Order) (done bool, err error)
 	State func(target *registrar.Target) (foreman.State, error)
 }
@@ -162,8 +165,9 @@
 	s.guards = s.newGuards()
 	s.registerGauges()
 	s.registerManifestGauges()
+	s.watchEras()
 	s.prober = prober.New(s.conductor.Probe)
-	s.leaser = newLeaser(settings, s.incarnation, platform)
+	s.leaser = newLeaser(settings, s.incarnation, platform, log)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
 	s.foreman = foreman.New(settings.Instance,
 		foreman.Callbacks{Order: s.sendOrder, State: s.queryState, Grant: s.orderGrant, Limit: s.namedLimit},
@@ -269,15 +273,15 @@
 		}
 		manifest, err := s.platform.DecodeManifest(row.Value)
 		if err != nil {
-			s.log.Error(err, "manifest cannot be decoded", "rowVersion", row.Version)
-			s.confirmer.SetUnreadable(row.Version)
+			s.log.Error(err, "manifest cannot be decoded", "rowEra", row.Era, "rowVersion", row.Version)
+			s.confirmer.SetUnreadable(row.StoreVersion())
 			continue
 		}
 		isApplied := s.registry.SetManifest(manifest)
 		s.applyQuotas()
-		s.log.Info("manifest", "version", manifest.Version, "rowVersion", row.Version, "routes", len(manifest.Routes), "taken", isApplied,
+		s.log.Info("manifest", "version", manifest.Version, "rowEra", row.Era, "rowVersion", row.Version, "routes", len(manifest.Routes), "taken", isApplied,
 			"proofAgeMilliseconds", s.proofAgeMilliseconds())
-		s.confirmer.SetApplied(row.Version)
+		s.confirmer.SetApplied(row.StoreVersion())
 	}
 }
 
@@ -308,7 +312,7 @@
 func (s *Supervisor) applyTarget(targets map[string]*registrar.Target, row messenger.StoreRow) {
 	target, err := s.platform.DecodeTarget(row.Key, row.Value)
 	if err != nil {
-		s.log.Info("entry names no target", "key", row.Key, "rowVersion", row.Version, "error", err.Error())
+		s.log.Info("entry names no target", "key", row.Key, "rowEra", row.Era, "rowVersion", row.Version, "error", err.Error())
 		delete(targets, row.Key)
 		return
 	}
@@ -321,7 +325,7 @@
 	}
 	if old == nil || old.StartMilliseconds != target.StartMilliseconds || old.Leaving != target.Leaving {
 		s.log.Info("target", "target", target.ID, "service", target.Service, "address", target.Address,
-			"leaving", target.Leaving, "born", target.StartMilliseconds, "rowVersion", row.Version)
+			"leaving", target.Leaving, "born", target.StartMilliseconds, "rowEra", row.Era, "rowVersion", row.Version)
 	}
 	if old != nil && old.StartMilliseconds != target.StartMilliseconds {
 		s.balancer.ResetTarget(target.ID)
@@ -406,7 +410,7 @@
 		view := s.registry.View()
 		s.balancer.Prune(view)
 		s.limiter.Prune(func(target string) bool { return view.Targets[target] != nil })
-		if s.instances.Version() > 0 {
+		if !s.instances.Version().IsZero() {
 			s.budget.SetInstances(max(int(s.instanceCount.Load()), len(s.informer.Peers())+1))
 		}
 	})
--- a/internal/state/measurer/event.go
+++ b/internal/state/measurer/event.go
@@ -45,6 +45,8 @@
 	// old proof, and AccountFetches the manifests that it read from a peer with a newer one.
 	AccountDirectProofs Event = "Account.DirectProofs"
 	AccountFetches      Event = "Account.Fetches"
+	// StoreEraChanges counts how often the store came back from a copy.
+	StoreEraChanges Event = "Store.EraChanges"
 )
 
 // HedgeEvent returns the event of the second run of a request; there are few of them.
@@ -62,7 +64,7 @@
 	CutTargetEnded, CutTargetPresent, CutTargetUnknown, CutTargetLeaving, CutUnanswered,
 	QuarantineSuspects, QuarantineConvictions, QuarantineTakenBack, QuarantineRefused, QuarantineRefusedForPart,
 	SlotGranted, SlotRefusedBacklog, SlotRefusedLate, SlotRefusedNoTarget, SlotUnanswered,
-	AccountUnknownKey, AccountUnconfirmed, AccountDirectProofs, AccountFetches,
+	AccountUnknownKey, AccountUnconfirmed, AccountDirectProofs, AccountFetches, StoreEraChanges,
 	HedgeEvent("Sent"), HedgeEvent("Won"), HedgeEvent("NoRoom"), HedgeEvent("NoBudget"),
 }
 
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -84,6 +84,10 @@
 // Condition requires that a row has Version; 0 requires that the row does not
 // exist.
 type Condition struct {
+	// Era is the era of the store in which Version was given out; 0 if the store
+	// names none.
+	Era int64 `json:"Era"`
+
 	// Key corresponds to the JSON schema field "Key".
 	Key string `json:"Key"`
 
@@ -427,6 +431,10 @@
 	// loads of its peers.
 	LoadAddress string `json:"LoadAddress"`
 
+	// ManifestEra is the era of the store of ManifestVersion; 0 if the store names
+	// none.
+	ManifestEra int64 `json:"ManifestEra"`
+
 	// ManifestVersion is the version of the row of the manifest that the instance
 	// applies.
 	ManifestVersion int64 `json:"ManifestVersion"`
@@ -451,6 +459,10 @@
 	// with each other only.
 	SentNanoseconds int64 `json:"SentNanoseconds"`
 
+	// TargetsEra is the era of the store of TargetsVersion; 0 if the store names
+	// none.
+	TargetsEra int64 `json:"TargetsEra"`
+
 	// TargetsVersion is the version up to which the instance has read the target
 	// table.
 	TargetsVersion int64 `json:"TargetsVersion"`
@@ -482,6 +494,10 @@
 // GatewayProof states that a row of the manifest was the newest one at a time of
 // the store's clock. It stays true however late it arrives.
 type GatewayProof struct {
+	// RowEra is the era of the store whose clock StoreMilliseconds was read from, and
+	// in which RowVersion was given out; 0 if the store names none.
+	RowEra int64 `json:"RowEra"`
+
 	// RowVersion is the version of the row; 0 if the proof is about the rows that it
 	// comes with.
 	RowVersion int64 `json:"RowVersion"`
@@ -1041,6 +1057,10 @@
 
 // Row is one row of a table. Version counts its writes, starting at 1.
 type Row struct {
+	// Era is the era of the store in which Version was given out; 0 if the store
+	// names none.
+	Era int64 `json:"Era"`
+
 	// Key corresponds to the JSON schema field "Key".
 	Key string `json:"Key"`
 
@@ -1255,6 +1275,10 @@
 
 // StoreRow is a row as it was read from the platform's store.
 type StoreRow struct {
+	// Era is the era of the store in which Version was given out; 0 if the store
+	// names none.
+	Era int64 `json:"Era"`
+
 	// Key corresponds to the JSON schema field "Key".
 	Key string `json:"Key"`
 
@@ -1272,6 +1296,10 @@
 	// the changes.
 	AgeMilliseconds int64 `json:"AgeMilliseconds"`
 
+	// Era is the era of the store in which Version was given out; 0 if the store
+	// names none.
+	Era int64 `json:"Era"`
+
 	// Proof corresponds to the JSON schema field "Proof".
 	Proof GatewayProof `json:"Proof"`
 
@@ -1291,6 +1319,10 @@
 	// the snapshot.
 	AgeMilliseconds int64 `json:"AgeMilliseconds"`
 
+	// Era is the era of the store in which Version was given out; 0 if the store
+	// names none.
+	Era int64 `json:"Era"`
+
 	// Proof corresponds to the JSON schema field "Proof".
 	Proof GatewayProof `json:"Proof"`
 
--- a/internal/wire/poster/poster.go
+++ b/internal/wire/poster/poster.go
@@ -127,9 +127,12 @@
 	IsAlone bool
 	// Header is an additional header of the request; none if its name is empty.
 	Header Header
+	// AnswerHeader, if not nil, names a header whose value in the answer, whatever its status, is
+	// stored there; empty if the answer has none.
+	AnswerHeader *Header
 }
 
-// Header is a header of a request.
+// Header is a header of a request or of an answer.
 type Header struct {
 	Name  string
 	Value string
@@ -181,6 +184,9 @@
 	if err := c.do(req, resp, call.Deadline); err != nil {
 		return "", classify(call.URL, err)
 	}
+	if call.AnswerHeader != nil {
+		call.AnswerHeader.Value = string(resp.Header.Peek(call.AnswerHeader.Name))
+	}
 	etag = string(resp.Header.Peek(fasthttp.HeaderETag))
 	if call.ETag != "" && resp.StatusCode() == fasthttp.StatusNotModified {
 		return etag, ErrNotModified
