Let no fencing token be given out twice when the store comes back from a copy

After a drill the lease row and the fence row are of before, and the next holder added one to a token that a lost holder had used. The row's holder, release and expiry were believed too, so that two could act at a time.

The era leads the token now (era << 32), so that tokens of two eras cannot meet; tokens that this instance or its peers know of are exceeded as well. A row that was written in an earlier era is no evidence that the lease is free: its contenders wait a whole TTL from when they met the era, except the instance whose own grant proves that nobody came after it. What was written in another era than it was computed in is not acted on. The last holder goes before the others and need not hand over to itself, so that orders go on. A holder whose token a target refuses takes a higher one instead of waiting for good.

--- /dev/null
+++ b/internal/control/leaser/era.go
@@ -0,0 +1,140 @@
+package leaser
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+)
+
+const (
+	// maxFence is above all fencing tokens that an instance writes, and is read exactly where numbers
+	// are floating-point.
+	maxFence = 1 << 53
+	// eraShift is the number of bits of a fencing token below the era.
+	eraShift = 32
+	// maxEra is the highest era that leads a fencing token.
+	maxEra = maxFence>>eraShift - 1
+	// maxRefusalShift bounds by how much a token is raised that was refused again and again.
+	maxRefusalShift = 20
+)
+
+// errEraChanged reports that the table service came back from a copy while the lease was written.
+var errEraChanged = errors.New("era of the table service has changed")
+
+// MeetEra records that the table service is in an era.
+func (l *Leaser) MeetEra(era int64) {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if era <= l.era {
+		return
+	}
+	l.era, l.eraMetAt = era, now
+	if l.isLastHolder() {
+		l.nextReadAt = now
+	}
+}
+
+// NoteFence records a fencing token that another instance knows of.
+func (l *Leaser) NoteFence(fence int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if fence>>eraShift <= max(l.era, 0) {
+		l.knownFence = max(l.knownFence, fence)
+	}
+}
+
+// KnownFence returns the highest fencing token that this instance has heard of.
+func (l *Leaser) KnownFence() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.knownFence
+}
+
+// NoteRefused records that a fencing token was refused as outdated. If the row still names this
+// instance with that token, it acquires the lease anew with a higher one.
+func (l *Leaser) NoteRefused(fence int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if fence != l.grant.Fence || l.isRefused {
+		return
+	}
+	l.isRefused = true
+	l.refusals = min(l.refusals+1, maxRefusalShift)
+}
+
+// IsLastHolder reports whether no later holder than this instance is known.
+func (l *Leaser) IsLastHolder() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isLastHolder()
+}
+
+// isWrittenIn reports whether a record was written in the era of its row, so that what it says of its holder
+// holds. Of a service without eras it always does.
+func isWrittenIn(record Record, row messenger.StoreVersion) bool {
+	return row.Era == 0 || (row.Number > 0 && record.Era == row.Era)
+}
+
+// isLastHolder is IsLastHolder. The caller holds l.mu.
+func (l *Leaser) isLastHolder() bool { return l.grant.Fence > 0 && l.grant.Fence >= l.knownFence }
+
+// isSurelyLast reports whether no other instance can have acquired the lease since the last grant of this
+// one: those that saw the grant in its era had to wait for its end, which came after this instance had met
+// the current era, and the others wait as long from when they meet a later era. The caller holds l.mu.
+func (l *Leaser) isSurelyLast() bool {
+	return l.grant.Fence > 0 && !l.released && l.eraMetAt.Before(l.grantedAt.Add(l.times.TTL))
+}
+
+// earlierErasEnd returns from when this instance may acquire a lease whose row is of an earlier era: the
+// grants of earlier eras were written before it met the current one. An instance that was the last holder
+// goes before the others, which would have to wait after its grant. The caller holds l.mu.
+func (l *Leaser) earlierErasEnd() time.Time {
+	end := l.eraMetAt.Add(l.times.TTL)
+	if l.isLastHolder() {
+		return end
+	}
+	return end.Add(l.times.Margin)
+}
+
+// previousEnd returns when the grant of the previous holder ended, by this instance's clock; zero if there
+// was none. The caller holds l.mu, and has not recorded its own new grant yet.
+func (l *Leaser) previousEnd(version messenger.StoreVersion, old Record, now time.Time) time.Time {
+	switch {
+	case version.Era > 0 && isWrittenIn(old, version) && l.isOwn(old):
+		return l.previousEndedAt // it goes on with its own grant
+	case isWrittenIn(old, version):
+		return l.grantEnd(old, now)
+	case l.knownFence == 0:
+		return time.Time{}
+	case l.isLastHolder():
+		return l.previousEndedAt
+	}
+	return earlier(now, l.eraMetAt.Add(l.times.TTL-l.times.Margin))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// nextFence returns a fencing token above all that are known: those of the lease row and of the fence row,
+// either of which another writer may have spoiled, and those of this instance and of its peers.
+func (l *Leaser) nextFence(era int64, fenceRow messenger.Row) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var last int64
+	if json.Unmarshal(fenceRow.Value, &last) != nil || last < 0 || last > maxFence {
+		last = 0
+	}
+	step := int64(1)
+	if l.isRefused {
+		step <<= l.refusals - 1
+	}
+	return max(l.knownFence, last, min(era, maxEra)<<eraShift) + step
+}
--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -2,6 +2,10 @@
 // service. The row carries a fencing token that rises with each new holder. Each
 // acquisition also writes the fence row, so that transactions that are
 // conditional on it fail for every earlier holder.
+//
+// A service that comes back from a copy, in a later era, may have lost the last holders. A row of an
+// earlier era is therefore no evidence that the lease is free, and the era leads the fencing token, so
+// that tokens of two eras differ.
 package leaser
 
 import (
@@ -83,9 +87,11 @@
 type Record struct {
 	Holder      string
 	Incarnation string
-	Fence       int64
-	Renewals    int64
-	Released    bool
+	// Era is the era of the table service in which the record was written; 0 if it names none.
+	Era      int64
+	Fence    int64
+	Renewals int64
+	Released bool
 	// Lapses is when the lease surely has expired unless it is renewed, in
 	// milliseconds of the table service's clock; 0 if that clock is not known.
 	Lapses int64
@@ -120,12 +126,28 @@
 
 	callMu sync.Mutex // serializes Tick and Release, including their calls to the table service
 
-	mu           sync.Mutex
+	mu sync.Mutex
+	// record is what the row said when it was last read or written, at leaseVersion.
 	record       Record
 	leaseVersion messenger.StoreVersion
-	fenceVersion messenger.StoreVersion
 	// changeSeenAt is when this instance last saw the row change.
 	changeSeenAt time.Time
+	// era is the latest era of the table service that is known, and eraMetAt is when this instance
+	// met it.
+	era      int64
+	eraMetAt time.Time
+	// knownFence is the highest fencing token that this instance has heard of.
+	knownFence int64
+	// grant is the last record that this instance wrote as holder, grantedAt is when it began to
+	// write it, and grantVersion and fenceVersion are the versions of the rows.
+	grant        Record
+	grantedAt    time.Time
+	grantVersion messenger.StoreVersion
+	fenceVersion messenger.StoreVersion
+	// refusals is how often the token of the grant was refused though the row names it.
+	refusals int
+	// isRefused is set until the lease is acquired anew with a higher token.
+	isRefused bool
 	// heldUntil is the deadline until which this instance may act as holder.
 	heldUntil time.Time
 	renewAt   time.Time
@@ -175,7 +197,7 @@
 	return Grant{
 		Instance:        l.instance,
 		Incarnation:     l.incarnation,
-		Fence:           l.record.Fence,
+		Fence:           l.grant.Fence,
 		Deadline:        l.heldUntil,
 		PreviousEndedAt: l.previousEndedAt,
 		FenceCondition:  condition(fenceKey, l.fenceVersion),
@@ -199,10 +221,15 @@
 	held := now.Before(l.heldUntil)
 	due := !now.Before(l.renewAt)
 	isEarly := !held && now.Before(l.nextReadAt)
+	mustAcquire := held && (l.grant.Era < l.era || l.isRefused)
 	released := l.released
 	l.mu.Unlock()
 	switch {
-	case released || isEarly || (held && !due):
+	case released || isEarly:
+		return nil
+	case mustAcquire:
+		return l.contend()
+	case held && !due:
 		return nil
 	case held:
 		return l.renew(now)
@@ -218,7 +245,11 @@
 	defer l.mu.Unlock()
 	l.nextReadAt = now.Add(followInterval)
 	expiresAt := l.changeSeenAt.Add(l.times.TTL)
-	if earliest, _, ok := l.clock(); ok && l.record.Lapses > 0 {
+	earliest, _, ok := l.clock()
+	switch {
+	case !isWrittenIn(l.record, l.leaseVersion):
+		expiresAt = l.earlierErasEnd()
+	case ok && l.record.Lapses > 0:
 		expiresAt = now.Add(time.Duration(l.record.Lapses-earliest) * time.Millisecond)
 	}
 	if expiresAt.After(now) && expiresAt.Before(l.nextReadAt) {
@@ -230,13 +261,16 @@
 // renew writes the row again. The new deadline counts from before the write.
 func (l *Leaser) renew(now time.Time) error {
 	l.mu.Lock()
-	next := l.record
-	leaseVersion := l.leaseVersion
+	next := l.grant
+	version := l.grantVersion
 	l.mu.Unlock()
 	next.Renewals++
 	next.Lapses = l.expiry()
-	versions, err := l.write(next, []messenger.Condition{condition(leaseKey, leaseVersion)}, nil)
+	versions, err := l.write(next, []messenger.Condition{condition(leaseKey, version)}, nil)
 	switch {
+	case err == nil && versions[0].Era != next.Era:
+		l.MeetEra(versions[0].Era)
+		return errors.Wrapf(errEraChanged, "renewal of era %d", next.Era)
 	case err == nil:
 		l.recordGrant(now, next, versions[0])
 		return nil
@@ -249,7 +283,7 @@
 // confirmRenewal reads the row after a renewal whose outcome is unknown, or that
 // failed with a conflict, which an earlier renewal of unknown outcome can cause.
 // If the row still names this grant, no other instance has acquired the lease.
-// The deadline is not extended.
+// The deadline is not extended. A row of a later era says nothing about this grant.
 func (l *Leaser) confirmRenewal(cause error) error {
 	row, record, err := l.read()
 	if err != nil {
@@ -257,12 +291,15 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.isOwn(record) || record.Fence != l.record.Fence {
+	switch {
+	case row.Era != l.grant.Era:
+		return cause
+	case !l.isOwn(record) || record.Fence != l.grant.Fence:
 		l.heldUntil = time.Time{}
 		return cause
 	}
-	l.record = record
-	l.leaseVersion = row.StoreVersion()
+	l.record, l.grant = record, record
+	l.leaseVersion, l.grantVersion = row.StoreVersion(), row.StoreVersion()
 	return nil
 }
 
@@ -270,12 +307,13 @@
 	return record.Holder == l.instance && record.Incarnation == l.incarnation
 }
 
-func (l *Leaser) recordGrant(now time.Time, record Record, leaseVersion messenger.StoreVersion) {
+func (l *Leaser) recordGrant(now time.Time, record Record, version messenger.StoreVersion) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.record = record
-	l.leaseVersion = leaseVersion
-	l.changeSeenAt = now
+	l.record, l.grant = record, record
+	l.leaseVersion, l.grantVersion = version, version
+	l.knownFence = max(l.knownFence, record.Fence)
+	l.changeSeenAt, l.grantedAt = now, now
 	l.heldUntil = now.Add(l.times.TTL - l.times.Margin)
 	l.renewAt = now.Add(l.times.RenewInterval)
 }
@@ -296,7 +334,11 @@
 	}
 	l.leaseVersion = row.StoreVersion()
 	l.record = record
-	isFree := row.Version == 0 || record.Released || l.isOwn(record) || l.hasExpired(record) || !now.Before(l.changeSeenAt.Add(l.times.TTL))
+	l.knownFence = max(l.knownFence, record.Fence)
+	isFree := l.isFree(row, record, now)
+	if isWrittenIn(record, row.StoreVersion()) && row.Era == l.era && !l.isOwn(record) {
+		l.heldUntil = time.Time{} // a grant of an earlier era has been superseded
+	}
 	l.mu.Unlock()
 	if !isFree {
 		return nil
@@ -304,6 +346,21 @@
 	return l.acquire(row.StoreVersion(), record)
 }
 
+// isFree reports whether this instance may acquire the lease. The caller holds l.mu.
+func (l *Leaser) isFree(row messenger.Row, record Record, now time.Time) bool {
+	switch {
+	case row.Era < l.era:
+		return false // a late answer
+	case row.Version == 0 && l.knownFence == 0:
+		return true // there has never been a holder
+	case row.Version == 0 && row.Era == 0:
+		return true
+	case !isWrittenIn(record, row.StoreVersion()):
+		return l.isSurelyLast() || !now.Before(l.earlierErasEnd())
+	}
+	return record.Released || l.isOwn(record) || l.hasExpired(record) || !now.Before(l.changeSeenAt.Add(l.times.TTL))
+}
+
 // acquire writes the lease with the next fencing token. The deadline counts from
 // before the write.
 func (l *Leaser) acquire(version messenger.StoreVersion, old Record) error {
@@ -311,7 +368,10 @@
 	if err != nil {
 		return err
 	}
-	next := Record{Holder: l.instance, Incarnation: l.incarnation, Fence: nextFence(old, fence), Lapses: l.expiry()}
+	if fence.Era != version.Era {
+		return errors.Wrapf(errEraChanged, "lease of era %d, fence of era %d", version.Era, fence.Era)
+	}
+	next := Record{Holder: l.instance, Incarnation: l.incarnation, Era: version.Era, Fence: l.nextFence(version.Era, fence), Lapses: l.expiry()}
 	conditions := []messenger.Condition{
 		condition(leaseKey, version),
 		condition(fenceKey, fence.StoreVersion()),
@@ -328,9 +388,14 @@
 	if err != nil {
 		return err
 	}
+	if versions[0].Era != version.Era {
+		l.MeetEra(versions[0].Era)
+		return errors.Wrapf(errEraChanged, "acquisition of era %d", version.Era)
+	}
 	l.mu.Lock()
 	l.fenceVersion = versions[1]
-	l.previousEndedAt = l.grantEnd(old, now)
+	l.previousEndedAt = l.previousEnd(version, old, now)
+	l.isRefused = false
 	l.mu.Unlock()
 	l.recordGrant(now, next, versions[0])
 	l.observe(Acquisition{Fence: next.Fence, Row: versions[0], Old: old, OldRow: version})
@@ -375,11 +440,11 @@
 // returns their versions if the acquisition took effect.
 func (l *Leaser) confirmAcquisition(next Record, cause error) ([]messenger.StoreVersion, error) {
 	row, record, err := l.read()
-	if err != nil || record != next {
+	if err != nil || record != next || row.Era != next.Era {
 		return nil, cause
 	}
 	fence, err := l.get(leaseTable, fenceKey)
-	if err != nil {
+	if err != nil || fence.Era != next.Era {
 		return nil, cause
 	}
 	return []messenger.StoreVersion{row.StoreVersion(), fence.StoreVersion()}, nil
@@ -392,8 +457,8 @@
 	defer l.callMu.Unlock()
 	l.mu.Lock()
 	held := l.now().Before(l.heldUntil)
-	next := l.record
-	leaseVersion := l.leaseVersion
+	next := l.grant
+	version := l.grantVersion
 	l.heldUntil = time.Time{}
 	l.released = true
 	l.mu.Unlock()
@@ -404,7 +469,7 @@
 	if _, latest, ok := l.clock(); ok {
 		next.Lapses = latest + l.times.Margin.Milliseconds() // the grant ends before this is written
 	}
-	_, err := l.write(next, []messenger.Condition{condition(leaseKey, leaseVersion)}, nil)
+	_, err := l.write(next, []messenger.Condition{condition(leaseKey, version)}, nil)
 	return err
 }
 
@@ -419,27 +484,17 @@
 
 func (l *Leaser) read() (messenger.Row, Record, error) {
 	row, err := l.get(leaseTable, leaseKey)
-	if err != nil || row.Version == 0 {
+	if err != nil {
 		return row, Record{}, err
 	}
+	l.MeetEra(row.Era)
+	if row.Version == 0 {
+		return row, Record{}, nil
+	}
 	var record Record
-	if json.Unmarshal(row.Value, &record) != nil || record.Fence < 0 || record.Fence > maxFence {
+	if json.Unmarshal(row.Value, &record) != nil || record.Fence < 0 || record.Fence >= maxFence {
 		// Nobody can renew what is not a lease: it is free once it has not changed for its TTL.
 		return row, Record{}, nil
 	}
 	return row, record, nil
 }
-
-// maxFence is more than the number of holders that there ever were. A higher fencing token was not
-// written by an instance.
-const maxFence = 1 << 53
-
-// nextFence returns the fencing token that follows those of the lease row and of the fence row,
-// either of which another writer may have spoiled.
-func nextFence(old Record, fenceRow messenger.Row) int64 {
-	var last int64
-	if json.Unmarshal(fenceRow.Value, &last) != nil || last < 0 || last > maxFence {
-		last = 0
-	}
-	return max(old.Fence, last) + 1
-}
--- a/internal/gateway/foreman/foreman.go
+++ b/internal/gateway/foreman/foreman.go
@@ -91,6 +91,8 @@
 	State func(target *registrar.Target) (State, error)
 	// Grant returns the right to send orders, or false if this instance lacks it.
 	Grant func() (Grant, bool)
+	// Fenced receives each fencing token that a target has refused as outdated; nil for none.
+	Fenced func(fence int64)
 	// Limit returns the number of requests a second that a target takes, or nil if it names
 	// no limit.
 	Limit func(target *registrar.Target) *float64
@@ -212,6 +214,9 @@
 			f.mu.Lock()
 			f.refusedFence = max(f.refusedFence, grant.Fence)
 			f.mu.Unlock()
+			if f.calls.Fenced != nil {
+				f.calls.Fenced(grant.Fence)
+			}
 			return false, preferUnknown(lastErr, err)
 		case errors.Is(err, ErrBusy), errors.Is(err, ErrUnknownOutcome):
 			lastErr = preferUnknown(lastErr, err)
--- a/internal/gateway/supervisor/eras.go
+++ b/internal/gateway/supervisor/eras.go
@@ -16,6 +16,7 @@
 	s.measurer.RegisterGauge("Store.Era", era.Load)
 	s.platform.OnEra(func(change follower.EraChange) {
 		era.Store(change.After.Era)
+		s.leaser.MeetEra(change.After.Era)
 		s.log.Info("era of the store", "era", change.After.Era, "version", change.After.Number,
 			"eraBefore", change.Before.Era, "versionBefore", change.Before.Number)
 		if !change.Before.IsZero() {
--- a/internal/gateway/supervisor/lease.go
+++ b/internal/gateway/supervisor/lease.go
@@ -118,7 +118,7 @@
 		if s.leaving.Load() {
 			continue
 		}
-		if isHolder || (!isHeld && s.mayContend(unheldSince)) {
+		if isHolder || (!isHeld && (s.leaser.IsLastHolder() || s.mayContend(unheldSince))) {
 			if err := s.leaser.Tick(); err != nil {
 				s.log.Info("lease not renewed or acquired", "error", err.Error())
 			}
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -170,7 +170,7 @@
 	s.leaser = newLeaser(settings, s.incarnation, platform, log)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
 	s.foreman = foreman.New(settings.Instance,
-		foreman.Callbacks{Order: s.sendOrder, State: s.queryState, Grant: s.orderGrant, Limit: s.namedLimit},
+		foreman.Callbacks{Order: s.sendOrder, State: s.queryState, Grant: s.orderGrant, Limit: s.namedLimit, Fenced: s.leaser.NoteRefused},
 		foreman.Bounds{
 			Window: seconds(bounds.LoadWindowSeconds), Handover: seconds(bounds.LeaseMilliseconds / 1000),
 		},
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -404,6 +404,10 @@
 	// Holder reports whether the instance holds the lease on orders.
 	Holder bool `json:"Holder"`
 
+	// InForceManifest is the operators' version of the manifest that is in force at
+	// the instance; 0 if there is none.
+	InForceManifest int64 `json:"InForceManifest"`
+
 	// Incarnation is the start time of the process, in milliseconds of Unix time.
 	Incarnation int64 `json:"Incarnation"`
 
@@ -439,6 +443,10 @@
 	// applies.
 	ManifestVersion int64 `json:"ManifestVersion"`
 
+	// OrderFence is the highest fencing token of the lease on orders that the
+	// instance knows of.
+	OrderFence int64 `json:"OrderFence"`
+
 	// Overlays corresponds to the JSON schema field "Overlays".
 	Overlays []GatewayOverlay `json:"Overlays"`
 
@@ -1323,6 +1331,10 @@
 	// names none.
 	Era int64 `json:"Era"`
 
+	// Missing lists the keys of Rows that the store lacks, but that may be written
+	// again.
+	Missing []string `json:"Missing"`
+
 	// Proof corresponds to the JSON schema field "Proof".
 	Proof GatewayProof `json:"Proof"`
 
