Compare versions of the store as pairs of era and number

Bare numbers were compared in the follower, its relays and copies of peers, and in the proofs: a table of the store counted as older than the copy of before, and was read again without a pause; once the numbers had passed, the changes between were never seen. A condition could hold again by a number given out anew.

A version of a later era now comes after all of an earlier one. An answer of an earlier era is refused, pages of two eras are no table, the store's clock is taken anew, and a table of a later era replaces the copy; what it lacks gets the grace to be written again, also at those that copy it from a peer. An older table is a failed step with a pause.

--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -16,8 +17,12 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// ErrHistoryTruncated reports that the changes since a version are no longer available.
-var ErrHistoryTruncated = errors.New("history of the table is truncated")
+var (
+	// ErrHistoryTruncated reports that the changes since a version are no longer available.
+	ErrHistoryTruncated = errors.New("history of the table is truncated")
+	// ErrOutdated reports that an answer is older than the local copy.
+	ErrOutdated = errors.New("table is older than the local copy")
+)
 
 const (
 	// maxFeedWait is how long the store may hold a call for changes open.
@@ -32,6 +37,7 @@
 	maxRetryInterval = time.Second
 	// returnGracePeriod is how long after an outage of the store the entries that
 	// expired during it may still be missing before they are removed.
+	// It is the same for entries that are missing since the store came back from a copy.
 	returnGracePeriod = 2200 * time.Millisecond
 	// outageThreshold is how long calls must have failed to count as an outage.
 	outageThreshold = 700 * time.Millisecond
@@ -93,6 +99,12 @@
 	now   func() time.Time
 	log   logr.Logger
 	apply func(rows []messenger.StoreRow, removed []string)
+	// resolve decides between a known row and one of a later era; see WithResolver.
+	resolve func(known messenger.StoreRow, isKnown bool, next messenger.StoreRow) (messenger.StoreRow, bool)
+	// isLasting keeps rows that are missing since the store came back from a copy; see WithLastingRows.
+	isLasting bool
+	// observeEra is called with the versions of the copy before and after it meets a later era.
+	observeEra func(before, after messenger.StoreVersion)
 	// isReadable reports whether a row can be decoded, proof returns the proof to pass on, and receiveProof is called with each that arrives.
 	isReadable   func(messenger.StoreRow) bool
 	proof        func() messenger.GatewayProof
@@ -122,8 +134,11 @@
 	// answeredAt is when the store last answered, less relayedAge.
 	answeredAt time.Time
 	// returnDeadline is when the entries that expired during the last outage must have
-	// returned.
+	// returned. It is the same for those that are missing since the store came back from a copy;
+	// mayHaveExpired says nothing about these.
 	returnDeadline time.Time
+	// eraDeadline is until when entries may be missing since the last change of era.
+	eraDeadline time.Time
 	// outageBegan is when the store last answered before that outage.
 	outageBegan time.Time
 	// hasStoreSince is since when there was no outage of the store; zero before its first answer.
@@ -155,8 +170,8 @@
 	f := &Follower{
 		table: table, source: source, wait: maxFeedWait, minInterval: noMinInterval, now: time.Now, apply: apply, log: logr.Discard(),
 		rows: map[string]messenger.StoreRow{}, removed: map[string]messenger.StoreVersion{}, changed: make(chan struct{}), returnDeadlines: map[string]time.Time{},
-		isReadable: func(messenger.StoreRow) bool { return true },
-		proof:      func() messenger.GatewayProof { return messenger.GatewayProof{} }, receiveProof: func(messenger.GatewayProof) {},
+		isReadable: func(messenger.StoreRow) bool { return true }, resolve: preferNext, observeEra: func(_, _ messenger.StoreVersion) {},
+		proof: func() messenger.GatewayProof { return messenger.GatewayProof{} }, receiveProof: func(messenger.GatewayProof) {},
 	}
 	for _, option := range options {
 		option(f)
@@ -219,6 +234,9 @@
 	}
 	wait := min(f.wait, f.untilNextReturnDeadline())
 	changes, err := f.source.Follow(f.table, version, wait)
+	if err == nil {
+		err = f.applyChanges(changes)
+	}
 	if errors.Is(err, ErrHistoryTruncated) {
 		f.log.Info("history of table is truncated", "table", f.table, "era", version.Era, "version", version.Number)
 		return f.reload()
@@ -226,7 +244,6 @@
 	if err != nil {
 		return err
 	}
-	f.applyChanges(changes)
 	f.receiveProof(changes.Proof)
 	f.mu.Lock()
 	f.relayedAge = changes.Age
@@ -239,7 +256,9 @@
 	if err != nil {
 		return err
 	}
-	f.applySnapshot(snapshot, true)
+	if err := f.applySnapshot(snapshot, true); err != nil {
+		return err
+	}
 	f.receiveProof(snapshot.Proof)
 	return nil
 }
@@ -284,6 +303,7 @@
 	for _, row := range f.rows {
 		out.Rows = append(out.Rows, row)
 	}
+	out.Missing = slices.Sorted(maps.Keys(f.returnDeadlines))
 	return out
 }
 
@@ -347,18 +367,39 @@
 	return f.now().Sub(f.hasStoreSince)
 }
 
-// applyChanges applies changes from the feed.
-func (f *Follower) applyChanges(changes Changes) {
+// applyChanges applies changes from the feed. The error is ErrOutdated for those of an earlier era, and
+// ErrHistoryTruncated for those of a later one.
+func (f *Follower) applyChanges(changes Changes) error {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.mu.Lock()
+	switch {
+	case changes.Era < f.version.Era:
+		defer f.mu.Unlock()
+		return errors.Wrapf(ErrOutdated, "%s: changes of era %d, copy of era %d", f.table, changes.Era, f.version.Era)
+	case changes.Era > f.version.Era:
+		defer f.mu.Unlock()
+		return errors.Wrapf(ErrHistoryTruncated, "%s: changes of era %d, copy of era %d", f.table, changes.Era, f.version.Era)
+	}
 	now := f.now()
-	deferRemoval := f.mayHaveExpired(now)
+	deferRemoval := now.Before(f.eraDeadline) || f.mayHaveExpired(now)
 	f.version = later(f.version, changes.StoreVersion())
 	rows := f.storeRows(changes.Rows, changes.IsGapless)
-	removed := f.removeRows(changes.Removed, deferRemoval)
+	removed := f.removeRows(f.withoutLater(changes.Removed, changes.StoreVersion()), deferRemoval)
 	f.mu.Unlock()
 	f.deliver(rows, removed)
+	return nil
+}
+
+// withoutLater leaves out the keys whose row was written after a version. The caller holds f.mu.
+func (f *Follower) withoutLater(keys []string, version messenger.StoreVersion) []string {
+	out := make([]string, 0, len(keys))
+	for _, key := range keys {
+		if !f.rows[key].StoreVersion().IsAfter(version) {
+			out = append(out, key)
+		}
+	}
+	return out
 }
 
 // storeRows stores rows and returns those that are not older than the stored ones. A row that
@@ -383,26 +424,33 @@
 }
 
 // applySnapshot replaces the copy with a whole table. Rows missing from it are removed
-// at once, or, if mayReturn is set and they may have expired during an outage, after the
-// grace period. A table older than the copy is ignored.
-func (f *Follower) applySnapshot(snapshot messenger.TableSnapshot, mayReturn bool) {
+// at once, or after the grace period if the table is the first one of a later era, or if
+// mayReturn is set and they may have expired during an outage. The error is ErrOutdated for a
+// table that is older than the copy.
+func (f *Follower) applySnapshot(snapshot messenger.TableSnapshot, mayReturn bool) error {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.mu.Lock()
+	now := f.now()
 	if snapshot.StoreVersion().IsBefore(f.version) {
 		known := f.version
 		f.mu.Unlock()
 		f.log.Info("table is older than the local copy", "table", f.table, "era", snapshot.Era, "version", snapshot.Version,
 			"knownEra", known.Era, "knownVersion", known.Number)
-		return
+		return errors.Wrap(ErrOutdated, f.table)
 	}
-	deferRemoval := mayReturn && f.mayHaveExpired(f.now())
+	isLaterEra := !f.version.IsZero() && snapshot.Era > f.version.Era
+	if isLaterEra {
+		f.meetEra(now, snapshot.StoreVersion())
+		snapshot.Rows = f.resolveRows(snapshot.Rows)
+	}
+	deferRemoval := now.Before(f.eraDeadline) || (mayReturn && f.mayHaveExpired(now))
 	f.version = later(f.version, snapshot.StoreVersion())
 	present := make(map[string]bool, len(snapshot.Rows))
 	for _, row := range snapshot.Rows {
 		present[row.Key] = true
 	}
-	rows := f.storeRows(snapshot.Rows, false)
+	rows := f.storeRows(f.withoutMissing(snapshot, now), false)
 	f.historyStart = f.version // the individual changes before this version are unknown
 	missing := []string{}
 	for key := range f.rows {
@@ -411,9 +459,13 @@
 		}
 	}
 	slices.Sort(missing)
+	if f.isLasting && isLaterEra {
+		missing = nil
+	}
 	removed := f.removeRows(missing, deferRemoval)
 	f.mu.Unlock()
 	f.deliver(rows, removed)
+	return nil
 }
 
 // removeRows removes rows at once or, if deferRemoval is set, after the grace period. It
@@ -425,6 +477,9 @@
 			continue
 		}
 		f.removed[key] = f.version
+		if _, isDeferred := f.returnDeadlines[key]; isDeferred {
+			continue
+		}
 		if deferRemoval {
 			f.returnDeadlines[key] = f.returnDeadline
 			continue
@@ -442,11 +497,12 @@
 	defer f.applying.Unlock()
 	f.mu.Lock()
 	dropped := []string{}
-	mayReturn := len(f.returnDeadlines) == 0 || !f.source.PeerHasHadStore(f.outageBegan)
+	mayReturn := len(f.returnDeadlines) == 0 || now.Before(f.eraDeadline) || !f.source.PeerHasHadStore(f.outageBegan)
 	for key, deadline := range f.returnDeadlines {
 		if f.failingSince.IsZero() && (!now.Before(deadline) || !mayReturn) {
 			delete(f.returnDeadlines, key)
 			delete(f.rows, key)
+			f.removed[key] = f.version
 			dropped = append(dropped, key)
 		}
 	}
@@ -462,9 +518,14 @@
 	f.apply(rows, removed)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.wake()
+	f.truncateHistory()
+}
+
+// wake wakes the callers that wait in Since. The caller holds f.mu.
+func (f *Follower) wake() {
 	close(f.changed)
 	f.changed = make(chan struct{})
-	f.truncateHistory()
 }
 
 // copyFromPeer copies the table from a peer that has a newer version, during an outage of
--- a/internal/gateway/follower/proof.go
+++ b/internal/gateway/follower/proof.go
@@ -28,10 +28,12 @@
 	return in
 }
 
-// Adopt applies the copy of a peer, beside the calls of Step.
+// Adopt applies the copy of a peer, beside the calls of Step, unless it is older than this one.
 func (f *Follower) Adopt(snapshot messenger.TableSnapshot) {
-	f.applySnapshot(snapshot, false)
-	f.receiveProof(snapshot.Proof)
+	err := f.applySnapshot(snapshot, false)
+	if err == nil || snapshot.Proof.RowVersion > 0 {
+		f.receiveProof(snapshot.Proof)
+	}
 }
 
 // Confirm asks for the changes once, without waiting for one, beside the calls of Step, which may be
@@ -44,6 +46,9 @@
 		return nil
 	}
 	changes, err := follow(f.table, version, 0)
+	if err == nil {
+		err = f.applyChanges(changes)
+	}
 	if errors.Is(err, ErrHistoryTruncated) {
 		snapshot, err := read(f.table)
 		if err == nil {
@@ -54,7 +59,6 @@
 	if err != nil {
 		return err
 	}
-	f.applyChanges(changes)
 	f.receiveProof(changes.Proof)
 	return nil
 }
--- a/internal/gateway/supervisor/cell.go
+++ b/internal/gateway/supervisor/cell.go
@@ -133,6 +133,7 @@
 // fresh copy.
 func (s *Supervisor) readTable(table string) (messenger.TableSnapshot, error) {
 	if table == instanceTable {
+		s.awaitTurn()
 		return s.platform.Read(table) // without it no peers are known
 	}
 	s.awaitReaders()
@@ -200,11 +201,15 @@
 	waiting, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	changes, err := table.Since(waiting, after)
-	if errors.Is(err, follower.ErrHistoryTruncated) {
+	switch {
+	case errors.Is(err, follower.ErrHistoryTruncated):
 		ctx.SetStatusCode(fasthttp.StatusGone)
-		return
+	case err != nil:
+		s.checkEra(after.Era)
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	default:
+		s.encode(ctx, changes)
 	}
-	s.encode(ctx, changes)
 }
 
 // parseVersion returns the version after which changes are asked for. The era may be missing.
--- a/internal/gateway/supervisor/eras.go
+++ b/internal/gateway/supervisor/eras.go
@@ -1,26 +1,87 @@
 package supervisor
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
+	"time"
 
 	"github.com/crocusring/crocusring/internal/gateway/follower"
 	"github.com/crocusring/crocusring/internal/state/measurer"
+	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// watchEras logs and counts the changes of era of the store.
+// eras is what an instance knows of the eras of the store.
+type eras struct {
+	// current is the latest era that is known, and metAt is when it was met, in Unix nanoseconds.
+	current, metAt atomic.Int64
+	// rereadMilliseconds is how long after that the last table was read again.
+	rereadMilliseconds atomic.Int64
+	// checkDue is when the store may be asked for its era again, in Unix nanoseconds.
+	checkDue atomic.Int64
+}
+
+const (
+	// eraCheckInterval is the time between two calls to the store for its era.
+	eraCheckInterval = time.Second
+	// eraCallInterval is the mean time between two calls of all instances together that follow a change
+	// of era.
+	eraCallInterval = 3 * time.Millisecond
+)
+
+// watchEras tells the parts that rely on the store when it came back from a copy.
 func (s *Supervisor) watchEras() {
-	if s.platform.OnEra == nil {
+	s.measurer.RegisterGauge("Store.Era", s.eras.current.Load)
+	s.measurer.RegisterGauge("Store.RereadMilliseconds", s.eras.rereadMilliseconds.Load)
+	if s.platform.OnEra != nil {
+		s.platform.OnEra(s.meetEra)
+	}
+}
+
+// meetEra is called with each change of era of the store.
+func (s *Supervisor) meetEra(change follower.EraChange) {
+	s.eras.current.Store(change.After.Era)
+	s.eras.metAt.Store(time.Now().UnixNano())
+	s.log.Info("era of the store", "era", change.After.Era, "version", change.After.Number,
+		"eraBefore", change.Before.Era, "versionBefore", change.Before.Number)
+	s.leaser.MeetEra(change.After.Era)
+	if !change.Before.IsZero() {
+		s.measurer.CountEvent(measurer.StoreEraChanges, 1)
+	}
+}
+
+// checkEra asks the store for its era if a peer has named a later one than this instance knows. The peer's
+// word is not enough: this instance would refuse all answers of an era before.
+func (s *Supervisor) checkEra(named int64) {
+	now := time.Now().UnixNano()
+	due := s.eras.checkDue.Load()
+	if named <= s.eras.current.Load() || now < due || !s.eras.checkDue.CompareAndSwap(due, now+int64(eraCheckInterval)) {
 		return
 	}
-	var era atomic.Int64
-	s.measurer.RegisterGauge("Store.Era", era.Load)
-	s.platform.OnEra(func(change follower.EraChange) {
-		era.Store(change.After.Era)
-		s.leaser.MeetEra(change.After.Era)
-		s.log.Info("era of the store", "era", change.After.Era, "version", change.After.Number,
-			"eraBefore", change.Before.Era, "versionBefore", change.Before.Number)
-		if !change.Before.IsZero() {
-			s.measurer.CountEvent(measurer.StoreEraChanges, 1)
+	go func() {
+		if _, err := s.platform.Get(instanceTable, s.settings.Instance); err != nil {
+			s.log.V(1).Info("era of the store not read", "named", named, "error", err.Error())
 		}
+	}()
+}
+
+// awaitTurn delays a call to the store that all instances make once they meet a later era, each by a time
+// of its own.
+func (s *Supervisor) awaitTurn() {
+	spread := time.Duration(s.instanceCount.Load()) * eraCallInterval
+	metAt := time.Unix(0, s.eras.metAt.Load())
+	if s.eras.current.Load() == 0 || spread == 0 || time.Since(metAt) > spread {
+		return
+	}
+	time.Sleep(time.Duration(rand.Int64N(int64(spread))))
+}
+
+// observeReread returns the option by which the follower of a table logs that it has read the table again
+// in a later era.
+func (s *Supervisor) observeReread(table string) follower.Option {
+	return follower.WithEraObserver(func(before, after messenger.StoreVersion) {
+		took := time.Since(time.Unix(0, s.eras.metAt.Load()))
+		s.eras.rereadMilliseconds.Store(took.Milliseconds())
+		s.log.Info("table read again in a later era", "table", table, "era", after.Era, "version", after.Number,
+			"eraBefore", before.Era, "versionBefore", before.Number, "afterMilliseconds", took.Milliseconds())
 	})
 }
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -98,6 +98,7 @@
 	s.receiveDelegation(status)
 	s.receivePeerProof(status)
 	s.leaser.NoteFence(status.OrderFence)
+	s.checkEra(max(status.ManifestEra, status.TargetsEra))
 	s.tally.SetPeerDemand(status.Instance, status.Demand, until)
 	now := time.Now()
 	s.limiter.ReceiveReport(status.Instance, limiter.Report{Digest: status.LimitDigest, Size: min(max(status.LimitMembers, 0), maxMembers)}, until.Sub(now))
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -118,6 +118,7 @@
 	poster       *poster.Client
 	slots        *slots
 	confirmer    *confirmer.Confirmer
+	eras         eras
 	proofFetches *proofFetches
 	manifests    *follower.Follower
 	targets      *follower.Follower
@@ -199,10 +200,12 @@
 func (s *Supervisor) initFollowers() {
 	source := follower.Source{Read: s.readTable, Follow: s.followTable, PeerSnapshot: s.peerSnapshot, PeerHasHadStore: s.peerHasHadStore}
 	log := follower.WithLog(s.log)
-	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait(), s.withProofs())
+	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait(), s.withProofs(),
+		follower.WithLastingRows(), s.observeReread(s.platform.ManifestTable))
 	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargetsOnceVerdictsAreRead, log,
-		follower.WithShortWait(), follower.WithMinInterval(s.targetPollInterval))
-	s.instances = follower.New(instanceTable, source, s.applyInstances, log, follower.WithMinInterval(func() time.Duration { return instancePollInterval }))
+		follower.WithShortWait(), follower.WithMinInterval(s.targetPollInterval), s.observeReread(s.platform.TargetTable))
+	s.instances = follower.New(instanceTable, source, s.applyInstances, log, s.observeReread(instanceTable),
+		follower.WithMinInterval(func() time.Duration { return instancePollInterval }))
 }
 
 // targetPollInterval returns the shortest time between two reads of the changes of the
--- a/internal/wire/messenger/version.go
+++ b/internal/wire/messenger/version.go
@@ -12,7 +12,7 @@
 
 // Compare returns -1 if v was given out before other, 1 if after it, and 0 if they are the same.
 func (v StoreVersion) Compare(other StoreVersion) int {
-	return cmp.Compare(v.Number, other.Number)
+	return cmp.Or(cmp.Compare(v.Era, other.Era), cmp.Compare(v.Number, other.Number))
 }
 
 // IsBefore reports whether v was given out before other.
