Count the wait for a lease of an earlier era from when its row was seen

Callers saw two holders at a time, where a write of an earlier era was applied late, after the drill, because its condition held again: it replaced the lease of the current era, whose row then looked like one of the copy. An instance that had met the era long before took it at once, while the holder acted. A spoiled row did the same.

The wait counts from when the instance saw the row, which is never before it met the era, so that the time of the era need not be kept. Only an instance that saw the row within a TTL of its own last grant goes at once. Since a contender that reads late waits longer, a failed attempt is repeated after the time between two renewals instead of a second.

--- a/internal/control/leaser/era.go
+++ b/internal/control/leaser/era.go
@@ -26,15 +26,14 @@
 
 // MeetEra records that the table service is in an era.
 func (l *Leaser) MeetEra(era int64) {
-	now := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if era <= l.era {
 		return
 	}
-	l.era, l.eraMetAt = era, now
+	l.era = era
 	if l.isLastHolder() {
-		l.nextReadAt = now
+		l.nextReadAt = time.Time{}
 	}
 }
 
@@ -83,17 +82,18 @@
 func (l *Leaser) isLastHolder() bool { return l.grant.Fence > 0 && l.grant.Fence >= l.knownFence }
 
 // isSurelyLast reports whether no other instance can have acquired the lease since the last grant of this
-// one: those that saw the grant in its era had to wait for its end, which came after this instance had met
-// the current era, and the others wait as long from when they meet a later era. The caller holds l.mu.
+// one, if its row is of an earlier era: all others wait a TTL, either after that grant or after they have
+// seen the row that this instance saw before the TTL was over. The caller holds l.mu.
 func (l *Leaser) isSurelyLast() bool {
-	return l.grant.Fence > 0 && !l.released && l.eraMetAt.Before(l.grantedAt.Add(l.times.TTL))
+	return l.grant.Fence > 0 && !l.released && l.changeSeenAt.Before(l.grantedAt.Add(l.times.TTL))
 }
 
-// earlierErasEnd returns from when this instance may acquire a lease whose row is of an earlier era: the
-// grants of earlier eras were written before it met the current one. An instance that was the last holder
-// goes before the others, which would have to wait after its grant. The caller holds l.mu.
+// earlierErasEnd returns from when this instance may acquire a lease whose row is of an earlier era. The grants
+// of earlier eras were written before it saw the row, and so was a grant of this era that a late write of an
+// earlier one has replaced. An instance that was the last holder goes before the others, which would have to
+// wait after its grant. The caller holds l.mu.
 func (l *Leaser) earlierErasEnd() time.Time {
-	end := l.eraMetAt.Add(l.times.TTL)
+	end := l.changeSeenAt.Add(l.times.TTL)
 	if l.isLastHolder() {
 		return end
 	}
@@ -113,7 +113,7 @@
 	case l.isLastHolder():
 		return l.previousEndedAt
 	}
-	return earlier(now, l.eraMetAt.Add(l.times.TTL-l.times.Margin))
+	return earlier(now, l.changeSeenAt.Add(l.times.TTL-l.times.Margin))
 }
 
 func earlier(a, b time.Time) time.Time {
--- /dev/null
+++ b/internal/control/leaser/era_fault_test.go
@@ -0,0 +1,58 @@
+package leaser
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+)
+
+// drilledStore returns a store that came back from a copy without a lease, and two leasers that have met the era.
+func drilledStore(t *testing.T) (s *copiedStore, a, b *Leaser) {
+	t.Helper()
+	s = &copiedStore{now: time.Unix(1000, 0), era: 5, rows: map[string]messenger.Row{}}
+	a, b = s.start("a"), s.start("b")
+	before := s.copy()
+	s.acquire(t, a)
+	require.NoError(t, b.Tick())
+	s.drill(before)
+	b.MeetEra(s.era)
+	return s, a, b
+}
+
+// pass lets time pass while leasers tick.
+func (s *copiedStore) pass(d time.Duration, leasers ...*Leaser) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(100 * time.Millisecond) {
+		for _, l := range leasers {
+			_ = l.Tick() // refused where the row has changed
+		}
+	}
+}
+
+// TestLateWriteDoesNotFreeLease guards against two holders at a time: a write of an earlier era replaced the
+// lease of the current one, whose row then looked like one that was in the copy, and a spoiled row did.
+func TestLateWriteDoesNotFreeLease(t *testing.T) {
+	for name, value := range map[string]string{
+		"late write":  `{"Holder":"z","Incarnation":"1","Era":5,"Fence":21474836481}`,
+		"spoiled row": `[]`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, a, b := drilledStore(t)
+			s.pass(5*time.Second, a)
+			_, isHeld := a.Held(s.now)
+			require.True(t, isHeld)
+			s.version++
+			s.rows[leaseKey] = messenger.Row{Version: s.version, Value: json.RawMessage(value)}
+			require.NoError(t, b.Tick())
+			_, isHeld = b.Held(s.now)
+			assert.False(t, isHeld, "a holds the lease")
+			s.pass(3*time.Second, b)
+			_, isHeld = b.Held(s.now)
+			assert.True(t, isHeld, "a is gone")
+		})
+	}
+}
--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -132,10 +132,8 @@
 	leaseVersion messenger.StoreVersion
 	// changeSeenAt is when this instance last saw the row change.
 	changeSeenAt time.Time
-	// era is the latest era of the table service that is known, and eraMetAt is when this instance
-	// met it.
-	era      int64
-	eraMetAt time.Time
+	// era is the latest era of the table service that is known.
+	era int64
 	// knownFence is the highest fencing token that this instance has heard of.
 	knownFence int64
 	// grant is the last record that this instance wrote as holder, grantedAt is when it began to
@@ -238,12 +236,16 @@
 	}
 }
 
-// follow reads the lease, contends for it, and schedules the next read.
+// follow reads the lease, contends for it, and schedules the next read: a failed attempt is repeated as soon as
+// a renewal would be.
 func (l *Leaser) follow(now time.Time) error {
 	err := l.contend()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.nextReadAt = now.Add(followInterval)
+	if err != nil {
+		l.nextReadAt = now.Add(min(followInterval, l.times.RenewInterval))
+	}
 	expiresAt := l.changeSeenAt.Add(l.times.TTL)
 	earliest, _, ok := l.clock()
 	switch {
