Have a new instance wait for a holder that a drill may have lost

Callers saw two holders at a time, where the copy had no lease and an instance that had heard of no holder started: it took the missing row for that of a system that had never had one. In the first era of a store nothing can have been lost, so a fresh system starts without a delay there as before; in a later one a new instance waits a TTL and a margin, and orders only after the handover.

--- a/internal/control/leaser/era.go
+++ b/internal/control/leaser/era.go
@@ -17,6 +17,8 @@
 	eraShift = 32
 	// maxEra is the highest era that leads a fencing token.
 	maxEra = maxFence>>eraShift - 1
+	// firstEra is the era of a table service that has never come back from a copy.
+	firstEra = 1
 	// maxRefusalShift bounds by how much a token is raised that was refused again and again.
 	maxRefusalShift = 20
 )
@@ -108,7 +110,7 @@
 		return l.previousEndedAt // it goes on with its own grant
 	case isWrittenIn(old, version):
 		return l.grantEnd(old, now)
-	case l.knownFence == 0:
+	case version.Era <= firstEra && l.knownFence == 0:
 		return time.Time{}
 	case l.isLastHolder():
 		return l.previousEndedAt
--- a/internal/control/leaser/era_fault_test.go
+++ b/internal/control/leaser/era_fault_test.go
@@ -56,3 +56,28 @@
 		})
 	}
 }
+
+// TestNewInstanceWaitsForLostHolder guards against two holders at a time, where a drill has lost the first grant of all
+// and an instance that has heard of no holder starts.
+func TestNewInstanceWaitsForLostHolder(t *testing.T) {
+	for name, x := range map[string]struct {
+		era  int64
+		want bool
+	}{
+		"era 0":                   {0, true},
+		"first era":               {1, true},
+		"era that follows a copy": {2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &copiedStore{now: time.Unix(1000, 0), era: x.era, rows: map[string]messenger.Row{}}
+			l := s.start("new")
+			require.NoError(t, l.Tick())
+			_, isHeld := l.Held(s.now)
+			assert.Equal(t, x.want, isHeld, "at once")
+			s.pass(2*time.Second, l)
+			grant, isHeld := l.Held(s.now)
+			assert.True(t, isHeld, "after a TTL")
+			assert.Equal(t, x.want, grant.PreviousEndedAt.IsZero(), "there was no holder before")
+		})
+	}
+}
