Play random histories of the lease over eras of the store

In virtual time: instances that tick, freeze, are killed, leave, and are cut from the store; answers that are lost or late, and writes that are applied up to 5 s after their caller has lost patience, also in a later era; a store that is away, and that comes back one to three times from a copy of up to 8 s before or an empty one, with another clock; and a store without eras.

--- /dev/null
+++ b/internal/control/leaser/era_world_test.go
@@ -0,0 +1,488 @@
+package leaser
+
+import (
+	"encoding/json"
+	"fmt"
+	"iter"
+	"maps"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/crocusring/crocusring/internal/edge/transactor"
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+)
+
+// The times are those that the supervisor uses.
+const (
+	worldTTL    = 1500 * time.Millisecond
+	worldMargin = 400 * time.Millisecond
+	worldRenew  = 400 * time.Millisecond
+	worldTick   = 100 * time.Millisecond
+	// worldStep is the time between two steps of a world.
+	worldStep = 10 * time.Millisecond
+)
+
+// eraPlant is a fault that the histories must find.
+type eraPlant int
+
+const (
+	noPlant         eraPlant = iota
+	hiddenEras               // the table service hides its eras
+	forgottenGrants          // an instance that meets an era forgets that it was the last holder
+	eralessTokens            // the tokens that a target sees lack the era
+	believedCopies           // all rows look as if they were written in the era of the answer
+	eternalLease             // the row seems to change with each read
+)
+
+// eraStore is a table service that numbers its writes, and that may be away and come back from a copy.
+type eraStore struct {
+	era, version int64
+	rows         map[string]messenger.Row
+	awayUntil    time.Time
+	offsets      map[int64]int64 // of the clock in each era, in milliseconds
+	copies       []storeCopy
+}
+
+type storeCopy struct {
+	madeAt  time.Time
+	version int64
+	rows    map[string]messenger.Row
+}
+
+// apply applies a transaction if the numbers of its conditions hold, in whatever era they were read.
+func (s *eraStore) apply(req messenger.TransactRequest) (messenger.StoreVersion, bool) {
+	for _, c := range req.Conditions {
+		if s.rows[c.Key].Version != c.Version {
+			return messenger.StoreVersion{}, false
+		}
+	}
+	s.version++
+	for _, w := range req.Writes {
+		s.rows[w.Key] = messenger.Row{Table: w.Table, Key: w.Key, Version: s.version, Value: w.Value}
+	}
+	return messenger.StoreVersion{Era: s.era, Number: s.version}, true
+}
+
+// lateWrite is a write whose caller has lost patience before it is applied.
+type lateWrite struct {
+	at  time.Time
+	req messenger.TransactRequest
+}
+
+// eraWorld plays leasers in virtual time, as coroutines that rest between their steps.
+type eraWorld struct {
+	random *rand.Rand
+	plant  eraPlant
+	now    time.Time
+	calm   bool
+	store  eraStore
+	late   []lateWrite
+	nodes  []*eraNode
+	starts int
+	// hasClock is whether the leasers know the store's clock.
+	hasClock bool
+	// holders maps each token that was held to its holder.
+	holders   map[int64]string
+	highest   int64
+	grants    int
+	log       []string
+	violation string
+}
+
+// eraNode is one instance.
+type eraNode struct {
+	w           *eraWorld
+	id          int
+	incarnation string
+	leaser      *Leaser
+	yield       func(struct{}) bool
+	next        func() (struct{}, bool)
+	stop        func()
+	isStopped   bool
+	isLeaving   bool
+	hasLeft     bool
+	wakeAt      time.Time
+	frozenUntil time.Time
+	cutUntil    time.Time
+	pollAt      time.Time
+	// era is the latest era that the client of the table service knows, and clockEra the one of its clock.
+	era, clockEra int64
+	bound         int64 // how far the bounds of the clock are from the truth, in milliseconds
+}
+
+func newEraWorld(seed uint64, nodes int, firstEra int64, plant eraPlant) *eraWorld {
+	w := &eraWorld{
+		random: rand.New(rand.NewPCG(seed, 57)), plant: plant, now: time.Unix(1000, 0), holders: map[int64]string{},
+		store: eraStore{era: firstEra, rows: map[string]messenger.Row{}, offsets: map[int64]int64{}},
+	}
+	w.hasClock = w.random.IntN(3) > 0
+	for id := range nodes {
+		w.nodes = append(w.nodes, nil)
+		w.start(id)
+	}
+	return w
+}
+
+func (w *eraWorld) note(format string, args ...any) {
+	at := w.now.Sub(time.Unix(1000, 0)).Milliseconds()
+	w.log = append(w.log, fmt.Sprintf("%6d ", at)+fmt.Sprintf(format, args...))
+}
+
+func (w *eraWorld) violate(format string, args ...any) {
+	if w.violation != "" {
+		return
+	}
+	w.note(format, args...)
+	w.violation = strings.Join(w.log, "\n")
+}
+
+// delay returns a random time up to limit.
+func (w *eraWorld) delay(limit time.Duration) time.Duration {
+	return time.Duration(w.random.Int64N(int64(limit) + 1))
+}
+
+// start starts an instance, or another incarnation of it.
+func (w *eraWorld) start(id int) {
+	w.starts++
+	n := &eraNode{w: w, id: id, incarnation: fmt.Sprint(w.starts), wakeAt: w.now.Add(w.delay(worldTick)), bound: 1 + w.random.Int64N(30)}
+	tables := Tables{Get: n.get, Transact: n.transact, Clock: n.clock}
+	n.leaser = New(fmt.Sprintf("i%d", id), n.incarnation, tables, WithClock(func() time.Time { return w.now }),
+		WithTimes(Times{TTL: worldTTL, Margin: worldMargin, RenewInterval: worldRenew}))
+	n.next, n.stop = iter.Pull(n.run)
+	w.nodes[id] = n
+}
+
+// run ticks until the instance is stopped or leaves.
+func (n *eraNode) run(yield func(struct{}) bool) {
+	n.yield = yield
+	for n.rest(worldTick) {
+		if n.isLeaving {
+			_ = n.leaser.Release() // an outcome like any other
+			n.hasLeft = true
+			return
+		}
+		if err := n.leaser.Tick(); err != nil {
+			n.w.note("i%d: %v", n.id, err)
+		}
+	}
+}
+
+// rest lets time pass; false if the instance was stopped.
+func (n *eraNode) rest(d time.Duration) bool {
+	if n.isStopped {
+		return false
+	}
+	n.wakeAt = n.w.now.Add(d)
+	n.isStopped = !n.yield(struct{}{})
+	return !n.isStopped
+}
+
+// leg lets one way of a call pass, and reports whether the message arrives.
+func (n *eraNode) leg() bool {
+	limit, isLost := 20*time.Millisecond, false
+	if !n.w.calm {
+		isLost = n.w.random.IntN(40) == 0
+		if n.w.random.IntN(20) == 0 {
+			limit = 900 * time.Millisecond
+		}
+	}
+	return n.rest(n.w.delay(limit)) && !isLost && !n.isCut()
+}
+
+func (n *eraNode) isCut() bool { return n.w.now.Before(n.cutUntil) }
+
+func (n *eraNode) isFrozen() bool { return n.w.now.Before(n.frozenUntil) }
+
+func (w *eraWorld) isAway() bool { return w.now.Before(w.store.awayUntil) }
+
+// answer receives an answer of an era, and reports whether a later one is known.
+func (n *eraNode) answer(era int64) (isLate bool) {
+	n.meet(era)
+	if era < n.era {
+		return true
+	}
+	n.clockEra = era
+	return false
+}
+
+// meet is what the client of the table service does before it returns the answer that shows an era.
+func (n *eraNode) meet(era int64) {
+	if era <= n.era {
+		return
+	}
+	if n.w.plant == forgottenGrants && n.era > 0 {
+		n.leaser.grant = Record{}
+	}
+	n.era, n.clockEra = era, 0
+	if n.w.plant != hiddenEras {
+		n.leaser.MeetEra(era)
+	}
+}
+
+func (n *eraNode) get(table, key string) (messenger.Row, error) {
+	if !n.leg() || n.w.isAway() {
+		return messenger.Row{}, transactor.ErrUnavailable
+	}
+	row := n.w.store.rows[key]
+	row.Table, row.Key, row.Era = table, key, n.w.store.era
+	if !n.leg() || n.answer(row.Era) {
+		return messenger.Row{}, transactor.ErrUnavailable
+	}
+	return n.w.planted(row), nil
+}
+
+// planted returns a row as a faulty table service gives it.
+func (w *eraWorld) planted(row messenger.Row) messenger.Row {
+	switch {
+	case w.plant == hiddenEras:
+		row.Era = 0
+	case w.plant == eternalLease && row.Key == leaseKey:
+		row.Version += w.now.UnixMilli()
+	case w.plant == believedCopies && row.Key == leaseKey && row.Version > 0:
+		var record Record
+		_ = json.Unmarshal(row.Value, &record) // written by a leaser
+		record.Era = row.Era
+		row.Value, _ = json.Marshal(record) // has no value that cannot be encoded
+	}
+	return row
+}
+
+func (n *eraNode) transact(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
+	for _, c := range req.Conditions {
+		if n.w.plant != hiddenEras && c.Era < n.era {
+			return nil, transactor.ErrConflict
+		}
+	}
+	if !n.w.calm && n.w.random.IntN(12) == 0 {
+		n.w.late = append(n.w.late, lateWrite{at: n.w.now.Add(n.w.delay(5 * time.Second)), req: req})
+		n.rest(time.Second)
+		return nil, transactor.ErrUnknownOutcome
+	}
+	if !n.leg() || n.w.isAway() {
+		return nil, transactor.ErrUnavailable
+	}
+	version, isApplied := n.w.store.apply(req)
+	era := n.w.store.era
+	switch {
+	case !n.leg() || n.answer(era):
+		return nil, transactor.ErrUnknownOutcome
+	case !isApplied:
+		return nil, transactor.ErrConflict
+	}
+	if n.w.plant == hiddenEras {
+		version.Era = 0
+	}
+	versions := make([]messenger.StoreVersion, len(req.Writes))
+	for i := range versions {
+		versions[i] = version
+	}
+	return versions, nil
+}
+
+// clock returns bounds of the table service's clock in the era that is known.
+func (n *eraNode) clock() (earliest, latest int64, ok bool) {
+	if !n.w.hasClock || (n.clockEra == 0 && n.era > 0) {
+		return 0, 0, false
+	}
+	at := n.w.now.UnixMilli() + n.w.store.offsets[n.clockEra]
+	return at - n.bound, at + n.bound, true
+}
+
+// drill has the table service go away, and come back from a copy that is up to 8 s old.
+func (w *eraWorld) drill(away time.Duration) {
+	w.store.awayUntil = w.now.Add(away)
+	recent := []storeCopy{}
+	for _, c := range w.store.copies {
+		if w.now.Sub(c.madeAt) < 8*time.Second {
+			recent = append(recent, c)
+		}
+	}
+	from := storeCopy{rows: map[string]messenger.Row{}}
+	if len(recent) > 0 && w.random.IntN(5) > 0 {
+		from = recent[w.random.IntN(len(recent))]
+	}
+	w.store.era++
+	w.store.offsets[w.store.era] = w.random.Int64N(200_000) - 100_000
+	w.store.version, w.store.rows = from.version, maps.Clone(from.rows)
+	w.store.copies = nil
+	w.note("drill: away %v, era %d, lease %s", away, w.store.era, from.rows[leaseKey].Value)
+}
+
+// step lets worldStep pass.
+func (w *eraWorld) step() {
+	w.now = w.now.Add(worldStep)
+	w.applyLate()
+	if w.random.IntN(40) == 0 {
+		w.store.copies = append(w.store.copies, storeCopy{madeAt: w.now, version: w.store.version, rows: maps.Clone(w.store.rows)})
+	}
+	if w.random.IntN(100) == 0 && !w.isAway() {
+		w.store.version++ // another table is written
+	}
+	w.exchange()
+	for _, n := range w.nodes {
+		if !n.isFrozen() && !n.wakeAt.After(w.now) {
+			_, _ = n.next()
+		}
+		n.poll()
+		w.judge()
+	}
+}
+
+// poll is what other parts of the instance do: they call the table service again and again.
+func (n *eraNode) poll() {
+	if n.isFrozen() || n.isCut() || n.w.isAway() || n.w.now.Before(n.pollAt) {
+		return
+	}
+	n.pollAt = n.w.now.Add(n.w.delay(worldTick))
+	n.meet(n.w.store.era)
+}
+
+// applyLate applies late writes that are due and whose conditions hold.
+func (w *eraWorld) applyLate() {
+	kept := w.late[:0]
+	for _, l := range w.late {
+		if l.at.After(w.now) || w.isAway() {
+			kept = append(kept, l)
+			continue
+		}
+		if _, isApplied := w.store.apply(l.req); isApplied {
+			w.note("late write applied: %s", l.req.Writes[0].Value)
+		}
+	}
+	w.late = kept
+}
+
+// exchange has two instances exchange the highest tokens that they know.
+func (w *eraWorld) exchange() {
+	from, to := w.nodes[w.random.IntN(len(w.nodes))], w.nodes[w.random.IntN(len(w.nodes))]
+	if w.random.IntN(4) > 0 || from.isFrozen() || to.isFrozen() || from.isCut() || to.isCut() {
+		return
+	}
+	to.leaser.NoteFence(from.leaser.KnownFence())
+}
+
+// judge checks who holds the lease now.
+func (w *eraWorld) judge() {
+	holder := ""
+	for _, n := range w.nodes {
+		grant, isHeld := n.leaser.Held(w.now)
+		if !isHeld || n.hasLeft {
+			continue
+		}
+		name := fmt.Sprintf("i%d/%s", n.id, n.incarnation)
+		if holder != "" {
+			w.violate("two hold the lease: %s and %s", holder, name)
+		}
+		holder = name
+		w.judgeToken(name, grant.Fence)
+	}
+}
+
+// judgeToken checks that a token is new or that of the same holder, and above those of earlier holders.
+func (w *eraWorld) judgeToken(name string, fence int64) {
+	if w.plant == eralessTokens {
+		fence &= 1<<eraShift - 1
+	}
+	switch known, isKnown := w.holders[fence]; {
+	case isKnown && known != name:
+		w.violate("token %d is given out twice: to %s and %s", fence, known, name)
+	case isKnown:
+	case fence < w.highest:
+		w.violate("%s holds token %d after %d", name, fence, w.highest)
+	default:
+		w.note("%s holds token %d", name, fence)
+		w.grants++
+	}
+	w.holders[fence], w.highest = name, max(w.highest, fence)
+}
+
+// disturb makes one of the faults.
+func (w *eraWorld) disturb() {
+	n := w.nodes[w.random.IntN(len(w.nodes))]
+	if w.random.IntN(2) == 0 {
+		n = w.holderOr(n)
+	}
+	switch w.random.IntN(5) {
+	case 0:
+		n.frozenUntil = w.now.Add(w.delay(5 * time.Second))
+		w.note("i%d freezes for %v", n.id, n.frozenUntil.Sub(w.now))
+	case 1:
+		n.cutUntil = w.now.Add(w.delay(5 * time.Second))
+		w.note("i%d is cut for %v", n.id, n.cutUntil.Sub(w.now))
+	case 2:
+		w.note("i%d is killed and starts", n.id)
+		n.stop()
+		w.start(n.id)
+	case 3:
+		n.isLeaving = true
+		w.note("i%d leaves", n.id)
+	case 4:
+		w.store.awayUntil = w.now.Add(w.delay(2 * time.Second))
+		w.note("the store is away for %v", w.store.awayUntil.Sub(w.now))
+	}
+}
+
+// holderOr returns the instance that holds the lease, or other if there is none.
+func (w *eraWorld) holderOr(other *eraNode) *eraNode {
+	for _, n := range w.nodes {
+		if _, isHeld := n.leaser.Held(w.now); isHeld {
+			return n
+		}
+	}
+	return other
+}
+
+// play lets time pass with faults; drills begin at the given times from now.
+func (w *eraWorld) play(length time.Duration, drills []time.Duration) {
+	begin := w.now
+	for w.now.Sub(begin) < length && w.violation == "" {
+		w.step()
+		if w.random.IntN(80) == 0 {
+			w.disturb()
+		}
+		for _, n := range w.nodes {
+			if n.hasLeft && w.random.IntN(100) == 0 {
+				w.start(n.id)
+			}
+		}
+		if len(drills) > 0 && w.now.Sub(begin) >= drills[0] {
+			w.drill(w.delay(3 * time.Second))
+			drills = drills[1:]
+		}
+	}
+}
+
+// heal ends all faults. Instances that have left start again.
+func (w *eraWorld) heal() {
+	w.calm, w.late, w.store.awayUntil = true, nil, time.Time{}
+	for _, n := range w.nodes {
+		n.frozenUntil, n.cutUntil = time.Time{}, time.Time{}
+		if n.hasLeft || n.isLeaving {
+			n.stop()
+			w.start(n.id)
+		}
+	}
+	w.note("all faults end")
+}
+
+// awaitHolder lets time pass until an instance holds the lease, and returns it; nil after patience.
+func (w *eraWorld) awaitHolder(patience time.Duration, isWanted func(*eraNode) bool) *eraNode {
+	for end := w.now.Add(patience); w.now.Before(end) && w.violation == ""; {
+		w.step()
+		for _, n := range w.nodes {
+			if _, isHeld := n.leaser.Held(w.now); isHeld && isWanted(n) {
+				return n
+			}
+		}
+	}
+	return nil
+}
+
+func (w *eraWorld) close() {
+	for _, n := range w.nodes {
+		n.stop()
+	}
+}
+
+func anyNode(*eraNode) bool { return true }
