Keep the fence of each later era of the store in a row of its own

Callers could see two holders with one fencing token in one era: a late acquisition of the era before, whose numbers happened to hold again, replaced the lease and the fence, and the next holder, which had heard of no token of the era, was given that of the holder before it.

Only acquisitions of an era write its fence row now, so that its tokens rise whatever late writes replace.

--- a/internal/control/leaser/era.go
+++ b/internal/control/leaser/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -125,6 +126,15 @@
 	return b
 }
 
+// fenceKeyOf returns the key of the fence row of an era. Each era that follows a copy has a row of its own, which a
+// late write of an earlier era does not replace, so that no token of the era is given out twice.
+func fenceKeyOf(era int64) string {
+	if era <= firstEra {
+		return fenceKey
+	}
+	return fenceKey + "-" + strconv.FormatInt(era, 10)
+}
+
 // nextFence returns a fencing token above all that are known: those of the lease row and of the fence row,
 // either of which another writer may have spoiled, and those of this instance and of its peers.
 func (l *Leaser) nextFence(era int64, fenceRow messenger.Row) int64 {
--- a/internal/control/leaser/era_fault_test.go
+++ b/internal/control/leaser/era_fault_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/crocusring/crocusring/internal/edge/transactor"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
@@ -81,3 +82,24 @@
 		})
 	}
 }
+
+// TestLateAcquisitionDoesNotLowerFence guards against a fencing token that is given out twice in one era: a late
+// acquisition of the era before, whose conditions held by chance, replaced the fence of the current one.
+func TestLateAcquisitionDoesNotLowerFence(t *testing.T) {
+	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	var late messenger.TransactRequest
+	slow := s.start("slow")
+	slow.transact = func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
+		late = req
+		return nil, transactor.ErrUnknownOutcome
+	}
+	_ = slow.Tick() // of unknown outcome
+	s.drill(s.copy())
+	lost := s.acquire(t, s.start("a"))
+	s.version++
+	for _, w := range late.Writes {
+		s.rows[w.Key] = messenger.Row{Version: s.version, Value: w.Value}
+	}
+	next := s.acquire(t, s.start("b"))
+	assert.Greater(t, next.Fence, lost.Fence)
+}
--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -22,7 +22,7 @@
 const (
 	leaseTable = "lease"
 	leaseKey   = "control"
-	fenceKey   = "fence"
+	fenceKey   = "fence" // see fenceKeyOf
 	// These are the defaults of Times.
 	defaultTTL           = 6 * time.Second
 	defaultMargin        = 2 * time.Second
@@ -198,7 +198,7 @@
 		Fence:           l.grant.Fence,
 		Deadline:        l.heldUntil,
 		PreviousEndedAt: l.previousEndedAt,
-		FenceCondition:  condition(fenceKey, l.fenceVersion),
+		FenceCondition:  condition(fenceKeyOf(l.fenceVersion.Era), l.fenceVersion),
 	}, true
 }
 
@@ -366,7 +366,8 @@
 // acquire writes the lease with the next fencing token. The deadline counts from
 // before the write.
 func (l *Leaser) acquire(version messenger.StoreVersion, old Record) error {
-	fence, err := l.get(leaseTable, fenceKey)
+	key := fenceKeyOf(version.Era)
+	fence, err := l.get(leaseTable, key)
 	if err != nil {
 		return err
 	}
@@ -376,14 +377,14 @@
 	next := Record{Holder: l.instance, Incarnation: l.incarnation, Era: version.Era, Fence: l.nextFence(version.Era, fence), Lapses: l.expiry()}
 	conditions := []messenger.Condition{
 		condition(leaseKey, version),
-		condition(fenceKey, fence.StoreVersion()),
+		condition(key, fence.StoreVersion()),
 	}
 	value, err := json.Marshal(next.Fence)
 	if err != nil {
 		return errors.Wrap(err, "encode fence")
 	}
 	now := l.now()
-	versions, err := l.write(next, conditions, []messenger.Write{{Table: leaseTable, Key: fenceKey, Value: value}})
+	versions, err := l.write(next, conditions, []messenger.Write{{Table: leaseTable, Key: key, Value: value}})
 	if errors.Is(err, transactor.ErrUnknownOutcome) {
 		versions, err = l.confirmAcquisition(next, err)
 	}
@@ -445,7 +446,7 @@
 	if err != nil || record != next || row.Era != next.Era {
 		return nil, cause
 	}
-	fence, err := l.get(leaseTable, fenceKey)
+	fence, err := l.get(leaseTable, fenceKeyOf(next.Era))
 	if err != nil || fence.Era != next.Era {
 		return nil, cause
 	}
