Take the times of an acquisition of the lease before it is written

Callers could see two holders at a time, where an instance froze between computing the expiry in the row and the deadline of its grant: by the store's clock the lease had expired while it acted. And they could see orders of two holders within the handover: where an instance found its own acquisition, whose answer had been lost, and went on as if it had been confirmed before; where the expiry of the grant before was compared with the store's clock of a later era; and where the lease before was a spoiled row of a store without eras. TestFreezeBeforeAcquisition- ShortensGrant, TestHandoverFollowsUnconfirmedAcquisition and TestHandoverIgnoresClockOfLaterEra failed before (the last one by 100 s).

The deadline is taken before the expiry, and the end of the grant before it ahead of the first call. Only the grant that was confirmed counts as one's own, in all eras. The function is split.

--- a/internal/control/leaser/era.go
+++ b/internal/control/leaser/era.go
@@ -104,17 +104,19 @@
 }
 
 // previousEnd returns when the grant of the previous holder ended, by this instance's clock; zero if there
-// was none. The caller holds l.mu, and has not recorded its own new grant yet.
+// was none. It is called before the new grant is computed, while the clock of the table service is that of the
+// era of the row.
 func (l *Leaser) previousEnd(version messenger.StoreVersion, old Record, now time.Time) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	isCurrent := isWrittenIn(old, version)
 	switch {
-	case version.Era > 0 && isWrittenIn(old, version) && l.isOwn(old):
+	case version.Number == 0 && version.Era <= firstEra && l.knownFence == 0:
+		return time.Time{}
+	case isCurrent && l.isOwn(old) && old.Fence == l.grant.Fence, !isCurrent && l.isLastHolder():
 		return l.previousEndedAt // it goes on with its own grant
-	case isWrittenIn(old, version):
+	case isCurrent:
 		return l.grantEnd(old, now)
-	case version.Era <= firstEra && l.knownFence == 0:
-		return time.Time{}
-	case l.isLastHolder():
-		return l.previousEndedAt
 	}
 	return earlier(now, l.changeSeenAt.Add(l.times.TTL-l.times.Margin))
 }
--- a/internal/control/leaser/era_fault_test.go
+++ b/internal/control/leaser/era_fault_test.go
@@ -103,3 +103,70 @@
 	next := s.acquire(t, s.start("b"))
 	assert.Greater(t, next.Fence, lost.Fence)
 }
+
+// TestFreezeBeforeAcquisitionShortensGrant guards against a grant that outlasts the expiry in its row, at which
+// another instance takes the lease: the instance froze between the two.
+func TestFreezeBeforeAcquisitionShortensGrant(t *testing.T) {
+	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	frozen := s.start("frozen")
+	bounds := frozen.clock
+	frozen.clock = func() (int64, int64, bool) {
+		earliest, latest, ok := bounds()
+		s.now = s.now.Add(2 * time.Second)
+		frozen.clock = bounds
+		return earliest, latest, ok
+	}
+	require.NoError(t, frozen.Tick())
+	next := s.start("next")
+	require.NoError(t, next.Tick())
+	_, isHeld := next.Held(s.now)
+	require.True(t, isHeld, "the row has expired")
+	_, isHeld = frozen.Held(s.now)
+	assert.False(t, isHeld)
+}
+
+// TestHandoverFollowsUnconfirmedAcquisition guards against orders too early after those of another holder: an
+// instance found its own acquisition, whose answer was lost, and took the end of its predecessor's grant for that
+// of a grant before.
+func TestHandoverFollowsUnconfirmedAcquisition(t *testing.T) {
+	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	a, b := s.start("a"), s.start("b")
+	s.acquire(t, a)
+	s.pass(3*time.Second, b)
+	_, isHeld := b.Held(s.now)
+	require.True(t, isHeld)
+	end := s.now
+	s.pass(1500*time.Millisecond, b)
+	transact, get := a.transact, a.get
+	s.now = s.now.Add(2 * time.Second)
+	a.transact = func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
+		_, _ = transact(req) // takes effect
+		a.get = func(string, string) (messenger.Row, error) { return messenger.Row{}, transactor.ErrUnavailable }
+		return nil, transactor.ErrUnknownOutcome
+	}
+	require.Error(t, a.Tick())
+	a.transact, a.get = transact, get
+	grant := s.acquire(t, a)
+	assert.True(t, grant.PreviousEndedAt.After(end), "b held the lease until after that")
+}
+
+// TestHandoverIgnoresClockOfLaterEra guards against orders too early after those of another holder: the expiry of
+// its grant was compared with the store's clock of a later era.
+func TestHandoverIgnoresClockOfLaterEra(t *testing.T) {
+	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	s.acquire(t, s.start("a"))
+	s.now = s.now.Add(1600 * time.Millisecond)
+	b := s.start("b")
+	transact, bounds := b.transact, b.clock
+	b.transact = func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
+		b.clock = func() (int64, int64, bool) { // another call has met the next era
+			earliest, latest, ok := bounds()
+			return earliest + 100_000, latest + 100_000, ok
+		}
+		return transact(req)
+	}
+	require.NoError(t, b.Tick())
+	grant, isHeld := b.Held(s.now)
+	require.True(t, isHeld)
+	assert.WithinDuration(t, s.now, grant.PreviousEndedAt, time.Second)
+}
--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -363,31 +363,21 @@
 	return record.Released || l.isOwn(record) || l.hasExpired(record) || !now.Before(l.changeSeenAt.Add(l.times.TTL))
 }
 
-// acquire writes the lease with the next fencing token. The deadline counts from
-// before the write.
+// acquire writes the lease with the next fencing token. The deadline and the expiry in the row count from before
+// the write, and the expiry from after the deadline.
 func (l *Leaser) acquire(version messenger.StoreVersion, old Record) error {
-	key := fenceKeyOf(version.Era)
-	fence, err := l.get(leaseTable, key)
+	previousEndedAt := l.previousEnd(version, old, l.now())
+	fence, err := l.get(leaseTable, fenceKeyOf(version.Era))
 	if err != nil {
 		return err
 	}
 	if fence.Era != version.Era {
+		l.MeetEra(fence.Era)
 		return errors.Wrapf(errEraChanged, "lease of era %d, fence of era %d", version.Era, fence.Era)
 	}
-	next := Record{Holder: l.instance, Incarnation: l.incarnation, Era: version.Era, Fence: l.nextFence(version.Era, fence), Lapses: l.expiry()}
-	conditions := []messenger.Condition{
-		condition(leaseKey, version),
-		condition(key, fence.StoreVersion()),
-	}
-	value, err := json.Marshal(next.Fence)
-	if err != nil {
-		return errors.Wrap(err, "encode fence")
-	}
 	now := l.now()
-	versions, err := l.write(next, conditions, []messenger.Write{{Table: leaseTable, Key: key, Value: value}})
-	if errors.Is(err, transactor.ErrUnknownOutcome) {
-		versions, err = l.confirmAcquisition(next, err)
-	}
+	next := Record{Holder: l.instance, Incarnation: l.incarnation, Era: version.Era, Fence: l.nextFence(version.Era, fence), Lapses: l.expiry()}
+	versions, err := l.writeAcquisition(next, version, fence.StoreVersion())
 	if err != nil {
 		return err
 	}
@@ -397,7 +387,7 @@
 	}
 	l.mu.Lock()
 	l.fenceVersion = versions[1]
-	l.previousEndedAt = l.previousEnd(version, old, now)
+	l.previousEndedAt = previousEndedAt
 	l.isRefused = false
 	l.mu.Unlock()
 	l.recordGrant(now, next, versions[0])
@@ -405,6 +395,21 @@
 	return nil
 }
 
+// writeAcquisition writes the lease and the fence if neither row has changed, and returns their new versions.
+func (l *Leaser) writeAcquisition(next Record, lease, fence messenger.StoreVersion) ([]messenger.StoreVersion, error) {
+	key := fenceKeyOf(next.Era)
+	value, err := json.Marshal(next.Fence)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode fence")
+	}
+	conditions := []messenger.Condition{condition(leaseKey, lease), condition(key, fence)}
+	versions, err := l.write(next, conditions, []messenger.Write{{Table: leaseTable, Key: key, Value: value}})
+	if errors.Is(err, transactor.ErrUnknownOutcome) {
+		return l.confirmAcquisition(next, err)
+	}
+	return versions, err
+}
+
 // expiry returns when a lease that is written now has certainly expired, in
 // milliseconds of the table service's clock; 0 if that clock is not known.
 func (l *Leaser) expiry() int64 {
@@ -425,9 +430,6 @@
 // clock. If the expiry or the service clock is not known, it returns now: the
 // grant has ended by the time at which the lease is acquired.
 func (l *Leaser) grantEnd(old Record, now time.Time) time.Time {
-	if old.Fence == 0 {
-		return time.Time{}
-	}
 	earliest, _, ok := l.clock()
 	if !ok || old.Lapses == 0 {
 		return now
