--- a/internal/control/leaser/era_history_test.go
+++ b/internal/control/leaser/era_history_test.go
@@ -76,9 +76,9 @@
 	return w
 }
 
-// TestLeaseHoldsOverEras guards against two holders at a time, against fencing tokens that two holders have or that
-// do not rise, and against a lease that nobody holds any more, over drills and other faults. Left out are clocks that
-// run at different speeds, and a store whose first era of all comes from a copy.
+// TestLeaseHoldsOverEras guards against two holders at a time, or within the time of a handover; against fencing
+// tokens that two holders have, or that do not rise; and against a lease that nobody holds any more; over drills and
+// other faults. Left out are clocks that run at different speeds, and a store whose first era comes from a copy.
 func TestLeaseHoldsOverEras(t *testing.T) {
 	grants := 0
 	for seed := range uint64(*histories) {
@@ -112,6 +112,7 @@
 		"rows of copies believed":       {believedCopies, playHistory, "two hold"},
 		"tokens without the era, twice": {eralessTokens, playHistory, "given out twice"},
 		"tokens without the era, lower": {eralessTokens, playHistory, "holds token"},
+		"no handover":                   {noHandover, playHistory, "acts from"},
 		"a row that always changes":     {eternalLease, playHistory, "nobody holds"},
 		"a last holder that forgets it": {forgottenGrants, playQuietDrill, "does not hold the lease again"},
 	} {
--- a/internal/control/leaser/era_world_test.go
+++ b/internal/control/leaser/era_world_test.go
@@ -19,6 +19,8 @@
 	worldMargin = 400 * time.Millisecond
 	worldRenew  = 400 * time.Millisecond
 	worldTick   = 100 * time.Millisecond
+	// worldHandover is the least time between what two holders do.
+	worldHandover = 3 * time.Second
 	// worldStep is the time between two steps of a world.
 	worldStep = 10 * time.Millisecond
 )
@@ -33,6 +35,7 @@
 	eralessTokens            // the tokens that a target sees lack the era
 	believedCopies           // all rows look as if they were written in the era of the answer
 	eternalLease             // the row seems to change with each read
+	noHandover               // the end of the grant before is not known
 )
 
 // eraStore is a table service that numbers its writes, and that may be away and come back from a copy.
@@ -83,11 +86,15 @@
 	// hasClock is whether the leasers know the store's clock.
 	hasClock bool
 	// holders maps each token that was held to its holder.
-	holders   map[int64]string
-	highest   int64
-	grants    int
-	log       []string
-	violation string
+	holders map[int64]string
+	highest int64
+	// lastHolder is the latest holder with its token, and lastHeldAt when it held the lease last.
+	lastHolder string
+	lastFence  int64
+	lastHeldAt time.Time
+	grants     int
+	log        []string
+	violation  string
 }
 
 // eraNode is one instance.
@@ -108,6 +115,7 @@
 	pollAt      time.Time
 	// era is the latest era that the client of the table service knows, and clockEra the one of its clock.
 	era, clockEra int64
+	heard         int64 // the highest token that it had heard of when it did not hold the lease last
 	bound         int64 // how far the bounds of the clock are from the truth, in milliseconds
 }
 
@@ -368,6 +376,7 @@
 	for _, n := range w.nodes {
 		grant, isHeld := n.leaser.Held(w.now)
 		if !isHeld || n.hasLeft {
+			n.heard = n.leaser.KnownFence()
 			continue
 		}
 		name := fmt.Sprintf("i%d/%s", n.id, n.incarnation)
@@ -375,10 +384,33 @@
 			w.violate("two hold the lease: %s and %s", holder, name)
 		}
 		holder = name
+		w.judgeHandover(n, name, grant)
 		w.judgeToken(name, grant.Fence)
 	}
 }
 
+// judgeHandover checks that an instance that acts a handover after the end of the grant before does not act sooner
+// after another holder. Left out is an instance that has not heard of that holder, which a drill has lost: it goes
+// on as the last holder that is known.
+func (w *eraWorld) judgeHandover(n *eraNode, name string, grant Grant) {
+	if w.plant == noHandover {
+		grant.PreviousEndedAt = time.Time{}
+	}
+	isNew := w.lastHolder != name && w.lastHolder != "" && grant.Fence != w.lastFence
+	acts := later(w.now, grant.PreviousEndedAt.Add(worldHandover))
+	if isNew && n.heard >= w.lastFence && acts.Before(w.lastHeldAt.Add(worldHandover)) {
+		w.violate("%s acts from %v after the end of the grant of %s", name, acts.Sub(w.lastHeldAt), w.lastHolder)
+	}
+	w.lastHolder, w.lastFence, w.lastHeldAt = name, grant.Fence, w.now
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // judgeToken checks that a token is new or that of the same holder, and above those of earlier holders.
 func (w *eraWorld) judgeToken(name string, fence int64) {
 	if w.plant == eralessTokens {
