Take no number for a fencing token that is not of a known era

Callers saw instances that took the lease from one another without end, where a row of the lease named the last numbers below 2^53: the next token was past the range in which tokens are read, so that the lease looked spoiled to all others. A row that named a token of an era to come led to one that the era would have given out again. Peers' tokens were bounded so already; rows are now.

--- a/internal/control/leaser/era.go
+++ b/internal/control/leaser/era.go
@@ -11,13 +11,11 @@
 )
 
 const (
-	// maxFence is above all fencing tokens that an instance writes, and is read exactly where numbers
-	// are floating-point.
-	maxFence = 1 << 53
 	// eraShift is the number of bits of a fencing token below the era.
 	eraShift = 32
-	// maxEra is the highest era that leads a fencing token.
-	maxEra = maxFence>>eraShift - 1
+	// maxEra is the highest era that leads a fencing token: tokens are below 2^53, and so read exactly where
+	// numbers are floating-point.
+	maxEra = 1<<(53-eraShift) - 1
 	// firstEra is the era of a table service that has never come back from a copy.
 	firstEra = 1
 	// maxRefusalShift bounds by how much a token is raised that was refused again and again.
@@ -44,7 +42,7 @@
 func (l *Leaser) NoteFence(fence int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if fence>>eraShift <= max(l.era, 0) {
+	if isFenceOf(fence, l.era) {
 		l.knownFence = max(l.knownFence, fence)
 	}
 }
@@ -75,6 +73,9 @@
 	return l.isLastHolder()
 }
 
+// isFenceOf reports whether a number may be a fencing token of an era or of an earlier one.
+func isFenceOf(fence, era int64) bool { return fence >= 0 && fence>>eraShift <= min(era, maxEra) }
+
 // isWrittenIn reports whether a record was written in the era of its row, so that what it says of its holder
 // holds. Of a service without eras it always does.
 func isWrittenIn(record Record, row messenger.StoreVersion) bool {
@@ -143,7 +144,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var last int64
-	if json.Unmarshal(fenceRow.Value, &last) != nil || last < 0 || last > maxFence {
+	if json.Unmarshal(fenceRow.Value, &last) != nil || !isFenceOf(last, era) {
 		last = 0
 	}
 	step := int64(1)
--- a/internal/control/leaser/era_fault_test.go
+++ b/internal/control/leaser/era_fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"testing"
 	"time"
 
@@ -170,3 +171,40 @@
 	require.True(t, isHeld)
 	assert.WithinDuration(t, s.now, grant.PreviousEndedAt, time.Second)
 }
+
+// TestAbsurdFenceIsNotExceeded guards against a token past the range of tokens, which no instance takes for one: a
+// spoiled row or a peer named the last tokens of the range, or tokens of an era that is still to come.
+func TestAbsurdFenceIsNotExceeded(t *testing.T) {
+	for name, fence := range map[string]string{
+		"the last token":     "9007199254740991",
+		"one past the last":  "9007199254740992",
+		"a token of era 7":   "30064771073",
+		"past int64":         "9223372036854775808",
+		"the last of int64":  "9223372036854775807",
+		"floating-point":     "1e15",
+		"not a number":       `"x"`,
+		"below all tokens":   "-1",
+		"a token of the era": "25769803780",
+	} {
+		for _, era := range []int64{0, 6} {
+			t.Run(name+" in era "+strconv.FormatInt(era, 10), func(t *testing.T) {
+				s := &copiedStore{now: time.Unix(1000, 0), era: era, version: 2, rows: map[string]messenger.Row{
+					leaseKey:        {Version: 1, Value: json.RawMessage(`{"Holder":"z","Fence":` + fence + `}`)},
+					fenceKeyOf(era): {Version: 2, Value: json.RawMessage(fence)},
+				}}
+				a, b := s.start("a"), s.start("b")
+				if noted, err := strconv.ParseInt(fence, 10, 64); err == nil {
+					a.NoteFence(noted)
+				}
+				first := s.acquire(t, a)
+				assert.Less(t, first.Fence, (era+1)<<eraShift)
+				assert.Greater(t, first.Fence, era<<eraShift)
+				s.pass(3*time.Second, a, b)
+				grant, isHeld := a.Held(s.now)
+				require.True(t, isHeld)
+				assert.Equal(t, first.Fence, grant.Fence)
+				assert.Equal(t, "a", b.Holder().Holder)
+			})
+		}
+	}
+}
--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -497,7 +497,7 @@
 		return row, Record{}, nil
 	}
 	var record Record
-	if json.Unmarshal(row.Value, &record) != nil || record.Fence < 0 || record.Fence >= maxFence {
+	if json.Unmarshal(row.Value, &record) != nil || !isFenceOf(record.Fence, row.Era) {
 		// Nobody can renew what is not a lease: it is free once it has not changed for its TTL.
 		return row, Record{}, nil
 	}
