Exceed far higher fencing tokens soon, within the era

Callers got no orders from a holder whose token a target had refused: on it was still not the holder a minute later, in 5 of 5 cases (TestOrdersGoOnAfterRefusedFence, with the line that sets Fenced left out). Since it takes a higher token; with steps that double, orders went on after 0.2 to 1.8 s for tokens up to 1,000 above, 3.4 s for 2^20, and not within a minute for 2^30. Refusals without end led to tokens of the next era after some 8,000 (TestRefusedFencesStayInEra failed); a token now stays in its era.

A holder that takes the lease anew keeps what it has ordered: histories with such terms, and a test of accepted orders, hold; both fail where beginTerm forgets what targets may hold.

--- a/internal/control/leaser/era.go
+++ b/internal/control/leaser/era.go
@@ -18,8 +18,10 @@
 	maxEra = 1<<(53-eraShift) - 1
 	// firstEra is the era of a table service that has never come back from a copy.
 	firstEra = 1
-	// maxRefusalShift bounds by how much a token is raised that was refused again and again.
-	maxRefusalShift = 20
+	// refusalShift is the number of bits by which the step to the next token grows with each refusal, and
+	// maxRefusalShift that of the longest step.
+	refusalShift    = 3
+	maxRefusalShift = 24
 )
 
 // errEraChanged reports that the table service came back from a copy while the lease was written.
@@ -63,7 +65,7 @@
 		return
 	}
 	l.isRefused = true
-	l.refusals = min(l.refusals+1, maxRefusalShift)
+	l.refusals++
 }
 
 // IsLastHolder reports whether no later holder than this instance is known.
@@ -147,9 +149,18 @@
 	if json.Unmarshal(fenceRow.Value, &last) != nil || !isFenceOf(last, era) {
 		last = 0
 	}
-	step := int64(1)
-	if l.isRefused {
-		step <<= l.refusals - 1
+	last = max(l.knownFence, last, min(era, maxEra)<<eraShift)
+	if next := last + l.refusalStep(); isFenceOf(next, era) {
+		return next
 	}
-	return max(l.knownFence, last, min(era, maxEra)<<eraShift) + step
+	return last + 1
+}
+
+// refusalStep returns by how much the next fencing token exceeds all that are known. It grows with each token that
+// was refused, so that tokens far above are exceeded soon. The caller holds l.mu.
+func (l *Leaser) refusalStep() int64 {
+	if !l.isRefused {
+		return 1
+	}
+	return 1 << min((l.refusals-1)*refusalShift, maxRefusalShift)
 }
--- a/internal/control/leaser/era_fault_test.go
+++ b/internal/control/leaser/era_fault_test.go
@@ -208,3 +208,19 @@
 		}
 	}
 }
+
+// TestRefusedFencesStayInEra guards against tokens of an era that is still to come, after many that were refused.
+func TestRefusedFencesStayInEra(t *testing.T) {
+	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	l := s.start("a")
+	last := s.acquire(t, l).Fence
+	for range 10_000 {
+		l.NoteRefused(last)
+		require.NoError(t, l.Tick())
+		grant, isHeld := l.Held(s.now)
+		require.True(t, isHeld)
+		require.Greater(t, grant.Fence, last)
+		require.Less(t, grant.Fence, int64(2)<<eraShift)
+		last = grant.Fence
+	}
+}
--- a/internal/gateway/foreman/order_history_test.go
+++ b/internal/gateway/foreman/order_history_test.go
@@ -82,6 +82,8 @@
 	unloading map[string]time.Time
 	// canUse lets adapters be used by runs.
 	canUse bool
+	// canReacquire lets the holder take the lease anew, with a higher token.
+	canReacquire bool
 	// futureOrders counts the orders with more accepted orders than the target had accepted.
 	futureOrders int
 }
@@ -216,6 +218,13 @@
 		h.endRuns()
 		f.Tick()
 	})
+	if h.canReacquire {
+		events = append(events, func() {
+			h.fence++
+			h.note("i%d takes the lease anew", h.holder)
+			f.Tick()
+		})
+	}
 	for _, name := range slices.Sorted(maps.Keys(h.target.adapters)) {
 		if h.isUnloading(name) || !h.target.inUse[name] && h.canUse {
 			events = append(events, func() { h.toggleRun(name) })
@@ -301,6 +310,21 @@
 	}
 }
 
+// TestNoReacquisitionOverfillsATarget guards against a holder that forgets orders when it takes the lease anew, as it
+// does after a drill of the store and after a refused token.
+func TestNoReacquisitionOverfillsATarget(t *testing.T) {
+	for seed := range uint64(randomHistories) {
+		isSound := true
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 57))
+			h := newOrderHistory(random.IntN, historySlots+4, randomFaults)
+			h.canUse, h.canReacquire = seed%2 == 1, true
+			isSound = assertHistoryHolds(t, h, randomSteps)
+		})
+		require.True(t, isSound, "seed %d", seed)
+	}
+}
+
 // TestUnloadThatFindsNothingIsNoOrder guards against an order to load beyond the adapter slots: an
 // unload answered as done, of an adapter that was unloaded before, was counted as accepted, and
 // the order of the earlier holder for the freed slot was executed after it.
