--- a/internal/gateway/supervisor/lease.go
+++ b/internal/gateway/supervisor/lease.go
@@ -61,6 +61,7 @@
 // enough time has passed since the orders of the previous holder.
 type orderPermit struct {
 	leaser *leaser.Leaser
+	now    func() time.Time
 	// handover is the shortest time between orders of two holders.
 	handover time.Duration
 
@@ -71,12 +72,12 @@
 }
 
 func newOrderPermit(l *leaser.Leaser, handover time.Duration) *orderPermit {
-	return &orderPermit{leaser: l, handover: handover}
+	return &orderPermit{leaser: l, now: timekeeper.BootTime, handover: handover}
 }
 
 // Grant returns the current right to send orders; false if there is none.
 func (p *orderPermit) Grant() (foreman.Grant, bool) {
-	now := timekeeper.BootTime()
+	now := p.now()
 	grant, ok := p.leaser.Held(now)
 	if !ok {
 		return foreman.Grant{}, false
--- /dev/null
+++ b/internal/gateway/supervisor/lease_test.go
@@ -0,0 +1,135 @@
+package supervisor
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusring/crocusring/internal/control/leaser"
+	"github.com/crocusring/crocusring/internal/edge/transactor"
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+)
+
+// testHandover is the time that the platform asks for between the orders of two holders.
+const testHandover = 3 * time.Second
+
+// leaseStore holds the lease in virtual time. It can come back from a copy.
+type leaseStore struct {
+	now, awayUntil time.Time
+	era, version   int64
+	rows           map[string]messenger.Row
+}
+
+func (s *leaseStore) get(table, key string) (messenger.Row, error) {
+	if s.now.Before(s.awayUntil) {
+		return messenger.Row{}, transactor.ErrUnavailable
+	}
+	row := s.rows[key]
+	row.Table, row.Key, row.Era = table, key, s.era
+	return row, nil
+}
+
+func (s *leaseStore) transact(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
+	if s.now.Before(s.awayUntil) {
+		return nil, transactor.ErrUnavailable
+	}
+	for _, c := range req.Conditions {
+		if c.Era != s.era || s.rows[c.Key].Version != c.Version {
+			return nil, transactor.ErrConflict
+		}
+	}
+	s.version++
+	versions := []messenger.StoreVersion{}
+	for _, w := range req.Writes {
+		s.rows[w.Key] = messenger.Row{Version: s.version, Value: w.Value}
+		versions = append(versions, messenger.StoreVersion{Era: s.era, Number: s.version})
+	}
+	return versions, nil
+}
+
+func (s *leaseStore) start(instance string) *orderPermit {
+	now := func() time.Time { return s.now }
+	l := leaser.New(instance, "1", leaser.Tables{Get: s.get, Transact: s.transact}, leaser.WithClock(now),
+		leaser.WithTimes(leaser.Times{TTL: leaseTTL, Margin: leaseMargin, RenewInterval: leaseRenewInterval}))
+	permit := newOrderPermit(l, testHandover)
+	permit.now = now
+	return permit
+}
+
+// awaitOrders has leases checked until a permit is granted, and returns how long that takes.
+func (s *leaseStore) awaitOrders(t *testing.T, permit *orderPermit, others ...*orderPermit) time.Duration {
+	t.Helper()
+	const patience = 10 * time.Second
+	for start := s.now; s.now.Sub(start) < patience; s.now = s.now.Add(leaseCheckInterval) {
+		for _, p := range append(others, permit) {
+			_ = p.leaser.Tick() // refused while the store is away
+		}
+		if _, ok := permit.Grant(); ok {
+			return s.now.Sub(start)
+		}
+	}
+	require.Fail(t, "no order may be sent")
+	return 0
+}
+
+// passAway has leases checked while the store is away, and then tells them of its era.
+func (s *leaseStore) passAway(permits ...*orderPermit) {
+	for ; s.now.Before(s.awayUntil); s.now = s.now.Add(leaseCheckInterval) {
+		for _, p := range permits {
+			_ = p.leaser.Tick() // refused
+		}
+	}
+	for _, p := range permits {
+		p.leaser.MeetEra(s.era)
+	}
+}
+
+// newDrill returns a store that went away just now, after a holder has sent orders for two seconds, and that comes back
+// from a copy of the holder's first grant, or of nobody.
+func newDrill(t *testing.T, away time.Duration, isCopied bool) (s *leaseStore, holder, other *orderPermit) {
+	t.Helper()
+	s = &leaseStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	holder, other = s.start("holder"), s.start("other")
+	s.awaitOrders(t, holder)
+	copied := map[string]messenger.Row{}
+	if isCopied {
+		copied = maps.Clone(s.rows)
+	}
+	for end := s.now.Add(2 * time.Second); s.now.Before(end); s.now = s.now.Add(leaseCheckInterval) {
+		require.NoError(t, holder.leaser.Tick())
+		require.NoError(t, other.leaser.Tick())
+	}
+	_, ok := holder.Grant()
+	require.True(t, ok)
+	s.awayUntil, s.era, s.rows, s.version = s.now.Add(away), 2, copied, 1
+	return s, holder, other
+}
+
+// TestOrdersAfterDrill guards against a long time without orders after a drill of the store, and against orders of
+// another instance within the time of a handover.
+func TestOrdersAfterDrill(t *testing.T) {
+	for _, away := range []time.Duration{0, 500 * time.Millisecond, time.Second, 2 * time.Second, 8 * time.Second} {
+		for name, isCopied := range map[string]bool{"copy of nobody": false, "copy of the holder": true} {
+			t.Run(name+" after "+away.String()+", the holder goes on", func(t *testing.T) {
+				s, holder, other := newDrill(t, away, isCopied)
+				s.passAway(holder, other)
+				took := s.awaitOrders(t, holder, other)
+				assert.LessOrEqual(t, took, leaseTTL+time.Second)
+				if away <= time.Second {
+					assert.LessOrEqual(t, took, leaseCheckInterval, "it is surely the last holder")
+				}
+			})
+			t.Run(name+" after "+away.String()+", the holder is lost", func(t *testing.T) {
+				s, _, other := newDrill(t, away, isCopied)
+				lastOrder := s.now
+				s.passAway(other)
+				took := s.awaitOrders(t, other)
+				assert.GreaterOrEqual(t, s.now.Sub(lastOrder), testHandover)
+				assert.LessOrEqual(t, took, leaseTTL+testHandover+time.Second)
+			})
+		}
+	}
+}
