--- a/internal/control/leaser/era.go
+++ b/internal/control/leaser/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -10,15 +11,17 @@
 )
 
 const (
-	// maxFence is above all fencing tokens that an instance writes, and is read exactly where numbers
-	// are floating-point.
-	maxFence = 1 << 53
 	// eraShift is the number of bits of a fencing token below the era.
 	eraShift = 32
-	// maxEra is the highest era that leads a fencing token.
-	maxEra = maxFence>>eraShift - 1
-	// maxRefusalShift bounds by how much a token is raised that was refused again and again.
-	maxRefusalShift = 20
+	// maxEra is the highest era that leads a fencing token: tokens are below 2^53, and so read exactly where
+	// numbers are floating-point.
+	maxEra = 1<<(53-eraShift) - 1
+	// firstEra is the era of a table service that has never come back from a copy.
+	firstEra = 1
+	// refusalShift is the number of bits by which the step to the next token grows with each refusal, and
+	// maxRefusalShift that of the longest step.
+	refusalShift    = 3
+	maxRefusalShift = 24
 )
 
 // errEraChanged reports that the table service came back from a copy while the lease was written.
@@ -26,15 +29,14 @@
 
 // MeetEra records that the table service is in an era.
 func (l *Leaser) MeetEra(era int64) {
-	now := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if era <= l.era {
 		return
 	}
-	l.era, l.eraMetAt = era, now
+	l.era = era
 	if l.isLastHolder() {
-		l.nextReadAt = now
+		l.nextReadAt = time.Time{}
 	}
 }
 
@@ -42,7 +44,7 @@
 func (l *Leaser) NoteFence(fence int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if fence>>eraShift <= max(l.era, 0) {
+	if isFenceOf(fence, l.era) {
 		l.knownFence = max(l.knownFence, fence)
 	}
 }
@@ -63,7 +65,7 @@
 		return
 	}
 	l.isRefused = true
-	l.refusals = min(l.refusals+1, maxRefusalShift)
+	l.refusals++
 }
 
 // IsLastHolder reports whether no later holder than this instance is known.
@@ -73,6 +75,9 @@
 	return l.isLastHolder()
 }
 
+// isFenceOf reports whether a number may be a fencing token of an era or of an earlier one.
+func isFenceOf(fence, era int64) bool { return fence >= 0 && fence>>eraShift <= min(era, maxEra) }
+
 // isWrittenIn reports whether a record was written in the era of its row, so that what it says of its holder
 // holds. Of a service without eras it always does.
 func isWrittenIn(record Record, row messenger.StoreVersion) bool {
@@ -83,17 +88,18 @@
 func (l *Leaser) isLastHolder() bool { return l.grant.Fence > 0 && l.grant.Fence >= l.knownFence }
 
 // isSurelyLast reports whether no other instance can have acquired the lease since the last grant of this
-// one: those that saw the grant in its era had to wait for its end, which came after this instance had met
-// the current era, and the others wait as long from when they meet a later era. The caller holds l.mu.
+// one, if its row is of an earlier era: all others wait a TTL, either after that grant or after they have
+// seen the row that this instance saw before the TTL was over. The caller holds l.mu.
 func (l *Leaser) isSurelyLast() bool {
-	return l.grant.Fence > 0 && !l.released && l.eraMetAt.Before(l.grantedAt.Add(l.times.TTL))
+	return l.grant.Fence > 0 && !l.released && l.changeSeenAt.Before(l.grantedAt.Add(l.times.TTL))
 }
 
-// earlierErasEnd returns from when this instance may acquire a lease whose row is of an earlier era: the
-// grants of earlier eras were written before it met the current one. An instance that was the last holder
-// goes before the others, which would have to wait after its grant. The caller holds l.mu.
+// earlierErasEnd returns from when this instance may acquire a lease whose row is of an earlier era. The grants
+// of earlier eras were written before it saw the row, and so was a grant of this era that a late write of an
+// earlier one has replaced. An instance that was the last holder goes before the others, which would have to
+// wait after its grant. The caller holds l.mu.
 func (l *Leaser) earlierErasEnd() time.Time {
-	end := l.eraMetAt.Add(l.times.TTL)
+	end := l.changeSeenAt.Add(l.times.TTL)
 	if l.isLastHolder() {
 		return end
 	}
@@ -101,19 +107,21 @@
 }
 
 // previousEnd returns when the grant of the previous holder ended, by this instance's clock; zero if there
-// was none. The caller holds l.mu, and has not recorded its own new grant yet.
+// was none. It is called before the new grant is computed, while the clock of the table service is that of the
+// era of the row.
 func (l *Leaser) previousEnd(version messenger.StoreVersion, old Record, now time.Time) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	isCurrent := isWrittenIn(old, version)
 	switch {
-	case version.Era > 0 && isWrittenIn(old, version) && l.isOwn(old):
+	case version.Number == 0 && version.Era <= firstEra && l.knownFence == 0:
+		return time.Time{}
+	case isCurrent && l.isOwn(old) && old.Fence == l.grant.Fence, !isCurrent && l.isLastHolder():
 		return l.previousEndedAt // it goes on with its own grant
-	case isWrittenIn(old, version):
+	case isCurrent:
 		return l.grantEnd(old, now)
-	case l.knownFence == 0:
-		return time.Time{}
-	case l.isLastHolder():
-		return l.previousEndedAt
 	}
-	return earlier(now, l.eraMetAt.Add(l.times.TTL-l.times.Margin))
+	return earlier(now, l.changeSeenAt.Add(l.times.TTL-l.times.Margin))
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -123,18 +131,36 @@
 	return b
 }
 
+// fenceKeyOf returns the key of the fence row of an era. Each era that follows a copy has a row of its own, which a
+// late write of an earlier era does not replace, so that no token of the era is given out twice.
+func fenceKeyOf(era int64) string {
+	if era <= firstEra {
+		return fenceKey
+	}
+	return fenceKey + "-" + strconv.FormatInt(era, 10)
+}
+
 // nextFence returns a fencing token above all that are known: those of the lease row and of the fence row,
 // either of which another writer may have spoiled, and those of this instance and of its peers.
 func (l *Leaser) nextFence(era int64, fenceRow messenger.Row) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var last int64
-	if json.Unmarshal(fenceRow.Value, &last) != nil || last < 0 || last > maxFence {
+	if json.Unmarshal(fenceRow.Value, &last) != nil || !isFenceOf(last, era) {
 		last = 0
 	}
-	step := int64(1)
-	if l.isRefused {
-		step <<= l.refusals - 1
+	last = max(l.knownFence, last, min(era, maxEra)<<eraShift)
+	if next := last + l.refusalStep(); isFenceOf(next, era) {
+		return next
+	}
+	return last + 1
+}
+
+// refusalStep returns by how much the next fencing token exceeds all that are known. It grows with each token that
+// was refused, so that tokens far above are exceeded soon. The caller holds l.mu.
+func (l *Leaser) refusalStep() int64 {
+	if !l.isRefused {
+		return 1
 	}
-	return max(l.knownFence, last, min(era, maxEra)<<eraShift) + step
+	return 1 << min((l.refusals-1)*refusalShift, maxRefusalShift)
 }
--- /dev/null
+++ b/internal/control/leaser/era_fault_test.go
@@ -0,0 +1,226 @@
+package leaser
+
+import (
+	"encoding/json"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusring/crocusring/internal/edge/transactor"
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+)
+
+// drilledStore returns a store that came back from a copy without a lease, and two leasers that have met the era.
+func drilledStore(t *testing.T) (s *copiedStore, a, b *Leaser) {
+	t.Helper()
+	s = &copiedStore{now: time.Unix(1000, 0), era: 5, rows: map[string]messenger.Row{}}
+	a, b = s.start("a"), s.start("b")
+	before := s.copy()
+	s.acquire(t, a)
+	require.NoError(t, b.Tick())
+	s.drill(before)
+	b.MeetEra(s.era)
+	return s, a, b
+}
+
+// pass lets time pass while leasers tick.
+func (s *copiedStore) pass(d time.Duration, leasers ...*Leaser) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(100 * time.Millisecond) {
+		for _, l := range leasers {
+			_ = l.Tick() // refused where the row has changed
+		}
+	}
+}
+
+// TestLateWriteDoesNotFreeLease guards against two holders at a time: a write of an earlier era replaced the
+// lease of the current one, whose row then looked like one that was in the copy, and a spoiled row did.
+func TestLateWriteDoesNotFreeLease(t *testing.T) {
+	for name, value := range map[string]string{
+		"late write":  `{"Holder":"z","Incarnation":"1","Era":5,"Fence":21474836481}`,
+		"spoiled row": `[]`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, a, b := drilledStore(t)
+			s.pass(5*time.Second, a)
+			_, isHeld := a.Held(s.now)
+			require.True(t, isHeld)
+			s.version++
+			s.rows[leaseKey] = messenger.Row{Version: s.version, Value: json.RawMessage(value)}
+			require.NoError(t, b.Tick())
+			_, isHeld = b.Held(s.now)
+			assert.False(t, isHeld, "a holds the lease")
+			s.pass(3*time.Second, b)
+			_, isHeld = b.Held(s.now)
+			assert.True(t, isHeld, "a is gone")
+		})
+	}
+}
+
+// TestNewInstanceWaitsForLostHolder guards against two holders at a time, where a drill has lost the first grant of all
+// and an instance that has heard of no holder starts.
+func TestNewInstanceWaitsForLostHolder(t *testing.T) {
+	for name, x := range map[string]struct {
+		era  int64
+		want bool
+	}{
+		"era 0":                   {0, true},
+		"first era":               {1, true},
+		"era that follows a copy": {2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &copiedStore{now: time.Unix(1000, 0), era: x.era, rows: map[string]messenger.Row{}}
+			l := s.start("new")
+			require.NoError(t, l.Tick())
+			_, isHeld := l.Held(s.now)
+			assert.Equal(t, x.want, isHeld, "at once")
+			s.pass(2*time.Second, l)
+			grant, isHeld := l.Held(s.now)
+			assert.True(t, isHeld, "after a TTL")
+			assert.Equal(t, x.want, grant.PreviousEndedAt.IsZero(), "there was no holder before")
+		})
+	}
+}
+
+// TestLateAcquisitionDoesNotLowerFence guards against a fencing token that is given out twice in one era: a late
+// acquisition of the era before, whose conditions held by chance, replaced the fence of the current one.
+func TestLateAcquisitionDoesNotLowerFence(t *testing.T) {
+	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	var late messenger.TransactRequest
+	slow := s.start("slow")
+	slow.transact = func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
+		late = req
+		return nil, transactor.ErrUnknownOutcome
+	}
+	_ = slow.Tick() // of unknown outcome
+	s.drill(s.copy())
+	lost := s.acquire(t, s.start("a"))
+	s.version++
+	for _, w := range late.Writes {
+		s.rows[w.Key] = messenger.Row{Version: s.version, Value: w.Value}
+	}
+	next := s.acquire(t, s.start("b"))
+	assert.Greater(t, next.Fence, lost.Fence)
+}
+
+// TestFreezeBeforeAcquisitionShortensGrant guards against a grant that outlasts the expiry in its row, at which
+// another instance takes the lease: the instance froze between the two.
+func TestFreezeBeforeAcquisitionShortensGrant(t *testing.T) {
+	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	frozen := s.start("frozen")
+	bounds := frozen.clock
+	frozen.clock = func() (int64, int64, bool) {
+		earliest, latest, ok := bounds()
+		s.now = s.now.Add(2 * time.Second)
+		frozen.clock = bounds
+		return earliest, latest, ok
+	}
+	require.NoError(t, frozen.Tick())
+	next := s.start("next")
+	require.NoError(t, next.Tick())
+	_, isHeld := next.Held(s.now)
+	require.True(t, isHeld, "the row has expired")
+	_, isHeld = frozen.Held(s.now)
+	assert.False(t, isHeld)
+}
+
+// TestHandoverFollowsUnconfirmedAcquisition guards against orders too early after those of another holder: an
+// instance found its own acquisition, whose answer was lost, and took the end of its predecessor's grant for that
+// of a grant before.
+func TestHandoverFollowsUnconfirmedAcquisition(t *testing.T) {
+	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	a, b := s.start("a"), s.start("b")
+	s.acquire(t, a)
+	s.pass(3*time.Second, b)
+	_, isHeld := b.Held(s.now)
+	require.True(t, isHeld)
+	end := s.now
+	s.pass(1500*time.Millisecond, b)
+	transact, get := a.transact, a.get
+	s.now = s.now.Add(2 * time.Second)
+	a.transact = func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
+		_, _ = transact(req) // takes effect
+		a.get = func(string, string) (messenger.Row, error) { return messenger.Row{}, transactor.ErrUnavailable }
+		return nil, transactor.ErrUnknownOutcome
+	}
+	require.Error(t, a.Tick())
+	a.transact, a.get = transact, get
+	grant := s.acquire(t, a)
+	assert.True(t, grant.PreviousEndedAt.After(end), "b held the lease until after that")
+}
+
+// TestHandoverIgnoresClockOfLaterEra guards against orders too early after those of another holder: the expiry of
+// its grant was compared with the store's clock of a later era.
+func TestHandoverIgnoresClockOfLaterEra(t *testing.T) {
+	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	s.acquire(t, s.start("a"))
+	s.now = s.now.Add(1600 * time.Millisecond)
+	b := s.start("b")
+	transact, bounds := b.transact, b.clock
+	b.transact = func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
+		b.clock = func() (int64, int64, bool) { // another call has met the next era
+			earliest, latest, ok := bounds()
+			return earliest + 100_000, latest + 100_000, ok
+		}
+		return transact(req)
+	}
+	require.NoError(t, b.Tick())
+	grant, isHeld := b.Held(s.now)
+	require.True(t, isHeld)
+	assert.WithinDuration(t, s.now, grant.PreviousEndedAt, time.Second)
+}
+
+// TestAbsurdFenceIsNotExceeded guards against a token past the range of tokens, which no instance takes for one: a
+// spoiled row or a peer named the last tokens of the range, or tokens of an era that is still to come.
+func TestAbsurdFenceIsNotExceeded(t *testing.T) {
+	for name, fence := range map[string]string{
+		"the last token":     "9007199254740991",
+		"one past the last":  "9007199254740992",
+		"a token of era 7":   "30064771073",
+		"past int64":         "9223372036854775808",
+		"the last of int64":  "9223372036854775807",
+		"floating-point":     "1e15",
+		"not a number":       `"x"`,
+		"below all tokens":   "-1",
+		"a token of the era": "25769803780",
+	} {
+		for _, era := range []int64{0, 6} {
+			t.Run(name+" in era "+strconv.FormatInt(era, 10), func(t *testing.T) {
+				s := &copiedStore{now: time.Unix(1000, 0), era: era, version: 2, rows: map[string]messenger.Row{
+					leaseKey:        {Version: 1, Value: json.RawMessage(`{"Holder":"z","Fence":` + fence + `}`)},
+					fenceKeyOf(era): {Version: 2, Value: json.RawMessage(fence)},
+				}}
+				a, b := s.start("a"), s.start("b")
+				if noted, err := strconv.ParseInt(fence, 10, 64); err == nil {
+					a.NoteFence(noted)
+				}
+				first := s.acquire(t, a)
+				assert.Less(t, first.Fence, (era+1)<<eraShift)
+				assert.Greater(t, first.Fence, era<<eraShift)
+				s.pass(3*time.Second, a, b)
+				grant, isHeld := a.Held(s.now)
+				require.True(t, isHeld)
+				assert.Equal(t, first.Fence, grant.Fence)
+				assert.Equal(t, "a", b.Holder().Holder)
+			})
+		}
+	}
+}
+
+// TestRefusedFencesStayInEra guards against tokens of an era that is still to come, after many that were refused.
+func TestRefusedFencesStayInEra(t *testing.T) {
+	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	l := s.start("a")
+	last := s.acquire(t, l).Fence
+	for range 10_000 {
+		l.NoteRefused(last)
+		require.NoError(t, l.Tick())
+		grant, isHeld := l.Held(s.now)
+		require.True(t, isHeld)
+		require.Greater(t, grant.Fence, last)
+		require.Less(t, grant.Fence, int64(2)<<eraShift)
+		last = grant.Fence
+	}
+}
--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -22,7 +22,7 @@
 const (
 	leaseTable = "lease"
 	leaseKey   = "control"
-	fenceKey   = "fence"
+	fenceKey   = "fence" // see fenceKeyOf
 	// These are the defaults of Times.
 	defaultTTL           = 6 * time.Second
 	defaultMargin        = 2 * time.Second
@@ -132,10 +132,8 @@
 	leaseVersion messenger.StoreVersion
 	// changeSeenAt is when this instance last saw the row change.
 	changeSeenAt time.Time
-	// era is the latest era of the table service that is known, and eraMetAt is when this instance
-	// met it.
-	era      int64
-	eraMetAt time.Time
+	// era is the latest era of the table service that is known.
+	era int64
 	// knownFence is the highest fencing token that this instance has heard of.
 	knownFence int64
 	// grant is the last record that this instance wrote as holder, grantedAt is when it began to
@@ -200,7 +198,7 @@
 		Fence:           l.grant.Fence,
 		Deadline:        l.heldUntil,
 		PreviousEndedAt: l.previousEndedAt,
-		FenceCondition:  condition(fenceKey, l.fenceVersion),
+		FenceCondition:  condition(fenceKeyOf(l.fenceVersion.Era), l.fenceVersion),
 	}, true
 }
 
@@ -238,12 +236,16 @@
 	}
 }
 
-// follow reads the lease, contends for it, and schedules the next read.
+// follow reads the lease, contends for it, and schedules the next read: a failed attempt is repeated as soon as
+// a renewal would be.
 func (l *Leaser) follow(now time.Time) error {
 	err := l.contend()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.nextReadAt = now.Add(followInterval)
+	if err != nil {
+		l.nextReadAt = now.Add(min(followInterval, l.times.RenewInterval))
+	}
 	expiresAt := l.changeSeenAt.Add(l.times.TTL)
 	earliest, _, ok := l.clock()
 	switch {
@@ -351,7 +353,7 @@
 	switch {
 	case row.Era < l.era:
 		return false // a late answer
-	case row.Version == 0 && l.knownFence == 0:
+	case row.Version == 0 && row.Era <= firstEra && l.knownFence == 0:
 		return true // there has never been a holder
 	case row.Version == 0 && row.Era == 0:
 		return true
@@ -361,30 +363,21 @@
 	return record.Released || l.isOwn(record) || l.hasExpired(record) || !now.Before(l.changeSeenAt.Add(l.times.TTL))
 }
 
-// acquire writes the lease with the next fencing token. The deadline counts from
-// before the write.
+// acquire writes the lease with the next fencing token. The deadline and the expiry in the row count from before
+// the write, and the expiry from after the deadline.
 func (l *Leaser) acquire(version messenger.StoreVersion, old Record) error {
-	fence, err := l.get(leaseTable, fenceKey)
+	previousEndedAt := l.previousEnd(version, old, l.now())
+	fence, err := l.get(leaseTable, fenceKeyOf(version.Era))
 	if err != nil {
 		return err
 	}
 	if fence.Era != version.Era {
+		l.MeetEra(fence.Era)
 		return errors.Wrapf(errEraChanged, "lease of era %d, fence of era %d", version.Era, fence.Era)
 	}
-	next := Record{Holder: l.instance, Incarnation: l.incarnation, Era: version.Era, Fence: l.nextFence(version.Era, fence), Lapses: l.expiry()}
-	conditions := []messenger.Condition{
-		condition(leaseKey, version),
-		condition(fenceKey, fence.StoreVersion()),
-	}
-	value, err := json.Marshal(next.Fence)
-	if err != nil {
-		return errors.Wrap(err, "encode fence")
-	}
 	now := l.now()
-	versions, err := l.write(next, conditions, []messenger.Write{{Table: leaseTable, Key: fenceKey, Value: value}})
-	if errors.Is(err, transactor.ErrUnknownOutcome) {
-		versions, err = l.confirmAcquisition(next, err)
-	}
+	next := Record{Holder: l.instance, Incarnation: l.incarnation, Era: version.Era, Fence: l.nextFence(version.Era, fence), Lapses: l.expiry()}
+	versions, err := l.writeAcquisition(next, version, fence.StoreVersion())
 	if err != nil {
 		return err
 	}
@@ -394,7 +387,7 @@
 	}
 	l.mu.Lock()
 	l.fenceVersion = versions[1]
-	l.previousEndedAt = l.previousEnd(version, old, now)
+	l.previousEndedAt = previousEndedAt
 	l.isRefused = false
 	l.mu.Unlock()
 	l.recordGrant(now, next, versions[0])
@@ -402,6 +395,21 @@
 	return nil
 }
 
+// writeAcquisition writes the lease and the fence if neither row has changed, and returns their new versions.
+func (l *Leaser) writeAcquisition(next Record, lease, fence messenger.StoreVersion) ([]messenger.StoreVersion, error) {
+	key := fenceKeyOf(next.Era)
+	value, err := json.Marshal(next.Fence)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode fence")
+	}
+	conditions := []messenger.Condition{condition(leaseKey, lease), condition(key, fence)}
+	versions, err := l.write(next, conditions, []messenger.Write{{Table: leaseTable, Key: key, Value: value}})
+	if errors.Is(err, transactor.ErrUnknownOutcome) {
+		return l.confirmAcquisition(next, err)
+	}
+	return versions, err
+}
+
 // expiry returns when a lease that is written now has certainly expired, in
 // milliseconds of the table service's clock; 0 if that clock is not known.
 func (l *Leaser) expiry() int64 {
@@ -422,9 +430,6 @@
 // clock. If the expiry or the service clock is not known, it returns now: the
 // grant has ended by the time at which the lease is acquired.
 func (l *Leaser) grantEnd(old Record, now time.Time) time.Time {
-	if old.Fence == 0 {
-		return time.Time{}
-	}
 	earliest, _, ok := l.clock()
 	if !ok || old.Lapses == 0 {
 		return now
@@ -443,7 +448,7 @@
 	if err != nil || record != next || row.Era != next.Era {
 		return nil, cause
 	}
-	fence, err := l.get(leaseTable, fenceKey)
+	fence, err := l.get(leaseTable, fenceKeyOf(next.Era))
 	if err != nil || fence.Era != next.Era {
 		return nil, cause
 	}
@@ -492,7 +497,7 @@
 		return row, Record{}, nil
 	}
 	var record Record
-	if json.Unmarshal(row.Value, &record) != nil || record.Fence < 0 || record.Fence >= maxFence {
+	if json.Unmarshal(row.Value, &record) != nil || !isFenceOf(record.Fence, row.Era) {
 		// Nobody can renew what is not a lease: it is free once it has not changed for its TTL.
 		return row, Record{}, nil
 	}
