Let the soak play drills of the store, and check what they may break

New checks: each manifest adds a route, on which some requests go. RouteLost: an instance refuses a route with 404 that it has shown in this incarnation, or that all manifests have. NotInForce: one with 404 later than 3 s after its acknowledgement, or after it was written again. OldToken: an order is carried out later than 0.9 s after one with a higher fencing token, from a holder and at a target that nothing disturbed. Every order counts for TwoHolders, not only those carried out. A target that had left long before a drill still has left after it. A revoked key may run again only where, during a drill, no instance was left that knew more than the copy, until 3 s after the manifest was written again. Time bounds hold 3 s after the return. That a target returned is noted before its entry is written, which may wait for the store. A fault is planted for each check.

--- a/internal/tool/soaker/callers.go
+++ b/internal/tool/soaker/callers.go
@@ -28,6 +28,8 @@
 	simulator.Route
 	services []string
 	models   []string
+	// step is the version of the manifest that added the route; 0 if all versions have it.
+	step int
 }
 
 // callerGroup is the set of callers of a soak. Each keeps its connections open, asks
@@ -80,6 +82,9 @@
 // reports whether the address can still be used.
 func (c *callerGroup) send(ctx context.Context, caller *simulator.Caller, random *rand.Rand, address string) bool {
 	r := c.soak.routes[random.IntN(len(c.soak.routes))]
+	if random.Float64() < stepShare {
+		r = c.soak.pickStep(random)
+	}
 	model := ""
 	if len(r.models) > 0 {
 		model = r.models[random.IntN(len(r.models))]
--- a/internal/tool/soaker/checker.go
+++ b/internal/tool/soaker/checker.go
@@ -36,6 +36,15 @@
 	Overfilled Promise = "Overfilled"
 	// TwoHolders means that two instances gave orders under one fencing token.
 	TwoHolders Promise = "TwoHolders"
+	// OldToken means that a target carried out an order long after one with a higher fencing
+	// token was carried out.
+	OldToken Promise = "OldToken"
+	// RouteLost means that an instance refused a request for want of a route that all versions of
+	// the manifest have, or that it has shown to have.
+	RouteLost Promise = "RouteLost"
+	// NotInForce means that an instance refused a request for want of a route long after the
+	// store had acknowledged the manifest with it.
+	NotInForce Promise = "NotInForce"
 	// LateAnswer means that no final answer arrived within the timeout of the route.
 	LateAnswer Promise = "LateAnswer"
 	// AfterDrain means that a target received a request after it had left.
@@ -98,6 +107,8 @@
 	services []string
 	runs     []simulator.Run
 	refused  bool
+	// step is the version of the manifest that added the route; 0 if all versions have it.
+	step int
 	// endsTargets reports that its content ends the targets that run it.
 	endsTargets bool
 	// isUnanswered reports that the caller got a broken answer, or none from a target, in
@@ -134,6 +145,10 @@
 	mu            sync.Mutex
 	sentRequest   map[string]*sentRequest
 	holderByFence map[int64]string
+	highest       carriedOut           // the order with the highest fencing token
+	disturbedAt   map[string]time.Time // when an instance was last stopped, started or paused
+	manifests     manifestHistory
+	drills        drillHistory
 	leftAt        map[string]time.Time // when the store acknowledged that a target leaves
 	returnedAt    map[string]time.Time // when the present incarnation of a target began
 	cancelledAt   map[string]time.Time // when a caller cancelled a request, if undisturbed
@@ -156,7 +171,8 @@
 		now: time.Now, sentRequest: map[string]*sentRequest{}, holderByFence: map[int64]string{}, leftAt: map[string]time.Time{},
 		cancelledAt: map[string]time.Time{}, openRuns: map[string]int{}, targets: targetHistory{}, links: targetHistory{},
 		returnedAt: map[string]time.Time{}, leaveSeenAt: map[noticeKey]time.Time{}, quiet: map[noticeKey]*quietNotice{},
-		ends: map[string][]time.Time{},
+		ends: map[string][]time.Time{}, disturbedAt: map[string]time.Time{},
+		manifests: manifestHistory{dueAt: map[int]time.Time{}, acknowledgedAt: map[int]time.Time{}, seen: map[string][]seenStep{}},
 	}
 }
 
@@ -182,7 +198,7 @@
 func (c *Checker) RequestSent(call simulator.Call, r route, instance string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sentRequest[call.ID] = &sentRequest{call: call, instance: instance, sentAt: c.now(), isAtMostOnce: r.Kind != "safe" && !r.Resumable, services: r.services}
+	c.sentRequest[call.ID] = &sentRequest{call: call, instance: instance, sentAt: c.now(), isAtMostOnce: r.Kind != "safe" && !r.Resumable, services: r.services, step: r.step}
 }
 
 // Began records and checks a run that a target begins.
@@ -225,8 +241,7 @@
 	}
 }
 
-// Ordered records and checks an order that a target accepted or rejected for its
-// fencing token.
+// Ordered records and checks an order that has reached a target.
 func (c *Checker) Ordered(o simulator.Order) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -237,6 +252,9 @@
 		c.add(TwoHolders, "%s and %s used fencing token %d", holder, o.Holder, o.Fence)
 	}
 	c.holderByFence[o.Fence] = o.Holder
+	if o.IsCarriedOut {
+		c.checkToken(o)
+	}
 }
 
 // Exceeded records that a target received more requests than its limit allows.
@@ -288,6 +306,7 @@
 	s := c.sentRequest[call.ID]
 	isFromInstance := a.Stamp == ""
 	c.noteLeave(s, a)
+	c.checkManifest(s, a, isUndisturbed)
 	isAllowed := c.keys.isStable(call.Key)
 	if isAllowed {
 		c.noteDenial(s, a)
--- a/internal/tool/soaker/crash_checks.go
+++ b/internal/tool/soaker/crash_checks.go
@@ -63,11 +63,12 @@
 	return late
 }
 
-// noteDenial counts a request that an instance has refused for good although it ends no targets.
+// noteDenial counts a request that an instance has refused for good although it ends no targets. For
+// routes that not all manifests have see checkManifest.
 // The lock must be held.
 func (c *Checker) noteDenial(s *sentRequest, a simulator.Answer) {
 	isFinal := a.Status >= http.StatusMultipleChoices && a.Status < http.StatusInternalServerError && !isRefusal(a.Status)
-	if a.Err == nil && a.Stamp == "" && isFinal && !s.endsTargets {
+	if a.Err == nil && a.Stamp == "" && isFinal && !s.endsTargets && s.step == 0 {
 		c.denied++
 	}
 }
--- a/internal/tool/soaker/faults.go
+++ b/internal/tool/soaker/faults.go
@@ -16,7 +16,9 @@
 	name string
 	// keepsTimeBounds reports that guarantees with a time bound still hold during the fault.
 	keepsTimeBounds bool
-	begin           func(s *soak, random *rand.Rand) (what string, end func())
+	// notesItself reports that begin records when time bounds do not hold.
+	notesItself bool
+	begin       func(s *soak, random *rand.Rand) (what string, end func())
 }
 
 // pick returns a random element of a list.
@@ -27,11 +29,12 @@
 var faults = []fault{
 	{name: "instance killed", begin: func(s *soak, random *rand.Rand) (string, func()) {
 		p := pick(random, s.processes)
-		p.stop(syscall.SIGKILL, time.Second)
+		s.kill(p)
 		return p.name, func() { s.restart(p) }
 	}},
 	{name: "instance stopped", begin: func(s *soak, random *rand.Rand) (string, func()) {
 		p := pick(random, s.processes)
+		s.checker.InstanceEnds(p.name)
 		go func() {
 			p.stop(syscall.SIGTERM, stopTimeout)
 			s.restart(p)
@@ -53,14 +56,8 @@
 		return p.name, nil
 	}},
 	{name: "all instances killed", begin: func(s *soak, _ *rand.Rand) (string, func()) {
-		for _, p := range s.processes {
-			p.stop(syscall.SIGKILL, time.Second)
-		}
-		return "all", func() {
-			for _, p := range s.processes {
-				s.restart(p)
-			}
-		}
+		s.killAll()
+		return "all", s.restartAll
 	}},
 	{name: "link to the store disturbed", begin: func(s *soak, random *rand.Rand) (string, func()) {
 		n := random.IntN(len(s.ways))
@@ -174,8 +171,13 @@
 	{name: "manifest changes", keepsTimeBounds: true, begin: func(s *soak, random *rand.Rand) (string, func()) {
 		return s.changeManifest(random), nil
 	}},
+	drillFault,
 }
 
+var drillFault = fault{name: "store comes back from a copy", notesItself: true, begin: func(s *soak, random *rand.Rand) (string, func()) {
+	return s.beginDrills(random)
+}}
+
 const (
 	// minFaultDuration and maxFaultDuration bound the length of a disturbance, maxFaultGap
 	// the time until the next one begins. With these values a few disturbances overlap.
@@ -187,11 +189,16 @@
 	phaseDuration = 8 * time.Second
 )
 
-// drawFault draws a fault that is allowed in the phase at a time since the start.
-func drawFault(random *rand.Rand, since time.Duration) fault {
+// drawFault draws a fault that is allowed in the phase at a time since the start. drillShare is the
+// share of drills of the store beyond those that are drawn as any other fault.
+func drawFault(random *rand.Rand, since time.Duration, drillShare float64) fault {
+	allowsAll := since/phaseDuration%2 == 0
+	if allowsAll && drillShare > 0 && random.Float64() < drillShare {
+		return drillFault
+	}
 	for {
 		f := pick(random, faults)
-		if f.keepsTimeBounds || since/phaseDuration%2 == 0 {
+		if f.keepsTimeBounds || allowsAll {
 			return f
 		}
 	}
@@ -203,8 +210,8 @@
 	start := time.Now()
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(random.Float64() * float64(maxFaultGap)))
-		f := drawFault(random, time.Since(start))
-		if !f.keepsTimeBounds {
+		f := drawFault(random, time.Since(start), s.settings.DrillShare)
+		if !f.keepsTimeBounds && !f.notesItself {
 			s.noteDisturbance()
 		}
 		what, end := f.begin(s, random)
@@ -216,7 +223,7 @@
 		s.activeFaults.Add(1)
 		time.AfterFunc(length, func() {
 			defer s.activeFaults.Done()
-			if !f.keepsTimeBounds {
+			if !f.keepsTimeBounds && !f.notesItself {
 				s.noteDisturbance()
 			}
 			end()
--- a/internal/tool/soaker/process.go
+++ b/internal/tool/soaker/process.go
@@ -30,6 +30,8 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
+	// isPaused is set from SIGSTOP to the next SIGCONT or start.
+	isPaused bool
 	// stopRequested is set once the process was sent a signal that ends it.
 	stopRequested bool
 	// onUnexpectedExit is called when the process exits without such a signal.
@@ -56,7 +58,7 @@
 	}
 	exited := make(chan struct{})
 	p.mu.Lock()
-	p.command, p.exited, p.stopRequested = command, exited, false
+	p.command, p.exited, p.stopRequested, p.isPaused = command, exited, false, false
 	p.mu.Unlock()
 	go func() {
 		err := command.Wait()
@@ -85,12 +87,24 @@
 	}
 }
 
+// isActive reports whether the process is running and not paused.
+func (p *process) isActive() bool {
+	p.mu.Lock()
+	isPaused := p.isPaused
+	p.mu.Unlock()
+	return !isPaused && p.isRunning()
+}
+
 // signal sends a signal to the process. It does nothing if the process has exited.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+	switch s {
+	case syscall.SIGTERM, syscall.SIGKILL:
 		p.stopRequested = true
+	case syscall.SIGSTOP, syscall.SIGCONT:
+		p.isPaused = s == syscall.SIGSTOP
+	default:
 	}
 	select {
 	case <-p.exited:
--- a/internal/tool/soaker/soaker.go
+++ b/internal/tool/soaker/soaker.go
@@ -61,6 +61,9 @@
 	Callers   int
 	// HasAccounts gives the callers accounts, whose keys change.
 	HasAccounts bool
+	// DrillShare is the share, 0 to 1, of drills of the store among the disturbances of instances
+	// and of the store, beyond those that are drawn as any other.
+	DrillShare float64
 	// Program is the path of the program under test, Directory the folder for the settings
 	// and logs of its instances.
 	Program   string
@@ -91,12 +94,15 @@
 	callers         *callerGroup
 	activeFaults    sync.WaitGroup
 	manifestVersion int
-	// lastDisturbedNanos is when a disturbance of the store or of an instance last began or
-	// ended, in Unix nanoseconds.
-	lastDisturbedNanos atomic.Int64
-	isRecovered        atomic.Bool
-	isClosing          atomic.Bool
-	outMu              sync.Mutex
+	steps           stepList
+	drilling        sync.Mutex // held while the store is away
+	// disturbances is the number of times that a disturbance of the store or of an instance began
+	// or ended, and settledNanos when guarantees with a time bound hold again, in Unix nanoseconds.
+	disturbances atomic.Int64
+	settledNanos atomic.Int64
+	isRecovered  atomic.Bool
+	isClosing    atomic.Bool
+	outMu        sync.Mutex
 }
 
 // Run soaks the program for settings.Length and returns the violations that it found.
@@ -196,11 +202,17 @@
 	for _, r := range s.routes {
 		routes = append(routes, r.Route)
 	}
+	added := s.steps.next(s.manifestVersion)
+	for _, r := range added {
+		routes = append(routes, r.Route)
+	}
 	routes = append(routes, more...)
 	accounts, revoked := s.keys.next()
 	manifest := simulator.Manifest(s.manifestVersion, host, routes, s.services)
 	s.store.Put(platform.ManifestTable, platform.ManifestKey, simulator.WithAccounts(manifest, accounts))
 	revoked()
+	s.steps.acknowledged(added)
+	s.checker.ManifestAcknowledged(s.manifestVersion)
 }
 
 // changeManifest writes a new version of the manifest with other extra routes and returns
@@ -343,6 +355,7 @@
 func (s *soak) restart(p *process) {
 	s.noteDisturbance()
 	s.checker.InstanceDisturbed(p.name)
+	s.checker.InstanceRestarted(p.name)
 	if s.isClosing.Load() {
 		return
 	}
@@ -360,8 +373,8 @@
 }
 
 func (s *soak) restartTarget(t *proxiedTarget) {
+	s.checker.TargetReturned(t.target.ID) // before its entry is written, which waits while the store is away
 	t.target.Restart()
-	s.checker.TargetReturned(t.target.ID)
 }
 
 // reportUnexpectedExit records the exit of an instance that was not asked to stop.
@@ -375,20 +388,29 @@
 // noteDisturbance records that a disturbance of the store or of an instance begins or
 // ends now.
 func (s *soak) noteDisturbance() {
-	s.lastDisturbedNanos.Store(time.Now().UnixNano())
+	s.suspendTimeBounds(stabilizationTime)
 	s.checker.Disturbed()
 	for _, t := range s.targets {
 		t.target.RestartCount(stabilizationTime) // an instance that starts has yet to learn of limits
 	}
 }
 
+// suspendTimeBounds excuses what happens now, and for a time, from the guarantees with a time bound.
+func (s *soak) suspendTimeBounds(settle time.Duration) {
+	until := time.Now().Add(settle).UnixNano()
+	for known := s.settledNanos.Load(); until > known && !s.settledNanos.CompareAndSwap(known, until); {
+		known = s.settledNanos.Load()
+	}
+	s.disturbances.Add(1)
+}
+
 // lastDisturbance returns a mark of the latest disturbance, for isUndisturbedSince.
-func (s *soak) lastDisturbance() int64 { return s.lastDisturbedNanos.Load() }
+func (s *soak) lastDisturbance() int64 { return s.disturbances.Load() }
 
-// isUndisturbedSince reports whether there was no disturbance since a mark was taken, nor
-// during the last stabilizationTime.
+// isUndisturbedSince reports whether guarantees with a time bound hold, and there was no disturbance
+// since a mark was taken.
 func (s *soak) isUndisturbedSince(mark int64) bool {
-	return mark == s.lastDisturbedNanos.Load() && time.Since(time.Unix(0, mark)) > stabilizationTime
+	return mark == s.disturbances.Load() && time.Now().UnixNano() > s.settledNanos.Load()
 }
 
 func (s *soak) isAfterRecovery() bool { return s.isRecovered.Load() }
