Remove the rows that a peer's copy lacks after their grace

An instance that copied a table from a peer in the grace after a change of era kept the rows that the peer was about to remove for good: storing such a row took its deadline away again. One that had removed a row already got it back from a peer that still waited for it.

Rows that the store lacks are stored apart from those that it has, with a deadline, and not at all if the copy was newer than them without having them.

--- a/internal/gateway/follower/era.go
+++ b/internal/gateway/follower/era.go
@@ -61,29 +61,43 @@
 	return out
 }
 
-// withoutMissing returns the rows of a peer's copy that the store has. Those that the store lacks, but
-// that may be written again, are stored if they are not known, and get a grace period. The caller holds
-// f.mu.
-func (f *Follower) withoutMissing(snapshot messenger.TableSnapshot, now time.Time) []messenger.StoreRow {
+// splitMissing returns the rows of a peer's copy that the store has, and those that it lacks but that may
+// be written again.
+func splitMissing(snapshot messenger.TableSnapshot) (stored, missing []messenger.StoreRow) {
 	if len(snapshot.Missing) == 0 {
-		return snapshot.Rows
+		return snapshot.Rows, nil
 	}
 	isMissing := make(map[string]bool, len(snapshot.Missing))
 	for _, key := range snapshot.Missing {
 		isMissing[key] = true
 	}
-	out := make([]messenger.StoreRow, 0, len(snapshot.Rows))
 	for _, row := range snapshot.Rows {
-		_, isKnown := f.rows[row.Key]
-		if !isMissing[row.Key] || !isKnown {
-			out = append(out, row)
+		if isMissing[row.Key] {
+			missing = append(missing, row)
+		} else {
+			stored = append(stored, row)
 		}
 	}
-	for key := range isMissing {
-		if _, isDeferred := f.returnDeadlines[key]; !isDeferred {
-			f.returnDeadlines[key] = now.Add(returnGracePeriod)
-			f.removed[key] = f.version
+	return stored, missing
+}
+
+// storeMissing gives a grace period to the rows that the store lacks but that a peer still has, and returns
+// those that are new here. before is the version of the copy until now: what it lacked by then was removed.
+// The caller holds f.mu.
+func (f *Follower) storeMissing(rows []messenger.StoreRow, before messenger.StoreVersion, now time.Time) []messenger.StoreRow {
+	added := []messenger.StoreRow{}
+	for _, row := range rows {
+		if _, isKnown := f.rows[row.Key]; !isKnown {
+			if !row.StoreVersion().IsAfter(before) {
+				continue
+			}
+			f.rows[row.Key] = row
+			added = append(added, row)
+		}
+		if _, isDeferred := f.returnDeadlines[row.Key]; !isDeferred {
+			f.returnDeadlines[row.Key] = now.Add(returnGracePeriod)
+			f.removed[row.Key] = f.version
 		}
 	}
-	return out
+	return added
 }
--- a/internal/gateway/follower/era_test.go
+++ b/internal/gateway/follower/era_test.go
@@ -40,3 +40,25 @@
 	s.table = snapshot(70, row("a", 70))
 	assert.False(t, f.Step())
 }
+
+// TestMissingRowOfAPeerIsRemovedAfterTheGrace guards against an instance that takes a row which its peer is about to
+// remove for one that the store has, and keeps it for good.
+func TestMissingRowOfAPeerIsRemovedAfterTheGrace(t *testing.T) {
+	s, f := newTestStore()
+	copied := inEra(6, snapshot(70, row("b", 60)))
+	copied.Rows = append(copied.Rows, messenger.StoreRow{Key: "a", Era: 5, Version: 90})
+	copied.Missing = []string{"a"}
+	f.Adopt(copied)
+	assert.Equal(t, map[string]int64{"a": 90, "b": 60}, s.applied)
+	assert.Equal(t, []string{"a"}, f.Snapshot().Missing)
+	s.changes = []Changes{{Era: 6, Version: 71}, {Era: 6, Version: 72}}
+	f.Step()
+	s.now = s.now.Add(returnGracePeriod)
+	f.Step()
+	assert.Equal(t, map[string]int64{"b": 60}, s.applied)
+	t.Run("the copy of another peer brings it back no more", func(t *testing.T) {
+		copied.Version = 80
+		f.Adopt(copied)
+		assert.Equal(t, map[string]int64{"b": 60}, s.applied)
+	})
+}
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -445,12 +445,15 @@
 		snapshot.Rows = f.resolveRows(snapshot.Rows)
 	}
 	deferRemoval := now.Before(f.eraDeadline) || (mayReturn && f.mayHaveExpired(now))
+	before := f.version
 	f.version = later(f.version, snapshot.StoreVersion())
 	present := make(map[string]bool, len(snapshot.Rows))
 	for _, row := range snapshot.Rows {
 		present[row.Key] = true
 	}
-	rows := f.storeRows(f.withoutMissing(snapshot, now), false)
+	storedRows, missingRows := splitMissing(snapshot)
+	rows := f.storeRows(storedRows, false)
+	rows = append(rows, f.storeMissing(missingRows, before, now)...)
 	f.historyStart = f.version // the individual changes before this version are unknown
 	missing := []string{}
 	for key := range f.rows {
