Begin the grace anew at a second change of era or the end of an outage in it

An entry that the store lacked after two changes of era within seconds was removed when the grace of the first one ended, although its writer could not write it in between. One that expired in an outage which ended within the grace of a change of era was removed with that grace: the end of the outage was not looked at. Callers saw targets vanish that were there.

Each grace now begins anew for all entries that are missing.

--- a/internal/gateway/follower/era.go
+++ b/internal/gateway/follower/era.go
@@ -43,8 +43,8 @@
 // no peer can know that they were removed. The caller holds f.mu.
 func (f *Follower) meetEra(now time.Time, after messenger.StoreVersion) {
 	f.observeEra(f.version, after)
-	f.eraDeadline = now.Add(returnGracePeriod)
-	f.returnDeadline = f.eraDeadline
+	f.startGrace(now)
+	f.eraDeadline = f.returnDeadline
 	f.hasStoreSince = now
 	f.wake()
 }
--- a/internal/gateway/follower/era_test.go
+++ b/internal/gateway/follower/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -62,3 +63,44 @@
 		assert.Equal(t, map[string]int64{"b": 60}, s.applied)
 	})
 }
+
+// TestSecondChangeOfEraBeginsTheGraceAnew guards against entries that vanish since the grace of the first of two changes
+// of era ends, although the store is just back from the second.
+func TestSecondChangeOfEraBeginsTheGraceAnew(t *testing.T) {
+	s, f := newTestStore()
+	meet := func(era int64) {
+		s.table, s.isHistoryTruncated = inEra(era, snapshot(70, row("b", 60))), true
+		f.Step()
+	}
+	s.table = inEra(5, snapshot(90, row("a", 90), row("b", 60)))
+	f.Step()
+	meet(6)
+	s.now = s.now.Add(returnGracePeriod / 2)
+	meet(7)
+	s.now = s.now.Add(returnGracePeriod - time.Millisecond)
+	s.changes = []Changes{{Era: 7, Version: 71}, {Era: 7, Version: 72}}
+	f.Step()
+	assert.Contains(t, s.applied, "a")
+	s.now = s.now.Add(time.Millisecond)
+	f.Step()
+	assert.NotContains(t, s.applied, "a")
+}
+
+// TestOutageWithinTheGraceOfAnEraBeginsAGrace guards against entries that expired in an outage, and vanish at its end
+// since it was met within the grace of a change of era.
+func TestOutageWithinTheGraceOfAnEraBeginsAGrace(t *testing.T) {
+	s, f := newTestStore()
+	s.table = inEra(5, snapshot(90, row("a", 90), row("b", 60)))
+	f.Step()
+	s.table, s.isHistoryTruncated = inEra(6, snapshot(70, row("a", 65), row("b", 60))), true
+	f.Step()
+	s.outage(f, returnGracePeriod-minRetryInterval)
+	s.changes = []Changes{{Era: 6, Version: 80, Removed: []string{"a"}}, {Era: 6, Version: 81}, {Era: 6, Version: 82}}
+	f.Step()
+	s.now = s.now.Add(returnGracePeriod - time.Millisecond)
+	f.Step()
+	assert.Contains(t, s.applied, "a")
+	s.now = s.now.Add(time.Millisecond)
+	f.Step()
+	assert.NotContains(t, s.applied, "a")
+}
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -350,12 +350,21 @@
 // f.mu.
 func (f *Follower) mayHaveExpired(now time.Time) bool {
 	if !f.failingSince.IsZero() && now.Sub(f.failingSince) > outageThreshold {
-		f.returnDeadline = now.Add(returnGracePeriod)
+		f.startGrace(now)
 		f.outageBegan = f.answeredAt
 	}
 	return now.Before(f.returnDeadline) && !f.source.PeerHasHadStore(f.outageBegan)
 }
 
+// startGrace starts a grace period, also for the entries that are in an earlier one: nobody could write them
+// again in between. The caller holds f.mu.
+func (f *Follower) startGrace(now time.Time) {
+	f.returnDeadline = now.Add(returnGracePeriod)
+	for key := range f.returnDeadlines {
+		f.returnDeadlines[key] = f.returnDeadline
+	}
+}
+
 // HasStoreFor returns how long there was no outage of the store; 0 during one and before the
 // first answer.
 func (f *Follower) HasStoreFor() time.Duration {
@@ -382,7 +391,7 @@
 		return errors.Wrapf(ErrHistoryTruncated, "%s: changes of era %d, copy of era %d", f.table, changes.Era, f.version.Era)
 	}
 	now := f.now()
-	deferRemoval := now.Before(f.eraDeadline) || f.mayHaveExpired(now)
+	deferRemoval := f.mayHaveExpired(now) || now.Before(f.eraDeadline)
 	f.version = later(f.version, changes.StoreVersion())
 	rows := f.storeRows(changes.Rows, changes.IsGapless)
 	removed := f.removeRows(f.withoutLater(changes.Removed, changes.StoreVersion()), deferRemoval)
@@ -444,7 +453,7 @@
 		f.meetEra(now, snapshot.StoreVersion())
 		snapshot.Rows = f.resolveRows(snapshot.Rows)
 	}
-	deferRemoval := now.Before(f.eraDeadline) || (mayReturn && f.mayHaveExpired(now))
+	deferRemoval := (mayReturn && f.mayHaveExpired(now)) || now.Before(f.eraDeadline)
 	before := f.version
 	f.version = later(f.version, snapshot.StoreVersion())
 	present := make(map[string]bool, len(snapshot.Rows))
