Keep lasting rows until they are written again, not until the next read

The manifest was kept when the first table of a later era lacked it, but removed when the table was read again in that era before the operator had written it: after a 410, by a proof of a peer, or by a call for want of a proof. Callers would have got 404.

A lasting row of an earlier era than the table is not removed by it.

--- a/internal/gateway/follower/era_test.go
+++ b/internal/gateway/follower/era_test.go
@@ -104,3 +104,22 @@
 	f.Step()
 	assert.NotContains(t, s.applied, "a")
 }
+
+// TestLastingRowIsKeptUntilItIsWrittenAgain guards against a manifest that vanishes when the table is read a second time
+// before the operator has written it again.
+func TestLastingRowIsKeptUntilItIsWrittenAgain(t *testing.T) {
+	s, f := newTestStore()
+	WithLastingRows()(f)
+	s.table = inEra(5, snapshot(90, row("a", 90)))
+	f.Step()
+	for version := range int64(3) {
+		s.table, s.isHistoryTruncated = inEra(6, snapshot(70+version)), true
+		f.Step()
+		f.Adopt(s.table)
+		s.now = s.now.Add(returnGracePeriod)
+	}
+	assert.Contains(t, s.applied, "a")
+	s.changes = []Changes{{Era: 6, Version: 80, Rows: inEra(6, snapshot(80, row("a", 80))).Rows}}
+	f.Step()
+	assert.Equal(t, map[string]int64{"a": 80}, s.applied)
+}
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -448,38 +448,39 @@
 			"knownEra", known.Era, "knownVersion", known.Number)
 		return errors.Wrap(ErrOutdated, f.table)
 	}
-	isLaterEra := !f.version.IsZero() && snapshot.Era > f.version.Era
-	if isLaterEra {
+	if !f.version.IsZero() && snapshot.Era > f.version.Era {
 		f.meetEra(now, snapshot.StoreVersion())
 		snapshot.Rows = f.resolveRows(snapshot.Rows)
 	}
 	deferRemoval := (mayReturn && f.mayHaveExpired(now)) || now.Before(f.eraDeadline)
 	before := f.version
 	f.version = later(f.version, snapshot.StoreVersion())
-	present := make(map[string]bool, len(snapshot.Rows))
-	for _, row := range snapshot.Rows {
-		present[row.Key] = true
-	}
 	storedRows, missingRows := splitMissing(snapshot)
 	rows := f.storeRows(storedRows, false)
 	rows = append(rows, f.storeMissing(missingRows, before, now)...)
 	f.historyStart = f.version // the individual changes before this version are unknown
-	missing := []string{}
-	for key := range f.rows {
-		if !present[key] {
-			missing = append(missing, key)
-		}
-	}
-	slices.Sort(missing)
-	if f.isLasting && isLaterEra {
-		missing = nil
-	}
-	removed := f.removeRows(missing, deferRemoval)
+	removed := f.removeRows(f.missingFrom(snapshot), deferRemoval)
 	f.mu.Unlock()
 	f.deliver(rows, removed)
 	return nil
 }
 
+// missingFrom returns the keys that a table lacks. The caller holds f.mu.
+func (f *Follower) missingFrom(snapshot messenger.TableSnapshot) []string {
+	present := make(map[string]bool, len(snapshot.Rows))
+	for _, row := range snapshot.Rows {
+		present[row.Key] = true
+	}
+	out := []string{}
+	for key, row := range f.rows {
+		if isAwaited := f.isLasting && row.Era < snapshot.Era; !present[key] && !isAwaited {
+			out = append(out, key)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // removeRows removes rows at once or, if deferRemoval is set, after the grace period. It
 // returns those that are removed now. The caller holds f.mu.
 func (f *Follower) removeRows(keys []string, deferRemoval bool) []string {
