Pause when neither changes nor a newer table can be had

An instance that follows a table through others read it again every 10 ms while one of them had just started: a copy that was not read yet told that its history was truncated, and the whole table came from another one, no newer than the copy (follower.Since, Step).

Such a copy says that it is older, so that the next one is asked; and a table that is no newer than the copy whose changes cannot be had is a failed step, with the pause of one.

--- a/internal/gateway/follower/era_test.go
+++ b/internal/gateway/follower/era_test.go
@@ -123,3 +123,24 @@
 	f.Step()
 	assert.Equal(t, map[string]int64{"a": 80}, s.applied)
 }
+
+// TestTruncatedHistoryWithoutANewerTableIsAFailedStep guards against calls every few milliseconds, in turn for changes
+// that cannot be had and for a table that is known.
+func TestTruncatedHistoryWithoutANewerTableIsAFailedStep(t *testing.T) {
+	s, f := newTestStore()
+	s.table = inEra(6, snapshot(70, row("a", 70)))
+	f.Step()
+	s.isHistoryTruncated = true
+	assert.False(t, f.Step())
+	s.table, s.isHistoryTruncated = inEra(6, snapshot(71, row("a", 70))), true
+	assert.True(t, f.Step())
+}
+
+// TestCopyThatWasNotReadYetHasNoHistory guards against an instance that has just started and has those which follow the
+// table through it read it again and again.
+func TestCopyThatWasNotReadYetHasNoHistory(t *testing.T) {
+	_, f := newTestStore()
+	_, err := f.Since(t.Context(), messenger.StoreVersion{Era: 6, Number: 70})
+	assert.ErrorIs(t, err, ErrOutdated)
+	assert.NotErrorIs(t, err, ErrHistoryTruncated)
+}
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -239,7 +239,7 @@
 	}
 	if errors.Is(err, ErrHistoryTruncated) {
 		f.log.Info("history of table is truncated", "table", f.table, "era", version.Era, "version", version.Number)
-		return f.reload()
+		return f.reloadAfter(version)
 	}
 	if err != nil {
 		return err
@@ -251,6 +251,18 @@
 	return nil
 }
 
+// reloadAfter reads the whole table since the changes after a version cannot be had. The error is ErrOutdated
+// if it is no newer than that, so that it is not read again at once.
+func (f *Follower) reloadAfter(version messenger.StoreVersion) error {
+	if err := f.reload(); err != nil {
+		return err
+	}
+	if !f.Version().IsAfter(version) {
+		return errors.Wrapf(ErrOutdated, "%s: neither changes nor a newer table", f.table)
+	}
+	return nil
+}
+
 func (f *Follower) reload() error {
 	snapshot, err := f.source.Read(f.table)
 	if err != nil {
--- a/internal/gateway/follower/relay.go
+++ b/internal/gateway/follower/relay.go
@@ -24,7 +24,8 @@
 
 // Since returns the changes after a version, for an instance that follows the table
 // through this one. If there are none, it waits for the first one until ctx is done. The
-// error is ErrHistoryTruncated, or ErrOutdated if that version is of a later era than the copy.
+// error is ErrHistoryTruncated, or ErrOutdated if that version is of a later era than the copy or the
+// table has not been read yet.
 func (f *Follower) Since(ctx context.Context, after messenger.StoreVersion) (messenger.TableChanges, error) {
 	for {
 		f.mu.Lock()
@@ -46,12 +47,12 @@
 
 // since returns the changes after a version. The caller holds f.mu.
 func (f *Follower) since(after messenger.StoreVersion) (messenger.TableChanges, error) {
-	if f.version.IsZero() || after.IsBefore(f.historyStart) {
-		return messenger.TableChanges{}, errors.Wrap(ErrHistoryTruncated, f.table)
-	}
-	if after.Era > f.version.Era {
+	if f.version.IsZero() || after.Era > f.version.Era {
 		return messenger.TableChanges{}, errors.Wrapf(ErrOutdated, "%s: copy of era %d", f.table, f.version.Era)
 	}
+	if after.IsBefore(f.historyStart) {
+		return messenger.TableChanges{}, errors.Wrap(ErrHistoryTruncated, f.table)
+	}
 	version := later(f.version, after)
 	out := messenger.TableChanges{
 		Proof: f.proof(), // before the rows, which are then at least as new
