Let no late answer bring back a row that was removed since

An answer of the feed that is overtaken by a newer copy of a peer, or by a call beside that of the follower, may hold the write of a row whose removal the copy has already: the row came back, and stayed for good since its removal was never seen again.

Rows of changes before the version of the copy are applied only if the copy has their keys.

--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -404,6 +404,9 @@
 	}
 	now := f.now()
 	deferRemoval := f.mayHaveExpired(now) || now.Before(f.eraDeadline)
+	if changes.StoreVersion().IsBefore(f.version) {
+		changes.Rows = f.presentOf(changes.Rows)
+	}
 	f.version = later(f.version, changes.StoreVersion())
 	rows := f.storeRows(changes.Rows, changes.IsGapless)
 	removed := f.removeRows(f.withoutLater(changes.Removed, changes.StoreVersion()), deferRemoval)
@@ -412,6 +415,20 @@
 	return nil
 }
 
+// presentOf returns the rows whose keys the table has at the version of the copy: all others were removed
+// after they were written. The caller holds f.mu.
+func (f *Follower) presentOf(rows []messenger.StoreRow) []messenger.StoreRow {
+	out := make([]messenger.StoreRow, 0, len(rows))
+	for _, row := range rows {
+		_, isKnown := f.rows[row.Key]
+		_, isMissing := f.returnDeadlines[row.Key]
+		if isKnown && !isMissing {
+			out = append(out, row)
+		}
+	}
+	return out
+}
+
 // withoutLater leaves out the keys whose row was written after a version. The caller holds f.mu.
 func (f *Follower) withoutLater(keys []string, version messenger.StoreVersion) []string {
 	out := make([]string, 0, len(keys))
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -131,6 +131,19 @@
 	})
 }
 
+// TestLateAnswerDoesNotBringBackARow guards against a row that was written and removed before the version of the copy,
+// and stays for good since a late answer has its write alone.
+func TestLateAnswerDoesNotBringBackARow(t *testing.T) {
+	s, f := newTestStore()
+	s.table = snapshot(5, row("a", 3))
+	f.Step()
+	f.Adopt(snapshot(9, row("a", 3)))
+	s.changes = []Changes{{Version: 7, Rows: []messenger.StoreRow{row("b", 6), row("a", 7)}}}
+	f.Step()
+	assert.Equal(t, map[string]int64{"a": 7}, s.applied)
+	assert.EqualValues(t, 9, f.Version().Number)
+}
+
 func TestExpiredEntriesMayReturnAfterOutage(t *testing.T) {
 	expire := func() (*testStore, *Follower) {
 		s, f := newTestStore()
