Remove a missing entry by an answer of after its grace

An instance that was frozen or cut off after it had met a later era removed the entries that were missing then as soon as it ran again: by the local time alone, even if its call had failed, waited through the freeze, or gone through an instance whose copy was older. The entries had been written again meanwhile. Targets vanished until the next answer.

An entry is removed after a successful call that began, less the age of a relayed answer, when its grace was over. A table that is read through another instance has its age too.

--- a/internal/gateway/follower/era_test.go
+++ b/internal/gateway/follower/era_test.go
@@ -144,3 +144,40 @@
 	assert.ErrorIs(t, err, ErrOutdated)
 	assert.NotErrorIs(t, err, ErrHistoryTruncated)
 }
+
+// TestEntryIsRemovedByAnAnswerOfAfterItsGrace guards against an instance that was frozen or cut off in the grace, and
+// removes entries which have been written again meanwhile before it has asked.
+func TestEntryIsRemovedByAnAnswerOfAfterItsGrace(t *testing.T) {
+	const most = returnGracePeriod
+	for name, c := range map[string]struct {
+		// before and during are the times before the call and in it.
+		before, during time.Duration
+		changes        Changes
+		err            error
+	}{
+		"a call that fails":               {during: most, err: errUnavailable},
+		"an answer that has waited":       {during: most, changes: Changes{Era: 6, Version: 71}},
+		"an old copy of another instance": {before: most, changes: Changes{Era: 6, Version: 71, Age: time.Second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, f := newTestStore()
+			s.table = inEra(5, snapshot(90, row("a", 90)))
+			f.Step()
+			s.table, s.isHistoryTruncated = inEra(6, snapshot(70)), true
+			f.Step()
+			s.now = s.now.Add(c.before)
+			f.source.Follow = func(string, messenger.StoreVersion, time.Duration) (Changes, error) {
+				s.now = s.now.Add(c.during)
+				return c.changes, c.err
+			}
+			f.Step()
+			assert.Contains(t, s.applied, "a")
+			assert.LessOrEqual(t, f.untilNextReturnDeadline(), peerCheckInterval)
+			f.source.Follow = s.follow
+			s.changes = []Changes{{Era: 6, Version: 72}, {Era: 6, Version: 73}}
+			f.Step()
+			f.Step()
+			assert.NotContains(t, s.applied, "a")
+		})
+	}
+}
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -213,10 +213,11 @@
 
 // Step makes one call to the store and reports whether it succeeded.
 func (f *Follower) Step() bool {
+	began := f.now()
 	err := f.advance()
 	now := f.now()
-	f.removeExpired(now)
 	if err == nil {
+		f.removeExpired(began)
 		f.recordSuccess(now)
 		return true
 	}
@@ -245,12 +246,16 @@
 		return err
 	}
 	f.receiveProof(changes.Proof)
-	f.mu.Lock()
-	f.relayedAge = changes.Age
-	f.mu.Unlock()
+	f.setRelayedAge(changes.Age)
 	return nil
 }
 
+func (f *Follower) setRelayedAge(age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relayedAge = age
+}
+
 // reloadAfter reads the whole table since the changes after a version cannot be had. The error is ErrOutdated
 // if it is no newer than that, so that it is not read again at once.
 func (f *Follower) reloadAfter(version messenger.StoreVersion) error {
@@ -272,6 +277,7 @@
 		return err
 	}
 	f.receiveProof(snapshot.Proof)
+	f.setRelayedAge(time.Duration(snapshot.AgeMilliseconds) * time.Millisecond)
 	return nil
 }
 
@@ -326,7 +332,11 @@
 	defer f.mu.Unlock()
 	wait := maxFeedWait
 	for _, deadline := range f.returnDeadlines {
-		wait = min(wait, peerCheckInterval, max(deadline.Sub(f.now()), 0))
+		left := max(deadline.Sub(f.now()), 0)
+		if left == 0 && f.relayedAge > 0 {
+			left = peerCheckInterval // an answer of after the deadline has yet to reach the other instance
+		}
+		wait = min(wait, peerCheckInterval, left)
 	}
 	return wait
 }
@@ -532,16 +542,17 @@
 	return dropped
 }
 
-// removeExpired removes the entries that did not return before their deadline, or of which a peer
-// knows that they were removed.
-func (f *Follower) removeExpired(now time.Time) {
+// removeExpired removes the entries that had not returned by their deadline, or of which a peer knows that
+// they were removed, after a successful call that began at a time.
+func (f *Follower) removeExpired(began time.Time) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.mu.Lock()
 	dropped := []string{}
-	mayReturn := len(f.returnDeadlines) == 0 || now.Before(f.eraDeadline) || !f.source.PeerHasHadStore(f.outageBegan)
+	toldAt := began.Add(-f.relayedAge) // the answer may lack what was written later
+	mayReturn := len(f.returnDeadlines) == 0 || toldAt.Before(f.eraDeadline) || !f.source.PeerHasHadStore(f.outageBegan)
 	for key, deadline := range f.returnDeadlines {
-		if f.failingSince.IsZero() && (!now.Before(deadline) || !mayReturn) {
+		if f.failingSince.IsZero() && (!toldAt.Before(deadline) || !mayReturn) {
 			delete(f.returnDeadlines, key)
 			delete(f.rows, key)
 			f.removed[key] = f.version
