Relay the removal of a row that is not known

An instance that learned of the write and the removal of a row in one answer did not pass the removal on. One that follows it, and had the row from another instance, kept it for good.

--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -525,10 +525,10 @@
 func (f *Follower) removeRows(keys []string, deferRemoval bool) []string {
 	dropped := []string{}
 	for _, key := range keys {
+		f.removed[key] = f.version // also of a row that only those which follow this instance know
 		if _, ok := f.rows[key]; !ok {
 			continue
 		}
-		f.removed[key] = f.version
 		if _, isDeferred := f.returnDeadlines[key]; isDeferred {
 			continue
 		}
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -313,6 +313,21 @@
 	})
 }
 
+// TestRemovalOfAnUnknownRowIsRelayed guards against a row that stays for good at an instance which has it from elsewhere,
+// since the one that it follows learned of the write and the removal in one answer.
+func TestRemovalOfAnUnknownRowIsRelayed(t *testing.T) {
+	s, f := newTestStore()
+	s.table = snapshot(5, row("a", 3))
+	s.changes = []Changes{{Version: 8, Removed: []string{"b"}}}
+	f.Step()
+	f.Step()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	changes, err := f.Since(ctx, messenger.StoreVersion{Number: 6})
+	assert.NoError(t, err)
+	assert.Equal(t, []string{"b"}, changes.Removed)
+}
+
 // TestRetryIntervalGrows checks the intervals between calls to a store that keeps
 // failing.
 func TestRetryIntervalGrows(t *testing.T) {
