--- /dev/null
+++ b/internal/gateway/follower/history_test.go
@@ -0,0 +1,162 @@
+package follower
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+)
+
+// histories is the number of random histories; CI plays the default.
+var histories = flag.Int("histories", 400, "the number of random histories of a store that comes back from copies")
+
+func isTruncated(err error) bool { return errors.Is(err, ErrHistoryTruncated) }
+
+// judge fails if a change that is applied takes a row back, or removes one that its writer still writes.
+func (w *world) judge(n *node, rows []messenger.StoreRow, removed []string) {
+	for _, key := range removed {
+		if known, isKnown := n.view[key]; isKnown {
+			w.judgeRemoval(n, known)
+		}
+		delete(n.view, key)
+		n.removedAt[key] = n.follower.Version()
+	}
+	for _, row := range rows {
+		w.judgeRow(n, row)
+		n.view[row.Key] = row
+	}
+}
+
+func (w *world) judgeRemoval(n *node, known messenger.StoreRow) {
+	for _, x := range w.writers {
+		if x.key == known.Key && x.isAlive && x.life == lifeOf(known) {
+			w.fail("%s of %+v vanishes from node %d at %+v, though its writer writes it again", x.key, known.StoreVersion(), n.index, n.follower.Version())
+		}
+	}
+}
+
+func (w *world) judgeRow(n *node, row messenger.StoreRow) {
+	known, isKnown := n.view[row.Key]
+	removedAt, wasRemoved := n.removedAt[row.Key]
+	switch {
+	case isKnown && row.StoreVersion().IsBefore(known.StoreVersion()):
+		w.fail("%s of node %d goes back from %+v to %+v", row.Key, n.index, known.StoreVersion(), row.StoreVersion())
+	case !isKnown && wasRemoved && !row.StoreVersion().IsAfter(removedAt):
+		w.fail("%s of node %d was removed at %+v and comes back with %+v", row.Key, n.index, removedAt, row.StoreVersion())
+	case w.plant != bareNumbers && w.written[entry{row.StoreVersion(), row.Key}] != string(row.Value):
+		w.fail("%s of node %d is %s at %+v, which the store never had", row.Key, n.index, row.Value, row.StoreVersion())
+	}
+}
+
+// disturb changes something at random.
+func (w *world) disturb() {
+	if w.isCalm {
+		return
+	}
+	w.After(w.delay(3*time.Second), w.disturb)
+	n := w.nodes[w.random.IntN(len(w.nodes))]
+	switch w.random.IntN(8) {
+	case 0:
+		n.frozenUntil = w.Now().Add(w.delay(6 * time.Second))
+	case 1:
+		if w.random.IntN(2) == 0 {
+			w.start(n)
+		}
+	case 2:
+		if len(w.nodes) < maxNodes {
+			w.addNode()
+		}
+	case 3: // the store refuses an instance
+		w.cut[[2]int{n.index, storeIndex}] = true
+	case 4: // one way is cut
+		w.cut[[2]int{w.random.IntN(len(w.nodes)+1) - 1, n.index}] = true
+	case 5:
+		w.loss = w.random.Float64() * 0.5
+	default:
+		w.heal()
+	}
+}
+
+func (w *world) heal() {
+	clear(w.cut)
+	w.loss = 0
+	for _, n := range w.nodes {
+		n.frozenUntil = w.Now()
+	}
+}
+
+func (w *world) play(length time.Duration) {
+	for end := w.Now().Add(length); w.violation == "" && w.Now().Before(end); {
+		w.Step()
+	}
+}
+
+// settle ends the disturbances and plays until all copies must equal the table of the store.
+func (w *world) settle() {
+	w.play(historyLength)
+	w.isCalm = true
+	w.play(maxLastingRewriteDelay) // the last drill may be under way
+	w.heal()
+	w.play(settleTime)
+	for _, n := range w.nodes {
+		w.judgeCopy(n)
+	}
+	for _, n := range w.nodes {
+		w.stop(n)
+	}
+}
+
+// judgeCopy fails if the copy of a node is not the table of the store.
+func (w *world) judgeCopy(n *node) {
+	for key, row := range n.view {
+		if _, isPresent := w.rows[key]; !isPresent {
+			w.fail("node %d has %s at %+v, the store has none", n.index, key, row.StoreVersion())
+		}
+	}
+	for key, c := range w.rows {
+		if n.view[key].StoreVersion() != w.row(c).StoreVersion() {
+			w.fail("node %d has %s at %+v, the store at %+v", n.index, key, n.view[key].StoreVersion(), w.row(c).StoreVersion())
+		}
+	}
+}
+
+// TestCopiesFollowTheStoreAcrossEras guards against copies that go back, lose entries which are written again within the
+// grace, keep those that are not, call without a pause, or never equal the store's table again.
+func TestCopiesFollowTheStoreAcrossEras(t *testing.T) {
+	drills, adopted := 0, 0
+	for seed := range uint64(*histories) {
+		w := newWorld(seed, noPlant)
+		w.settle()
+		require.Empty(t, w.violation, "seed %d", seed)
+		drills, adopted = drills+w.drills, adopted+w.adopted
+	}
+	t.Logf("%d histories: %d changes of era, %d copies with rows that may return", *histories, drills, adopted)
+	assert.Greater(t, drills, *histories, "the histories show nothing without drills")
+	assert.Positive(t, adopted)
+}
+
+// TestHistoriesFindPlantedFaults guards against histories that would not show a fault.
+func TestHistoriesFindPlantedFaults(t *testing.T) {
+	const maxSeeds = 300
+	for name, p := range map[string]plant{
+		"numbers without eras": bareNumbers, "answers of an earlier era": staleAnswers, "missing rows taken for rows of the store": ignoredMissing,
+		"no grace in a later era": noGrace, "no pause after an older table": noPause,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(maxSeeds) {
+				w := newWorld(seed, p)
+				w.settle()
+				if w.violation != "" {
+					t.Logf("seed %d: %s", seed, w.violation)
+					return
+				}
+			}
+			t.Errorf("not found in %d histories", maxSeeds)
+		})
+	}
+}
