Pass over a reader whose changes are of an earlier era

Changes of an earlier era from an instance that reads the store for others were refused by the follower alone: its step failed, and neither the next reader nor the store was asked, for as long as that reader was behind. One that runs a release without eras is always behind.

TestReaderInAnEarlierEraIsPassedOver failed before.

--- a/internal/gateway/supervisor/cell.go
+++ b/internal/gateway/supervisor/cell.go
@@ -112,6 +112,9 @@
 		return follower.Changes{}, err
 	}
 	changes := follower.ChangesFromPeer(in)
+	if changes.Era < after.Era {
+		return changes, errors.Wrapf(errStaleTable, "of era %d, before %d", changes.Era, after.Era)
+	}
 	err = checkAge(table, changes.Age, wait)
 	if err == nil {
 		s.observeArrival(arrival{table: table, from: originReaderFeed, peer: reader.LastStatus.Instance, age: changes.Age, rows: changes.Rows, proof: changes.Proof})
--- a/internal/gateway/supervisor/cell_test.go
+++ b/internal/gateway/supervisor/cell_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"github.com/crocusring/crocusring/internal/gateway/follower"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
@@ -21,20 +22,20 @@
 // readerPeer is an instance that reads the store for others.
 type readerPeer struct {
 	age                time.Duration
-	version            int64
+	era, version       int64
 	isHistoryTruncated bool
 	calls              int
 }
 
 func (p *readerPeer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.calls++
-	var out any = messenger.TableSnapshot{Version: p.version, AgeMilliseconds: p.age.Milliseconds()}
+	var out any = messenger.TableSnapshot{Era: p.era, Version: p.version, AgeMilliseconds: p.age.Milliseconds()}
 	if r.URL.Path == pathChanges {
 		if p.isHistoryTruncated {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
-		out = messenger.TableChanges{Version: p.version, AgeMilliseconds: p.age.Milliseconds()}
+		out = messenger.TableChanges{Era: p.era, Version: p.version, AgeMilliseconds: p.age.Milliseconds()}
 	}
 	_ = json.NewEncoder(w).Encode(out)
 }
@@ -118,6 +119,37 @@
 	})
 }
 
+// TestReaderInAnEarlierEraIsPassedOver guards against an instance that gets no changes since the one that it follows the
+// store through has not met its era, or knows none.
+func TestReaderInAnEarlierEraIsPassedOver(t *testing.T) {
+	s, calls := newReadingInstance(t, &readerPeer{era: 5, version: 90}, &readerPeer{era: 6, version: 70})
+	s.targets.Adopt(messenger.TableSnapshot{Era: 6, Version: 60})
+	changes, err := s.followTable(targetTable, s.targets.Version(), time.Second)
+	require.NoError(t, err)
+	assert.Equal(t, messenger.StoreVersion{Era: 6, Number: 70}, changes.StoreVersion())
+	table, err := s.readTable(targetTable)
+	require.NoError(t, err)
+	assert.Equal(t, messenger.StoreVersion{Era: 6, Number: 70}, table.StoreVersion())
+	assert.Zero(t, *calls)
+}
+
+// TestInstanceInAnEarlierEraTellsSo guards against changes of an earlier era for an instance that has met a later one, and
+// against an instance that does not learn of that era.
+func TestInstanceInAnEarlierEraTellsSo(t *testing.T) {
+	s, _ := newReadingInstance(t)
+	asked := make(chan struct{}, 1)
+	s.platform.Get = func(string, string) (messenger.Row, error) {
+		asked <- struct{}{}
+		return messenger.Row{}, nil
+	}
+	s.targets.Adopt(messenger.TableSnapshot{Era: 5, Version: 90})
+	var ctx fasthttp.RequestCtx
+	ctx.Request.SetRequestURI(pathChanges + "?name=" + targetTable + "&era=6&after=70&wait=1000")
+	s.serveChanges(&ctx)
+	assert.Equal(t, http.StatusServiceUnavailable, ctx.Response.StatusCode())
+	<-asked
+}
+
 // TestContendersTakeTurns guards against a lease without a holder that all instances of a
 // data centre contend for at once: they must do so one after the other.
 func TestContendersTakeTurns(t *testing.T) {
