Serve changes to instances of a release without eras

While a system is updated, an instance that follows a table through one with eras names none. Its version came before all of the copy, so it was told that the history was truncated each time, and read the whole table without a pause.

A call without an era means that of the copy.

TestCallWithoutAnEraIsServed failed before.

--- a/internal/gateway/supervisor/cell.go
+++ b/internal/gateway/supervisor/cell.go
@@ -192,8 +192,12 @@
 func (s *Supervisor) serveChanges(ctx *fasthttp.RequestCtx) {
 	name := string(ctx.QueryArgs().Peek("name"))
 	table := s.follower(name)
-	after, err := parseVersion(ctx.QueryArgs())
-	if table == nil || err != nil {
+	if table == nil {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	after, err := parseVersion(ctx.QueryArgs(), table.Version().Era)
+	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
@@ -215,14 +219,19 @@
 	}
 }
 
-// parseVersion returns the version after which changes are asked for. The era may be missing.
-func parseVersion(query *fasthttp.Args) (out messenger.StoreVersion, err error) {
+// parseVersion returns the version after which changes are asked for. Instances of a release without eras leave the
+// era out, and mean that of the copy.
+func parseVersion(query *fasthttp.Args, copyEra int64) (messenger.StoreVersion, error) {
+	out := messenger.StoreVersion{Era: copyEra}
 	if query.Has("era") {
-		out.Era, err = strconv.ParseInt(string(query.Peek("era")), 10, 64)
-	}
-	if err == nil {
-		out.Number, err = strconv.ParseInt(string(query.Peek("after")), 10, 64)
+		era, err := strconv.ParseInt(string(query.Peek("era")), 10, 64)
+		if err != nil {
+			return out, err
+		}
+		out.Era = era
 	}
+	number, err := strconv.ParseInt(string(query.Peek("after")), 10, 64)
+	out.Number = number
 	return out, err
 }
 
--- a/internal/gateway/supervisor/cell_test.go
+++ b/internal/gateway/supervisor/cell_test.go
@@ -150,6 +150,17 @@
 	<-asked
 }
 
+// TestCallWithoutAnEraIsServed guards against an instance of a release without eras that is told again and again that there
+// are no changes since its version, and reads the whole table each time.
+func TestCallWithoutAnEraIsServed(t *testing.T) {
+	s, _ := newReadingInstance(t)
+	s.targets.Adopt(messenger.TableSnapshot{Era: 5, Version: 90})
+	var ctx fasthttp.RequestCtx
+	ctx.Request.SetRequestURI(pathChanges + "?name=" + targetTable + "&after=90&wait=0")
+	s.serveChanges(&ctx)
+	assert.Equal(t, http.StatusOK, ctx.Response.StatusCode())
+}
+
 // TestContendersTakeTurns guards against a lease without a holder that all instances of a
 // data centre contend for at once: they must do so one after the other.
 func TestContendersTakeTurns(t *testing.T) {
