Measure the read after a change of era from that change alone

An instance that took a table of a later era from a peer, before the store itself had shown that era, reported the time since the era before, or since 1970, as the time to read again.

TestRereadIsMeasuredFromItsEra failed before.

--- a/internal/gateway/supervisor/eras.go
+++ b/internal/gateway/supervisor/eras.go
@@ -14,7 +14,8 @@
 type eras struct {
 	// current is the latest era that is known, and metAt is when it was met, in Unix nanoseconds.
 	current, metAt atomic.Int64
-	// rereadMilliseconds is how long after that the last table was read again.
+	// rereadMilliseconds is how long after that the last table was read again. Those that a peer sent before
+	// do not count.
 	rereadMilliseconds atomic.Int64
 	// checkDue is when the store may be asked for its era again, in Unix nanoseconds.
 	checkDue atomic.Int64
@@ -39,8 +40,8 @@
 
 // meetEra is called with each change of era of the store.
 func (s *Supervisor) meetEra(change follower.EraChange) {
+	s.eras.metAt.Store(time.Now().UnixNano()) // before the era that it is of
 	s.eras.current.Store(change.After.Era)
-	s.eras.metAt.Store(time.Now().UnixNano())
 	s.log.Info("era of the store", "era", change.After.Era, "version", change.After.Number,
 		"eraBefore", change.Before.Era, "versionBefore", change.Before.Number)
 	s.leaser.MeetEra(change.After.Era)
@@ -79,9 +80,12 @@
 // in a later era.
 func (s *Supervisor) observeReread(table string) follower.Option {
 	return follower.WithEraObserver(func(before, after messenger.StoreVersion) {
-		took := time.Since(time.Unix(0, s.eras.metAt.Load()))
-		s.eras.rereadMilliseconds.Store(took.Milliseconds())
-		s.log.Info("table read again in a later era", "table", table, "era", after.Era, "version", after.Number,
-			"eraBefore", before.Era, "versionBefore", before.Number, "afterMilliseconds", took.Milliseconds())
+		fields := []any{"table", table, "era", after.Era, "version", after.Number, "eraBefore", before.Era, "versionBefore", before.Number}
+		if after.Era == s.eras.current.Load() { // a peer may have sent the table before the store has shown its era
+			took := time.Since(time.Unix(0, s.eras.metAt.Load())).Milliseconds()
+			s.eras.rereadMilliseconds.Store(took)
+			fields = append(fields, "afterMilliseconds", took)
+		}
+		s.log.Info("table read again in a later era", fields...)
 	})
 }
