Spread the calls for an era that peers name, and ask once for a wrong one

A status names the era of its sender. All instances of a large system that follow the store through others heard of a later one within a status interval, and asked the store at once. A peer with an era that the store is not in had each of them ask every second for good.

Each instance waits its turn, does not ask if it has met the era by then, and does not ask again for one that the store has not named in its answer.

--- a/internal/gateway/supervisor/eras.go
+++ b/internal/gateway/supervisor/eras.go
@@ -19,6 +19,8 @@
 	rereadMilliseconds atomic.Int64
 	// checkDue is when the store may be asked for its era again, in Unix nanoseconds.
 	checkDue atomic.Int64
+	// refuted is the last era that a peer has named and the store has not.
+	refuted atomic.Int64
 }
 
 const (
@@ -53,27 +55,50 @@
 // checkEra asks the store for its era if a peer has named a later one than this instance knows. The peer's
 // word is not enough: this instance would refuse all answers of an era before.
 func (s *Supervisor) checkEra(named int64) {
+	if named <= s.eras.current.Load() || named == s.eras.refuted.Load() {
+		return
+	}
 	now := time.Now().UnixNano()
 	due := s.eras.checkDue.Load()
-	if named <= s.eras.current.Load() || now < due || !s.eras.checkDue.CompareAndSwap(due, now+int64(eraCheckInterval)) {
+	if now >= due && s.eras.checkDue.CompareAndSwap(due, now+int64(eraCheckInterval)) {
+		go s.askEra(named)
+	}
+}
+
+// askEra asks the store for its era, unless another call has met the one that a peer has named by then. All
+// instances hear of it from their peers at about the same time.
+func (s *Supervisor) askEra(named int64) {
+	time.Sleep(s.turn())
+	if named <= s.eras.current.Load() {
 		return
 	}
-	go func() {
-		if _, err := s.platform.Get(instanceTable, s.settings.Instance); err != nil {
-			s.log.V(1).Info("era of the store not read", "named", named, "error", err.Error())
-		}
-	}()
+	if _, err := s.platform.Get(instanceTable, s.settings.Instance); err != nil {
+		s.log.V(1).Info("era of the store not read", "named", named, "error", err.Error())
+		return
+	}
+	if known := s.eras.current.Load(); known < named {
+		s.eras.refuted.Store(named)
+		s.log.Info("store is not in the era that a peer has named", "named", named, "era", known)
+	}
 }
 
 // awaitTurn delays a call to the store that all instances make once they meet a later era, each by a time
 // of its own.
 func (s *Supervisor) awaitTurn() {
-	spread := time.Duration(s.instanceCount.Load()) * eraCallInterval
 	metAt := time.Unix(0, s.eras.metAt.Load())
-	if s.eras.current.Load() == 0 || spread == 0 || time.Since(metAt) > spread {
-		return
+	if s.eras.current.Load() > 0 && time.Since(metAt) <= s.turnSpread() {
+		time.Sleep(s.turn())
 	}
-	time.Sleep(time.Duration(rand.Int64N(int64(spread))))
+}
+
+// turnSpread is the time over which all instances together make a call.
+func (s *Supervisor) turnSpread() time.Duration {
+	return time.Duration(s.instanceCount.Load()) * eraCallInterval
+}
+
+// turn returns a random part of that time.
+func (s *Supervisor) turn() time.Duration {
+	return time.Duration(rand.Int64N(max(int64(s.turnSpread()), 1)))
 }
 
 // observeReread returns the option by which the follower of a table logs that it has read the table again
