Remove no row by a table of before it

A table that is read in pages has the version of the first page, and may have rows that were written since. A copy of a peer that is newer than that version, but older than such a row, removed it until the next answer of the feed.

TestTableOfBeforeARowDoesNotRemoveIt failed before. The test of a version of a later era is of what Since did already.

--- a/internal/gateway/follower/era.go
+++ b/internal/gateway/follower/era.go
@@ -81,23 +81,31 @@
 	return stored, missing
 }
 
-// storeMissing gives a grace period to the rows that the store lacks but that a peer still has, and returns
-// those that are new here. before is the version of the copy until now: what it lacked by then was removed.
-// The caller holds f.mu.
-func (f *Follower) storeMissing(rows []messenger.StoreRow, before messenger.StoreVersion, now time.Time) []messenger.StoreRow {
+// storeMissing gives a grace period to the rows that the store lacked at a version but that a peer still has,
+// and returns those that are new here. before is the version of the copy until now: what it lacked by then was
+// removed. The caller holds f.mu.
+func (f *Follower) storeMissing(rows []messenger.StoreRow, before, at messenger.StoreVersion) []messenger.StoreRow {
 	added := []messenger.StoreRow{}
 	for _, row := range rows {
-		if _, isKnown := f.rows[row.Key]; !isKnown {
-			if !row.StoreVersion().IsAfter(before) {
-				continue
-			}
+		known, isKnown := f.rows[row.Key]
+		switch {
+		case isKnown && known.StoreVersion().IsAfter(at):
+			continue
+		case !isKnown && !row.StoreVersion().IsAfter(before):
+			continue
+		case !isKnown:
 			f.rows[row.Key] = row
 			added = append(added, row)
 		}
-		if _, isDeferred := f.returnDeadlines[row.Key]; !isDeferred {
-			f.returnDeadlines[row.Key] = now.Add(returnGracePeriod)
-			f.removed[row.Key] = f.version
-		}
+		f.expectReturn(row.Key)
 	}
 	return added
 }
+
+// expectReturn gives a grace period to a row, unless it is in one. The caller holds f.mu.
+func (f *Follower) expectReturn(key string) {
+	if _, isExpected := f.returnDeadlines[key]; !isExpected {
+		f.returnDeadlines[key] = f.now().Add(returnGracePeriod)
+		f.removed[key] = f.version
+	}
+}
--- a/internal/gateway/follower/era_test.go
+++ b/internal/gateway/follower/era_test.go
@@ -181,3 +181,12 @@
 		})
 	}
 }
+
+// TestVersionOfALaterEraThanTheCopy guards against changes of an earlier era for an instance that has met a later one.
+func TestVersionOfALaterEraThanTheCopy(t *testing.T) {
+	s, f := newTestStore()
+	s.table = inEra(5, snapshot(90, row("a", 90)))
+	f.Step()
+	_, err := f.Since(t.Context(), messenger.StoreVersion{Era: 6, Number: 70})
+	assert.ErrorIs(t, err, ErrOutdated)
+}
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -496,7 +496,7 @@
 	f.version = later(f.version, snapshot.StoreVersion())
 	storedRows, missingRows := splitMissing(snapshot)
 	rows := f.storeRows(storedRows, false)
-	rows = append(rows, f.storeMissing(missingRows, before, now)...)
+	rows = append(rows, f.storeMissing(missingRows, before, snapshot.StoreVersion())...)
 	f.historyStart = f.version // the individual changes before this version are unknown
 	removed := f.removeRows(f.missingFrom(snapshot), deferRemoval)
 	f.mu.Unlock()
@@ -504,7 +504,8 @@
 	return nil
 }
 
-// missingFrom returns the keys that a table lacks. The caller holds f.mu.
+// missingFrom returns the keys of the rows that a table lacks, without those that were written after it. The
+// caller holds f.mu.
 func (f *Follower) missingFrom(snapshot messenger.TableSnapshot) []string {
 	present := make(map[string]bool, len(snapshot.Rows))
 	for _, row := range snapshot.Rows {
@@ -512,7 +513,8 @@
 	}
 	out := []string{}
 	for key, row := range f.rows {
-		if isAwaited := f.isLasting && row.Era < snapshot.Era; !present[key] && !isAwaited {
+		isAwaited := f.isLasting && row.Era < snapshot.Era
+		if !present[key] && !isAwaited && !row.StoreVersion().IsAfter(snapshot.StoreVersion()) {
 			out = append(out, key)
 		}
 	}
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -339,3 +339,21 @@
 	const ms = time.Millisecond
 	assert.Equal(t, []time.Duration{0, 200 * ms, 400 * ms, 800 * ms, 1000 * ms, 1000 * ms}, intervals)
 }
+
+// TestTableOfBeforeARowDoesNotRemoveIt guards against a row that vanishes for a moment: it was written while the pages of a
+// table were read, which has the version of its first page, and the table of another instance is newer than that page alone.
+func TestTableOfBeforeARowDoesNotRemoveIt(t *testing.T) {
+	s, f := newTestStore()
+	s.table = snapshot(70, row("a", 60), row("b", 72))
+	f.Step()
+	for _, missing := range [][]string{nil, {"b"}} {
+		older := snapshot(71, row("a", 60), row("b", 50))
+		if missing == nil {
+			older.Rows = older.Rows[:1]
+		}
+		older.Missing = missing
+		f.Adopt(older)
+		assert.Contains(t, s.applied, "b")
+		assert.Empty(t, f.Snapshot().Missing)
+	}
+}
