--- a/internal/gateway/follower/era_test.go
+++ b/internal/gateway/follower/era_test.go
@@ -190,3 +190,21 @@
 	_, err := f.Since(t.Context(), messenger.StoreVersion{Era: 6, Number: 70})
 	assert.ErrorIs(t, err, ErrOutdated)
 }
+
+// TestPeerOfAnEarlierEraKnowsNoRemovals guards against entries that vanish since a peer has had the store without an
+// outage: what the store came back without, nobody has removed.
+func TestPeerOfAnEarlierEraKnowsNoRemovals(t *testing.T) {
+	s, f := newTestStore()
+	s.table = inEra(5, snapshot(90, row("a", 90)))
+	f.Step()
+	s.now = s.now.Add(time.Second)
+	s.outage(f, time.Second)
+	s.peerHasStoreSince = s.now.Add(-time.Hour)
+	s.table, s.isHistoryTruncated = inEra(6, snapshot(70)), true
+	f.Step()
+	s.changes = []Changes{{Era: 6, Version: 71}, {Era: 6, Version: 72}}
+	s.now = s.now.Add(returnGracePeriod - time.Millisecond)
+	f.Step()
+	assert.Contains(t, s.applied, "a")
+	assert.Equal(t, returnGracePeriod-time.Millisecond, f.HasStoreFor(), "nor does this instance know of any before")
+}
