--- a/internal/gateway/follower/era.go
+++ b/internal/gateway/follower/era.go
@@ -43,8 +43,8 @@
 // no peer can know that they were removed. The caller holds f.mu.
 func (f *Follower) meetEra(now time.Time, after messenger.StoreVersion) {
 	f.observeEra(f.version, after)
-	f.eraDeadline = now.Add(returnGracePeriod)
-	f.returnDeadline = f.eraDeadline
+	f.startGrace(now)
+	f.eraDeadline = f.returnDeadline
 	f.hasStoreSince = now
 	f.wake()
 }
@@ -61,29 +61,51 @@
 	return out
 }
 
-// withoutMissing returns the rows of a peer's copy that the store has. Those that the store lacks, but
-// that may be written again, are stored if they are not known, and get a grace period. The caller holds
-// f.mu.
-func (f *Follower) withoutMissing(snapshot messenger.TableSnapshot, now time.Time) []messenger.StoreRow {
+// splitMissing returns the rows of a peer's copy that the store has, and those that it lacks but that may
+// be written again.
+func splitMissing(snapshot messenger.TableSnapshot) (stored, missing []messenger.StoreRow) {
 	if len(snapshot.Missing) == 0 {
-		return snapshot.Rows
+		return snapshot.Rows, nil
 	}
 	isMissing := make(map[string]bool, len(snapshot.Missing))
 	for _, key := range snapshot.Missing {
 		isMissing[key] = true
 	}
-	out := make([]messenger.StoreRow, 0, len(snapshot.Rows))
 	for _, row := range snapshot.Rows {
-		_, isKnown := f.rows[row.Key]
-		if !isMissing[row.Key] || !isKnown {
-			out = append(out, row)
+		if isMissing[row.Key] {
+			missing = append(missing, row)
+		} else {
+			stored = append(stored, row)
 		}
 	}
-	for key := range isMissing {
-		if _, isDeferred := f.returnDeadlines[key]; !isDeferred {
-			f.returnDeadlines[key] = now.Add(returnGracePeriod)
-			f.removed[key] = f.version
+	return stored, missing
+}
+
+// storeMissing gives a grace period to the rows that the store lacked at a version but that a peer still has,
+// and returns those that are new here. before is the version of the copy until now: what it lacked by then was
+// removed. The caller holds f.mu.
+func (f *Follower) storeMissing(rows []messenger.StoreRow, before, at messenger.StoreVersion) []messenger.StoreRow {
+	added := []messenger.StoreRow{}
+	for _, row := range rows {
+		known, isKnown := f.rows[row.Key]
+		switch {
+		case isKnown && known.StoreVersion().IsAfter(at):
+			continue
+		case !isKnown && !row.StoreVersion().IsAfter(before):
+			continue
+		case !isKnown:
+			f.rows[row.Key] = row
+			added = append(added, row)
 		}
+		f.expectReturn(row.Key)
+	}
+	return added
+}
+
+// expectReturn gives a grace period to a row, unless it is in one. The caller holds f.mu.
+func (f *Follower) expectReturn(key string) {
+	if _, isExpected := f.returnDeadlines[key]; !isExpected {
+		f.returnDeadlines[key] = f.now().Add(returnGracePeriod)
+		f.removed[key] = f.version
 	}
-	return out
 }
--- a/internal/gateway/follower/era_test.go
+++ b/internal/gateway/follower/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -40,3 +41,170 @@
 	s.table = snapshot(70, row("a", 70))
 	assert.False(t, f.Step())
 }
+
+// TestMissingRowOfAPeerIsRemovedAfterTheGrace guards against an instance that takes a row which its peer is about to
+// remove for one that the store has, and keeps it for good.
+func TestMissingRowOfAPeerIsRemovedAfterTheGrace(t *testing.T) {
+	s, f := newTestStore()
+	copied := inEra(6, snapshot(70, row("b", 60)))
+	copied.Rows = append(copied.Rows, messenger.StoreRow{Key: "a", Era: 5, Version: 90})
+	copied.Missing = []string{"a"}
+	f.Adopt(copied)
+	assert.Equal(t, map[string]int64{"a": 90, "b": 60}, s.applied)
+	assert.Equal(t, []string{"a"}, f.Snapshot().Missing)
+	s.changes = []Changes{{Era: 6, Version: 71}, {Era: 6, Version: 72}}
+	f.Step()
+	s.now = s.now.Add(returnGracePeriod)
+	f.Step()
+	assert.Equal(t, map[string]int64{"b": 60}, s.applied)
+	t.Run("the copy of another peer brings it back no more", func(t *testing.T) {
+		copied.Version = 80
+		f.Adopt(copied)
+		assert.Equal(t, map[string]int64{"b": 60}, s.applied)
+	})
+}
+
+// TestSecondChangeOfEraBeginsTheGraceAnew guards against entries that vanish since the grace of the first of two changes
+// of era ends, although the store is just back from the second.
+func TestSecondChangeOfEraBeginsTheGraceAnew(t *testing.T) {
+	s, f := newTestStore()
+	meet := func(era int64) {
+		s.table, s.isHistoryTruncated = inEra(era, snapshot(70, row("b", 60))), true
+		f.Step()
+	}
+	s.table = inEra(5, snapshot(90, row("a", 90), row("b", 60)))
+	f.Step()
+	meet(6)
+	s.now = s.now.Add(returnGracePeriod / 2)
+	meet(7)
+	s.now = s.now.Add(returnGracePeriod - time.Millisecond)
+	s.changes = []Changes{{Era: 7, Version: 71}, {Era: 7, Version: 72}}
+	f.Step()
+	assert.Contains(t, s.applied, "a")
+	s.now = s.now.Add(time.Millisecond)
+	f.Step()
+	assert.NotContains(t, s.applied, "a")
+}
+
+// TestOutageWithinTheGraceOfAnEraBeginsAGrace guards against entries that expired in an outage, and vanish at its end
+// since it was met within the grace of a change of era.
+func TestOutageWithinTheGraceOfAnEraBeginsAGrace(t *testing.T) {
+	s, f := newTestStore()
+	s.table = inEra(5, snapshot(90, row("a", 90), row("b", 60)))
+	f.Step()
+	s.table, s.isHistoryTruncated = inEra(6, snapshot(70, row("a", 65), row("b", 60))), true
+	f.Step()
+	s.outage(f, returnGracePeriod-minRetryInterval)
+	s.changes = []Changes{{Era: 6, Version: 80, Removed: []string{"a"}}, {Era: 6, Version: 81}, {Era: 6, Version: 82}}
+	f.Step()
+	s.now = s.now.Add(returnGracePeriod - time.Millisecond)
+	f.Step()
+	assert.Contains(t, s.applied, "a")
+	s.now = s.now.Add(time.Millisecond)
+	f.Step()
+	assert.NotContains(t, s.applied, "a")
+}
+
+// TestLastingRowIsKeptUntilItIsWrittenAgain guards against a manifest that vanishes when the table is read a second time
+// before the operator has written it again.
+func TestLastingRowIsKeptUntilItIsWrittenAgain(t *testing.T) {
+	s, f := newTestStore()
+	WithLastingRows()(f)
+	s.table = inEra(5, snapshot(90, row("a", 90)))
+	f.Step()
+	for version := range int64(3) {
+		s.table, s.isHistoryTruncated = inEra(6, snapshot(70+version)), true
+		f.Step()
+		f.Adopt(s.table)
+		s.now = s.now.Add(returnGracePeriod)
+	}
+	assert.Contains(t, s.applied, "a")
+	s.changes = []Changes{{Era: 6, Version: 80, Rows: inEra(6, snapshot(80, row("a", 80))).Rows}}
+	f.Step()
+	assert.Equal(t, map[string]int64{"a": 80}, s.applied)
+}
+
+// TestTruncatedHistoryWithoutANewerTableIsAFailedStep guards against calls every few milliseconds, in turn for changes
+// that cannot be had and for a table that is known.
+func TestTruncatedHistoryWithoutANewerTableIsAFailedStep(t *testing.T) {
+	s, f := newTestStore()
+	s.table = inEra(6, snapshot(70, row("a", 70)))
+	f.Step()
+	s.isHistoryTruncated = true
+	assert.False(t, f.Step())
+	s.table, s.isHistoryTruncated = inEra(6, snapshot(71, row("a", 70))), true
+	assert.True(t, f.Step())
+}
+
+// TestCopyThatWasNotReadYetHasNoHistory guards against an instance that has just started and has those which follow the
+// table through it read it again and again.
+func TestCopyThatWasNotReadYetHasNoHistory(t *testing.T) {
+	_, f := newTestStore()
+	_, err := f.Since(t.Context(), messenger.StoreVersion{Era: 6, Number: 70})
+	assert.ErrorIs(t, err, ErrOutdated)
+	assert.NotErrorIs(t, err, ErrHistoryTruncated)
+}
+
+// TestEntryIsRemovedByAnAnswerOfAfterItsGrace guards against an instance that was frozen or cut off in the grace, and
+// removes entries which have been written again meanwhile before it has asked.
+func TestEntryIsRemovedByAnAnswerOfAfterItsGrace(t *testing.T) {
+	const most = returnGracePeriod
+	for name, c := range map[string]struct {
+		// before and during are the times before the call and in it.
+		before, during time.Duration
+		changes        Changes
+		err            error
+	}{
+		"a call that fails":               {during: most, err: errUnavailable},
+		"an answer that has waited":       {during: most, changes: Changes{Era: 6, Version: 71}},
+		"an old copy of another instance": {before: most, changes: Changes{Era: 6, Version: 71, Age: time.Second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, f := newTestStore()
+			s.table = inEra(5, snapshot(90, row("a", 90)))
+			f.Step()
+			s.table, s.isHistoryTruncated = inEra(6, snapshot(70)), true
+			f.Step()
+			s.now = s.now.Add(c.before)
+			f.source.Follow = func(string, messenger.StoreVersion, time.Duration) (Changes, error) {
+				s.now = s.now.Add(c.during)
+				return c.changes, c.err
+			}
+			f.Step()
+			assert.Contains(t, s.applied, "a")
+			assert.LessOrEqual(t, f.untilNextReturnDeadline(), peerCheckInterval)
+			f.source.Follow = s.follow
+			s.changes = []Changes{{Era: 6, Version: 72}, {Era: 6, Version: 73}}
+			f.Step()
+			f.Step()
+			assert.NotContains(t, s.applied, "a")
+		})
+	}
+}
+
+// TestVersionOfALaterEraThanTheCopy guards against changes of an earlier era for an instance that has met a later one.
+func TestVersionOfALaterEraThanTheCopy(t *testing.T) {
+	s, f := newTestStore()
+	s.table = inEra(5, snapshot(90, row("a", 90)))
+	f.Step()
+	_, err := f.Since(t.Context(), messenger.StoreVersion{Era: 6, Number: 70})
+	assert.ErrorIs(t, err, ErrOutdated)
+}
+
+// TestPeerOfAnEarlierEraKnowsNoRemovals guards against entries that vanish since a peer has had the store without an
+// outage: what the store came back without, nobody has removed.
+func TestPeerOfAnEarlierEraKnowsNoRemovals(t *testing.T) {
+	s, f := newTestStore()
+	s.table = inEra(5, snapshot(90, row("a", 90)))
+	f.Step()
+	s.now = s.now.Add(time.Second)
+	s.outage(f, time.Second)
+	s.peerHasStoreSince = s.now.Add(-time.Hour)
+	s.table, s.isHistoryTruncated = inEra(6, snapshot(70)), true
+	f.Step()
+	s.changes = []Changes{{Era: 6, Version: 71}, {Era: 6, Version: 72}}
+	s.now = s.now.Add(returnGracePeriod - time.Millisecond)
+	f.Step()
+	assert.Contains(t, s.applied, "a")
+	assert.Equal(t, returnGracePeriod-time.Millisecond, f.HasStoreFor(), "nor does this instance know of any before")
+}
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -213,10 +213,11 @@
 
 // Step makes one call to the store and reports whether it succeeded.
 func (f *Follower) Step() bool {
+	began := f.now()
 	err := f.advance()
 	now := f.now()
-	f.removeExpired(now)
 	if err == nil {
+		f.removeExpired(began)
 		f.recordSuccess(now)
 		return true
 	}
@@ -239,15 +240,31 @@
 	}
 	if errors.Is(err, ErrHistoryTruncated) {
 		f.log.Info("history of table is truncated", "table", f.table, "era", version.Era, "version", version.Number)
-		return f.reload()
+		return f.reloadAfter(version)
 	}
 	if err != nil {
 		return err
 	}
 	f.receiveProof(changes.Proof)
+	f.setRelayedAge(changes.Age)
+	return nil
+}
+
+func (f *Follower) setRelayedAge(age time.Duration) {
 	f.mu.Lock()
-	f.relayedAge = changes.Age
-	f.mu.Unlock()
+	defer f.mu.Unlock()
+	f.relayedAge = age
+}
+
+// reloadAfter reads the whole table since the changes after a version cannot be had. The error is ErrOutdated
+// if it is no newer than that, so that it is not read again at once.
+func (f *Follower) reloadAfter(version messenger.StoreVersion) error {
+	if err := f.reload(); err != nil {
+		return err
+	}
+	if !f.Version().IsAfter(version) {
+		return errors.Wrapf(ErrOutdated, "%s: neither changes nor a newer table", f.table)
+	}
 	return nil
 }
 
@@ -260,6 +277,7 @@
 		return err
 	}
 	f.receiveProof(snapshot.Proof)
+	f.setRelayedAge(time.Duration(snapshot.AgeMilliseconds) * time.Millisecond)
 	return nil
 }
 
@@ -314,7 +332,11 @@
 	defer f.mu.Unlock()
 	wait := maxFeedWait
 	for _, deadline := range f.returnDeadlines {
-		wait = min(wait, peerCheckInterval, max(deadline.Sub(f.now()), 0))
+		left := max(deadline.Sub(f.now()), 0)
+		if left == 0 && f.relayedAge > 0 {
+			left = peerCheckInterval // an answer of after the deadline has yet to reach the other instance
+		}
+		wait = min(wait, peerCheckInterval, left)
 	}
 	return wait
 }
@@ -350,12 +372,21 @@
 // f.mu.
 func (f *Follower) mayHaveExpired(now time.Time) bool {
 	if !f.failingSince.IsZero() && now.Sub(f.failingSince) > outageThreshold {
-		f.returnDeadline = now.Add(returnGracePeriod)
+		f.startGrace(now)
 		f.outageBegan = f.answeredAt
 	}
 	return now.Before(f.returnDeadline) && !f.source.PeerHasHadStore(f.outageBegan)
 }
 
+// startGrace starts a grace period, also for the entries that are in an earlier one: nobody could write them
+// again in between. The caller holds f.mu.
+func (f *Follower) startGrace(now time.Time) {
+	f.returnDeadline = now.Add(returnGracePeriod)
+	for key := range f.returnDeadlines {
+		f.returnDeadlines[key] = f.returnDeadline
+	}
+}
+
 // HasStoreFor returns how long there was no outage of the store; 0 during one and before the
 // first answer.
 func (f *Follower) HasStoreFor() time.Duration {
@@ -382,7 +413,10 @@
 		return errors.Wrapf(ErrHistoryTruncated, "%s: changes of era %d, copy of era %d", f.table, changes.Era, f.version.Era)
 	}
 	now := f.now()
-	deferRemoval := now.Before(f.eraDeadline) || f.mayHaveExpired(now)
+	deferRemoval := f.mayHaveExpired(now) || now.Before(f.eraDeadline)
+	if changes.StoreVersion().IsBefore(f.version) {
+		changes.Rows = f.presentOf(changes.Rows)
+	}
 	f.version = later(f.version, changes.StoreVersion())
 	rows := f.storeRows(changes.Rows, changes.IsGapless)
 	removed := f.removeRows(f.withoutLater(changes.Removed, changes.StoreVersion()), deferRemoval)
@@ -391,6 +425,20 @@
 	return nil
 }
 
+// presentOf returns the rows whose keys the table has at the version of the copy: all others were removed
+// after they were written. The caller holds f.mu.
+func (f *Follower) presentOf(rows []messenger.StoreRow) []messenger.StoreRow {
+	out := make([]messenger.StoreRow, 0, len(rows))
+	for _, row := range rows {
+		_, isKnown := f.rows[row.Key]
+		_, isMissing := f.returnDeadlines[row.Key]
+		if isKnown && !isMissing {
+			out = append(out, row)
+		}
+	}
+	return out
+}
+
 // withoutLater leaves out the keys whose row was written after a version. The caller holds f.mu.
 func (f *Follower) withoutLater(keys []string, version messenger.StoreVersion) []string {
 	out := make([]string, 0, len(keys))
@@ -439,33 +487,39 @@
 			"knownEra", known.Era, "knownVersion", known.Number)
 		return errors.Wrap(ErrOutdated, f.table)
 	}
-	isLaterEra := !f.version.IsZero() && snapshot.Era > f.version.Era
-	if isLaterEra {
+	if !f.version.IsZero() && snapshot.Era > f.version.Era {
 		f.meetEra(now, snapshot.StoreVersion())
 		snapshot.Rows = f.resolveRows(snapshot.Rows)
 	}
-	deferRemoval := now.Before(f.eraDeadline) || (mayReturn && f.mayHaveExpired(now))
+	deferRemoval := (mayReturn && f.mayHaveExpired(now)) || now.Before(f.eraDeadline)
+	before := f.version
 	f.version = later(f.version, snapshot.StoreVersion())
+	storedRows, missingRows := splitMissing(snapshot)
+	rows := f.storeRows(storedRows, false)
+	rows = append(rows, f.storeMissing(missingRows, before, snapshot.StoreVersion())...)
+	f.historyStart = f.version // the individual changes before this version are unknown
+	removed := f.removeRows(f.missingFrom(snapshot), deferRemoval)
+	f.mu.Unlock()
+	f.deliver(rows, removed)
+	return nil
+}
+
+// missingFrom returns the keys of the rows that a table lacks, without those that were written after it. The
+// caller holds f.mu.
+func (f *Follower) missingFrom(snapshot messenger.TableSnapshot) []string {
 	present := make(map[string]bool, len(snapshot.Rows))
 	for _, row := range snapshot.Rows {
 		present[row.Key] = true
 	}
-	rows := f.storeRows(f.withoutMissing(snapshot, now), false)
-	f.historyStart = f.version // the individual changes before this version are unknown
-	missing := []string{}
-	for key := range f.rows {
-		if !present[key] {
-			missing = append(missing, key)
+	out := []string{}
+	for key, row := range f.rows {
+		isAwaited := f.isLasting && row.Era < snapshot.Era
+		if !present[key] && !isAwaited && !row.StoreVersion().IsAfter(snapshot.StoreVersion()) {
+			out = append(out, key)
 		}
 	}
-	slices.Sort(missing)
-	if f.isLasting && isLaterEra {
-		missing = nil
-	}
-	removed := f.removeRows(missing, deferRemoval)
-	f.mu.Unlock()
-	f.deliver(rows, removed)
-	return nil
+	slices.Sort(out)
+	return out
 }
 
 // removeRows removes rows at once or, if deferRemoval is set, after the grace period. It
@@ -473,10 +527,10 @@
 func (f *Follower) removeRows(keys []string, deferRemoval bool) []string {
 	dropped := []string{}
 	for _, key := range keys {
+		f.removed[key] = f.version // also of a row that only those which follow this instance know
 		if _, ok := f.rows[key]; !ok {
 			continue
 		}
-		f.removed[key] = f.version
 		if _, isDeferred := f.returnDeadlines[key]; isDeferred {
 			continue
 		}
@@ -490,16 +544,17 @@
 	return dropped
 }
 
-// removeExpired removes the entries that did not return before their deadline, or of which a peer
-// knows that they were removed.
-func (f *Follower) removeExpired(now time.Time) {
+// removeExpired removes the entries that had not returned by their deadline, or of which a peer knows that
+// they were removed, after a successful call that began at a time.
+func (f *Follower) removeExpired(began time.Time) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.mu.Lock()
 	dropped := []string{}
-	mayReturn := len(f.returnDeadlines) == 0 || now.Before(f.eraDeadline) || !f.source.PeerHasHadStore(f.outageBegan)
+	toldAt := began.Add(-f.relayedAge) // the answer may lack what was written later
+	mayReturn := len(f.returnDeadlines) == 0 || toldAt.Before(f.eraDeadline) || !f.source.PeerHasHadStore(f.outageBegan)
 	for key, deadline := range f.returnDeadlines {
-		if f.failingSince.IsZero() && (!now.Before(deadline) || !mayReturn) {
+		if f.failingSince.IsZero() && (!toldAt.Before(deadline) || !mayReturn) {
 			delete(f.returnDeadlines, key)
 			delete(f.rows, key)
 			f.removed[key] = f.version
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -131,6 +131,19 @@
 	})
 }
 
+// TestLateAnswerDoesNotBringBackARow guards against a row that was written and removed before the version of the copy,
+// and stays for good since a late answer has its write alone.
+func TestLateAnswerDoesNotBringBackARow(t *testing.T) {
+	s, f := newTestStore()
+	s.table = snapshot(5, row("a", 3))
+	f.Step()
+	f.Adopt(snapshot(9, row("a", 3)))
+	s.changes = []Changes{{Version: 7, Rows: []messenger.StoreRow{row("b", 6), row("a", 7)}}}
+	f.Step()
+	assert.Equal(t, map[string]int64{"a": 7}, s.applied)
+	assert.EqualValues(t, 9, f.Version().Number)
+}
+
 func TestExpiredEntriesMayReturnAfterOutage(t *testing.T) {
 	expire := func() (*testStore, *Follower) {
 		s, f := newTestStore()
@@ -300,6 +313,21 @@
 	})
 }
 
+// TestRemovalOfAnUnknownRowIsRelayed guards against a row that stays for good at an instance which has it from elsewhere,
+// since the one that it follows learned of the write and the removal in one answer.
+func TestRemovalOfAnUnknownRowIsRelayed(t *testing.T) {
+	s, f := newTestStore()
+	s.table = snapshot(5, row("a", 3))
+	s.changes = []Changes{{Version: 8, Removed: []string{"b"}}}
+	f.Step()
+	f.Step()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	changes, err := f.Since(ctx, messenger.StoreVersion{Number: 6})
+	assert.NoError(t, err)
+	assert.Equal(t, []string{"b"}, changes.Removed)
+}
+
 // TestRetryIntervalGrows checks the intervals between calls to a store that keeps
 // failing.
 func TestRetryIntervalGrows(t *testing.T) {
@@ -311,3 +339,21 @@
 	const ms = time.Millisecond
 	assert.Equal(t, []time.Duration{0, 200 * ms, 400 * ms, 800 * ms, 1000 * ms, 1000 * ms}, intervals)
 }
+
+// TestTableOfBeforeARowDoesNotRemoveIt guards against a row that vanishes for a moment: it was written while the pages of a
+// table were read, which has the version of its first page, and the table of another instance is newer than that page alone.
+func TestTableOfBeforeARowDoesNotRemoveIt(t *testing.T) {
+	s, f := newTestStore()
+	s.table = snapshot(70, row("a", 60), row("b", 72))
+	f.Step()
+	for _, missing := range [][]string{nil, {"b"}} {
+		older := snapshot(71, row("a", 60), row("b", 50))
+		if missing == nil {
+			older.Rows = older.Rows[:1]
+		}
+		older.Missing = missing
+		f.Adopt(older)
+		assert.Contains(t, s.applied, "b")
+		assert.Empty(t, f.Snapshot().Missing)
+	}
+}
--- a/internal/gateway/supervisor/cell.go
+++ b/internal/gateway/supervisor/cell.go
@@ -112,6 +112,9 @@
 		return follower.Changes{}, err
 	}
 	changes := follower.ChangesFromPeer(in)
+	if changes.Era < after.Era {
+		return changes, errors.Wrapf(errStaleTable, "of era %d, before %d", changes.Era, after.Era)
+	}
 	err = checkAge(table, changes.Age, wait)
 	if err == nil {
 		s.observeArrival(arrival{table: table, from: originReaderFeed, peer: reader.LastStatus.Instance, age: changes.Age, rows: changes.Rows, proof: changes.Proof})
@@ -189,8 +192,12 @@
 func (s *Supervisor) serveChanges(ctx *fasthttp.RequestCtx) {
 	name := string(ctx.QueryArgs().Peek("name"))
 	table := s.follower(name)
-	after, err := parseVersion(ctx.QueryArgs())
-	if table == nil || err != nil {
+	if table == nil {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	after, err := parseVersion(ctx.QueryArgs(), table.Version().Era)
+	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
@@ -212,14 +219,19 @@
 	}
 }
 
-// parseVersion returns the version after which changes are asked for. The era may be missing.
-func parseVersion(query *fasthttp.Args) (out messenger.StoreVersion, err error) {
+// parseVersion returns the version after which changes are asked for. Instances of a release without eras leave the
+// era out, and mean that of the copy.
+func parseVersion(query *fasthttp.Args, copyEra int64) (messenger.StoreVersion, error) {
+	out := messenger.StoreVersion{Era: copyEra}
 	if query.Has("era") {
-		out.Era, err = strconv.ParseInt(string(query.Peek("era")), 10, 64)
-	}
-	if err == nil {
-		out.Number, err = strconv.ParseInt(string(query.Peek("after")), 10, 64)
+		era, err := strconv.ParseInt(string(query.Peek("era")), 10, 64)
+		if err != nil {
+			return out, err
+		}
+		out.Era = era
 	}
+	number, err := strconv.ParseInt(string(query.Peek("after")), 10, 64)
+	out.Number = number
 	return out, err
 }
 
