Keep the manifest that is in force over the one that the store came back with

A resolver keeps the value with the greater version of the operators under the version of the new row, so that relays and copies have what is in force. A peer whose manifest in force is greater is read, whether keys are required or not, and its value is taken also from a copy of an earlier version or era.

In follower, the resolver of lasting rows is asked for each row, and Adopt takes values from older copies.

--- a/internal/gateway/follower/era.go
+++ b/internal/gateway/follower/era.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/crocusring/crocusring/internal/wire/messenger"
@@ -26,7 +27,8 @@
 }
 
 // WithLastingRows is for a table whose rows are never removed, but may be missing in a later era until
-// their writer has written them again.
+// their writer has written them again. The resolver decides on each row that is not older than the known
+// one, also in the same era: a peer's copy may have another value under the same version.
 func WithLastingRows() Option { return func(f *Follower) { f.isLasting = true } }
 
 // WithEraObserver sets the function that is called with the versions of the copy before and after it
@@ -51,6 +53,9 @@
 
 // resolveRows returns the rows of a later era that are in force. The caller holds f.mu.
 func (f *Follower) resolveRows(rows []messenger.StoreRow) []messenger.StoreRow {
+	if f.isLasting {
+		return rows // storeRows resolves them
+	}
 	out := make([]messenger.StoreRow, 0, len(rows))
 	for _, next := range rows {
 		known, isKnown := f.rows[next.Key]
@@ -87,3 +92,29 @@
 	}
 	return out
 }
+
+// adoptValues has the resolver decide on the values in an older copy of a peer, under the versions that are
+// known here: what is in force at the peer may be newer nevertheless.
+func (f *Follower) adoptValues(rows []messenger.StoreRow) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	f.mu.Lock()
+	changed := []messenger.StoreRow{}
+	for _, row := range rows {
+		known, isKnown := f.rows[row.Key]
+		version := f.version
+		if isKnown {
+			version = known.StoreVersion()
+		}
+		row.Era, row.Version = version.Era, version.Number
+		if isKnown {
+			row, _ = f.resolve(known, true, row)
+		}
+		if !isKnown || !bytes.Equal(row.Value, known.Value) {
+			changed = append(changed, row)
+			f.rows[row.Key] = row
+		}
+	}
+	f.mu.Unlock()
+	f.deliver(changed, nil)
+}
--- a/internal/gateway/follower/era_test.go
+++ b/internal/gateway/follower/era_test.go
@@ -40,3 +40,58 @@
 	s.table = snapshot(70, row("a", 70))
 	assert.False(t, f.Step())
 }
+
+// preferLonger is a resolver by which the longer value is in force.
+func preferLonger(known messenger.StoreRow, isKnown bool, next messenger.StoreRow) (messenger.StoreRow, bool) {
+	if isKnown && len(next.Value) < len(known.Value) {
+		next.Value = known.Value
+	}
+	return next, true
+}
+
+// TestLastingRowsStayInForce guards against a value that is replaced by an earlier one, or that a joiner does not get
+// from its peers, since the store came back from a copy.
+func TestLastingRowsStayInForce(t *testing.T) {
+	const key = "a"
+	value := func(version int64, value string) messenger.StoreRow {
+		return messenger.StoreRow{Key: key, Version: version, Value: []byte(value)}
+	}
+	newFollower := func() (*testStore, *Follower) {
+		s, f := newTestStore()
+		WithLastingRows()(f)
+		WithResolver(preferLonger)(f)
+		s.table = inEra(5, snapshot(90, value(90, "later")))
+		f.Step()
+		s.isHistoryTruncated = true
+		s.table = inEra(6, snapshot(70, value(70, "old")))
+		f.Step()
+		return s, f
+	}
+	inForce := func(f *Follower) string { return string(f.Snapshot().Rows[0].Value) }
+	t.Run("over the store's copy, under its version", func(t *testing.T) {
+		_, f := newFollower()
+		assert.Equal(t, "later", inForce(f))
+		assert.Equal(t, messenger.StoreVersion{Era: 6, Number: 70}, f.Snapshot().Rows[0].StoreVersion())
+	})
+	t.Run("over a later change with an earlier value", func(t *testing.T) {
+		s, f := newFollower()
+		s.changes = []Changes{{Era: 6, Version: 71, Rows: inEra(6, snapshot(71, value(71, "mid"))).Rows}}
+		f.Step()
+		assert.Equal(t, "later", inForce(f))
+	})
+	t.Run("from a peer's copy, whatever its version", func(t *testing.T) {
+		for _, copied := range []messenger.TableSnapshot{
+			inEra(6, snapshot(70, value(70, "much later"))), inEra(6, snapshot(60, value(60, "much later"))), inEra(5, snapshot(95, value(95, "much later"))),
+		} {
+			_, f := newFollower()
+			f.Adopt(copied)
+			assert.Equal(t, "much later", inForce(f))
+			assert.Equal(t, messenger.StoreVersion{Era: 6, Number: 70}, f.Snapshot().Rows[0].StoreVersion())
+		}
+	})
+	t.Run("not from a peer's copy that is earlier", func(t *testing.T) {
+		_, f := newFollower()
+		f.Adopt(inEra(6, snapshot(70, value(70, "old"))))
+		assert.Equal(t, "later", inForce(f))
+	})
+}
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -415,6 +415,9 @@
 		if isKnown && isGapless && !f.isReadable(row) {
 			row.Value = known.Value
 		}
+		if isKnown && f.isLasting {
+			row, _ = f.resolve(known, true, row)
+		}
 		f.rows[row.Key] = row
 		delete(f.returnDeadlines, row.Key)
 		delete(f.removed, row.Key)
--- a/internal/gateway/follower/proof.go
+++ b/internal/gateway/follower/proof.go
@@ -28,9 +28,13 @@
 	return in
 }
 
-// Adopt applies the copy of a peer, beside the calls of Step, unless it is older than this one.
+// Adopt applies the copy of a peer, beside the calls of Step. Of one that is older than this one only those
+// values of lasting rows are taken that the resolver prefers.
 func (f *Follower) Adopt(snapshot messenger.TableSnapshot) {
 	err := f.applySnapshot(snapshot, false)
+	if errors.Is(err, ErrOutdated) && f.isLasting {
+		f.adoptValues(snapshot.Rows)
+	}
 	if err == nil || snapshot.Proof.RowVersion > 0 {
 		f.receiveProof(snapshot.Proof)
 	}
--- a/internal/gateway/supervisor/accounts.go
+++ b/internal/gateway/supervisor/accounts.go
@@ -120,20 +120,15 @@
 	s.confirmer.Receive(confirmer.Proof{Version: proof.StoreVersion(), StoreMilliseconds: proof.StoreMilliseconds}, latest)
 }
 
-// receivePeerProof records the proof in the status of a peer. If it is for a newer manifest, that
-// manifest is read from the peer at once, whatever the own calls to the store do.
-func (s *Supervisor) receivePeerProof(status messenger.GatewayNews) {
-	if status.Proof.RowVersion <= 0 {
-		return
-	}
-	proof := confirmer.Proof{Version: status.Proof.StoreVersion(), StoreMilliseconds: status.Proof.StoreMilliseconds}
-	isNewer := s.confirmer.Receive(proof, s.latestStoreTime())
-	if !isNewer || !s.confirmer.IsRequired() || !s.proofFetches.begin(status.Instance, time.Now()) {
+// receivePeerManifest records the proof in the status of a peer. If the manifest there is newer, by its row or
+// by the operators' version, it is read from the peer at once, whatever the own calls to the store do.
+func (s *Supervisor) receivePeerManifest(status messenger.GatewayNews) {
+	if !s.lacksManifestOf(status) || !s.peerFetches.begin(status.Instance, time.Now()) {
 		return
 	}
 	go func() {
 		hasBrought := false
-		defer func() { s.proofFetches.end(status.Instance, hasBrought) }()
+		defer func() { s.peerFetches.end(status.Instance, hasBrought) }()
 		s.measurer.CountEvent(measurer.AccountFetches, 1)
 		snapshot, err := s.fetchTable(status.PeerAddress, s.platform.ManifestTable)
 		if err != nil {
@@ -142,10 +137,23 @@
 		}
 		s.observeSnapshot(s.platform.ManifestTable, originPeerProof, status.Instance, snapshot)
 		s.manifests.Adopt(snapshot)
-		hasBrought = !s.confirmer.Receive(proof, s.latestStoreTime())
+		hasBrought = !s.lacksManifestOf(status)
 	}()
 }
 
+// lacksManifestOf adopts the proof in the status of a peer, and reports whether the manifest there is newer
+// than the one here.
+func (s *Supervisor) lacksManifestOf(status messenger.GatewayNews) bool {
+	known := s.manifests.Version()
+	isLater := !known.IsZero() && (status.InForceManifest > s.inForceManifest() || status.ManifestEra > known.Era)
+	if status.Proof.RowVersion <= 0 {
+		return isLater
+	}
+	proof := confirmer.Proof{Version: status.Proof.StoreVersion(), StoreMilliseconds: status.Proof.StoreMilliseconds}
+	isNewer := s.confirmer.Receive(proof, s.latestStoreTime())
+	return isLater || (isNewer && s.confirmer.IsRequired())
+}
+
 // confirmRegularly asks the store directly for a proof while the newest one is old, until ctx is
 // done. These calls do not wait for changes, and do not depend on those that do.
 func (s *Supervisor) confirmRegularly(ctx context.Context) {
@@ -198,9 +206,9 @@
 	return isListed && !isUnconfirmed, confirmed
 }
 
-// proofFetches are the reads of manifests from peers: one at a time from each peer, maxFetches from
+// peerFetches are the reads of manifests from peers: one at a time from each peer, maxFetches from
 // all, and not more often than their intervals.
-type proofFetches struct {
+type peerFetches struct {
 	mu sync.Mutex
 	// due is when the manifest may be read again, dueOf the same for each peer, and running holds
 	// the peers that it is being read from.
@@ -209,12 +217,12 @@
 	running map[string]bool
 }
 
-func newProofFetches() *proofFetches {
-	return &proofFetches{dueOf: map[string]time.Time{}, running: map[string]bool{}}
+func newPeerFetches() *peerFetches {
+	return &peerFetches{dueOf: map[string]time.Time{}, running: map[string]bool{}}
 }
 
 // begin reports whether the manifest may be read from a peer now; end must be called then.
-func (p *proofFetches) begin(peer string, now time.Time) bool {
+func (p *peerFetches) begin(peer string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.running[peer] || len(p.running) >= maxFetches || now.Before(p.due) || now.Before(p.dueOf[peer]) {
@@ -225,7 +233,7 @@
 }
 
 // end records the end of a read. hasBrought reports that it brought the version that the peer named.
-func (p *proofFetches) end(peer string, hasBrought bool) {
+func (p *peerFetches) end(peer string, hasBrought bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.running, peer)
--- a/internal/gateway/supervisor/accounts_test.go
+++ b/internal/gateway/supervisor/accounts_test.go
@@ -13,7 +13,7 @@
 func TestReadsOfNewerManifestsAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
 	t.Run("a peer that names versions that do not exist leaves room for others", func(t *testing.T) {
-		p := newProofFetches()
+		p := newPeerFetches()
 		reads := map[string]int{}
 		for range 100 {
 			for _, peer := range []string{"odd", "sound"} {
@@ -28,7 +28,7 @@
 		assert.Greater(t, reads["sound"], 40)
 	})
 	t.Run("a read that hangs does not hold up the next one", func(t *testing.T) {
-		p := newProofFetches()
+		p := newPeerFetches()
 		assert.True(t, p.begin("hangs", now))
 		assert.False(t, p.begin("sound", now), "the interval has not passed")
 		now = now.Add(fetchInterval)
--- /dev/null
+++ b/internal/gateway/supervisor/in_force_test.go
@@ -0,0 +1,48 @@
+package supervisor
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/crocusring/crocusring/internal/gateway/registrar"
+	"github.com/crocusring/crocusring/internal/wire/messenger"
+)
+
+// decodeTestManifest decodes a manifest that is only a version.
+func decodeTestManifest(value []byte) (*registrar.Manifest, error) {
+	version, err := strconv.ParseInt(string(value), 10, 64)
+	return &registrar.Manifest{Version: version}, err
+}
+
+// TestManifestInForceIsKept guards against a manifest of the store's copy that replaces a later one, and against a
+// later one that does not get through.
+func TestManifestInForceIsKept(t *testing.T) {
+	s := New(messenger.GatewaySettings{Instance: "a"}, Platform{DecodeManifest: decodeTestManifest, ManifestKey: "config"}, logr.Discard())
+	row := func(era int64, value string) messenger.StoreRow {
+		return messenger.StoreRow{Key: "config", Era: era, Version: 10 - era, Value: []byte(value)}
+	}
+	for _, c := range []struct {
+		name        string
+		known, next messenger.StoreRow
+		isUnknown   bool
+		value       string
+	}{
+		{name: "the copy is older", known: row(1, "7"), next: row(2, "5"), value: "7"},
+		{name: "the copy has the same", known: row(1, "7"), next: row(2, "7"), value: "7"},
+		{name: "the operator was faster", known: row(1, "7"), next: row(2, "8"), value: "8"},
+		{name: "the copy cannot be decoded", known: row(1, "7"), next: row(2, "x"), value: "7"},
+		{name: "one of the same era cannot be decoded", known: row(2, "7"), next: row(2, "x"), value: "x"},
+		{name: "the known one cannot be decoded", known: row(1, "x"), next: row(2, "5"), value: "5"},
+		{name: "none is known", isUnknown: true, next: row(2, "5"), value: "5"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got, isInForce := s.resolveManifest(c.known, !c.isUnknown, c.next)
+			assert.True(t, isInForce)
+			assert.Equal(t, c.value, string(got.Value))
+			assert.Equal(t, c.next.StoreVersion(), got.StoreVersion())
+		})
+	}
+}
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -52,8 +52,8 @@
 		Instance: s.settings.Instance, Incarnation: s.incarnation, CallerAddress: s.settings.CallerAddress,
 		PeerAddress: s.settings.PeerAddress, DataCentre: s.settings.DataCentre, Ready: s.isReady(),
 		Leaving: s.leaving.Load(), ManifestEra: manifests.Era, ManifestVersion: manifests.Number, TargetsEra: targets.Era, TargetsVersion: targets.Number,
-		OrderFence: s.leaser.KnownFence(),
-		Holder:     isHolder && !s.leaving.Load(), LoadAddress: s.settings.LoadAddress, Demand: []messenger.GatewayDemand{},
+		InForceManifest: s.inForceManifest(), OrderFence: s.leaser.KnownFence(),
+		Holder: isHolder && !s.leaving.Load(), LoadAddress: s.settings.LoadAddress, Demand: []messenger.GatewayDemand{},
 		Overlays: []messenger.GatewayOverlay{}, Load: messenger.GatewayLoad{Targets: messenger.GatewayLoadTargets{}},
 		LimitDigest: report.Digest, LimitMembers: report.Size, VerdictDigest: s.quarantiner.Digest(time.Now()),
 		HasStoreMilliseconds: s.targets.HasStoreFor().Milliseconds(),
@@ -96,7 +96,7 @@
 	}
 	s.comparePeerVerdicts(status)
 	s.receiveDelegation(status)
-	s.receivePeerProof(status)
+	s.receivePeerManifest(status)
 	s.leaser.NoteFence(status.OrderFence)
 	s.checkEra(max(status.ManifestEra, status.TargetsEra))
 	s.tally.SetPeerDemand(status.Instance, status.Demand, until)
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -119,7 +119,7 @@
 	slots        *slots
 	confirmer    *confirmer.Confirmer
 	eras         eras
-	proofFetches *proofFetches
+	peerFetches  *peerFetches
 	manifests    *follower.Follower
 	targets      *follower.Follower
 	instances    *follower.Follower
@@ -147,7 +147,7 @@
 	s.quotas = newQuotaKeeper(settings)
 	s.balancer = balancer.New(balancer.WithLoadChanged(s.loadChanges.add), balancer.WithLimits(s.limiter.BlockedFor))
 	s.confirmer = confirmer.New(milliseconds(settings.Bounds.RevokeMilliseconds))
-	s.proofFetches = newProofFetches()
+	s.peerFetches = newPeerFetches()
 	s.quarantiner = quarantiner.New(settings.Instance, quarantiner.WithTrials())
 	s.crashReports = newCrashReports()
 	s.verdictRows = newVerdictRows()
@@ -200,8 +200,10 @@
 func (s *Supervisor) initFollowers() {
 	source := follower.Source{Read: s.readTable, Follow: s.followTable, PeerSnapshot: s.peerSnapshot, PeerHasHadStore: s.peerHasHadStore}
 	log := follower.WithLog(s.log)
-	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait(), s.withProofs(),
-		follower.WithLastingRows(), s.observeReread(s.platform.ManifestTable))
+	manifestSource := source
+	manifestSource.Read = s.readManifests
+	s.manifests = follower.New(s.platform.ManifestTable, manifestSource, s.applyManifest, log, follower.WithShortWait(), s.withProofs(),
+		follower.WithLastingRows(), follower.WithResolver(s.resolveManifest), s.observeReread(s.platform.ManifestTable))
 	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargetsOnceVerdictsAreRead, log,
 		follower.WithShortWait(), follower.WithMinInterval(s.targetPollInterval), s.observeReread(s.platform.TargetTable))
 	s.instances = follower.New(instanceTable, source, s.applyInstances, log, s.observeReread(instanceTable),
