Let no proof of keys outlive the era of the store's clock that it is by

A proof of the era before holds until its own bound by the local clock, from the age that it had when the era was met. A greater version of the operators' confirms nothing either: the next one may be missing still. The first era of an instance confirms at once. A row that is missing or that cannot be read confirms nothing.

In follower, EraChange has the local time of LatestBefore. Signatures changed: Confirm names the era.

--- a/internal/gateway/confirmer/confirmer.go
+++ b/internal/gateway/confirmer/confirmer.go
@@ -5,12 +5,15 @@
 // A key may be acted on only while the proof is younger than a bound. If a manifest removes a key,
 // no proof for an earlier manifest names a later time, so each instance stops to accept the key
 // within the bound, also one that reaches neither the store nor its peers.
+//
+// The store may come back from a copy without the manifest that removed a key; see era.go.
 package confirmer
 
 import (
 	"sync"
 	"time"
 
+	"github.com/crocusring/crocusring/internal/node/timekeeper"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
@@ -18,7 +21,7 @@
 const applyTime = 3 * time.Second
 
 // Proof states that Version was the newest version of the manifest's row at a time of the store's
-// clock. The zero value proves nothing.
+// clock of the same era. The zero value proves nothing.
 type Proof struct {
 	Version           messenger.StoreVersion
 	StoreMilliseconds int64
@@ -29,17 +32,35 @@
 // concurrent use. The zero value is not usable; see New.
 type Confirmer struct {
 	bound time.Duration
+	// now is a local clock that keeps running while the machine is suspended.
+	now func() time.Time
 
 	mu sync.Mutex
 	// applied is the version of the row whose manifest is in force.
 	applied messenger.StoreVersion
 	// unreadable is the newest version of the row whose manifest could not be put into force.
 	unreadable messenger.StoreVersion
-	proof      Proof
+	// substituted is the last version of the row that could not be read while an earlier manifest stays in
+	// force under it.
+	substituted messenger.StoreVersion
+	proof       Proof
+	era         era
 }
 
+// Option configures a confirmer.
+type Option func(*Confirmer)
+
+// WithClock sets the local clock. It must keep running while the machine is suspended.
+func WithClock(now func() time.Time) Option { return func(c *Confirmer) { c.now = now } }
+
 // New returns a confirmer without proof. A bound of 0 means that no proof is required.
-func New(bound time.Duration) *Confirmer { return &Confirmer{bound: bound} }
+func New(bound time.Duration, options ...Option) *Confirmer {
+	c := &Confirmer{bound: bound, now: timekeeper.BootTime, era: era{isFirst: true}}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
 
 // SetApplied records that the manifest in a version of the row is in force.
 func (c *Confirmer) SetApplied(version messenger.StoreVersion) {
@@ -68,42 +89,59 @@
 	}
 }
 
-// Confirm records that the store had no version after the applied one at a time of its clock. It
-// must be called after the rows of that answer have been applied.
-func (c *Confirmer) Confirm(storeMilliseconds, latest int64) {
+// SetSubstituted records that the manifest in a version of the row of a later era cannot be read, so that
+// the one before stays in force under that version. There may be manifests between the two: nothing is
+// confirmed until a later version is applied.
+func (c *Confirmer) SetSubstituted(version messenger.StoreVersion) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.substituted = version
+}
+
+// Confirm records that the store had no version after the applied one at a time of its clock of an
+// era. It must be called after the rows of that answer have been applied.
+func (c *Confirmer) Confirm(era, storeMilliseconds, latest int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unreadable.IsAfter(c.applied) {
+	if c.era.number != era {
+		return
+	}
+	isWhole := c.era.isWholeAt(storeMilliseconds, storeMilliseconds, latest)
+	if c.unreadable.IsAfter(c.applied) || c.substituted == c.applied || c.applied.Era != era {
 		return
 	}
-	c.adopt(Proof{Version: c.applied, StoreMilliseconds: storeMilliseconds}, latest)
+	if isWhole {
+		c.proof.replace(Proof{Version: c.applied, StoreMilliseconds: storeMilliseconds}, latest)
+	}
 }
 
 // Receive adopts the proof of a peer if this instance has applied at least its version. Otherwise
-// it returns true: the manifest of the peer is newer.
+// it returns true: the manifest of the peer is newer. A proof of another era than that of the
+// store's clock here is not adopted.
 func (c *Confirmer) Receive(proof Proof, latest int64) (isNewer bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if proof.Version.IsAfter(c.applied) {
 		return true
 	}
-	c.adopt(proof, latest)
+	if proof.Version.Era == c.era.number && c.era.isWholeAt(proof.StoreMilliseconds, latest, latest) {
+		c.proof.replace(proof, latest)
+	}
 	return false
 }
 
-// adopt replaces the proof by a later one. A time after latest is not possible: such a proof is
-// ignored, and one that is held is of a clock that the store does not have any more. The caller
-// holds c.mu.
-func (c *Confirmer) adopt(proof Proof, latest int64) {
+// replace replaces a proof by a later one. A time after latest is not possible: such a proof is
+// ignored, and one that is held is of a clock that the store does not have any more.
+func (p *Proof) replace(proof Proof, latest int64) {
 	if proof.Version.Number <= 0 || proof.StoreMilliseconds <= 0 || proof.StoreMilliseconds > latest {
 		return
 	}
-	if proof.StoreMilliseconds > c.proof.StoreMilliseconds || c.proof.StoreMilliseconds > latest {
-		c.proof = proof
+	if proof.StoreMilliseconds > p.StoreMilliseconds || p.StoreMilliseconds > latest {
+		*p = proof
 	}
 }
 
-// Proof returns the newest proof, to be passed on.
+// Proof returns the newest proof to be passed on.
 func (c *Confirmer) Proof() Proof {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -123,10 +161,21 @@
 	return ok && age < c.bound, ok && age < min(c.bound, applyTime)
 }
 
-// Age returns the greatest possible age of the proof; false if there is none.
+// Age returns the greatest possible age of the proof, or of that of the era before; false if there is
+// none.
 func (c *Confirmer) Age(latest int64) (age time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	age, ok = c.proofAge(latest)
+	if before, isKept := c.era.before.age(c.now()); isKept && (!ok || before < age) {
+		return before, true
+	}
+	return age, ok
+}
+
+// proofAge returns the greatest possible age of the proof by the store's clock; false if there is none.
+// The caller holds c.mu.
+func (c *Confirmer) proofAge(latest int64) (time.Duration, bool) {
 	if c.proof.Version.IsZero() || c.proof.StoreMilliseconds > latest {
 		return 0, false
 	}
--- a/internal/gateway/follower/era.go
+++ b/internal/gateway/follower/era.go
@@ -13,9 +13,10 @@
 	Before messenger.StoreVersion
 	// After is the version in that answer.
 	After messenger.StoreVersion
-	// LatestBefore is the upper bound of the current time by the store's clock of the era before, in
-	// milliseconds; 0 if it is not known.
+	// LatestBefore is the upper bound of the time by the store's clock of the era before, in
+	// milliseconds, at the local time At; 0 if it is not known.
 	LatestBefore int64
+	At           time.Time
 }
 
 // WithResolver sets the function that decides, for each row in the first table of a later era, which
--- a/internal/gateway/supervisor/accounts.go
+++ b/internal/gateway/supervisor/accounts.go
@@ -114,7 +114,7 @@
 func (s *Supervisor) receiveProof(proof messenger.GatewayProof) {
 	latest := s.latestStoreTime()
 	if proof.RowVersion == 0 {
-		s.confirmer.Confirm(proof.StoreMilliseconds, latest)
+		s.confirmer.Confirm(proof.RowEra, proof.StoreMilliseconds, latest)
 		return
 	}
 	s.confirmer.Receive(confirmer.Proof{Version: proof.StoreVersion(), StoreMilliseconds: proof.StoreMilliseconds}, latest)
--- a/internal/gateway/supervisor/eras.go
+++ b/internal/gateway/supervisor/eras.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/crocusring/crocusring/internal/gateway/confirmer"
 	"github.com/crocusring/crocusring/internal/gateway/follower"
 	"github.com/crocusring/crocusring/internal/state/measurer"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
@@ -44,6 +45,9 @@
 	s.log.Info("era of the store", "era", change.After.Era, "version", change.After.Number,
 		"eraBefore", change.Before.Era, "versionBefore", change.Before.Number)
 	s.leaser.MeetEra(change.After.Era)
+	s.confirmer.MeetEra(confirmer.Era{
+		Number: change.After.Era, IsFirst: change.Before.IsZero(), LatestBefore: change.LatestBefore, At: change.At,
+	})
 	if !change.Before.IsZero() {
 		s.measurer.CountEvent(measurer.StoreEraChanges, 1)
 	}
--- a/internal/gateway/supervisor/in_force.go
+++ b/internal/gateway/supervisor/in_force.go
@@ -37,6 +37,9 @@
 	case err == nil && nextManifest.Version >= knownManifest.Version:
 		return next, true
 	}
+	if err != nil {
+		s.confirmer.SetSubstituted(next.StoreVersion())
+	}
 	if next.StoreVersion().IsAfter(known.StoreVersion()) {
 		s.logKept(knownManifest, nextManifest, next)
 	}
