Let no old entry bring a target back that is gone

An entry of a target that lives but has another state since was replaced by the older one as the row to pass on.

An entry of a later era that is no newer is not used and not passed on; one with a later heartbeat or start is, and ends the memory. Of an entry that is older than the known one the known value stays, under the new row's version.

--- a/internal/gateway/supervisor/in_force.go
+++ b/internal/gateway/supervisor/in_force.go
@@ -147,3 +147,24 @@
 	}
 	snapshot.Rows = rows
 }
+
+// resolveTarget decides which of two entries of a target is in force: the one of the later process, or with the
+// later heartbeat. It reports false for a target that was known to be gone.
+func (s *Supervisor) resolveTarget(known messenger.StoreRow, isKnown bool, next messenger.StoreRow) (messenger.StoreRow, bool) {
+	target, err := s.platform.DecodeTarget(next.Key, next.Value)
+	if err != nil {
+		return next, true // applyTarget says so
+	}
+	if s.departed.IsGone(target, next.Era, time.Now()) {
+		s.log.Info("target of the store is gone", "target", target.ID, "born", target.StartMilliseconds, "heartbeat", target.Heartbeat,
+			"rowEra", next.Era, "rowVersion", next.Version)
+		return next, false
+	}
+	if !isKnown {
+		return next, true
+	}
+	if knownTarget, err := s.platform.DecodeTarget(known.Key, known.Value); err == nil && target.IsOlderThan(knownTarget) {
+		next.Value = known.Value
+	}
+	return next, true
+}
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -97,6 +98,7 @@
 	log         logr.Logger
 
 	registry     *registrar.Registrar
+	departed     *registrar.Departed
 	balancer     *balancer.Balancer
 	limiter      *limiter.Limiter
 	quotas       *quotaKeeper
@@ -141,7 +143,7 @@
 func New(settings messenger.GatewaySettings, platform Platform, log logr.Logger) *Supervisor {
 	s := &Supervisor{
 		settings: settings, platform: platform, log: log, incarnation: time.Now().UnixMilli(),
-		registry: registrar.New(), loadChanges: newLoadChanges(), measurer: measurer.New(time.Now()), tally: tallier.New(), poster: poster.New(),
+		registry: registrar.New(), departed: registrar.NewDeparted(), loadChanges: newLoadChanges(), measurer: measurer.New(time.Now()), tally: tallier.New(), poster: poster.New(),
 	}
 	s.limiter = limiter.New(limiter.Member{Name: settings.Instance, DataCentre: settings.DataCentre}, minCellSize)
 	s.quotas = newQuotaKeeper(settings)
@@ -205,7 +207,7 @@
 	s.manifests = follower.New(s.platform.ManifestTable, manifestSource, s.applyManifest, log, follower.WithShortWait(), s.withProofs(),
 		follower.WithLastingRows(), follower.WithResolver(s.resolveManifest), s.observeReread(s.platform.ManifestTable))
 	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargetsOnceVerdictsAreRead, log,
-		follower.WithShortWait(), follower.WithMinInterval(s.targetPollInterval), s.observeReread(s.platform.TargetTable))
+		follower.WithShortWait(), follower.WithMinInterval(s.targetPollInterval), follower.WithResolver(s.resolveTarget), s.observeReread(s.platform.TargetTable))
 	s.instances = follower.New(instanceTable, source, s.applyInstances, log, s.observeReread(instanceTable),
 		follower.WithMinInterval(func() time.Duration { return instancePollInterval }))
 }
@@ -297,19 +299,24 @@
 }
 
 func (s *Supervisor) applyTargets(rows []messenger.StoreRow, removed []string) {
+	era := s.targets.Version().Era
+	var all map[string]*registrar.Target
 	superseded := s.registry.Update(func(targets map[string]*registrar.Target) {
 		for _, key := range removed {
-			if targets[key] != nil {
+			if old := targets[key]; old != nil {
 				s.log.Info("target is gone", "target", key)
+				s.departed.Add(old, era, time.Now())
 			}
 			delete(targets, key)
 		}
 		for _, row := range rows {
 			s.applyTarget(targets, row)
 		}
+		all = maps.Clone(targets)
 	})
 	for _, id := range superseded {
 		s.log.Info("target is superseded at its address", "target", id)
+		s.departed.Add(all[id], era, time.Now())
 	}
 	s.observeSilences()
 }
@@ -323,6 +330,11 @@
 	}
 	target.Version = row.Version
 	old := targets[row.Key]
+	if old == nil && s.departed.IsGone(target, row.Era, time.Now()) {
+		s.log.Info("entry of a target that is gone ignored", "target", target.ID, "born", target.StartMilliseconds, "heartbeat", target.Heartbeat,
+			"rowEra", row.Era, "rowVersion", row.Version)
+		return
+	}
 	if target.IsOlderThan(old) {
 		s.log.Info("older entry of target ignored", "target", target.ID, "born", target.StartMilliseconds, "knownBorn", old.StartMilliseconds,
 			"heartbeat", target.Heartbeat, "knownHeartbeat", old.Heartbeat)
@@ -340,6 +352,7 @@
 	}
 	s.limiter.SetIncarnation(target.ID, target.StartMilliseconds)
 	targets[row.Key] = target
+	s.departed.Remove(target.ID)
 }
 
 // applyInstances adds the peer addresses of the other instances.
--- a/internal/gateway/supervisor/target_entries_test.go
+++ b/internal/gateway/supervisor/target_entries_test.go
@@ -42,3 +42,42 @@
 		assert.True(t, last.Leaving, "seed %d", seed)
 	}
 }
+
+// TestEntriesOfALaterEraBringNoTargetBack guards against requests to a target that has left, and against orders by
+// what it held before, since the store came back with old entries.
+func TestEntriesOfALaterEraBringNoTargetBack(t *testing.T) {
+	s := New(messenger.GatewaySettings{Instance: "a"}, Platform{DecodeTarget: decodeTestTarget}, logr.Discard())
+	row := func(era int64, id string, target registrar.Target) messenger.StoreRow {
+		value, err := json.Marshal(target)
+		assert.NoError(t, err)
+		return messenger.StoreRow{Key: id, Era: era, Version: 10 - era, Value: value}
+	}
+	lives := row(1, "lives", registrar.Target{Address: "127.0.0.1:1", StartMilliseconds: 1, Heartbeat: 9})
+	left := row(1, "left", registrar.Target{Address: "127.0.0.1:2", StartMilliseconds: 1, Heartbeat: 9})
+
+	s.applyTargets([]messenger.StoreRow{lives, left}, nil)
+	s.applyTargets(nil, []string{"left"})
+	t.Run("an old entry of a target that lives", func(t *testing.T) {
+		old := row(2, "lives", registrar.Target{Address: "127.0.0.1:1", StartMilliseconds: 1, Heartbeat: 7})
+		got, isInForce := s.resolveTarget(lives, true, old)
+		assert.True(t, isInForce)
+		assert.Equal(t, lives.Value, got.Value)
+		assert.Equal(t, old.StoreVersion(), got.StoreVersion())
+	})
+	t.Run("an old entry of one that has left", func(t *testing.T) {
+		old := row(2, "left", registrar.Target{Address: "127.0.0.1:2", StartMilliseconds: 1, Heartbeat: 7})
+		_, isInForce := s.resolveTarget(messenger.StoreRow{}, false, old)
+		assert.False(t, isInForce)
+		s.applyTargets([]messenger.StoreRow{old}, nil)
+		assert.NotContains(t, s.registry.View().Targets, "left", "however it arrives")
+	})
+	t.Run("one that is back", func(t *testing.T) {
+		back := row(2, "left", registrar.Target{Address: "127.0.0.1:2", StartMilliseconds: 1, Heartbeat: 10})
+		_, isInForce := s.resolveTarget(messenger.StoreRow{}, false, back)
+		assert.True(t, isInForce)
+		s.applyTargets([]messenger.StoreRow{back}, nil)
+		assert.Contains(t, s.registry.View().Targets, "left")
+		_, isInForce = s.resolveTarget(back, true, row(3, "left", registrar.Target{Address: "127.0.0.1:2", StartMilliseconds: 1, Heartbeat: 10}))
+		assert.True(t, isInForce, "and lives through another drill")
+	})
+}
