Write the system's own rows again that the store came back without

After each change of era but the first each instance reads its row once, in its turn, and writes it again unless it is there, or that of a later process; likewise the verdicts that it has reached itself, with deadlines by the new clock, also if the row has one by another clock. Both retry, and a later drill starts them again. An instance that leaves writes nothing. One log line for each row, and Store.RowsRewritten. The archivist keeps the deadlines of what it knows by the local clock, as the store's may change.

--- a/internal/gateway/archivist/archivist.go
+++ b/internal/gateway/archivist/archivist.go
@@ -22,6 +22,8 @@
 	maxOwnRows = 256
 	// maxBatch bounds the changes that are written in one transaction.
 	maxBatch = 64
+	// maxDeadlineError is the difference of deadlines, in milliseconds, from which a row is of another clock.
+	maxDeadlineError = 2000
 )
 
 // Row is the row of a conviction.
@@ -47,20 +49,24 @@
 // Archivist holds what is to be written. The zero value is not usable; see New.
 type Archivist struct {
 	mu sync.Mutex
-	// known maps the keys of the rows that may be in the table to their deadlines.
-	known map[string]int64
+	// known maps the keys of the rows that may be in the table to their deadlines, by the local clock.
+	known map[string]time.Time
+	// own holds the verdicts in known that this instance has reached.
+	own map[string]quarantiner.Verdict
 	// pending holds the changes that are not written yet, by key.
 	pending map[string]Change
 }
 
 // New returns an archivist that knows of no rows.
-func New() *Archivist { return &Archivist{known: map[string]int64{}, pending: map[string]Change{}} }
+func New() *Archivist {
+	return &Archivist{known: map[string]time.Time{}, own: map[string]quarantiner.Verdict{}, pending: map[string]Change{}}
+}
 
 // Decided records verdicts that this instance has reached, at the time clock of the store's clock.
 func (a *Archivist) Decided(now time.Time, clock int64, verdicts []quarantiner.Verdict) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.forgetExpired(clock)
+	a.forgetExpired(now)
 	for _, v := range verdicts {
 		key := KeyOf(v.Trait)
 		if !now.Before(v.ConvictedUntil) {
@@ -70,39 +76,78 @@
 		if _, isKnown := a.known[key]; isKnown || len(a.known) >= maxOwnRows {
 			continue
 		}
-		deadline := clock + v.ConvictedUntil.Sub(now).Milliseconds()
-		a.known[key] = deadline
-		a.pending[key] = Change{Row: Row{Key: key, Trait: v.Trait, Tied: v.Tied, DeadlineMilliseconds: deadline}}
+		a.known[key], a.own[key] = v.ConvictedUntil, v
+		a.pending[key] = Change{Row: rowOf(v, now, clock)}
 	}
 }
 
+// rowOf returns the row of a verdict.
+func rowOf(v quarantiner.Verdict, now time.Time, clock int64) Row {
+	return Row{Key: KeyOf(v.Trait), Trait: v.Trait, Tied: v.Tied, DeadlineMilliseconds: clock + v.ConvictedUntil.Sub(now).Milliseconds()}
+}
+
+// HasOwn reports whether a verdict that this instance has reached may be in the table.
+func (a *Archivist) HasOwn(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.forgetExpired(now)
+	return len(a.own) > 0
+}
+
+// Restore has the rows of verdicts written again that this instance has reached and that are not in the
+// table, since the store came back from a copy, or are there with a deadline by another clock. It returns
+// these rows.
+func (a *Archivist) Restore(now time.Time, clock int64, rows []Row) []Row {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.forgetExpired(now)
+	present := make(map[string]int64, len(rows))
+	for _, row := range rows {
+		present[row.Key] = row.DeadlineMilliseconds
+	}
+	out := []Row{}
+	for key, v := range a.own {
+		row := rowOf(v, now, clock)
+		deadline, isPresent := present[key]
+		if isPresent && max(deadline, row.DeadlineMilliseconds)-min(deadline, row.DeadlineMilliseconds) < maxDeadlineError {
+			continue
+		}
+		a.pending[key] = Change{Row: row}
+		out = append(out, row)
+	}
+	return out
+}
+
 // lift removes the row of a verdict that has ended, if there may be one.
 func (a *Archivist) lift(key string) {
 	if _, isKnown := a.known[key]; isKnown {
 		delete(a.known, key)
+		delete(a.own, key)
 		a.pending[key] = Change{Row: Row{Key: key}, IsRemoval: true}
 	}
 }
 
 // Heard records verdicts that another instance has reached and writes itself.
-func (a *Archivist) Heard(now time.Time, clock int64, verdicts []quarantiner.Verdict) {
+func (a *Archivist) Heard(now time.Time, verdicts []quarantiner.Verdict) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.forgetExpired(clock)
+	a.forgetExpired(now)
 	for _, v := range verdicts {
 		key := KeyOf(v.Trait)
 		if now.Before(v.ConvictedUntil) && len(a.known) < MaxRows {
-			a.known[key] = clock + v.ConvictedUntil.Sub(now).Milliseconds()
+			a.known[key] = v.ConvictedUntil
 		} else {
 			delete(a.known, key)
+			delete(a.own, key)
 		}
 	}
 }
 
-func (a *Archivist) forgetExpired(clock int64) {
+func (a *Archivist) forgetExpired(now time.Time) {
 	for key, deadline := range a.known {
-		if deadline <= clock {
+		if !now.Before(deadline) {
 			delete(a.known, key)
+			delete(a.own, key)
 		}
 	}
 }
--- a/internal/gateway/archivist/archivist_test.go
+++ b/internal/gateway/archivist/archivist_test.go
@@ -65,7 +65,7 @@
 // is lost.
 func TestAnotherInstanceLiftsAVerdict(t *testing.T) {
 	a := archivist.New()
-	a.Heard(start, 5000, []quarantiner.Verdict{convicted(1, start.Add(time.Minute))})
+	a.Heard(start, []quarantiner.Verdict{convicted(1, start.Add(time.Minute))})
 	assert.Empty(t, a.Pending())
 	a.Decided(start, 5000, []quarantiner.Verdict{convicted(1, time.Time{}), convicted(2, time.Time{})})
 	changes, _ := drain(a)
@@ -114,3 +114,41 @@
 	}
 	assert.Equal(t, []string{"expired", "lifted", "row0000"}, keys)
 }
+
+// TestVerdictThatIsMissingIsWrittenAgain guards against a conviction that is forgotten, since the store came back from
+// a copy without its row, or with a clock by which it has ended.
+func TestVerdictThatIsMissingIsWrittenAgain(t *testing.T) {
+	newArchivist := func() *archivist.Archivist {
+		a := archivist.New()
+		a.Decided(start, 5000, []quarantiner.Verdict{convicted(1, start.Add(time.Minute))})
+		a.Heard(start, []quarantiner.Verdict{convicted(2, start.Add(time.Minute))})
+		drain(a)
+		return a
+	}
+	later := start.Add(10 * time.Second)
+	row := func(deadline int64) []archivist.Row {
+		return []archivist.Row{{Key: archivist.KeyOf(contentTrait(1)), DeadlineMilliseconds: deadline}}
+	}
+	t.Run("missing", func(t *testing.T) {
+		a := newArchivist()
+		assert.True(t, a.HasOwn(later))
+		assert.Len(t, a.Restore(later, 900, nil), 1)
+		changes, _ := drain(a)
+		require.Len(t, changes, 1)
+		assert.Equal(t, int64(50_900), changes[0].Row.DeadlineMilliseconds, "by the clock of the later era")
+	})
+	t.Run("there with the deadline of another clock", func(t *testing.T) {
+		assert.Len(t, newArchivist().Restore(later, 900, row(65_000)), 1)
+	})
+	t.Run("there", func(t *testing.T) {
+		assert.Empty(t, newArchivist().Restore(later, 900, row(51_000)))
+	})
+	t.Run("lifted or expired", func(t *testing.T) {
+		a := newArchivist()
+		assert.Empty(t, a.Restore(start.Add(time.Minute), 900, nil))
+		assert.False(t, a.HasOwn(start.Add(time.Minute)))
+		a = newArchivist()
+		a.Heard(later, []quarantiner.Verdict{convicted(1, time.Time{})})
+		assert.Empty(t, a.Restore(later, 900, nil))
+	})
+}
--- a/internal/gateway/supervisor/eras.go
+++ b/internal/gateway/supervisor/eras.go
@@ -50,6 +50,7 @@
 	})
 	if !change.Before.IsZero() {
 		s.measurer.CountEvent(measurer.StoreEraChanges, 1)
+		s.restoreRows()
 	}
 }
 
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -107,6 +107,7 @@
 	quarantiner  *quarantiner.Quarantiner
 	crashReports *crashReports
 	verdictRows  *verdictRows
+	rowLost      chan struct{}
 	budget       *budgeter.Budgeter
 	loadChanges  *loadChanges
 	measurer     *measurer.Measurer
@@ -153,6 +154,7 @@
 	s.quarantiner = quarantiner.New(settings.Instance, quarantiner.WithTrials())
 	s.crashReports = newCrashReports()
 	s.verdictRows = newVerdictRows()
+	s.rowLost = make(chan struct{}, 1)
 	bounds := settings.Bounds
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
 	s.slots = newSlots(s)
@@ -239,7 +241,7 @@
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
 		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly, s.slots.sendReleases, s.slots.maintain,
-		s.confirmRegularly, s.keepVerdicts, s.askForQuotas,
+		s.confirmRegularly, s.keepVerdicts, s.keepRow, s.askForQuotas,
 	} {
 		group.Go(func() error {
 			loop(running)
--- a/internal/gateway/supervisor/verdict_rows.go
+++ b/internal/gateway/supervisor/verdict_rows.go
@@ -10,6 +10,7 @@
 
 	"github.com/crocusring/crocusring/internal/gateway/archivist"
 	"github.com/crocusring/crocusring/internal/request/quarantiner"
+	"github.com/crocusring/crocusring/internal/state/measurer"
 	"github.com/crocusring/crocusring/internal/state/ranker"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
@@ -35,12 +36,12 @@
 	isRead chan struct{}
 	// isWaiting is set while the first targets are kept back.
 	isWaiting atomic.Bool
-	// changed triggers a write.
-	changed chan struct{}
+	// changed triggers a write, and lost a look whether the rows that were written are there.
+	changed, lost chan struct{}
 }
 
 func newVerdictRows() *verdictRows {
-	return &verdictRows{archivist: archivist.New(), isRead: make(chan struct{}), changed: make(chan struct{}, 1)}
+	return &verdictRows{archivist: archivist.New(), isRead: make(chan struct{}), changed: make(chan struct{}, 1), lost: make(chan struct{}, 1)}
 }
 
 // awaitVerdicts keeps the first targets back until the verdicts were read, at most for verdictWait.
@@ -68,6 +69,9 @@
 		case <-ctx.Done():
 		case <-s.verdictRows.changed:
 			s.retry(ctx, s.writeVerdicts)
+		case <-s.verdictRows.lost:
+			s.awaitTurn()
+			s.retry(ctx, s.rewriteVerdicts)
 		case <-time.After(verdictSweepInterval):
 			s.sweepVerdicts()
 		}
@@ -152,7 +156,7 @@
 		}
 	}
 	added := s.quarantiner.MergeShared(now, verdicts)
-	s.verdictRows.archivist.Heard(now, clock, added)
+	s.verdictRows.archivist.Heard(now, added)
 	s.logVerdicts(added, now, false)
 	s.log.Info("verdicts read from the store", "rows", len(rows), "inForce", len(added))
 	return nil
@@ -173,11 +177,32 @@
 
 // noteHeard records verdicts that another instance has reached.
 func (s *Supervisor) noteHeard(verdicts []quarantiner.Verdict) {
-	if clock, ok := s.knownStoreTime(); ok && len(verdicts) > 0 {
-		s.verdictRows.archivist.Heard(time.Now(), clock, verdicts)
+	if len(verdicts) > 0 {
+		s.verdictRows.archivist.Heard(time.Now(), verdicts)
 	}
 }
 
+// rewriteVerdicts writes the rows again that this instance has written and that the store came back without.
+func (s *Supervisor) rewriteVerdicts() error {
+	if s.leaving.Load() || !s.verdictRows.archivist.HasOwn(time.Now()) {
+		return nil
+	}
+	rows, clock, err := s.readVerdicts()
+	if err != nil {
+		return err
+	}
+	lost := s.verdictRows.archivist.Restore(time.Now(), clock, rows)
+	if err := s.writeVerdicts(); err != nil {
+		return err
+	}
+	for _, row := range lost {
+		s.log.Info("row written again", "table", verdictTable, "key", row.Key, "deadlineStoreMilliseconds", row.DeadlineMilliseconds,
+			"era", s.eras.current.Load())
+	}
+	s.measurer.CountEvent(measurer.StoreRowsRewritten, len(lost))
+	return nil
+}
+
 // writeVerdicts writes what is pending.
 func (s *Supervisor) writeVerdicts() error {
 	for {
--- a/internal/state/measurer/event.go
+++ b/internal/state/measurer/event.go
@@ -47,6 +47,8 @@
 	AccountFetches      Event = "Account.Fetches"
 	// StoreEraChanges counts how often the store came back from a copy.
 	StoreEraChanges Event = "Store.EraChanges"
+	// StoreRowsRewritten counts the rows that this instance has written again after that.
+	StoreRowsRewritten Event = "Store.RowsRewritten"
 )
 
 // HedgeEvent returns the event of the second run of a request; there are few of them.
@@ -64,7 +66,7 @@
 	CutTargetEnded, CutTargetPresent, CutTargetUnknown, CutTargetLeaving, CutUnanswered,
 	QuarantineSuspects, QuarantineConvictions, QuarantineTakenBack, QuarantineRefused, QuarantineRefusedForPart,
 	SlotGranted, SlotRefusedBacklog, SlotRefusedLate, SlotRefusedNoTarget, SlotUnanswered,
-	AccountUnknownKey, AccountUnconfirmed, AccountDirectProofs, AccountFetches, StoreEraChanges,
+	AccountUnknownKey, AccountUnconfirmed, AccountDirectProofs, AccountFetches, StoreEraChanges, StoreRowsRewritten,
 	HedgeEvent("Sent"), HedgeEvent("Won"), HedgeEvent("NoRoom"), HedgeEvent("NoBudget"),
 }
 
