Keep a verdict that is reached before the clock of a later era is known

A verdict that was reached between the first answer of an era and the first reading of its clock was not written to the store. It is written with the deadline by that clock now, with the rows that are written again. Found by reading; no test meets that moment.

--- a/internal/gateway/supervisor/verdict_rows.go
+++ b/internal/gateway/supervisor/verdict_rows.go
@@ -164,13 +164,17 @@
 
 // noteDecided keeps verdicts that this instance has reached as examiner.
 func (s *Supervisor) noteDecided(verdicts []quarantiner.Verdict) {
-	clock, ok := s.knownStoreTime()
-	if !ok {
+	clock, isKnown := s.knownStoreTime()
+	if !isKnown && s.eras.current.Load() == 0 {
 		return // no answer of the store yet: nothing has been sent to a target
 	}
 	s.verdictRows.archivist.Decided(time.Now(), clock, verdicts)
+	trigger := s.verdictRows.changed
+	if !isKnown {
+		trigger = s.verdictRows.lost // with a deadline by the clock of the era that has just been met
+	}
 	select {
-	case s.verdictRows.changed <- struct{}{}:
+	case trigger <- struct{}{}:
 	default:
 	}
 }
