--- a/internal/gateway/follower/era.go
+++ b/internal/gateway/follower/era.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/crocusring/crocusring/internal/wire/messenger"
@@ -12,9 +13,10 @@
 	Before messenger.StoreVersion
 	// After is the version in that answer.
 	After messenger.StoreVersion
-	// LatestBefore is the upper bound of the current time by the store's clock of the era before, in
-	// milliseconds; 0 if it is not known.
+	// LatestBefore is the upper bound of the time by the store's clock of the era before, in
+	// milliseconds, at the local time At; 0 if it is not known.
 	LatestBefore int64
+	At           time.Time
 }
 
 // WithResolver sets the function that decides, for each row in the first table of a later era, which
@@ -22,11 +24,12 @@
 // may be older than what this instance knows. It reports false for a row that no longer exists. By
 // default next is in force.
 func WithResolver(resolve func(known messenger.StoreRow, isKnown bool, next messenger.StoreRow) (messenger.StoreRow, bool)) Option {
-	return func(f *Follower) { f.resolve = resolve }
+	return func(f *Follower) { f.resolve, f.hasResolver = resolve, true }
 }
 
 // WithLastingRows is for a table whose rows are never removed, but may be missing in a later era until
-// their writer has written them again.
+// their writer has written them again. The resolver decides on each row that is not older than the known
+// one, also in the same era: a peer's copy may have another value under the same version.
 func WithLastingRows() Option { return func(f *Follower) { f.isLasting = true } }
 
 // WithEraObserver sets the function that is called with the versions of the copy before and after it
@@ -51,6 +54,9 @@
 
 // resolveRows returns the rows of a later era that are in force. The caller holds f.mu.
 func (f *Follower) resolveRows(rows []messenger.StoreRow) []messenger.StoreRow {
+	if f.isLasting {
+		return rows // storeRows resolves them
+	}
 	out := make([]messenger.StoreRow, 0, len(rows))
 	for _, next := range rows {
 		known, isKnown := f.rows[next.Key]
@@ -109,3 +115,29 @@
 		f.removed[key] = f.version
 	}
 }
+
+// adoptValues has the resolver decide on the values in an older copy of a peer, under the versions that are
+// known here: what is in force at the peer may be newer nevertheless.
+func (f *Follower) adoptValues(rows []messenger.StoreRow) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	f.mu.Lock()
+	changed := []messenger.StoreRow{}
+	for _, row := range rows {
+		known, isKnown := f.rows[row.Key]
+		version := f.version
+		if isKnown {
+			version = known.StoreVersion()
+		}
+		row.Era, row.Version = version.Era, version.Number
+		if isKnown {
+			row, _ = f.resolve(known, true, row)
+		}
+		if !isKnown || !bytes.Equal(row.Value, known.Value) {
+			changed = append(changed, row)
+			f.rows[row.Key] = row
+		}
+	}
+	f.mu.Unlock()
+	f.deliver(changed, nil)
+}
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -101,6 +101,8 @@
 	apply func(rows []messenger.StoreRow, removed []string)
 	// resolve decides between a known row and one of a later era; see WithResolver.
 	resolve func(known messenger.StoreRow, isKnown bool, next messenger.StoreRow) (messenger.StoreRow, bool)
+	// hasResolver reports that resolve compares values, and not only versions.
+	hasResolver bool
 	// isLasting keeps rows that are missing since the store came back from a copy; see WithLastingRows.
 	isLasting bool
 	// observeEra is called with the versions of the copy before and after it meets a later era.
@@ -463,6 +465,9 @@
 		if isKnown && isGapless && !f.isReadable(row) {
 			row.Value = known.Value
 		}
+		if isKnown && f.isLasting {
+			row, _ = f.resolve(known, true, row)
+		}
 		f.rows[row.Key] = row
 		delete(f.returnDeadlines, row.Key)
 		delete(f.removed, row.Key)
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -97,6 +98,7 @@
 	log         logr.Logger
 
 	registry     *registrar.Registrar
+	departed     *registrar.Departed
 	balancer     *balancer.Balancer
 	limiter      *limiter.Limiter
 	quotas       *quotaKeeper
@@ -105,6 +107,7 @@
 	quarantiner  *quarantiner.Quarantiner
 	crashReports *crashReports
 	verdictRows  *verdictRows
+	rowLost      chan struct{}
 	budget       *budgeter.Budgeter
 	loadChanges  *loadChanges
 	measurer     *measurer.Measurer
@@ -119,7 +122,7 @@
 	slots        *slots
 	confirmer    *confirmer.Confirmer
 	eras         eras
-	proofFetches *proofFetches
+	peerFetches  *peerFetches
 	manifests    *follower.Follower
 	targets      *follower.Follower
 	instances    *follower.Follower
@@ -141,16 +144,17 @@
 func New(settings messenger.GatewaySettings, platform Platform, log logr.Logger) *Supervisor {
 	s := &Supervisor{
 		settings: settings, platform: platform, log: log, incarnation: time.Now().UnixMilli(),
-		registry: registrar.New(), loadChanges: newLoadChanges(), measurer: measurer.New(time.Now()), tally: tallier.New(), poster: poster.New(),
+		registry: registrar.New(), departed: registrar.NewDeparted(), loadChanges: newLoadChanges(), measurer: measurer.New(time.Now()), tally: tallier.New(), poster: poster.New(),
 	}
 	s.limiter = limiter.New(limiter.Member{Name: settings.Instance, DataCentre: settings.DataCentre}, minCellSize)
 	s.quotas = newQuotaKeeper(settings)
 	s.balancer = balancer.New(balancer.WithLoadChanged(s.loadChanges.add), balancer.WithLimits(s.limiter.BlockedFor))
 	s.confirmer = confirmer.New(milliseconds(settings.Bounds.RevokeMilliseconds))
-	s.proofFetches = newProofFetches()
+	s.peerFetches = newPeerFetches()
 	s.quarantiner = quarantiner.New(settings.Instance, quarantiner.WithTrials())
 	s.crashReports = newCrashReports()
 	s.verdictRows = newVerdictRows()
+	s.rowLost = make(chan struct{}, 1)
 	bounds := settings.Bounds
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
 	s.slots = newSlots(s)
@@ -200,10 +204,12 @@
 func (s *Supervisor) initFollowers() {
 	source := follower.Source{Read: s.readTable, Follow: s.followTable, PeerSnapshot: s.peerSnapshot, PeerHasHadStore: s.peerHasHadStore}
 	log := follower.WithLog(s.log)
-	s.manifests = follower.New(s.platform.ManifestTable, source, s.applyManifest, log, follower.WithShortWait(), s.withProofs(),
-		follower.WithLastingRows(), s.observeReread(s.platform.ManifestTable))
+	manifestSource := source
+	manifestSource.Read = s.readManifests
+	s.manifests = follower.New(s.platform.ManifestTable, manifestSource, s.applyManifest, log, follower.WithShortWait(), s.withProofs(),
+		follower.WithLastingRows(), follower.WithResolver(s.resolveManifest), s.observeReread(s.platform.ManifestTable))
 	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargetsOnceVerdictsAreRead, log,
-		follower.WithShortWait(), follower.WithMinInterval(s.targetPollInterval), s.observeReread(s.platform.TargetTable))
+		follower.WithShortWait(), follower.WithMinInterval(s.targetPollInterval), follower.WithResolver(s.resolveTarget), s.observeReread(s.platform.TargetTable))
 	s.instances = follower.New(instanceTable, source, s.applyInstances, log, s.observeReread(instanceTable),
 		follower.WithMinInterval(func() time.Duration { return instancePollInterval }))
 }
@@ -235,7 +241,7 @@
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
 		s.manifests.Run, s.targets.Run, s.instances.Run, s.register, s.sendStatuses, s.sendLoads, s.sendSums, s.maintainLease, s.foreman.Run, s.prune, s.passOnCrashesRegularly, s.slots.sendReleases, s.slots.maintain,
-		s.confirmRegularly, s.keepVerdicts, s.askForQuotas,
+		s.confirmRegularly, s.keepVerdicts, s.keepRow, s.askForQuotas,
 	} {
 		group.Go(func() error {
 			loop(running)
@@ -295,19 +301,24 @@
 }
 
 func (s *Supervisor) applyTargets(rows []messenger.StoreRow, removed []string) {
+	era := s.targets.Version().Era
+	var all map[string]*registrar.Target
 	superseded := s.registry.Update(func(targets map[string]*registrar.Target) {
 		for _, key := range removed {
-			if targets[key] != nil {
+			if old := targets[key]; old != nil {
 				s.log.Info("target is gone", "target", key)
+				s.departed.Add(old, era, time.Now())
 			}
 			delete(targets, key)
 		}
 		for _, row := range rows {
 			s.applyTarget(targets, row)
 		}
+		all = maps.Clone(targets)
 	})
 	for _, id := range superseded {
 		s.log.Info("target is superseded at its address", "target", id)
+		s.departed.Add(all[id], era, time.Now())
 	}
 	s.observeSilences()
 }
@@ -321,6 +332,11 @@
 	}
 	target.Version = row.Version
 	old := targets[row.Key]
+	if old == nil && s.departed.IsGone(target, row.Era, time.Now()) {
+		s.log.Info("entry of a target that is gone ignored", "target", target.ID, "born", target.StartMilliseconds, "heartbeat", target.Heartbeat,
+			"rowEra", row.Era, "rowVersion", row.Version)
+		return
+	}
 	if target.IsOlderThan(old) {
 		s.log.Info("older entry of target ignored", "target", target.ID, "born", target.StartMilliseconds, "knownBorn", old.StartMilliseconds,
 			"heartbeat", target.Heartbeat, "knownHeartbeat", old.Heartbeat)
@@ -338,6 +354,7 @@
 	}
 	s.limiter.SetIncarnation(target.ID, target.StartMilliseconds)
 	targets[row.Key] = target
+	s.departed.Remove(target.ID)
 }
 
 // applyInstances adds the peer addresses of the other instances.
