--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -236,30 +236,38 @@
 	}
 }
 
-// follow reads the lease, contends for it, and schedules the next read: a failed attempt is repeated as soon as
-// a renewal would be.
+// follow reads the lease, contends for it, and schedules the next read.
 func (l *Leaser) follow(now time.Time) error {
 	err := l.contend()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.nextReadAt = now.Add(followInterval)
-	if err != nil {
-		l.nextReadAt = now.Add(min(followInterval, l.times.RenewInterval))
-	}
-	expiresAt := l.changeSeenAt.Add(l.times.TTL)
-	earliest, _, ok := l.clock()
-	switch {
-	case !isWrittenIn(l.record, l.leaseVersion):
-		expiresAt = l.earlierErasEnd()
-	case ok && l.record.Lapses > 0:
-		expiresAt = now.Add(time.Duration(l.record.Lapses-earliest) * time.Millisecond)
-	}
-	if expiresAt.After(now) && expiresAt.Before(l.nextReadAt) {
+	l.nextReadAt = now.Add(l.readInterval(err))
+	if expiresAt := l.expiresAt(now); expiresAt.After(now) && expiresAt.Before(l.nextReadAt) {
 		l.nextReadAt = expiresAt
 	}
 	return err
 }
 
+// readInterval returns the time until the next read after one with an error, or nil. It is shorter after an error
+// and while the row names no holder, so that little time is lost until it may be acquired. The caller holds l.mu.
+func (l *Leaser) readInterval(err error) time.Duration {
+	if err != nil || !isWrittenIn(l.record, l.leaseVersion) {
+		return min(followInterval, l.times.RenewInterval)
+	}
+	return followInterval
+}
+
+// expiresAt returns when this instance may acquire the lease if its row does not change. The caller holds l.mu.
+func (l *Leaser) expiresAt(now time.Time) time.Time {
+	if !isWrittenIn(l.record, l.leaseVersion) {
+		return l.earlierErasEnd()
+	}
+	if earliest, _, ok := l.clock(); ok && l.record.Lapses > 0 {
+		return now.Add(time.Duration(l.record.Lapses-earliest) * time.Millisecond)
+	}
+	return l.changeSeenAt.Add(l.times.TTL)
+}
+
 // renew writes the row again. The new deadline counts from before the write.
 func (l *Leaser) renew(now time.Time) error {
 	l.mu.Lock()
