--- a/internal/control/leaser/era.go
+++ b/internal/control/leaser/era.go
@@ -1,8 +1,6 @@
 package leaser
 
 import (
-	"encoding/json"
-	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -10,19 +8,8 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-const (
-	// eraShift is the number of bits of a fencing token below the era.
-	eraShift = 32
-	// maxEra is the highest era that leads a fencing token: tokens are below 2^53, and so read exactly where
-	// numbers are floating-point.
-	maxEra = 1<<(53-eraShift) - 1
-	// firstEra is the era of a table service that has never come back from a copy.
-	firstEra = 1
-	// refusalShift is the number of bits by which the step to the next token grows with each refusal, and
-	// maxRefusalShift that of the longest step.
-	refusalShift    = 3
-	maxRefusalShift = 24
-)
+// firstEra is the era of a table service that has never come back from a copy.
+const firstEra = 1
 
 // errEraChanged reports that the table service came back from a copy while the lease was written.
 var errEraChanged = errors.New("era of the table service has changed")
@@ -40,34 +27,6 @@
 	}
 }
 
-// NoteFence records a fencing token that another instance knows of.
-func (l *Leaser) NoteFence(fence int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if isFenceOf(fence, l.era) {
-		l.knownFence = max(l.knownFence, fence)
-	}
-}
-
-// KnownFence returns the highest fencing token that this instance has heard of.
-func (l *Leaser) KnownFence() int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.knownFence
-}
-
-// NoteRefused records that a fencing token was refused as outdated. If the row still names this
-// instance with that token, it acquires the lease anew with a higher one.
-func (l *Leaser) NoteRefused(fence int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if fence != l.grant.Fence || l.isRefused {
-		return
-	}
-	l.isRefused = true
-	l.refusals++
-}
-
 // IsLastHolder reports whether no later holder than this instance is known.
 func (l *Leaser) IsLastHolder() bool {
 	l.mu.Lock()
@@ -75,9 +34,6 @@
 	return l.isLastHolder()
 }
 
-// isFenceOf reports whether a number may be a fencing token of an era or of an earlier one.
-func isFenceOf(fence, era int64) bool { return fence >= 0 && fence>>eraShift <= min(era, maxEra) }
-
 // isWrittenIn reports whether a record was written in the era of its row, so that what it says of its holder
 // holds. Of a service without eras it always does.
 func isWrittenIn(record Record, row messenger.StoreVersion) bool {
@@ -130,37 +86,3 @@
 	}
 	return b
 }
-
-// fenceKeyOf returns the key of the fence row of an era. Each era that follows a copy has a row of its own, which a
-// late write of an earlier era does not replace, so that no token of the era is given out twice.
-func fenceKeyOf(era int64) string {
-	if era <= firstEra {
-		return fenceKey
-	}
-	return fenceKey + "-" + strconv.FormatInt(era, 10)
-}
-
-// nextFence returns a fencing token above all that are known: those of the lease row and of the fence row,
-// either of which another writer may have spoiled, and those of this instance and of its peers.
-func (l *Leaser) nextFence(era int64, fenceRow messenger.Row) int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var last int64
-	if json.Unmarshal(fenceRow.Value, &last) != nil || !isFenceOf(last, era) {
-		last = 0
-	}
-	last = max(l.knownFence, last, min(era, maxEra)<<eraShift)
-	if next := last + l.refusalStep(); isFenceOf(next, era) {
-		return next
-	}
-	return last + 1
-}
-
-// refusalStep returns by how much the next fencing token exceeds all that are known. It grows with each token that
-// was refused, so that tokens far above are exceeded soon. The caller holds l.mu.
-func (l *Leaser) refusalStep() int64 {
-	if !l.isRefused {
-		return 1
-	}
-	return 1 << min((l.refusals-1)*refusalShift, maxRefusalShift)
-}
