Read the manifest in force from at most two peers at a start

An instance that started read it from one peer after another while each named a later one and did not answer, up to a second each. It asks the two with the newest. Found by reading.

--- a/internal/gateway/supervisor/in_force.go
+++ b/internal/gateway/supervisor/in_force.go
@@ -1,8 +1,11 @@
 package supervisor
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/crocusring/crocusring/internal/gateway/informer"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
@@ -65,14 +68,24 @@
 		return snapshot, err
 	}
 	s.awaitPeers()
-	for _, peer := range s.informer.Peers() {
-		if peer.LastStatus.InForceManifest > s.versionIn(snapshot) {
-			s.takeInForce(&snapshot, peer.LastStatus)
+	for _, peer := range newestFirst(s.informer.Peers(), maxFetches) {
+		if peer.InForceManifest > s.versionIn(snapshot) {
+			s.takeInForce(&snapshot, peer)
 		}
 	}
 	return snapshot, nil
 }
 
+// newestFirst returns the last statuses of the peers with the newest manifests in force, at most count.
+func newestFirst(peers []informer.Peer, count int) []messenger.GatewayNews {
+	out := make([]messenger.GatewayNews, 0, len(peers))
+	for _, peer := range peers {
+		out = append(out, peer.LastStatus)
+	}
+	slices.SortStableFunc(out, func(a, b messenger.GatewayNews) int { return cmp.Compare(b.InForceManifest, a.InForceManifest) })
+	return out[:min(count, len(out))]
+}
+
 // awaitPeers waits until all instances that are known have sent their status, at most for maxPeersWait. It
 // does not wait if there are none.
 func (s *Supervisor) awaitPeers() {
--- a/internal/gateway/supervisor/in_force_test.go
+++ b/internal/gateway/supervisor/in_force_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"github.com/crocusring/crocusring/internal/gateway/informer"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
@@ -17,6 +19,19 @@
 	return &registrar.Manifest{Version: version}, err
 }
 
+// TestManifestsOfPeersAreReadFromFew guards against a start that reads the manifest from one peer after another, each
+// of which may not answer.
+func TestManifestsOfPeersAreReadFromFew(t *testing.T) {
+	peers := []informer.Peer{}
+	for _, version := range []int64{4, 9, 0, 7} {
+		peers = append(peers, informer.Peer{LastStatus: messenger.GatewayNews{InForceManifest: version}})
+	}
+	newest := newestFirst(peers, 2)
+	require.Len(t, newest, 2)
+	assert.Equal(t, []int64{9, 7}, []int64{newest[0].InForceManifest, newest[1].InForceManifest})
+	assert.Empty(t, newestFirst(nil, 2))
+}
+
 // TestManifestInForceIsKept guards against a manifest of the store's copy that replaces a later one, and against a
 // later one that does not get through.
 func TestManifestInForceIsKept(t *testing.T) {
