Let the holder that is surely the last go on without a handover

Orders paused for the time of a handover after a drill, where peers had heard of a token that the holder had asked for and not confirmed. Nobody else can have held the lease then.

--- a/internal/control/leaser/era.go
+++ b/internal/control/leaser/era.go
@@ -72,7 +72,7 @@
 	switch {
 	case version.Number == 0 && version.Era <= firstEra && l.knownFence == 0:
 		return time.Time{}
-	case isCurrent && l.isOwn(old) && old.Fence == l.grant.Fence, !isCurrent && l.isLastHolder():
+	case isCurrent && l.isOwn(old) && old.Fence == l.grant.Fence, !isCurrent && (l.isSurelyLast() || l.isLastHolder()):
 		return l.previousEndedAt // it goes on with its own grant
 	case isCurrent:
 		return l.grantEnd(old, now)
--- a/internal/control/leaser/era_fault_test.go
+++ b/internal/control/leaser/era_fault_test.go
@@ -224,3 +224,21 @@
 		last = grant.Fence
 	}
 }
+
+// TestSurelyLastHolderNeedsNoHandover guards against a pause of the orders after a drill, where peers have heard of a
+// token that the instance itself has not confirmed.
+func TestSurelyLastHolderNeedsNoHandover(t *testing.T) {
+	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	l := s.start("a")
+	before := s.copy()
+	grant := s.acquire(t, l)
+	l.NoteFence(grant.Fence + 1)
+	s.drill(before)
+	l.MeetEra(s.era)
+	assert.True(t, s.acquire(t, l).PreviousEndedAt.IsZero())
+	require.NoError(t, l.Tick())
+	again, isHeld := l.Held(s.now)
+	require.True(t, isHeld)
+	assert.Greater(t, again.Fence, grant.Fence)
+	assert.True(t, again.PreviousEndedAt.IsZero())
+}
