Take a missing lease for that of a new system only where a store names no era

The review showed two holders at a time where the first drill leads to era 1, as it does at a store that counts from 0 or that names its era from then on: an instance that had heard of no holder took the missing row of that era for that of a system that had never had one, at once and without a handover. Nothing tells the first era of a store from one that follows a copy, so that a fresh system at a store with eras waits a TTL and a margin now.

TestNewInstanceWaitsForLostHolder asks that of era 1 too, where it asked the opposite before.

--- a/internal/control/leaser/contend.go
+++ b/internal/control/leaser/contend.go
@@ -43,8 +43,6 @@
 	switch {
 	case row.Era < l.era:
 		return false // a late answer
-	case row.Version == 0 && row.Era <= firstEra && l.knownFence == 0:
-		return true // there has never been a holder
 	case row.Version == 0 && row.Era == 0:
 		return true
 	case !isWrittenIn(record, row.StoreVersion()):
--- a/internal/control/leaser/era.go
+++ b/internal/control/leaser/era.go
@@ -8,9 +8,6 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// firstEra is the era of a table service that has never come back from a copy.
-const firstEra = 1
-
 // errEraChanged reports that the table service came back from a copy while the lease was written.
 var errEraChanged = errors.New("era of the table service has changed")
 
@@ -70,8 +67,8 @@
 	defer l.mu.Unlock()
 	isCurrent := isWrittenIn(old, version)
 	switch {
-	case version.Number == 0 && version.Era <= firstEra && l.knownFence == 0:
-		return time.Time{}
+	case version == messenger.StoreVersion{}:
+		return time.Time{} // a service without eras loses no rows
 	case isCurrent && l.isOwn(old) && old.Fence == l.grant.Fence, !isCurrent && (l.isSurelyLast() || l.isLastHolder()):
 		return l.previousEndedAt // it goes on with its own grant
 	case isCurrent:
--- a/internal/control/leaser/era_fault_test.go
+++ b/internal/control/leaser/era_fault_test.go
@@ -66,9 +66,8 @@
 		era  int64
 		want bool
 	}{
-		"era 0":                   {0, true},
-		"first era":               {1, true},
-		"era that follows a copy": {2, false},
+		"service without eras":                    {0, true},
+		"era that may follow a copy, as any does": {1, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &copiedStore{now: time.Unix(1000, 0), era: x.era, rows: map[string]messenger.Row{}}
@@ -108,7 +107,7 @@
 // TestFreezeBeforeAcquisitionShortensGrant guards against a grant that outlasts the expiry in its row, at which
 // another instance takes the lease: the instance froze between the two.
 func TestFreezeBeforeAcquisitionShortensGrant(t *testing.T) {
-	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	s := &copiedStore{now: time.Unix(1000, 0), rows: map[string]messenger.Row{}}
 	frozen := s.start("frozen")
 	bounds := frozen.clock
 	frozen.clock = func() (int64, int64, bool) {
@@ -228,7 +227,7 @@
 // TestSurelyLastHolderNeedsNoHandover guards against a pause of the orders after a drill, where peers have heard of a
 // token that the instance itself has not confirmed.
 func TestSurelyLastHolderNeedsNoHandover(t *testing.T) {
-	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	s := &copiedStore{now: time.Unix(1000, 0), rows: map[string]messenger.Row{}}
 	l := s.start("a")
 	before := s.copy()
 	grant := s.acquire(t, l)
--- a/internal/control/leaser/era_history_test.go
+++ b/internal/control/leaser/era_history_test.go
@@ -22,7 +22,7 @@
 
 // drillTimes returns when the drills of a history begin: one to three within seconds.
 func drillTimes(w *eraWorld) []time.Duration {
-	at := 2*time.Second + w.delay(4*time.Second)
+	at := 4*time.Second + w.delay(4*time.Second)
 	drills := []time.Duration{at}
 	for range w.random.IntN(3) {
 		at += w.delay(3 * time.Second)
@@ -32,16 +32,18 @@
 }
 
 // playHistory plays a history with faults, and then waits for a holder. Every fourth one is of a table service
-// without eras, which is never restored from a copy.
+// without eras, which is never restored from a copy, and every fourth one of a table service that names its era
+// from the first drill on.
 func playHistory(seed uint64, plant eraPlant) *eraWorld {
 	firstEra := int64(1)
-	if seed%4 == 3 && plant == noPlant {
+	hasDrills := seed%4 != 3 || plant != noPlant
+	if plant == noPlant && seed%4 >= 2 {
 		firstEra = 0
 	}
 	w := newEraWorld(seed, 3, firstEra, plant)
 	defer w.close()
 	var drills []time.Duration
-	if firstEra > 0 {
+	if hasDrills {
 		drills = drillTimes(w)
 	}
 	w.play(historyLength, drills)
@@ -82,7 +84,7 @@
 
 // TestLeaseHoldsOverEras guards against two holders at a time, or within the time of a handover; against fencing
 // tokens that two holders have, or that do not rise; and against a lease that nobody holds any more; over drills and
-// other faults. Left out is a store that comes from a copy in its first era.
+// other faults.
 func TestLeaseHoldsOverEras(t *testing.T) {
 	grants := 0
 	for seed := range uint64(*histories) {
--- a/internal/control/leaser/fence.go
+++ b/internal/control/leaser/fence.go
@@ -50,10 +50,10 @@
 // isFenceOf reports whether a number may be a fencing token of an era or of an earlier one.
 func isFenceOf(fence, era int64) bool { return fence >= 0 && fence>>eraShift <= min(era, maxEra) }
 
-// fenceKeyOf returns the key of the fence row of an era. Each era that follows a copy has a row of its own, which a
+// fenceKeyOf returns the key of the fence row of an era. Each era that the service names has a row of its own, which a
 // late write of an earlier era does not replace, so that no token of the era is given out twice.
 func fenceKeyOf(era int64) string {
-	if era <= firstEra {
+	if era == 0 {
 		return fenceKey
 	}
 	return fenceKey + "-" + strconv.FormatInt(era, 10)
