--- a/internal/gateway/follower/era.go
+++ b/internal/gateway/follower/era.go
@@ -128,11 +128,9 @@
 		version := f.version
 		if isKnown {
 			version = known.StoreVersion()
-		}
-		row.Era, row.Version = version.Era, version.Number
-		if isKnown {
 			row, _ = f.resolve(known, true, row)
 		}
+		row.Era, row.Version = version.Era, version.Number
 		if !isKnown || !bytes.Equal(row.Value, known.Value) {
 			changed = append(changed, row)
 			f.rows[row.Key] = row
--- a/internal/gateway/supervisor/in_force.go
+++ b/internal/gateway/supervisor/in_force.go
@@ -26,8 +26,12 @@
 // resolveManifest decides which of two values of the manifest's row is in force: the one with the greater
 // version of the operators. A manifest of a later era that cannot be decoded leaves the known one in force.
 func (s *Supervisor) resolveManifest(known messenger.StoreRow, isKnown bool, next messenger.StoreRow) (messenger.StoreRow, bool) {
-	if !isKnown || next.Key != s.platform.ManifestKey {
+	isEarlier := next.StoreVersion().IsBefore(known.StoreVersion())
+	switch {
+	case !isKnown:
 		return next, true
+	case next.Key != s.platform.ManifestKey:
+		return laterRow(known, next), true
 	}
 	knownManifest, err := s.platform.DecodeManifest(known.Value)
 	if err != nil {
@@ -35,6 +39,8 @@
 	}
 	nextManifest, err := s.platform.DecodeManifest(next.Value)
 	switch {
+	case err != nil && isEarlier:
+		return known, true
 	case err != nil && next.Era == known.Era:
 		return next, true // applyManifest says so
 	case err == nil && nextManifest.Version >= knownManifest.Version:
@@ -50,6 +56,14 @@
 	return next, true
 }
 
+// laterRow returns next unless it is earlier than the known row.
+func laterRow(known, next messenger.StoreRow) messenger.StoreRow {
+	if next.StoreVersion().IsBefore(known.StoreVersion()) {
+		return known
+	}
+	return next
+}
+
 // logKept logs that a manifest stays in force. next is nil if the one in the row cannot be decoded.
 func (s *Supervisor) logKept(known, next *registrar.Manifest, row messenger.StoreRow) {
 	version := int64(0)
@@ -98,13 +112,15 @@
 	}
 }
 
-// mayHearPeers reports whether there may be instances that have not sent their status yet.
+// mayHearPeers reports whether there may be instances that have not sent their status yet. Where the store
+// names an era, it may have come back without their rows.
 func (s *Supervisor) mayHearPeers() bool {
 	heard := len(s.informer.Peers())
 	if s.instances.Version().IsZero() {
 		return true
 	}
-	return heard < s.otherInstances() || (heard == 0 && len(s.settings.Seeds) > 0)
+	mayHavePeers := len(s.settings.Seeds) > 0 || s.eras.current.Load() > 0
+	return heard < s.otherInstances() || (heard == 0 && mayHavePeers)
 }
 
 // otherInstances returns the number of rows of other instances.
--- a/internal/gateway/supervisor/in_force_test.go
+++ b/internal/gateway/supervisor/in_force_test.go
@@ -61,3 +61,36 @@
 		})
 	}
 }
+
+// TestEarlierCopyOfAPeerBringsOnlyALaterManifest guards against a value in an earlier copy of a peer that replaces a
+// later one, though it cannot be decoded or is of another row.
+func TestEarlierCopyOfAPeerBringsOnlyALaterManifest(t *testing.T) {
+	s := New(messenger.GatewaySettings{Instance: "a"}, Platform{DecodeManifest: decodeTestManifest, ManifestKey: "config"}, logr.Discard())
+	row := func(key string, version int64, value string) messenger.StoreRow {
+		return messenger.StoreRow{Key: key, Era: 2, Version: version, Value: []byte(value)}
+	}
+	for name, c := range map[string]struct{ key, value, want string }{
+		"cannot be decoded": {"config", "x", "7"},
+		"an older manifest": {"config", "6", "7"},
+		"a later manifest":  {"config", "8", "8"},
+		"another row":       {"other", "8", "7"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, isInForce := s.resolveManifest(row(c.key, 9, "7"), true, row(c.key, 5, c.value))
+			assert.True(t, isInForce)
+			assert.Equal(t, c.want, string(got.Value))
+		})
+	}
+}
+
+// TestNewInstanceWaitsForPeersWithoutRows guards against a manifest of the store's copy that is put into force by an
+// instance which starts after the rows of all others were lost.
+func TestNewInstanceWaitsForPeersWithoutRows(t *testing.T) {
+	s := New(messenger.GatewaySettings{Instance: "a"}, Platform{
+		Read: func(string) (messenger.TableSnapshot, error) { return messenger.TableSnapshot{Version: 1}, nil },
+	}, logr.Discard())
+	require.True(t, s.instances.Step())
+	assert.False(t, s.mayHearPeers(), "it is alone")
+	s.eras.current.Store(1)
+	assert.True(t, s.mayHearPeers(), "their rows may be lost")
+}
