Do not wait in the first call for changes after a failure

The first call after a failed one asks without waiting now, and learns the era from its answer. TestFirstCallAfterAFailureDoesNotWait failed before.

--- a/internal/gateway/follower/era_test.go
+++ b/internal/gateway/follower/era_test.go
@@ -263,3 +263,22 @@
 		assert.Equal(t, "later", inForce(f))
 	})
 }
+
+// TestFirstCallAfterAFailureDoesNotWait guards against a table that is read again only once a call for changes ends
+// that the store holds open, since its number is of the era before.
+func TestFirstCallAfterAFailureDoesNotWait(t *testing.T) {
+	s, f := newTestStore()
+	waits := []time.Duration{}
+	f.source.Follow = func(table string, after messenger.StoreVersion, wait time.Duration) (Changes, error) {
+		waits = append(waits, wait)
+		return s.follow(table, after, wait)
+	}
+	s.table = snapshot(5, row("a", 3))
+	f.Step()
+	s.isUnavailable = true
+	f.Step()
+	s.isUnavailable = false
+	f.Step()
+	f.Step()
+	assert.Equal(t, []time.Duration{maxFeedWait, 0, maxFeedWait}, waits)
+}
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -236,6 +236,9 @@
 		return f.reload()
 	}
 	wait := min(f.wait, f.untilNextReturnDeadline())
+	if f.hasFailed() {
+		wait = 0 // the store may be in a later era, in which it holds a call after a number that it has not reached
+	}
 	changes, err := f.source.Follow(f.table, version, wait)
 	if err == nil {
 		err = f.applyChanges(changes)
@@ -290,6 +293,13 @@
 	return f.version
 }
 
+// hasFailed reports whether the last call to the store failed.
+func (f *Follower) hasFailed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.failingSince.IsZero()
+}
+
 // IsFailing reports whether calls to the store have failed for outageThreshold.
 func (f *Follower) IsFailing() bool {
 	f.mu.Lock()
