Have the readers of a data centre read a table again first

After an absence of the store of more than a second no reader has a fresh copy, so that each instance read the whole target table from the store at once: 569 reads and 21 MB in 5 s with 84 instances and 1,200 targets (BenchmarkDrill), and by computation 23,700 reads with 790. An instance in a cell now waits up to 1.5 s until a reader has read the table in the era. The new test failed before, in 1 of 2 cases.

--- a/internal/gateway/supervisor/cell.go
+++ b/internal/gateway/supervisor/cell.go
@@ -36,6 +36,10 @@
 	// maxStartWait is how long an instance that starts waits until its readers have read
 	// the store.
 	maxStartWait = 600 * time.Millisecond
+	// maxRereadWait is how long an instance waits until a reader has read a table again in a later era,
+	// and rereadPollInterval is the time between two checks whether one has.
+	maxRereadWait      = 1500 * time.Millisecond
+	rereadPollInterval = 100 * time.Millisecond
 	// startPollInterval is the time between two checks whether they have.
 	startPollInterval = 10 * time.Millisecond
 )
@@ -140,6 +144,7 @@
 		return s.platform.Read(table) // without it no peers are known
 	}
 	s.awaitReaders()
+	s.awaitReread(table)
 	for _, reader := range s.storeReaders() {
 		snapshot, err := s.readThroughReader(reader, table)
 		if err == nil {
@@ -151,6 +156,33 @@
 	return s.readStore(originStoreTable)(table)
 }
 
+// awaitReread delays the read of a table that is to be read again in a later era until a reader has read it, so
+// that not all instances of a data centre read it from the store at once.
+func (s *Supervisor) awaitReread(table string) {
+	era, version := s.eras.current.Load(), s.follower(table).Version()
+	if version.IsZero() || version.Era >= era {
+		return
+	}
+	for end := time.Now().Add(maxRereadWait); time.Now().Before(end); time.Sleep(rereadPollInterval) {
+		readers := s.storeReaders()
+		if len(readers) == 0 {
+			return // this instance is the reader
+		}
+		for _, reader := range readers {
+			if s.hasRead(reader, table, era) {
+				return
+			}
+		}
+	}
+	time.Sleep(s.turn())
+}
+
+// hasRead reports whether a reader has read a table in an era.
+func (s *Supervisor) hasRead(reader informer.Peer, table string, era int64) bool {
+	_, err := s.followThroughReader(reader, table, messenger.StoreVersion{Era: era}, 0)
+	return err == nil || errors.Is(err, follower.ErrHistoryTruncated)
+}
+
 // awaitReaders delays the first reads of an instance that starts in a large system until
 // it has received the status of its readers, and until those readers that have just
 // started have read the store.
--- a/internal/gateway/supervisor/cell_test.go
+++ b/internal/gateway/supervisor/cell_test.go
@@ -24,13 +24,23 @@
 	age                time.Duration
 	era, version       int64
 	isHistoryTruncated bool
-	calls              int
+	// refusals is the number of calls for changes that it refuses before it has read the table.
+	refusals int
+	calls    int
 }
 
 func (p *readerPeer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.calls++
 	var out any = messenger.TableSnapshot{Era: p.era, Version: p.version, AgeMilliseconds: p.age.Milliseconds()}
+	if p.refusals > 0 {
+		out = messenger.TableSnapshot{Era: p.era - 1, Version: p.version, AgeMilliseconds: time.Minute.Milliseconds()}
+	}
 	if r.URL.Path == pathChanges {
+		if p.refusals > 0 {
+			p.refusals--
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if p.isHistoryTruncated {
 			w.WriteHeader(http.StatusGone)
 			return
@@ -170,3 +180,26 @@
 	assert.False(t, s.mayContend(time.Now()))
 	assert.True(t, s.mayContend(time.Now().Add(-maxReaders*contendDelay)))
 }
+
+// TestTableOfALaterEraIsReadThroughAReader guards against a read of the whole table from the store by each instance of
+// a data centre, since no reader has read it again yet when the store is back.
+func TestTableOfALaterEraIsReadThroughAReader(t *testing.T) {
+	for name, x := range map[string]struct {
+		readers []*readerPeer
+		reads   int
+	}{
+		"a reader is soon there": {readers: []*readerPeer{{era: 6, version: 70, refusals: 3}}},
+		"none comes":             {reads: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, calls := newReadingInstance(t, x.readers...)
+			s.targets.Adopt(messenger.TableSnapshot{Era: 5, Version: 90})
+			s.eras.current.Store(6)
+			began := time.Now()
+			_, err := s.readTable(targetTable)
+			require.NoError(t, err)
+			assert.Equal(t, x.reads, calls.reads)
+			assert.Less(t, time.Since(began), 2*maxRereadWait)
+		})
+	}
+}
