--- a/internal/control/leaser/contend.go
+++ b/internal/control/leaser/contend.go
@@ -46,7 +46,7 @@
 	case row.Version == 0 && row.Era == 0:
 		return true
 	case !isWrittenIn(record, row.StoreVersion()):
-		return l.isSurelyLast() || !now.Before(l.earlierErasEnd())
+		return l.hasNoSuccessor() || !now.Before(l.earlierErasEnd())
 	}
 	return record.Released || l.isOwn(record) || l.hasExpired(record) || !now.Before(l.changeSeenAt.Add(l.times.TTL))
 }
--- a/internal/control/leaser/era.go
+++ b/internal/control/leaser/era.go
@@ -40,10 +40,10 @@
 // isLastHolder is IsLastHolder. The caller holds l.mu.
 func (l *Leaser) isLastHolder() bool { return l.grant.Fence > 0 && l.grant.Fence >= l.knownFence }
 
-// isSurelyLast reports whether no other instance can have acquired the lease since the last grant of this
+// hasNoSuccessor reports whether no other instance can have acquired the lease since the last grant of this
 // one, if its row is of an earlier era: all others wait a TTL, either after that grant or after they have
 // seen the row that this instance saw before the TTL was over. The caller holds l.mu.
-func (l *Leaser) isSurelyLast() bool {
+func (l *Leaser) hasNoSuccessor() bool {
 	return l.grant.Fence > 0 && !l.released && l.changeSeenAt.Before(l.grantedAt.Add(l.times.TTL))
 }
 
@@ -69,7 +69,7 @@
 	switch {
 	case version == messenger.StoreVersion{}:
 		return time.Time{} // a service without eras loses no rows
-	case isCurrent && l.isOwn(old) && old.Fence == l.grant.Fence, !isCurrent && (l.isSurelyLast() || l.isLastHolder()):
+	case isCurrent && l.isOwn(old) && old.Fence == l.grant.Fence, !isCurrent && (l.hasNoSuccessor() || l.isLastHolder()):
 		return l.previousEndedAt // it goes on with its own grant
 	case isCurrent:
 		return l.grantEnd(old, now)
