Suspend the soak's time bounds for the whole time that the store is away

The bounds were suspended for 3 s from the begin, a little less than the store was away. It is a fault of the soak: bounds do not hold while the store is away.

--- a/internal/tool/soaker/drills.go
+++ b/internal/tool/soaker/drills.go
@@ -94,7 +94,7 @@
 func (s *soak) playDrill(d simulator.Drill, rewritten func()) {
 	s.drilling.Lock()
 	defer s.drilling.Unlock()
-	s.noteDrill()
+	s.noteDrill(d.Hold + d.Away)
 	s.checker.DrillBegan(s.activeInstances())
 	until := time.Now().Add(d.Hold)
 	d.Rewritten = func() {
@@ -103,14 +103,14 @@
 		rewritten()
 	}
 	s.store.Drill(d)
-	s.noteDrill()
+	s.noteDrill(0)
 	s.logf("the store is back")
 }
 
-// noteDrill records that the store goes away or comes back. Unlike other disturbances this does not
-// change what instances know of targets.
-func (s *soak) noteDrill() {
-	s.suspendTimeBounds(drillSettleTime)
+// noteDrill records that the store goes away for a time, or comes back. Unlike other disturbances this does
+// not change what instances know of targets.
+func (s *soak) noteDrill(away time.Duration) {
+	s.suspendTimeBounds(away + drillSettleTime)
 	s.checker.StoreDrilled()
 }
 
