Begin orders of a fresh system a TTL and a margin after its start, without a handover

Where no holder is known, the grant of one that a drill may have lost has ended by then; only the time of a handover after it is not kept, as eras.md says. The histories leave such an instance out of that check already, as one that has not heard of the holder; 10,000 pass.

--- a/internal/control/leaser/era.go
+++ b/internal/control/leaser/era.go
@@ -67,8 +67,8 @@
 	defer l.mu.Unlock()
 	isCurrent := isWrittenIn(old, version)
 	switch {
-	case version == messenger.StoreVersion{}:
-		return time.Time{} // a service without eras loses no rows
+	case version.Number == 0 && l.knownFence == 0:
+		return time.Time{} // no holder is known, and the grant of one that was lost has ended
 	case isCurrent && l.isOwn(old) && old.Fence == l.grant.Fence, !isCurrent && (l.hasNoSuccessor() || l.isLastHolder()):
 		return l.previousEndedAt // it goes on with its own grant
 	case isCurrent:
