--- a/cmd/crocusring-soak/main.go
+++ b/cmd/crocusring-soak/main.go
@@ -23,7 +23,7 @@
 	Instances int     `arg:"--instances" default:"4" help:"instances to run"`
 	Callers   int     `arg:"--callers" default:"24" help:"callers that send requests"`
 	Accounts  bool    `arg:"--accounts" help:"give the callers accounts, whose keys change"`
-	Drills    float64 `arg:"--drills" help:"share, 0 to 1, of disturbances that are a return of the store from a copy, beyond those drawn as any other"`
+	Restores  float64 `arg:"--restores" help:"share, 0 to 1, of disturbances that are a return of the store from a copy, beyond those drawn as any other"`
 	Program   string  `arg:"--program" help:"the program under test; crocusring beside this one if not given"`
 	Directory string  `arg:"--directory" help:"where settings and logs go; a new one if not given"`
 }
@@ -70,14 +70,14 @@
 // settingsOf returns the settings for the arguments, with defaults filled in.
 func settingsOf(a arguments) (soaker.Settings, error) {
 	out := soaker.Settings{
-		Seed: a.Seed, Length: time.Duration(a.Minutes * float64(time.Minute)), Instances: a.Instances, Callers: a.Callers, HasAccounts: a.Accounts, DrillShare: a.Drills,
+		Seed: a.Seed, Length: time.Duration(a.Minutes * float64(time.Minute)), Instances: a.Instances, Callers: a.Callers, HasAccounts: a.Accounts, RestoreShare: a.Restores,
 		Program: a.Program, Directory: a.Directory, Out: os.Stdout,
 	}
 	if a.Instances < 1 || a.Callers < 1 || a.Minutes <= 0 {
 		return out, fmt.Errorf("--instances, --callers and --minutes must be more than 0")
 	}
-	if a.Drills < 0 || a.Drills > 1 {
-		return out, fmt.Errorf("--drills must be between 0 and 1")
+	if a.Restores < 0 || a.Restores > 1 {
+		return out, fmt.Errorf("--restores must be between 0 and 1")
 	}
 	if out.Seed == 0 {
 		out.Seed = uint64(time.Now().UnixNano())
--- a/internal/control/leaser/contend.go
+++ b/internal/control/leaser/contend.go
@@ -28,8 +28,8 @@
 	l.record = record
 	l.knownFence = max(l.knownFence, record.Fence)
 	isFree := l.isFree(row, record, now)
-	if isWrittenIn(record, row.StoreVersion()) && row.Era == l.era && !l.isOwn(record) {
-		l.heldUntil = time.Time{} // a grant of an earlier era has been superseded
+	if isWrittenIn(record, row.StoreVersion()) && row.Epoch == l.epoch && !l.isOwn(record) {
+		l.heldUntil = time.Time{} // a grant of an earlier epoch has been superseded
 	}
 	l.mu.Unlock()
 	if !isFree {
@@ -41,12 +41,12 @@
 // isFree reports whether this instance may acquire the lease. The caller holds l.mu.
 func (l *Leaser) isFree(row messenger.Row, record Record, now time.Time) bool {
 	switch {
-	case row.Era < l.era:
+	case row.Epoch < l.epoch:
 		return false // a late answer
-	case row.Version == 0 && row.Era == 0:
+	case row.Version == 0 && row.Epoch == 0:
 		return true
 	case !isWrittenIn(record, row.StoreVersion()):
-		return l.hasNoSuccessor() || !now.Before(l.earlierErasEnd())
+		return l.hasNoSuccessor() || !now.Before(l.earlierEpochsEnd())
 	}
 	return record.Released || l.isOwn(record) || l.hasExpired(record) || !now.Before(l.changeSeenAt.Add(l.times.TTL))
 }
@@ -55,23 +55,23 @@
 // the write, and the expiry from after the deadline.
 func (l *Leaser) acquire(version messenger.StoreVersion, old Record) error {
 	previousEndedAt := l.previousEnd(version, old, l.now())
-	fence, err := l.get(leaseTable, fenceKeyOf(version.Era))
+	fence, err := l.get(leaseTable, fenceKeyOf(version.Epoch))
 	if err != nil {
 		return err
 	}
-	if fence.Era != version.Era {
-		l.MeetEra(fence.Era)
-		return errors.Wrapf(errEraChanged, "lease of era %d, fence of era %d", version.Era, fence.Era)
+	if fence.Epoch != version.Epoch {
+		l.MeetEpoch(fence.Epoch)
+		return errors.Wrapf(errEpochChanged, "lease of epoch %d, fence of epoch %d", version.Epoch, fence.Epoch)
 	}
 	now := l.now()
-	next := Record{Holder: l.instance, Incarnation: l.incarnation, Era: version.Era, Fence: l.nextFence(version.Era, fence), Lapses: l.expiry()}
+	next := Record{Holder: l.instance, Incarnation: l.incarnation, Epoch: version.Epoch, Fence: l.nextFence(version.Epoch, fence), Lapses: l.expiry()}
 	versions, err := l.writeAcquisition(next, version, fence.StoreVersion())
 	if err != nil {
 		return err
 	}
-	if versions[0].Era != version.Era {
-		l.MeetEra(versions[0].Era)
-		return errors.Wrapf(errEraChanged, "acquisition of era %d", version.Era)
+	if versions[0].Epoch != version.Epoch {
+		l.MeetEpoch(versions[0].Epoch)
+		return errors.Wrapf(errEpochChanged, "acquisition of epoch %d", version.Epoch)
 	}
 	l.mu.Lock()
 	l.fenceVersion = versions[1]
@@ -85,7 +85,7 @@
 
 // writeAcquisition writes the lease and the fence if neither row has changed, and returns their new versions.
 func (l *Leaser) writeAcquisition(next Record, lease, fence messenger.StoreVersion) ([]messenger.StoreVersion, error) {
-	key := fenceKeyOf(next.Era)
+	key := fenceKeyOf(next.Epoch)
 	value, err := json.Marshal(next.Fence)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode fence")
@@ -133,11 +133,11 @@
 // returns their versions if the acquisition took effect.
 func (l *Leaser) confirmAcquisition(next Record, cause error) ([]messenger.StoreVersion, error) {
 	row, record, err := l.read()
-	if err != nil || record != next || row.Era != next.Era {
+	if err != nil || record != next || row.Epoch != next.Epoch {
 		return nil, cause
 	}
-	fence, err := l.get(leaseTable, fenceKeyOf(next.Era))
-	if err != nil || fence.Era != next.Era {
+	fence, err := l.get(leaseTable, fenceKeyOf(next.Epoch))
+	if err != nil || fence.Epoch != next.Epoch {
 		return nil, cause
 	}
 	return []messenger.StoreVersion{row.StoreVersion(), fence.StoreVersion()}, nil
--- a/internal/control/leaser/era.go
+++ b/internal/control/leaser/epoch.go
@@ -8,17 +8,17 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// errEraChanged reports that the table service came back from a copy while the lease was written.
-var errEraChanged = errors.New("era of the table service has changed")
+// errEpochChanged reports that the table service came back from a copy while the lease was written.
+var errEpochChanged = errors.New("epoch of the table service has changed")
 
-// MeetEra records that the table service is in an era.
-func (l *Leaser) MeetEra(era int64) {
+// MeetEpoch records that the table service is in an epoch.
+func (l *Leaser) MeetEpoch(epoch int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if era <= l.era {
+	if epoch <= l.epoch {
 		return
 	}
-	l.era = era
+	l.epoch = epoch
 	if l.isLastHolder() {
 		l.nextReadAt = time.Time{}
 	}
@@ -31,27 +31,27 @@
 	return l.isLastHolder()
 }
 
-// isWrittenIn reports whether a record was written in the era of its row, so that what it says of its holder
-// holds. Of a service without eras it always does.
+// isWrittenIn reports whether a record was written in the epoch of its row, so that what it says of its holder
+// holds. Of a service without epochs it always does.
 func isWrittenIn(record Record, row messenger.StoreVersion) bool {
-	return row.Era == 0 || (row.Number > 0 && record.Era == row.Era)
+	return row.Epoch == 0 || (row.Number > 0 && record.Epoch == row.Epoch)
 }
 
 // isLastHolder is IsLastHolder. The caller holds l.mu.
 func (l *Leaser) isLastHolder() bool { return l.grant.Fence > 0 && l.grant.Fence >= l.knownFence }
 
 // hasNoSuccessor reports whether no other instance can have acquired the lease since the last grant of this
-// one, if its row is of an earlier era: all others wait a TTL, either after that grant or after they have
+// one, if its row is of an earlier epoch: all others wait a TTL, either after that grant or after they have
 // seen the row that this instance saw before the TTL was over. The caller holds l.mu.
 func (l *Leaser) hasNoSuccessor() bool {
 	return l.grant.Fence > 0 && !l.released && l.changeSeenAt.Before(l.grantedAt.Add(l.times.TTL))
 }
 
-// earlierErasEnd returns from when this instance may acquire a lease whose row is of an earlier era. The grants
-// of earlier eras were written before it saw the row, and so was a grant of this era that a late write of an
+// earlierEpochsEnd returns from when this instance may acquire a lease whose row is of an earlier epoch. The grants
+// of earlier epochs were written before it saw the row, and so was a grant of this epoch that a late write of an
 // earlier one has replaced. An instance that was the last holder goes before the others, which would have to
 // wait after its grant. The caller holds l.mu.
-func (l *Leaser) earlierErasEnd() time.Time {
+func (l *Leaser) earlierEpochsEnd() time.Time {
 	end := l.changeSeenAt.Add(l.times.TTL)
 	if l.isLastHolder() {
 		return end
@@ -61,7 +61,7 @@
 
 // previousEnd returns when the grant of the previous holder ended, by this instance's clock; zero if there
 // was none. It is called before the new grant is computed, while the clock of the table service is that of the
-// era of the row.
+// epoch of the row.
 func (l *Leaser) previousEnd(version messenger.StoreVersion, old Record, now time.Time) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/control/leaser/era_fault_test.go
+++ b/internal/control/leaser/epoch_fault_test.go
@@ -13,16 +13,16 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// drilledStore returns a store that came back from a copy without a lease, and two leasers that have met the era.
-func drilledStore(t *testing.T) (s *copiedStore, a, b *Leaser) {
+// restoredStore returns a store that came back from a copy without a lease, and two leasers that have met the epoch.
+func restoredStore(t *testing.T) (s *copiedStore, a, b *Leaser) {
 	t.Helper()
-	s = &copiedStore{now: time.Unix(1000, 0), era: 5, rows: map[string]messenger.Row{}}
+	s = &copiedStore{now: time.Unix(1000, 0), epoch: 5, rows: map[string]messenger.Row{}}
 	a, b = s.start("a"), s.start("b")
 	before := s.copy()
 	s.acquire(t, a)
 	require.NoError(t, b.Tick())
-	s.drill(before)
-	b.MeetEra(s.era)
+	s.restore(before)
+	b.MeetEpoch(s.epoch)
 	return s, a, b
 }
 
@@ -35,15 +35,15 @@
 	}
 }
 
-// TestLateWriteDoesNotFreeLease guards against two holders at a time: a write of an earlier era replaced the
+// TestLateWriteDoesNotFreeLease guards against two holders at a time: a write of an earlier epoch replaced the
 // lease of the current one, whose row then looked like one that was in the copy, and a spoiled row did.
 func TestLateWriteDoesNotFreeLease(t *testing.T) {
 	for name, value := range map[string]string{
-		"late write":  `{"Holder":"z","Incarnation":"1","Era":5,"Fence":21474836481}`,
+		"late write":  `{"Holder":"z","Incarnation":"1","Epoch":5,"Fence":21474836481}`,
 		"spoiled row": `[]`,
 	} {
 		t.Run(name, func(t *testing.T) {
-			s, a, b := drilledStore(t)
+			s, a, b := restoredStore(t)
 			s.pass(5*time.Second, a)
 			_, isHeld := a.Held(s.now)
 			require.True(t, isHeld)
@@ -59,18 +59,18 @@
 	}
 }
 
-// TestNewInstanceWaitsForLostHolder guards against two holders at a time, where a drill has lost the first grant of all
+// TestNewInstanceWaitsForLostHolder guards against two holders at a time, where a restore has lost the first grant of all
 // and an instance that has heard of no holder starts.
 func TestNewInstanceWaitsForLostHolder(t *testing.T) {
 	for name, x := range map[string]struct {
-		era  int64
-		want bool
+		epoch int64
+		want  bool
 	}{
-		"service without eras":                    {0, true},
-		"era that may follow a copy, as any does": {1, false},
+		"service without epochs":                    {0, true},
+		"epoch that may follow a copy, as any does": {1, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := &copiedStore{now: time.Unix(1000, 0), era: x.era, rows: map[string]messenger.Row{}}
+			s := &copiedStore{now: time.Unix(1000, 0), epoch: x.epoch, rows: map[string]messenger.Row{}}
 			l := s.start("new")
 			require.NoError(t, l.Tick())
 			_, isHeld := l.Held(s.now)
@@ -83,10 +83,10 @@
 	}
 }
 
-// TestLateAcquisitionDoesNotLowerFence guards against a fencing token that is given out twice in one era: a late
-// acquisition of the era before, whose conditions held by chance, replaced the fence of the current one.
+// TestLateAcquisitionDoesNotLowerFence guards against a fencing token that is given out twice in one epoch: a late
+// acquisition of the epoch before, whose conditions held by chance, replaced the fence of the current one.
 func TestLateAcquisitionDoesNotLowerFence(t *testing.T) {
-	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	s := &copiedStore{now: time.Unix(1000, 0), epoch: 1, rows: map[string]messenger.Row{}}
 	var late messenger.TransactRequest
 	slow := s.start("slow")
 	slow.transact = func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
@@ -94,7 +94,7 @@
 		return nil, transactor.ErrUnknownOutcome
 	}
 	_ = slow.Tick() // of unknown outcome
-	s.drill(s.copy())
+	s.restore(s.copy())
 	lost := s.acquire(t, s.start("a"))
 	s.version++
 	for _, w := range late.Writes {
@@ -129,7 +129,7 @@
 // instance found its own acquisition, whose answer was lost, and took the end of its predecessor's grant for that
 // of a grant before.
 func TestHandoverFollowsUnconfirmedAcquisition(t *testing.T) {
-	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	s := &copiedStore{now: time.Unix(1000, 0), epoch: 1, rows: map[string]messenger.Row{}}
 	a, b := s.start("a"), s.start("b")
 	s.acquire(t, a)
 	s.pass(3*time.Second, b)
@@ -150,16 +150,16 @@
 	assert.True(t, grant.PreviousEndedAt.After(end), "b held the lease until after that")
 }
 
-// TestHandoverIgnoresClockOfLaterEra guards against orders too early after those of another holder: the expiry of
-// its grant was compared with the store's clock of a later era.
-func TestHandoverIgnoresClockOfLaterEra(t *testing.T) {
-	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+// TestHandoverIgnoresClockOfLaterEpoch guards against orders too early after those of another holder: the expiry of
+// its grant was compared with the store's clock of a later epoch.
+func TestHandoverIgnoresClockOfLaterEpoch(t *testing.T) {
+	s := &copiedStore{now: time.Unix(1000, 0), epoch: 1, rows: map[string]messenger.Row{}}
 	s.acquire(t, s.start("a"))
 	s.now = s.now.Add(1600 * time.Millisecond)
 	b := s.start("b")
 	transact, bounds := b.transact, b.clock
 	b.transact = func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
-		b.clock = func() (int64, int64, bool) { // another call has met the next era
+		b.clock = func() (int64, int64, bool) { // another call has met the next epoch
 			earliest, latest, ok := bounds()
 			return earliest + 100_000, latest + 100_000, ok
 		}
@@ -172,32 +172,32 @@
 }
 
 // TestAbsurdFenceIsNotExceeded guards against a token past the range of tokens, which no instance takes for one: a
-// spoiled row or a peer named the last tokens of the range, or tokens of an era that is still to come.
+// spoiled row or a peer named the last tokens of the range, or tokens of an epoch that is still to come.
 func TestAbsurdFenceIsNotExceeded(t *testing.T) {
 	for name, fence := range map[string]string{
-		"the last token":     "9007199254740991",
-		"one past the last":  "9007199254740992",
-		"a token of era 7":   "30064771073",
-		"past int64":         "9223372036854775808",
-		"the last of int64":  "9223372036854775807",
-		"floating-point":     "1e15",
-		"not a number":       `"x"`,
-		"below all tokens":   "-1",
-		"a token of the era": "25769803780",
+		"the last token":       "9007199254740991",
+		"one past the last":    "9007199254740992",
+		"a token of epoch 7":   "30064771073",
+		"past int64":           "9223372036854775808",
+		"the last of int64":    "9223372036854775807",
+		"floating-point":       "1e15",
+		"not a number":         `"x"`,
+		"below all tokens":     "-1",
+		"a token of the epoch": "25769803780",
 	} {
-		for _, era := range []int64{0, 6} {
-			t.Run(name+" in era "+strconv.FormatInt(era, 10), func(t *testing.T) {
-				s := &copiedStore{now: time.Unix(1000, 0), era: era, version: 2, rows: map[string]messenger.Row{
-					leaseKey:        {Version: 1, Value: json.RawMessage(`{"Holder":"z","Fence":` + fence + `}`)},
-					fenceKeyOf(era): {Version: 2, Value: json.RawMessage(fence)},
+		for _, epoch := range []int64{0, 6} {
+			t.Run(name+" in epoch "+strconv.FormatInt(epoch, 10), func(t *testing.T) {
+				s := &copiedStore{now: time.Unix(1000, 0), epoch: epoch, version: 2, rows: map[string]messenger.Row{
+					leaseKey:          {Version: 1, Value: json.RawMessage(`{"Holder":"z","Fence":` + fence + `}`)},
+					fenceKeyOf(epoch): {Version: 2, Value: json.RawMessage(fence)},
 				}}
 				a, b := s.start("a"), s.start("b")
 				if noted, err := strconv.ParseInt(fence, 10, 64); err == nil {
 					a.NoteFence(noted)
 				}
 				first := s.acquire(t, a)
-				assert.Less(t, first.Fence, (era+1)<<eraShift)
-				assert.Greater(t, first.Fence, era<<eraShift)
+				assert.Less(t, first.Fence, (epoch+1)<<epochShift)
+				assert.Greater(t, first.Fence, epoch<<epochShift)
 				s.pass(3*time.Second, a, b)
 				grant, isHeld := a.Held(s.now)
 				require.True(t, isHeld)
@@ -208,9 +208,9 @@
 	}
 }
 
-// TestRefusedFencesStayInEra guards against tokens of an era that is still to come, after many that were refused.
-func TestRefusedFencesStayInEra(t *testing.T) {
-	s := &copiedStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+// TestRefusedFencesStayInEpoch guards against tokens of an epoch that is still to come, after many that were refused.
+func TestRefusedFencesStayInEpoch(t *testing.T) {
+	s := &copiedStore{now: time.Unix(1000, 0), epoch: 1, rows: map[string]messenger.Row{}}
 	l := s.start("a")
 	last := s.acquire(t, l).Fence
 	for range 10_000 {
@@ -219,12 +219,12 @@
 		grant, isHeld := l.Held(s.now)
 		require.True(t, isHeld)
 		require.Greater(t, grant.Fence, last)
-		require.Less(t, grant.Fence, int64(2)<<eraShift)
+		require.Less(t, grant.Fence, int64(2)<<epochShift)
 		last = grant.Fence
 	}
 }
 
-// TestSurelyLastHolderNeedsNoHandover guards against a pause of the orders after a drill, where peers have heard of a
+// TestSurelyLastHolderNeedsNoHandover guards against a pause of the orders after a restore, where peers have heard of a
 // token that the instance itself has not confirmed.
 func TestSurelyLastHolderNeedsNoHandover(t *testing.T) {
 	s := &copiedStore{now: time.Unix(1000, 0), rows: map[string]messenger.Row{}}
@@ -232,8 +232,8 @@
 	before := s.copy()
 	grant := s.acquire(t, l)
 	l.NoteFence(grant.Fence + 1)
-	s.drill(before)
-	l.MeetEra(s.era)
+	s.restore(before)
+	l.MeetEpoch(s.epoch)
 	assert.True(t, s.acquire(t, l).PreviousEndedAt.IsZero())
 	require.NoError(t, l.Tick())
 	again, isHeld := l.Held(s.now)
--- a/internal/control/leaser/era_history_test.go
+++ b/internal/control/leaser/epoch_history_test.go
@@ -11,7 +11,7 @@
 )
 
 // histories is the number of random histories; CI plays the default.
-var histories = flag.Int("histories", 300, "the number of random histories of the lease over eras")
+var histories = flag.Int("histories", 300, "the number of random histories of the lease over epochs")
 
 const (
 	historyLength = 12 * time.Second
@@ -20,33 +20,33 @@
 	recoveryTime = worldTTL + time.Second + 120*time.Millisecond
 )
 
-// drillTimes returns when the drills of a history begin: one to three within seconds.
-func drillTimes(w *eraWorld) []time.Duration {
+// restoreTimes returns when the restores of a history begin: one to three within seconds.
+func restoreTimes(w *epochWorld) []time.Duration {
 	at := 4*time.Second + w.delay(4*time.Second)
-	drills := []time.Duration{at}
+	restores := []time.Duration{at}
 	for range w.random.IntN(3) {
 		at += w.delay(3 * time.Second)
-		drills = append(drills, at)
+		restores = append(restores, at)
 	}
-	return drills
+	return restores
 }
 
 // playHistory plays a history with faults, and then waits for a holder. Every fourth one is of a table service
-// without eras, which is never restored from a copy, and every fourth one of a table service that names its era
-// from the first drill on.
-func playHistory(seed uint64, plant eraPlant) *eraWorld {
-	firstEra := int64(1)
-	hasDrills := seed%4 != 3 || plant != noPlant
+// without epochs, which is never restored from a copy, and every fourth one of a table service that names its epoch
+// from the first restore on.
+func playHistory(seed uint64, plant epochPlant) *epochWorld {
+	firstEpoch := int64(1)
+	hasRestores := seed%4 != 3 || plant != noPlant
 	if plant == noPlant && seed%4 >= 2 {
-		firstEra = 0
+		firstEpoch = 0
 	}
-	w := newEraWorld(seed, 3, firstEra, plant)
+	w := newEpochWorld(seed, 3, firstEpoch, plant)
 	defer w.close()
-	var drills []time.Duration
-	if hasDrills {
-		drills = drillTimes(w)
+	var restores []time.Duration
+	if hasRestores {
+		restores = restoreTimes(w)
 	}
-	w.play(historyLength, drills)
+	w.play(historyLength, restores)
 	w.heal()
 	patience := recoveryTime
 	if w.now.Sub(w.spoiledAt) < followInterval {
@@ -58,9 +58,9 @@
 	return w
 }
 
-// playQuietDrill plays a drill without other faults, and waits until the last holder holds the lease again.
-func playQuietDrill(seed uint64, plant eraPlant) *eraWorld {
-	w := newEraWorld(seed, 3, 1, plant)
+// playQuietRestore plays a restore without other faults, and waits until the last holder holds the lease again.
+func playQuietRestore(seed uint64, plant epochPlant) *epochWorld {
+	w := newEpochWorld(seed, 3, 1, plant)
 	defer w.close()
 	w.calm = true
 	last := w.awaitHolder(recoveryTime, anyNode)
@@ -71,21 +71,21 @@
 		w.violate("the holder changes without a fault")
 		return w
 	}
-	w.drill(w.delay(3 * time.Second))
+	w.restore(w.delay(3 * time.Second))
 	for w.isAway() {
 		w.step()
 	}
-	isAfresh := func(n *eraNode) bool { return n == last && n.leaser.grant.Era == w.store.era }
+	isAfresh := func(n *epochNode) bool { return n == last && n.leaser.grant.Epoch == w.store.epoch }
 	if w.awaitHolder(recoveryTime, isAfresh) == nil {
 		w.violate("i%d does not hold the lease again", last.id)
 	}
 	return w
 }
 
-// TestLeaseHoldsOverEras guards against two holders at a time, or within the time of a handover; against fencing
-// tokens that two holders have, or that do not rise; and against a lease that nobody holds any more; over drills and
+// TestLeaseHoldsOverEpochs guards against two holders at a time, or within the time of a handover; against fencing
+// tokens that two holders have, or that do not rise; and against a lease that nobody holds any more; over restores and
 // other faults.
-func TestLeaseHoldsOverEras(t *testing.T) {
+func TestLeaseHoldsOverEpochs(t *testing.T) {
 	grants := 0
 	for seed := range uint64(*histories) {
 		w := playHistory(seed, noPlant)
@@ -96,31 +96,31 @@
 	assert.Greater(t, grants, 3**histories, "the histories show nothing if the lease hardly ever changes hands")
 }
 
-// TestLastHolderGoesOnAfterDrill guards against a long time without a holder after a drill that the last holder
+// TestLastHolderGoesOnAfterRestore guards against a long time without a holder after a restore that the last holder
 // was not touched by.
-func TestLastHolderGoesOnAfterDrill(t *testing.T) {
+func TestLastHolderGoesOnAfterRestore(t *testing.T) {
 	for seed := range uint64(*histories) {
-		w := playQuietDrill(seed, noPlant)
+		w := playQuietRestore(seed, noPlant)
 		require.Empty(t, w.violation, "seed %d", seed)
 	}
 }
 
-// TestEraHistoriesFindPlantedFaults guards against histories that would not show a fault.
-func TestEraHistoriesFindPlantedFaults(t *testing.T) {
+// TestEpochHistoriesFindPlantedFaults guards against histories that would not show a fault.
+func TestEpochHistoriesFindPlantedFaults(t *testing.T) {
 	const maxSeeds = 300
 	for name, x := range map[string]struct {
-		plant eraPlant
-		play  func(uint64, eraPlant) *eraWorld
+		plant epochPlant
+		play  func(uint64, epochPlant) *epochWorld
 		want  string
 	}{
-		"eras hidden, one token twice":  {hiddenEras, playHistory, "given out twice"},
-		"eras hidden, two holders":      {hiddenEras, playHistory, "two hold"},
-		"rows of copies believed":       {believedCopies, playHistory, "two hold"},
-		"tokens without the era, twice": {eralessTokens, playHistory, "given out twice"},
-		"tokens without the era, lower": {eralessTokens, playHistory, "holds token"},
-		"no handover":                   {noHandover, playHistory, "acts from"},
-		"a row that always changes":     {eternalLease, playHistory, "nobody holds"},
-		"a last holder that forgets it": {forgottenGrants, playQuietDrill, "does not hold the lease again"},
+		"epochs hidden, one token twice":  {hiddenEpochs, playHistory, "given out twice"},
+		"epochs hidden, two holders":      {hiddenEpochs, playHistory, "two hold"},
+		"rows of copies believed":         {believedCopies, playHistory, "two hold"},
+		"tokens without the epoch, twice": {epochlessTokens, playHistory, "given out twice"},
+		"tokens without the epoch, lower": {epochlessTokens, playHistory, "holds token"},
+		"no handover":                     {noHandover, playHistory, "acts from"},
+		"a row that always changes":       {eternalLease, playHistory, "nobody holds"},
+		"a last holder that forgets it":   {forgottenGrants, playQuietRestore, "does not hold the lease again"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(maxSeeds) {
--- a/internal/control/leaser/era_test.go
+++ b/internal/control/leaser/epoch_test.go
@@ -15,7 +15,7 @@
 // copiedStore is a store with a clock that can come back from a copy.
 type copiedStore struct {
 	now     time.Time
-	era     int64
+	epoch   int64
 	version int64
 	rows    map[string]messenger.Row
 }
@@ -24,7 +24,7 @@
 	return Tables{
 		Get: func(table, key string) (messenger.Row, error) {
 			row := s.rows[key]
-			row.Table, row.Key, row.Era = table, key, s.era
+			row.Table, row.Key, row.Epoch = table, key, s.epoch
 			return row, nil
 		},
 		Transact: func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
@@ -37,7 +37,7 @@
 			versions := []messenger.StoreVersion{}
 			for _, w := range req.Writes {
 				s.rows[w.Key] = messenger.Row{Version: s.version, Value: w.Value}
-				versions = append(versions, messenger.StoreVersion{Era: s.era, Number: s.version})
+				versions = append(versions, messenger.StoreVersion{Epoch: s.epoch, Number: s.version})
 			}
 			return versions, nil
 		},
@@ -52,10 +52,10 @@
 	return out
 }
 
-// drill brings the rows and the version of a copy back.
-func (s *copiedStore) drill(from copiedStore) {
+// restore brings the rows and the version of a copy back.
+func (s *copiedStore) restore(from copiedStore) {
 	s.rows, s.version = maps.Clone(from.rows), from.version
-	s.era++
+	s.epoch++
 }
 
 func (s *copiedStore) start(instance string) *Leaser {
@@ -77,9 +77,9 @@
 	return Grant{}
 }
 
-// TestNoFenceIsGivenOutTwiceAcrossEras guards against two holders with one fencing token, after the store has lost the
+// TestNoFenceIsGivenOutTwiceAcrossEpochs guards against two holders with one fencing token, after the store has lost the
 // change of the holder.
-func TestNoFenceIsGivenOutTwiceAcrossEras(t *testing.T) {
+func TestNoFenceIsGivenOutTwiceAcrossEpochs(t *testing.T) {
 	for name, prepare := range map[string]func(s *copiedStore){
 		"the copy has no lease":                       nil,
 		"the copy has the lease of the holder before": func(s *copiedStore) { s.acquire(t, s.start("a")) },
@@ -90,13 +90,13 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := &copiedStore{now: time.Unix(1000, 0), era: 5, rows: map[string]messenger.Row{}}
+			s := &copiedStore{now: time.Unix(1000, 0), epoch: 5, rows: map[string]messenger.Row{}}
 			if prepare != nil {
 				prepare(s)
 			}
 			before := s.copy()
 			lost := s.acquire(t, s.start("b"))
-			s.drill(before)
+			s.restore(before)
 			next := s.acquire(t, s.start("c"))
 			assert.Greater(t, next.Fence, lost.Fence)
 		})
--- a/internal/control/leaser/era_world_test.go
+++ b/internal/control/leaser/epoch_world_test.go
@@ -29,26 +29,26 @@
 	worldStep = 10 * time.Millisecond
 )
 
-// eraPlant is a fault that the histories must find.
-type eraPlant int
+// epochPlant is a fault that the histories must find.
+type epochPlant int
 
 const (
-	noPlant         eraPlant = iota
-	hiddenEras               // the table service hides its eras
-	forgottenGrants          // an instance that meets an era forgets that it was the last holder
-	eralessTokens            // the tokens that a target sees lack the era
-	believedCopies           // all rows look as if they were written in the era of the answer
-	eternalLease             // the row seems to change with each read
-	noHandover               // the end of the grant before is not known
+	noPlant         epochPlant = iota
+	hiddenEpochs               // the table service hides its epochs
+	forgottenGrants            // an instance that meets an epoch forgets that it was the last holder
+	epochlessTokens            // the tokens that a target sees lack the epoch
+	believedCopies             // all rows look as if they were written in the epoch of the answer
+	eternalLease               // the row seems to change with each read
+	noHandover                 // the end of the grant before is not known
 )
 
-// eraStore is a table service that numbers its writes, and that may be away and come back from a copy.
-type eraStore struct {
-	era, version int64
-	rows         map[string]messenger.Row
-	awayUntil    time.Time
-	offsets      map[int64]int64 // of the clock in each era, in milliseconds
-	copies       []storeCopy
+// epochStore is a table service that numbers its writes, and that may be away and come back from a copy.
+type epochStore struct {
+	epoch, version int64
+	rows           map[string]messenger.Row
+	awayUntil      time.Time
+	offsets        map[int64]int64 // of the clock in each epoch, in milliseconds
+	copies         []storeCopy
 }
 
 type storeCopy struct {
@@ -57,8 +57,8 @@
 	rows    map[string]messenger.Row
 }
 
-// apply applies a transaction if the numbers of its conditions hold, in whatever era they were read.
-func (s *eraStore) apply(req messenger.TransactRequest) (messenger.StoreVersion, bool) {
+// apply applies a transaction if the numbers of its conditions hold, in whatever epoch they were read.
+func (s *epochStore) apply(req messenger.TransactRequest) (messenger.StoreVersion, bool) {
 	for _, c := range req.Conditions {
 		if s.rows[c.Key].Version != c.Version {
 			return messenger.StoreVersion{}, false
@@ -68,7 +68,7 @@
 	for _, w := range req.Writes {
 		s.rows[w.Key] = messenger.Row{Table: w.Table, Key: w.Key, Version: s.version, Value: w.Value}
 	}
-	return messenger.StoreVersion{Era: s.era, Number: s.version}, true
+	return messenger.StoreVersion{Epoch: s.epoch, Number: s.version}, true
 }
 
 // lateWrite is a write whose caller has lost patience before it is applied.
@@ -77,15 +77,15 @@
 	req messenger.TransactRequest
 }
 
-// eraWorld plays leasers in virtual time, as coroutines that rest between their steps.
-type eraWorld struct {
+// epochWorld plays leasers in virtual time, as coroutines that rest between their steps.
+type epochWorld struct {
 	random *rand.Rand
-	plant  eraPlant
+	plant  epochPlant
 	now    time.Time
 	calm   bool
-	store  eraStore
+	store  epochStore
 	late   []lateWrite
-	nodes  []*eraNode
+	nodes  []*epochNode
 	starts int
 	// hasClock is whether the leasers know the store's clock.
 	hasClock bool
@@ -102,9 +102,9 @@
 	violation  string
 }
 
-// eraNode is one instance.
-type eraNode struct {
-	w           *eraWorld
+// epochNode is one instance.
+type epochNode struct {
+	w           *epochWorld
 	id          int
 	incarnation string
 	leaser      *Leaser
@@ -118,18 +118,18 @@
 	frozenUntil time.Time
 	cutUntil    time.Time
 	pollAt      time.Time
-	// era is the latest era that the client of the table service knows, and clockEra the one of its clock.
-	era, clockEra int64
-	offset        time.Duration // of its clock
-	drift         int64         // of its clock, in millionths
-	heard         int64         // the highest token that it had heard of when it did not hold the lease last
-	bound         int64         // how far the bounds of the clock are from the truth, in milliseconds
+	// epoch is the latest epoch that the client of the table service knows, and clockEpoch the one of its clock.
+	epoch, clockEpoch int64
+	offset            time.Duration // of its clock
+	drift             int64         // of its clock, in millionths
+	heard             int64         // the highest token that it had heard of when it did not hold the lease last
+	bound             int64         // how far the bounds of the clock are from the truth, in milliseconds
 }
 
-func newEraWorld(seed uint64, nodes int, firstEra int64, plant eraPlant) *eraWorld {
-	w := &eraWorld{
+func newEpochWorld(seed uint64, nodes int, firstEpoch int64, plant epochPlant) *epochWorld {
+	w := &epochWorld{
 		random: rand.New(rand.NewPCG(seed, 57)), plant: plant, now: time.Unix(1000, 0), holders: map[int64]string{},
-		store: eraStore{era: firstEra, rows: map[string]messenger.Row{}, offsets: map[int64]int64{}},
+		store: epochStore{epoch: firstEpoch, rows: map[string]messenger.Row{}, offsets: map[int64]int64{}},
 	}
 	w.hasClock = w.random.IntN(3) > 0
 	for id := range nodes {
@@ -139,12 +139,12 @@
 	return w
 }
 
-func (w *eraWorld) note(format string, args ...any) {
+func (w *epochWorld) note(format string, args ...any) {
 	at := w.now.Sub(time.Unix(1000, 0)).Milliseconds()
 	w.log = append(w.log, fmt.Sprintf("%6d ", at)+fmt.Sprintf(format, args...))
 }
 
-func (w *eraWorld) violate(format string, args ...any) {
+func (w *epochWorld) violate(format string, args ...any) {
 	if w.violation != "" {
 		return
 	}
@@ -153,14 +153,14 @@
 }
 
 // delay returns a random time up to limit.
-func (w *eraWorld) delay(limit time.Duration) time.Duration {
+func (w *epochWorld) delay(limit time.Duration) time.Duration {
 	return time.Duration(w.random.Int64N(int64(limit) + 1))
 }
 
 // start starts an instance, or another incarnation of it.
-func (w *eraWorld) start(id int) {
+func (w *epochWorld) start(id int) {
 	w.starts++
-	n := &eraNode{w: w, id: id, incarnation: fmt.Sprint(w.starts), wakeAt: w.now.Add(w.delay(worldTick)), bound: 1 + w.random.Int64N(30)}
+	n := &epochNode{w: w, id: id, incarnation: fmt.Sprint(w.starts), wakeAt: w.now.Add(w.delay(worldTick)), bound: 1 + w.random.Int64N(30)}
 	n.offset, n.drift = w.delay(time.Hour), w.random.Int64N(2*maxDrift+1)-maxDrift
 	tables := Tables{Get: n.get, Transact: n.transact, Clock: n.clock}
 	n.leaser = New(fmt.Sprintf("i%d", id), n.incarnation, tables, WithClock(n.local),
@@ -170,13 +170,13 @@
 }
 
 // local returns the time of the clock of the instance, which runs fast or slow.
-func (n *eraNode) local() time.Time {
+func (n *epochNode) local() time.Time {
 	elapsed := n.w.now.Sub(time.Unix(1000, 0))
 	return n.w.now.Add(n.offset + elapsed*time.Duration(n.drift)/1_000_000)
 }
 
 // run ticks until the instance is stopped or leaves.
-func (n *eraNode) run(yield func(struct{}) bool) {
+func (n *epochNode) run(yield func(struct{}) bool) {
 	n.yield = yield
 	for n.rest(worldTick) {
 		if n.isLeaving {
@@ -191,7 +191,7 @@
 }
 
 // rest lets time pass; false if the instance was stopped.
-func (n *eraNode) rest(d time.Duration) bool {
+func (n *epochNode) rest(d time.Duration) bool {
 	if n.isStopped {
 		return false
 	}
@@ -201,7 +201,7 @@
 }
 
 // leg lets one way of a call pass, and reports whether the message arrives.
-func (n *eraNode) leg() bool {
+func (n *epochNode) leg() bool {
 	limit, isLost := 20*time.Millisecond, false
 	if !n.w.calm {
 		isLost = n.w.random.IntN(40) == 0
@@ -212,67 +212,67 @@
 	return n.rest(n.w.delay(limit)) && !isLost && !n.isCut()
 }
 
-func (n *eraNode) isCut() bool { return n.w.now.Before(n.cutUntil) }
+func (n *epochNode) isCut() bool { return n.w.now.Before(n.cutUntil) }
 
-func (n *eraNode) isFrozen() bool { return n.w.now.Before(n.frozenUntil) }
+func (n *epochNode) isFrozen() bool { return n.w.now.Before(n.frozenUntil) }
 
-func (w *eraWorld) isAway() bool { return w.now.Before(w.store.awayUntil) }
+func (w *epochWorld) isAway() bool { return w.now.Before(w.store.awayUntil) }
 
-// answer receives an answer of an era, and reports whether a later one is known.
-func (n *eraNode) answer(era int64) (isLate bool) {
-	n.meet(era)
-	if era < n.era {
+// answer receives an answer of an epoch, and reports whether a later one is known.
+func (n *epochNode) answer(epoch int64) (isLate bool) {
+	n.meet(epoch)
+	if epoch < n.epoch {
 		return true
 	}
-	n.clockEra = era
+	n.clockEpoch = epoch
 	return false
 }
 
-// meet is what the client of the table service does before it returns the answer that shows an era.
-func (n *eraNode) meet(era int64) {
-	if era <= n.era {
+// meet is what the client of the table service does before it returns the answer that shows an epoch.
+func (n *epochNode) meet(epoch int64) {
+	if epoch <= n.epoch {
 		return
 	}
-	if n.w.plant == forgottenGrants && n.era > 0 {
+	if n.w.plant == forgottenGrants && n.epoch > 0 {
 		n.leaser.grant = Record{}
 	}
-	n.era, n.clockEra = era, 0
-	if n.w.plant != hiddenEras {
-		n.leaser.MeetEra(era)
+	n.epoch, n.clockEpoch = epoch, 0
+	if n.w.plant != hiddenEpochs {
+		n.leaser.MeetEpoch(epoch)
 	}
 }
 
-func (n *eraNode) get(table, key string) (messenger.Row, error) {
+func (n *epochNode) get(table, key string) (messenger.Row, error) {
 	if !n.leg() || n.w.isAway() {
 		return messenger.Row{}, transactor.ErrUnavailable
 	}
 	row := n.w.store.rows[key]
-	row.Table, row.Key, row.Era = table, key, n.w.store.era
-	if !n.leg() || n.answer(row.Era) {
+	row.Table, row.Key, row.Epoch = table, key, n.w.store.epoch
+	if !n.leg() || n.answer(row.Epoch) {
 		return messenger.Row{}, transactor.ErrUnavailable
 	}
 	return n.w.planted(row), nil
 }
 
 // planted returns a row as a faulty table service gives it.
-func (w *eraWorld) planted(row messenger.Row) messenger.Row {
+func (w *epochWorld) planted(row messenger.Row) messenger.Row {
 	switch {
-	case w.plant == hiddenEras:
-		row.Era = 0
+	case w.plant == hiddenEpochs:
+		row.Epoch = 0
 	case w.plant == eternalLease && row.Key == leaseKey:
 		row.Version += w.now.UnixMilli()
 	case w.plant == believedCopies && row.Key == leaseKey && row.Version > 0:
 		var record Record
 		_ = json.Unmarshal(row.Value, &record) // written by a leaser, or spoiled
-		record.Era = row.Era
+		record.Epoch = row.Epoch
 		row.Value, _ = json.Marshal(record) // has no value that cannot be encoded
 	}
 	return row
 }
 
-func (n *eraNode) transact(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
+func (n *epochNode) transact(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
 	for _, c := range req.Conditions {
-		if n.w.plant != hiddenEras && c.Era < n.era {
+		if n.w.plant != hiddenEpochs && c.Epoch < n.epoch {
 			return nil, transactor.ErrConflict
 		}
 	}
@@ -285,15 +285,15 @@
 		return nil, transactor.ErrUnavailable
 	}
 	version, isApplied := n.w.store.apply(req)
-	era := n.w.store.era
+	epoch := n.w.store.epoch
 	switch {
-	case !n.leg() || n.answer(era):
+	case !n.leg() || n.answer(epoch):
 		return nil, transactor.ErrUnknownOutcome
 	case !isApplied:
 		return nil, transactor.ErrConflict
 	}
-	if n.w.plant == hiddenEras {
-		version.Era = 0
+	if n.w.plant == hiddenEpochs {
+		version.Epoch = 0
 	}
 	versions := make([]messenger.StoreVersion, len(req.Writes))
 	for i := range versions {
@@ -302,17 +302,17 @@
 	return versions, nil
 }
 
-// clock returns bounds of the table service's clock in the era that is known.
-func (n *eraNode) clock() (earliest, latest int64, ok bool) {
-	if !n.w.hasClock || (n.clockEra == 0 && n.era > 0) {
+// clock returns bounds of the table service's clock in the epoch that is known.
+func (n *epochNode) clock() (earliest, latest int64, ok bool) {
+	if !n.w.hasClock || (n.clockEpoch == 0 && n.epoch > 0) {
 		return 0, 0, false
 	}
-	at := n.w.now.UnixMilli() + n.w.store.offsets[n.clockEra]
+	at := n.w.now.UnixMilli() + n.w.store.offsets[n.clockEpoch]
 	return at - n.bound, at + n.bound, true
 }
 
-// drill has the table service go away, and come back from a copy that is up to 8 s old.
-func (w *eraWorld) drill(away time.Duration) {
+// restore has the table service go away, and come back from a copy that is up to 8 s old.
+func (w *epochWorld) restore(away time.Duration) {
 	w.store.awayUntil = w.now.Add(away)
 	recent := []storeCopy{}
 	for _, c := range w.store.copies {
@@ -324,15 +324,15 @@
 	if len(recent) > 0 && w.random.IntN(5) > 0 {
 		from = recent[w.random.IntN(len(recent))]
 	}
-	w.store.era++
-	w.store.offsets[w.store.era] = w.random.Int64N(200_000) - 100_000
+	w.store.epoch++
+	w.store.offsets[w.store.epoch] = w.random.Int64N(200_000) - 100_000
 	w.store.version, w.store.rows = from.version, maps.Clone(from.rows)
 	w.store.copies = nil
-	w.note("drill: away %v, era %d, lease %s", away, w.store.era, from.rows[leaseKey].Value)
+	w.note("restore: away %v, epoch %d, lease %s", away, w.store.epoch, from.rows[leaseKey].Value)
 }
 
 // step lets worldStep pass.
-func (w *eraWorld) step() {
+func (w *epochWorld) step() {
 	w.now = w.now.Add(worldStep)
 	w.applyLate()
 	if w.random.IntN(40) == 0 {
@@ -352,16 +352,16 @@
 }
 
 // poll is what other parts of the instance do: they call the table service again and again.
-func (n *eraNode) poll() {
+func (n *epochNode) poll() {
 	if n.isFrozen() || n.isCut() || n.w.isAway() || n.w.now.Before(n.pollAt) {
 		return
 	}
 	n.pollAt = n.w.now.Add(n.w.delay(worldTick))
-	n.meet(n.w.store.era)
+	n.meet(n.w.store.epoch)
 }
 
 // applyLate applies late writes that are due and whose conditions hold.
-func (w *eraWorld) applyLate() {
+func (w *epochWorld) applyLate() {
 	kept := w.late[:0]
 	for _, l := range w.late {
 		if l.at.After(w.now) || w.isAway() {
@@ -376,7 +376,7 @@
 }
 
 // exchange has two instances exchange the highest tokens that they know.
-func (w *eraWorld) exchange() {
+func (w *epochWorld) exchange() {
 	from, to := w.nodes[w.random.IntN(len(w.nodes))], w.nodes[w.random.IntN(len(w.nodes))]
 	if w.random.IntN(4) > 0 || from.isFrozen() || to.isFrozen() || from.isCut() || to.isCut() {
 		return
@@ -385,7 +385,7 @@
 }
 
 // judge checks who holds the lease now.
-func (w *eraWorld) judge() {
+func (w *epochWorld) judge() {
 	holder := ""
 	for _, n := range w.nodes {
 		grant, isHeld := n.leaser.Held(n.local())
@@ -404,9 +404,9 @@
 }
 
 // judgeHandover checks that an instance that acts a handover after the end of the grant before does not act sooner
-// after another holder. Left out is an instance that has not heard of that holder, which a drill has lost: it goes
+// after another holder. Left out is an instance that has not heard of that holder, which a restore has lost: it goes
 // on as the last holder that is known.
-func (w *eraWorld) judgeHandover(n *eraNode, name string, grant Grant) {
+func (w *epochWorld) judgeHandover(n *epochNode, name string, grant Grant) {
 	if w.plant == noHandover {
 		grant.PreviousEndedAt = time.Time{}
 	}
@@ -420,9 +420,9 @@
 }
 
 // judgeToken checks that a token is new or that of the same holder, and above those of earlier holders.
-func (w *eraWorld) judgeToken(name string, fence int64) {
-	if w.plant == eralessTokens {
-		fence &= 1<<eraShift - 1
+func (w *epochWorld) judgeToken(name string, fence int64) {
+	if w.plant == epochlessTokens {
+		fence &= 1<<epochShift - 1
 	}
 	switch known, isKnown := w.holders[fence]; {
 	case isKnown && known != name:
@@ -438,7 +438,7 @@
 }
 
 // disturb makes one of the faults.
-func (w *eraWorld) disturb() {
+func (w *epochWorld) disturb() {
 	n := w.nodes[w.random.IntN(len(w.nodes))]
 	if w.random.IntN(2) == 0 {
 		n = w.holderOr(n)
@@ -473,7 +473,7 @@
 }
 
 // holderOr returns the instance that holds the lease, or other if there is none.
-func (w *eraWorld) holderOr(other *eraNode) *eraNode {
+func (w *epochWorld) holderOr(other *epochNode) *epochNode {
 	for _, n := range w.nodes {
 		if _, isHeld := n.leaser.Held(n.local()); isHeld {
 			return n
@@ -482,8 +482,8 @@
 	return other
 }
 
-// play lets time pass with faults; drills begin at the given times from now.
-func (w *eraWorld) play(length time.Duration, drills []time.Duration) {
+// play lets time pass with faults; restores begin at the given times from now.
+func (w *epochWorld) play(length time.Duration, restores []time.Duration) {
 	begin := w.now
 	for w.now.Sub(begin) < length && w.violation == "" {
 		w.step()
@@ -495,15 +495,15 @@
 				w.start(n.id)
 			}
 		}
-		if len(drills) > 0 && w.now.Sub(begin) >= drills[0] {
-			w.drill(w.delay(3 * time.Second))
-			drills = drills[1:]
+		if len(restores) > 0 && w.now.Sub(begin) >= restores[0] {
+			w.restore(w.delay(3 * time.Second))
+			restores = restores[1:]
 		}
 	}
 }
 
 // heal ends all faults. Instances that have left start again.
-func (w *eraWorld) heal() {
+func (w *epochWorld) heal() {
 	w.calm, w.late, w.store.awayUntil = true, nil, time.Time{}
 	for _, n := range w.nodes {
 		n.frozenUntil, n.cutUntil = time.Time{}, time.Time{}
@@ -516,7 +516,7 @@
 }
 
 // awaitHolder lets time pass until an instance holds the lease, and returns it; nil after patience.
-func (w *eraWorld) awaitHolder(patience time.Duration, isWanted func(*eraNode) bool) *eraNode {
+func (w *epochWorld) awaitHolder(patience time.Duration, isWanted func(*epochNode) bool) *epochNode {
 	for end := w.now.Add(patience); w.now.Before(end) && w.violation == ""; {
 		w.step()
 		for _, n := range w.nodes {
@@ -528,10 +528,10 @@
 	return nil
 }
 
-func (w *eraWorld) close() {
+func (w *epochWorld) close() {
 	for _, n := range w.nodes {
 		n.stop()
 	}
 }
 
-func anyNode(*eraNode) bool { return true }
+func anyNode(*epochNode) bool { return true }
--- a/internal/control/leaser/fence.go
+++ b/internal/control/leaser/fence.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// eraShift is the number of bits of a fencing token below the era.
-	eraShift = 32
-	// maxEra is the highest era that leads a fencing token: tokens are below 2^53, and so read exactly where
+	// epochShift is the number of bits of a fencing token below the epoch.
+	epochShift = 32
+	// maxEpoch is the highest epoch that leads a fencing token: tokens are below 2^53, and so read exactly where
 	// numbers are floating-point.
-	maxEra = 1<<(53-eraShift) - 1
+	maxEpoch = 1<<(53-epochShift) - 1
 	// refusalShift is the number of bits by which the step to the next token grows with each refusal, and
 	// maxRefusalShift that of the longest step.
 	refusalShift    = 3
@@ -23,7 +23,7 @@
 func (l *Leaser) NoteFence(fence int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if isFenceOf(fence, l.era) {
+	if isFenceOf(fence, l.epoch) {
 		l.knownFence = max(l.knownFence, fence)
 	}
 }
@@ -47,29 +47,31 @@
 	l.refusals++
 }
 
-// isFenceOf reports whether a number may be a fencing token of an era or of an earlier one.
-func isFenceOf(fence, era int64) bool { return fence >= 0 && fence>>eraShift <= min(era, maxEra) }
+// isFenceOf reports whether a number may be a fencing token of an epoch or of an earlier one.
+func isFenceOf(fence, epoch int64) bool {
+	return fence >= 0 && fence>>epochShift <= min(epoch, maxEpoch)
+}
 
-// fenceKeyOf returns the key of the fence row of an era. Each era that the service names has a row of its own, which a
-// late write of an earlier era does not replace, so that no token of the era is given out twice.
-func fenceKeyOf(era int64) string {
-	if era == 0 {
+// fenceKeyOf returns the key of the fence row of an epoch. Each epoch that the service names has a row of its own, which a
+// late write of an earlier epoch does not replace, so that no token of the epoch is given out twice.
+func fenceKeyOf(epoch int64) string {
+	if epoch == 0 {
 		return fenceKey
 	}
-	return fenceKey + "-" + strconv.FormatInt(era, 10)
+	return fenceKey + "-" + strconv.FormatInt(epoch, 10)
 }
 
 // nextFence returns a fencing token above all that are known: those of the lease row and of the fence row,
 // either of which another writer may have spoiled, and those of this instance and of its peers.
-func (l *Leaser) nextFence(era int64, fenceRow messenger.Row) int64 {
+func (l *Leaser) nextFence(epoch int64, fenceRow messenger.Row) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var last int64
-	if json.Unmarshal(fenceRow.Value, &last) != nil || !isFenceOf(last, era) {
+	if json.Unmarshal(fenceRow.Value, &last) != nil || !isFenceOf(last, epoch) {
 		last = 0
 	}
-	last = max(l.knownFence, last, min(era, maxEra)<<eraShift)
-	if next := last + l.refusalStep(); isFenceOf(next, era) {
+	last = max(l.knownFence, last, min(epoch, maxEpoch)<<epochShift)
+	if next := last + l.refusalStep(); isFenceOf(next, epoch) {
 		return next
 	}
 	return last + 1
--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -3,9 +3,9 @@
 // acquisition also writes the fence row, so that transactions that are
 // conditional on it fail for every earlier holder.
 //
-// A service that comes back from a copy, in a later era, may have lost the last holders. A row of an
-// earlier era is therefore no evidence that the lease is free, and the era leads the fencing token, so
-// that tokens of two eras differ.
+// A service that comes back from a copy, in a later epoch, may have lost the last holders. A row of an
+// earlier epoch is therefore no evidence that the lease is free, and the epoch leads the fencing token, so
+// that tokens of two epochs differ.
 package leaser
 
 import (
@@ -60,7 +60,7 @@
 	return Tables{Get: client.Get, Clock: unknownClock, Transact: func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
 		versions := make([]messenger.StoreVersion, 0, len(req.Conditions))
 		for _, c := range req.Conditions {
-			versions = append(versions, messenger.StoreVersion{Era: c.Era, Number: c.Version + 1})
+			versions = append(versions, messenger.StoreVersion{Epoch: c.Epoch, Number: c.Version + 1})
 		}
 		return versions, client.Transact(req)
 	}}
@@ -70,7 +70,7 @@
 
 // condition requires a version of a row of the lease table.
 func condition(key string, version messenger.StoreVersion) messenger.Condition {
-	return messenger.Condition{Table: leaseTable, Key: key, Era: version.Era, Version: version.Number}
+	return messenger.Condition{Table: leaseTable, Key: key, Epoch: version.Epoch, Version: version.Number}
 }
 
 // Option configures a Leaser.
@@ -87,8 +87,8 @@
 type Record struct {
 	Holder      string
 	Incarnation string
-	// Era is the era of the table service in which the record was written; 0 if it names none.
-	Era      int64
+	// Epoch is the epoch of the table service in which the record was written; 0 if it names none.
+	Epoch    int64
 	Fence    int64
 	Renewals int64
 	Released bool
@@ -132,8 +132,8 @@
 	leaseVersion messenger.StoreVersion
 	// changeSeenAt is when this instance last saw the row change.
 	changeSeenAt time.Time
-	// era is the latest era of the table service that is known.
-	era int64
+	// epoch is the latest epoch of the table service that is known.
+	epoch int64
 	// knownFence is the highest fencing token that this instance has heard of.
 	knownFence int64
 	// grant is the last record that this instance wrote as holder, grantedAt is when it began to
@@ -198,7 +198,7 @@
 		Fence:           l.grant.Fence,
 		Deadline:        l.heldUntil,
 		PreviousEndedAt: l.previousEndedAt,
-		FenceCondition:  condition(fenceKeyOf(l.fenceVersion.Era), l.fenceVersion),
+		FenceCondition:  condition(fenceKeyOf(l.fenceVersion.Epoch), l.fenceVersion),
 	}, true
 }
 
@@ -219,7 +219,7 @@
 	held := now.Before(l.heldUntil)
 	due := !now.Before(l.renewAt)
 	isEarly := !held && now.Before(l.nextReadAt)
-	mustAcquire := held && (l.grant.Era < l.era || l.isRefused)
+	mustAcquire := held && (l.grant.Epoch < l.epoch || l.isRefused)
 	released := l.released
 	l.mu.Unlock()
 	switch {
@@ -260,7 +260,7 @@
 // expiresAt returns when this instance may acquire the lease if its row does not change. The caller holds l.mu.
 func (l *Leaser) expiresAt(now time.Time) time.Time {
 	if !isWrittenIn(l.record, l.leaseVersion) {
-		return l.earlierErasEnd()
+		return l.earlierEpochsEnd()
 	}
 	if earliest, _, ok := l.clock(); ok && l.record.Lapses > 0 {
 		return now.Add(time.Duration(l.record.Lapses-earliest) * time.Millisecond)
@@ -278,9 +278,9 @@
 	next.Lapses = l.expiry()
 	versions, err := l.write(next, []messenger.Condition{condition(leaseKey, version)}, nil)
 	switch {
-	case err == nil && versions[0].Era != next.Era:
-		l.MeetEra(versions[0].Era)
-		return errors.Wrapf(errEraChanged, "renewal of era %d", next.Era)
+	case err == nil && versions[0].Epoch != next.Epoch:
+		l.MeetEpoch(versions[0].Epoch)
+		return errors.Wrapf(errEpochChanged, "renewal of epoch %d", next.Epoch)
 	case err == nil:
 		l.recordGrant(now, next, versions[0])
 		return nil
@@ -293,7 +293,7 @@
 // confirmRenewal reads the row after a renewal whose outcome is unknown, or that
 // failed with a conflict, which an earlier renewal of unknown outcome can cause.
 // If the row still names this grant, no other instance has acquired the lease.
-// The deadline is not extended. A row of a later era says nothing about this grant.
+// The deadline is not extended. A row of a later epoch says nothing about this grant.
 func (l *Leaser) confirmRenewal(cause error) error {
 	row, record, err := l.read()
 	if err != nil {
@@ -302,7 +302,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case row.Era != l.grant.Era:
+	case row.Epoch != l.grant.Epoch:
 		return cause
 	case !l.isOwn(record) || record.Fence != l.grant.Fence:
 		l.heldUntil = time.Time{}
@@ -365,12 +365,12 @@
 	if err != nil {
 		return row, Record{}, err
 	}
-	l.MeetEra(row.Era)
+	l.MeetEpoch(row.Epoch)
 	if row.Version == 0 {
 		return row, Record{}, nil
 	}
 	var record Record
-	if json.Unmarshal(row.Value, &record) != nil || !isFenceOf(record.Fence, row.Era) {
+	if json.Unmarshal(row.Value, &record) != nil || !isFenceOf(record.Fence, row.Epoch) {
 		// Nobody can renew what is not a lease: it is free once it has not changed for its TTL.
 		return row, Record{}, nil
 	}
--- a/internal/gateway/archivist/archivist_test.go
+++ b/internal/gateway/archivist/archivist_test.go
@@ -135,7 +135,7 @@
 		assert.Len(t, a.Restore(later, 900, nil), 1)
 		changes, _ := drain(a)
 		require.Len(t, changes, 1)
-		assert.Equal(t, int64(50_900), changes[0].Row.DeadlineMilliseconds, "by the clock of the later era")
+		assert.Equal(t, int64(50_900), changes[0].Row.DeadlineMilliseconds, "by the clock of the later epoch")
 	})
 	t.Run("there with the deadline of another clock", func(t *testing.T) {
 		assert.Len(t, newArchivist().Restore(later, 900, row(65_000)), 1)
--- a/internal/gateway/confirmer/confirmer.go
+++ b/internal/gateway/confirmer/confirmer.go
@@ -6,7 +6,7 @@
 // no proof for an earlier manifest names a later time, so each instance stops to accept the key
 // within the bound, also one that reaches neither the store nor its peers.
 //
-// The store may come back from a copy without the manifest that removed a key; see era.go.
+// The store may come back from a copy without the manifest that removed a key; see epoch.go.
 package confirmer
 
 import (
@@ -21,7 +21,7 @@
 const applyTime = 3 * time.Second
 
 // Proof states that Version was the newest version of the manifest's row at a time of the store's
-// clock of the same era. The zero value proves nothing.
+// clock of the same epoch. The zero value proves nothing.
 type Proof struct {
 	Version           messenger.StoreVersion
 	StoreMilliseconds int64
@@ -44,7 +44,7 @@
 	// force under it.
 	substituted messenger.StoreVersion
 	proof       Proof
-	era         era
+	epoch       epoch
 }
 
 // Option configures a confirmer.
@@ -55,7 +55,7 @@
 
 // New returns a confirmer without proof. A bound of 0 means that no proof is required.
 func New(bound time.Duration, options ...Option) *Confirmer {
-	c := &Confirmer{bound: bound, now: timekeeper.BootTime, era: era{isFirst: true}}
+	c := &Confirmer{bound: bound, now: timekeeper.BootTime, epoch: epoch{isFirst: true}}
 	for _, option := range options {
 		option(c)
 	}
@@ -89,7 +89,7 @@
 	}
 }
 
-// SetSubstituted records that the manifest in a version of the row of a later era cannot be read, so that
+// SetSubstituted records that the manifest in a version of the row of a later epoch cannot be read, so that
 // the one before stays in force under that version. There may be manifests between the two: nothing is
 // confirmed until a later version is applied.
 func (c *Confirmer) SetSubstituted(version messenger.StoreVersion) {
@@ -99,15 +99,15 @@
 }
 
 // Confirm records that the store had no version after the applied one at a time of its clock of an
-// era. It must be called after the rows of that answer have been applied.
-func (c *Confirmer) Confirm(era, storeMilliseconds, latest int64) {
+// epoch. It must be called after the rows of that answer have been applied.
+func (c *Confirmer) Confirm(epoch, storeMilliseconds, latest int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.era.number != era {
+	if c.epoch.number != epoch {
 		return
 	}
-	isWhole := c.era.isWholeAt(storeMilliseconds, storeMilliseconds, latest)
-	if c.unreadable.IsAfter(c.applied) || c.substituted == c.applied || c.applied.Era != era {
+	isWhole := c.epoch.isWholeAt(storeMilliseconds, storeMilliseconds, latest)
+	if c.unreadable.IsAfter(c.applied) || c.substituted == c.applied || c.applied.Epoch != epoch {
 		return
 	}
 	if isWhole {
@@ -116,7 +116,7 @@
 }
 
 // Receive adopts the proof of a peer if this instance has applied at least its version. Otherwise
-// it returns true: the manifest of the peer is newer. A proof of another era than that of the
+// it returns true: the manifest of the peer is newer. A proof of another epoch than that of the
 // store's clock here is not adopted.
 func (c *Confirmer) Receive(proof Proof, latest int64) (isNewer bool) {
 	c.mu.Lock()
@@ -124,7 +124,7 @@
 	if proof.Version.IsAfter(c.applied) {
 		return true
 	}
-	if proof.Version.Era == c.era.number && c.era.isWholeAt(proof.StoreMilliseconds, latest, latest) {
+	if proof.Version.Epoch == c.epoch.number && c.epoch.isWholeAt(proof.StoreMilliseconds, latest, latest) {
 		c.proof.replace(proof, latest)
 	}
 	return false
@@ -161,13 +161,13 @@
 	return ok && age < c.bound, ok && age < min(c.bound, applyTime)
 }
 
-// Age returns the greatest possible age of the proof, or of that of the era before; false if there is
+// Age returns the greatest possible age of the proof, or of that of the epoch before; false if there is
 // none.
 func (c *Confirmer) Age(latest int64) (age time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	age, ok = c.proofAge(latest)
-	if before, isKept := c.era.before.age(c.now()); isKept && (!ok || before < age) {
+	if before, isKept := c.epoch.before.age(c.now()); isKept && (!ok || before < age) {
 		return before, true
 	}
 	return age, ok
--- a/internal/gateway/confirmer/era_test.go
+++ b/internal/gateway/confirmer/epoch_test.go
@@ -10,46 +10,46 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// newInEra returns a confirmer at the local time 0 that has applied version 90 in era 5, with a proof whose age is
+// newInEpoch returns a confirmer at the local time 0 that has applied version 90 in epoch 5, with a proof whose age is
 // 1 s, and a clock that the caller may set.
-func newInEra() (*confirmer.Confirmer, *time.Time) {
+func newInEpoch() (*confirmer.Confirmer, *time.Time) {
 	now := at(0)
 	c := confirmer.New(5*time.Second, confirmer.WithClock(func() time.Time { return now }))
-	c.MeetEra(confirmer.Era{Number: 5, IsFirst: true})
-	c.SetApplied(messenger.StoreVersion{Era: 5, Number: 90})
+	c.MeetEpoch(confirmer.Epoch{Number: 5, IsFirst: true})
+	c.SetApplied(messenger.StoreVersion{Epoch: 5, Number: 90})
 	c.Confirm(5, 1000, 1001)
 	c.Confirm(5, 9000, 9001)
 	return c, &now
 }
 
-// TestProofOfTheEraBeforeHoldsUntilItsBound guards against a key that is refused since the store was away for a
+// TestProofOfTheEpochBeforeHoldsUntilItsBound guards against a key that is refused since the store was away for a
 // moment, and against one that is accepted for longer since its clock is another one.
-func TestProofOfTheEraBeforeHoldsUntilItsBound(t *testing.T) {
+func TestProofOfTheEpochBeforeHoldsUntilItsBound(t *testing.T) {
 	for name, latest := range map[string]int64{"not known": 0, "earlier": 2000, "later": 900_000} {
 		t.Run(name, func(t *testing.T) {
-			c, now := newInEra()
-			c.MeetEra(confirmer.Era{Number: 6, LatestBefore: 10_000, At: *now})
+			c, now := newInEpoch()
+			c.MeetEpoch(confirmer.Epoch{Number: 6, LatestBefore: 10_000, At: *now})
 			*now = at(3900)
 			assert.True(t, isConfirmed(c, latest))
-			c.MeetEra(confirmer.Era{Number: 7, LatestBefore: 0})
-			assert.True(t, isConfirmed(c, latest), "a second era")
+			c.MeetEpoch(confirmer.Epoch{Number: 7, LatestBefore: 0})
+			assert.True(t, isConfirmed(c, latest), "a second epoch")
 			*now = at(4000)
 			assert.False(t, isConfirmed(c, latest))
 		})
 	}
 	t.Run("without a clock its age is not known", func(t *testing.T) {
-		c, _ := newInEra()
-		c.MeetEra(confirmer.Era{Number: 6})
+		c, _ := newInEpoch()
+		c.MeetEpoch(confirmer.Epoch{Number: 6})
 		assert.False(t, isConfirmed(c, 900_000))
 	})
 }
 
-// TestLaterEraProvesNothingAtOnce guards against a key that is accepted again since the manifest that took it away is
+// TestLaterEpochProvesNothingAtOnce guards against a key that is accepted again since the manifest that took it away is
 // not written again yet.
-func TestLaterEraProvesNothingAtOnce(t *testing.T) {
-	c, _ := newInEra()
-	c.MeetEra(confirmer.Era{Number: 6})
-	c.SetApplied(messenger.StoreVersion{Era: 6, Number: 70})
+func TestLaterEpochProvesNothingAtOnce(t *testing.T) {
+	c, _ := newInEpoch()
+	c.MeetEpoch(confirmer.Epoch{Number: 6})
+	c.SetApplied(messenger.StoreVersion{Epoch: 6, Number: 70})
 	assert.True(t, c.MayConfirm(2999), "the first answer shows when it was met")
 	c.Confirm(6, 3000, 3001)
 	assert.False(t, c.MayConfirm(5199), "a call to the store would be in vain")
@@ -57,17 +57,17 @@
 	c.Confirm(6, 5199, 5200)
 	assert.False(t, isConfirmed(c, 5200))
 	c.Confirm(5, 5200, 5201)
-	assert.False(t, isConfirmed(c, 5201), "a late answer of the era before")
+	assert.False(t, isConfirmed(c, 5201), "a late answer of the epoch before")
 	c.Confirm(6, 5200, 5201)
 	assert.True(t, isConfirmed(c, 5201))
-	assert.Equal(t, confirmer.Proof{Version: messenger.StoreVersion{Era: 6, Number: 70}, StoreMilliseconds: 5200}, c.Proof())
+	assert.Equal(t, confirmer.Proof{Version: messenger.StoreVersion{Epoch: 6, Number: 70}, StoreMilliseconds: 5200}, c.Proof())
 }
 
 // TestRowThatIsMissingProvesNothing guards against a key that the store's manifest may not have: the row has not been
 // written again.
 func TestRowThatIsMissingProvesNothing(t *testing.T) {
-	c, _ := newInEra()
-	c.MeetEra(confirmer.Era{Number: 6})
+	c, _ := newInEpoch()
+	c.MeetEpoch(confirmer.Epoch{Number: 6})
 	c.Confirm(6, 3000, 3001)
 	c.Confirm(6, 9000, 9001)
 	assert.False(t, isConfirmed(c, 9001))
@@ -76,14 +76,14 @@
 // TestRowThatCannotBeReadProvesNothing guards against a key that was taken away by a manifest between the one in force
 // and one that cannot be read.
 func TestRowThatCannotBeReadProvesNothing(t *testing.T) {
-	c, _ := newInEra()
-	c.MeetEra(confirmer.Era{Number: 6})
-	c.SetSubstituted(messenger.StoreVersion{Era: 6, Number: 70})
-	c.SetApplied(messenger.StoreVersion{Era: 6, Number: 70})
+	c, _ := newInEpoch()
+	c.MeetEpoch(confirmer.Epoch{Number: 6})
+	c.SetSubstituted(messenger.StoreVersion{Epoch: 6, Number: 70})
+	c.SetApplied(messenger.StoreVersion{Epoch: 6, Number: 70})
 	c.Confirm(6, 3000, 3001)
 	c.Confirm(6, 9000, 9001)
 	assert.False(t, isConfirmed(c, 9001))
-	c.SetApplied(messenger.StoreVersion{Era: 6, Number: 71})
+	c.SetApplied(messenger.StoreVersion{Epoch: 6, Number: 71})
 	c.Confirm(6, 9000, 9001)
 	assert.True(t, isConfirmed(c, 9001))
 }
@@ -91,11 +91,11 @@
 // TestProofsOfJoinersCountLater guards against a key that is accepted again on the word of an instance that started
 // after the return, and knows only what the store came back with.
 func TestProofsOfJoinersCountLater(t *testing.T) {
-	c, _ := newInEra()
-	c.MeetEra(confirmer.Era{Number: 6})
-	c.SetApplied(messenger.StoreVersion{Era: 6, Number: 70})
+	c, _ := newInEpoch()
+	c.MeetEpoch(confirmer.Epoch{Number: 6})
+	c.SetApplied(messenger.StoreVersion{Epoch: 6, Number: 70})
 	proof := func(milliseconds int64) confirmer.Proof {
-		return confirmer.Proof{Version: messenger.StoreVersion{Era: 6, Number: 70}, StoreMilliseconds: milliseconds}
+		return confirmer.Proof{Version: messenger.StoreVersion{Epoch: 6, Number: 70}, StoreMilliseconds: milliseconds}
 	}
 	c.Receive(proof(2900), 3000)
 	c.Receive(proof(5199), 5300)
@@ -104,29 +104,29 @@
 	assert.True(t, isConfirmed(c, 5300))
 }
 
-// TestFirstEraConfirmsAtOnce guards against an instance that refuses all keys when it starts.
-func TestFirstEraConfirmsAtOnce(t *testing.T) {
+// TestFirstEpochConfirmsAtOnce guards against an instance that refuses all keys when it starts.
+func TestFirstEpochConfirmsAtOnce(t *testing.T) {
 	c := confirmer.New(5 * time.Second)
-	c.MeetEra(confirmer.Era{Number: 6, IsFirst: true})
-	c.SetApplied(messenger.StoreVersion{Era: 6, Number: 70})
+	c.MeetEpoch(confirmer.Epoch{Number: 6, IsFirst: true})
+	c.SetApplied(messenger.StoreVersion{Epoch: 6, Number: 70})
 	c.Confirm(6, 3000, 3001)
 	assert.True(t, isConfirmed(c, 3001))
 }
 
-// TestProofsOfPeersInOtherEras guards against times of two clocks that are compared.
-func TestProofsOfPeersInOtherEras(t *testing.T) {
-	c, _ := newInEra()
+// TestProofsOfPeersInOtherEpochs guards against times of two clocks that are compared.
+func TestProofsOfPeersInOtherEpochs(t *testing.T) {
+	c, _ := newInEpoch()
 	before := c.Proof()
-	proof := func(era, number int64) confirmer.Proof {
-		return confirmer.Proof{Version: messenger.StoreVersion{Era: era, Number: number}, StoreMilliseconds: 9500}
+	proof := func(epoch, number int64) confirmer.Proof {
+		return confirmer.Proof{Version: messenger.StoreVersion{Epoch: epoch, Number: number}, StoreMilliseconds: 9500}
 	}
 	assert.False(t, c.Receive(proof(4, 99), 10_000), "an earlier one")
 	assert.Equal(t, before, c.Proof())
 	assert.True(t, c.Receive(proof(6, 70), 10_000), "a later one is of a newer manifest")
-	c.SetApplied(messenger.StoreVersion{Era: 6, Number: 70})
+	c.SetApplied(messenger.StoreVersion{Epoch: 6, Number: 70})
 	assert.False(t, c.Receive(proof(6, 70), 10_000))
 	assert.Equal(t, before, c.Proof(), "its clock is not known here")
-	c.MeetEra(confirmer.Era{Number: 6})
+	c.MeetEpoch(confirmer.Epoch{Number: 6})
 	c.Confirm(6, 7000, 7001)
 	c.Receive(proof(6, 70), 10_000)
 	assert.Equal(t, proof(6, 70), c.Proof())
--- a/internal/gateway/confirmer/history_drill_test.go
+++ b/internal/gateway/confirmer/history_restore_test.go
@@ -10,12 +10,12 @@
 )
 
 const (
-	// maxAway, maxCopyAge and maxRewrite are of the drills: how long the store is away, how old the copy is, and
+	// maxAway, maxCopyAge and maxRewrite are of the restores: how long the store is away, how old the copy is, and
 	// how long after the return the operator writes the last manifest again.
 	maxAway    = 1500 * time.Millisecond
 	maxCopyAge = 6 * time.Second
 	maxRewrite = 2 * time.Second
-	// maxClockJump is by how much the store's clock may differ from that of the era before.
+	// maxClockJump is by how much the store's clock may differ from that of the epoch before.
 	maxClockJump = 20 * time.Second
 )
 
@@ -54,39 +54,39 @@
 	row messenger.StoreRow
 }
 
-// drills is how the store goes away and comes back from copies.
-type drills struct {
-	era, clockBase int64
-	isAway         bool
-	commits        []commit
+// restores is how the store goes away and comes back from copies.
+type restores struct {
+	epoch, clockBase int64
+	isAway           bool
+	commits          []commit
 	// lackedAt is when the store last lacked the operator's last manifest.
 	lackedAt time.Time
 	count    int
 }
 
-func newDrills() drills { return drills{era: 1, clockBase: 1000} }
+func newRestores() restores { return restores{epoch: 1, clockBase: 1000} }
 
-// drill has the store go away, and come back from a copy in a later era with another clock.
-func (w *world) drill() {
-	if w.drills.isAway || w.isCalm {
+// restore has the store go away, and come back from a copy in a later epoch with another clock.
+func (w *world) restore() {
+	if w.restores.isAway || w.isCalm {
 		return
 	}
-	w.drills.isAway, w.waiting = true, nil
-	w.drills.count++
+	w.restores.isAway, w.waiting = true, nil
+	w.restores.count++
 	copiedAt := w.Now().Add(-w.delay(maxCopyAge))
-	w.After(w.delay(maxAway), func() { w.restore(copiedAt) })
+	w.After(w.delay(maxAway), func() { w.comeBack(copiedAt) })
 }
 
 // missChange has the store lose a change that an instance has not seen, which hears only the store for a while.
 func (w *world) missChange(n *node) {
-	if w.drills.isAway {
+	if w.restores.isAway {
 		return
 	}
 	for other := storeIndex; other < len(w.nodes); other++ {
 		w.cut[[2]int{n.index, other}], w.cut[[2]int{other, n.index}] = true, true
 	}
 	w.changeKeys()
-	w.After(w.delay(maxCopyAge), w.drill)
+	w.After(w.delay(maxCopyAge), w.restore)
 	heard := w.delay(maxCopyAge + maxAway)
 	toStore, fromStore := [2]int{n.index, storeIndex}, [2]int{storeIndex, n.index}
 	w.After(heard, func() {
@@ -100,12 +100,12 @@
 	})
 }
 
-// restore brings the store back. What the operator wrote since the copy is written again later, unless the
+// comeBack brings the store back. What the operator wrote since the copy is written again later, unless the
 // store has gone away again.
-func (w *world) restore(copiedAt time.Time) {
-	d := &w.drills
+func (w *world) comeBack(copiedAt time.Time) {
+	d := &w.restores
 	d.isAway = false
-	d.era++
+	d.epoch++
 	d.clockBase += int64((w.random.Float64() - 0.5) * float64(maxClockJump.Milliseconds()))
 	d.clockBase = max(d.clockBase, 1000)
 	kept := slices.IndexFunc(d.commits, func(c commit) bool { return c.at.After(copiedAt) })
@@ -115,7 +115,7 @@
 	w.row, w.version = messenger.StoreRow{}, 0
 	if len(d.commits) > 0 {
 		w.row = d.commits[len(d.commits)-1].row
-		w.row.Era, w.version = d.era, w.row.Version
+		w.row.Epoch, w.version = d.epoch, w.row.Version
 	}
 	w.After(w.delay(maxRewrite), func() {
 		if !d.isAway && w.lacksLast() {
@@ -127,7 +127,7 @@
 
 // lacksLast reports whether the store is away, or came back without the operator's last manifest.
 func (w *world) lacksLast() bool {
-	if w.drills.isAway || w.row.Version == 0 {
+	if w.restores.isAway || w.row.Version == 0 {
 		return true
 	}
 	in := content{}
@@ -138,7 +138,7 @@
 }
 
 // mayKnowKey reports whether an instance may act on a key from a time on: the operator's manifest had it. One
-// whose first answer came in a drill may know nothing of what the store lacked.
+// whose first answer came in a restore may know nothing of what the store lacked.
 func (w *world) mayKnowKey(n *node, key string, from time.Time) bool {
 	if w.spans.hadSince(key, from) {
 		return true
@@ -155,15 +155,15 @@
 	return w.spans.hasSince(key, from) && !w.hasLacked(n, from)
 }
 
-// hasLacked reports whether an instance whose first answer came in a drill may go on by a store that lacked the
+// hasLacked reports whether an instance whose first answer came in a restore may go on by a store that lacked the
 // operator's last manifest at some time from a time on.
 func (w *world) hasLacked(n *node, from time.Time) bool {
-	return n.knowsCopyOnly && (w.lacksLast() || w.drills.lackedAt.After(from))
+	return n.knowsCopyOnly && (w.lacksLast() || w.restores.lackedAt.After(from))
 }
 
-// meetEra is what an instance does with the first answer of a later era.
-func (w *world) meetEra(n *node, number int64) {
-	if number <= n.era {
+// meetEpoch is what an instance does with the first answer of a later epoch.
+func (w *world) meetEpoch(n *node, number int64) {
+	if number <= n.epoch {
 		return
 	}
 	now := w.local(n)
@@ -171,6 +171,6 @@
 	if w.plant == renewedProofs {
 		latest = n.confirmer.Proof().StoreMilliseconds
 	}
-	n.confirmer.MeetEra(confirmer.Era{Number: number, IsFirst: n.era == 0 || w.plant == confirmedAtOnce, LatestBefore: latest, At: now})
-	n.clock, n.era = confirmer.Clock{}, number
+	n.confirmer.MeetEpoch(confirmer.Epoch{Number: number, IsFirst: n.epoch == 0 || w.plant == confirmedAtOnce, LatestBefore: latest, At: now})
+	n.clock, n.epoch = confirmer.Clock{}, number
 }
--- a/internal/gateway/confirmer/history_test.go
+++ b/internal/gateway/confirmer/history_test.go
@@ -137,10 +137,10 @@
 	case 8:
 		w.heal()
 	case 9:
-		w.drill()
+		w.restore()
 	case 10: // two within seconds
-		w.drill()
-		w.After(maxAway+w.delay(2*maxRewrite), w.drill)
+		w.restore()
+		w.After(maxAway+w.delay(2*maxRewrite), w.restore)
 	case 11, 12:
 		w.missChange(n)
 	}
@@ -182,20 +182,20 @@
 // force; and
 // against instances that do not serve keys again after a disturbance.
 func TestRevokedKeysDoNotRun(t *testing.T) {
-	served, refused, drilled, excused := 0, 0, 0, 0
+	served, refused, restored, excused := 0, 0, 0, 0
 	for seed := range uint64(*histories) {
 		w := newWorld(seed, noPlant)
 		w.play(historyLength)
 		require.Empty(t, w.violation, "seed %d", seed)
-		served, refused, drilled, excused = served+w.served, refused+w.refused, drilled+w.drills.count, excused+w.excused
+		served, refused, restored, excused = served+w.served, refused+w.refused, restored+w.restores.count, excused+w.excused
 		w.heal()
 		w.isCalm = true
 		w.play(healTime)
 		require.Empty(t, w.violation, "seed %d", seed)
 		w.assertServes(t, seed)
 	}
-	t.Logf("%d histories: %d requests served, %d refused, %d drills, %d excused", *histories, served, refused, drilled, excused)
-	assert.Positive(t, drilled)
+	t.Logf("%d histories: %d requests served, %d refused, %d restores, %d excused", *histories, served, refused, restored, excused)
+	assert.Positive(t, restored)
 	assert.Less(t, excused, served/100, "hardly any instance may know only what the store came back with")
 	assert.Greater(t, served, refused/4, "the histories show nothing if hardly any key is served")
 }
@@ -206,7 +206,7 @@
 	for name, p := range map[string]plant{
 		"proofs as new as their arrival": agelessProofs, "proofs for newer manifests": anyVersion,
 		"a clock that stops with its machine": stoppedClock, "the manifest before the proof": tableFirst,
-		"confirmed at once in a later era": confirmedAtOnce, "proofs that a later era renews": renewedProofs, "proofs by another clock": anyClock,
+		"confirmed at once in a later epoch": confirmedAtOnce, "proofs that a later epoch renews": renewedProofs, "proofs by another clock": anyClock,
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(maxSeeds) {
--- a/internal/gateway/confirmer/history_world_test.go
+++ b/internal/gateway/confirmer/history_world_test.go
@@ -52,9 +52,9 @@
 	tableFirst
 	// confirmedAtOnce takes the store's word for what it came back with.
 	confirmedAtOnce
-	// renewedProofs are as new as the era, whatever their age when it was met.
+	// renewedProofs are as new as the epoch, whatever their age when it was met.
 	renewedProofs
-	// anyClock compares the proofs of peers with the store's clock of another era.
+	// anyClock compares the proofs of peers with the store's clock of another epoch.
 	anyClock
 )
 
@@ -69,8 +69,8 @@
 	rate            int64
 	// reader is the node through which this one follows the store; storeIndex for none.
 	reader int
-	// era is the latest one of the store's answers.
-	era int64
+	// epoch is the latest one of the store's answers.
+	epoch int64
 	// knowsCopyOnly reports that the store lacked what the operator had written in its first answer.
 	knowsCopyOnly bool
 
@@ -89,10 +89,10 @@
 	began  time.Time
 	nodes  []*node
 
-	row     messenger.StoreRow
-	version int64
-	waiting []func()
-	drills  drills
+	row      messenger.StoreRow
+	version  int64
+	waiting  []func()
+	restores restores
 	// keys are those of the operator's last manifest, and spans are when they were in it.
 	manifest int64
 	keys     map[string]bool
@@ -114,7 +114,7 @@
 	began := time.Unix(1000, 0)
 	w := &world{
 		Scheduler: scheduler.New(began), random: rand.New(rand.NewPCG(seed, 11)), plant: p, began: began,
-		keys: map[string]bool{}, spans: spans{}, cut: map[[2]int]bool{}, drills: newDrills(),
+		keys: map[string]bool{}, spans: spans{}, cut: map[[2]int]bool{}, restores: newRestores(),
 	}
 	w.changeKeys()
 	for range 2 + w.random.IntN(maxNodes-2) {
@@ -134,7 +134,7 @@
 // changeKeys commits a manifest with other keys.
 func (w *world) changeKeys() {
 	if w.lacksLast() {
-		w.drills.lackedAt = w.Now()
+		w.restores.lackedAt = w.Now()
 	}
 	for number := range keyCount {
 		w.keys[keyName(number)] = w.random.IntN(2) == 0
@@ -151,8 +151,8 @@
 		panic(err)
 	}
 	w.version++
-	w.row = messenger.StoreRow{Key: rowKey, Era: w.drills.era, Version: w.version, Value: value}
-	w.drills.commits = append(w.drills.commits, commit{at: w.Now(), row: w.row})
+	w.row = messenger.StoreRow{Key: rowKey, Epoch: w.restores.epoch, Version: w.version, Value: value}
+	w.restores.commits = append(w.restores.commits, commit{at: w.Now(), row: w.row})
 	w.answerWaiting()
 }
 
@@ -168,13 +168,13 @@
 	if w.isCalm {
 		return
 	}
-	if !w.drills.isAway {
+	if !w.restores.isAway {
 		w.changeKeys()
 	}
 	w.After(w.delay(8*time.Second), w.changeRegularly)
 }
 
-func (w *world) storeTime() int64 { return w.drills.clockBase + w.Now().Sub(w.began).Milliseconds() }
+func (w *world) storeTime() int64 { return w.restores.clockBase + w.Now().Sub(w.began).Milliseconds() }
 
 // local returns the time of the local clock of a node.
 func (w *world) local(n *node) time.Time {
@@ -199,7 +199,7 @@
 // start starts a node, which knows nothing, on a machine that may have been started anew.
 func (w *world) start(n *node) {
 	n.incarnation++
-	n.era, n.knowsCopyOnly = 0, false
+	n.epoch, n.knowsCopyOnly = 0, false
 	n.base, n.rate, n.suspended = w.delay(time.Hour), w.random.Int64N(2*maxClockError)-maxClockError, 0
 	n.reader = storeIndex
 	if n.index > 0 && w.random.IntN(2) == 0 {
@@ -244,7 +244,7 @@
 	return &registrar.Manifest{Version: in.Version, Accounts: map[string]*registrar.Account{"a": account}}
 }
 
-// resolve is what the supervisor does with the manifest of a later era.
+// resolve is what the supervisor does with the manifest of a later epoch.
 func resolve(known messenger.StoreRow, isKnown bool, next messenger.StoreRow) (messenger.StoreRow, bool) {
 	if isKnown && decode(next).Version < decode(known).Version {
 		next.Value = known.Value
@@ -255,7 +255,7 @@
 // proofOf returns the proof that a node passes on.
 func (w *world) proofOf(n *node) messenger.GatewayProof {
 	proof := n.confirmer.Proof()
-	return messenger.GatewayProof{RowEra: proof.Version.Era, RowVersion: proof.Version.Number, StoreMilliseconds: proof.StoreMilliseconds}
+	return messenger.GatewayProof{RowEpoch: proof.Version.Epoch, RowVersion: proof.Version.Number, StoreMilliseconds: proof.StoreMilliseconds}
 }
 
 // receiveProof is what the supervisor does with the proof that comes with rows.
@@ -264,7 +264,7 @@
 		proof.StoreMilliseconds = w.latest(n)
 	}
 	if proof.RowVersion == 0 {
-		n.confirmer.Confirm(proof.RowEra, proof.StoreMilliseconds, w.latest(n))
+		n.confirmer.Confirm(proof.RowEpoch, proof.StoreMilliseconds, w.latest(n))
 		return
 	}
 	w.receive(n, proof)
@@ -276,7 +276,7 @@
 		proof.RowVersion = min(proof.RowVersion, max(n.confirmer.Proof().Version.Number, 1))
 	}
 	if w.plant == anyClock {
-		proof.RowEra, proof.RowVersion = n.era, min(proof.RowVersion, n.confirmer.Applied().Number)
+		proof.RowEpoch, proof.RowVersion = n.epoch, min(proof.RowVersion, n.confirmer.Applied().Number)
 	}
 	return n.confirmer.Receive(confirmer.Proof{Version: proof.StoreVersion(), StoreMilliseconds: proof.StoreMilliseconds}, w.latest(n))
 }
@@ -362,16 +362,16 @@
 func (w *world) callStore(n *node, wait time.Duration, end func()) {
 	sent, after, deliver := w.local(n), n.follower.Version(), toCaller(n)
 	w.message(n.index, storeIndex, func() {
-		era := w.drills.era
-		hasAnswered := w.drills.isAway
+		epoch := w.restores.epoch
+		hasAnswered := w.restores.isAway
 		answer := func() {
-			if hasAnswered || w.drills.isAway || era != w.drills.era {
+			if hasAnswered || w.restores.isAway || epoch != w.restores.epoch {
 				return
 			}
 			hasAnswered = true
 			deliver(func() { w.answerFromStore(n, sent, after, end) })
 		}
-		if after.Era != era || after.IsBefore(w.row.StoreVersion()) {
+		if after.Epoch != epoch || after.IsBefore(w.row.StoreVersion()) {
 			answer()
 			return
 		}
@@ -381,36 +381,36 @@
 }
 
 func (w *world) answerFromStore(n *node, sent time.Time, after messenger.StoreVersion, end func()) {
-	row, now, version := w.row, w.storeTime(), messenger.StoreVersion{Era: w.drills.era, Number: w.version}
+	row, now, version := w.row, w.storeTime(), messenger.StoreVersion{Epoch: w.restores.epoch, Number: w.version}
 	lacksLast := w.lacksLast()
 	w.message(storeIndex, n.index, func() {
 		defer end()
-		if version.Era < n.era {
+		if version.Epoch < n.epoch {
 			return
 		}
-		n.knowsCopyOnly = n.knowsCopyOnly || (n.era == 0 && lacksLast)
-		w.meetEra(n, version.Era)
+		n.knowsCopyOnly = n.knowsCopyOnly || (n.epoch == 0 && lacksLast)
+		w.meetEpoch(n, version.Epoch)
 		n.clock.Record(now, sent, w.local(n))
 		rows := []messenger.StoreRow{}
 		if row.Version > 0 {
 			rows = append(rows, row)
 		}
-		proof := messenger.GatewayProof{RowEra: version.Era, StoreMilliseconds: now}
-		if after.Era != version.Era || after.Number > version.Number {
-			n.follower.Adopt(messenger.TableSnapshot{Era: version.Era, Version: version.Number, Rows: rows, Proof: proof})
+		proof := messenger.GatewayProof{RowEpoch: version.Epoch, StoreMilliseconds: now}
+		if after.Epoch != version.Epoch || after.Number > version.Number {
+			n.follower.Adopt(messenger.TableSnapshot{Epoch: version.Epoch, Version: version.Number, Rows: rows, Proof: proof})
 			return
 		}
 		if !row.StoreVersion().IsAfter(after) {
 			rows = nil
 		}
-		w.applyChanges(n, follower.Changes{Era: version.Era, Version: version.Number, Rows: rows, Proof: proof})
+		w.applyChanges(n, follower.Changes{Epoch: version.Epoch, Version: version.Number, Rows: rows, Proof: proof})
 	})
 }
 
 // errNotRead ends a call of the follower that would read the whole table.
 var errNotRead = errors.New("table is not read")
 
-// applyChanges applies changes, unless they are of another era than the copy.
+// applyChanges applies changes, unless they are of another epoch than the copy.
 func (w *world) applyChanges(n *node, changes follower.Changes) {
 	err := n.follower.Confirm(func(string, messenger.StoreVersion, time.Duration) (follower.Changes, error) { return changes, nil },
 		func(string) (messenger.TableSnapshot, error) { return messenger.TableSnapshot{}, errNotRead })
--- a/internal/gateway/follower/apply.go
+++ b/internal/gateway/follower/apply.go
@@ -29,22 +29,22 @@
 	}
 }
 
-// applyChanges applies changes from the feed. The error is ErrOutdated for those of an earlier era, and
+// applyChanges applies changes from the feed. The error is ErrOutdated for those of an earlier epoch, and
 // ErrHistoryTruncated for those of a later one.
 func (f *Follower) applyChanges(changes Changes) error {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.mu.Lock()
 	switch {
-	case changes.Era < f.version.Era:
+	case changes.Epoch < f.version.Epoch:
 		defer f.mu.Unlock()
-		return errors.Wrapf(ErrOutdated, "%s: changes of era %d, copy of era %d", f.table, changes.Era, f.version.Era)
-	case changes.Era > f.version.Era:
+		return errors.Wrapf(ErrOutdated, "%s: changes of epoch %d, copy of epoch %d", f.table, changes.Epoch, f.version.Epoch)
+	case changes.Epoch > f.version.Epoch:
 		defer f.mu.Unlock()
-		return errors.Wrapf(ErrHistoryTruncated, "%s: changes of era %d, copy of era %d", f.table, changes.Era, f.version.Era)
+		return errors.Wrapf(ErrHistoryTruncated, "%s: changes of epoch %d, copy of epoch %d", f.table, changes.Epoch, f.version.Epoch)
 	}
 	now := f.now()
-	deferRemoval := f.mayHaveExpired(now) || now.Before(f.eraDeadline)
+	deferRemoval := f.mayHaveExpired(now) || now.Before(f.epochDeadline)
 	if changes.StoreVersion().IsBefore(f.version) {
 		changes.Rows = f.presentOf(changes.Rows)
 	}
@@ -106,7 +106,7 @@
 }
 
 // applySnapshot replaces the copy with a whole table. Rows missing from it are removed
-// at once, or after the grace period if the table is the first one of a later era, or if
+// at once, or after the grace period if the table is the first one of a later epoch, or if
 // mayReturn is set and they may have expired during an outage. The error is ErrOutdated for a
 // table that is older than the copy.
 func (f *Follower) applySnapshot(snapshot messenger.TableSnapshot, mayReturn bool) error {
@@ -117,15 +117,15 @@
 	if snapshot.StoreVersion().IsBefore(f.version) {
 		known := f.version
 		f.mu.Unlock()
-		f.log.Info("table is older than the local copy", "table", f.table, "era", snapshot.Era, "version", snapshot.Version,
-			"knownEra", known.Era, "knownVersion", known.Number)
+		f.log.Info("table is older than the local copy", "table", f.table, "epoch", snapshot.Epoch, "version", snapshot.Version,
+			"knownEpoch", known.Epoch, "knownVersion", known.Number)
 		return errors.Wrap(ErrOutdated, f.table)
 	}
-	if !f.version.IsZero() && snapshot.Era > f.version.Era {
-		f.meetEra(now, snapshot.StoreVersion())
+	if !f.version.IsZero() && snapshot.Epoch > f.version.Epoch {
+		f.meetEpoch(now, snapshot.StoreVersion())
 		snapshot.Rows = f.resolveRows(snapshot.Rows)
 	}
-	deferRemoval := (mayReturn && f.mayHaveExpired(now)) || now.Before(f.eraDeadline)
+	deferRemoval := (mayReturn && f.mayHaveExpired(now)) || now.Before(f.epochDeadline)
 	before := f.version
 	f.version = later(f.version, snapshot.StoreVersion())
 	storedRows, missingRows := splitMissing(snapshot)
@@ -147,7 +147,7 @@
 	}
 	out := []string{}
 	for key, row := range f.rows {
-		isAwaited := f.isLasting && row.Era < snapshot.Era
+		isAwaited := f.isLasting && row.Epoch < snapshot.Epoch
 		if !present[key] && !isAwaited && !row.StoreVersion().IsAfter(snapshot.StoreVersion()) {
 			out = append(out, key)
 		}
@@ -186,7 +186,7 @@
 	f.mu.Lock()
 	dropped := []string{}
 	toldAt := began.Add(-f.relayedAge) // the answer may lack what was written later
-	mayReturn := len(f.returnDeadlines) == 0 || toldAt.Before(f.eraDeadline) || !f.source.PeerHasHadStore(f.outageBegan)
+	mayReturn := len(f.returnDeadlines) == 0 || toldAt.Before(f.epochDeadline) || !f.source.PeerHasHadStore(f.outageBegan)
 	for key, deadline := range f.returnDeadlines {
 		if f.failingSince.IsZero() && (!toldAt.Before(deadline) || !mayReturn) {
 			delete(f.returnDeadlines, key)
--- a/internal/gateway/follower/era.go
+++ b/internal/gateway/follower/epoch.go
@@ -7,19 +7,19 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// EraChange describes the first answer of a later era of the store.
-type EraChange struct {
-	// Before is the newest version of the era before; zero if this is the first answer of all.
+// EpochChange describes the first answer of a later epoch of the store.
+type EpochChange struct {
+	// Before is the newest version of the epoch before; zero if this is the first answer of all.
 	Before messenger.StoreVersion
 	// After is the version in that answer.
 	After messenger.StoreVersion
-	// LatestBefore is the upper bound of the time by the store's clock of the era before, in
+	// LatestBefore is the upper bound of the time by the store's clock of the epoch before, in
 	// milliseconds, at the local time At; 0 if it is not known.
 	LatestBefore int64
 	At           time.Time
 }
 
-// WithResolver sets the function that decides, for each row in the first table of a later era, which
+// WithResolver sets the function that decides, for each row in the first table of a later epoch, which
 // row is in force: next, or one with its version and another value, since what the store came back with
 // may be older than what this instance knows. It reports false for a row that no longer exists. By
 // default next is in force.
@@ -27,32 +27,32 @@
 	return func(f *Follower) { f.resolve, f.hasResolver = resolve, true }
 }
 
-// WithLastingRows is for a table whose rows are never removed, but may be missing in a later era until
+// WithLastingRows is for a table whose rows are never removed, but may be missing in a later epoch until
 // their writer has written them again. The resolver decides on each row that is not older than the known
-// one, also in the same era: a peer's copy may have another value under the same version.
+// one, also in the same epoch: a peer's copy may have another value under the same version.
 func WithLastingRows() Option { return func(f *Follower) { f.isLasting = true } }
 
-// WithEraObserver sets the function that is called with the versions of the copy before and after it
-// was read again in a later era. It must not call the follower.
-func WithEraObserver(observe func(before, after messenger.StoreVersion)) Option {
-	return func(f *Follower) { f.observeEra = observe }
+// WithEpochObserver sets the function that is called with the versions of the copy before and after it
+// was read again in a later epoch. It must not call the follower.
+func WithEpochObserver(observe func(before, after messenger.StoreVersion)) Option {
+	return func(f *Follower) { f.observeEpoch = observe }
 }
 
 func preferNext(_ messenger.StoreRow, _ bool, next messenger.StoreRow) (messenger.StoreRow, bool) {
 	return next, true
 }
 
-// meetEra prepares for the first table of a later era: entries that it lacks may be written again, and
+// meetEpoch prepares for the first table of a later epoch: entries that it lacks may be written again, and
 // no peer can know that they were removed. The caller holds f.mu.
-func (f *Follower) meetEra(now time.Time, after messenger.StoreVersion) {
-	f.observeEra(f.version, after)
+func (f *Follower) meetEpoch(now time.Time, after messenger.StoreVersion) {
+	f.observeEpoch(f.version, after)
 	f.startGrace(now)
-	f.eraDeadline = f.returnDeadline
+	f.epochDeadline = f.returnDeadline
 	f.hasStoreSince = now
 	f.wake()
 }
 
-// resolveRows returns the rows of a later era that are in force. The caller holds f.mu.
+// resolveRows returns the rows of a later epoch that are in force. The caller holds f.mu.
 func (f *Follower) resolveRows(rows []messenger.StoreRow) []messenger.StoreRow {
 	if f.isLasting {
 		return rows // storeRows resolves them
@@ -130,7 +130,7 @@
 			version = known.StoreVersion()
 			row, _ = f.resolve(known, true, row)
 		}
-		row.Era, row.Version = version.Era, version.Number
+		row.Epoch, row.Version = version.Epoch, version.Number
 		if !isKnown || !bytes.Equal(row.Value, known.Value) {
 			changed = append(changed, row)
 			f.rows[row.Key] = row
--- a/internal/gateway/follower/era_test.go
+++ b/internal/gateway/follower/epoch_test.go
@@ -9,26 +9,26 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// inEra returns a table as an answer of an era has it.
-func inEra(era int64, table messenger.TableSnapshot) messenger.TableSnapshot {
-	table.Era = era
+// inEpoch returns a table as an answer of an epoch has it.
+func inEpoch(epoch int64, table messenger.TableSnapshot) messenger.TableSnapshot {
+	table.Epoch = epoch
 	for i := range table.Rows {
-		table.Rows[i].Era = era
+		table.Rows[i].Epoch = epoch
 	}
 	return table
 }
 
-// TestTableOfALaterEraReplacesTheCopy guards against a copy that is kept for good since its version is greater than
+// TestTableOfALaterEpochReplacesTheCopy guards against a copy that is kept for good since its version is greater than
 // those that the store gives out after it came back from a copy of its own.
-func TestTableOfALaterEraReplacesTheCopy(t *testing.T) {
+func TestTableOfALaterEpochReplacesTheCopy(t *testing.T) {
 	s, f := newTestStore()
-	s.table = inEra(5, snapshot(90, row("a", 90), row("b", 80)))
+	s.table = inEpoch(5, snapshot(90, row("a", 90), row("b", 80)))
 	f.Step()
 	s.isHistoryTruncated = true
-	s.table = inEra(6, snapshot(70, row("a", 70), row("b", 60)))
+	s.table = inEpoch(6, snapshot(70, row("a", 70), row("b", 60)))
 	f.Step()
 	assert.Equal(t, map[string]int64{"a": 70, "b": 60}, s.applied)
-	assert.Equal(t, messenger.StoreVersion{Era: 6, Number: 70}, f.Version())
+	assert.Equal(t, messenger.StoreVersion{Epoch: 6, Number: 70}, f.Version())
 }
 
 // TestOlderTableIsNotReadAgainAtOnce guards against a call to the store every few milliseconds while its versions are
@@ -46,13 +46,13 @@
 // remove for one that the store has, and keeps it for good.
 func TestMissingRowOfAPeerIsRemovedAfterTheGrace(t *testing.T) {
 	s, f := newTestStore()
-	copied := inEra(6, snapshot(70, row("b", 60)))
-	copied.Rows = append(copied.Rows, messenger.StoreRow{Key: "a", Era: 5, Version: 90})
+	copied := inEpoch(6, snapshot(70, row("b", 60)))
+	copied.Rows = append(copied.Rows, messenger.StoreRow{Key: "a", Epoch: 5, Version: 90})
 	copied.Missing = []string{"a"}
 	f.Adopt(copied)
 	assert.Equal(t, map[string]int64{"a": 90, "b": 60}, s.applied)
 	assert.Equal(t, []string{"a"}, f.Snapshot().Missing)
-	s.changes = []Changes{{Era: 6, Version: 71}, {Era: 6, Version: 72}}
+	s.changes = []Changes{{Epoch: 6, Version: 71}, {Epoch: 6, Version: 72}}
 	f.Step()
 	s.now = s.now.Add(returnGracePeriod)
 	f.Step()
@@ -64,21 +64,21 @@
 	})
 }
 
-// TestSecondChangeOfEraBeginsTheGraceAnew guards against entries that vanish since the grace of the first of two changes
-// of era ends, although the store is just back from the second.
-func TestSecondChangeOfEraBeginsTheGraceAnew(t *testing.T) {
+// TestSecondChangeOfEpochBeginsTheGraceAnew guards against entries that vanish since the grace of the first of two changes
+// of epoch ends, although the store is just back from the second.
+func TestSecondChangeOfEpochBeginsTheGraceAnew(t *testing.T) {
 	s, f := newTestStore()
-	meet := func(era int64) {
-		s.table, s.isHistoryTruncated = inEra(era, snapshot(70, row("b", 60))), true
+	meet := func(epoch int64) {
+		s.table, s.isHistoryTruncated = inEpoch(epoch, snapshot(70, row("b", 60))), true
 		f.Step()
 	}
-	s.table = inEra(5, snapshot(90, row("a", 90), row("b", 60)))
+	s.table = inEpoch(5, snapshot(90, row("a", 90), row("b", 60)))
 	f.Step()
 	meet(6)
 	s.now = s.now.Add(returnGracePeriod / 2)
 	meet(7)
 	s.now = s.now.Add(returnGracePeriod - time.Millisecond)
-	s.changes = []Changes{{Era: 7, Version: 71}, {Era: 7, Version: 72}}
+	s.changes = []Changes{{Epoch: 7, Version: 71}, {Epoch: 7, Version: 72}}
 	f.Step()
 	assert.Contains(t, s.applied, "a")
 	s.now = s.now.Add(time.Millisecond)
@@ -86,16 +86,16 @@
 	assert.NotContains(t, s.applied, "a")
 }
 
-// TestOutageWithinTheGraceOfAnEraBeginsAGrace guards against entries that expired in an outage, and vanish at its end
-// since it was met within the grace of a change of era.
-func TestOutageWithinTheGraceOfAnEraBeginsAGrace(t *testing.T) {
+// TestOutageWithinTheGraceOfAnEpochBeginsAGrace guards against entries that expired in an outage, and vanish at its end
+// since it was met within the grace of a change of epoch.
+func TestOutageWithinTheGraceOfAnEpochBeginsAGrace(t *testing.T) {
 	s, f := newTestStore()
-	s.table = inEra(5, snapshot(90, row("a", 90), row("b", 60)))
+	s.table = inEpoch(5, snapshot(90, row("a", 90), row("b", 60)))
 	f.Step()
-	s.table, s.isHistoryTruncated = inEra(6, snapshot(70, row("a", 65), row("b", 60))), true
+	s.table, s.isHistoryTruncated = inEpoch(6, snapshot(70, row("a", 65), row("b", 60))), true
 	f.Step()
 	s.outage(f, returnGracePeriod-minRetryInterval)
-	s.changes = []Changes{{Era: 6, Version: 80, Removed: []string{"a"}}, {Era: 6, Version: 81}, {Era: 6, Version: 82}}
+	s.changes = []Changes{{Epoch: 6, Version: 80, Removed: []string{"a"}}, {Epoch: 6, Version: 81}, {Epoch: 6, Version: 82}}
 	f.Step()
 	s.now = s.now.Add(returnGracePeriod - time.Millisecond)
 	f.Step()
@@ -110,16 +110,16 @@
 func TestLastingRowIsKeptUntilItIsWrittenAgain(t *testing.T) {
 	s, f := newTestStore()
 	WithLastingRows()(f)
-	s.table = inEra(5, snapshot(90, row("a", 90)))
+	s.table = inEpoch(5, snapshot(90, row("a", 90)))
 	f.Step()
 	for version := range int64(3) {
-		s.table, s.isHistoryTruncated = inEra(6, snapshot(70+version)), true
+		s.table, s.isHistoryTruncated = inEpoch(6, snapshot(70+version)), true
 		f.Step()
 		f.Adopt(s.table)
 		s.now = s.now.Add(returnGracePeriod)
 	}
 	assert.Contains(t, s.applied, "a")
-	s.changes = []Changes{{Era: 6, Version: 80, Rows: inEra(6, snapshot(80, row("a", 80))).Rows}}
+	s.changes = []Changes{{Epoch: 6, Version: 80, Rows: inEpoch(6, snapshot(80, row("a", 80))).Rows}}
 	f.Step()
 	assert.Equal(t, map[string]int64{"a": 80}, s.applied)
 }
@@ -128,11 +128,11 @@
 // that cannot be had and for a table that is known.
 func TestTruncatedHistoryWithoutANewerTableIsAFailedStep(t *testing.T) {
 	s, f := newTestStore()
-	s.table = inEra(6, snapshot(70, row("a", 70)))
+	s.table = inEpoch(6, snapshot(70, row("a", 70)))
 	f.Step()
 	s.isHistoryTruncated = true
 	assert.False(t, f.Step())
-	s.table, s.isHistoryTruncated = inEra(6, snapshot(71, row("a", 70))), true
+	s.table, s.isHistoryTruncated = inEpoch(6, snapshot(71, row("a", 70))), true
 	assert.True(t, f.Step())
 }
 
@@ -140,7 +140,7 @@
 // table through it read it again and again.
 func TestCopyThatWasNotReadYetHasNoHistory(t *testing.T) {
 	_, f := newTestStore()
-	_, err := f.Since(t.Context(), messenger.StoreVersion{Era: 6, Number: 70})
+	_, err := f.Since(t.Context(), messenger.StoreVersion{Epoch: 6, Number: 70})
 	assert.ErrorIs(t, err, ErrOutdated)
 	assert.NotErrorIs(t, err, ErrHistoryTruncated)
 }
@@ -156,14 +156,14 @@
 		err            error
 	}{
 		"a call that fails":               {during: most, err: errUnavailable},
-		"an answer that has waited":       {during: most, changes: Changes{Era: 6, Version: 71}},
-		"an old copy of another instance": {before: most, changes: Changes{Era: 6, Version: 71, Age: time.Second}},
+		"an answer that has waited":       {during: most, changes: Changes{Epoch: 6, Version: 71}},
+		"an old copy of another instance": {before: most, changes: Changes{Epoch: 6, Version: 71, Age: time.Second}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, f := newTestStore()
-			s.table = inEra(5, snapshot(90, row("a", 90)))
+			s.table = inEpoch(5, snapshot(90, row("a", 90)))
 			f.Step()
-			s.table, s.isHistoryTruncated = inEra(6, snapshot(70)), true
+			s.table, s.isHistoryTruncated = inEpoch(6, snapshot(70)), true
 			f.Step()
 			s.now = s.now.Add(c.before)
 			f.source.Follow = func(string, messenger.StoreVersion, time.Duration) (Changes, error) {
@@ -174,7 +174,7 @@
 			assert.Contains(t, s.applied, "a")
 			assert.LessOrEqual(t, f.untilNextReturnDeadline(), peerCheckInterval)
 			f.source.Follow = s.follow
-			s.changes = []Changes{{Era: 6, Version: 72}, {Era: 6, Version: 73}}
+			s.changes = []Changes{{Epoch: 6, Version: 72}, {Epoch: 6, Version: 73}}
 			f.Step()
 			f.Step()
 			assert.NotContains(t, s.applied, "a")
@@ -182,27 +182,27 @@
 	}
 }
 
-// TestVersionOfALaterEraThanTheCopy guards against changes of an earlier era for an instance that has met a later one.
-func TestVersionOfALaterEraThanTheCopy(t *testing.T) {
+// TestVersionOfALaterEpochThanTheCopy guards against changes of an earlier epoch for an instance that has met a later one.
+func TestVersionOfALaterEpochThanTheCopy(t *testing.T) {
 	s, f := newTestStore()
-	s.table = inEra(5, snapshot(90, row("a", 90)))
+	s.table = inEpoch(5, snapshot(90, row("a", 90)))
 	f.Step()
-	_, err := f.Since(t.Context(), messenger.StoreVersion{Era: 6, Number: 70})
+	_, err := f.Since(t.Context(), messenger.StoreVersion{Epoch: 6, Number: 70})
 	assert.ErrorIs(t, err, ErrOutdated)
 }
 
-// TestPeerOfAnEarlierEraKnowsNoRemovals guards against entries that vanish since a peer has had the store without an
+// TestPeerOfAnEarlierEpochKnowsNoRemovals guards against entries that vanish since a peer has had the store without an
 // outage: what the store came back without, nobody has removed.
-func TestPeerOfAnEarlierEraKnowsNoRemovals(t *testing.T) {
+func TestPeerOfAnEarlierEpochKnowsNoRemovals(t *testing.T) {
 	s, f := newTestStore()
-	s.table = inEra(5, snapshot(90, row("a", 90)))
+	s.table = inEpoch(5, snapshot(90, row("a", 90)))
 	f.Step()
 	s.now = s.now.Add(time.Second)
 	s.outage(f, time.Second)
 	s.peerHasStoreSince = s.now.Add(-time.Hour)
-	s.table, s.isHistoryTruncated = inEra(6, snapshot(70)), true
+	s.table, s.isHistoryTruncated = inEpoch(6, snapshot(70)), true
 	f.Step()
-	s.changes = []Changes{{Era: 6, Version: 71}, {Era: 6, Version: 72}}
+	s.changes = []Changes{{Epoch: 6, Version: 71}, {Epoch: 6, Version: 72}}
 	s.now = s.now.Add(returnGracePeriod - time.Millisecond)
 	f.Step()
 	assert.Contains(t, s.applied, "a")
@@ -228,10 +228,10 @@
 		s, f := newTestStore()
 		WithLastingRows()(f)
 		WithResolver(preferLonger)(f)
-		s.table = inEra(5, snapshot(90, value(90, "later")))
+		s.table = inEpoch(5, snapshot(90, value(90, "later")))
 		f.Step()
 		s.isHistoryTruncated = true
-		s.table = inEra(6, snapshot(70, value(70, "old")))
+		s.table = inEpoch(6, snapshot(70, value(70, "old")))
 		f.Step()
 		return s, f
 	}
@@ -239,33 +239,33 @@
 	t.Run("over the store's copy, under its version", func(t *testing.T) {
 		_, f := newFollower()
 		assert.Equal(t, "later", inForce(f))
-		assert.Equal(t, messenger.StoreVersion{Era: 6, Number: 70}, f.Snapshot().Rows[0].StoreVersion())
+		assert.Equal(t, messenger.StoreVersion{Epoch: 6, Number: 70}, f.Snapshot().Rows[0].StoreVersion())
 	})
 	t.Run("over a later change with an earlier value", func(t *testing.T) {
 		s, f := newFollower()
-		s.changes = []Changes{{Era: 6, Version: 71, Rows: inEra(6, snapshot(71, value(71, "mid"))).Rows}}
+		s.changes = []Changes{{Epoch: 6, Version: 71, Rows: inEpoch(6, snapshot(71, value(71, "mid"))).Rows}}
 		f.Step()
 		assert.Equal(t, "later", inForce(f))
 	})
 	t.Run("from a peer's copy, whatever its version", func(t *testing.T) {
 		for _, copied := range []messenger.TableSnapshot{
-			inEra(6, snapshot(70, value(70, "much later"))), inEra(6, snapshot(60, value(60, "much later"))), inEra(5, snapshot(95, value(95, "much later"))),
+			inEpoch(6, snapshot(70, value(70, "much later"))), inEpoch(6, snapshot(60, value(60, "much later"))), inEpoch(5, snapshot(95, value(95, "much later"))),
 		} {
 			_, f := newFollower()
 			f.Adopt(copied)
 			assert.Equal(t, "much later", inForce(f))
-			assert.Equal(t, messenger.StoreVersion{Era: 6, Number: 70}, f.Snapshot().Rows[0].StoreVersion())
+			assert.Equal(t, messenger.StoreVersion{Epoch: 6, Number: 70}, f.Snapshot().Rows[0].StoreVersion())
 		}
 	})
 	t.Run("not from a peer's copy that is earlier", func(t *testing.T) {
 		_, f := newFollower()
-		f.Adopt(inEra(6, snapshot(70, value(70, "old"))))
+		f.Adopt(inEpoch(6, snapshot(70, value(70, "old"))))
 		assert.Equal(t, "later", inForce(f))
 	})
 }
 
 // TestFirstCallAfterAFailureDoesNotWait guards against a table that is read again only once a call for changes ends
-// that the store holds open, since its number is of the era before.
+// that the store holds open, since its number is of the epoch before.
 func TestFirstCallAfterAFailureDoesNotWait(t *testing.T) {
 	s, f := newTestStore()
 	waits := []time.Duration{}
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -48,8 +48,8 @@
 
 // Changes are the rows of a table that changed up to a version.
 type Changes struct {
-	// Era is the era of the store in which Version was given out; 0 if the store names none.
-	Era     int64
+	// Epoch is the epoch of the store in which Version was given out; 0 if the store names none.
+	Epoch   int64
 	Version int64
 	Rows    []messenger.StoreRow
 	Removed []string
@@ -65,7 +65,7 @@
 
 // StoreVersion returns the version up to which the changes go.
 func (c Changes) StoreVersion() messenger.StoreVersion {
-	return messenger.StoreVersion{Era: c.Era, Number: c.Version}
+	return messenger.StoreVersion{Epoch: c.Epoch, Number: c.Version}
 }
 
 // later returns the later one of two versions.
@@ -99,14 +99,14 @@
 	now   func() time.Time
 	log   logr.Logger
 	apply func(rows []messenger.StoreRow, removed []string)
-	// resolve decides between a known row and one of a later era; see WithResolver.
+	// resolve decides between a known row and one of a later epoch; see WithResolver.
 	resolve func(known messenger.StoreRow, isKnown bool, next messenger.StoreRow) (messenger.StoreRow, bool)
 	// hasResolver reports that resolve compares values, and not only versions.
 	hasResolver bool
 	// isLasting keeps rows that are missing since the store came back from a copy; see WithLastingRows.
 	isLasting bool
-	// observeEra is called with the versions of the copy before and after it meets a later era.
-	observeEra func(before, after messenger.StoreVersion)
+	// observeEpoch is called with the versions of the copy before and after it meets a later epoch.
+	observeEpoch func(before, after messenger.StoreVersion)
 	// isReadable reports whether a row can be decoded, proof returns the proof to pass on, and receiveProof is called with each that arrives.
 	isReadable   func(messenger.StoreRow) bool
 	proof        func() messenger.GatewayProof
@@ -139,8 +139,8 @@
 	// returned. It is the same for those that are missing since the store came back from a copy;
 	// mayHaveExpired says nothing about these.
 	returnDeadline time.Time
-	// eraDeadline is until when entries may be missing since the last change of era.
-	eraDeadline time.Time
+	// epochDeadline is until when entries may be missing since the last change of epoch.
+	epochDeadline time.Time
 	// outageBegan is when the store last answered before that outage.
 	outageBegan time.Time
 	// hasStoreSince is since when there was no outage of the store; zero before its first answer.
@@ -172,7 +172,7 @@
 	f := &Follower{
 		table: table, source: source, wait: maxFeedWait, minInterval: noMinInterval, now: time.Now, apply: apply, log: logr.Discard(),
 		rows: map[string]messenger.StoreRow{}, removed: map[string]messenger.StoreVersion{}, changed: make(chan struct{}), returnDeadlines: map[string]time.Time{},
-		isReadable: func(messenger.StoreRow) bool { return true }, resolve: preferNext, observeEra: func(_, _ messenger.StoreVersion) {},
+		isReadable: func(messenger.StoreRow) bool { return true }, resolve: preferNext, observeEpoch: func(_, _ messenger.StoreVersion) {},
 		proof: func() messenger.GatewayProof { return messenger.GatewayProof{} }, receiveProof: func(messenger.GatewayProof) {},
 	}
 	for _, option := range options {
@@ -237,14 +237,14 @@
 	}
 	wait := min(f.wait, f.untilNextReturnDeadline())
 	if f.hasFailed() {
-		wait = 0 // the store may be in a later era, in which it holds a call after a number that it has not reached
+		wait = 0 // the store may be in a later epoch, in which it holds a call after a number that it has not reached
 	}
 	changes, err := f.source.Follow(f.table, version, wait)
 	if err == nil {
 		err = f.applyChanges(changes)
 	}
 	if errors.Is(err, ErrHistoryTruncated) {
-		f.log.Info("history of table is truncated", "table", f.table, "era", version.Era, "version", version.Number)
+		f.log.Info("history of table is truncated", "table", f.table, "epoch", version.Epoch, "version", version.Number)
 		return f.reloadAfter(version)
 	}
 	if err != nil {
@@ -328,7 +328,7 @@
 	defer f.mu.Unlock()
 	out := messenger.TableSnapshot{
 		Proof: f.proof(), // before the rows, which are then at least as new
-		Era:   f.version.Era, Version: f.version.Number, Rows: make([]messenger.StoreRow, 0, len(f.rows)), AgeMilliseconds: f.now().Sub(f.answeredAt).Milliseconds(),
+		Epoch: f.version.Epoch, Version: f.version.Number, Rows: make([]messenger.StoreRow, 0, len(f.rows)), AgeMilliseconds: f.now().Sub(f.answeredAt).Milliseconds(),
 	}
 	for _, row := range f.rows {
 		out.Rows = append(out.Rows, row)
@@ -400,7 +400,7 @@
 	if !ok {
 		return
 	}
-	f.log.Info("table taken from a peer", "table", f.table, "era", snapshot.Era, "version", snapshot.Version)
+	f.log.Info("table taken from a peer", "table", f.table, "epoch", snapshot.Epoch, "version", snapshot.Version)
 	// No grace period: a peer that saw the outage still has the rows that may return. Rows
 	// that a peer has removed are removed here too, even if only this instance cannot reach
 	// the store.
--- a/internal/gateway/follower/history_test.go
+++ b/internal/gateway/follower/history_test.go
@@ -100,7 +100,7 @@
 func (w *world) settle() {
 	w.play(historyLength)
 	w.isCalm = true
-	w.play(maxLastingRewriteDelay) // the last drill may be under way
+	w.play(maxLastingRewriteDelay) // the last restore may be under way
 	w.heal()
 	w.play(settleTime)
 	for _, n := range w.nodes {
@@ -125,18 +125,18 @@
 	}
 }
 
-// TestCopiesFollowTheStoreAcrossEras guards against copies that go back, lose entries which are written again within the
+// TestCopiesFollowTheStoreAcrossEpochs guards against copies that go back, lose entries which are written again within the
 // grace, keep those that are not, call without a pause, or never equal the store's table again.
-func TestCopiesFollowTheStoreAcrossEras(t *testing.T) {
-	drills, adopted := 0, 0
+func TestCopiesFollowTheStoreAcrossEpochs(t *testing.T) {
+	restores, adopted := 0, 0
 	for seed := range uint64(*histories) {
 		w := newWorld(seed, noPlant)
 		w.settle()
 		require.Empty(t, w.violation, "seed %d", seed)
-		drills, adopted = drills+w.drills, adopted+w.adopted
+		restores, adopted = restores+w.restores, adopted+w.adopted
 	}
-	t.Logf("%d histories: %d changes of era, %d copies with rows that may return", *histories, drills, adopted)
-	assert.Greater(t, drills, *histories, "the histories show nothing without drills")
+	t.Logf("%d histories: %d changes of epoch, %d copies with rows that may return", *histories, restores, adopted)
+	assert.Greater(t, restores, *histories, "the histories show nothing without restores")
 	assert.Positive(t, adopted)
 }
 
@@ -144,8 +144,8 @@
 func TestHistoriesFindPlantedFaults(t *testing.T) {
 	const maxSeeds = 300
 	for name, p := range map[string]plant{
-		"numbers without eras": bareNumbers, "answers of an earlier era": staleAnswers, "missing rows taken for rows of the store": ignoredMissing,
-		"no grace in a later era": noGrace, "no pause after an older table": noPause,
+		"numbers without epochs": bareNumbers, "answers of an earlier epoch": staleAnswers, "missing rows taken for rows of the store": ignoredMissing,
+		"no grace in a later epoch": noGrace, "no pause after an older table": noPause,
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(maxSeeds) {
--- a/internal/gateway/follower/history_world_test.go
+++ b/internal/gateway/follower/history_world_test.go
@@ -47,13 +47,13 @@
 
 const (
 	noPlant plant = iota
-	// bareNumbers have no eras.
+	// bareNumbers have no epochs.
 	bareNumbers
-	// staleAnswers of an earlier era are taken for those of the era of the copy.
+	// staleAnswers of an earlier epoch are taken for those of the epoch of the copy.
 	staleAnswers
 	// ignoredMissing takes the rows that a peer is about to remove for rows of the store.
 	ignoredMissing
-	// noGrace removes what the first table of a later era lacks at once.
+	// noGrace removes what the first table of a later epoch lacks at once.
 	noGrace
 	// noPause goes on at once after a failed step.
 	noPause
@@ -97,8 +97,8 @@
 	readers     []int
 	peers       map[int]status
 	follower    *Follower
-	// era is the latest one that the store itself has named.
-	era int64
+	// epoch is the latest one that the store itself has named.
+	epoch int64
 	// view is what has been applied, and removedAt the version of the copy at which a row was removed.
 	view      map[string]messenger.StoreRow
 	removedAt map[string]messenger.StoreVersion
@@ -151,9 +151,9 @@
 	began     time.Time
 	nodes     []*node
 
-	era, number int64
-	rows        map[string]change
-	log         []change
+	epoch, number int64
+	rows          map[string]change
+	log           []change
 	// historyStart is the number after which the store knows the changes.
 	historyStart int64
 	isAway       bool
@@ -169,15 +169,15 @@
 	// isCalm ends the disturbances and the changes.
 	isCalm bool
 
-	drills, adopted int
-	violation       string
+	restores, adopted int
+	violation         string
 }
 
 func newWorld(seed uint64, p plant) *world {
 	began := time.Unix(1000, 0)
 	w := &world{
 		Scheduler: scheduler.New(began), random: rand.New(rand.NewPCG(seed, 57)), plant: p, began: began, isLasting: seed%4 == 3,
-		era: 1 + int64(seed%3), number: 100, rows: map[string]change{}, written: map[entry]string{}, cut: map[[2]int]bool{},
+		epoch: 1 + int64(seed%3), number: 100, rows: map[string]change{}, written: map[entry]string{}, cut: map[[2]int]bool{},
 	}
 	w.historyStart = w.number
 	for i := range writerCount {
@@ -190,7 +190,7 @@
 	}
 	w.After(w.delay(time.Second), w.changeRegularly)
 	w.After(w.delay(3*time.Second), w.disturb)
-	w.After(time.Second+w.delay(9*time.Second), w.drill)
+	w.After(time.Second+w.delay(9*time.Second), w.restore)
 	return w
 }
 
@@ -219,7 +219,7 @@
 		return
 	}
 	w.rows[c.key] = c
-	w.written[entry{messenger.StoreVersion{Era: w.era, Number: c.number}, c.key}] = string(c.value)
+	w.written[entry{messenger.StoreVersion{Epoch: w.epoch, Number: c.number}, c.key}] = string(c.value)
 }
 
 func (w *world) wakeStore() {
@@ -258,8 +258,8 @@
 	w.After(w.delay(1200*time.Millisecond), w.changeRegularly)
 }
 
-// drill has the store away for a moment and come back, mostly from a copy. Another drill may follow soon.
-func (w *world) drill() {
+// restore has the store away for a moment and come back, mostly from a copy. Another restore may follow soon.
+func (w *world) restore() {
 	if w.isCalm || w.isAway {
 		return
 	}
@@ -279,13 +279,13 @@
 	if w.random.IntN(3) == 0 {
 		next = 1600*time.Millisecond + w.delay(2*time.Second)
 	}
-	w.After(next, w.drill)
+	w.After(next, w.restore)
 }
 
-// comeBack has the store come back from a copy in a later era.
+// comeBack has the store come back from a copy in a later epoch.
 func (w *world) comeBack(copiedAt time.Time) {
-	w.drills++
-	w.era++
+	w.restores++
+	w.epoch++
 	log := w.log
 	w.log, w.rows, w.number = nil, map[string]change{}, 100
 	for _, c := range log {
@@ -313,12 +313,12 @@
 		x.isAlive = false // nobody writes it again
 		return
 	}
-	most, era := maxRewriteDelay, w.era
+	most, epoch := maxRewriteDelay, w.epoch
 	if w.isLasting {
 		most = maxLastingRewriteDelay
 	}
 	w.After(w.delay(most), func() {
-		if w.era == era {
+		if w.epoch == epoch {
 			w.writeAgain(x)
 		}
 	})
@@ -357,7 +357,7 @@
 func (w *world) start(n *node) {
 	w.stop(n)
 	n.incarnation++
-	n.era, n.version, n.steps, n.waiting = 0, messenger.StoreVersion{}, nil, nil
+	n.epoch, n.version, n.steps, n.waiting = 0, messenger.StoreVersion{}, nil, nil
 	n.peers, n.view, n.removedAt = map[int]status{}, map[string]messenger.StoreRow{}, map[string]messenger.StoreVersion{}
 	n.readers = nil
 	if n.index >= readerCount && w.random.IntN(3) > 0 {
@@ -676,10 +676,10 @@
 	}
 }
 
-// hasEra records the era of an answer of the store, and reports whether it is not an earlier one.
-func (w *world) hasEra(n *node, era int64) bool {
-	isCurrent := era >= n.era || w.plant == staleAnswers
-	n.era = max(n.era, era)
+// hasEpoch records the epoch of an answer of the store, and reports whether it is not an earlier one.
+func (w *world) hasEpoch(n *node, epoch int64) bool {
+	isCurrent := epoch >= n.epoch || w.plant == staleAnswers
+	n.epoch = max(n.epoch, epoch)
 	return isCurrent
 }
 
@@ -690,51 +690,51 @@
 			answer(w.table())
 		}
 	})
-	if !ok || !w.hasEra(t.node, out.Era) {
+	if !ok || !w.hasEpoch(t.node, out.Epoch) {
 		return messenger.TableSnapshot{}, errUnavailable
 	}
-	if version := t.node.follower.Version(); w.plant == staleAnswers && out.Era < version.Era {
-		out.Version, out.Rows = max(out.Version, version.Number), inEra(version.Era, out).Rows
-		out.Era = version.Era
+	if version := t.node.follower.Version(); w.plant == staleAnswers && out.Epoch < version.Epoch {
+		out.Version, out.Rows = max(out.Version, version.Number), inEpoch(version.Epoch, out).Rows
+		out.Epoch = version.Epoch
 	}
 	return out, nil
 }
 
 // table returns the table of the store.
 func (w *world) table() messenger.TableSnapshot {
-	out := messenger.TableSnapshot{Era: w.storeEra(), Version: w.number}
+	out := messenger.TableSnapshot{Epoch: w.storeEpoch(), Version: w.number}
 	for _, key := range slices.Sorted(maps.Keys(w.rows)) {
 		out.Rows = append(out.Rows, w.row(w.rows[key]))
 	}
 	return out
 }
 
-func (w *world) storeEra() int64 {
+func (w *world) storeEpoch() int64 {
 	if w.plant == bareNumbers {
 		return 0
 	}
-	return w.era
+	return w.epoch
 }
 
 func (w *world) row(c change) messenger.StoreRow {
-	return messenger.StoreRow{Key: c.key, Era: w.storeEra(), Version: c.number, Value: c.value}
+	return messenger.StoreRow{Key: c.key, Epoch: w.storeEpoch(), Version: c.number, Value: c.value}
 }
 
 // followStore is what the client of the store does for changes.
 func (w *world) followStore(t *task, after messenger.StoreVersion, wait time.Duration) (Changes, error) {
-	if after.Era < t.node.era && w.plant != staleAnswers {
+	if after.Epoch < t.node.epoch && w.plant != staleAnswers {
 		return Changes{}, ErrHistoryTruncated
 	}
 	out, ok := call(t, storeIndex, wait+feedTimeoutMargin, func(deliver func(answer)) { w.answerFeed(after.Number, w.Now().Add(wait), deliver) })
-	if !ok || errors.Is(out.err, errUnavailable) || !w.hasEra(t.node, out.changes.Era) {
+	if !ok || errors.Is(out.err, errUnavailable) || !w.hasEpoch(t.node, out.changes.Epoch) {
 		return Changes{}, errUnavailable
 	}
 	if w.plant == staleAnswers && out.err == nil {
-		era := t.node.follower.Version().Era
-		out.changes.Era, out.changes.Rows = era, inEra(era, messenger.TableSnapshot{Rows: out.changes.Rows}).Rows
+		epoch := t.node.follower.Version().Epoch
+		out.changes.Epoch, out.changes.Rows = epoch, inEpoch(epoch, messenger.TableSnapshot{Rows: out.changes.Rows}).Rows
 		return out.changes, nil
 	}
-	if out.err != nil || out.changes.Era != after.Era {
+	if out.err != nil || out.changes.Epoch != after.Epoch {
 		return Changes{}, ErrHistoryTruncated
 	}
 	return out.changes, nil
@@ -765,7 +765,7 @@
 }
 
 func (w *world) changesAfter(after int64) answer {
-	out := answer{changes: Changes{Era: w.storeEra(), Version: w.number}}
+	out := answer{changes: Changes{Epoch: w.storeEpoch(), Version: w.number}}
 	switch {
 	case w.isAway:
 		out.err = errUnavailable
--- a/internal/gateway/follower/relay.go
+++ b/internal/gateway/follower/relay.go
@@ -24,7 +24,7 @@
 
 // Since returns the changes after a version, for an instance that follows the table
 // through this one. If there are none, it waits for the first one until ctx is done. The
-// error is ErrHistoryTruncated, or ErrOutdated if that version is of a later era than the copy or the
+// error is ErrHistoryTruncated, or ErrOutdated if that version is of a later epoch than the copy or the
 // table has not been read yet.
 func (f *Follower) Since(ctx context.Context, after messenger.StoreVersion) (messenger.TableChanges, error) {
 	for {
@@ -47,8 +47,8 @@
 
 // since returns the changes after a version. The caller holds f.mu.
 func (f *Follower) since(after messenger.StoreVersion) (messenger.TableChanges, error) {
-	if f.version.IsZero() || after.Era > f.version.Era {
-		return messenger.TableChanges{}, errors.Wrapf(ErrOutdated, "%s: copy of era %d", f.table, f.version.Era)
+	if f.version.IsZero() || after.Epoch > f.version.Epoch {
+		return messenger.TableChanges{}, errors.Wrapf(ErrOutdated, "%s: copy of epoch %d", f.table, f.version.Epoch)
 	}
 	if after.IsBefore(f.historyStart) {
 		return messenger.TableChanges{}, errors.Wrap(ErrHistoryTruncated, f.table)
@@ -56,7 +56,7 @@
 	version := later(f.version, after)
 	out := messenger.TableChanges{
 		Proof: f.proof(), // before the rows, which are then at least as new
-		Era:   version.Era, Version: version.Number, Rows: []messenger.StoreRow{}, Removed: []string{},
+		Epoch: version.Epoch, Version: version.Number, Rows: []messenger.StoreRow{}, Removed: []string{},
 		AgeMilliseconds: f.now().Sub(f.answeredAt).Milliseconds(),
 	}
 	for key, row := range f.rows {
@@ -75,7 +75,7 @@
 // ChangesFromPeer converts the changes that a peer relayed.
 func ChangesFromPeer(in messenger.TableChanges) Changes {
 	return Changes{
-		Era: in.Era, Version: in.Version, Rows: in.Rows, Removed: in.Removed, Age: time.Duration(in.AgeMilliseconds) * time.Millisecond,
+		Epoch: in.Epoch, Version: in.Version, Rows: in.Rows, Removed: in.Removed, Age: time.Duration(in.AgeMilliseconds) * time.Millisecond,
 		Proof: ProofFromPeer(in.Proof),
 	}
 }
--- a/internal/gateway/foreman/order_history_test.go
+++ b/internal/gateway/foreman/order_history_test.go
@@ -311,7 +311,7 @@
 }
 
 // TestNoReacquisitionOverfillsATarget guards against a holder that forgets orders when it takes the lease anew, as it
-// does after a drill of the store and after a refused token.
+// does after a restore of the store and after a refused token.
 func TestNoReacquisitionOverfillsATarget(t *testing.T) {
 	for seed := range uint64(randomHistories) {
 		isSound := true
--- a/internal/gateway/foreman/refused_fence_test.go
+++ b/internal/gateway/foreman/refused_fence_test.go
@@ -33,7 +33,7 @@
 func (s *leaseRows) get(table, key string) (messenger.Row, error) {
 	time.Sleep(storeDelay)
 	row := s.rows[key]
-	row.Table, row.Key, row.Era = table, key, 1
+	row.Table, row.Key, row.Epoch = table, key, 1
 	return row, nil
 }
 
@@ -43,7 +43,7 @@
 	versions := []messenger.StoreVersion{}
 	for _, w := range req.Writes {
 		s.rows[w.Key] = messenger.Row{Version: s.version, Value: w.Value}
-		versions = append(versions, messenger.StoreVersion{Era: 1, Number: s.version})
+		versions = append(versions, messenger.StoreVersion{Epoch: 1, Number: s.version})
 	}
 	return versions, nil
 }
--- a/internal/gateway/registrar/departed.go
+++ b/internal/gateway/registrar/departed.go
@@ -7,7 +7,7 @@
 
 const (
 	// departedTTL is how long targets that are gone are remembered, which is longer than two changes of
-	// the store's era within seconds take.
+	// the store's epoch within seconds take.
 	departedTTL = 60 * time.Second
 	// MaxDeparted bounds the targets that are remembered. The oldest are forgotten beyond it.
 	MaxDeparted = 4096
@@ -23,10 +23,10 @@
 	order []addedID
 }
 
-// departure is the last that was known of a target, in an era of the store.
+// departure is the last that was known of a target, in an epoch of the store.
 type departure struct {
 	target  *Target
-	era     int64
+	epoch   int64
 	addedAt time.Time
 }
 
@@ -38,14 +38,14 @@
 // NewDeparted returns an empty memory.
 func NewDeparted() *Departed { return &Departed{byID: map[string]departure{}} }
 
-// Add remembers that a target is gone in an era of the store.
-func (d *Departed) Add(target *Target, era int64, now time.Time) {
+// Add remembers that a target is gone in an epoch of the store.
+func (d *Departed) Add(target *Target, epoch int64, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if known, ok := d.byID[target.ID]; ok && target.IsOlderThan(known.target) {
 		return
 	}
-	d.byID[target.ID] = departure{target: target, era: era, addedAt: now}
+	d.byID[target.ID] = departure{target: target, epoch: epoch, addedAt: now}
 	d.order = append(d.order, addedID{id: target.ID, addedAt: now})
 	for len(d.order) > 0 && (len(d.order) > MaxDeparted || now.Sub(d.order[0].addedAt) >= departedTTL) {
 		if oldest := d.order[0]; d.byID[oldest.id].addedAt.Equal(oldest.addedAt) {
@@ -62,13 +62,13 @@
 	delete(d.byID, id)
 }
 
-// IsGone reports whether an entry of a later era than that in which its target went is no newer than what
+// IsGone reports whether an entry of a later epoch than that in which its target went is no newer than what
 // was known then.
-func (d *Departed) IsGone(entry *Target, era int64, now time.Time) bool {
+func (d *Departed) IsGone(entry *Target, epoch int64, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	known, ok := d.byID[entry.ID]
-	if !ok || era <= known.era || now.Sub(known.addedAt) >= departedTTL {
+	if !ok || epoch <= known.epoch || now.Sub(known.addedAt) >= departedTTL {
 		return false
 	}
 	isSame := entry.StartMilliseconds == known.target.StartMilliseconds && entry.Heartbeat == known.target.Heartbeat
--- a/internal/gateway/registrar/departed_test.go
+++ b/internal/gateway/registrar/departed_test.go
@@ -18,22 +18,22 @@
 	d.Add(&registrar.Target{ID: "t", StartMilliseconds: 5, Heartbeat: 70}, 3, now)
 	for _, c := range []struct {
 		name            string
-		era             int64
+		epoch           int64
 		born, heartbeat int64
 		after           time.Duration
 		isGone          bool
 	}{
-		{name: "the same entry", era: 4, born: 5, heartbeat: 70, isGone: true},
-		{name: "an earlier heartbeat", era: 4, born: 5, heartbeat: 60, isGone: true},
-		{name: "an earlier process", era: 4, born: 4, heartbeat: 90, isGone: true},
-		{name: "a later heartbeat", era: 4, born: 5, heartbeat: 71},
-		{name: "a later process", era: 4, born: 6, heartbeat: 1},
-		{name: "in the same era", era: 3, born: 5, heartbeat: 70},
-		{name: "long after", era: 4, born: 5, heartbeat: 70, after: time.Minute},
+		{name: "the same entry", epoch: 4, born: 5, heartbeat: 70, isGone: true},
+		{name: "an earlier heartbeat", epoch: 4, born: 5, heartbeat: 60, isGone: true},
+		{name: "an earlier process", epoch: 4, born: 4, heartbeat: 90, isGone: true},
+		{name: "a later heartbeat", epoch: 4, born: 5, heartbeat: 71},
+		{name: "a later process", epoch: 4, born: 6, heartbeat: 1},
+		{name: "in the same epoch", epoch: 3, born: 5, heartbeat: 70},
+		{name: "long after", epoch: 4, born: 5, heartbeat: 70, after: time.Minute},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			entry := &registrar.Target{ID: "t", StartMilliseconds: c.born, Heartbeat: c.heartbeat}
-			assert.Equal(t, c.isGone, d.IsGone(entry, c.era, now.Add(c.after)))
+			assert.Equal(t, c.isGone, d.IsGone(entry, c.epoch, now.Add(c.after)))
 		})
 	}
 }
--- a/internal/gateway/supervisor/accounts.go
+++ b/internal/gateway/supervisor/accounts.go
@@ -57,7 +57,7 @@
 	}
 	_, err := s.platform.DecodeManifest(row.Value)
 	if err != nil {
-		s.log.Error(err, "manifest cannot be decoded", "rowEra", row.Era, "rowVersion", row.Version)
+		s.log.Error(err, "manifest cannot be decoded", "rowEpoch", row.Epoch, "rowVersion", row.Version)
 	}
 	return err == nil
 }
@@ -106,7 +106,7 @@
 // proof returns the proof to pass on to peers.
 func (s *Supervisor) proof() messenger.GatewayProof {
 	proof := s.confirmer.Proof()
-	return messenger.GatewayProof{RowEra: proof.Version.Era, RowVersion: proof.Version.Number, StoreMilliseconds: proof.StoreMilliseconds}
+	return messenger.GatewayProof{RowEpoch: proof.Version.Epoch, RowVersion: proof.Version.Number, StoreMilliseconds: proof.StoreMilliseconds}
 }
 
 // receiveProof records the proof in an answer of the store, or of a peer, whose rows have been
@@ -114,7 +114,7 @@
 func (s *Supervisor) receiveProof(proof messenger.GatewayProof) {
 	latest := s.latestStoreTime()
 	if proof.RowVersion == 0 {
-		s.confirmer.Confirm(proof.RowEra, proof.StoreMilliseconds, latest)
+		s.confirmer.Confirm(proof.RowEpoch, proof.StoreMilliseconds, latest)
 		return
 	}
 	s.confirmer.Receive(confirmer.Proof{Version: proof.StoreVersion(), StoreMilliseconds: proof.StoreMilliseconds}, latest)
@@ -145,7 +145,7 @@
 // than the one here.
 func (s *Supervisor) lacksManifestOf(status messenger.GatewayNews) bool {
 	known := s.manifests.Version()
-	isLater := !known.IsZero() && (status.InForceManifest > s.inForceManifest() || status.ManifestEra > known.Era)
+	isLater := !known.IsZero() && (status.InForceManifest > s.inForceManifest() || status.ManifestEpoch > known.Epoch)
 	if status.Proof.RowVersion <= 0 {
 		return isLater
 	}
@@ -166,7 +166,7 @@
 		if isUnconfirmed := s.isUnconfirmed(); isUnconfirmed != wasUnconfirmed {
 			wasUnconfirmed = isUnconfirmed
 			proof := s.confirmer.Proof()
-			s.log.Info("acceptance of account keys changed", "areAccepted", !isUnconfirmed, "rowEra", proof.Version.Era, "rowVersion", proof.Version.Number, "provedAtStoreMilliseconds", proof.StoreMilliseconds,
+			s.log.Info("acceptance of account keys changed", "areAccepted", !isUnconfirmed, "rowEpoch", proof.Version.Epoch, "rowVersion", proof.Version.Number, "provedAtStoreMilliseconds", proof.StoreMilliseconds,
 				"storeMilliseconds", s.latestStoreTime())
 		}
 		isDue := (s.isProofOld() && s.confirmer.MayConfirm(s.latestStoreTime())) || (time.Since(last) >= maxConfirmInterval && s.isClockUncertain())
--- a/internal/gateway/supervisor/arrival.go
+++ b/internal/gateway/supervisor/arrival.go
@@ -53,7 +53,7 @@
 		}
 		earliest, latest, _ := s.platform.Clock()
 		s.measurer.CountEvent(measurer.ManifestArrival(string(a.from)), 1)
-		s.log.Info("manifest arrives", "rowEra", row.Era, "rowVersion", row.Version, "from", a.from, "peer", a.peer, "ageMilliseconds", a.age.Milliseconds(),
+		s.log.Info("manifest arrives", "rowEpoch", row.Epoch, "rowVersion", row.Version, "from", a.from, "peer", a.peer, "ageMilliseconds", a.age.Milliseconds(),
 			"provedAtStoreMilliseconds", a.proof.StoreMilliseconds, "storeEarliestMilliseconds", earliest, "storeLatestMilliseconds", latest)
 	}
 }
@@ -91,7 +91,7 @@
 		}
 		return 0
 	})
-	s.measurer.RegisterGauge("Manifest.RowEra", func() int64 { return s.confirmer.Applied().Era })
+	s.measurer.RegisterGauge("Manifest.RowEpoch", func() int64 { return s.confirmer.Applied().Epoch })
 	s.measurer.RegisterGauge("Manifest.RowVersion", func() int64 { return s.confirmer.Applied().Number })
 	s.measurer.RegisterGauge("Manifest.ProofAgeMilliseconds", s.proofAgeMilliseconds)
 }
--- a/internal/gateway/supervisor/cell.go
+++ b/internal/gateway/supervisor/cell.go
@@ -36,7 +36,7 @@
 	// maxStartWait is how long an instance that starts waits until its readers have read
 	// the store.
 	maxStartWait = 600 * time.Millisecond
-	// maxRereadWait is how long an instance waits until a reader has read a table again in a later era,
+	// maxRereadWait is how long an instance waits until a reader has read a table again in a later epoch,
 	// and rereadPollInterval is the time between two checks whether one has.
 	maxRereadWait      = 1500 * time.Millisecond
 	rereadPollInterval = 100 * time.Millisecond
@@ -99,7 +99,7 @@
 
 func (s *Supervisor) followThroughReader(reader informer.Peer, table string, after messenger.StoreVersion, wait time.Duration) (follower.Changes, error) {
 	query := url.Values{
-		"name": {table}, "era": {strconv.FormatInt(after.Era, 10)}, "after": {strconv.FormatInt(after.Number, 10)}, "wait": {strconv.FormatInt(wait.Milliseconds(), 10)},
+		"name": {table}, "epoch": {strconv.FormatInt(after.Epoch, 10)}, "after": {strconv.FormatInt(after.Number, 10)}, "wait": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	var in messenger.TableChanges
 	err := s.poster.Do(poster.Call{
@@ -116,8 +116,8 @@
 		return follower.Changes{}, err
 	}
 	changes := follower.ChangesFromPeer(in)
-	if changes.Era < after.Era {
-		return changes, errors.Wrapf(errStaleTable, "of era %d, before %d", changes.Era, after.Era)
+	if changes.Epoch < after.Epoch {
+		return changes, errors.Wrapf(errStaleTable, "of epoch %d, before %d", changes.Epoch, after.Epoch)
 	}
 	err = checkAge(table, changes.Age, wait)
 	if err == nil {
@@ -156,11 +156,11 @@
 	return s.readStore(originStoreTable)(table)
 }
 
-// awaitReread delays the read of a table that is to be read again in a later era until a reader has read it, so
+// awaitReread delays the read of a table that is to be read again in a later epoch until a reader has read it, so
 // that not all instances of a data centre read it from the store at once.
 func (s *Supervisor) awaitReread(table string) {
-	era, version := s.eras.current.Load(), s.follower(table).Version()
-	if version.IsZero() || version.Era >= era {
+	epoch, version := s.epochs.current.Load(), s.follower(table).Version()
+	if version.IsZero() || version.Epoch >= epoch {
 		return
 	}
 	for end := time.Now().Add(maxRereadWait); time.Now().Before(end); time.Sleep(rereadPollInterval) {
@@ -169,7 +169,7 @@
 			return // this instance is the reader
 		}
 		for _, reader := range readers {
-			if s.hasRead(reader, table, era) {
+			if s.hasRead(reader, table, epoch) {
 				return
 			}
 		}
@@ -177,9 +177,9 @@
 	time.Sleep(s.turn())
 }
 
-// hasRead reports whether a reader has read a table in an era.
-func (s *Supervisor) hasRead(reader informer.Peer, table string, era int64) bool {
-	_, err := s.followThroughReader(reader, table, messenger.StoreVersion{Era: era}, 0)
+// hasRead reports whether a reader has read a table in an epoch.
+func (s *Supervisor) hasRead(reader informer.Peer, table string, epoch int64) bool {
+	_, err := s.followThroughReader(reader, table, messenger.StoreVersion{Epoch: epoch}, 0)
 	return err == nil || errors.Is(err, follower.ErrHistoryTruncated)
 }
 
@@ -228,7 +228,7 @@
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	after, err := parseVersion(ctx.QueryArgs(), table.Version().Era)
+	after, err := parseVersion(ctx.QueryArgs(), table.Version().Epoch)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
@@ -244,23 +244,23 @@
 	case errors.Is(err, follower.ErrHistoryTruncated):
 		ctx.SetStatusCode(fasthttp.StatusGone)
 	case err != nil:
-		s.checkEra(after.Era)
+		s.checkEpoch(after.Epoch)
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	default:
 		s.encode(ctx, changes)
 	}
 }
 
-// parseVersion returns the version after which changes are asked for. Instances of a release without eras leave the
-// era out, and mean that of the copy.
-func parseVersion(query *fasthttp.Args, copyEra int64) (messenger.StoreVersion, error) {
-	out := messenger.StoreVersion{Era: copyEra}
-	if query.Has("era") {
-		era, err := strconv.ParseInt(string(query.Peek("era")), 10, 64)
+// parseVersion returns the version after which changes are asked for. Instances of a release without epochs leave the
+// epoch out, and mean that of the copy.
+func parseVersion(query *fasthttp.Args, copyEpoch int64) (messenger.StoreVersion, error) {
+	out := messenger.StoreVersion{Epoch: copyEpoch}
+	if query.Has("epoch") {
+		epoch, err := strconv.ParseInt(string(query.Peek("epoch")), 10, 64)
 		if err != nil {
 			return out, err
 		}
-		out.Era = era
+		out.Epoch = epoch
 	}
 	number, err := strconv.ParseInt(string(query.Peek("after")), 10, 64)
 	out.Number = number
--- a/internal/gateway/supervisor/cell_test.go
+++ b/internal/gateway/supervisor/cell_test.go
@@ -22,7 +22,7 @@
 // readerPeer is an instance that reads the store for others.
 type readerPeer struct {
 	age                time.Duration
-	era, version       int64
+	epoch, version     int64
 	isHistoryTruncated bool
 	// refusals is the number of calls for changes that it refuses before it has read the table.
 	refusals int
@@ -31,9 +31,9 @@
 
 func (p *readerPeer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.calls++
-	var out any = messenger.TableSnapshot{Era: p.era, Version: p.version, AgeMilliseconds: p.age.Milliseconds()}
+	var out any = messenger.TableSnapshot{Epoch: p.epoch, Version: p.version, AgeMilliseconds: p.age.Milliseconds()}
 	if p.refusals > 0 {
-		out = messenger.TableSnapshot{Era: p.era - 1, Version: p.version, AgeMilliseconds: time.Minute.Milliseconds()}
+		out = messenger.TableSnapshot{Epoch: p.epoch - 1, Version: p.version, AgeMilliseconds: time.Minute.Milliseconds()}
 	}
 	if r.URL.Path == pathChanges {
 		if p.refusals > 0 {
@@ -45,7 +45,7 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		}
-		out = messenger.TableChanges{Era: p.era, Version: p.version, AgeMilliseconds: p.age.Milliseconds()}
+		out = messenger.TableChanges{Epoch: p.epoch, Version: p.version, AgeMilliseconds: p.age.Milliseconds()}
 	}
 	_ = json.NewEncoder(w).Encode(out)
 }
@@ -129,42 +129,42 @@
 	})
 }
 
-// TestReaderInAnEarlierEraIsPassedOver guards against an instance that gets no changes since the one that it follows the
-// store through has not met its era, or knows none.
-func TestReaderInAnEarlierEraIsPassedOver(t *testing.T) {
-	s, calls := newReadingInstance(t, &readerPeer{era: 5, version: 90}, &readerPeer{era: 6, version: 70})
-	s.targets.Adopt(messenger.TableSnapshot{Era: 6, Version: 60})
+// TestReaderInAnEarlierEpochIsPassedOver guards against an instance that gets no changes since the one that it follows the
+// store through has not met its epoch, or knows none.
+func TestReaderInAnEarlierEpochIsPassedOver(t *testing.T) {
+	s, calls := newReadingInstance(t, &readerPeer{epoch: 5, version: 90}, &readerPeer{epoch: 6, version: 70})
+	s.targets.Adopt(messenger.TableSnapshot{Epoch: 6, Version: 60})
 	changes, err := s.followTable(targetTable, s.targets.Version(), time.Second)
 	require.NoError(t, err)
-	assert.Equal(t, messenger.StoreVersion{Era: 6, Number: 70}, changes.StoreVersion())
+	assert.Equal(t, messenger.StoreVersion{Epoch: 6, Number: 70}, changes.StoreVersion())
 	table, err := s.readTable(targetTable)
 	require.NoError(t, err)
-	assert.Equal(t, messenger.StoreVersion{Era: 6, Number: 70}, table.StoreVersion())
+	assert.Equal(t, messenger.StoreVersion{Epoch: 6, Number: 70}, table.StoreVersion())
 	assert.Zero(t, *calls)
 }
 
-// TestInstanceInAnEarlierEraTellsSo guards against changes of an earlier era for an instance that has met a later one, and
-// against an instance that does not learn of that era.
-func TestInstanceInAnEarlierEraTellsSo(t *testing.T) {
+// TestInstanceInAnEarlierEpochTellsSo guards against changes of an earlier epoch for an instance that has met a later one, and
+// against an instance that does not learn of that epoch.
+func TestInstanceInAnEarlierEpochTellsSo(t *testing.T) {
 	s, _ := newReadingInstance(t)
 	asked := make(chan struct{}, 1)
 	s.platform.Get = func(string, string) (messenger.Row, error) {
 		asked <- struct{}{}
 		return messenger.Row{}, nil
 	}
-	s.targets.Adopt(messenger.TableSnapshot{Era: 5, Version: 90})
+	s.targets.Adopt(messenger.TableSnapshot{Epoch: 5, Version: 90})
 	var ctx fasthttp.RequestCtx
-	ctx.Request.SetRequestURI(pathChanges + "?name=" + targetTable + "&era=6&after=70&wait=1000")
+	ctx.Request.SetRequestURI(pathChanges + "?name=" + targetTable + "&epoch=6&after=70&wait=1000")
 	s.serveChanges(&ctx)
 	assert.Equal(t, http.StatusServiceUnavailable, ctx.Response.StatusCode())
 	<-asked
 }
 
-// TestCallWithoutAnEraIsServed guards against an instance of a release without eras that is told again and again that there
+// TestCallWithoutAnEpochIsServed guards against an instance of a release without epochs that is told again and again that there
 // are no changes since its version, and reads the whole table each time.
-func TestCallWithoutAnEraIsServed(t *testing.T) {
+func TestCallWithoutAnEpochIsServed(t *testing.T) {
 	s, _ := newReadingInstance(t)
-	s.targets.Adopt(messenger.TableSnapshot{Era: 5, Version: 90})
+	s.targets.Adopt(messenger.TableSnapshot{Epoch: 5, Version: 90})
 	var ctx fasthttp.RequestCtx
 	ctx.Request.SetRequestURI(pathChanges + "?name=" + targetTable + "&after=90&wait=0")
 	s.serveChanges(&ctx)
@@ -181,20 +181,20 @@
 	assert.True(t, s.mayContend(time.Now().Add(-maxReaders*contendDelay)))
 }
 
-// TestTableOfALaterEraIsReadThroughAReader guards against a read of the whole table from the store by each instance of
+// TestTableOfALaterEpochIsReadThroughAReader guards against a read of the whole table from the store by each instance of
 // a data centre, since no reader has read it again yet when the store is back.
-func TestTableOfALaterEraIsReadThroughAReader(t *testing.T) {
+func TestTableOfALaterEpochIsReadThroughAReader(t *testing.T) {
 	for name, x := range map[string]struct {
 		readers []*readerPeer
 		reads   int
 	}{
-		"a reader is soon there": {readers: []*readerPeer{{era: 6, version: 70, refusals: 3}}},
+		"a reader is soon there": {readers: []*readerPeer{{epoch: 6, version: 70, refusals: 3}}},
 		"none comes":             {reads: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, calls := newReadingInstance(t, x.readers...)
-			s.targets.Adopt(messenger.TableSnapshot{Era: 5, Version: 90})
-			s.eras.current.Store(6)
+			s.targets.Adopt(messenger.TableSnapshot{Epoch: 5, Version: 90})
+			s.epochs.current.Store(6)
 			began := time.Now()
 			_, err := s.readTable(targetTable)
 			require.NoError(t, err)
--- a/internal/gateway/supervisor/in_force.go
+++ b/internal/gateway/supervisor/in_force.go
@@ -24,7 +24,7 @@
 }
 
 // resolveManifest decides which of two values of the manifest's row is in force: the one with the greater
-// version of the operators. A manifest of a later era that cannot be decoded leaves the known one in force.
+// version of the operators. A manifest of a later epoch that cannot be decoded leaves the known one in force.
 func (s *Supervisor) resolveManifest(known messenger.StoreRow, isKnown bool, next messenger.StoreRow) (messenger.StoreRow, bool) {
 	isEarlier := next.StoreVersion().IsBefore(known.StoreVersion())
 	switch {
@@ -41,7 +41,7 @@
 	switch {
 	case err != nil && isEarlier:
 		return known, true
-	case err != nil && next.Era == known.Era:
+	case err != nil && next.Epoch == known.Epoch:
 		return next, true // applyManifest says so
 	case err == nil && nextManifest.Version >= knownManifest.Version:
 		return next, true
@@ -71,7 +71,7 @@
 		version = next.Version
 	}
 	s.log.Info("manifest of the store is older than the one in force", "version", known.Version, "storeVersion", version, "isReadable", next != nil,
-		"rowEra", row.Era, "rowVersion", row.Version)
+		"rowEpoch", row.Epoch, "rowVersion", row.Version)
 }
 
 // readManifests returns the manifest's table. At the start of this instance it has what is in force at the
@@ -113,13 +113,13 @@
 }
 
 // mayHearPeers reports whether there may be instances that have not sent their status yet. Where the store
-// names an era, it may have come back without their rows.
+// names an epoch, it may have come back without their rows.
 func (s *Supervisor) mayHearPeers() bool {
 	heard := len(s.informer.Peers())
 	if s.instances.Version().IsZero() {
 		return true
 	}
-	mayHavePeers := len(s.settings.Seeds) > 0 || s.eras.current.Load() > 0
+	mayHavePeers := len(s.settings.Seeds) > 0 || s.epochs.current.Load() > 0
 	return heard < s.otherInstances() || (heard == 0 && mayHavePeers)
 }
 
@@ -170,7 +170,7 @@
 	}
 	for _, row := range copied.Rows {
 		if row.Key == s.platform.ManifestKey {
-			row.Era, row.Version = at.Era, at.Number
+			row.Epoch, row.Version = at.Epoch, at.Number
 			rows = append(rows, row)
 		}
 	}
@@ -184,9 +184,9 @@
 	if err != nil {
 		return next, true // applyTarget says so
 	}
-	if s.departed.IsGone(target, next.Era, time.Now()) {
+	if s.departed.IsGone(target, next.Epoch, time.Now()) {
 		s.log.Info("target of the store is gone", "target", target.ID, "born", target.StartMilliseconds, "heartbeat", target.Heartbeat,
-			"rowEra", next.Era, "rowVersion", next.Version)
+			"rowEpoch", next.Epoch, "rowVersion", next.Version)
 		return next, false
 	}
 	if !isKnown {
--- a/internal/gateway/supervisor/in_force_test.go
+++ b/internal/gateway/supervisor/in_force_test.go
@@ -36,8 +36,8 @@
 // later one that does not get through.
 func TestManifestInForceIsKept(t *testing.T) {
 	s := New(messenger.GatewaySettings{Instance: "a"}, Platform{DecodeManifest: decodeTestManifest, ManifestKey: "config"}, logr.Discard())
-	row := func(era int64, value string) messenger.StoreRow {
-		return messenger.StoreRow{Key: "config", Era: era, Version: 10 - era, Value: []byte(value)}
+	row := func(epoch int64, value string) messenger.StoreRow {
+		return messenger.StoreRow{Key: "config", Epoch: epoch, Version: 10 - epoch, Value: []byte(value)}
 	}
 	for _, c := range []struct {
 		name        string
@@ -49,7 +49,7 @@
 		{name: "the copy has the same", known: row(1, "7"), next: row(2, "7"), value: "7"},
 		{name: "the operator was faster", known: row(1, "7"), next: row(2, "8"), value: "8"},
 		{name: "the copy cannot be decoded", known: row(1, "7"), next: row(2, "x"), value: "7"},
-		{name: "one of the same era cannot be decoded", known: row(2, "7"), next: row(2, "x"), value: "x"},
+		{name: "one of the same epoch cannot be decoded", known: row(2, "7"), next: row(2, "x"), value: "x"},
 		{name: "the known one cannot be decoded", known: row(1, "x"), next: row(2, "5"), value: "5"},
 		{name: "none is known", isUnknown: true, next: row(2, "5"), value: "5"},
 	} {
@@ -67,7 +67,7 @@
 func TestEarlierCopyOfAPeerBringsOnlyALaterManifest(t *testing.T) {
 	s := New(messenger.GatewaySettings{Instance: "a"}, Platform{DecodeManifest: decodeTestManifest, ManifestKey: "config"}, logr.Discard())
 	row := func(key string, version int64, value string) messenger.StoreRow {
-		return messenger.StoreRow{Key: key, Era: 2, Version: version, Value: []byte(value)}
+		return messenger.StoreRow{Key: key, Epoch: 2, Version: version, Value: []byte(value)}
 	}
 	for name, c := range map[string]struct{ key, value, want string }{
 		"cannot be decoded": {"config", "x", "7"},
@@ -91,6 +91,6 @@
 	}, logr.Discard())
 	require.True(t, s.instances.Step())
 	assert.False(t, s.mayHearPeers(), "it is alone")
-	s.eras.current.Store(1)
+	s.epochs.current.Store(1)
 	assert.True(t, s.mayHearPeers(), "their rows may be lost")
 }
--- a/internal/gateway/supervisor/lease.go
+++ b/internal/gateway/supervisor/lease.go
@@ -52,9 +52,9 @@
 
 // logAcquisition logs from which row the lease was taken.
 func logAcquisition(log logr.Logger, a leaser.Acquisition) {
-	log.Info("lease on orders acquired", "fence", a.Fence, "era", a.Row.Era, "rowVersion", a.Row.Number,
+	log.Info("lease on orders acquired", "fence", a.Fence, "epoch", a.Row.Epoch, "rowVersion", a.Row.Number,
 		"oldHolder", a.Old.Holder, "oldIncarnation", a.Old.Incarnation, "oldFence", a.Old.Fence, "oldReleased", a.Old.Released,
-		"oldEra", a.OldRow.Era, "oldRowVersion", a.OldRow.Number)
+		"oldEpoch", a.OldRow.Epoch, "oldRowVersion", a.OldRow.Number)
 }
 
 // orderPermit grants the right to send orders to the holder of the lease on orders once
--- a/internal/gateway/supervisor/lease_test.go
+++ b/internal/gateway/supervisor/lease_test.go
@@ -19,7 +19,7 @@
 // leaseStore holds the lease in virtual time. It can come back from a copy.
 type leaseStore struct {
 	now, awayUntil time.Time
-	era, version   int64
+	epoch, version int64
 	rows           map[string]messenger.Row
 }
 
@@ -28,7 +28,7 @@
 		return messenger.Row{}, transactor.ErrUnavailable
 	}
 	row := s.rows[key]
-	row.Table, row.Key, row.Era = table, key, s.era
+	row.Table, row.Key, row.Epoch = table, key, s.epoch
 	return row, nil
 }
 
@@ -37,7 +37,7 @@
 		return nil, transactor.ErrUnavailable
 	}
 	for _, c := range req.Conditions {
-		if c.Era != s.era || s.rows[c.Key].Version != c.Version {
+		if c.Epoch != s.epoch || s.rows[c.Key].Version != c.Version {
 			return nil, transactor.ErrConflict
 		}
 	}
@@ -45,7 +45,7 @@
 	versions := []messenger.StoreVersion{}
 	for _, w := range req.Writes {
 		s.rows[w.Key] = messenger.Row{Version: s.version, Value: w.Value}
-		versions = append(versions, messenger.StoreVersion{Era: s.era, Number: s.version})
+		versions = append(versions, messenger.StoreVersion{Epoch: s.epoch, Number: s.version})
 	}
 	return versions, nil
 }
@@ -75,7 +75,7 @@
 	return 0
 }
 
-// passAway has leases checked while the store is away, and then tells them of its era.
+// passAway has leases checked while the store is away, and then tells them of its epoch.
 func (s *leaseStore) passAway(permits ...*orderPermit) {
 	for ; s.now.Before(s.awayUntil); s.now = s.now.Add(leaseCheckInterval) {
 		for _, p := range permits {
@@ -83,15 +83,15 @@
 		}
 	}
 	for _, p := range permits {
-		p.leaser.MeetEra(s.era)
+		p.leaser.MeetEpoch(s.epoch)
 	}
 }
 
-// newDrill returns a store that went away just now, after a holder has sent orders for two seconds, and that comes back
+// newRestore returns a store that went away just now, after a holder has sent orders for two seconds, and that comes back
 // from a copy of the holder's first grant, or of nobody.
-func newDrill(t *testing.T, away time.Duration, isCopied bool) (s *leaseStore, holder, other *orderPermit) {
+func newRestore(t *testing.T, away time.Duration, isCopied bool) (s *leaseStore, holder, other *orderPermit) {
 	t.Helper()
-	s = &leaseStore{now: time.Unix(1000, 0), era: 1, rows: map[string]messenger.Row{}}
+	s = &leaseStore{now: time.Unix(1000, 0), epoch: 1, rows: map[string]messenger.Row{}}
 	holder, other = s.start("holder"), s.start("other")
 	s.awaitOrders(t, holder)
 	copied := map[string]messenger.Row{}
@@ -104,17 +104,17 @@
 	}
 	_, ok := holder.Grant()
 	require.True(t, ok)
-	s.awayUntil, s.era, s.rows, s.version = s.now.Add(away), 2, copied, 1
+	s.awayUntil, s.epoch, s.rows, s.version = s.now.Add(away), 2, copied, 1
 	return s, holder, other
 }
 
-// TestOrdersAfterDrill guards against a long time without orders after a drill of the store, and against orders of
+// TestOrdersAfterRestore guards against a long time without orders after a restore of the store, and against orders of
 // another instance within the time of a handover.
-func TestOrdersAfterDrill(t *testing.T) {
+func TestOrdersAfterRestore(t *testing.T) {
 	for _, away := range []time.Duration{0, 500 * time.Millisecond, time.Second, 2 * time.Second, 8 * time.Second} {
 		for name, isCopied := range map[string]bool{"copy of nobody": false, "copy of the holder": true} {
 			t.Run(name+" after "+away.String()+", the holder goes on", func(t *testing.T) {
-				s, holder, other := newDrill(t, away, isCopied)
+				s, holder, other := newRestore(t, away, isCopied)
 				s.passAway(holder, other)
 				took := s.awaitOrders(t, holder, other)
 				assert.LessOrEqual(t, took, leaseTTL+time.Second)
@@ -123,7 +123,7 @@
 				}
 			})
 			t.Run(name+" after "+away.String()+", the holder is lost", func(t *testing.T) {
-				s, _, other := newDrill(t, away, isCopied)
+				s, _, other := newRestore(t, away, isCopied)
 				lastOrder := s.now
 				s.passAway(other)
 				took := s.awaitOrders(t, other)
--- a/internal/gateway/supervisor/own_row.go
+++ b/internal/gateway/supervisor/own_row.go
@@ -66,7 +66,7 @@
 	if err := s.writeRow(true); err != nil {
 		return err
 	}
-	s.log.Info("row written again", "table", instanceTable, "key", s.settings.Instance, "incarnation", s.incarnation, "era", row.Era)
+	s.log.Info("row written again", "table", instanceTable, "key", s.settings.Instance, "incarnation", s.incarnation, "epoch", row.Epoch)
 	s.measurer.CountEvent(measurer.StoreRowsRewritten, 1)
 	if s.leaving.Load() {
 		return s.writeRow(false) // release may have removed it before
--- a/internal/gateway/supervisor/peers.go
+++ b/internal/gateway/supervisor/peers.go
@@ -51,7 +51,7 @@
 	status := messenger.GatewayNews{
 		Instance: s.settings.Instance, Incarnation: s.incarnation, CallerAddress: s.settings.CallerAddress,
 		PeerAddress: s.settings.PeerAddress, DataCentre: s.settings.DataCentre, Ready: s.isReady(),
-		Leaving: s.leaving.Load(), ManifestEra: manifests.Era, ManifestVersion: manifests.Number, TargetsEra: targets.Era, TargetsVersion: targets.Number,
+		Leaving: s.leaving.Load(), ManifestEpoch: manifests.Epoch, ManifestVersion: manifests.Number, TargetsEpoch: targets.Epoch, TargetsVersion: targets.Number,
 		InForceManifest: s.inForceManifest(), OrderFence: s.leaser.KnownFence(),
 		Holder: isHolder && !s.leaving.Load(), LoadAddress: s.settings.LoadAddress, Demand: []messenger.GatewayDemand{},
 		Overlays: []messenger.GatewayOverlay{}, Load: messenger.GatewayLoad{Targets: messenger.GatewayLoadTargets{}},
@@ -98,7 +98,7 @@
 	s.receiveDelegation(status)
 	s.receivePeerManifest(status)
 	s.leaser.NoteFence(status.OrderFence)
-	s.checkEra(max(status.ManifestEra, status.TargetsEra))
+	s.checkEpoch(max(status.ManifestEpoch, status.TargetsEpoch))
 	s.tally.SetPeerDemand(status.Instance, status.Demand, until)
 	now := time.Now()
 	s.limiter.ReceiveReport(status.Instance, limiter.Report{Digest: status.LimitDigest, Size: min(max(status.LimitMembers, 0), maxMembers)}, until.Sub(now))
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -59,11 +59,11 @@
 	Transact        func(messenger.TransactRequest) (messenger.StoreVersion, error)
 	// Clock returns bounds of the current time of the store's clock, in milliseconds.
 	Clock func() (earliest, latest int64, ok bool)
-	// OnEra sets the function that is called with each change of era of the store; nil if there are
-	// no eras.
-	OnEra func(onChange func(follower.EraChange))
-	Order func(target *registrar.Target, order foreman.Order) (done bool, err error)
-	State func(target *registrar.Target) (foreman.State, error)
+	// OnEpoch sets the function that is called with each change of epoch of the store; nil if there are
+	// no epochs.
+	OnEpoch func(onChange func(follower.EpochChange))
+	Order   func(target *registrar.Target, order foreman.Order) (done bool, err error)
+	State   func(target *registrar.Target) (foreman.State, error)
 }
 
 const (
@@ -121,7 +121,7 @@
 	poster       *poster.Client
 	slots        *slots
 	confirmer    *confirmer.Confirmer
-	eras         eras
+	epochs       epochs
 	peerFetches  *peerFetches
 	manifests    *follower.Follower
 	targets      *follower.Follower
@@ -170,7 +170,7 @@
 	s.guards = s.newGuards()
 	s.registerGauges()
 	s.registerManifestGauges()
-	s.watchEras()
+	s.watchEpochs()
 	s.prober = prober.New(s.conductor.Probe)
 	s.leaser = newLeaser(settings, s.incarnation, platform, log)
 	s.orderPermit = newOrderPermit(s.leaser, seconds(bounds.LeaseMilliseconds/1000))
@@ -282,13 +282,13 @@
 		}
 		manifest, err := s.platform.DecodeManifest(row.Value)
 		if err != nil {
-			s.log.Error(err, "manifest cannot be decoded", "rowEra", row.Era, "rowVersion", row.Version)
+			s.log.Error(err, "manifest cannot be decoded", "rowEpoch", row.Epoch, "rowVersion", row.Version)
 			s.confirmer.SetUnreadable(row.StoreVersion())
 			continue
 		}
 		isApplied := s.registry.SetManifest(manifest)
 		s.applyQuotas()
-		s.log.Info("manifest", "version", manifest.Version, "rowEra", row.Era, "rowVersion", row.Version, "routes", len(manifest.Routes), "taken", isApplied,
+		s.log.Info("manifest", "version", manifest.Version, "rowEpoch", row.Epoch, "rowVersion", row.Version, "routes", len(manifest.Routes), "taken", isApplied,
 			"proofAgeMilliseconds", s.proofAgeMilliseconds())
 		s.confirmer.SetApplied(row.StoreVersion())
 	}
@@ -301,13 +301,13 @@
 }
 
 func (s *Supervisor) applyTargets(rows []messenger.StoreRow, removed []string) {
-	era := s.targets.Version().Era
+	epoch := s.targets.Version().Epoch
 	var all map[string]*registrar.Target
 	superseded := s.registry.Update(func(targets map[string]*registrar.Target) {
 		for _, key := range removed {
 			if old := targets[key]; old != nil {
 				s.log.Info("target is gone", "target", key)
-				s.departed.Add(old, era, time.Now())
+				s.departed.Add(old, epoch, time.Now())
 			}
 			delete(targets, key)
 		}
@@ -318,7 +318,7 @@
 	})
 	for _, id := range superseded {
 		s.log.Info("target is superseded at its address", "target", id)
-		s.departed.Add(all[id], era, time.Now())
+		s.departed.Add(all[id], epoch, time.Now())
 	}
 	s.observeSilences()
 }
@@ -326,15 +326,15 @@
 func (s *Supervisor) applyTarget(targets map[string]*registrar.Target, row messenger.StoreRow) {
 	target, err := s.platform.DecodeTarget(row.Key, row.Value)
 	if err != nil {
-		s.log.Info("entry names no target", "key", row.Key, "rowEra", row.Era, "rowVersion", row.Version, "error", err.Error())
+		s.log.Info("entry names no target", "key", row.Key, "rowEpoch", row.Epoch, "rowVersion", row.Version, "error", err.Error())
 		delete(targets, row.Key)
 		return
 	}
 	target.Version = row.Version
 	old := targets[row.Key]
-	if old == nil && s.departed.IsGone(target, row.Era, time.Now()) {
+	if old == nil && s.departed.IsGone(target, row.Epoch, time.Now()) {
 		s.log.Info("entry of a target that is gone ignored", "target", target.ID, "born", target.StartMilliseconds, "heartbeat", target.Heartbeat,
-			"rowEra", row.Era, "rowVersion", row.Version)
+			"rowEpoch", row.Epoch, "rowVersion", row.Version)
 		return
 	}
 	if target.IsOlderThan(old) {
@@ -344,7 +344,7 @@
 	}
 	if old == nil || old.StartMilliseconds != target.StartMilliseconds || old.Leaving != target.Leaving {
 		s.log.Info("target", "target", target.ID, "service", target.Service, "address", target.Address,
-			"leaving", target.Leaving, "born", target.StartMilliseconds, "rowEra", row.Era, "rowVersion", row.Version)
+			"leaving", target.Leaving, "born", target.StartMilliseconds, "rowEpoch", row.Epoch, "rowVersion", row.Version)
 	}
 	if old != nil && old.StartMilliseconds != target.StartMilliseconds {
 		s.balancer.ResetTarget(target.ID)
--- a/internal/gateway/supervisor/target_entries_test.go
+++ b/internal/gateway/supervisor/target_entries_test.go
@@ -43,14 +43,14 @@
 	}
 }
 
-// TestEntriesOfALaterEraBringNoTargetBack guards against requests to a target that has left, and against orders by
+// TestEntriesOfALaterEpochBringNoTargetBack guards against requests to a target that has left, and against orders by
 // what it held before, since the store came back with old entries.
-func TestEntriesOfALaterEraBringNoTargetBack(t *testing.T) {
+func TestEntriesOfALaterEpochBringNoTargetBack(t *testing.T) {
 	s := New(messenger.GatewaySettings{Instance: "a"}, Platform{DecodeTarget: decodeTestTarget}, logr.Discard())
-	row := func(era int64, id string, target registrar.Target) messenger.StoreRow {
+	row := func(epoch int64, id string, target registrar.Target) messenger.StoreRow {
 		value, err := json.Marshal(target)
 		assert.NoError(t, err)
-		return messenger.StoreRow{Key: id, Era: era, Version: 10 - era, Value: value}
+		return messenger.StoreRow{Key: id, Epoch: epoch, Version: 10 - epoch, Value: value}
 	}
 	lives := row(1, "lives", registrar.Target{Address: "127.0.0.1:1", StartMilliseconds: 1, Heartbeat: 9})
 	left := row(1, "left", registrar.Target{Address: "127.0.0.1:2", StartMilliseconds: 1, Heartbeat: 9})
@@ -78,6 +78,6 @@
 		s.applyTargets([]messenger.StoreRow{back}, nil)
 		assert.Contains(t, s.registry.View().Targets, "left")
 		_, isInForce = s.resolveTarget(back, true, row(3, "left", registrar.Target{Address: "127.0.0.1:2", StartMilliseconds: 1, Heartbeat: 10}))
-		assert.True(t, isInForce, "and lives through another drill")
+		assert.True(t, isInForce, "and lives through another restore")
 	})
 }
--- a/internal/gateway/supervisor/verdict_rows.go
+++ b/internal/gateway/supervisor/verdict_rows.go
@@ -165,13 +165,13 @@
 // noteDecided keeps verdicts that this instance has reached as examiner.
 func (s *Supervisor) noteDecided(verdicts []quarantiner.Verdict) {
 	clock, isKnown := s.knownStoreTime()
-	if !isKnown && s.eras.current.Load() == 0 {
+	if !isKnown && s.epochs.current.Load() == 0 {
 		return // no answer of the store yet: nothing has been sent to a target
 	}
 	s.verdictRows.archivist.Decided(time.Now(), clock, verdicts)
 	trigger := s.verdictRows.changed
 	if !isKnown {
-		trigger = s.verdictRows.lost // with a deadline by the clock of the era that has just been met
+		trigger = s.verdictRows.lost // with a deadline by the clock of the epoch that has just been met
 	}
 	select {
 	case trigger <- struct{}{}:
@@ -201,7 +201,7 @@
 	}
 	for _, row := range lost {
 		s.log.Info("row written again", "table", verdictTable, "key", row.Key, "deadlineStoreMilliseconds", row.DeadlineMilliseconds,
-			"era", s.eras.current.Load())
+			"epoch", s.epochs.current.Load())
 	}
 	s.measurer.CountEvent(measurer.StoreRowsRewritten, len(lost))
 	return nil
--- a/internal/state/measurer/event.go
+++ b/internal/state/measurer/event.go
@@ -45,8 +45,8 @@
 	// old proof, and AccountFetches the manifests that it read from a peer with a newer one.
 	AccountDirectProofs Event = "Account.DirectProofs"
 	AccountFetches      Event = "Account.Fetches"
-	// StoreEraChanges counts how often the store came back from a copy.
-	StoreEraChanges Event = "Store.EraChanges"
+	// StoreEpochChanges counts how often the store came back from a copy.
+	StoreEpochChanges Event = "Store.EpochChanges"
 	// StoreRowsRewritten counts the rows that this instance has written again after that.
 	StoreRowsRewritten Event = "Store.RowsRewritten"
 )
@@ -66,7 +66,7 @@
 	CutTargetEnded, CutTargetPresent, CutTargetUnknown, CutTargetLeaving, CutUnanswered,
 	QuarantineSuspects, QuarantineConvictions, QuarantineTakenBack, QuarantineRefused, QuarantineRefusedForPart,
 	SlotGranted, SlotRefusedBacklog, SlotRefusedLate, SlotRefusedNoTarget, SlotUnanswered,
-	AccountUnknownKey, AccountUnconfirmed, AccountDirectProofs, AccountFetches, StoreEraChanges, StoreRowsRewritten,
+	AccountUnknownKey, AccountUnconfirmed, AccountDirectProofs, AccountFetches, StoreEpochChanges, StoreRowsRewritten,
 	HedgeEvent("Sent"), HedgeEvent("Won"), HedgeEvent("NoRoom"), HedgeEvent("NoBudget"),
 }
 
--- a/internal/tool/soaker/accounts.go
+++ b/internal/tool/soaker/accounts.go
@@ -125,7 +125,7 @@
 		c.add(KeyIgnored, "%s ran %s with an unknown key", run.Target, run.Request)
 	case run.Account != name:
 		c.add(KeyIgnored, "%s ran %s of %s for the account %q", run.Target, run.Request, name, run.Account)
-	case !revokedAt.IsZero() && s.sentAt.After(revokedAt.Add(revokeTime)) && !c.drills.isManifestUnknown(s.sentAt):
+	case !revokedAt.IsZero() && s.sentAt.After(revokedAt.Add(revokeTime)) && !c.restores.isManifestUnknown(s.sentAt):
 		c.add(KeyIgnored, "%s ran %s, sent %v after its key had been revoked", run.Target, run.Request, s.sentAt.Sub(revokedAt))
 	}
 }
--- a/internal/tool/soaker/checker.go
+++ b/internal/tool/soaker/checker.go
@@ -148,7 +148,7 @@
 	highest       carriedOut           // the order with the highest fencing token
 	disturbedAt   map[string]time.Time // when an instance was last stopped, started or paused
 	manifests     manifestHistory
-	drills        drillHistory
+	restores      restoreHistory
 	leftAt        map[string]time.Time // when the store acknowledged that a target leaves
 	returnedAt    map[string]time.Time // when the present incarnation of a target began
 	cancelledAt   map[string]time.Time // when a caller cancelled a request, if undisturbed
--- a/internal/tool/soaker/faults.go
+++ b/internal/tool/soaker/faults.go
@@ -171,11 +171,11 @@
 	{name: "manifest changes", keepsTimeBounds: true, begin: func(s *soak, random *rand.Rand) (string, func()) {
 		return s.changeManifest(random), nil
 	}},
-	drillFault,
+	restoreFault,
 }
 
-var drillFault = fault{name: "store comes back from a copy", notesItself: true, begin: func(s *soak, random *rand.Rand) (string, func()) {
-	return s.beginDrills(random)
+var restoreFault = fault{name: "store comes back from a copy", notesItself: true, begin: func(s *soak, random *rand.Rand) (string, func()) {
+	return s.beginRestores(random)
 }}
 
 const (
@@ -189,12 +189,12 @@
 	phaseDuration = 8 * time.Second
 )
 
-// drawFault draws a fault that is allowed in the phase at a time since the start. drillShare is the
-// share of drills of the store beyond those that are drawn as any other fault.
-func drawFault(random *rand.Rand, since time.Duration, drillShare float64) fault {
+// drawFault draws a fault that is allowed in the phase at a time since the start. restoreShare is the
+// share of restores of the store beyond those that are drawn as any other fault.
+func drawFault(random *rand.Rand, since time.Duration, restoreShare float64) fault {
 	allowsAll := since/phaseDuration%2 == 0
-	if allowsAll && drillShare > 0 && random.Float64() < drillShare {
-		return drillFault
+	if allowsAll && restoreShare > 0 && random.Float64() < restoreShare {
+		return restoreFault
 	}
 	for {
 		f := pick(random, faults)
@@ -210,7 +210,7 @@
 	start := time.Now()
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(random.Float64() * float64(maxFaultGap)))
-		f := drawFault(random, time.Since(start), s.settings.DrillShare)
+		f := drawFault(random, time.Since(start), s.settings.RestoreShare)
 		if !f.keepsTimeBounds && !f.notesItself {
 			s.noteDisturbance()
 		}
--- a/internal/tool/soaker/notice_checks.go
+++ b/internal/tool/soaker/notice_checks.go
@@ -36,7 +36,7 @@
 	maps.DeleteFunc(c.leaveSeenAt, func(key noticeKey, _ time.Time) bool { return isOfInstance(key) })
 	maps.DeleteFunc(c.quiet, func(key noticeKey, _ *quietNotice) bool { return isOfInstance(key) })
 	c.disturbedAt[instance] = c.now()
-	c.forgetDrill(instance)
+	c.forgetRestore(instance)
 }
 
 // TurnedAway records and checks a request that a target turned away because it wants none.
--- a/internal/tool/soaker/drill_checks.go
+++ b/internal/tool/soaker/restore_checks.go
@@ -40,9 +40,9 @@
 	seen map[string][]seenStep
 }
 
-// drillHistory holds which instances know what was in the store before a drill.
-type drillHistory struct {
-	// open is the number of drills after which the writers have not written again yet.
+// restoreHistory holds which instances know what was in the store before a restore.
+type restoreHistory struct {
+	// open is the number of restores after which the writers have not written again yet.
 	open int
 	// knowing holds the instances that have been active ever since the first of these began.
 	knowing map[string]bool
@@ -52,7 +52,7 @@
 
 // isManifestUnknown reports whether, at a time, instances may go on by the copy that the store came
 // back from, since none of them knew more. They have inForceTime to act on what is written again.
-func (h *drillHistory) isManifestUnknown(at time.Time) bool {
+func (h *restoreHistory) isManifestUnknown(at time.Time) bool {
 	for _, span := range h.unknown {
 		if !at.Before(span.from) && (span.until.IsZero() || at.Before(span.until.Add(inForceTime))) {
 			return true
@@ -61,12 +61,12 @@
 	return false
 }
 
-// DrillBegan records that the store goes away, and which instances are active then. Those that have just
+// RestoreBegan records that the store goes away, and which instances are active then. Those that have just
 // begun may not know much.
-func (c *Checker) DrillBegan(active []string) {
+func (c *Checker) RestoreBegan(active []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	h := &c.drills
+	h := &c.restores
 	h.open++
 	if h.open > 1 {
 		return
@@ -80,9 +80,9 @@
 	c.checkKnowing()
 }
 
-// DrillEnded records that the operator and the targets have written again what was lost: at most
+// RestoreEnded records that the operator and the targets have written again what was lost: at most
 // what they had written between two times.
-func (c *Checker) DrillEnded(from, until time.Time) {
+func (c *Checker) RestoreEnded(from, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for step, at := range c.manifests.acknowledgedAt {
@@ -90,7 +90,7 @@
 			c.manifests.dueAt[step] = c.now().Add(inForceTime)
 		}
 	}
-	h := &c.drills
+	h := &c.restores
 	h.open--
 	if last := len(h.unknown) - 1; h.open == 0 && last >= 0 && h.unknown[last].until.IsZero() {
 		h.unknown[last].until = c.now()
@@ -101,7 +101,7 @@
 func (c *Checker) InstanceEnds(instance string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.forgetDrill(instance)
+	c.forgetRestore(instance)
 }
 
 // InstanceRestarted records that the next incarnation of an instance begins.
@@ -111,15 +111,15 @@
 	delete(c.manifests.seen, instance)
 }
 
-// forgetDrill records that an instance may not know what was in the store. The lock must be held.
-func (c *Checker) forgetDrill(instance string) {
-	delete(c.drills.knowing, instance)
+// forgetRestore records that an instance may not know what was in the store. The lock must be held.
+func (c *Checker) forgetRestore(instance string) {
+	delete(c.restores.knowing, instance)
 	c.checkKnowing()
 }
 
 // checkKnowing begins a span in which no instance knows. The lock must be held.
 func (c *Checker) checkKnowing() {
-	h := &c.drills
+	h := &c.restores
 	last := len(h.unknown) - 1
 	isInSpan := last >= 0 && h.unknown[last].until.IsZero()
 	if h.open > 0 && len(h.knowing) == 0 && !isInSpan {
@@ -127,9 +127,9 @@
 	}
 }
 
-// StoreDrilled records that the store goes away or comes back. Instances may detect cancelled requests
+// StoreRestored records that the store goes away or comes back. Instances may detect cancelled requests
 // late from then on, and targets that have just left; those that they know to have left stay so.
-func (c *Checker) StoreDrilled() {
+func (c *Checker) StoreRestored() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for target, at := range c.leftAt {
--- a/internal/tool/soaker/drill_checks_test.go
+++ b/internal/tool/soaker/restore_checks_test.go
@@ -28,9 +28,9 @@
 	c.Ordered(simulator.Order{Target: target, Holder: holder, Fence: fence, IsCarriedOut: true})
 }
 
-// TestCheckerDetectsViolationsByADrill feeds the checker violations that a store which came back from a
+// TestCheckerDetectsViolationsByARestore feeds the checker violations that a store which came back from a
 // copy may lead to, and similar histories that are correct.
-func TestCheckerDetectsViolationsByADrill(t *testing.T) {
+func TestCheckerDetectsViolationsByARestore(t *testing.T) {
 	for name, test := range map[string]struct {
 		do   func(c *testChecker)
 		want []Promise
@@ -93,8 +93,8 @@
 		"manifest that was lost not in force after it was written again": {want: []Promise{NotInForce}, do: func(c *testChecker) {
 			c.ManifestAcknowledged(7)
 			c.time = c.time.Add(inForceTime)
-			c.DrillBegan([]string{"i1"})
-			c.DrillEnded(c.time.Add(-maxCopyAge), c.time)
+			c.RestoreBegan([]string{"i1"})
+			c.RestoreEnded(c.time.Add(-maxCopyAge), c.time)
 			c.time = c.time.Add(inForceTime)
 			askStep(c, 7, false, true)
 			c.time = c.time.Add(time.Millisecond)
@@ -102,25 +102,25 @@
 		}},
 		"manifest of after the return not in force": {want: []Promise{NotInForce}, do: func(c *testChecker) {
 			away := c.time
-			c.DrillBegan([]string{"i1"})
+			c.RestoreBegan([]string{"i1"})
 			c.time = c.time.Add(time.Second)
 			c.ManifestAcknowledged(7)
 			c.time = c.time.Add(time.Second)
-			c.DrillEnded(away.Add(-maxCopyAge), away)
+			c.RestoreEnded(away.Add(-maxCopyAge), away)
 			c.time = c.time.Add(inForceTime - time.Second + time.Millisecond)
 			askStep(c, 7, false, true)
 		}},
-		"request after a target has left, over a drill": {want: []Promise{AfterDrain}, do: func(c *testChecker) {
+		"request after a target has left, over a restore": {want: []Promise{AfterDrain}, do: func(c *testChecker) {
 			c.TargetLeft("t1")
 			c.time = c.time.Add(drainTimeout)
-			c.StoreDrilled()
+			c.StoreRestored()
 			c.time = c.time.Add(time.Millisecond)
 			askStep(c, 0, true, false)
 		}},
-		"request after a target has left right before a drill": {do: func(c *testChecker) {
+		"request after a target has left right before a restore": {do: func(c *testChecker) {
 			c.TargetLeft("t1")
 			c.time = c.time.Add(drainTimeout - time.Millisecond)
-			c.StoreDrilled()
+			c.StoreRestored()
 			c.time = c.time.Add(time.Minute)
 			askStep(c, 0, true, false)
 		}},
@@ -133,39 +133,39 @@
 	}
 }
 
-// TestRevokedKeyStaysRevokedOverADrill checks that a key may run again only where no instance knows more
+// TestRevokedKeyStaysRevokedOverARestore checks that a key may run again only where no instance knows more
 // than the copy that the store came back from, and for as long.
-func TestRevokedKeyStaysRevokedOverADrill(t *testing.T) {
+func TestRevokedKeyStaysRevokedOverARestore(t *testing.T) {
 	for name, test := range map[string]struct {
 		do   func(c *testChecker)
 		want []Promise
 	}{
 		"an instance knows": {want: []Promise{KeyIgnored}, do: func(c *testChecker) {
-			c.DrillBegan([]string{"i1", "i2"})
+			c.RestoreBegan([]string{"i1", "i2"})
 			c.InstanceEnds("i1")
 		}},
 		"all are lost": {do: func(c *testChecker) {
-			c.DrillBegan([]string{"i1", "i2"})
+			c.RestoreBegan([]string{"i1", "i2"})
 			c.InstanceEnds("i1")
 			c.InstanceDisturbed("i2")
 		}},
-		"none is active": {do: func(c *testChecker) { c.DrillBegan(nil) }},
+		"none is active": {do: func(c *testChecker) { c.RestoreBegan(nil) }},
 		"all have just begun": {do: func(c *testChecker) {
 			c.InstanceDisturbed("i1")
-			c.DrillBegan([]string{"i1"})
+			c.RestoreBegan([]string{"i1"})
 		}},
-		"all are lost in the first of two drills": {do: func(c *testChecker) {
-			c.DrillBegan(nil)
-			c.DrillBegan([]string{"i1"})
-			c.DrillEnded(c.time, c.time)
+		"all are lost in the first of two restores": {do: func(c *testChecker) {
+			c.RestoreBegan(nil)
+			c.RestoreBegan([]string{"i1"})
+			c.RestoreEnded(c.time, c.time)
 			c.time = c.time.Add(time.Minute)
 		}},
 		"all were lost before": {want: []Promise{KeyIgnored}, do: func(c *testChecker) {
-			c.DrillBegan(nil)
-			c.DrillEnded(c.time, c.time)
+			c.RestoreBegan(nil)
+			c.RestoreEnded(c.time, c.time)
 			c.time = c.time.Add(inForceTime)
 		}},
-		"all are lost without a drill": {want: []Promise{KeyIgnored}, do: func(c *testChecker) { c.InstanceEnds("i1") }},
+		"all are lost without a restore": {want: []Promise{KeyIgnored}, do: func(c *testChecker) { c.InstanceEnds("i1") }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newKeyedChecker()
--- a/internal/tool/soaker/drills.go
+++ b/internal/tool/soaker/restores.go
@@ -11,49 +11,49 @@
 )
 
 const (
-	// The bounds of a drill: how long the store is away, how old its copy is, and how long after the
+	// The bounds of a restore: how long the store is away, how old its copy is, and how long after the
 	// return the operator and the targets write again.
 	minAway      = 200 * time.Millisecond
 	maxAway      = 3 * time.Second
 	maxCopyAge   = 10 * time.Second
 	minRewriting = 100 * time.Millisecond
 	maxRewriting = 2 * time.Second
-	// seriesShare is the share of drills with a second one within maxDrillGap of the first return.
-	seriesShare = 0.35
-	maxDrillGap = 2 * time.Second
-	// changeShare is the share of drills right before which the manifest changes.
+	// seriesShare is the share of restores with a second one within maxRestoreGap of the first return.
+	seriesShare   = 0.35
+	maxRestoreGap = 2 * time.Second
+	// changeShare is the share of restores right before which the manifest changes.
 	changeShare = 0.5
-	// lossShare is the share of drills in which all instances are killed at once.
+	// lossShare is the share of restores in which all instances are killed at once.
 	lossShare   = 0.2
 	minLossTime = 100 * time.Millisecond
 	maxLossTime = 2 * time.Second
 	// beginsAnew takes the store's clock back to its start.
 	beginsAnew = -24 * time.Hour
-	// drillSettleTime is the time after the store's return from which guarantees with a time bound
+	// restoreSettleTime is the time after the store's return from which guarantees with a time bound
 	// hold again.
-	drillSettleTime = 3 * time.Second
+	restoreSettleTime = 3 * time.Second
 )
 
 func between(random *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(random.Float64()*float64(most-least))
 }
 
-func drawDrill(random *rand.Rand) simulator.Drill {
-	return simulator.Drill{
+func drawRestore(random *rand.Rand) simulator.Restore {
+	return simulator.Restore{
 		Away: between(random, minAway, maxAway), CopyAge: between(random, 0, maxCopyAge), RewriteAfter: between(random, minRewriting, maxRewriting),
 		Hold:      pick(random, []time.Duration{0, 100 * time.Millisecond}),
 		ClockJump: pick(random, []time.Duration{0, beginsAnew, time.Hour}),
 	}
 }
 
-// beginDrills plays one drill or two. The manifest may change right before, and all instances may be
+// beginRestores plays one restore or two. The manifest may change right before, and all instances may be
 // killed meanwhile. It returns a description and a function that returns once the writers have written
 // again.
-func (s *soak) beginDrills(random *rand.Rand) (what string, end func()) {
-	first := drawDrill(random)
-	drills, gap := []simulator.Drill{first}, between(random, 0, maxDrillGap)
+func (s *soak) beginRestores(random *rand.Rand) (what string, end func()) {
+	first := drawRestore(random)
+	restores, gap := []simulator.Restore{first}, between(random, 0, maxRestoreGap)
 	if random.Float64() < seriesShare {
-		drills = append(drills, drawDrill(random))
+		restores = append(restores, drawRestore(random))
 	}
 	loss, lossTime := between(random, 0, first.Away+first.RewriteAfter), between(random, minLossTime, maxLossTime)
 	losesAll := random.Float64() < lossShare
@@ -61,13 +61,13 @@
 	if random.Float64() < changeShare {
 		text = append(text, "manifest changes to "+s.changeManifest(random))
 	}
-	for _, d := range drills {
+	for _, d := range restores {
 		text = append(text, fmt.Sprintf("away %v, copy of %v, written again after %v, held %v, clock %v", d.Away, d.CopyAge, d.RewriteAfter, d.Hold, d.ClockJump))
 	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		s.playDrills(drills, gap)
+		s.playRestores(restores, gap)
 	}()
 	if losesAll {
 		text = append(text, fmt.Sprintf("all instances killed after %v for %v", loss, lossTime))
@@ -76,42 +76,42 @@
 	return strings.Join(text, "; "), func() { <-done }
 }
 
-// playDrills plays drills one after the other and returns once the writers have written again.
-func (s *soak) playDrills(drills []simulator.Drill, gap time.Duration) {
-	rewritten := make(chan struct{}, len(drills))
-	for n, d := range drills {
+// playRestores plays restores one after the other and returns once the writers have written again.
+func (s *soak) playRestores(restores []simulator.Restore, gap time.Duration) {
+	rewritten := make(chan struct{}, len(restores))
+	for n, d := range restores {
 		if n > 0 {
 			time.Sleep(gap)
 		}
-		s.playDrill(d, func() { rewritten <- struct{}{} })
+		s.playRestore(d, func() { rewritten <- struct{}{} })
 	}
-	for range drills {
+	for range restores {
 		<-rewritten
 	}
 }
 
-// playDrill plays a drill, after another one that is being played, and returns once the store is back.
-func (s *soak) playDrill(d simulator.Drill, rewritten func()) {
-	s.drilling.Lock()
-	defer s.drilling.Unlock()
-	s.noteDrill(d.Hold + d.Away)
-	s.checker.DrillBegan(s.activeInstances())
+// playRestore plays a restore, after another one that is being played, and returns once the store is back.
+func (s *soak) playRestore(d simulator.Restore, rewritten func()) {
+	s.restoring.Lock()
+	defer s.restoring.Unlock()
+	s.noteRestore(d.Hold + d.Away)
+	s.checker.RestoreBegan(s.activeInstances())
 	until := time.Now().Add(d.Hold)
 	d.Rewritten = func() {
-		s.checker.DrillEnded(until.Add(-d.CopyAge-d.Hold), until)
+		s.checker.RestoreEnded(until.Add(-d.CopyAge-d.Hold), until)
 		s.logf("written again in the store")
 		rewritten()
 	}
-	s.store.Drill(d)
-	s.noteDrill(0)
+	s.store.Restore(d)
+	s.noteRestore(0)
 	s.logf("the store is back")
 }
 
-// noteDrill records that the store goes away for a time, or comes back. Unlike other disturbances this does
+// noteRestore records that the store goes away for a time, or comes back. Unlike other disturbances this does
 // not change what instances know of targets.
-func (s *soak) noteDrill(away time.Duration) {
-	s.suspendTimeBounds(away + drillSettleTime)
-	s.checker.StoreDrilled()
+func (s *soak) noteRestore(away time.Duration) {
+	s.suspendTimeBounds(away + restoreSettleTime)
+	s.checker.StoreRestored()
 }
 
 func (s *soak) activeInstances() []string {
--- a/internal/tool/soaker/soaker.go
+++ b/internal/tool/soaker/soaker.go
@@ -61,9 +61,9 @@
 	Callers   int
 	// HasAccounts gives the callers accounts, whose keys change.
 	HasAccounts bool
-	// DrillShare is the share, 0 to 1, of drills of the store among the disturbances of instances
+	// RestoreShare is the share, 0 to 1, of restores of the store among the disturbances of instances
 	// and of the store, beyond those that are drawn as any other.
-	DrillShare float64
+	RestoreShare float64
 	// Program is the path of the program under test, Directory the folder for the settings
 	// and logs of its instances.
 	Program   string
@@ -95,7 +95,7 @@
 	activeFaults    sync.WaitGroup
 	manifestVersion int
 	steps           stepList
-	drilling        sync.Mutex // held while the store is away
+	restoring       sync.Mutex // held while the store is away
 	// disturbances is the number of times that a disturbance of the store or of an instance began
 	// or ended, and settledNanos when guarantees with a time bound hold again, in Unix nanoseconds.
 	disturbances atomic.Int64
--- a/internal/tool/soaker/soaker_test.go
+++ b/internal/tool/soaker/soaker_test.go
@@ -29,7 +29,7 @@
 		for _, hasAccounts := range []bool{false, true} {
 			found, err := Run(t.Context(), Settings{
 				Seed: seed, Length: 8 * time.Second, Instances: 3, Callers: 12, Program: program, Directory: t.TempDir(), Out: io.Discard,
-				HasAccounts: hasAccounts, DrillShare: 0.1,
+				HasAccounts: hasAccounts, RestoreShare: 0.1,
 			})
 			require.NoError(t, err)
 			assert.Empty(t, found, "seed %d, with accounts: %t", seed, hasAccounts)
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -84,9 +84,9 @@
 // Condition requires that a row has Version; 0 requires that the row does not
 // exist.
 type Condition struct {
-	// Era is the era of the store in which Version was given out; 0 if the store
+	// Epoch is the epoch of the store in which Version was given out; 0 if the store
 	// names none.
-	Era int64 `json:"Era"`
+	Epoch int64 `json:"Epoch"`
 
 	// Key corresponds to the JSON schema field "Key".
 	Key string `json:"Key"`
@@ -435,9 +435,9 @@
 	// loads of its peers.
 	LoadAddress string `json:"LoadAddress"`
 
-	// ManifestEra is the era of the store of ManifestVersion; 0 if the store names
-	// none.
-	ManifestEra int64 `json:"ManifestEra"`
+	// ManifestEpoch is the epoch of the store of ManifestVersion; 0 if the store
+	// names none.
+	ManifestEpoch int64 `json:"ManifestEpoch"`
 
 	// ManifestVersion is the version of the row of the manifest that the instance
 	// applies.
@@ -467,9 +467,9 @@
 	// with each other only.
 	SentNanoseconds int64 `json:"SentNanoseconds"`
 
-	// TargetsEra is the era of the store of TargetsVersion; 0 if the store names
+	// TargetsEpoch is the epoch of the store of TargetsVersion; 0 if the store names
 	// none.
-	TargetsEra int64 `json:"TargetsEra"`
+	TargetsEpoch int64 `json:"TargetsEpoch"`
 
 	// TargetsVersion is the version up to which the instance has read the target
 	// table.
@@ -502,9 +502,9 @@
 // GatewayProof states that a row of the manifest was the newest one at a time of
 // the store's clock. It stays true however late it arrives.
 type GatewayProof struct {
-	// RowEra is the era of the store whose clock StoreMilliseconds was read from, and
-	// in which RowVersion was given out; 0 if the store names none.
-	RowEra int64 `json:"RowEra"`
+	// RowEpoch is the epoch of the store whose clock StoreMilliseconds was read from,
+	// and in which RowVersion was given out; 0 if the store names none.
+	RowEpoch int64 `json:"RowEpoch"`
 
 	// RowVersion is the version of the row; 0 if the proof is about the rows that it
 	// comes with.
@@ -1065,9 +1065,9 @@
 
 // Row is one row of a table. Version counts its writes, starting at 1.
 type Row struct {
-	// Era is the era of the store in which Version was given out; 0 if the store
+	// Epoch is the epoch of the store in which Version was given out; 0 if the store
 	// names none.
-	Era int64 `json:"Era"`
+	Epoch int64 `json:"Epoch"`
 
 	// Key corresponds to the JSON schema field "Key".
 	Key string `json:"Key"`
@@ -1283,9 +1283,9 @@
 
 // StoreRow is a row as it was read from the platform's store.
 type StoreRow struct {
-	// Era is the era of the store in which Version was given out; 0 if the store
+	// Epoch is the epoch of the store in which Version was given out; 0 if the store
 	// names none.
-	Era int64 `json:"Era"`
+	Epoch int64 `json:"Epoch"`
 
 	// Key corresponds to the JSON schema field "Key".
 	Key string `json:"Key"`
@@ -1304,9 +1304,9 @@
 	// the changes.
 	AgeMilliseconds int64 `json:"AgeMilliseconds"`
 
-	// Era is the era of the store in which Version was given out; 0 if the store
+	// Epoch is the epoch of the store in which Version was given out; 0 if the store
 	// names none.
-	Era int64 `json:"Era"`
+	Epoch int64 `json:"Epoch"`
 
 	// Proof corresponds to the JSON schema field "Proof".
 	Proof GatewayProof `json:"Proof"`
@@ -1327,9 +1327,9 @@
 	// the snapshot.
 	AgeMilliseconds int64 `json:"AgeMilliseconds"`
 
-	// Era is the era of the store in which Version was given out; 0 if the store
+	// Epoch is the epoch of the store in which Version was given out; 0 if the store
 	// names none.
-	Era int64 `json:"Era"`
+	Epoch int64 `json:"Epoch"`
 
 	// Missing lists the keys of Rows that the store lacks, but that may be written
 	// again.
--- a/internal/wire/messenger/version.go
+++ b/internal/wire/messenger/version.go
@@ -3,16 +3,16 @@
 import "cmp"
 
 // StoreVersion is a version of the platform's store. A store that comes back from a copy gives
-// numbers out again, but in a later era. The zero value comes before all versions.
+// numbers out again, but in a later epoch. The zero value comes before all versions.
 type StoreVersion struct {
-	// Era is 0 if the store names none.
-	Era    int64
+	// Epoch is 0 if the store names none.
+	Epoch  int64
 	Number int64
 }
 
 // Compare returns -1 if v was given out before other, 1 if after it, and 0 if they are the same.
 func (v StoreVersion) Compare(other StoreVersion) int {
-	return cmp.Or(cmp.Compare(v.Era, other.Era), cmp.Compare(v.Number, other.Number))
+	return cmp.Or(cmp.Compare(v.Epoch, other.Epoch), cmp.Compare(v.Number, other.Number))
 }
 
 // IsBefore reports whether v was given out before other.
@@ -25,35 +25,37 @@
 func (v StoreVersion) IsZero() bool { return v == StoreVersion{} }
 
 // StoreVersion returns the version of the row; its Number is 0 if the row does not exist.
-func (r Row) StoreVersion() StoreVersion { return StoreVersion{Era: r.Era, Number: r.Version} }
+func (r Row) StoreVersion() StoreVersion { return StoreVersion{Epoch: r.Epoch, Number: r.Version} }
 
 // StoreVersion returns the version of the row.
-func (r StoreRow) StoreVersion() StoreVersion { return StoreVersion{Era: r.Era, Number: r.Version} }
+func (r StoreRow) StoreVersion() StoreVersion { return StoreVersion{Epoch: r.Epoch, Number: r.Version} }
 
 // StoreVersion returns the version of the table.
 func (s TableSnapshot) StoreVersion() StoreVersion {
-	return StoreVersion{Era: s.Era, Number: s.Version}
+	return StoreVersion{Epoch: s.Epoch, Number: s.Version}
 }
 
 // StoreVersion returns the version up to which the changes go.
 func (c TableChanges) StoreVersion() StoreVersion {
-	return StoreVersion{Era: c.Era, Number: c.Version}
+	return StoreVersion{Epoch: c.Epoch, Number: c.Version}
 }
 
 // StoreVersion returns the version of the row that the proof is about.
 func (p GatewayProof) StoreVersion() StoreVersion {
-	return StoreVersion{Era: p.RowEra, Number: p.RowVersion}
+	return StoreVersion{Epoch: p.RowEpoch, Number: p.RowVersion}
 }
 
 // StoreVersion returns the version that the row must have.
-func (c Condition) StoreVersion() StoreVersion { return StoreVersion{Era: c.Era, Number: c.Version} }
+func (c Condition) StoreVersion() StoreVersion {
+	return StoreVersion{Epoch: c.Epoch, Number: c.Version}
+}
 
 // ManifestStoreVersion returns the version up to which the instance has read the manifest's table.
 func (n GatewayNews) ManifestStoreVersion() StoreVersion {
-	return StoreVersion{Era: n.ManifestEra, Number: n.ManifestVersion}
+	return StoreVersion{Epoch: n.ManifestEpoch, Number: n.ManifestVersion}
 }
 
 // TargetsStoreVersion returns the version up to which the instance has read the target table.
 func (n GatewayNews) TargetsStoreVersion() StoreVersion {
-	return StoreVersion{Era: n.TargetsEra, Number: n.TargetsVersion}
+	return StoreVersion{Epoch: n.TargetsEpoch, Number: n.TargetsVersion}
 }
