Use the field's names for delays, removed targets and what is observed

Names that a reader had to decode: an instance that "meets" an epoch and awaits its "turn", targets that have "departed", a "look" whether a row is there, a proof that is "whole". They are observed, jitter, tombstones, a check and settled now; a limit in milliseconds says so in its name. Only names change; the tests of the packages pass.

--- a/internal/control/leaser/contend.go
+++ b/internal/control/leaser/contend.go
@@ -60,7 +60,7 @@
 		return err
 	}
 	if fence.Epoch != version.Epoch {
-		l.MeetEpoch(fence.Epoch)
+		l.ObserveEpoch(fence.Epoch)
 		return errors.Wrapf(errEpochChanged, "lease of epoch %d, fence of epoch %d", version.Epoch, fence.Epoch)
 	}
 	now := l.now()
@@ -70,7 +70,7 @@
 		return err
 	}
 	if versions[0].Epoch != version.Epoch {
-		l.MeetEpoch(versions[0].Epoch)
+		l.ObserveEpoch(versions[0].Epoch)
 		return errors.Wrapf(errEpochChanged, "acquisition of epoch %d", version.Epoch)
 	}
 	l.mu.Lock()
--- a/internal/control/leaser/epoch.go
+++ b/internal/control/leaser/epoch.go
@@ -11,8 +11,8 @@
 // errEpochChanged reports that the table service came back from a copy while the lease was written.
 var errEpochChanged = errors.New("epoch of the table service has changed")
 
-// MeetEpoch records that the table service is in an epoch.
-func (l *Leaser) MeetEpoch(epoch int64) {
+// ObserveEpoch records that the table service is in an epoch.
+func (l *Leaser) ObserveEpoch(epoch int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if epoch <= l.epoch {
--- a/internal/control/leaser/epoch_fault_test.go
+++ b/internal/control/leaser/epoch_fault_test.go
@@ -13,7 +13,7 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// restoredStore returns a store that came back from a copy without a lease, and two leasers that have met the epoch.
+// restoredStore returns a store that came back from a copy without a lease, and two leasers that have observed the epoch.
 func restoredStore(t *testing.T) (s *copiedStore, a, b *Leaser) {
 	t.Helper()
 	s = &copiedStore{now: time.Unix(1000, 0), epoch: 5, rows: map[string]messenger.Row{}}
@@ -22,7 +22,7 @@
 	s.acquire(t, a)
 	require.NoError(t, b.Tick())
 	s.restore(before)
-	b.MeetEpoch(s.epoch)
+	b.ObserveEpoch(s.epoch)
 	return s, a, b
 }
 
@@ -159,7 +159,7 @@
 	b := s.start("b")
 	transact, bounds := b.transact, b.clock
 	b.transact = func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
-		b.clock = func() (int64, int64, bool) { // another call has met the next epoch
+		b.clock = func() (int64, int64, bool) { // another call has observed the next epoch
 			earliest, latest, ok := bounds()
 			return earliest + 100_000, latest + 100_000, ok
 		}
@@ -233,7 +233,7 @@
 	grant := s.acquire(t, l)
 	l.NoteFence(grant.Fence + 1)
 	s.restore(before)
-	l.MeetEpoch(s.epoch)
+	l.ObserveEpoch(s.epoch)
 	assert.True(t, s.acquire(t, l).PreviousEndedAt.IsZero())
 	require.NoError(t, l.Tick())
 	again, isHeld := l.Held(s.now)
--- a/internal/control/leaser/epoch_world_test.go
+++ b/internal/control/leaser/epoch_world_test.go
@@ -35,7 +35,7 @@
 const (
 	noPlant         epochPlant = iota
 	hiddenEpochs               // the table service hides its epochs
-	forgottenGrants            // an instance that meets an epoch forgets that it was the last holder
+	forgottenGrants            // an instance that observes an epoch forgets that it was the last holder
 	epochlessTokens            // the tokens that a target sees lack the epoch
 	believedCopies             // all rows look as if they were written in the epoch of the answer
 	eternalLease               // the row seems to change with each read
@@ -220,7 +220,7 @@
 
 // answer receives an answer of an epoch, and reports whether a later one is known.
 func (n *epochNode) answer(epoch int64) (isLate bool) {
-	n.meet(epoch)
+	n.observeEpoch(epoch)
 	if epoch < n.epoch {
 		return true
 	}
@@ -228,8 +228,8 @@
 	return false
 }
 
-// meet is what the client of the table service does before it returns the answer that shows an epoch.
-func (n *epochNode) meet(epoch int64) {
+// observeEpoch is what the client of the table service does before it returns the answer that shows an epoch.
+func (n *epochNode) observeEpoch(epoch int64) {
 	if epoch <= n.epoch {
 		return
 	}
@@ -238,7 +238,7 @@
 	}
 	n.epoch, n.clockEpoch = epoch, 0
 	if n.w.plant != hiddenEpochs {
-		n.leaser.MeetEpoch(epoch)
+		n.leaser.ObserveEpoch(epoch)
 	}
 }
 
@@ -357,7 +357,7 @@
 		return
 	}
 	n.pollAt = n.w.now.Add(n.w.delay(worldTick))
-	n.meet(n.w.store.epoch)
+	n.observeEpoch(n.w.store.epoch)
 }
 
 // applyLate applies late writes that are due and whose conditions hold.
--- a/internal/control/leaser/leaser.go
+++ b/internal/control/leaser/leaser.go
@@ -279,7 +279,7 @@
 	versions, err := l.write(next, []messenger.Condition{condition(leaseKey, version)}, nil)
 	switch {
 	case err == nil && versions[0].Epoch != next.Epoch:
-		l.MeetEpoch(versions[0].Epoch)
+		l.ObserveEpoch(versions[0].Epoch)
 		return errors.Wrapf(errEpochChanged, "renewal of epoch %d", next.Epoch)
 	case err == nil:
 		l.recordGrant(now, next, versions[0])
@@ -365,7 +365,7 @@
 	if err != nil {
 		return row, Record{}, err
 	}
-	l.MeetEpoch(row.Epoch)
+	l.ObserveEpoch(row.Epoch)
 	if row.Version == 0 {
 		return row, Record{}, nil
 	}
--- a/internal/gateway/archivist/archivist.go
+++ b/internal/gateway/archivist/archivist.go
@@ -22,8 +22,8 @@
 	maxOwnRows = 256
 	// maxBatch bounds the changes that are written in one transaction.
 	maxBatch = 64
-	// maxDeadlineError is the difference of deadlines, in milliseconds, from which a row is of another clock.
-	maxDeadlineError = 2000
+	// maxDeadlineErrorMilliseconds is the difference of deadlines, in milliseconds, from which a row is of another clock.
+	maxDeadlineErrorMilliseconds = 2000
 )
 
 // Row is the row of a conviction.
@@ -109,7 +109,7 @@
 	for key, v := range a.own {
 		row := rowOf(v, now, clock)
 		deadline, isPresent := present[key]
-		if isPresent && max(deadline, row.DeadlineMilliseconds)-min(deadline, row.DeadlineMilliseconds) < maxDeadlineError {
+		if isPresent && max(deadline, row.DeadlineMilliseconds)-min(deadline, row.DeadlineMilliseconds) < maxDeadlineErrorMilliseconds {
 			continue
 		}
 		a.pending[key] = Change{Row: row}
--- a/internal/gateway/confirmer/confirmer.go
+++ b/internal/gateway/confirmer/confirmer.go
@@ -106,11 +106,11 @@
 	if c.epoch.number != epoch {
 		return
 	}
-	isWhole := c.epoch.isWholeAt(storeMilliseconds, storeMilliseconds, latest)
+	isSettled := c.epoch.isSettledAt(storeMilliseconds, storeMilliseconds, latest)
 	if c.unreadable.IsAfter(c.applied) || c.substituted == c.applied || c.applied.Epoch != epoch {
 		return
 	}
-	if isWhole {
+	if isSettled {
 		c.proof.replace(Proof{Version: c.applied, StoreMilliseconds: storeMilliseconds}, latest)
 	}
 }
@@ -124,7 +124,7 @@
 	if proof.Version.IsAfter(c.applied) {
 		return true
 	}
-	if proof.Version.Epoch == c.epoch.number && c.epoch.isWholeAt(proof.StoreMilliseconds, latest, latest) {
+	if proof.Version.Epoch == c.epoch.number && c.epoch.isSettledAt(proof.StoreMilliseconds, latest, latest) {
 		c.proof.replace(proof, latest)
 	}
 	return false
--- a/internal/gateway/confirmer/epoch.go
+++ b/internal/gateway/confirmer/epoch.go
@@ -23,13 +23,13 @@
 
 // epoch is what a confirmer knows of the epoch of the store's clock. Until rewriteTime after the store's
 // return, which is not later than the first answer of the epoch, the table may lack a manifest that removed
-// a key. Proofs of that time, also those of peers that met no epoch before, count only where no epoch was met
+// a key. Proofs of that time, also those of peers that observed no epoch before, count only where no epoch was observed
 // before: such an instance cannot tell.
 type epoch struct {
 	number  int64
 	isFirst bool
-	// metBy is a time of the store by which it had returned; 0 before the first answer.
-	metBy int64
+	// returnedBy is a time of the store by which it had returned; 0 before the first answer.
+	returnedBy int64
 	// before is the age of the proof of an earlier epoch.
 	before keptAge
 }
@@ -47,31 +47,31 @@
 	return k.atTime + elapsed + timekeeper.MaxDrift(elapsed), k.isKnown
 }
 
-// isWholeAt reports whether a proof of a time of the store counts, since all that was lost is written again.
+// isSettledAt reports whether a proof of a time of the store counts, since all that was lost is written again.
 // By the time returned the store had returned.
-func (e *epoch) isWholeAt(storeMilliseconds, returned, latest int64) bool {
+func (e *epoch) isSettledAt(storeMilliseconds, returned, latest int64) bool {
 	if e.isFirst {
 		return true
 	}
 	if storeMilliseconds <= 0 || storeMilliseconds > latest {
 		return false
 	}
-	if e.metBy == 0 {
-		e.metBy = returned
+	if e.returnedBy == 0 {
+		e.returnedBy = returned
 	}
-	return storeMilliseconds >= e.metBy+rewriteTime.Milliseconds()
+	return storeMilliseconds >= e.returnedBy+rewriteTime.Milliseconds()
 }
 
 // MayConfirm reports whether a proof of the current time would count.
 func (c *Confirmer) MayConfirm(latest int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.epoch.isFirst || c.epoch.metBy == 0 || latest >= c.epoch.metBy+rewriteTime.Milliseconds()
+	return c.epoch.isFirst || c.epoch.returnedBy == 0 || latest >= c.epoch.returnedBy+rewriteTime.Milliseconds()
 }
 
-// MeetEpoch ends the proofs of the epoch before: they hold until their bound by the local clock, since the
+// ObserveEpoch ends the proofs of the epoch before: they hold until their bound by the local clock, since the
 // store's clock may be another one.
-func (c *Confirmer) MeetEpoch(next Epoch) {
+func (c *Confirmer) ObserveEpoch(next Epoch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if next.Number <= c.epoch.number {
--- a/internal/gateway/confirmer/epoch_test.go
+++ b/internal/gateway/confirmer/epoch_test.go
@@ -15,7 +15,7 @@
 func newInEpoch() (*confirmer.Confirmer, *time.Time) {
 	now := at(0)
 	c := confirmer.New(5*time.Second, confirmer.WithClock(func() time.Time { return now }))
-	c.MeetEpoch(confirmer.Epoch{Number: 5, IsFirst: true})
+	c.ObserveEpoch(confirmer.Epoch{Number: 5, IsFirst: true})
 	c.SetApplied(messenger.StoreVersion{Epoch: 5, Number: 90})
 	c.Confirm(5, 1000, 1001)
 	c.Confirm(5, 9000, 9001)
@@ -28,10 +28,10 @@
 	for name, latest := range map[string]int64{"not known": 0, "earlier": 2000, "later": 900_000} {
 		t.Run(name, func(t *testing.T) {
 			c, now := newInEpoch()
-			c.MeetEpoch(confirmer.Epoch{Number: 6, LatestBefore: 10_000, At: *now})
+			c.ObserveEpoch(confirmer.Epoch{Number: 6, LatestBefore: 10_000, At: *now})
 			*now = at(3900)
 			assert.True(t, isConfirmed(c, latest))
-			c.MeetEpoch(confirmer.Epoch{Number: 7, LatestBefore: 0})
+			c.ObserveEpoch(confirmer.Epoch{Number: 7, LatestBefore: 0})
 			assert.True(t, isConfirmed(c, latest), "a second epoch")
 			*now = at(4000)
 			assert.False(t, isConfirmed(c, latest))
@@ -39,7 +39,7 @@
 	}
 	t.Run("without a clock its age is not known", func(t *testing.T) {
 		c, _ := newInEpoch()
-		c.MeetEpoch(confirmer.Epoch{Number: 6})
+		c.ObserveEpoch(confirmer.Epoch{Number: 6})
 		assert.False(t, isConfirmed(c, 900_000))
 	})
 }
@@ -48,9 +48,9 @@
 // not written again yet.
 func TestLaterEpochProvesNothingAtOnce(t *testing.T) {
 	c, _ := newInEpoch()
-	c.MeetEpoch(confirmer.Epoch{Number: 6})
+	c.ObserveEpoch(confirmer.Epoch{Number: 6})
 	c.SetApplied(messenger.StoreVersion{Epoch: 6, Number: 70})
-	assert.True(t, c.MayConfirm(2999), "the first answer shows when it was met")
+	assert.True(t, c.MayConfirm(2999), "the first answer shows when it was observed")
 	c.Confirm(6, 3000, 3001)
 	assert.False(t, c.MayConfirm(5199), "a call to the store would be in vain")
 	assert.True(t, c.MayConfirm(5200))
@@ -67,7 +67,7 @@
 // written again.
 func TestRowThatIsMissingProvesNothing(t *testing.T) {
 	c, _ := newInEpoch()
-	c.MeetEpoch(confirmer.Epoch{Number: 6})
+	c.ObserveEpoch(confirmer.Epoch{Number: 6})
 	c.Confirm(6, 3000, 3001)
 	c.Confirm(6, 9000, 9001)
 	assert.False(t, isConfirmed(c, 9001))
@@ -77,7 +77,7 @@
 // and one that cannot be read.
 func TestRowThatCannotBeReadProvesNothing(t *testing.T) {
 	c, _ := newInEpoch()
-	c.MeetEpoch(confirmer.Epoch{Number: 6})
+	c.ObserveEpoch(confirmer.Epoch{Number: 6})
 	c.SetSubstituted(messenger.StoreVersion{Epoch: 6, Number: 70})
 	c.SetApplied(messenger.StoreVersion{Epoch: 6, Number: 70})
 	c.Confirm(6, 3000, 3001)
@@ -92,7 +92,7 @@
 // after the return, and knows only what the store came back with.
 func TestProofsOfJoinersCountLater(t *testing.T) {
 	c, _ := newInEpoch()
-	c.MeetEpoch(confirmer.Epoch{Number: 6})
+	c.ObserveEpoch(confirmer.Epoch{Number: 6})
 	c.SetApplied(messenger.StoreVersion{Epoch: 6, Number: 70})
 	proof := func(milliseconds int64) confirmer.Proof {
 		return confirmer.Proof{Version: messenger.StoreVersion{Epoch: 6, Number: 70}, StoreMilliseconds: milliseconds}
@@ -107,7 +107,7 @@
 // TestFirstEpochConfirmsAtOnce guards against an instance that refuses all keys when it starts.
 func TestFirstEpochConfirmsAtOnce(t *testing.T) {
 	c := confirmer.New(5 * time.Second)
-	c.MeetEpoch(confirmer.Epoch{Number: 6, IsFirst: true})
+	c.ObserveEpoch(confirmer.Epoch{Number: 6, IsFirst: true})
 	c.SetApplied(messenger.StoreVersion{Epoch: 6, Number: 70})
 	c.Confirm(6, 3000, 3001)
 	assert.True(t, isConfirmed(c, 3001))
@@ -126,7 +126,7 @@
 	c.SetApplied(messenger.StoreVersion{Epoch: 6, Number: 70})
 	assert.False(t, c.Receive(proof(6, 70), 10_000))
 	assert.Equal(t, before, c.Proof(), "its clock is not known here")
-	c.MeetEpoch(confirmer.Epoch{Number: 6})
+	c.ObserveEpoch(confirmer.Epoch{Number: 6})
 	c.Confirm(6, 7000, 7001)
 	c.Receive(proof(6, 70), 10_000)
 	assert.Equal(t, proof(6, 70), c.Proof())
--- a/internal/gateway/confirmer/history_restore_test.go
+++ b/internal/gateway/confirmer/history_restore_test.go
@@ -161,8 +161,8 @@
 	return n.knowsCopyOnly && (w.lacksLast() || w.restores.lackedAt.After(from))
 }
 
-// meetEpoch is what an instance does with the first answer of a later epoch.
-func (w *world) meetEpoch(n *node, number int64) {
+// observeEpoch is what an instance does with the first answer of a later epoch.
+func (w *world) observeEpoch(n *node, number int64) {
 	if number <= n.epoch {
 		return
 	}
@@ -171,6 +171,6 @@
 	if w.plant == renewedProofs {
 		latest = n.confirmer.Proof().StoreMilliseconds
 	}
-	n.confirmer.MeetEpoch(confirmer.Epoch{Number: number, IsFirst: n.epoch == 0 || w.plant == confirmedAtOnce, LatestBefore: latest, At: now})
+	n.confirmer.ObserveEpoch(confirmer.Epoch{Number: number, IsFirst: n.epoch == 0 || w.plant == confirmedAtOnce, LatestBefore: latest, At: now})
 	n.clock, n.epoch = confirmer.Clock{}, number
 }
--- a/internal/gateway/confirmer/history_world_test.go
+++ b/internal/gateway/confirmer/history_world_test.go
@@ -52,7 +52,7 @@
 	tableFirst
 	// confirmedAtOnce takes the store's word for what it came back with.
 	confirmedAtOnce
-	// renewedProofs are as new as the epoch, whatever their age when it was met.
+	// renewedProofs are as new as the epoch, whatever their age when it was observed.
 	renewedProofs
 	// anyClock compares the proofs of peers with the store's clock of another epoch.
 	anyClock
@@ -389,7 +389,7 @@
 			return
 		}
 		n.knowsCopyOnly = n.knowsCopyOnly || (n.epoch == 0 && lacksLast)
-		w.meetEpoch(n, version.Epoch)
+		w.observeEpoch(n, version.Epoch)
 		n.clock.Record(now, sent, w.local(n))
 		rows := []messenger.StoreRow{}
 		if row.Version > 0 {
--- a/internal/gateway/follower/apply.go
+++ b/internal/gateway/follower/apply.go
@@ -122,7 +122,7 @@
 		return errors.Wrap(ErrOutdated, f.table)
 	}
 	if !f.version.IsZero() && snapshot.Epoch > f.version.Epoch {
-		f.meetEpoch(now, snapshot.StoreVersion())
+		f.beginEpoch(now, snapshot.StoreVersion())
 		snapshot.Rows = f.resolveRows(snapshot.Rows)
 	}
 	deferRemoval := (mayReturn && f.mayHaveExpired(now)) || now.Before(f.epochDeadline)
--- a/internal/gateway/follower/epoch.go
+++ b/internal/gateway/follower/epoch.go
@@ -42,9 +42,9 @@
 	return next, true
 }
 
-// meetEpoch prepares for the first table of a later epoch: entries that it lacks may be written again, and
+// beginEpoch prepares for the first table of a later epoch: entries that it lacks may be written again, and
 // no peer can know that they were removed. The caller holds f.mu.
-func (f *Follower) meetEpoch(now time.Time, after messenger.StoreVersion) {
+func (f *Follower) beginEpoch(now time.Time, after messenger.StoreVersion) {
 	f.observeEpoch(f.version, after)
 	f.startGrace(now)
 	f.epochDeadline = f.returnDeadline
--- a/internal/gateway/follower/epoch_test.go
+++ b/internal/gateway/follower/epoch_test.go
@@ -68,15 +68,15 @@
 // of epoch ends, although the store is just back from the second.
 func TestSecondChangeOfEpochBeginsTheGraceAnew(t *testing.T) {
 	s, f := newTestStore()
-	meet := func(epoch int64) {
+	observe := func(epoch int64) {
 		s.table, s.isHistoryTruncated = inEpoch(epoch, snapshot(70, row("b", 60))), true
 		f.Step()
 	}
 	s.table = inEpoch(5, snapshot(90, row("a", 90), row("b", 60)))
 	f.Step()
-	meet(6)
+	observe(6)
 	s.now = s.now.Add(returnGracePeriod / 2)
-	meet(7)
+	observe(7)
 	s.now = s.now.Add(returnGracePeriod - time.Millisecond)
 	s.changes = []Changes{{Epoch: 7, Version: 71}, {Epoch: 7, Version: 72}}
 	f.Step()
@@ -87,7 +87,7 @@
 }
 
 // TestOutageWithinTheGraceOfAnEpochBeginsAGrace guards against entries that expired in an outage, and vanish at its end
-// since it was met within the grace of a change of epoch.
+// since it was observed within the grace of a change of epoch.
 func TestOutageWithinTheGraceOfAnEpochBeginsAGrace(t *testing.T) {
 	s, f := newTestStore()
 	s.table = inEpoch(5, snapshot(90, row("a", 90), row("b", 60)))
@@ -182,7 +182,7 @@
 	}
 }
 
-// TestVersionOfALaterEpochThanTheCopy guards against changes of an earlier epoch for an instance that has met a later one.
+// TestVersionOfALaterEpochThanTheCopy guards against changes of an earlier epoch for an instance that has observed a later one.
 func TestVersionOfALaterEpochThanTheCopy(t *testing.T) {
 	s, f := newTestStore()
 	s.table = inEpoch(5, snapshot(90, row("a", 90)))
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -105,7 +105,7 @@
 	hasResolver bool
 	// isLasting keeps rows that are missing since the store came back from a copy; see WithLastingRows.
 	isLasting bool
-	// observeEpoch is called with the versions of the copy before and after it meets a later epoch.
+	// observeEpoch is called with the versions of the copy before and after it observes a later epoch.
 	observeEpoch func(before, after messenger.StoreVersion)
 	// isReadable reports whether a row can be decoded, proof returns the proof to pass on, and receiveProof is called with each that arrives.
 	isReadable   func(messenger.StoreRow) bool
--- a/internal/gateway/registrar/departed_test.go
+++ b/internal/gateway/registrar/tombstones_test.go
@@ -14,7 +14,7 @@
 // that is not used although it is back.
 func TestDepartedTargetStaysSo(t *testing.T) {
 	now := time.Unix(1000, 0)
-	d := registrar.NewDeparted()
+	d := registrar.NewTombstones()
 	d.Add(&registrar.Target{ID: "t", StartMilliseconds: 5, Heartbeat: 70}, 3, now)
 	for _, c := range []struct {
 		name            string
@@ -33,7 +33,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			entry := &registrar.Target{ID: "t", StartMilliseconds: c.born, Heartbeat: c.heartbeat}
-			assert.Equal(t, c.isGone, d.IsGone(entry, c.epoch, now.Add(c.after)))
+			assert.Equal(t, c.isGone, d.Covers(entry, c.epoch, now.Add(c.after)))
 		})
 	}
 }
@@ -41,14 +41,14 @@
 // TestDepartedTargetsAreBounded guards against memory that grows with the targets that come and go.
 func TestDepartedTargetsAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
-	d := registrar.NewDeparted()
+	d := registrar.NewTombstones()
 	target := func(n int) *registrar.Target {
 		return &registrar.Target{ID: fmt.Sprint(n), StartMilliseconds: 1}
 	}
-	for n := range registrar.MaxDeparted + 1 {
+	for n := range registrar.MaxTombstones + 1 {
 		d.Add(target(n), 3, now)
 	}
-	assert.False(t, d.IsGone(target(0), 4, now), "the oldest is forgotten")
-	assert.True(t, d.IsGone(target(1), 4, now))
-	assert.True(t, d.IsGone(target(registrar.MaxDeparted), 4, now))
+	assert.False(t, d.Covers(target(0), 4, now), "the oldest is forgotten")
+	assert.True(t, d.Covers(target(1), 4, now))
+	assert.True(t, d.Covers(target(registrar.MaxTombstones), 4, now))
 }
--- a/internal/gateway/supervisor/cell.go
+++ b/internal/gateway/supervisor/cell.go
@@ -140,7 +140,7 @@
 // fresh copy.
 func (s *Supervisor) readTable(table string) (messenger.TableSnapshot, error) {
 	if table == instanceTable {
-		s.awaitTurn()
+		s.awaitJitter()
 		return s.platform.Read(table) // without it no peers are known
 	}
 	s.awaitReaders()
@@ -174,7 +174,7 @@
 			}
 		}
 	}
-	time.Sleep(s.turn())
+	time.Sleep(s.jitter())
 }
 
 // hasRead reports whether a reader has read a table in an epoch.
--- a/internal/gateway/supervisor/cell_test.go
+++ b/internal/gateway/supervisor/cell_test.go
@@ -130,7 +130,7 @@
 }
 
 // TestReaderInAnEarlierEpochIsPassedOver guards against an instance that gets no changes since the one that it follows the
-// store through has not met its epoch, or knows none.
+// store through has not observed its epoch, or knows none.
 func TestReaderInAnEarlierEpochIsPassedOver(t *testing.T) {
 	s, calls := newReadingInstance(t, &readerPeer{epoch: 5, version: 90}, &readerPeer{epoch: 6, version: 70})
 	s.targets.Adopt(messenger.TableSnapshot{Epoch: 6, Version: 60})
@@ -143,7 +143,7 @@
 	assert.Zero(t, *calls)
 }
 
-// TestInstanceInAnEarlierEpochTellsSo guards against changes of an earlier epoch for an instance that has met a later one, and
+// TestInstanceInAnEarlierEpochTellsSo guards against changes of an earlier epoch for an instance that has observed a later one, and
 // against an instance that does not learn of that epoch.
 func TestInstanceInAnEarlierEpochTellsSo(t *testing.T) {
 	s, _ := newReadingInstance(t)
--- a/internal/gateway/supervisor/epochs.go
+++ b/internal/gateway/supervisor/epochs.go
@@ -13,8 +13,8 @@
 
 // epochs is what an instance knows of the epochs of the store.
 type epochs struct {
-	// current is the latest epoch that is known, and metAt is when it was met, in Unix nanoseconds.
-	current, metAt atomic.Int64
+	// current is the latest epoch that is known, and observedAt is when it was observed, in Unix nanoseconds.
+	current, observedAt atomic.Int64
 	// rereadMilliseconds is how long after that the last table was read again. Those that a peer sent before
 	// do not count.
 	rereadMilliseconds atomic.Int64
@@ -37,23 +37,23 @@
 	s.measurer.RegisterGauge("Store.Epoch", s.epochs.current.Load)
 	s.measurer.RegisterGauge("Store.RereadMilliseconds", s.epochs.rereadMilliseconds.Load)
 	if s.platform.OnEpoch != nil {
-		s.platform.OnEpoch(s.meetEpoch)
+		s.platform.OnEpoch(s.observeEpoch)
 	}
 }
 
-// meetEpoch is called with each change of epoch of the store.
-func (s *Supervisor) meetEpoch(change follower.EpochChange) {
-	s.epochs.metAt.Store(time.Now().UnixNano()) // before the epoch that it is of
+// observeEpoch is called with each change of epoch of the store.
+func (s *Supervisor) observeEpoch(change follower.EpochChange) {
+	s.epochs.observedAt.Store(time.Now().UnixNano()) // before the epoch that it is of
 	s.epochs.current.Store(change.After.Epoch)
 	s.log.Info("epoch of the store", "epoch", change.After.Epoch, "version", change.After.Number,
 		"epochBefore", change.Before.Epoch, "versionBefore", change.Before.Number)
-	s.leaser.MeetEpoch(change.After.Epoch)
-	s.confirmer.MeetEpoch(confirmer.Epoch{
+	s.leaser.ObserveEpoch(change.After.Epoch)
+	s.confirmer.ObserveEpoch(confirmer.Epoch{
 		Number: change.After.Epoch, IsFirst: change.Before.IsZero(), LatestBefore: change.LatestBefore, At: change.At,
 	})
 	if !change.Before.IsZero() {
 		s.measurer.CountEvent(measurer.StoreEpochChanges, 1)
-		s.restoreRows()
+		s.checkRows()
 	}
 }
 
@@ -70,10 +70,10 @@
 	}
 }
 
-// askEpoch asks the store for its epoch, unless another call has met the one that a peer has named by then. All
+// askEpoch asks the store for its epoch, unless another call has observed the one that a peer has named by then. All
 // instances hear of it from their peers at about the same time.
 func (s *Supervisor) askEpoch(named int64) {
-	time.Sleep(s.turn())
+	time.Sleep(s.jitter())
 	if named <= s.epochs.current.Load() {
 		return
 	}
@@ -87,23 +87,23 @@
 	}
 }
 
-// awaitTurn delays a call to the store that all instances make once they meet a later epoch, each by a time
+// awaitJitter delays a call to the store that all instances make once they observe a later epoch, each by a time
 // of its own.
-func (s *Supervisor) awaitTurn() {
-	metAt := time.Unix(0, s.epochs.metAt.Load())
-	if s.epochs.current.Load() > 0 && time.Since(metAt) <= s.turnSpread() {
-		time.Sleep(s.turn())
+func (s *Supervisor) awaitJitter() {
+	observedAt := time.Unix(0, s.epochs.observedAt.Load())
+	if s.epochs.current.Load() > 0 && time.Since(observedAt) <= s.maxJitter() {
+		time.Sleep(s.jitter())
 	}
 }
 
-// turnSpread is the time over which all instances together make a call.
-func (s *Supervisor) turnSpread() time.Duration {
+// maxJitter is the time over which all instances together make a call.
+func (s *Supervisor) maxJitter() time.Duration {
 	return time.Duration(s.instanceCount.Load()) * epochCallInterval
 }
 
-// turn returns a random part of that time.
-func (s *Supervisor) turn() time.Duration {
-	return time.Duration(rand.Int64N(max(int64(s.turnSpread()), 1)))
+// jitter returns a random part of maxJitter.
+func (s *Supervisor) jitter() time.Duration {
+	return time.Duration(rand.Int64N(max(int64(s.maxJitter()), 1)))
 }
 
 // observeReread returns the option by which the follower of a table logs that it has read the table again
@@ -112,7 +112,7 @@
 	return follower.WithEpochObserver(func(before, after messenger.StoreVersion) {
 		fields := []any{"table", table, "epoch", after.Epoch, "version", after.Number, "epochBefore", before.Epoch, "versionBefore", before.Number}
 		if after.Epoch == s.epochs.current.Load() { // a peer may have sent the table before the store has shown its epoch
-			took := time.Since(time.Unix(0, s.epochs.metAt.Load())).Milliseconds()
+			took := time.Since(time.Unix(0, s.epochs.observedAt.Load())).Milliseconds()
 			s.epochs.rereadMilliseconds.Store(took)
 			fields = append(fields, "afterMilliseconds", took)
 		}
--- a/internal/gateway/supervisor/epochs_test.go
+++ b/internal/gateway/supervisor/epochs_test.go
@@ -13,19 +13,19 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// newEpochInstance returns an instance that has met an epoch, and counts its calls for the epoch of the store. Each
-// shows what the store's client has just met, if anything.
-func newEpochInstance(t *testing.T, epoch int64, meets ...int64) (*Supervisor, *atomic.Int64) {
+// newEpochInstance returns an instance that has observed an epoch, and counts its calls for the epoch of the store. Each
+// shows what the store's client has just observed, if anything.
+func newEpochInstance(t *testing.T, epoch int64, observed ...int64) (*Supervisor, *atomic.Int64) {
 	t.Helper()
 	s, _ := newReadingInstance(t)
 	calls := &atomic.Int64{}
 	s.platform.Get = func(string, string) (messenger.Row, error) {
-		if n := int(calls.Add(1)); n <= len(meets) {
-			s.meetEpoch(epochChange(meets[n-1]))
+		if n := int(calls.Add(1)); n <= len(observed) {
+			s.observeEpoch(epochChange(observed[n-1]))
 		}
 		return messenger.Row{}, nil
 	}
-	s.meetEpoch(epochChange(epoch))
+	s.observeEpoch(epochChange(epoch))
 	return s, calls
 }
 
@@ -81,7 +81,7 @@
 }
 
 // TestCallsAfterAChangeOfEpochAreSpread guards against all instances of a large system that call the store in the moment in
-// which they meet a later epoch.
+// which they observe a later epoch.
 func TestCallsAfterAChangeOfEpochAreSpread(t *testing.T) {
 	const instances, spread = 400, 400 * epochCallInterval
 	synctest.Test(t, func(t *testing.T) {
@@ -91,7 +91,7 @@
 		delays := make(chan time.Duration, instances)
 		for range instances {
 			go func() {
-				s.awaitTurn()
+				s.awaitJitter()
 				delays <- time.Since(began)
 			}()
 		}
@@ -110,7 +110,7 @@
 		time.Sleep(spread)
 		assert.EqualValues(t, 1, calls.Load())
 		began = time.Now()
-		s.awaitTurn()
+		s.awaitJitter()
 		assert.Zero(t, time.Since(began), "the change is long ago")
 	})
 }
@@ -124,7 +124,7 @@
 		s.targets.Adopt(messenger.TableSnapshot{Epoch: 5, Version: 9})
 		s.targets.Adopt(messenger.TableSnapshot{Epoch: 6, Version: 7})
 		assert.Zero(t, s.epochs.rereadMilliseconds.Load())
-		s.meetEpoch(epochChange(7))
+		s.observeEpoch(epochChange(7))
 		time.Sleep(time.Second)
 		s.targets.Adopt(messenger.TableSnapshot{Epoch: 7, Version: 5})
 		assert.EqualValues(t, 1000, s.epochs.rereadMilliseconds.Load())
--- a/internal/gateway/supervisor/in_force.go
+++ b/internal/gateway/supervisor/in_force.go
@@ -184,7 +184,7 @@
 	if err != nil {
 		return next, true // applyTarget says so
 	}
-	if s.departed.IsGone(target, next.Epoch, time.Now()) {
+	if s.tombstones.Covers(target, next.Epoch, time.Now()) {
 		s.log.Info("target of the store is gone", "target", target.ID, "born", target.StartMilliseconds, "heartbeat", target.Heartbeat,
 			"rowEpoch", next.Epoch, "rowVersion", next.Version)
 		return next, false
--- a/internal/gateway/supervisor/lease_test.go
+++ b/internal/gateway/supervisor/lease_test.go
@@ -83,7 +83,7 @@
 		}
 	}
 	for _, p := range permits {
-		p.leaser.MeetEpoch(s.epoch)
+		p.leaser.ObserveEpoch(s.epoch)
 	}
 }
 
--- a/internal/gateway/supervisor/own_row.go
+++ b/internal/gateway/supervisor/own_row.go
@@ -11,13 +11,13 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// restoreRows starts a look whether the rows that this instance has written are there, after the store came
+// checkRows triggers a check that the rows which this instance has written are there, after the store came
 // back from a copy.
-func (s *Supervisor) restoreRows() {
-	for _, lost := range []chan struct{}{s.rowLost, s.verdictRows.lost} {
+func (s *Supervisor) checkRows() {
+	for _, check := range []chan struct{}{s.rowCheck, s.verdictRows.check} {
 		select {
-		case lost <- struct{}{}:
-		default: // the look has not begun yet
+		case check <- struct{}{}:
+		default: // one is due already
 		}
 	}
 }
@@ -28,9 +28,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.rowLost:
+		case <-s.rowCheck:
 		}
-		s.awaitTurn()
+		s.awaitJitter()
 		s.retryRow(ctx)
 	}
 }
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -98,7 +98,7 @@
 	log         logr.Logger
 
 	registry     *registrar.Registrar
-	departed     *registrar.Departed
+	tombstones   *registrar.Tombstones
 	balancer     *balancer.Balancer
 	limiter      *limiter.Limiter
 	quotas       *quotaKeeper
@@ -107,7 +107,7 @@
 	quarantiner  *quarantiner.Quarantiner
 	crashReports *crashReports
 	verdictRows  *verdictRows
-	rowLost      chan struct{}
+	rowCheck     chan struct{}
 	budget       *budgeter.Budgeter
 	loadChanges  *loadChanges
 	measurer     *measurer.Measurer
@@ -144,7 +144,7 @@
 func New(settings messenger.GatewaySettings, platform Platform, log logr.Logger) *Supervisor {
 	s := &Supervisor{
 		settings: settings, platform: platform, log: log, incarnation: time.Now().UnixMilli(),
-		registry: registrar.New(), departed: registrar.NewDeparted(), loadChanges: newLoadChanges(), measurer: measurer.New(time.Now()), tally: tallier.New(), poster: poster.New(),
+		registry: registrar.New(), tombstones: registrar.NewTombstones(), loadChanges: newLoadChanges(), measurer: measurer.New(time.Now()), tally: tallier.New(), poster: poster.New(),
 	}
 	s.limiter = limiter.New(limiter.Member{Name: settings.Instance, DataCentre: settings.DataCentre}, minCellSize)
 	s.quotas = newQuotaKeeper(settings)
@@ -154,7 +154,7 @@
 	s.quarantiner = quarantiner.New(settings.Instance, quarantiner.WithTrials())
 	s.crashReports = newCrashReports()
 	s.verdictRows = newVerdictRows()
-	s.rowLost = make(chan struct{}, 1)
+	s.rowCheck = make(chan struct{}, 1)
 	bounds := settings.Bounds
 	s.budget = budgeter.New(bounds.RetryRatio, bounds.RetrySlack, seconds(bounds.RetryWindowSeconds))
 	s.slots = newSlots(s)
@@ -307,7 +307,7 @@
 		for _, key := range removed {
 			if old := targets[key]; old != nil {
 				s.log.Info("target is gone", "target", key)
-				s.departed.Add(old, epoch, time.Now())
+				s.tombstones.Add(old, epoch, time.Now())
 			}
 			delete(targets, key)
 		}
@@ -318,7 +318,7 @@
 	})
 	for _, id := range superseded {
 		s.log.Info("target is superseded at its address", "target", id)
-		s.departed.Add(all[id], epoch, time.Now())
+		s.tombstones.Add(all[id], epoch, time.Now())
 	}
 	s.observeSilences()
 }
@@ -332,7 +332,7 @@
 	}
 	target.Version = row.Version
 	old := targets[row.Key]
-	if old == nil && s.departed.IsGone(target, row.Epoch, time.Now()) {
+	if old == nil && s.tombstones.Covers(target, row.Epoch, time.Now()) {
 		s.log.Info("entry of a target that is gone ignored", "target", target.ID, "born", target.StartMilliseconds, "heartbeat", target.Heartbeat,
 			"rowEpoch", row.Epoch, "rowVersion", row.Version)
 		return
@@ -354,7 +354,7 @@
 	}
 	s.limiter.SetIncarnation(target.ID, target.StartMilliseconds)
 	targets[row.Key] = target
-	s.departed.Remove(target.ID)
+	s.tombstones.Remove(target.ID)
 }
 
 // applyInstances adds the peer addresses of the other instances.
--- a/internal/gateway/supervisor/verdict_rows.go
+++ b/internal/gateway/supervisor/verdict_rows.go
@@ -36,12 +36,12 @@
 	isRead chan struct{}
 	// isWaiting is set while the first targets are kept back.
 	isWaiting atomic.Bool
-	// changed triggers a write, and lost a look whether the rows that were written are there.
-	changed, lost chan struct{}
+	// changed triggers a write, and check a check that the rows that were written are there.
+	changed, check chan struct{}
 }
 
 func newVerdictRows() *verdictRows {
-	return &verdictRows{archivist: archivist.New(), isRead: make(chan struct{}), changed: make(chan struct{}, 1), lost: make(chan struct{}, 1)}
+	return &verdictRows{archivist: archivist.New(), isRead: make(chan struct{}), changed: make(chan struct{}, 1), check: make(chan struct{}, 1)}
 }
 
 // awaitVerdicts keeps the first targets back until the verdicts were read, at most for verdictWait.
@@ -69,8 +69,8 @@
 		case <-ctx.Done():
 		case <-s.verdictRows.changed:
 			s.retry(ctx, s.writeVerdicts)
-		case <-s.verdictRows.lost:
-			s.awaitTurn()
+		case <-s.verdictRows.check:
+			s.awaitJitter()
 			s.retry(ctx, s.rewriteVerdicts)
 		case <-time.After(verdictSweepInterval):
 			s.sweepVerdicts()
@@ -171,7 +171,7 @@
 	s.verdictRows.archivist.Decided(time.Now(), clock, verdicts)
 	trigger := s.verdictRows.changed
 	if !isKnown {
-		trigger = s.verdictRows.lost // with a deadline by the clock of the epoch that has just been met
+		trigger = s.verdictRows.check // with a deadline by the clock of the epoch that has just been observed
 	}
 	select {
 	case trigger <- struct{}{}:
--- a/internal/tool/soaker/restores.go
+++ b/internal/tool/soaker/restores.go
@@ -27,8 +27,8 @@
 	lossShare   = 0.2
 	minLossTime = 100 * time.Millisecond
 	maxLossTime = 2 * time.Second
-	// beginsAnew takes the store's clock back to its start.
-	beginsAnew = -24 * time.Hour
+	// clockReset takes the store's clock back to its start.
+	clockReset = -24 * time.Hour
 	// restoreSettleTime is the time after the store's return from which guarantees with a time bound
 	// hold again.
 	restoreSettleTime = 3 * time.Second
@@ -42,7 +42,7 @@
 	return simulator.Restore{
 		Away: between(random, minAway, maxAway), CopyAge: between(random, 0, maxCopyAge), RewriteAfter: between(random, minRewriting, maxRewriting),
 		Hold:      pick(random, []time.Duration{0, 100 * time.Millisecond}),
-		ClockJump: pick(random, []time.Duration{0, beginsAnew, time.Hour}),
+		ClockJump: pick(random, []time.Duration{0, clockReset, time.Hour}),
 	}
 }
 
