Keep one type for a change of epoch, one grace, and one maximum of versions

confirmer.Epoch repeated follower.EpochChange, and the supervisor copied one into the other; confirmer, which owns the store's clock, has the only one now. The time in which the store's return may lack what is written again stood in follower and in confirmer with the same 2,200 ms.

--- a/internal/gateway/confirmer/confirmer.go
+++ b/internal/gateway/confirmer/confirmer.go
@@ -66,9 +66,7 @@
 func (c *Confirmer) SetApplied(version messenger.StoreVersion) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if version.IsAfter(c.applied) {
-		c.applied = version
-	}
+	c.applied = c.applied.Max(version)
 }
 
 // Applied returns the version of the row whose manifest is in force; zero before the first one.
@@ -84,9 +82,7 @@
 func (c *Confirmer) SetUnreadable(version messenger.StoreVersion) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if version.IsAfter(c.unreadable) {
-		c.unreadable = version
-	}
+	c.unreadable = c.unreadable.Max(version)
 }
 
 // SetSubstituted records that the manifest in a version of the row of a later epoch cannot be read, so that
--- a/internal/gateway/confirmer/epoch.go
+++ b/internal/gateway/confirmer/epoch.go
@@ -3,20 +3,23 @@
 import (
 	"time"
 
+	"github.com/crocusring/crocusring/internal/gateway/follower"
 	"github.com/crocusring/crocusring/internal/node/timekeeper"
+	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
 // rewriteTime is how long after the store came back from a copy the manifests that it lost may have to
 // be written again.
-const rewriteTime = 2200 * time.Millisecond
+const rewriteTime = follower.ReturnGracePeriod
 
-// Epoch describes the change to a later epoch of the store.
-type Epoch struct {
-	Number int64
-	// IsFirst reports that no answer of an earlier epoch has arrived.
-	IsFirst bool
-	// LatestBefore is the upper bound of the store's clock of the epoch before at the local time At; 0 if
-	// it is not known.
+// EpochChange describes the first answer of a later epoch of the store.
+type EpochChange struct {
+	// Before is the newest version of the epoch before; zero if this is the first answer of all.
+	Before messenger.StoreVersion
+	// After is the version in that answer.
+	After messenger.StoreVersion
+	// LatestBefore is the upper bound of the time by the store's clock of the epoch before, in
+	// milliseconds, at the local time At; 0 if it is not known.
 	LatestBefore int64
 	At           time.Time
 }
@@ -71,19 +74,19 @@
 
 // ObserveEpoch ends the proofs of the epoch before: they hold until their bound by the local clock, since the
 // store's clock may be another one.
-func (c *Confirmer) ObserveEpoch(next Epoch) {
+func (c *Confirmer) ObserveEpoch(change EpochChange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if next.Number <= c.epoch.number {
+	if change.After.Epoch <= c.epoch.number {
 		return
 	}
 	before := c.epoch.before
-	if age, ok := c.proofAge(next.LatestBefore); ok {
-		kept := keptAge{isKnown: true, atTime: age, at: next.At}
-		if known, isKept := before.age(next.At); !isKept || age < known {
+	if age, ok := c.proofAge(change.LatestBefore); ok {
+		kept := keptAge{isKnown: true, atTime: age, at: change.At}
+		if known, isKept := before.age(change.At); !isKept || age < known {
 			before = kept
 		}
 	}
-	c.epoch = epoch{number: next.Number, isFirst: next.IsFirst, before: before}
+	c.epoch = epoch{number: change.After.Epoch, isFirst: change.Before.IsZero(), before: before}
 	c.proof = Proof{}
 }
--- a/internal/gateway/confirmer/epoch_test.go
+++ b/internal/gateway/confirmer/epoch_test.go
@@ -15,23 +15,30 @@
 func newInEpoch() (*confirmer.Confirmer, *time.Time) {
 	now := at(0)
 	c := confirmer.New(5*time.Second, confirmer.WithClock(func() time.Time { return now }))
-	c.ObserveEpoch(confirmer.Epoch{Number: 5, IsFirst: true})
+	c.ObserveEpoch(confirmer.EpochChange{After: messenger.StoreVersion{Epoch: 5}})
 	c.SetApplied(messenger.StoreVersion{Epoch: 5, Number: 90})
 	c.Confirm(5, 1000, 1001)
 	c.Confirm(5, 9000, 9001)
 	return c, &now
 }
 
+// changeTo returns the change to an epoch after another one, in which the store's clock was not known.
+func changeTo(epoch int64) confirmer.EpochChange {
+	return confirmer.EpochChange{Before: messenger.StoreVersion{Epoch: epoch - 1, Number: 90}, After: messenger.StoreVersion{Epoch: epoch}}
+}
+
 // TestProofOfTheEpochBeforeHoldsUntilItsBound guards against a key that is refused since the store was away for a
 // moment, and against one that is accepted for longer since its clock is another one.
 func TestProofOfTheEpochBeforeHoldsUntilItsBound(t *testing.T) {
 	for name, latest := range map[string]int64{"not known": 0, "earlier": 2000, "later": 900_000} {
 		t.Run(name, func(t *testing.T) {
 			c, now := newInEpoch()
-			c.ObserveEpoch(confirmer.Epoch{Number: 6, LatestBefore: 10_000, At: *now})
+			change := changeTo(6)
+			change.LatestBefore, change.At = 10_000, *now
+			c.ObserveEpoch(change)
 			*now = at(3900)
 			assert.True(t, isConfirmed(c, latest))
-			c.ObserveEpoch(confirmer.Epoch{Number: 7, LatestBefore: 0})
+			c.ObserveEpoch(changeTo(7))
 			assert.True(t, isConfirmed(c, latest), "a second epoch")
 			*now = at(4000)
 			assert.False(t, isConfirmed(c, latest))
@@ -39,7 +46,7 @@
 	}
 	t.Run("without a clock its age is not known", func(t *testing.T) {
 		c, _ := newInEpoch()
-		c.ObserveEpoch(confirmer.Epoch{Number: 6})
+		c.ObserveEpoch(changeTo(6))
 		assert.False(t, isConfirmed(c, 900_000))
 	})
 }
@@ -48,7 +55,7 @@
 // not written again yet.
 func TestLaterEpochProvesNothingAtOnce(t *testing.T) {
 	c, _ := newInEpoch()
-	c.ObserveEpoch(confirmer.Epoch{Number: 6})
+	c.ObserveEpoch(changeTo(6))
 	c.SetApplied(messenger.StoreVersion{Epoch: 6, Number: 70})
 	assert.True(t, c.MayConfirm(2999), "the first answer shows when it was observed")
 	c.Confirm(6, 3000, 3001)
@@ -67,7 +74,7 @@
 // written again.
 func TestRowThatIsMissingProvesNothing(t *testing.T) {
 	c, _ := newInEpoch()
-	c.ObserveEpoch(confirmer.Epoch{Number: 6})
+	c.ObserveEpoch(changeTo(6))
 	c.Confirm(6, 3000, 3001)
 	c.Confirm(6, 9000, 9001)
 	assert.False(t, isConfirmed(c, 9001))
@@ -77,7 +84,7 @@
 // and one that cannot be read.
 func TestRowThatCannotBeReadProvesNothing(t *testing.T) {
 	c, _ := newInEpoch()
-	c.ObserveEpoch(confirmer.Epoch{Number: 6})
+	c.ObserveEpoch(changeTo(6))
 	c.SetSubstituted(messenger.StoreVersion{Epoch: 6, Number: 70})
 	c.SetApplied(messenger.StoreVersion{Epoch: 6, Number: 70})
 	c.Confirm(6, 3000, 3001)
@@ -92,7 +99,7 @@
 // after the return, and knows only what the store came back with.
 func TestProofsOfJoinersCountLater(t *testing.T) {
 	c, _ := newInEpoch()
-	c.ObserveEpoch(confirmer.Epoch{Number: 6})
+	c.ObserveEpoch(changeTo(6))
 	c.SetApplied(messenger.StoreVersion{Epoch: 6, Number: 70})
 	proof := func(milliseconds int64) confirmer.Proof {
 		return confirmer.Proof{Version: messenger.StoreVersion{Epoch: 6, Number: 70}, StoreMilliseconds: milliseconds}
@@ -107,7 +114,7 @@
 // TestFirstEpochConfirmsAtOnce guards against an instance that refuses all keys when it starts.
 func TestFirstEpochConfirmsAtOnce(t *testing.T) {
 	c := confirmer.New(5 * time.Second)
-	c.ObserveEpoch(confirmer.Epoch{Number: 6, IsFirst: true})
+	c.ObserveEpoch(confirmer.EpochChange{After: messenger.StoreVersion{Epoch: 6}})
 	c.SetApplied(messenger.StoreVersion{Epoch: 6, Number: 70})
 	c.Confirm(6, 3000, 3001)
 	assert.True(t, isConfirmed(c, 3001))
@@ -126,7 +133,7 @@
 	c.SetApplied(messenger.StoreVersion{Epoch: 6, Number: 70})
 	assert.False(t, c.Receive(proof(6, 70), 10_000))
 	assert.Equal(t, before, c.Proof(), "its clock is not known here")
-	c.ObserveEpoch(confirmer.Epoch{Number: 6})
+	c.ObserveEpoch(changeTo(6))
 	c.Confirm(6, 7000, 7001)
 	c.Receive(proof(6, 70), 10_000)
 	assert.Equal(t, proof(6, 70), c.Proof())
--- a/internal/gateway/confirmer/history_restore_test.go
+++ b/internal/gateway/confirmer/history_restore_test.go
@@ -171,6 +171,10 @@
 	if w.plant == renewedProofs {
 		latest = n.confirmer.Proof().StoreMilliseconds
 	}
-	n.confirmer.ObserveEpoch(confirmer.Epoch{Number: number, IsFirst: n.epoch == 0 || w.plant == confirmedAtOnce, LatestBefore: latest, At: now})
+	change := confirmer.EpochChange{After: messenger.StoreVersion{Epoch: number}, LatestBefore: latest, At: now}
+	if w.plant != confirmedAtOnce {
+		change.Before.Epoch = n.epoch
+	}
+	n.confirmer.ObserveEpoch(change)
 	n.clock, n.epoch = confirmer.Clock{}, number
 }
--- a/internal/gateway/follower/apply.go
+++ b/internal/gateway/follower/apply.go
@@ -23,7 +23,7 @@
 // startGrace starts a grace period, also for the entries that are in an earlier one: nobody could write them
 // again in between. The caller holds f.mu.
 func (f *Follower) startGrace(now time.Time) {
-	f.returnDeadline = now.Add(returnGracePeriod)
+	f.returnDeadline = now.Add(ReturnGracePeriod)
 	for key := range f.returnDeadlines {
 		f.returnDeadlines[key] = f.returnDeadline
 	}
@@ -48,7 +48,7 @@
 	if changes.StoreVersion().IsBefore(f.version) {
 		changes.Rows = f.presentOf(changes.Rows)
 	}
-	f.version = later(f.version, changes.StoreVersion())
+	f.version = f.version.Max(changes.StoreVersion())
 	rows := f.storeRows(changes.Rows, changes.IsGapless)
 	removed := f.removeRows(f.withoutLater(changes.Removed, changes.StoreVersion()), deferRemoval)
 	f.mu.Unlock()
@@ -127,7 +127,7 @@
 	}
 	deferRemoval := (mayReturn && f.mayHaveExpired(now)) || now.Before(f.epochDeadline)
 	before := f.version
-	f.version = later(f.version, snapshot.StoreVersion())
+	f.version = f.version.Max(snapshot.StoreVersion())
 	storedRows, missingRows := splitMissing(snapshot)
 	rows := f.storeRows(storedRows, false)
 	rows = append(rows, f.storeMissing(missingRows, before, snapshot.StoreVersion())...)
--- a/internal/gateway/follower/epoch.go
+++ b/internal/gateway/follower/epoch.go
@@ -7,18 +7,6 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// EpochChange describes the first answer of a later epoch of the store.
-type EpochChange struct {
-	// Before is the newest version of the epoch before; zero if this is the first answer of all.
-	Before messenger.StoreVersion
-	// After is the version in that answer.
-	After messenger.StoreVersion
-	// LatestBefore is the upper bound of the time by the store's clock of the epoch before, in
-	// milliseconds, at the local time At; 0 if it is not known.
-	LatestBefore int64
-	At           time.Time
-}
-
 // WithResolver sets the function that decides, for each row in the first table of a later epoch, which
 // row is in force: next, or one with its version and another value, since what the store came back with
 // may be older than what this instance knows. It reports false for a row that no longer exists. By
@@ -111,7 +99,7 @@
 // expectReturn gives a grace period to a row, unless it is in one. The caller holds f.mu.
 func (f *Follower) expectReturn(key string) {
 	if _, isExpected := f.returnDeadlines[key]; !isExpected {
-		f.returnDeadlines[key] = f.now().Add(returnGracePeriod)
+		f.returnDeadlines[key] = f.now().Add(ReturnGracePeriod)
 		f.removed[key] = f.version
 	}
 }
--- a/internal/gateway/follower/epoch_test.go
+++ b/internal/gateway/follower/epoch_test.go
@@ -54,7 +54,7 @@
 	assert.Equal(t, []string{"a"}, f.Snapshot().Missing)
 	s.changes = []Changes{{Epoch: 6, Version: 71}, {Epoch: 6, Version: 72}}
 	f.Step()
-	s.now = s.now.Add(returnGracePeriod)
+	s.now = s.now.Add(ReturnGracePeriod)
 	f.Step()
 	assert.Equal(t, map[string]int64{"b": 60}, s.applied)
 	t.Run("the copy of another peer brings it back no more", func(t *testing.T) {
@@ -75,9 +75,9 @@
 	s.table = inEpoch(5, snapshot(90, row("a", 90), row("b", 60)))
 	f.Step()
 	observe(6)
-	s.now = s.now.Add(returnGracePeriod / 2)
+	s.now = s.now.Add(ReturnGracePeriod / 2)
 	observe(7)
-	s.now = s.now.Add(returnGracePeriod - time.Millisecond)
+	s.now = s.now.Add(ReturnGracePeriod - time.Millisecond)
 	s.changes = []Changes{{Epoch: 7, Version: 71}, {Epoch: 7, Version: 72}}
 	f.Step()
 	assert.Contains(t, s.applied, "a")
@@ -94,10 +94,10 @@
 	f.Step()
 	s.table, s.isHistoryTruncated = inEpoch(6, snapshot(70, row("a", 65), row("b", 60))), true
 	f.Step()
-	s.outage(f, returnGracePeriod-minRetryInterval)
+	s.outage(f, ReturnGracePeriod-minRetryInterval)
 	s.changes = []Changes{{Epoch: 6, Version: 80, Removed: []string{"a"}}, {Epoch: 6, Version: 81}, {Epoch: 6, Version: 82}}
 	f.Step()
-	s.now = s.now.Add(returnGracePeriod - time.Millisecond)
+	s.now = s.now.Add(ReturnGracePeriod - time.Millisecond)
 	f.Step()
 	assert.Contains(t, s.applied, "a")
 	s.now = s.now.Add(time.Millisecond)
@@ -116,7 +116,7 @@
 		s.table, s.isHistoryTruncated = inEpoch(6, snapshot(70+version)), true
 		f.Step()
 		f.Adopt(s.table)
-		s.now = s.now.Add(returnGracePeriod)
+		s.now = s.now.Add(ReturnGracePeriod)
 	}
 	assert.Contains(t, s.applied, "a")
 	s.changes = []Changes{{Epoch: 6, Version: 80, Rows: inEpoch(6, snapshot(80, row("a", 80))).Rows}}
@@ -148,7 +148,7 @@
 // TestEntryIsRemovedByAnAnswerOfAfterItsGrace guards against an instance that was frozen or cut off in the grace, and
 // removes entries which have been written again meanwhile before it has asked.
 func TestEntryIsRemovedByAnAnswerOfAfterItsGrace(t *testing.T) {
-	const most = returnGracePeriod
+	const most = ReturnGracePeriod
 	for name, c := range map[string]struct {
 		// before and during are the times before the call and in it.
 		before, during time.Duration
@@ -203,10 +203,10 @@
 	s.table, s.isHistoryTruncated = inEpoch(6, snapshot(70)), true
 	f.Step()
 	s.changes = []Changes{{Epoch: 6, Version: 71}, {Epoch: 6, Version: 72}}
-	s.now = s.now.Add(returnGracePeriod - time.Millisecond)
+	s.now = s.now.Add(ReturnGracePeriod - time.Millisecond)
 	f.Step()
 	assert.Contains(t, s.applied, "a")
-	assert.Equal(t, returnGracePeriod-time.Millisecond, f.HasStoreFor(), "nor does this instance know of any before")
+	assert.Equal(t, ReturnGracePeriod-time.Millisecond, f.HasStoreFor(), "nor does this instance know of any before")
 }
 
 // preferLonger is a resolver by which the longer value is in force.
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -35,10 +35,10 @@
 	// with each further failure, so as not to add load to an overloaded store.
 	minRetryInterval = 200 * time.Millisecond
 	maxRetryInterval = time.Second
-	// returnGracePeriod is how long after an outage of the store the entries that
+	// ReturnGracePeriod is how long after an outage of the store the entries that
 	// expired during it may still be missing before they are removed.
 	// It is the same for entries that are missing since the store came back from a copy.
-	returnGracePeriod = 2200 * time.Millisecond
+	ReturnGracePeriod = 2200 * time.Millisecond
 	// outageThreshold is how long calls must have failed to count as an outage.
 	outageThreshold = 700 * time.Millisecond
 	// peerCheckInterval is the longest time between two looks whether a peer has had the store
@@ -68,14 +68,6 @@
 	return messenger.StoreVersion{Epoch: c.Epoch, Number: c.Version}
 }
 
-// later returns the later one of two versions.
-func later(a, b messenger.StoreVersion) messenger.StoreVersion {
-	if a.IsBefore(b) {
-		return b
-	}
-	return a
-}
-
 // Source provides access to the store and to the copies that peers have.
 type Source struct {
 	Read   func(table string) (messenger.TableSnapshot, error)
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -162,7 +162,7 @@
 		s, f := expire()
 		s.changes = []Changes{{Version: 9, Rows: []messenger.StoreRow{row("a", 9)}}}
 		f.Step()
-		s.now = s.now.Add(returnGracePeriod)
+		s.now = s.now.Add(ReturnGracePeriod)
 		f.Step()
 		assert.Equal(t, map[string]int64{"a": 9}, s.applied)
 	})
--- a/internal/gateway/follower/history_world_test.go
+++ b/internal/gateway/follower/history_world_test.go
@@ -37,7 +37,7 @@
 	// settleTime is how long after the last change and the last disturbance all copies equal the store's
 	// table: a call that hangs, at the instance and at its readers, a pause, a read, and the grace of both.
 	settleTime = shortFeedWait + feedTimeoutMargin + readerCount*(readerWait+readerMargin) + maxRetryInterval +
-		(readerCount+1)*readTimeout + 2*returnGracePeriod
+		(readerCount+1)*readTimeout + 2*ReturnGracePeriod
 	// storeIndex is the index of the store beside those of the nodes.
 	storeIndex = -1
 )
--- a/internal/gateway/follower/relay.go
+++ b/internal/gateway/follower/relay.go
@@ -53,7 +53,7 @@
 	if after.IsBefore(f.historyStart) {
 		return messenger.TableChanges{}, errors.Wrap(ErrHistoryTruncated, f.table)
 	}
-	version := later(f.version, after)
+	version := f.version.Max(after)
 	out := messenger.TableChanges{
 		Proof: f.proof(), // before the rows, which are then at least as new
 		Epoch: version.Epoch, Version: version.Number, Rows: []messenger.StoreRow{}, Removed: []string{},
--- a/internal/gateway/supervisor/epochs.go
+++ b/internal/gateway/supervisor/epochs.go
@@ -42,15 +42,13 @@
 }
 
 // observeEpoch is called with each change of epoch of the store.
-func (s *Supervisor) observeEpoch(change follower.EpochChange) {
+func (s *Supervisor) observeEpoch(change confirmer.EpochChange) {
 	s.epochs.observedAt.Store(time.Now().UnixNano()) // before the epoch that it is of
 	s.epochs.current.Store(change.After.Epoch)
 	s.log.Info("epoch of the store", "epoch", change.After.Epoch, "version", change.After.Number,
 		"epochBefore", change.Before.Epoch, "versionBefore", change.Before.Number)
 	s.leaser.ObserveEpoch(change.After.Epoch)
-	s.confirmer.ObserveEpoch(confirmer.Epoch{
-		Number: change.After.Epoch, IsFirst: change.Before.IsZero(), LatestBefore: change.LatestBefore, At: change.At,
-	})
+	s.confirmer.ObserveEpoch(change)
 	if !change.Before.IsZero() {
 		s.measurer.CountEvent(measurer.StoreEpochChanges, 1)
 		s.checkRows()
--- a/internal/gateway/supervisor/epochs_test.go
+++ b/internal/gateway/supervisor/epochs_test.go
@@ -6,10 +6,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/crocusring/crocusring/internal/gateway/confirmer"
+
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/crocusring/crocusring/internal/gateway/follower"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
@@ -29,8 +30,8 @@
 	return s, calls
 }
 
-func epochChange(epoch int64) follower.EpochChange {
-	return follower.EpochChange{Before: messenger.StoreVersion{Epoch: epoch - 1, Number: 9}, After: messenger.StoreVersion{Epoch: epoch, Number: 7}}
+func epochChange(epoch int64) confirmer.EpochChange {
+	return confirmer.EpochChange{Before: messenger.StoreVersion{Epoch: epoch - 1, Number: 9}, After: messenger.StoreVersion{Epoch: epoch, Number: 7}}
 }
 
 // TestEpochOfAPeerIsAskedFor guards against an instance that takes a peer's word for the epoch of the store, and refuses all
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -61,7 +61,7 @@
 	Clock func() (earliest, latest int64, ok bool)
 	// OnEpoch sets the function that is called with each change of epoch of the store; nil if there are
 	// no epochs.
-	OnEpoch func(onChange func(follower.EpochChange))
+	OnEpoch func(onChange func(confirmer.EpochChange))
 	Order   func(target *registrar.Target, order foreman.Order) (done bool, err error)
 	State   func(target *registrar.Target) (foreman.State, error)
 }
--- a/internal/wire/messenger/version.go
+++ b/internal/wire/messenger/version.go
@@ -21,6 +21,14 @@
 // IsAfter reports whether v was given out after other.
 func (v StoreVersion) IsAfter(other StoreVersion) bool { return v.Compare(other) > 0 }
 
+// Max returns the later one of two versions.
+func (v StoreVersion) Max(other StoreVersion) StoreVersion {
+	if v.IsBefore(other) {
+		return other
+	}
+	return v
+}
+
 // IsZero reports whether v is no version.
 func (v StoreVersion) IsZero() bool { return v == StoreVersion{} }
 
