Have a table with lasting rows name its resolver, and keep the later version of a row

Two options, and a flag that told whether the second was given, made one behaviour: whoever set WithLastingRows alone got a table for which older copies of peers were passed over by a special case in Adopt. The resolver is part of WithLastingRows now, and decides there too.

--- a/internal/gateway/confirmer/history_world_test.go
+++ b/internal/gateway/confirmer/history_world_test.go
@@ -215,7 +215,7 @@
 			registry.SetManifest(decode(row))
 			c.SetApplied(row.StoreVersion())
 		}
-	}, follower.WithLastingRows(), follower.WithResolver(resolve),
+	}, follower.WithLastingRows(resolve),
 		follower.WithProofs(func() messenger.GatewayProof { return w.proofOf(n) }, func(proof messenger.GatewayProof) { w.receiveProof(n, proof) }))
 	w.onNode(n, w.delay(statusInterval), func() { w.poll(n) })
 	w.onNode(n, w.delay(statusInterval), func() { w.sendStatuses(n) })
--- a/internal/gateway/follower/epoch.go
+++ b/internal/gateway/follower/epoch.go
@@ -7,18 +7,21 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// WithResolver sets the function that decides, for each row in the first table of a later epoch, which
-// row is in force: next, or one with its version and another value, since what the store came back with
-// may be older than what this instance knows. It reports false for a row that no longer exists. By
-// default next is in force.
-func WithResolver(resolve func(known messenger.StoreRow, isKnown bool, next messenger.StoreRow) (messenger.StoreRow, bool)) Option {
-	return func(f *Follower) { f.resolve, f.hasResolver = resolve, true }
-}
+// Resolver decides which of two rows with one key is in force: next, or a row with the version of next and
+// the known value, since what the store came back with may be older than what this instance knows. It
+// reports false if neither is. known is the zero value unless isKnown is set.
+type Resolver func(known messenger.StoreRow, isKnown bool, next messenger.StoreRow) (messenger.StoreRow, bool)
+
+// WithResolver has a resolver decide on each row in the first table of a later epoch. By default next is
+// in force.
+func WithResolver(resolve Resolver) Option { return func(f *Follower) { f.resolve = resolve } }
 
 // WithLastingRows is for a table whose rows are never removed, but may be missing in a later epoch until
-// their writer has written them again. The resolver decides on each row that is not older than the known
-// one, also in the same epoch: a peer's copy may have another value under the same version.
-func WithLastingRows() Option { return func(f *Follower) { f.isLasting = true } }
+// their writer has written them again. The resolver decides on each row for a known one, also in the same
+// epoch and in older copies of peers, which may hold a newer value under an older version.
+func WithLastingRows(resolve Resolver) Option {
+	return func(f *Follower) { f.resolve, f.isLasting = resolve, true }
+}
 
 // WithEpochObserver sets the function that is called with the versions of the copy before and after it
 // was read again in a later epoch. It must not call the follower.
@@ -115,8 +118,11 @@
 		known, isKnown := f.rows[row.Key]
 		version := f.version
 		if isKnown {
-			version = known.StoreVersion()
-			row, _ = f.resolve(known, true, row)
+			version = known.StoreVersion().Max(row.StoreVersion()) // rows of late pages are after their table
+		}
+		row, isInForce := f.resolve(known, isKnown, row)
+		if !isInForce {
+			continue
 		}
 		row.Epoch, row.Version = version.Epoch, version.Number
 		if !isKnown || !bytes.Equal(row.Value, known.Value) {
--- a/internal/gateway/follower/epoch_test.go
+++ b/internal/gateway/follower/epoch_test.go
@@ -109,7 +109,7 @@
 // before the operator has written it again.
 func TestLastingRowIsKeptUntilItIsWrittenAgain(t *testing.T) {
 	s, f := newTestStore()
-	WithLastingRows()(f)
+	WithLastingRows(preferNext)(f)
 	s.table = inEpoch(5, snapshot(90, row("a", 90)))
 	f.Step()
 	for version := range int64(3) {
@@ -226,8 +226,7 @@
 	}
 	newFollower := func() (*testStore, *Follower) {
 		s, f := newTestStore()
-		WithLastingRows()(f)
-		WithResolver(preferLonger)(f)
+		WithLastingRows(preferLonger)(f)
 		s.table = inEpoch(5, snapshot(90, value(90, "later")))
 		f.Step()
 		s.isHistoryTruncated = true
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -92,9 +92,7 @@
 	log   logr.Logger
 	apply func(rows []messenger.StoreRow, removed []string)
 	// resolve decides between a known row and one of a later epoch; see WithResolver.
-	resolve func(known messenger.StoreRow, isKnown bool, next messenger.StoreRow) (messenger.StoreRow, bool)
-	// hasResolver reports that resolve compares values, and not only versions.
-	hasResolver bool
+	resolve Resolver
 	// isLasting keeps rows that are missing since the store came back from a copy; see WithLastingRows.
 	isLasting bool
 	// observeEpoch is called with the versions of the copy before and after it observes a later epoch.
--- a/internal/gateway/follower/history_world_test.go
+++ b/internal/gateway/follower/history_world_test.go
@@ -365,7 +365,7 @@
 	}
 	options := []Option{WithShortWait(), func(f *Follower) { f.now = w.Now }}
 	if w.isLasting {
-		options = append(options, WithLastingRows())
+		options = append(options, WithLastingRows(preferLaterKnown))
 	}
 	steps := &task{w: w, node: n}
 	n.follower = New(tableName, w.sourceOf(steps), func(rows []messenger.StoreRow, removed []string) { w.judge(n, rows, removed) }, options...)
@@ -789,3 +789,11 @@
 	}
 	return out
 }
+
+// preferLaterKnown resolves by the versions of rows, and takes no row that is not known.
+func preferLaterKnown(known messenger.StoreRow, isKnown bool, next messenger.StoreRow) (messenger.StoreRow, bool) {
+	if !isKnown || next.StoreVersion().IsBefore(known.StoreVersion()) {
+		return known, isKnown
+	}
+	return next, true
+}
--- a/internal/gateway/follower/proof.go
+++ b/internal/gateway/follower/proof.go
@@ -32,7 +32,7 @@
 // values of lasting rows are taken that the resolver prefers.
 func (f *Follower) Adopt(snapshot messenger.TableSnapshot) {
 	err := f.applySnapshot(snapshot, false)
-	if errors.Is(err, ErrOutdated) && f.isLasting && f.hasResolver {
+	if errors.Is(err, ErrOutdated) && f.isLasting {
 		f.adoptValues(snapshot.Rows)
 	}
 	if err == nil || snapshot.Proof.RowVersion > 0 {
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -207,7 +207,7 @@
 	manifestSource := source
 	manifestSource.Read = s.readManifests
 	s.manifests = follower.New(s.platform.ManifestTable, manifestSource, s.applyManifest, log, follower.WithShortWait(), s.withProofs(),
-		follower.WithLastingRows(), follower.WithResolver(s.resolveManifest), s.observeReread(s.platform.ManifestTable))
+		follower.WithLastingRows(s.resolveManifest), s.observeReread(s.platform.ManifestTable))
 	s.targets = follower.New(s.platform.TargetTable, source, s.applyTargetsOnceVerdictsAreRead, log,
 		follower.WithShortWait(), follower.WithMinInterval(s.targetPollInterval), follower.WithResolver(s.resolveTarget), s.observeReread(s.platform.TargetTable))
 	s.instances = follower.New(instanceTable, source, s.applyInstances, log, s.observeReread(instanceTable),
