--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -7,14 +7,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
@@ -357,69 +355,6 @@
 	s.tombstones.Remove(target.ID)
 }
 
-// applyInstances adds the peer addresses of the other instances.
-func (s *Supervisor) applyInstances(rows []messenger.StoreRow, removed []string) {
-	for _, instance := range s.decodeInstances(rows) {
-		s.informer.AddAddress(instance.PeerAddress)
-	}
-	if len(removed) > 0 {
-		s.log.Info("instances removed from the store", "instances", removed)
-	}
-	all := s.decodeInstances(s.instances.Snapshot().Rows)
-	s.instanceCount.Store(int64(len(all)))
-	s.registerLimitMembers(all)
-}
-
-// decodeInstances decodes rows of the table of instances and leaves out those that cannot be
-// read.
-func (s *Supervisor) decodeInstances(rows []messenger.StoreRow) []messenger.GatewayInstance {
-	out := make([]messenger.GatewayInstance, 0, len(rows))
-	for _, row := range rows {
-		var instance messenger.GatewayInstance
-		if err := json.Unmarshal(row.Value, &instance); err != nil {
-			s.log.Error(err, "row of an instance cannot be read", "key", row.Key)
-			continue
-		}
-		if registrar.CheckAddress(instance.PeerAddress) != nil || instance.Instance != row.Key {
-			s.log.Info("row names no instance", "key", row.Key, "instance", instance.Instance, "address", instance.PeerAddress)
-			continue
-		}
-		out = append(out, instance)
-	}
-	return out
-}
-
-// register writes the row of this instance, and retries until it succeeds.
-func (s *Supervisor) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := s.writeRow(true)
-		if err == nil {
-			return
-		}
-		s.log.Info("row of this instance not written", "error", err.Error())
-		select {
-		case <-ctx.Done():
-		case <-time.After(registerRetryInterval):
-		}
-	}
-}
-
-// writeRow writes the row of this instance, or removes it.
-func (s *Supervisor) writeRow(isPresent bool) error {
-	write := messenger.Write{Table: instanceTable, Key: s.settings.Instance}
-	if isPresent {
-		value, err := json.Marshal(messenger.GatewayInstance{
-			Instance: s.settings.Instance, Incarnation: s.incarnation, PeerAddress: s.settings.PeerAddress, DataCentre: s.settings.DataCentre,
-		})
-		if err != nil {
-			return errors.Wrap(err, "encode row of this instance")
-		}
-		write.Value = value
-	}
-	_, err := s.platform.Transact(messenger.TransactRequest{Writes: []messenger.Write{write}})
-	return err
-}
-
 // prune regularly removes expired state and updates the number of instances that share
 // the retry budget.
 func (s *Supervisor) prune(ctx context.Context) {
@@ -449,3 +384,18 @@
 		}
 	}
 }
+
+// retry calls do until it succeeds or ctx is done, and failed with each error.
+func retry(ctx context.Context, interval time.Duration, do func() error, failed func(error)) {
+	for ctx.Err() == nil {
+		err := do()
+		if err == nil {
+			return
+		}
+		failed(err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(interval):
+		}
+	}
+}
--- a/internal/gateway/supervisor/verdict_rows.go
+++ b/internal/gateway/supervisor/verdict_rows.go
@@ -62,35 +62,27 @@
 
 // keepVerdicts reads the rows at the start, and then writes what this instance decides.
 func (s *Supervisor) keepVerdicts(ctx context.Context) {
-	s.retry(ctx, s.restoreVerdicts)
+	s.retryVerdicts(ctx, s.restoreVerdicts)
 	close(s.verdictRows.isRead)
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-s.verdictRows.changed:
-			s.retry(ctx, s.writeVerdicts)
+			s.retryVerdicts(ctx, s.writeVerdicts)
 		case <-s.verdictRows.check:
 			s.awaitJitter()
-			s.retry(ctx, s.rewriteVerdicts)
+			s.retryVerdicts(ctx, s.rewriteVerdicts)
 		case <-time.After(verdictSweepInterval):
 			s.sweepVerdicts()
 		}
 	}
 }
 
-// retry calls do until it succeeds or ctx is done.
-func (s *Supervisor) retry(ctx context.Context, do func() error) {
-	for ctx.Err() == nil {
-		err := do()
-		if err == nil {
-			return
-		}
+// retryVerdicts calls do until it succeeds or ctx is done.
+func (s *Supervisor) retryVerdicts(ctx context.Context, do func() error) {
+	retry(ctx, verdictRetryInterval, do, func(err error) {
 		s.log.V(1).Info("verdicts not read from or written to the store", "error", err.Error())
-		select {
-		case <-ctx.Done():
-		case <-time.After(verdictRetryInterval):
-		}
-	}
+	})
 }
 
 // errNoStoreClock reports that no answer has shown the time of the store yet.
