Use one store in memory for the tests of the lease

Five tests kept rows with versions and conditions by code of the same shape: leaser's tests of clocks, spoiled rows and epochs, the supervisor's of the right to order, and the foreman's of refused tokens. internal/fake/storer serves them.

--- a/internal/control/leaser/clock_test.go
+++ b/internal/control/leaser/clock_test.go
@@ -6,49 +6,12 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-
-	"github.com/crocusring/crocusring/internal/edge/transactor"
-	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// clockedTables is a table service with a clock, whose bounds are 20 ms apart.
-type clockedTables struct {
-	now     time.Time
-	version int64
-	rows    map[string]messenger.Row
-}
-
-func (c *clockedTables) tables() Tables {
-	return Tables{
-		Get: func(table, key string) (messenger.Row, error) {
-			row := c.rows[key]
-			row.Table, row.Key = table, key
-			return row, nil
-		},
-		Transact: func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
-			for _, condition := range req.Conditions {
-				if c.rows[condition.Key].Version != condition.Version {
-					return nil, transactor.ErrConflict
-				}
-			}
-			c.version++
-			versions := []messenger.StoreVersion{}
-			for _, w := range req.Writes {
-				c.rows[w.Key] = messenger.Row{Version: c.version, Value: w.Value}
-				versions = append(versions, messenger.StoreVersion{Number: c.version})
-			}
-			return versions, nil
-		},
-		Clock: func() (earliest, latest int64, ok bool) {
-			return c.now.UnixMilli() - 10, c.now.UnixMilli() + 10, true
-		},
-	}
-}
-
 // TestAcquireByServiceClock checks that a leaser that has just started acquires an
 // expired lease without waiting for its TTL, but not before it has expired.
 func TestAcquireByServiceClock(t *testing.T) {
-	c := &clockedTables{now: time.Unix(1000, 0), rows: map[string]messenger.Row{}}
+	c := newCopiedStore(0)
 	times := WithTimes(Times{TTL: 1500 * time.Millisecond, Margin: 400 * time.Millisecond, RenewInterval: 400 * time.Millisecond})
 	clock := WithClock(func() time.Time { return c.now })
 	first := New("first", "1", c.tables(), times, clock)
--- a/internal/control/leaser/epoch_fault_test.go
+++ b/internal/control/leaser/epoch_fault_test.go
@@ -1,7 +1,6 @@
 package leaser
 
 import (
-	"encoding/json"
 	"strconv"
 	"testing"
 	"time"
@@ -16,13 +15,13 @@
 // restoredStore returns a store that came back from a copy without a lease, and two leasers that have observed the epoch.
 func restoredStore(t *testing.T) (s *copiedStore, a, b *Leaser) {
 	t.Helper()
-	s = &copiedStore{now: time.Unix(1000, 0), epoch: 5, rows: map[string]messenger.Row{}}
+	s = newCopiedStore(5)
 	a, b = s.start("a"), s.start("b")
 	before := s.copy()
 	s.acquire(t, a)
 	require.NoError(t, b.Tick())
 	s.restore(before)
-	b.ObserveEpoch(s.epoch)
+	b.ObserveEpoch(s.Epoch)
 	return s, a, b
 }
 
@@ -47,8 +46,7 @@
 			s.pass(5*time.Second, a)
 			_, isHeld := a.Held(s.now)
 			require.True(t, isHeld)
-			s.version++
-			s.rows[leaseKey] = messenger.Row{Version: s.version, Value: json.RawMessage(value)}
+			s.Put(leaseKey, []byte(value))
 			require.NoError(t, b.Tick())
 			_, isHeld = b.Held(s.now)
 			assert.False(t, isHeld, "a holds the lease")
@@ -70,7 +68,7 @@
 		"epoch that may follow a copy, as any does": {1, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := &copiedStore{now: time.Unix(1000, 0), epoch: x.epoch, rows: map[string]messenger.Row{}}
+			s := newCopiedStore(x.epoch)
 			l := s.start("new")
 			require.NoError(t, l.Tick())
 			_, isHeld := l.Held(s.now)
@@ -86,7 +84,7 @@
 // TestLateAcquisitionDoesNotLowerFence guards against a fencing token that is given out twice in one epoch: a late
 // acquisition of the epoch before, whose conditions held by chance, replaced the fence of the current one.
 func TestLateAcquisitionDoesNotLowerFence(t *testing.T) {
-	s := &copiedStore{now: time.Unix(1000, 0), epoch: 1, rows: map[string]messenger.Row{}}
+	s := newCopiedStore(1)
 	var late messenger.TransactRequest
 	slow := s.start("slow")
 	slow.transact = func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
@@ -96,9 +94,8 @@
 	_ = slow.Tick() // of unknown outcome
 	s.restore(s.copy())
 	lost := s.acquire(t, s.start("a"))
-	s.version++
 	for _, w := range late.Writes {
-		s.rows[w.Key] = messenger.Row{Version: s.version, Value: w.Value}
+		s.Put(w.Key, w.Value)
 	}
 	next := s.acquire(t, s.start("b"))
 	assert.Greater(t, next.Fence, lost.Fence)
@@ -107,7 +104,7 @@
 // TestFreezeBeforeAcquisitionShortensGrant guards against a grant that outlasts the expiry in its row, at which
 // another instance takes the lease: the instance froze between the two.
 func TestFreezeBeforeAcquisitionShortensGrant(t *testing.T) {
-	s := &copiedStore{now: time.Unix(1000, 0), rows: map[string]messenger.Row{}}
+	s := newCopiedStore(0)
 	frozen := s.start("frozen")
 	bounds := frozen.clock
 	frozen.clock = func() (int64, int64, bool) {
@@ -129,7 +126,7 @@
 // instance found its own acquisition, whose answer was lost, and took the end of its predecessor's grant for that
 // of a grant before.
 func TestHandoverFollowsUnconfirmedAcquisition(t *testing.T) {
-	s := &copiedStore{now: time.Unix(1000, 0), epoch: 1, rows: map[string]messenger.Row{}}
+	s := newCopiedStore(1)
 	a, b := s.start("a"), s.start("b")
 	s.acquire(t, a)
 	s.pass(3*time.Second, b)
@@ -153,7 +150,7 @@
 // TestHandoverIgnoresClockOfLaterEpoch guards against orders too early after those of another holder: the expiry of
 // its grant was compared with the store's clock of a later epoch.
 func TestHandoverIgnoresClockOfLaterEpoch(t *testing.T) {
-	s := &copiedStore{now: time.Unix(1000, 0), epoch: 1, rows: map[string]messenger.Row{}}
+	s := newCopiedStore(1)
 	s.acquire(t, s.start("a"))
 	s.now = s.now.Add(1600 * time.Millisecond)
 	b := s.start("b")
@@ -187,10 +184,9 @@
 	} {
 		for _, epoch := range []int64{0, 6} {
 			t.Run(name+" in epoch "+strconv.FormatInt(epoch, 10), func(t *testing.T) {
-				s := &copiedStore{now: time.Unix(1000, 0), epoch: epoch, version: 2, rows: map[string]messenger.Row{
-					leaseKey:          {Version: 1, Value: json.RawMessage(`{"Holder":"z","Fence":` + fence + `}`)},
-					fenceKeyOf(epoch): {Version: 2, Value: json.RawMessage(fence)},
-				}}
+				s := newCopiedStore(epoch)
+				s.Put(leaseKey, []byte(`{"Holder":"z","Fence":`+fence+`}`))
+				s.Put(fenceKeyOf(epoch), []byte(fence))
 				a, b := s.start("a"), s.start("b")
 				if noted, err := strconv.ParseInt(fence, 10, 64); err == nil {
 					a.NoteFence(noted)
@@ -210,7 +206,7 @@
 
 // TestRefusedFencesStayInEpoch guards against tokens of an epoch that is still to come, after many that were refused.
 func TestRefusedFencesStayInEpoch(t *testing.T) {
-	s := &copiedStore{now: time.Unix(1000, 0), epoch: 1, rows: map[string]messenger.Row{}}
+	s := newCopiedStore(1)
 	l := s.start("a")
 	last := s.acquire(t, l).Fence
 	for range 10_000 {
@@ -227,13 +223,13 @@
 // TestSurelyLastHolderNeedsNoHandover guards against a pause of the orders after a restore, where peers have heard of a
 // token that the instance itself has not confirmed.
 func TestSurelyLastHolderNeedsNoHandover(t *testing.T) {
-	s := &copiedStore{now: time.Unix(1000, 0), rows: map[string]messenger.Row{}}
+	s := newCopiedStore(0)
 	l := s.start("a")
 	before := s.copy()
 	grant := s.acquire(t, l)
 	l.NoteFence(grant.Fence + 1)
 	s.restore(before)
-	l.ObserveEpoch(s.epoch)
+	l.ObserveEpoch(s.Epoch)
 	assert.True(t, s.acquire(t, l).PreviousEndedAt.IsZero())
 	require.NoError(t, l.Tick())
 	again, isHeld := l.Held(s.now)
--- a/internal/control/leaser/epoch_test.go
+++ b/internal/control/leaser/epoch_test.go
@@ -8,54 +8,38 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/crocusring/crocusring/internal/edge/transactor"
-	"github.com/crocusring/crocusring/internal/wire/messenger"
+	"github.com/crocusring/crocusring/internal/fake/storer"
 )
 
-// copiedStore is a store with a clock that can come back from a copy.
+// copiedStore is a store with a clock, whose bounds are 20 ms apart, that can come back from a copy.
 type copiedStore struct {
-	now     time.Time
-	epoch   int64
-	version int64
-	rows    map[string]messenger.Row
+	*storer.Store
+	now time.Time
+}
+
+func newCopiedStore(epoch int64) *copiedStore {
+	return &copiedStore{Store: storer.New(epoch), now: time.Unix(1000, 0)}
 }
 
 func (s *copiedStore) tables() Tables {
 	return Tables{
-		Get: func(table, key string) (messenger.Row, error) {
-			row := s.rows[key]
-			row.Table, row.Key, row.Epoch = table, key, s.epoch
-			return row, nil
-		},
-		Transact: func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
-			for _, c := range req.Conditions {
-				if s.rows[c.Key].Version != c.Version {
-					return nil, transactor.ErrConflict
-				}
-			}
-			s.version++
-			versions := []messenger.StoreVersion{}
-			for _, w := range req.Writes {
-				s.rows[w.Key] = messenger.Row{Version: s.version, Value: w.Value}
-				versions = append(versions, messenger.StoreVersion{Epoch: s.epoch, Number: s.version})
-			}
-			return versions, nil
-		},
-		Clock: func() (earliest, latest int64, ok bool) { return s.now.UnixMilli() - 10, s.now.UnixMilli() + 10, true },
+		Get:      s.Get,
+		Transact: s.Transact,
+		Clock:    func() (earliest, latest int64, ok bool) { return s.now.UnixMilli() - 10, s.now.UnixMilli() + 10, true },
 	}
 }
 
-// copy returns the store as it is now.
-func (s *copiedStore) copy() copiedStore {
-	out := *s
-	out.rows = maps.Clone(s.rows)
+// copy returns the content of the store as it is now.
+func (s *copiedStore) copy() storer.Store {
+	out := *s.Store
+	out.Rows = maps.Clone(s.Rows)
 	return out
 }
 
-// restore brings the rows and the version of a copy back.
-func (s *copiedStore) restore(from copiedStore) {
-	s.rows, s.version = maps.Clone(from.rows), from.version
-	s.epoch++
+// restore brings the rows and the version of a copy back, in the next epoch.
+func (s *copiedStore) restore(from storer.Store) {
+	s.Rows, s.Version = maps.Clone(from.Rows), from.Version
+	s.Epoch++
 }
 
 func (s *copiedStore) start(instance string) *Leaser {
@@ -90,7 +74,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := &copiedStore{now: time.Unix(1000, 0), epoch: 5, rows: map[string]messenger.Row{}}
+			s := newCopiedStore(5)
 			if prepare != nil {
 				prepare(s)
 			}
--- a/internal/control/leaser/odd_row_test.go
+++ b/internal/control/leaser/odd_row_test.go
@@ -7,28 +7,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/crocusring/crocusring/internal/edge/transactor"
-	"github.com/crocusring/crocusring/internal/wire/messenger"
+	"github.com/crocusring/crocusring/internal/fake/storer"
 )
 
-// rowTable is a table in memory.
-type rowTable map[string]messenger.Row
-
-func (r rowTable) transact(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
-	for _, c := range req.Conditions {
-		if r[c.Key].Version != c.Version {
-			return nil, transactor.ErrConflict
-		}
-	}
-	versions := []messenger.StoreVersion{}
-	for _, w := range req.Writes {
-		next := messenger.Row{Key: w.Key, Version: r[w.Key].Version + 1, Value: w.Value}
-		r[w.Key] = next
-		versions = append(versions, next.StoreVersion())
-	}
-	return versions, nil
-}
-
 // TestSpoiledLeaseRowIsReplaced guards against a lease that nobody holds any more since another
 // writer has spoiled its row.
 func TestSpoiledLeaseRowIsReplaced(t *testing.T) {
@@ -44,10 +25,12 @@
 		"the fence row alone":    {`{"Holder":"a","Fence":9,"Released":true}`, `"x"`, 10},
 	} {
 		t.Run(name, func(t *testing.T) {
-			rows := rowTable{leaseKey: {Key: leaseKey, Version: 3, Value: []byte(x.lease)}, fenceKey: {Key: fenceKey, Version: 2, Value: []byte(x.fence)}}
+			store := storer.New(0)
+			store.Put(fenceKey, []byte(x.fence))
+			store.Put(leaseKey, []byte(x.lease))
 			now := time.Unix(1000, 0)
 			l := New("entry-1", "run-1", Tables{
-				Get: func(_, key string) (messenger.Row, error) { return rows[key], nil }, Transact: rows.transact,
+				Get: store.Get, Transact: store.Transact,
 				Clock: func() (int64, int64, bool) { return 0, 0, false },
 			}, WithClock(func() time.Time { return now }))
 			end := now.Add(3 * l.times.TTL)
--- a/internal/gateway/foreman/refused_fence_test.go
+++ b/internal/gateway/foreman/refused_fence_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/crocusring/crocusring/internal/control/leaser"
+	"github.com/crocusring/crocusring/internal/fake/storer"
 	"github.com/crocusring/crocusring/internal/gateway/placer"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
@@ -24,35 +25,24 @@
 	storeDelay = 20 * time.Millisecond
 )
 
-// leaseRows is a store that holds the lease alone.
-type leaseRows struct {
-	version int64
-	rows    map[string]messenger.Row
-}
-
-func (s *leaseRows) get(table, key string) (messenger.Row, error) {
-	time.Sleep(storeDelay)
-	row := s.rows[key]
-	row.Table, row.Key, row.Epoch = table, key, 1
-	return row, nil
-}
-
-func (s *leaseRows) transact(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
-	time.Sleep(storeDelay)
-	s.version++
-	versions := []messenger.StoreVersion{}
-	for _, w := range req.Writes {
-		s.rows[w.Key] = messenger.Row{Version: s.version, Value: w.Value}
-		versions = append(versions, messenger.StoreVersion{Epoch: 1, Number: s.version})
+// slowTables returns the tables of a store whose calls take storeDelay.
+func slowTables(store *storer.Store) leaser.Tables {
+	return leaser.Tables{
+		Get: func(table, key string) (messenger.Row, error) {
+			time.Sleep(storeDelay)
+			return store.Get(table, key)
+		},
+		Transact: func(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
+			time.Sleep(storeDelay)
+			return store.Transact(req)
+		},
 	}
-	return versions, nil
 }
 
 // newLease returns a leaser that ticks until ctx is done, and holds the lease already.
 func newLease(ctx context.Context, t *testing.T) *leaser.Leaser {
 	t.Helper()
-	store := &leaseRows{rows: map[string]messenger.Row{}}
-	l := leaser.New("here", "1", leaser.Tables{Get: store.get, Transact: store.transact},
+	l := leaser.New("here", "1", slowTables(storer.New(1)),
 		leaser.WithTimes(leaser.Times{TTL: leaseTTL, Margin: 400 * time.Millisecond, RenewInterval: 400 * time.Millisecond}))
 	for isHeld := false; !isHeld; _, isHeld = l.Held(time.Now()) {
 		require.NoError(t, l.Tick()) // a fresh system may have to wait
--- a/internal/gateway/supervisor/lease_test.go
+++ b/internal/gateway/supervisor/lease_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/crocusring/crocusring/internal/control/leaser"
 	"github.com/crocusring/crocusring/internal/edge/transactor"
+	"github.com/crocusring/crocusring/internal/fake/storer"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
@@ -18,36 +19,22 @@
 
 // leaseStore holds the lease in virtual time. It can come back from a copy.
 type leaseStore struct {
+	*storer.Store
 	now, awayUntil time.Time
-	epoch, version int64
-	rows           map[string]messenger.Row
 }
 
 func (s *leaseStore) get(table, key string) (messenger.Row, error) {
 	if s.now.Before(s.awayUntil) {
 		return messenger.Row{}, transactor.ErrUnavailable
 	}
-	row := s.rows[key]
-	row.Table, row.Key, row.Epoch = table, key, s.epoch
-	return row, nil
+	return s.Get(table, key)
 }
 
 func (s *leaseStore) transact(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
 	if s.now.Before(s.awayUntil) {
 		return nil, transactor.ErrUnavailable
 	}
-	for _, c := range req.Conditions {
-		if c.Epoch != s.epoch || s.rows[c.Key].Version != c.Version {
-			return nil, transactor.ErrConflict
-		}
-	}
-	s.version++
-	versions := []messenger.StoreVersion{}
-	for _, w := range req.Writes {
-		s.rows[w.Key] = messenger.Row{Version: s.version, Value: w.Value}
-		versions = append(versions, messenger.StoreVersion{Epoch: s.epoch, Number: s.version})
-	}
-	return versions, nil
+	return s.Transact(req)
 }
 
 func (s *leaseStore) start(instance string) *orderPermit {
@@ -83,7 +70,7 @@
 		}
 	}
 	for _, p := range permits {
-		p.leaser.ObserveEpoch(s.epoch)
+		p.leaser.ObserveEpoch(s.Epoch)
 	}
 }
 
@@ -91,12 +78,13 @@
 // from a copy of the holder's first grant, or of nobody.
 func newRestore(t *testing.T, away time.Duration, isCopied bool) (s *leaseStore, holder, other *orderPermit) {
 	t.Helper()
-	s = &leaseStore{now: time.Unix(1000, 0), epoch: 1, rows: map[string]messenger.Row{}}
+	s = &leaseStore{Store: storer.New(1), now: time.Unix(1000, 0)}
+	s.ChecksEpoch = true
 	holder, other = s.start("holder"), s.start("other")
 	s.awaitOrders(t, holder)
 	copied := map[string]messenger.Row{}
 	if isCopied {
-		copied = maps.Clone(s.rows)
+		copied = maps.Clone(s.Rows)
 	}
 	for end := s.now.Add(2 * time.Second); s.now.Before(end); s.now = s.now.Add(leaseCheckInterval) {
 		require.NoError(t, holder.leaser.Tick())
@@ -104,7 +92,7 @@
 	}
 	_, ok := holder.Grant()
 	require.True(t, ok)
-	s.awayUntil, s.epoch, s.rows, s.version = s.now.Add(away), 2, copied, 1
+	s.awayUntil, s.Epoch, s.Rows, s.Version = s.now.Add(away), 2, copied, 1
 	return s, holder, other
 }
 
