Share machines and ways between the histories of tables and of keys

The worlds of follower's and confirmer's histories had the same freezes, restarts, cut ways, lost and late messages and the same search for a planted fault, the last also in leaser's. internal/fake/disturber serves them.

--- a/internal/control/leaser/epoch_history_test.go
+++ b/internal/control/leaser/epoch_history_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/crocusring/crocusring/internal/fake/disturber"
 )
 
 // histories is the number of random histories; CI plays the default.
@@ -123,14 +125,15 @@
 		"a last holder that forgets it":   {forgottenGrants, playQuietRestore, "does not hold the lease again"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(maxSeeds) {
+			seed, violation := disturber.Find(maxSeeds, func(seed uint64) string {
 				lines := strings.Split(x.play(seed, x.plant).violation, "\n")
-				if strings.Contains(lines[len(lines)-1], x.want) {
-					t.Logf("seed %d: %s", seed, lines[len(lines)-1])
-					return
+				if last := lines[len(lines)-1]; strings.Contains(last, x.want) {
+					return last
 				}
-			}
-			t.Errorf("not found in %d histories", maxSeeds)
+				return ""
+			})
+			require.NotEmpty(t, violation, "not found in %d histories", maxSeeds)
+			t.Logf("seed %d: %s", seed, violation)
 		})
 	}
 }
--- a/internal/gateway/confirmer/history_restore_test.go
+++ b/internal/gateway/confirmer/history_restore_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/crocusring/crocusring/internal/fake/disturber"
 	"github.com/crocusring/crocusring/internal/gateway/confirmer"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
@@ -73,8 +74,8 @@
 	}
 	w.restores.isAway, w.waiting = true, nil
 	w.restores.count++
-	copiedAt := w.Now().Add(-w.delay(maxCopyAge))
-	w.After(w.delay(maxAway), func() { w.comeBack(copiedAt) })
+	copiedAt := w.Now().Add(-w.Delay(maxCopyAge))
+	w.After(w.Delay(maxAway), func() { w.comeBack(copiedAt) })
 }
 
 // missChange has the store lose a change that an instance has not seen, which hears only the store for a while.
@@ -82,20 +83,20 @@
 	if w.restores.isAway {
 		return
 	}
-	for other := storeIndex; other < len(w.nodes); other++ {
-		w.cut[[2]int{n.index, other}], w.cut[[2]int{other, n.index}] = true, true
+	for other := disturber.Outside; other < len(w.nodes); other++ {
+		w.Cut[[2]int{n.Index, other}], w.Cut[[2]int{other, n.Index}] = true, true
 	}
 	w.changeKeys()
-	w.After(w.delay(maxCopyAge), w.restore)
-	heard := w.delay(maxCopyAge + maxAway)
-	toStore, fromStore := [2]int{n.index, storeIndex}, [2]int{storeIndex, n.index}
+	w.After(w.Delay(maxCopyAge), w.restore)
+	heard := w.Delay(maxCopyAge + maxAway)
+	toStore, fromStore := [2]int{n.Index, disturber.Outside}, [2]int{disturber.Outside, n.Index}
 	w.After(heard, func() {
-		delete(w.cut, toStore)
-		delete(w.cut, fromStore)
+		delete(w.Cut, toStore)
+		delete(w.Cut, fromStore)
 	})
-	w.After(heard+w.delay(2*maxRewrite), func() {
+	w.After(heard+w.Delay(2*maxRewrite), func() {
 		if !w.isCalm {
-			w.cut[toStore], w.cut[fromStore] = true, true
+			w.Cut[toStore], w.Cut[fromStore] = true, true
 		}
 	})
 }
@@ -106,7 +107,7 @@
 	d := &w.restores
 	d.isAway = false
 	d.epoch++
-	d.clockBase += int64((w.random.Float64() - 0.5) * float64(maxClockJump.Milliseconds()))
+	d.clockBase += int64((w.Random.Float64() - 0.5) * float64(maxClockJump.Milliseconds()))
 	d.clockBase = max(d.clockBase, 1000)
 	kept := slices.IndexFunc(d.commits, func(c commit) bool { return c.at.After(copiedAt) })
 	if kept >= 0 {
@@ -117,7 +118,7 @@
 		w.row = d.commits[len(d.commits)-1].row
 		w.row.Epoch, w.version = d.epoch, w.row.Version
 	}
-	w.After(w.delay(maxRewrite), func() {
+	w.After(w.Delay(maxRewrite), func() {
 		if !d.isAway && w.lacksLast() {
 			d.lackedAt = w.Now()
 			w.commit()
--- a/internal/gateway/confirmer/history_test.go
+++ b/internal/gateway/confirmer/history_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/crocusring/crocusring/internal/fake/disturber"
 	"github.com/crocusring/crocusring/internal/gateway/authenticator"
 	"github.com/crocusring/crocusring/internal/gateway/registrar"
 )
@@ -19,11 +20,11 @@
 
 // receiveRequests has a node receive requests again and again.
 func (w *world) receiveRequests(n *node) {
-	key, sentAt := keyName(w.random.IntN(keyCount+1)), w.Now()
-	incarnation := n.incarnation
-	w.onNode(n, w.delay(50*time.Millisecond), func() { w.accept(n, key, sentAt) })
-	w.After(100*time.Millisecond+w.delay(200*time.Millisecond), func() {
-		if n.incarnation == incarnation {
+	key, sentAt := keyName(w.Random.IntN(keyCount+1)), w.Now()
+	incarnation := n.Incarnation
+	w.On(n.Machine, w.Delay(50*time.Millisecond), func() { w.accept(n, key, sentAt) })
+	w.After(100*time.Millisecond+w.Delay(200*time.Millisecond), func() {
+		if n.Incarnation == incarnation {
 			w.receiveRequests(n)
 		}
 	})
@@ -39,7 +40,7 @@
 	check := func(step func(error)) {
 		if w.plant == tableFirst && view.HasAccounts() {
 			// The instance is frozen between the look at the table and that at the proof.
-			w.onNode(n, w.delay(2*time.Second), func() { step(checkTableFirst(n, view, key)) })
+			w.On(n.Machine, w.Delay(2*time.Second), func() { step(checkTableFirst(n, view, key)) })
 			return
 		}
 		_, err := n.check.Check(false, credentialOf(key))
@@ -50,14 +51,14 @@
 		if err != nil || !n.check.IsNeeded() {
 			return
 		}
-		held := w.delay(50 * time.Millisecond)
-		if w.random.IntN(10) == 0 {
-			held += w.delay(6 * time.Second)
+		held := w.Delay(50 * time.Millisecond)
+		if w.Random.IntN(10) == 0 {
+			held += w.Delay(6 * time.Second)
 		}
-		w.onNode(n, held, func() {
+		w.On(n.Machine, held, func() {
 			check(func(err error) {
 				if err == nil {
-					w.onNode(n, 0, func() { w.run(n, key, sentAt) })
+					w.On(n.Machine, 0, func() { w.run(n, key, sentAt) })
 				}
 			})
 		})
@@ -78,7 +79,7 @@
 func (w *world) run(n *node, key string, sentAt time.Time) {
 	w.served++
 	if !w.mayKnowKey(n, key, sentAt.Add(-bound)) {
-		w.fail("%s ran at node %d at %s, sent at %s, last keys %v", key, n.index, w.Now().Sub(w.began), sentAt.Sub(w.began), w.spans[key])
+		w.fail("%s ran at node %d at %s, sent at %s, last keys %v", key, n.Index, w.Now().Sub(w.began), sentAt.Sub(w.began), w.spans[key])
 	}
 }
 
@@ -90,7 +91,7 @@
 	}
 	if w.plant == noPlant && errors.Is(err, authenticator.ErrUnknownKey) && w.mustKnowKey(n, key, w.Now().Add(-applyTime)) {
 		w.fail("%s is unknown at node %d at %s, in the manifest for %s, proof %+v, manifest %d",
-			key, n.index, w.Now().Sub(w.began), applyTime, n.confirmer.Proof(), n.registry.View().Manifest.Version)
+			key, n.Index, w.Now().Sub(w.began), applyTime, n.confirmer.Proof(), n.registry.View().Manifest.Version)
 	}
 }
 
@@ -105,12 +106,12 @@
 	if w.isCalm {
 		return
 	}
-	w.After(w.delay(4*time.Second), w.disturb)
-	n := w.nodes[w.random.IntN(len(w.nodes))]
-	switch w.random.IntN(13) {
+	w.After(w.Delay(4*time.Second), w.disturb)
+	n := w.nodes[w.Random.IntN(len(w.nodes))]
+	switch w.Random.IntN(13) {
 	case 0:
-		length := w.delay(9 * time.Second)
-		n.frozenUntil = w.Now().Add(length)
+		length := w.Delay(9 * time.Second)
+		n.FrozenUntil = w.Now().Add(length)
 		if w.plant == stoppedClock {
 			n.suspended += length
 		}
@@ -121,39 +122,31 @@
 			w.addNode()
 		}
 	case 3: // the store refuses an instance
-		w.cut[[2]int{n.index, storeIndex}] = true
+		w.Cut[[2]int{n.Index, disturber.Outside}] = true
 	case 4: // one way is cut
-		w.cut[[2]int{w.random.IntN(len(w.nodes)+1) - 1, n.index}] = true
+		w.Cut[[2]int{w.Random.IntN(len(w.nodes)+1) - 1, n.Index}] = true
 	case 5: // an instance reaches nobody
-		for to := storeIndex; to < len(w.nodes); to++ {
-			w.cut[[2]int{n.index, to}] = true
+		for to := disturber.Outside; to < len(w.nodes); to++ {
+			w.Cut[[2]int{n.Index, to}] = true
 		}
 	case 6: // the store is down
 		for from := range w.nodes {
-			w.cut[[2]int{from, storeIndex}] = true
+			w.Cut[[2]int{from, disturber.Outside}] = true
 		}
 	case 7:
-		w.loss = w.random.Float64() * 0.5
+		w.Loss = w.Random.Float64() * 0.5
 	case 8:
-		w.heal()
+		w.Heal()
 	case 9:
 		w.restore()
 	case 10: // two within seconds
 		w.restore()
-		w.After(maxAway+w.delay(2*maxRewrite), w.restore)
+		w.After(maxAway+w.Delay(2*maxRewrite), w.restore)
 	case 11, 12:
 		w.missChange(n)
 	}
 }
 
-func (w *world) heal() {
-	clear(w.cut)
-	w.loss = 0
-	for _, n := range w.nodes {
-		n.frozenUntil = w.Now()
-	}
-}
-
 func (w *world) play(length time.Duration) {
 	for end := w.Now().Add(length); w.violation == "" && w.Now().Before(end); {
 		w.Step()
@@ -168,9 +161,9 @@
 			key := keyName(number)
 			_, err := n.check.Check(false, credentialOf(key))
 			if w.keys[key] {
-				assert.NoError(t, err, "seed %d, node %d, %s", seed, n.index, key)
+				assert.NoError(t, err, "seed %d, node %d, %s", seed, n.Index, key)
 			} else {
-				assert.ErrorIs(t, err, authenticator.ErrUnknownKey, "seed %d, node %d, %s", seed, n.index, key)
+				assert.ErrorIs(t, err, authenticator.ErrUnknownKey, "seed %d, node %d, %s", seed, n.Index, key)
 			}
 		}
 	}
@@ -188,7 +181,7 @@
 		w.play(historyLength)
 		require.Empty(t, w.violation, "seed %d", seed)
 		served, refused, restored, excused = served+w.served, refused+w.refused, restored+w.restores.count, excused+w.excused
-		w.heal()
+		w.Heal()
 		w.isCalm = true
 		w.play(healTime)
 		require.Empty(t, w.violation, "seed %d", seed)
@@ -209,15 +202,13 @@
 		"confirmed at once in a later epoch": confirmedAtOnce, "proofs that a later epoch renews": renewedProofs, "proofs by another clock": anyClock,
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(maxSeeds) {
+			seed, violation := disturber.Find(maxSeeds, func(seed uint64) string {
 				w := newWorld(seed, p)
 				w.play(historyLength)
-				if w.violation != "" {
-					t.Logf("seed %d: %s", seed, w.violation)
-					return
-				}
-			}
-			t.Errorf("not found in %d histories", maxSeeds)
+				return w.violation
+			})
+			require.NotEmpty(t, violation, "not found in %d histories", maxSeeds)
+			t.Logf("seed %d: %s", seed, violation)
 		})
 	}
 }
--- a/internal/gateway/confirmer/history_world_test.go
+++ b/internal/gateway/confirmer/history_world_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/crocusring/crocusring/internal/fake/scheduler"
+	"github.com/crocusring/crocusring/internal/fake/disturber"
 	"github.com/crocusring/crocusring/internal/gateway/authenticator"
 	"github.com/crocusring/crocusring/internal/gateway/confirmer"
 	"github.com/crocusring/crocusring/internal/gateway/follower"
@@ -26,13 +26,10 @@
 	pollWait       = time.Second
 	callTimeout    = 1700 * time.Millisecond
 	retryInterval  = 500 * time.Millisecond
-	maxFreezeCheck = 500 * time.Millisecond
 	maxNodes       = 5
 	keyCount       = 4
 	tableName      = "manifest"
 	rowKey         = "config"
-	// storeIndex is the index of the store beside those of the nodes.
-	storeIndex = -1
 	// maxClockError is the rate, in parts per million, by which local clocks differ from the store's.
 	maxClockError = 900
 )
@@ -60,14 +57,12 @@
 
 // node is a simulated instance. All but its tables and their proofs is a model.
 type node struct {
-	index       int
-	incarnation int
-	frozenUntil time.Time
+	*disturber.Machine
 	// base and rate, in parts per million, are of the local clock, and suspended is by how much a
 	// planted fault has it late.
 	base, suspended time.Duration
 	rate            int64
-	// reader is the node through which this one follows the store; storeIndex for none.
+	// reader is the node through which this one follows the store; disturber.Outside for none.
 	reader int
 	// epoch is the latest one of the store's answers.
 	epoch int64
@@ -83,11 +78,10 @@
 
 // world is a random history of instances, their store and their callers in virtual time.
 type world struct {
-	*scheduler.Scheduler
-	random *rand.Rand
-	plant  plant
-	began  time.Time
-	nodes  []*node
+	*disturber.Network
+	plant plant
+	began time.Time
+	nodes []*node
 
 	row      messenger.StoreRow
 	version  int64
@@ -97,10 +91,6 @@
 	manifest int64
 	keys     map[string]bool
 	spans    spans
-	// cut holds the ways, from an index to another, on which no message arrives, and loss is the
-	// share of messages that are lost.
-	cut  map[[2]int]bool
-	loss float64
 	// isCalm ends the disturbances and the changes of keys.
 	isCalm bool
 
@@ -113,22 +103,18 @@
 func newWorld(seed uint64, p plant) *world {
 	began := time.Unix(1000, 0)
 	w := &world{
-		Scheduler: scheduler.New(began), random: rand.New(rand.NewPCG(seed, 11)), plant: p, began: began,
-		keys: map[string]bool{}, spans: spans{}, cut: map[[2]int]bool{}, restores: newRestores(),
+		Network: disturber.New(began, rand.New(rand.NewPCG(seed, 11)), 4*time.Second, disturber.WithDoubles(20)), plant: p, began: began,
+		keys: map[string]bool{}, spans: spans{}, restores: newRestores(),
 	}
 	w.changeKeys()
-	for range 2 + w.random.IntN(maxNodes-2) {
+	for range 2 + w.Random.IntN(maxNodes-2) {
 		w.addNode()
 	}
-	w.After(w.delay(3*time.Second), w.changeRegularly)
-	w.After(w.delay(3*time.Second), w.disturb)
+	w.After(w.Delay(3*time.Second), w.changeRegularly)
+	w.After(w.Delay(3*time.Second), w.disturb)
 	return w
 }
 
-func (w *world) delay(most time.Duration) time.Duration {
-	return time.Duration(w.random.Float64() * float64(most))
-}
-
 func keyName(number int) string { return fmt.Sprintf("key-%d", number) }
 
 // changeKeys commits a manifest with other keys.
@@ -137,7 +123,7 @@
 		w.restores.lackedAt = w.Now()
 	}
 	for number := range keyCount {
-		w.keys[keyName(number)] = w.random.IntN(2) == 0
+		w.keys[keyName(number)] = w.Random.IntN(2) == 0
 	}
 	w.spans.set(w.keys, w.Now())
 	w.manifest++
@@ -171,7 +157,7 @@
 	if !w.restores.isAway {
 		w.changeKeys()
 	}
-	w.After(w.delay(8*time.Second), w.changeRegularly)
+	w.After(w.Delay(8*time.Second), w.changeRegularly)
 }
 
 func (w *world) storeTime() int64 { return w.restores.clockBase + w.Now().Sub(w.began).Milliseconds() }
@@ -191,18 +177,18 @@
 }
 
 func (w *world) addNode() {
-	n := &node{index: len(w.nodes)}
+	n := &node{Machine: w.AddMachine()}
 	w.nodes = append(w.nodes, n)
 	w.start(n)
 }
 
 // start starts a node, which knows nothing, on a machine that may have been started anew.
 func (w *world) start(n *node) {
-	n.incarnation++
+	n.Incarnation++
 	n.epoch, n.knowsCopyOnly = 0, false
-	n.base, n.rate, n.suspended = w.delay(time.Hour), w.random.Int64N(2*maxClockError)-maxClockError, 0
-	n.reader = storeIndex
-	if n.index > 0 && w.random.IntN(2) == 0 {
+	n.base, n.rate, n.suspended = w.Delay(time.Hour), w.Random.Int64N(2*maxClockError)-maxClockError, 0
+	n.reader = disturber.Outside
+	if n.Index > 0 && w.Random.IntN(2) == 0 {
 		n.reader = 0
 	}
 	n.clock, n.confirmer, n.registry = confirmer.Clock{}, confirmer.New(bound, confirmer.WithClock(func() time.Time { return w.local(n) })), registrar.New()
@@ -217,10 +203,10 @@
 		}
 	}, follower.WithLastingRows(resolve),
 		follower.WithProofs(func() messenger.GatewayProof { return w.proofOf(n) }, func(proof messenger.GatewayProof) { w.receiveProof(n, proof) }))
-	w.onNode(n, w.delay(statusInterval), func() { w.poll(n) })
-	w.onNode(n, w.delay(statusInterval), func() { w.sendStatuses(n) })
-	w.onNode(n, w.delay(statusInterval), func() { w.confirm(n) })
-	w.onNode(n, w.delay(statusInterval), func() { w.receiveRequests(n) })
+	w.On(n.Machine, w.Delay(statusInterval), func() { w.poll(n) })
+	w.On(n.Machine, w.Delay(statusInterval), func() { w.sendStatuses(n) })
+	w.On(n.Machine, w.Delay(statusInterval), func() { w.confirm(n) })
+	w.On(n.Machine, w.Delay(statusInterval), func() { w.receiveRequests(n) })
 }
 
 // content is the value of the manifest's row.
@@ -281,45 +267,6 @@
 	return n.confirmer.Receive(confirmer.Proof{Version: proof.StoreVersion(), StoreMilliseconds: proof.StoreMilliseconds}, w.latest(n))
 }
 
-// onNode runs an action of a node when it is no longer frozen, unless it has been restarted.
-func (w *world) onNode(n *node, d time.Duration, run func()) {
-	incarnation := n.incarnation
-	var attempt func()
-	attempt = func() {
-		switch {
-		case n.incarnation != incarnation:
-		case w.Now().Before(n.frozenUntil):
-			// heal may end the freeze earlier.
-			w.After(min(n.frozenUntil.Sub(w.Now()), maxFreezeCheck)+w.delay(time.Millisecond), attempt)
-		default:
-			run()
-		}
-	}
-	w.After(d, attempt)
-}
-
-// message sends a message on a way: it may be lost, late, or arrive twice.
-func (w *world) message(from, to int, arrive func()) {
-	if w.cut[[2]int{from, to}] || w.random.Float64() < w.loss {
-		return
-	}
-	times := 1
-	if w.random.IntN(20) == 0 {
-		times = 2
-	}
-	for range times {
-		latency := time.Millisecond + w.delay(4*time.Millisecond)
-		if w.random.IntN(20) == 0 {
-			latency += w.delay(4 * time.Second)
-		}
-		if to == storeIndex {
-			w.After(latency, arrive)
-			continue
-		}
-		w.onNode(w.nodes[to], latency, arrive)
-	}
-}
-
 // poll follows the manifest by a long poll of the store or of a reader, and goes on when the call
 // has ended.
 func (w *world) poll(n *node) {
@@ -327,15 +274,15 @@
 	again := func(d time.Duration) {
 		if !hasEnded {
 			hasEnded = true
-			w.onNode(n, d, func() { w.poll(n) })
+			w.On(n.Machine, d, func() { w.poll(n) })
 		}
 	}
-	if n.reader == storeIndex || n.follower.Version().IsZero() {
+	if n.reader == disturber.Outside || n.follower.Version().IsZero() {
 		w.callStore(n, pollWait, func() { again(0) })
 	} else {
 		w.callReader(n, func() { again(0) })
 	}
-	w.onNode(n, callTimeout, func() { again(w.delay(retryInterval)) })
+	w.On(n.Machine, callTimeout, func() { again(w.Delay(retryInterval)) })
 }
 
 // confirm asks the store directly while the proof is old.
@@ -344,15 +291,15 @@
 	if age, ok := n.confirmer.Age(latest); (!ok || age > bound/2) && n.confirmer.MayConfirm(latest) {
 		w.callStore(n, 0, func() {})
 	}
-	w.onNode(n, statusInterval, func() { w.confirm(n) })
+	w.On(n.Machine, statusInterval, func() { w.confirm(n) })
 }
 
 // toCaller returns a function that runs an action unless the node has been restarted since: its
 // connections ended then.
 func toCaller(n *node) func(run func()) {
-	incarnation := n.incarnation
+	incarnation := n.Incarnation
 	return func(run func()) {
-		if n.incarnation == incarnation {
+		if n.Incarnation == incarnation {
 			run()
 		}
 	}
@@ -361,7 +308,7 @@
 // callStore reads the manifest, or its changes once there are any or wait has passed.
 func (w *world) callStore(n *node, wait time.Duration, end func()) {
 	sent, after, deliver := w.local(n), n.follower.Version(), toCaller(n)
-	w.message(n.index, storeIndex, func() {
+	w.Send(n.Index, disturber.Outside, func() {
 		epoch := w.restores.epoch
 		hasAnswered := w.restores.isAway
 		answer := func() {
@@ -383,7 +330,7 @@
 func (w *world) answerFromStore(n *node, sent time.Time, after messenger.StoreVersion, end func()) {
 	row, now, version := w.row, w.storeTime(), messenger.StoreVersion{Epoch: w.restores.epoch, Number: w.version}
 	lacksLast := w.lacksLast()
-	w.message(storeIndex, n.index, func() {
+	w.Send(disturber.Outside, n.Index, func() {
 		defer end()
 		if version.Epoch < n.epoch {
 			return
@@ -422,8 +369,8 @@
 // callReader asks a reader for the changes, which may take as long as a long poll.
 func (w *world) callReader(n *node, end func()) {
 	after, reader, deliver := n.follower.Version(), w.nodes[n.reader], toCaller(n)
-	w.message(n.index, reader.index, func() {
-		w.onNode(reader, w.delay(pollWait), func() {
+	w.Send(n.Index, reader.Index, func() {
+		w.On(reader.Machine, w.Delay(pollWait), func() {
 			ctx, cancel := context.WithCancel(context.Background())
 			cancel()
 			changes, err := reader.follower.Since(ctx, after)
@@ -432,7 +379,7 @@
 				return
 			}
 			deliver(func() {
-				w.message(reader.index, n.index, func() {
+				w.Send(reader.Index, n.Index, func() {
 					defer end()
 					w.applyChanges(n, follower.ChangesFromPeer(changes))
 				})
@@ -448,7 +395,7 @@
 		return
 	}
 	snapshot.Proof = follower.ProofFromPeer(snapshot.Proof)
-	w.message(from.index, to.index, func() { to.follower.Adopt(snapshot) })
+	w.Send(from.Index, to.Index, func() { to.follower.Adopt(snapshot) })
 }
 
 // sendStatuses sends the proof to all others, which answer with theirs. A node without a manifest
@@ -460,15 +407,15 @@
 		}
 		w.sendStatus(n, other, func() { w.sendStatus(other, n, func() {}) })
 		if n.follower.Version().IsZero() {
-			w.message(n.index, other.index, func() { w.sendSnapshot(other, n) })
+			w.Send(n.Index, other.Index, func() { w.sendSnapshot(other, n) })
 		}
 	}
-	w.onNode(n, statusInterval, func() { w.sendStatuses(n) })
+	w.On(n.Machine, statusInterval, func() { w.sendStatuses(n) })
 }
 
 func (w *world) sendStatus(from, to *node, then func()) {
 	message, manifest := w.proofOf(from), inForce(from)
-	w.message(from.index, to.index, func() {
+	w.Send(from.Index, to.Index, func() {
 		isNewer := !to.follower.Version().IsZero() && manifest > inForce(to)
 		if message.RowVersion > 0 {
 			if w.plant == agelessProofs {
@@ -477,7 +424,7 @@
 			isNewer = w.receive(to, message) || isNewer
 		}
 		if isNewer {
-			w.message(to.index, from.index, func() { w.sendSnapshot(from, to) })
+			w.Send(to.Index, from.Index, func() { w.sendSnapshot(from, to) })
 		}
 		then()
 	})
--- a/internal/gateway/follower/history_test.go
+++ b/internal/gateway/follower/history_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/crocusring/crocusring/internal/fake/disturber"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
@@ -35,7 +36,7 @@
 func (w *world) judgeRemoval(n *node, known messenger.StoreRow) {
 	for _, x := range w.writers {
 		if x.key == known.Key && x.isAlive && x.life == lifeOf(known) {
-			w.fail("%s of %+v vanishes from node %d at %+v, though its writer writes it again", x.key, known.StoreVersion(), n.index, n.follower.Version())
+			w.fail("%s of %+v vanishes from node %d at %+v, though its writer writes it again", x.key, known.StoreVersion(), n.Index, n.follower.Version())
 		}
 	}
 }
@@ -45,11 +46,11 @@
 	removedAt, wasRemoved := n.removedAt[row.Key]
 	switch {
 	case isKnown && row.StoreVersion().IsBefore(known.StoreVersion()):
-		w.fail("%s of node %d goes back from %+v to %+v", row.Key, n.index, known.StoreVersion(), row.StoreVersion())
+		w.fail("%s of node %d goes back from %+v to %+v", row.Key, n.Index, known.StoreVersion(), row.StoreVersion())
 	case !isKnown && wasRemoved && !row.StoreVersion().IsAfter(removedAt):
-		w.fail("%s of node %d was removed at %+v and comes back with %+v", row.Key, n.index, removedAt, row.StoreVersion())
+		w.fail("%s of node %d was removed at %+v and comes back with %+v", row.Key, n.Index, removedAt, row.StoreVersion())
 	case w.plant != bareNumbers && w.written[entry{row.StoreVersion(), row.Key}] != string(row.Value):
-		w.fail("%s of node %d is %s at %+v, which the store never had", row.Key, n.index, row.Value, row.StoreVersion())
+		w.fail("%s of node %d is %s at %+v, which the store never had", row.Key, n.Index, row.Value, row.StoreVersion())
 	}
 }
 
@@ -58,13 +59,13 @@
 	if w.isCalm {
 		return
 	}
-	w.After(w.delay(3*time.Second), w.disturb)
-	n := w.nodes[w.random.IntN(len(w.nodes))]
-	switch w.random.IntN(8) {
+	w.After(w.Delay(3*time.Second), w.disturb)
+	n := w.nodes[w.Random.IntN(len(w.nodes))]
+	switch w.Random.IntN(8) {
 	case 0:
-		n.frozenUntil = w.Now().Add(w.delay(6 * time.Second))
+		n.FrozenUntil = w.Now().Add(w.Delay(6 * time.Second))
 	case 1:
-		if w.random.IntN(2) == 0 {
+		if w.Random.IntN(2) == 0 {
 			w.start(n)
 		}
 	case 2:
@@ -72,21 +73,13 @@
 			w.addNode()
 		}
 	case 3: // the store refuses an instance
-		w.cut[[2]int{n.index, storeIndex}] = true
+		w.Cut[[2]int{n.Index, disturber.Outside}] = true
 	case 4: // one way is cut
-		w.cut[[2]int{w.random.IntN(len(w.nodes)+1) - 1, n.index}] = true
+		w.Cut[[2]int{w.Random.IntN(len(w.nodes)+1) - 1, n.Index}] = true
 	case 5:
-		w.loss = w.random.Float64() * 0.5
+		w.Loss = w.Random.Float64() * 0.5
 	default:
-		w.heal()
-	}
-}
-
-func (w *world) heal() {
-	clear(w.cut)
-	w.loss = 0
-	for _, n := range w.nodes {
-		n.frozenUntil = w.Now()
+		w.Heal()
 	}
 }
 
@@ -101,7 +94,7 @@
 	w.play(historyLength)
 	w.isCalm = true
 	w.play(maxLastingRewriteDelay) // the last restore may be under way
-	w.heal()
+	w.Heal()
 	w.play(settleTime)
 	for _, n := range w.nodes {
 		w.judgeCopy(n)
@@ -115,12 +108,12 @@
 func (w *world) judgeCopy(n *node) {
 	for key, row := range n.view {
 		if _, isPresent := w.rows[key]; !isPresent {
-			w.fail("node %d has %s at %+v, the store has none", n.index, key, row.StoreVersion())
+			w.fail("node %d has %s at %+v, the store has none", n.Index, key, row.StoreVersion())
 		}
 	}
 	for key, c := range w.rows {
 		if n.view[key].StoreVersion() != w.row(c).StoreVersion() {
-			w.fail("node %d has %s at %+v, the store at %+v", n.index, key, n.view[key].StoreVersion(), w.row(c).StoreVersion())
+			w.fail("node %d has %s at %+v, the store at %+v", n.Index, key, n.view[key].StoreVersion(), w.row(c).StoreVersion())
 		}
 	}
 }
@@ -148,15 +141,13 @@
 		"no grace in a later epoch": noGrace, "no pause after an older table": noPause,
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(maxSeeds) {
+			seed, violation := disturber.Find(maxSeeds, func(seed uint64) string {
 				w := newWorld(seed, p)
 				w.settle()
-				if w.violation != "" {
-					t.Logf("seed %d: %s", seed, w.violation)
-					return
-				}
-			}
-			t.Errorf("not found in %d histories", maxSeeds)
+				return w.violation
+			})
+			require.NotEmpty(t, violation, "not found in %d histories", maxSeeds)
+			t.Logf("seed %d: %s", seed, violation)
 		})
 	}
 }
--- a/internal/gateway/follower/history_world_test.go
+++ b/internal/gateway/follower/history_world_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/crocusring/crocusring/internal/fake/scheduler"
+	"github.com/crocusring/crocusring/internal/fake/disturber"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
@@ -25,7 +25,6 @@
 	readerAge         = time.Second
 	statusInterval    = 400 * time.Millisecond
 	statusTTL         = 1500 * time.Millisecond
-	maxFreezeCheck    = 500 * time.Millisecond
 	maxNodes          = 5
 	readerCount       = 2
 	writerCount       = 6
@@ -38,8 +37,6 @@
 	// table: a call that hangs, at the instance and at its readers, a pause, a read, and the grace of both.
 	settleTime = shortFeedWait + feedTimeoutMargin + readerCount*(readerWait+readerMargin) + maxRetryInterval +
 		(readerCount+1)*readTimeout + 2*ReturnGracePeriod
-	// storeIndex is the index of the store beside those of the nodes.
-	storeIndex = -1
 )
 
 // plant is a fault that the histories must find.
@@ -74,7 +71,7 @@
 	if t.isStopped {
 		return
 	}
-	begin(func() { t.w.onNode(t.node, 0, func() { t.next() }) })
+	begin(func() { t.w.On(t.node.Machine, 0, func() { t.next() }) })
 	t.isStopped = !t.yield(struct{}{})
 }
 
@@ -91,12 +88,10 @@
 
 // node is a simulated instance. All but its follower is a model.
 type node struct {
-	index       int
-	incarnation int
-	frozenUntil time.Time
-	readers     []int
-	peers       map[int]status
-	follower    *Follower
+	*disturber.Machine
+	readers  []int
+	peers    map[int]status
+	follower *Follower
 	// epoch is the latest one that the store itself has named.
 	epoch int64
 	// view is what has been applied, and removedAt the version of the copy at which a row was removed.
@@ -144,8 +139,7 @@
 
 // world is a random history of a store, its writers and the instances that copy its table, in virtual time.
 type world struct {
-	*scheduler.Scheduler
-	random    *rand.Rand
+	*disturber.Network
 	plant     plant
 	isLasting bool
 	began     time.Time
@@ -162,10 +156,6 @@
 	// written holds the values of all rows that the store has had.
 	written map[entry]string
 
-	// cut holds the ways, from an index to another, on which no message arrives, and loss is the
-	// share of messages that are lost.
-	cut  map[[2]int]bool
-	loss float64
 	// isCalm ends the disturbances and the changes.
 	isCalm bool
 
@@ -176,8 +166,8 @@
 func newWorld(seed uint64, p plant) *world {
 	began := time.Unix(1000, 0)
 	w := &world{
-		Scheduler: scheduler.New(began), random: rand.New(rand.NewPCG(seed, 57)), plant: p, began: began, isLasting: seed%4 == 3,
-		epoch: 1 + int64(seed%3), number: 100, rows: map[string]change{}, written: map[entry]string{}, cut: map[[2]int]bool{},
+		Network: disturber.New(began, rand.New(rand.NewPCG(seed, 57)), 2*time.Second), plant: p, began: began, isLasting: seed%4 == 3,
+		epoch: 1 + int64(seed%3), number: 100, rows: map[string]change{}, written: map[entry]string{},
 	}
 	w.historyStart = w.number
 	for i := range writerCount {
@@ -185,19 +175,15 @@
 		w.writers = append(w.writers, x)
 		w.write(x)
 	}
-	for range 2 + w.random.IntN(maxNodes-1) {
+	for range 2 + w.Random.IntN(maxNodes-1) {
 		w.addNode()
 	}
-	w.After(w.delay(time.Second), w.changeRegularly)
-	w.After(w.delay(3*time.Second), w.disturb)
-	w.After(time.Second+w.delay(9*time.Second), w.restore)
+	w.After(w.Delay(time.Second), w.changeRegularly)
+	w.After(w.Delay(3*time.Second), w.disturb)
+	w.After(time.Second+w.Delay(9*time.Second), w.restore)
 	return w
 }
 
-func (w *world) delay(most time.Duration) time.Duration {
-	return time.Duration(w.random.Float64() * float64(most))
-}
-
 func (w *world) fail(format string, values ...any) {
 	if w.violation == "" {
 		w.violation = w.Now().Sub(w.began).String() + ": " + fmt.Sprintf(format, values...)
@@ -206,7 +192,7 @@
 
 // commit adds a change to the log of the store and answers the calls that wait for one.
 func (w *world) commit(key string, value []byte) {
-	w.number += 1 + w.random.Int64N(3) // other tables are written as well
+	w.number += 1 + w.Random.Int64N(3) // other tables are written as well
 	c := change{at: w.Now(), number: w.number, key: key, value: value}
 	w.log = append(w.log, c)
 	w.put(c)
@@ -246,8 +232,8 @@
 	if w.isCalm {
 		return
 	}
-	x := w.writers[w.random.IntN(writerCount)]
-	if w.random.IntN(3) == 0 && !w.isLasting && !w.isAway {
+	x := w.writers[w.Random.IntN(writerCount)]
+	if w.Random.IntN(3) == 0 && !w.isLasting && !w.isAway {
 		x.isAlive = false
 		if _, isPresent := w.rows[x.key]; isPresent {
 			w.commit(x.key, nil)
@@ -255,7 +241,7 @@
 	} else {
 		w.write(x)
 	}
-	w.After(w.delay(1200*time.Millisecond), w.changeRegularly)
+	w.After(w.Delay(1200*time.Millisecond), w.changeRegularly)
 }
 
 // restore has the store away for a moment and come back, mostly from a copy. Another restore may follow soon.
@@ -265,9 +251,9 @@
 	}
 	w.isAway = true
 	w.wakeStore()
-	copiedAt := w.Now().Add(-w.delay(7 * time.Second))
-	isOnlyAway := w.random.IntN(5) == 0
-	w.After(50*time.Millisecond+w.delay(1500*time.Millisecond), func() {
+	copiedAt := w.Now().Add(-w.Delay(7 * time.Second))
+	isOnlyAway := w.Random.IntN(5) == 0
+	w.After(50*time.Millisecond+w.Delay(1500*time.Millisecond), func() {
 		w.isAway = false
 		if isOnlyAway {
 			w.writeOverdue()
@@ -275,9 +261,9 @@
 			w.comeBack(copiedAt)
 		}
 	})
-	next := 3*time.Second + w.delay(9*time.Second)
-	if w.random.IntN(3) == 0 {
-		next = 1600*time.Millisecond + w.delay(2*time.Second)
+	next := 3*time.Second + w.Delay(9*time.Second)
+	if w.Random.IntN(3) == 0 {
+		next = 1600*time.Millisecond + w.Delay(2*time.Second)
 	}
 	w.After(next, w.restore)
 }
@@ -294,10 +280,10 @@
 			w.put(c)
 		}
 	}
-	if w.random.IntN(3) == 0 { // the numbers catch up before anyone looks
+	if w.Random.IntN(3) == 0 { // the numbers catch up before anyone looks
 		w.number += 60
 	}
-	if w.random.IntN(3) == 0 {
+	if w.Random.IntN(3) == 0 {
 		w.historyStart = w.number
 	}
 	w.historyStart = min(w.historyStart, w.number)
@@ -309,7 +295,7 @@
 // recover has a writer write its row again, or none at all.
 func (w *world) recover(x *writer) {
 	x.isOverdue = false
-	if !w.isLasting && w.random.IntN(5) == 0 {
+	if !w.isLasting && w.Random.IntN(5) == 0 {
 		x.isAlive = false // nobody writes it again
 		return
 	}
@@ -317,7 +303,7 @@
 	if w.isLasting {
 		most = maxLastingRewriteDelay
 	}
-	w.After(w.delay(most), func() {
+	w.After(w.Delay(most), func() {
 		if w.epoch == epoch {
 			w.writeAgain(x)
 		}
@@ -348,7 +334,7 @@
 }
 
 func (w *world) addNode() {
-	n := &node{index: len(w.nodes)}
+	n := &node{Machine: w.AddMachine()}
 	w.nodes = append(w.nodes, n)
 	w.start(n)
 }
@@ -356,12 +342,12 @@
 // start starts a node, which knows nothing.
 func (w *world) start(n *node) {
 	w.stop(n)
-	n.incarnation++
+	n.Incarnation++
 	n.epoch, n.version, n.steps, n.waiting = 0, messenger.StoreVersion{}, nil, nil
 	n.peers, n.view, n.removedAt = map[int]status{}, map[string]messenger.StoreRow{}, map[string]messenger.StoreVersion{}
 	n.readers = nil
-	if n.index >= readerCount && w.random.IntN(3) > 0 {
-		n.readers = w.random.Perm(readerCount)[:1+w.random.IntN(readerCount)]
+	if n.Index >= readerCount && w.Random.IntN(3) > 0 {
+		n.readers = w.Random.Perm(readerCount)[:1+w.Random.IntN(readerCount)]
 	}
 	options := []Option{WithShortWait(), func(f *Follower) { f.now = w.Now }}
 	if w.isLasting {
@@ -389,45 +375,12 @@
 	})
 	t.next = next
 	t.node.stops = append(t.node.stops, stop)
-	w.onNode(t.node, w.delay(time.Millisecond), func() { t.next() })
-}
-
-// onNode runs an action of a node when it is no longer frozen, unless it has been restarted.
-func (w *world) onNode(n *node, d time.Duration, run func()) {
-	incarnation := n.incarnation
-	var attempt func()
-	attempt = func() {
-		switch {
-		case n.incarnation != incarnation:
-		case w.Now().Before(n.frozenUntil):
-			// heal may end the freeze earlier.
-			w.After(min(n.frozenUntil.Sub(w.Now()), maxFreezeCheck)+w.delay(time.Millisecond), attempt)
-		default:
-			run()
-		}
-	}
-	w.After(d, attempt)
-}
-
-// message sends a message on a way: it may be lost or late.
-func (w *world) message(from, to int, arrive func()) {
-	if w.cut[[2]int{from, to}] || w.random.Float64() < w.loss {
-		return
-	}
-	latency := time.Millisecond + w.delay(4*time.Millisecond)
-	if w.random.IntN(20) == 0 {
-		latency += w.delay(2 * time.Second)
-	}
-	if to == storeIndex {
-		w.After(latency, arrive)
-		return
-	}
-	w.onNode(w.nodes[to], latency, arrive)
+	w.On(t.node.Machine, w.Delay(time.Millisecond), func() { t.next() })
 }
 
 // call calls the store or a node and returns its answer; ok is false if none arrives in time.
 func call[T any](t *task, to int, timeout time.Duration, serve func(answer func(T))) (out T, ok bool) {
-	w, from := t.w, t.node.index
+	w, from := t.w, t.node.Index
 	t.wait(func(resume func()) {
 		isOver := false
 		end := func() {
@@ -437,9 +390,9 @@
 			}
 		}
 		w.After(timeout, end)
-		w.message(from, to, func() {
+		w.Send(from, to, func() {
 			serve(func(answer T) {
-				w.message(to, from, func() {
+				w.Send(to, from, func() {
 					if !isOver {
 						out, ok = answer, true
 						end()
@@ -492,7 +445,7 @@
 	if len(n.steps) > maxSteps {
 		n.steps = n.steps[1:]
 		if w.Now().Sub(n.steps[0]) < atLeast {
-			w.fail("node %d makes %d steps in %s at %+v", n.index, maxSteps, w.Now().Sub(n.steps[0]), before)
+			w.fail("node %d makes %d steps in %s at %+v", n.Index, maxSteps, w.Now().Sub(n.steps[0]), before)
 		}
 	}
 }
@@ -501,7 +454,7 @@
 func (w *world) noteVersion(n *node) {
 	version := n.follower.Version()
 	if version.IsBefore(n.version) {
-		w.fail("copy of node %d goes back from %+v to %+v", n.index, n.version, version)
+		w.fail("copy of node %d goes back from %+v to %+v", n.Index, n.version, version)
 	}
 	n.version = version
 	waiting := n.waiting
@@ -515,11 +468,11 @@
 func (w *world) confirm(t *task) {
 	n := t.node
 	for !t.isStopped {
-		t.sleep(300*time.Millisecond + w.delay(4*time.Second))
+		t.sleep(300*time.Millisecond + w.Delay(4*time.Second))
 		if t.isStopped {
 			return
 		}
-		if w.random.IntN(2) == 0 {
+		if w.Random.IntN(2) == 0 {
 			follow := func(_ string, after messenger.StoreVersion, wait time.Duration) (Changes, error) {
 				return w.followStore(t, after, wait)
 			}
@@ -540,8 +493,8 @@
 		version, hasStoreFor := n.follower.Version(), n.follower.HasStoreFor()
 		for _, other := range w.nodes {
 			if other != n {
-				w.message(n.index, other.index, func() {
-					other.peers[n.index] = status{version: version, hasStoreFor: hasStoreFor, receivedAt: w.Now()}
+				w.Send(n.Index, other.Index, func() {
+					other.peers[n.Index] = status{version: version, hasStoreFor: hasStoreFor, receivedAt: w.Now()}
 				})
 			}
 		}
@@ -564,14 +517,14 @@
 
 // peerSnapshot returns the copy of the peer that has told the newest version.
 func (w *world) peerSnapshot(t *task, newer messenger.StoreVersion) (messenger.TableSnapshot, bool) {
-	from := storeIndex
+	from := disturber.Outside
 	for _, index := range slices.Sorted(maps.Keys(t.node.peers)) {
 		peer := t.node.peers[index]
 		if w.Now().Sub(peer.receivedAt) < statusTTL && peer.version.IsAfter(newer) {
 			newer, from = peer.version, index
 		}
 	}
-	if from == storeIndex {
+	if from == disturber.Outside {
 		return messenger.TableSnapshot{}, false
 	}
 	return w.fetch(t, from)
@@ -660,7 +613,7 @@
 			deliver(answer{changes: ChangesFromPeer(changes), err: sentinel(err)})
 		}
 	}
-	w.onNode(reader, until.Sub(w.Now()), attempt)
+	w.On(reader.Machine, until.Sub(w.Now()), attempt)
 	attempt()
 }
 
@@ -685,7 +638,7 @@
 
 // readStore is what the client of the store does for a whole table.
 func (w *world) readStore(t *task) (messenger.TableSnapshot, error) {
-	out, ok := call(t, storeIndex, readTimeout, func(answer func(messenger.TableSnapshot)) {
+	out, ok := call(t, disturber.Outside, readTimeout, func(answer func(messenger.TableSnapshot)) {
 		if !w.isAway {
 			answer(w.table())
 		}
@@ -725,7 +678,7 @@
 	if after.Epoch < t.node.epoch && w.plant != staleAnswers {
 		return Changes{}, ErrHistoryTruncated
 	}
-	out, ok := call(t, storeIndex, wait+feedTimeoutMargin, func(deliver func(answer)) { w.answerFeed(after.Number, w.Now().Add(wait), deliver) })
+	out, ok := call(t, disturber.Outside, wait+feedTimeoutMargin, func(deliver func(answer)) { w.answerFeed(after.Number, w.Now().Add(wait), deliver) })
 	if !ok || errors.Is(out.err, errUnavailable) || !w.hasEpoch(t.node, out.changes.Epoch) {
 		return Changes{}, errUnavailable
 	}
