--- a/internal/control/leaser/epoch_fault_test.go
+++ b/internal/control/leaser/epoch_fault_test.go
@@ -17,10 +17,10 @@
 	t.Helper()
 	s = newCopiedStore(5)
 	a, b = s.start("a"), s.start("b")
-	before := s.copy()
+	before := s.Copy()
 	s.acquire(t, a)
 	require.NoError(t, b.Tick())
-	s.restore(before)
+	s.Restore(before)
 	b.ObserveEpoch(s.Epoch)
 	return s, a, b
 }
@@ -92,7 +92,7 @@
 		return nil, transactor.ErrUnknownOutcome
 	}
 	_ = slow.Tick() // of unknown outcome
-	s.restore(s.copy())
+	s.Restore(s.Copy())
 	lost := s.acquire(t, s.start("a"))
 	for _, w := range late.Writes {
 		s.Put(w.Key, w.Value)
@@ -220,15 +220,15 @@
 	}
 }
 
-// TestSurelyLastHolderNeedsNoHandover guards against a pause of the orders after a restore, where peers have heard of a
+// TestHolderWithoutSuccessorNeedsNoHandover guards against a pause of the orders after a restore, where peers have heard of a
 // token that the instance itself has not confirmed.
-func TestSurelyLastHolderNeedsNoHandover(t *testing.T) {
+func TestHolderWithoutSuccessorNeedsNoHandover(t *testing.T) {
 	s := newCopiedStore(0)
 	l := s.start("a")
-	before := s.copy()
+	before := s.Copy()
 	grant := s.acquire(t, l)
 	l.NoteFence(grant.Fence + 1)
-	s.restore(before)
+	s.Restore(before)
 	l.ObserveEpoch(s.Epoch)
 	assert.True(t, s.acquire(t, l).PreviousEndedAt.IsZero())
 	require.NoError(t, l.Tick())
--- a/internal/control/leaser/epoch_history_test.go
+++ b/internal/control/leaser/epoch_history_test.go
@@ -77,7 +77,7 @@
 	for w.isAway() {
 		w.step()
 	}
-	isAfresh := func(n *epochNode) bool { return n == last && n.leaser.grant.Epoch == w.store.epoch }
+	isAfresh := func(n *epochNode) bool { return n == last && n.leaser.grant.Epoch == w.store.Epoch }
 	if w.awaitHolder(recoveryTime, isAfresh) == nil {
 		w.violate("i%d does not hold the lease again", last.id)
 	}
--- a/internal/control/leaser/epoch_test.go
+++ b/internal/control/leaser/epoch_test.go
@@ -1,7 +1,6 @@
 package leaser
 
 import (
-	"maps"
 	"testing"
 	"time"
 
@@ -29,19 +28,6 @@
 	}
 }
 
-// copy returns the content of the store as it is now.
-func (s *copiedStore) copy() storer.Store {
-	out := *s.Store
-	out.Rows = maps.Clone(s.Rows)
-	return out
-}
-
-// restore brings the rows and the version of a copy back, in the next epoch.
-func (s *copiedStore) restore(from storer.Store) {
-	s.Rows, s.Version = maps.Clone(from.Rows), from.Version
-	s.Epoch++
-}
-
 func (s *copiedStore) start(instance string) *Leaser {
 	return New(instance, "1", s.tables(), WithClock(func() time.Time { return s.now }),
 		WithTimes(Times{TTL: 1500 * time.Millisecond, Margin: 400 * time.Millisecond, RenewInterval: 400 * time.Millisecond}))
@@ -78,9 +64,9 @@
 			if prepare != nil {
 				prepare(s)
 			}
-			before := s.copy()
+			before := s.Copy()
 			lost := s.acquire(t, s.start("b"))
-			s.restore(before)
+			s.Restore(before)
 			next := s.acquire(t, s.start("c"))
 			assert.Greater(t, next.Fence, lost.Fence)
 		})
--- a/internal/control/leaser/epoch_world_test.go
+++ b/internal/control/leaser/epoch_world_test.go
@@ -4,12 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"iter"
-	"maps"
 	"math/rand/v2"
 	"strings"
 	"time"
 
-	"github.com/crocusring/crocusring/internal/edge/transactor"
+	"github.com/crocusring/crocusring/internal/fake/storer"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
@@ -42,33 +41,18 @@
 	noHandover                 // the end of the grant before is not known
 )
 
-// epochStore is a table service that numbers its writes, and that may be away and come back from a copy.
+// epochStore is a table service that may be away and come back from a copy. The numbers of conditions count in
+// whatever epoch they were read.
 type epochStore struct {
-	epoch, version int64
-	rows           map[string]messenger.Row
-	awayUntil      time.Time
-	offsets        map[int64]int64 // of the clock in each epoch, in milliseconds
-	copies         []storeCopy
+	*storer.Store
+	awayUntil time.Time
+	offsets   map[int64]int64 // of the clock in each epoch, in milliseconds
+	copies    []storeCopy
 }
 
 type storeCopy struct {
-	madeAt  time.Time
-	version int64
-	rows    map[string]messenger.Row
-}
-
-// apply applies a transaction if the numbers of its conditions hold, in whatever epoch they were read.
-func (s *epochStore) apply(req messenger.TransactRequest) (messenger.StoreVersion, bool) {
-	for _, c := range req.Conditions {
-		if s.rows[c.Key].Version != c.Version {
-			return messenger.StoreVersion{}, false
-		}
-	}
-	s.version++
-	for _, w := range req.Writes {
-		s.rows[w.Key] = messenger.Row{Table: w.Table, Key: w.Key, Version: s.version, Value: w.Value}
-	}
-	return messenger.StoreVersion{Epoch: s.epoch, Number: s.version}, true
+	storer.Copy
+	madeAt time.Time
 }
 
 // lateWrite is a write whose caller has lost patience before it is applied.
@@ -102,34 +86,10 @@
 	violation  string
 }
 
-// epochNode is one instance.
-type epochNode struct {
-	w           *epochWorld
-	id          int
-	incarnation string
-	leaser      *Leaser
-	yield       func(struct{}) bool
-	next        func() (struct{}, bool)
-	stop        func()
-	isStopped   bool
-	isLeaving   bool
-	hasLeft     bool
-	wakeAt      time.Time
-	frozenUntil time.Time
-	cutUntil    time.Time
-	pollAt      time.Time
-	// epoch is the latest epoch that the client of the table service knows, and clockEpoch the one of its clock.
-	epoch, clockEpoch int64
-	offset            time.Duration // of its clock
-	drift             int64         // of its clock, in millionths
-	heard             int64         // the highest token that it had heard of when it did not hold the lease last
-	bound             int64         // how far the bounds of the clock are from the truth, in milliseconds
-}
-
 func newEpochWorld(seed uint64, nodes int, firstEpoch int64, plant epochPlant) *epochWorld {
 	w := &epochWorld{
 		random: rand.New(rand.NewPCG(seed, 57)), plant: plant, now: time.Unix(1000, 0), holders: map[int64]string{},
-		store: epochStore{epoch: firstEpoch, rows: map[string]messenger.Row{}, offsets: map[int64]int64{}},
+		store: epochStore{Store: storer.New(firstEpoch), offsets: map[int64]int64{}},
 	}
 	w.hasClock = w.random.IntN(3) > 0
 	for id := range nodes {
@@ -169,91 +129,8 @@
 	w.nodes[id] = n
 }
 
-// local returns the time of the clock of the instance, which runs fast or slow.
-func (n *epochNode) local() time.Time {
-	elapsed := n.w.now.Sub(time.Unix(1000, 0))
-	return n.w.now.Add(n.offset + elapsed*time.Duration(n.drift)/1_000_000)
-}
-
-// run ticks until the instance is stopped or leaves.
-func (n *epochNode) run(yield func(struct{}) bool) {
-	n.yield = yield
-	for n.rest(worldTick) {
-		if n.isLeaving {
-			_ = n.leaser.Release() // an outcome like any other
-			n.hasLeft = true
-			return
-		}
-		if err := n.leaser.Tick(); err != nil {
-			n.w.note("i%d: %v", n.id, err)
-		}
-	}
-}
-
-// rest lets time pass; false if the instance was stopped.
-func (n *epochNode) rest(d time.Duration) bool {
-	if n.isStopped {
-		return false
-	}
-	n.wakeAt = n.w.now.Add(d)
-	n.isStopped = !n.yield(struct{}{})
-	return !n.isStopped
-}
-
-// leg lets one way of a call pass, and reports whether the message arrives.
-func (n *epochNode) leg() bool {
-	limit, isLost := 20*time.Millisecond, false
-	if !n.w.calm {
-		isLost = n.w.random.IntN(40) == 0
-		if n.w.random.IntN(20) == 0 {
-			limit = 900 * time.Millisecond
-		}
-	}
-	return n.rest(n.w.delay(limit)) && !isLost && !n.isCut()
-}
-
-func (n *epochNode) isCut() bool { return n.w.now.Before(n.cutUntil) }
-
-func (n *epochNode) isFrozen() bool { return n.w.now.Before(n.frozenUntil) }
-
 func (w *epochWorld) isAway() bool { return w.now.Before(w.store.awayUntil) }
 
-// answer receives an answer of an epoch, and reports whether a later one is known.
-func (n *epochNode) answer(epoch int64) (isLate bool) {
-	n.observeEpoch(epoch)
-	if epoch < n.epoch {
-		return true
-	}
-	n.clockEpoch = epoch
-	return false
-}
-
-// observeEpoch is what the client of the table service does before it returns the answer that shows an epoch.
-func (n *epochNode) observeEpoch(epoch int64) {
-	if epoch <= n.epoch {
-		return
-	}
-	if n.w.plant == forgottenGrants && n.epoch > 0 {
-		n.leaser.grant = Record{}
-	}
-	n.epoch, n.clockEpoch = epoch, 0
-	if n.w.plant != hiddenEpochs {
-		n.leaser.ObserveEpoch(epoch)
-	}
-}
-
-func (n *epochNode) get(table, key string) (messenger.Row, error) {
-	if !n.leg() || n.w.isAway() {
-		return messenger.Row{}, transactor.ErrUnavailable
-	}
-	row := n.w.store.rows[key]
-	row.Table, row.Key, row.Epoch = table, key, n.w.store.epoch
-	if !n.leg() || n.answer(row.Epoch) {
-		return messenger.Row{}, transactor.ErrUnavailable
-	}
-	return n.w.planted(row), nil
-}
-
 // planted returns a row as a faulty table service gives it.
 func (w *epochWorld) planted(row messenger.Row) messenger.Row {
 	switch {
@@ -270,47 +147,6 @@
 	return row
 }
 
-func (n *epochNode) transact(req messenger.TransactRequest) ([]messenger.StoreVersion, error) {
-	for _, c := range req.Conditions {
-		if n.w.plant != hiddenEpochs && c.Epoch < n.epoch {
-			return nil, transactor.ErrConflict
-		}
-	}
-	if !n.w.calm && n.w.random.IntN(12) == 0 {
-		n.w.late = append(n.w.late, lateWrite{at: n.w.now.Add(n.w.delay(5 * time.Second)), req: req})
-		n.rest(time.Second)
-		return nil, transactor.ErrUnknownOutcome
-	}
-	if !n.leg() || n.w.isAway() {
-		return nil, transactor.ErrUnavailable
-	}
-	version, isApplied := n.w.store.apply(req)
-	epoch := n.w.store.epoch
-	switch {
-	case !n.leg() || n.answer(epoch):
-		return nil, transactor.ErrUnknownOutcome
-	case !isApplied:
-		return nil, transactor.ErrConflict
-	}
-	if n.w.plant == hiddenEpochs {
-		version.Epoch = 0
-	}
-	versions := make([]messenger.StoreVersion, len(req.Writes))
-	for i := range versions {
-		versions[i] = version
-	}
-	return versions, nil
-}
-
-// clock returns bounds of the table service's clock in the epoch that is known.
-func (n *epochNode) clock() (earliest, latest int64, ok bool) {
-	if !n.w.hasClock || (n.clockEpoch == 0 && n.epoch > 0) {
-		return 0, 0, false
-	}
-	at := n.w.now.UnixMilli() + n.w.store.offsets[n.clockEpoch]
-	return at - n.bound, at + n.bound, true
-}
-
 // restore has the table service go away, and come back from a copy that is up to 8 s old.
 func (w *epochWorld) restore(away time.Duration) {
 	w.store.awayUntil = w.now.Add(away)
@@ -320,15 +156,14 @@
 			recent = append(recent, c)
 		}
 	}
-	from := storeCopy{rows: map[string]messenger.Row{}}
+	from := storeCopy{Copy: storer.New(0).Copy()}
 	if len(recent) > 0 && w.random.IntN(5) > 0 {
 		from = recent[w.random.IntN(len(recent))]
 	}
-	w.store.epoch++
-	w.store.offsets[w.store.epoch] = w.random.Int64N(200_000) - 100_000
-	w.store.version, w.store.rows = from.version, maps.Clone(from.rows)
+	w.store.Restore(from.Copy)
+	w.store.offsets[w.store.Epoch] = w.random.Int64N(200_000) - 100_000
 	w.store.copies = nil
-	w.note("restore: away %v, epoch %d, lease %s", away, w.store.epoch, from.rows[leaseKey].Value)
+	w.note("restore: away %v, epoch %d, lease %s", away, w.store.Epoch, from.Rows[leaseKey].Value)
 }
 
 // step lets worldStep pass.
@@ -336,10 +171,10 @@
 	w.now = w.now.Add(worldStep)
 	w.applyLate()
 	if w.random.IntN(40) == 0 {
-		w.store.copies = append(w.store.copies, storeCopy{madeAt: w.now, version: w.store.version, rows: maps.Clone(w.store.rows)})
+		w.store.copies = append(w.store.copies, storeCopy{madeAt: w.now, Copy: w.store.Copy()})
 	}
 	if w.random.IntN(100) == 0 && !w.isAway() {
-		w.store.version++ // another table is written
+		w.store.Version++ // another table is written
 	}
 	w.exchange()
 	for _, n := range w.nodes {
@@ -351,15 +186,6 @@
 	}
 }
 
-// poll is what other parts of the instance do: they call the table service again and again.
-func (n *epochNode) poll() {
-	if n.isFrozen() || n.isCut() || n.w.isAway() || n.w.now.Before(n.pollAt) {
-		return
-	}
-	n.pollAt = n.w.now.Add(n.w.delay(worldTick))
-	n.observeEpoch(n.w.store.epoch)
-}
-
 // applyLate applies late writes that are due and whose conditions hold.
 func (w *epochWorld) applyLate() {
 	kept := w.late[:0]
@@ -368,7 +194,7 @@
 			kept = append(kept, l)
 			continue
 		}
-		if _, isApplied := w.store.apply(l.req); isApplied {
+		if _, err := w.store.Transact(l.req); err == nil {
 			w.note("late write applied: %s", l.req.Writes[0].Value)
 		}
 	}
@@ -465,8 +291,7 @@
 		n.leaser.NoteRefused(grant.Fence)
 		w.note("a target refuses token %d", grant.Fence)
 	case 6:
-		w.store.version++
-		w.store.rows[leaseKey] = messenger.Row{Version: w.store.version, Value: json.RawMessage(`[]`)}
+		w.store.Put(leaseKey, []byte(`[]`))
 		w.spoiledAt = w.now
 		w.note("the lease row is spoiled")
 	}
--- a/internal/fake/storer/storer.go
+++ b/internal/fake/storer/storer.go
@@ -3,6 +3,8 @@
 package storer
 
 import (
+	"maps"
+
 	"github.com/crocusring/crocusring/internal/edge/transactor"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
@@ -22,6 +24,21 @@
 // New returns an empty store in an epoch.
 func New(epoch int64) *Store { return &Store{Epoch: epoch, Rows: map[string]messenger.Row{}} }
 
+// Copy is the content of a store at some moment.
+type Copy struct {
+	Version int64
+	Rows    map[string]messenger.Row
+}
+
+// Copy returns the content of the store as it is now.
+func (s *Store) Copy() Copy { return Copy{Version: s.Version, Rows: maps.Clone(s.Rows)} }
+
+// Restore brings a copy back, in the next epoch.
+func (s *Store) Restore(from Copy) {
+	s.Epoch++
+	s.Version, s.Rows = from.Version, maps.Clone(from.Rows)
+}
+
 // Get returns a row; its Version is 0 if it does not exist.
 func (s *Store) Get(table, key string) (messenger.Row, error) {
 	row := s.Rows[key]
--- a/internal/gateway/supervisor/lease_test.go
+++ b/internal/gateway/supervisor/lease_test.go
@@ -1,7 +1,6 @@
 package supervisor
 
 import (
-	"maps"
 	"testing"
 	"time"
 
@@ -82,9 +81,9 @@
 	s.ChecksEpoch = true
 	holder, other = s.start("holder"), s.start("other")
 	s.awaitOrders(t, holder)
-	copied := map[string]messenger.Row{}
+	copied := storer.New(0).Copy()
 	if isCopied {
-		copied = maps.Clone(s.Rows)
+		copied = s.Copy()
 	}
 	for end := s.now.Add(2 * time.Second); s.now.Before(end); s.now = s.now.Add(leaseCheckInterval) {
 		require.NoError(t, holder.leaser.Tick())
@@ -92,7 +91,8 @@
 	}
 	_, ok := holder.Grant()
 	require.True(t, ok)
-	s.awayUntil, s.Epoch, s.Rows, s.Version = s.now.Add(away), 2, copied, 1
+	s.awayUntil = s.now.Add(away)
+	s.Restore(copied)
 	return s, holder, other
 }
 
