Ask the store itself in time whether the manifest is current

Cause: how late a change is in force depended on the readers of an instance. Behind readers that hang it waited for their copies to be 2 s old, and for the calls after that one after the other. Own calls beside the feed were made only where keys may be revoked, from a proof 2.5 s old on, one at a time with a timeout of 0.7 s; a newer manifest that a peer named was read only there as well. The bound itself (2, 3 or 4 s by deployment) was not known to an instance.

Change: ApplyMilliseconds in the settings (2,000 if left out). From half of it on without a proof an instance asks the store itself, two calls at most under way, spread over all instances by 1 ms each (confirmer.Schedule). The store holds a call for changes of the manifest for 0.3 of it, so that proofs are young where readers work. Manifests that peers name are read whether or not keys are revoked.

Why it works: an instance in touch reaches the store, so that its own call, begun at 0.5 of the time, checked each 0.2 s and spread over at most 0.2 of it, brings the change whatever its readers do, and a second one follows 0.3 s after a lost one.

--- a/internal/gateway/confirmer/confirmer.go
+++ b/internal/gateway/confirmer/confirmer.go
@@ -17,8 +17,9 @@
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
 
-// applyTime is how long after its acknowledgement a manifest must be in force everywhere.
-const applyTime = 3 * time.Second
+// defaultApplyTime is how long after its acknowledgement a manifest must be in force everywhere, unless
+// WithApplyTime says otherwise.
+const defaultApplyTime = 3 * time.Second
 
 // Proof states that Version was the newest version of the manifest's row at a time of the store's
 // clock of the same epoch. The zero value proves nothing.
@@ -32,6 +33,8 @@
 // concurrent use. The zero value is not usable; see New.
 type Confirmer struct {
 	bound time.Duration
+	// applyTime is how long after its acknowledgement a manifest must be in force.
+	applyTime time.Duration
 	// now is a local clock that keeps running while the machine is suspended.
 	now func() time.Time
 
@@ -53,9 +56,14 @@
 // WithClock sets the local clock. It must keep running while the machine is suspended.
 func WithClock(now func() time.Time) Option { return func(c *Confirmer) { c.now = now } }
 
+// WithApplyTime sets how long after its acknowledgement a manifest must be in force.
+func WithApplyTime(applyTime time.Duration) Option {
+	return func(c *Confirmer) { c.applyTime = applyTime }
+}
+
 // New returns a confirmer without proof. A bound of 0 means that no proof is required.
 func New(bound time.Duration, options ...Option) *Confirmer {
-	c := &Confirmer{bound: bound, now: timekeeper.BootTime, epoch: epoch{isFirst: true}}
+	c := &Confirmer{bound: bound, applyTime: defaultApplyTime, now: timekeeper.BootTime, epoch: epoch{isFirst: true}}
 	for _, option := range options {
 		option(c)
 	}
@@ -154,7 +162,7 @@
 		return true, true
 	}
 	age, ok := c.Age(latest)
-	return ok && age < c.bound, ok && age < min(c.bound, applyTime)
+	return ok && age < c.bound, ok && age < min(c.bound, c.applyTime)
 }
 
 // Age returns the greatest possible age of the proof, or of that of the epoch before; false if there is
--- a/internal/gateway/confirmer/history_world_test.go
+++ b/internal/gateway/confirmer/history_world_test.go
@@ -24,12 +24,15 @@
 	healTime       = 8 * time.Second
 	statusInterval = 400 * time.Millisecond
 	pollWait       = time.Second
-	callTimeout    = 1700 * time.Millisecond
-	retryInterval  = 500 * time.Millisecond
-	maxNodes       = 5
-	keyCount       = 4
-	tableName      = "manifest"
-	rowKey         = "config"
+	// confirmInterval is the time between two checks whether to ask the store, and askSpread that over which all do.
+	confirmInterval = 200 * time.Millisecond
+	askSpread       = 300 * time.Millisecond
+	callTimeout     = 1700 * time.Millisecond
+	retryInterval   = 500 * time.Millisecond
+	maxNodes        = 5
+	keyCount        = 4
+	tableName       = "manifest"
+	rowKey          = "config"
 	// maxClockError is the rate, in parts per million, by which local clocks differ from the store's.
 	maxClockError = 900
 )
@@ -53,6 +56,8 @@
 	renewedProofs
 	// anyClock compares the proofs of peers with the store's clock of another epoch.
 	anyClock
+	// neverAsks leaves it to the readers and peers of an instance to have the newest manifest.
+	neverAsks
 )
 
 // node is a simulated instance. All but its tables and their proofs is a model.
@@ -66,11 +71,16 @@
 	reader int
 	// epoch is the latest one of the store's answers.
 	epoch int64
+	// notInTouchAt is when the instance last was frozen, restarted or cut off from the store.
+	notInTouchAt time.Time
+	// answerLostAt is when an answer of the store was last lost.
+	answerLostAt time.Time
 	// knowsCopyOnly reports that the store lacked what the operator had written in its first answer.
 	knowsCopyOnly bool
 
 	clock     confirmer.Clock
 	confirmer *confirmer.Confirmer
+	schedule  *confirmer.Schedule
 	registry  *registrar.Registrar
 	follower  *follower.Follower
 	check     authenticator.Authenticator
@@ -91,25 +101,37 @@
 	manifest int64
 	keys     map[string]bool
 	spans    spans
+	// changes are the manifests in the order in which they were acknowledged.
+	changes []change
+	// answersAreLost has single answers of the store lost.
+	answersAreLost bool
 	// isCalm ends the disturbances and the changes of keys.
 	isCalm bool
 
 	served, refused int
+	// looks counts how often an instance in touch was looked at.
+	looks int
 	// excused counts the runs of instances that may know only what the store came back with.
 	excused   int
 	violation string
 }
 
-func newWorld(seed uint64, p plant) *world {
+// newEmptyWorld returns a world of a few instances in which nothing changes. Late messages are up to maxDelay late.
+func newEmptyWorld(seed uint64, p plant, maxDelay time.Duration) *world {
 	began := time.Unix(1000, 0)
 	w := &world{
-		Network: disturber.New(began, rand.New(rand.NewPCG(seed, 11)), 4*time.Second, disturber.WithDoubles(20)), plant: p, began: began,
+		Network: disturber.New(began, rand.New(rand.NewPCG(seed, 11)), maxDelay, disturber.WithDoubles(20)), plant: p, began: began,
 		keys: map[string]bool{}, spans: spans{}, restores: newRestores(),
 	}
 	w.changeKeys()
 	for range 2 + w.Random.IntN(maxNodes-2) {
 		w.addNode()
 	}
+	return w
+}
+
+func newWorld(seed uint64, p plant) *world {
+	w := newEmptyWorld(seed, p, 4*time.Second)
 	w.After(w.Delay(3*time.Second), w.changeRegularly)
 	w.After(w.Delay(3*time.Second), w.disturb)
 	return w
@@ -128,6 +150,7 @@
 	w.spans.set(w.keys, w.Now())
 	w.manifest++
 	w.commit()
+	w.changes = append(w.changes, change{at: w.Now(), manifest: w.manifest})
 }
 
 // commit writes the operator's last manifest.
@@ -185,13 +208,14 @@
 // start starts a node, which knows nothing, on a machine that may have been started anew.
 func (w *world) start(n *node) {
 	n.Incarnation++
-	n.epoch, n.knowsCopyOnly = 0, false
+	n.epoch, n.knowsCopyOnly, n.notInTouchAt = 0, false, w.Now()
 	n.base, n.rate, n.suspended = w.Delay(time.Hour), w.Random.Int64N(2*maxClockError)-maxClockError, 0
 	n.reader = disturber.Outside
 	if n.Index > 0 && w.Random.IntN(2) == 0 {
 		n.reader = 0
 	}
 	n.clock, n.confirmer, n.registry = confirmer.Clock{}, confirmer.New(bound, confirmer.WithClock(func() time.Time { return w.local(n) })), registrar.New()
+	n.schedule = confirmer.NewSchedule(applyTime, bound/2, w.Delay)
 	n.check = authenticator.Authenticator{
 		View: n.registry.View, Currency: func() (bool, bool) { return n.confirmer.Currency(w.latest(n)) },
 	}
@@ -288,10 +312,11 @@
 // confirm asks the store directly while the proof is old.
 func (w *world) confirm(n *node) {
 	latest := w.latest(n)
-	if age, ok := n.confirmer.Age(latest); (!ok || age > bound/2) && n.confirmer.MayConfirm(latest) {
+	age, ok := n.confirmer.Age(latest)
+	if n.schedule.IsDue(w.local(n), age, ok, askSpread) && n.confirmer.MayConfirm(latest) && w.plant != neverAsks {
 		w.callStore(n, 0, func() {})
 	}
-	w.On(n.Machine, statusInterval, func() { w.confirm(n) })
+	w.On(n.Machine, confirmInterval, func() { w.confirm(n) })
 }
 
 // toCaller returns a function that runs an action unless the node has been restarted since: its
@@ -330,6 +355,9 @@
 func (w *world) answerFromStore(n *node, sent time.Time, after messenger.StoreVersion, end func()) {
 	row, now, version := w.row, w.storeTime(), messenger.StoreVersion{Epoch: w.restores.epoch, Number: w.version}
 	lacksLast := w.lacksLast()
+	if w.losesAnswer(n) {
+		return
+	}
 	w.Send(disturber.Outside, n.Index, func() {
 		defer end()
 		if version.Epoch < n.epoch {
--- a/internal/gateway/supervisor/epochs.go
+++ b/internal/gateway/supervisor/epochs.go
@@ -101,9 +101,12 @@
 
 // jitter returns a random part of maxJitter.
 func (s *Supervisor) jitter() time.Duration {
-	return time.Duration(rand.Int64N(max(int64(s.maxJitter()), 1)))
+	return randomPart(s.maxJitter())
 }
 
+// randomPart returns a random part of a time.
+func randomPart(d time.Duration) time.Duration { return time.Duration(rand.Int64N(max(int64(d), 1))) }
+
 // observeReread returns the option by which the follower of a table logs that it has read the table again
 // in a later epoch.
 func (s *Supervisor) observeReread(table string) follower.Option {
--- a/internal/gateway/supervisor/peer_manifests.go
+++ b/internal/gateway/supervisor/peer_manifests.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/crocusring/crocusring/internal/gateway/confirmer"
 	"github.com/crocusring/crocusring/internal/state/measurer"
 	"github.com/crocusring/crocusring/internal/wire/messenger"
 )
@@ -27,7 +26,7 @@
 	go func() {
 		hasBrought := false
 		defer func() { s.peerFetches.end(status.Instance, hasBrought) }()
-		s.measurer.CountEvent(measurer.AccountFetches, 1)
+		s.measurer.CountEvent(measurer.ManifestFetches, 1)
 		snapshot, err := s.fetchTable(status.PeerAddress, s.platform.ManifestTable)
 		if err != nil {
 			s.log.Info("newer manifest not read from a peer", "peer", status.Instance, "error", err.Error())
@@ -47,9 +46,8 @@
 	if status.Proof.RowVersion <= 0 {
 		return isLater
 	}
-	proof := confirmer.Proof{Version: status.Proof.StoreVersion(), StoreMilliseconds: status.Proof.StoreMilliseconds}
-	isNewer := s.confirmer.Receive(proof, s.latestStoreTime())
-	return isLater || (isNewer && s.confirmer.IsRequired())
+	isNewer := s.confirmer.Receive(decodeProof(status.Proof), s.latestStoreTime())
+	return isLater || (isNewer && !known.IsZero())
 }
 
 // peerFetches are the reads of manifests from peers: one at a time from each peer, maxFetches from
--- a/internal/gateway/supervisor/proofs.go
+++ b/internal/gateway/supervisor/proofs.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/crocusring/crocusring/internal/gateway/confirmer"
 	"github.com/crocusring/crocusring/internal/gateway/follower"
 	"github.com/crocusring/crocusring/internal/state/measurer"
@@ -11,37 +13,60 @@
 )
 
 const (
-	// proofWaitShare is the share of the bound for which the store may hold a call for changes of
-	// the manifest open: each answer is a proof, and it may pass through two more instances.
-	proofWaitShare = 0.2
-	// confirmAgeShare is the share of the bound from which a proof is old enough to ask the store
-	// directly for another one.
-	confirmAgeShare = 0.5
-	// confirmInterval is the time between two such calls, and maxConfirmInterval is the same while
-	// only the reading of the store's clock is to be renewed.
-	confirmInterval    = 400 * time.Millisecond
-	maxConfirmInterval = 5 * time.Second
+	// defaultApplyTime is how long after its acknowledgement a manifest must be in force, where the settings do not say.
+	defaultApplyTime = 2 * time.Second
+	// feedWaitShare is the share of that time for which the store may hold a call for changes of the manifest
+	// open: each answer is a proof. revokeWaitShare is the same share of the time in which a key is revoked.
+	feedWaitShare   = 0.3
+	revokeWaitShare = 0.2
+	// revokeAgeShare is the share of the time in which a key is revoked from which a proof is old enough to ask
+	// the store directly for another one.
+	revokeAgeShare = 0.5
+	// confirmInterval is the time between two checks whether it is, and clockInterval is the time between two
+	// calls while only the reading of the store's clock is to be renewed.
+	confirmInterval = 200 * time.Millisecond
+	clockInterval   = 5 * time.Second
+	// askSpread is the mean time between two such calls of all instances together.
+	askSpread = time.Millisecond
+	// maxDirectCalls is the largest number of such calls of this instance at once: one may hang.
+	maxDirectCalls = 2
 	// maxClockMilliseconds is the uncertainty of the store's clock, in milliseconds, from which its
 	// reading is renewed. It counts in full against each proof.
 	maxClockMilliseconds = 60
-	// maxManifestWait is the longest time that the store may hold a call for changes of the manifest
-	// open where proofs are required.
+	// maxManifestWait is the longest time that the store may hold a call for changes of the manifest open.
 	maxManifestWait = 1800 * time.Millisecond
 )
 
-// withProofs returns the option by which the follower of the manifest passes proofs on. Where a
-// proof is required, it also has the store answer more often.
+// applyTime returns how long after its acknowledgement a manifest must be in force.
+func applyTime(bounds messenger.GatewayBounds) time.Duration {
+	if bounds.ApplyMilliseconds == 0 {
+		return defaultApplyTime
+	}
+	return milliseconds(bounds.ApplyMilliseconds)
+}
+
+// withProofs returns the option by which the follower of the manifest passes proofs on, and has the store
+// answer often enough to get them.
 func (s *Supervisor) withProofs() follower.Option {
-	wait := milliseconds(proofWaitShare * s.settings.Bounds.RevokeMilliseconds)
 	return func(f *follower.Follower) {
 		follower.WithProofs(s.proof, s.receiveProof)(f)
 		follower.WithReadable(s.isReadable)(f)
-		if s.confirmer.IsRequired() {
-			follower.WithMaxWait(min(wait, maxManifestWait))(f)
-		}
+		follower.WithMaxWait(s.manifestWait())(f)
 	}
 }
 
+// manifestWait returns how long the store may hold a call for changes of the manifest open.
+func (s *Supervisor) manifestWait() time.Duration {
+	bounds := s.settings.Bounds
+	wait := min(shareOf(feedWaitShare, applyTime(bounds)), maxManifestWait)
+	if s.confirmer.IsRequired() {
+		wait = min(wait, milliseconds(revokeWaitShare*bounds.RevokeMilliseconds))
+	}
+	return wait
+}
+
+func shareOf(share float64, d time.Duration) time.Duration { return time.Duration(share * float64(d)) }
+
 // isReadable reports whether a row of the manifest's table can be decoded.
 func (s *Supervisor) isReadable(row messenger.StoreRow) bool {
 	if row.Key != s.platform.ManifestKey {
@@ -67,7 +92,14 @@
 // proof returns the proof to pass on to peers.
 func (s *Supervisor) proof() messenger.GatewayProof {
 	proof := s.confirmer.Proof()
-	return messenger.GatewayProof{RowEpoch: proof.Version.Epoch, RowVersion: proof.Version.Number, StoreMilliseconds: proof.StoreMilliseconds}
+	return messenger.GatewayProof{
+		RowEpoch: proof.Version.Epoch, RowVersion: proof.Version.Number, StoreMilliseconds: proof.StoreMilliseconds,
+	}
+}
+
+// decodeProof returns the proof in a message of a peer.
+func decodeProof(in messenger.GatewayProof) confirmer.Proof {
+	return confirmer.Proof{Version: in.StoreVersion(), StoreMilliseconds: in.StoreMilliseconds}
 }
 
 // receiveProof records the proof in an answer of the store, or of a peer, whose rows have been
@@ -78,39 +110,67 @@
 		s.confirmer.Confirm(proof.RowEpoch, proof.StoreMilliseconds, latest)
 		return
 	}
-	s.confirmer.Receive(confirmer.Proof{Version: proof.StoreVersion(), StoreMilliseconds: proof.StoreMilliseconds}, latest)
+	s.confirmer.Receive(decodeProof(proof), latest)
 }
 
 // confirmRegularly asks the store directly for a proof while the newest one is old, until ctx is
-// done. These calls do not wait for changes, and do not depend on those that do.
+// done. These calls do not wait for changes, and do not depend on those that do, nor on other instances.
 func (s *Supervisor) confirmRegularly(ctx context.Context) {
-	if !s.confirmer.IsRequired() {
+	if s.platform.Clock == nil {
 		return
 	}
-	var last time.Time
+	schedule := confirmer.NewSchedule(applyTime(s.settings.Bounds), s.maxProofAge(), randomPart)
+	directCalls := semaphore.NewWeighted(maxDirectCalls)
+	var clockDue time.Time
 	wasUnconfirmed := false
 	every(ctx, confirmInterval, func() {
-		if isUnconfirmed := s.isUnconfirmed(); isUnconfirmed != wasUnconfirmed {
-			wasUnconfirmed = isUnconfirmed
-			proof := s.confirmer.Proof()
-			s.log.Info("acceptance of account keys changed", "areAccepted", !isUnconfirmed, "rowEpoch", proof.Version.Epoch, "rowVersion", proof.Version.Number, "provedAtStoreMilliseconds", proof.StoreMilliseconds,
-				"storeMilliseconds", s.latestStoreTime())
-		}
-		isDue := (s.isProofOld() && s.confirmer.MayConfirm(s.latestStoreTime())) || (time.Since(last) >= maxConfirmInterval && s.isClockUncertain())
-		if !s.registry.View().HasAccounts() || !isDue {
+		wasUnconfirmed = s.logUnconfirmed(wasUnconfirmed)
+		now := time.Now()
+		if s.manifests.Version().IsZero() || !(s.isProofDue(schedule, now) || (!now.Before(clockDue) && s.isClockUncertain())) {
 			return
 		}
-		last = time.Now()
-		s.measurer.CountEvent(measurer.AccountDirectProofs, 1)
-		if err := s.manifests.Confirm(s.followStore(originDirect), s.readStore(originDirect)); err != nil {
-			s.log.V(1).Info("manifest not confirmed by the store", "error", err.Error())
+		clockDue = now.Add(clockInterval)
+		if directCalls.TryAcquire(1) {
+			go func() {
+				defer directCalls.Release(1)
+				s.confirmManifest()
+			}()
 		}
 	})
 }
 
-func (s *Supervisor) isProofOld() bool {
-	age, ok := s.confirmer.Age(s.latestStoreTime())
-	return !ok || age > milliseconds(confirmAgeShare*s.settings.Bounds.RevokeMilliseconds)
+// confirmManifest asks the store directly whether there is a newer manifest.
+func (s *Supervisor) confirmManifest() {
+	s.measurer.CountEvent(measurer.ManifestDirectProofs, 1)
+	if err := s.manifests.Confirm(s.followStore(originDirect), s.readStore(originDirect)); err != nil {
+		s.log.V(1).Info("manifest not confirmed by the store", "error", err.Error())
+	}
+}
+
+// logUnconfirmed logs whether keys are accepted, if that has changed.
+func (s *Supervisor) logUnconfirmed(before bool) (isUnconfirmed bool) {
+	isUnconfirmed = s.isUnconfirmed()
+	if isUnconfirmed != before {
+		proof := s.confirmer.Proof()
+		s.log.Info("acceptance of account keys changed", "areAccepted", !isUnconfirmed, "rowEpoch", proof.Version.Epoch, "rowVersion", proof.Version.Number,
+			"provedAtStoreMilliseconds", proof.StoreMilliseconds, "storeMilliseconds", s.latestStoreTime())
+	}
+	return isUnconfirmed
+}
+
+// maxProofAge returns the age of a proof, as far as keys are concerned, from which the store is asked directly.
+func (s *Supervisor) maxProofAge() time.Duration {
+	if !s.confirmer.IsRequired() {
+		return applyTime(s.settings.Bounds)
+	}
+	return milliseconds(revokeAgeShare * s.settings.Bounds.RevokeMilliseconds)
+}
+
+func (s *Supervisor) isProofDue(schedule *confirmer.Schedule, now time.Time) bool {
+	latest := s.latestStoreTime()
+	age, isKnown := s.confirmer.Age(latest)
+	spread := time.Duration(s.instanceCount.Load()) * askSpread
+	return schedule.IsDue(now, age, isKnown, spread) && s.confirmer.MayConfirm(latest)
 }
 
 func (s *Supervisor) isClockUncertain() bool {
--- a/internal/node/loader/gateway.go
+++ b/internal/node/loader/gateway.go
@@ -62,6 +62,7 @@
 	add(b.LoadWindowSeconds <= 0, "Bounds.LoadWindowSeconds", positive)
 	add(b.LocateSeconds <= 0, "Bounds.LocateSeconds", positive)
 	add(b.DrainMilliseconds < 0, "Bounds.DrainMilliseconds", notNegative)
+	add(b.ApplyMilliseconds < 0, "Bounds.ApplyMilliseconds", notNegative)
 	add(b.RevokeMilliseconds < 0, "Bounds.RevokeMilliseconds", notNegative)
 	add(b.QuotaWindowSeconds < 0, "Bounds.QuotaWindowSeconds", notNegative)
 	add(b.QuotaOverage < 0, "Bounds.QuotaOverage", notNegative)
--- a/internal/state/measurer/event.go
+++ b/internal/state/measurer/event.go
@@ -41,10 +41,11 @@
 	// AccountUnconfirmed those that were refused since keys could not be checked.
 	AccountUnknownKey  Event = "Account.UnknownKey"
 	AccountUnconfirmed Event = "Account.Unconfirmed"
-	// AccountDirectProofs counts the calls by which this instance had the store itself confirm an
-	// old proof, and AccountFetches the manifests that it read from a peer with a newer one.
-	AccountDirectProofs Event = "Account.DirectProofs"
-	AccountFetches      Event = "Account.Fetches"
+	// ManifestDirectProofs counts the calls by which this instance had the store itself confirm an
+	// old proof that the manifest is current, and ManifestFetches the manifests that it read from a peer with a
+	// newer one.
+	ManifestDirectProofs Event = "Manifest.DirectProofs"
+	ManifestFetches      Event = "Manifest.Fetches"
 	// StoreEpochChanges counts how often the store came back from a copy.
 	StoreEpochChanges Event = "Store.EpochChanges"
 	// StoreRowsRewritten counts the rows that this instance has written again after that.
@@ -66,7 +67,7 @@
 	CutTargetEnded, CutTargetPresent, CutTargetUnknown, CutTargetLeaving, CutUnanswered,
 	QuarantineSuspects, QuarantineConvictions, QuarantineTakenBack, QuarantineRefused, QuarantineRefusedForPart,
 	SlotGranted, SlotRefusedBacklog, SlotRefusedLate, SlotRefusedNoTarget, SlotUnanswered,
-	AccountUnknownKey, AccountUnconfirmed, AccountDirectProofs, AccountFetches, StoreEpochChanges, StoreRowsRewritten,
+	AccountUnknownKey, AccountUnconfirmed, ManifestDirectProofs, ManifestFetches, StoreEpochChanges, StoreRowsRewritten,
 	HedgeEvent("Sent"), HedgeEvent("Won"), HedgeEvent("NoRoom"), HedgeEvent("NoBudget"),
 }
 
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -259,6 +259,10 @@
 
 // GatewayBounds are the limits that a deployment configures.
 type GatewayBounds struct {
+	// ApplyMilliseconds is how long after its acknowledgement a manifest must be in
+	// force at each instance; 0 for the default of 2,000.
+	ApplyMilliseconds float64 `json:"ApplyMilliseconds"`
+
 	// DrainMilliseconds is how long a target takes requests after it has announced
 	// that it leaves.
 	DrainMilliseconds float64 `json:"DrainMilliseconds"`
