Answer 503 on an unknown route while a newer manifest may have it

Cause: an unknown route was refused with 404 whatever the age of the proof that the manifest is current. An unknown key was not: it gets 503 until the proof is young enough.

Change: a route that the manifest does not have is called unknown only with a proof younger than ApplyMilliseconds, and after a second look at the manifest. Else the answer is 503 with a Retry-After of 1 to 1.5 s, counted as Manifest.UnknownRoute.

Why it works: if the proof is younger than the time in which a manifest must be in force, no manifest that must be in force has the route. Callers come back to an instance that knows, or to this one once it does.

--- a/internal/gateway/conductor/accept.go
+++ b/internal/gateway/conductor/accept.go
@@ -27,9 +27,9 @@
 	case c.isRefusing():
 		return nil, stoppingRefusal()
 	}
-	route := view.Match(r.Host, r.URL.EscapedPath())
-	if route == nil {
-		return nil, &Refusal{Status: http.StatusNotFound, Reason: "no route"}
+	route, refusal := c.match(r)
+	if refusal != nil {
+		return nil, refusal
 	}
 	sender, refusal := c.identify(r, route)
 	if refusal != nil {
@@ -69,6 +69,27 @@
 	return q, nil
 }
 
+// match returns the route of a request. A route that the manifest does not have is called unknown only if no newer
+// manifest can have it by now.
+func (c *Conductor) match(r *http.Request) (*registrar.Route, *Refusal) {
+	host, path := r.Host, r.URL.EscapedPath()
+	if route := c.registry.View().Match(host, path); route != nil {
+		return route, nil
+	}
+	isRecent := c.isRecent()
+	// The view is read again after that, so that it is at least as new as the proof says.
+	route := c.registry.View().Match(host, path)
+	switch {
+	case route != nil:
+		return route, nil
+	case isRecent:
+		return nil, &Refusal{Status: http.StatusNotFound, Reason: "no route"}
+	default:
+		c.routeUnconfirmed()
+		return nil, unconfirmedRefusal(r.Header.Get(c.headers.RequestID), "route cannot be checked now")
+	}
+}
+
 const (
 	// ranksPerAccount is the number of ranks of one account priority: the routes of an account
 	// are told apart within them.
--- a/internal/gateway/conductor/account.go
+++ b/internal/gateway/conductor/account.go
@@ -102,6 +102,11 @@
 	if errors.Is(cause, authenticator.ErrUnknownKey) {
 		return &Refusal{Status: http.StatusUnauthorized, Reason: cause.Error()}
 	}
+	return unconfirmedRefusal(id, cause.Error())
+}
+
+// unconfirmedRefusal returns the refusal of a request that a newer manifest may allow. Callers are spread over time.
+func unconfirmedRefusal(id, reason string) *Refusal {
 	spread := time.Duration(spreadOf(id) * float64(unconfirmedRetryDelay/2))
-	return &Refusal{Status: http.StatusServiceUnavailable, Reason: cause.Error(), RetryAfter: unconfirmedRetryDelay + spread}
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: unconfirmedRetryDelay + spread}
 }
--- a/internal/gateway/conductor/conductor.go
+++ b/internal/gateway/conductor/conductor.go
@@ -85,6 +85,10 @@
 	// for each event of one.
 	hedger     *hedger.Hedger
 	hedgeEvent func(HedgeEvent)
+	// isRecent reports whether a route that the manifest does not have may be called unknown, and
+	// routeUnconfirmed is called for each request on a route of which that is not known.
+	isRecent         func() bool
+	routeUnconfirmed func()
 	// accountRefused is called for each request that is refused for its key.
 	accountRefused func(reason error)
 	// requestEnd is called when a request that was accepted ends.
@@ -143,6 +147,12 @@
 	return func(c *Conductor) { c.limiter, c.acquirePermit = l, acquirePermit }
 }
 
+// WithRouteCheck sets the function that reports whether the manifest is known to be recent enough to call a route
+// unknown, and the one that is called for each request that is refused since it is not. By default it always is.
+func WithRouteCheck(isRecent func() bool, refused func()) Option {
+	return func(c *Conductor) { c.isRecent, c.routeUnconfirmed = isRecent, refused }
+}
+
 // WithLog sets the logger. By default nothing is logged.
 func WithLog(log logr.Logger) Option { return func(c *Conductor) { c.log = log } }
 
@@ -162,6 +172,8 @@
 		timeUntilServed:  func(context.Context, string, string) (time.Duration, error) { return 0, balancer.ErrNoModel },
 		servingEstimates: estimateCache{byModel: map[modelKey]*servingEstimate{}},
 		authenticator:    authenticator.Authenticator{View: registry.View, Currency: alwaysCurrent},
+		isRecent:         func() bool { return true },
+		routeUnconfirmed: func() {},
 		accountRefused:   func(error) {},
 	}
 	for _, option := range options {
--- a/internal/gateway/confirmer/confirmer.go
+++ b/internal/gateway/confirmer/confirmer.go
@@ -165,6 +165,13 @@
 	return ok && age < c.bound, ok && age < min(c.bound, c.applyTime)
 }
 
+// IsRecent reports whether the manifest in force has all that a manifest has which must be in force by now,
+// whether or not proofs are required. The manifest must be looked at after this call, not before.
+func (c *Confirmer) IsRecent(latest int64) bool {
+	age, ok := c.Age(latest)
+	return ok && age < c.applyTime
+}
+
 // Age returns the greatest possible age of the proof, or of that of the epoch before; false if there is
 // none.
 func (c *Confirmer) Age(latest int64) (age time.Duration, ok bool) {
--- a/internal/gateway/confirmer/confirmer_test.go
+++ b/internal/gateway/confirmer/confirmer_test.go
@@ -30,6 +30,17 @@
 	return out
 }
 
+// TestRecentManifestNeedsProof guards against a manifest that is called recent without a proof, or by one that is older than
+// the time in which a newer one must be in force, also where no keys are revoked.
+func TestRecentManifestNeedsProof(t *testing.T) {
+	c := confirmer.New(0, confirmer.WithApplyTime(2*time.Second))
+	assert.False(t, c.IsRecent(1000))
+	c.SetApplied(messenger.StoreVersion{Number: 3})
+	c.Confirm(0, 1000, 1001)
+	assert.True(t, c.IsRecent(2999))
+	assert.False(t, c.IsRecent(3000))
+}
+
 func TestProofExpires(t *testing.T) {
 	c := newApplied()
 	assert.True(t, isConfirmed(c, 5999))
--- a/internal/gateway/supervisor/proofs.go
+++ b/internal/gateway/supervisor/proofs.go
@@ -113,6 +113,11 @@
 	s.confirmer.Receive(decodeProof(proof), latest)
 }
 
+// isRecent reports whether a route that the manifest does not have may be called unknown.
+func (s *Supervisor) isRecent() bool {
+	return s.platform.Clock == nil || s.confirmer.IsRecent(s.latestStoreTime())
+}
+
 // confirmRegularly asks the store directly for a proof while the newest one is old, until ctx is
 // done. These calls do not wait for changes, and do not depend on those that do, nor on other instances.
 func (s *Supervisor) confirmRegularly(ctx context.Context) {
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -164,6 +164,7 @@
 		conductor.WithQuota(s.chargeQuota),
 		conductor.WithSlots(conductor.Slots{IsScarce: s.slots.isScarce, Acquire: s.slots.acquire}),
 		conductor.WithCurrency(s.currency), conductor.WithAccountObserver(s.countAccountRefusal),
+		conductor.WithRouteCheck(s.isRecent, func() { s.measurer.CountEvent(measurer.ManifestUnknownRoute, 1) }),
 		conductor.WithBodyObserver(s.countRefusedClient), conductor.WithHedger(hedger.New(settings.HedgeShare), s.countHedge))
 	s.guards = s.newGuards()
 	s.registerGauges()
--- a/internal/state/measurer/event.go
+++ b/internal/state/measurer/event.go
@@ -42,10 +42,11 @@
 	AccountUnknownKey  Event = "Account.UnknownKey"
 	AccountUnconfirmed Event = "Account.Unconfirmed"
 	// ManifestDirectProofs counts the calls by which this instance had the store itself confirm an
-	// old proof that the manifest is current, and ManifestFetches the manifests that it read from a peer with a
-	// newer one.
+	// old proof that the manifest is current, ManifestFetches the manifests that it read from a peer with a
+	// newer one, and ManifestUnknownRoute the requests on routes that a newer one may have.
 	ManifestDirectProofs Event = "Manifest.DirectProofs"
 	ManifestFetches      Event = "Manifest.Fetches"
+	ManifestUnknownRoute Event = "Manifest.UnknownRoute"
 	// StoreEpochChanges counts how often the store came back from a copy.
 	StoreEpochChanges Event = "Store.EpochChanges"
 	// StoreRowsRewritten counts the rows that this instance has written again after that.
@@ -67,7 +68,7 @@
 	CutTargetEnded, CutTargetPresent, CutTargetUnknown, CutTargetLeaving, CutUnanswered,
 	QuarantineSuspects, QuarantineConvictions, QuarantineTakenBack, QuarantineRefused, QuarantineRefusedForPart,
 	SlotGranted, SlotRefusedBacklog, SlotRefusedLate, SlotRefusedNoTarget, SlotUnanswered,
-	AccountUnknownKey, AccountUnconfirmed, ManifestDirectProofs, ManifestFetches, StoreEpochChanges, StoreRowsRewritten,
+	AccountUnknownKey, AccountUnconfirmed, ManifestDirectProofs, ManifestFetches, ManifestUnknownRoute, StoreEpochChanges, StoreRowsRewritten,
 	HedgeEvent("Sent"), HedgeEvent("Won"), HedgeEvent("NoRoom"), HedgeEvent("NoBudget"),
 }
 
