Measure how late manifests are in force, and show it to operators

What operators saw: nothing.

Change: a proof also says since when its manifest is known to have been the newest one, by the store's clock (SinceStoreMilliseconds); the earliest time spreads with the proofs. 2 s after a manifest was put into force, or when the next one is, an instance adds the difference to crocusring_manifest_latemilliseconds{name="ORIGIN"}, and logs one that took half of ApplyMilliseconds or more.

Why it works: the instance that the store answers first has the manifest within a call of its acknowledgement, and its status tells all others. Instances of an earlier release leave the field out, which says nothing.

Measured: supervisor.TestLatenessIsMeasured, confirmer.TestSinceIsTheEarliestTime; neither builds on the code before.

--- a/internal/gateway/confirmer/confirmer.go
+++ b/internal/gateway/confirmer/confirmer.go
@@ -47,6 +47,7 @@
 	// force under it.
 	substituted messenger.StoreVersion
 	proof       Proof
+	since       since
 	epoch       epoch
 }
 
@@ -114,6 +115,7 @@
 	if c.unreadable.IsAfter(c.applied) || c.substituted == c.applied || c.applied.Epoch != epoch {
 		return
 	}
+	c.since.note(c.applied, storeMilliseconds)
 	if isSettled {
 		c.proof.replace(Proof{Version: c.applied, StoreMilliseconds: storeMilliseconds}, latest)
 	}
--- a/internal/gateway/supervisor/arrival.go
+++ b/internal/gateway/supervisor/arrival.go
@@ -52,6 +52,7 @@
 			continue
 		}
 		earliest, latest, _ := s.platform.Clock()
+		s.lateness.arrives(row.StoreVersion(), a.from)
 		s.measurer.CountEvent(measurer.ManifestArrival(string(a.from)), 1)
 		s.log.Info("manifest arrives", "rowEpoch", row.Epoch, "rowVersion", row.Version, "from", a.from, "peer", a.peer, "ageMilliseconds", a.age.Milliseconds(),
 			"provedAtStoreMilliseconds", a.proof.StoreMilliseconds, "storeEarliestMilliseconds", earliest, "storeLatestMilliseconds", latest)
--- a/internal/gateway/supervisor/late_manifest_test.go
+++ b/internal/gateway/supervisor/late_manifest_test.go
@@ -109,3 +109,26 @@
 	})
 	assert.Eventually(t, func() bool { return s.inForceManifest() == 2 }, time.Second, 5*time.Millisecond)
 }
+
+// TestLatenessIsMeasured guards against an instance whose operators do not see that its manifests are late.
+func TestLatenessIsMeasured(t *testing.T) {
+	store := &followedStore{began: time.Now().Add(-time.Minute)}
+	s := startFollowing(t, store)
+	store.version.Store(2)
+	since := store.milliseconds() - 1500
+	require.NoError(t, s.manifests.Confirm(s.followStore(originDirect), s.readStore(originDirect)))
+	s.receivePeerManifest(messenger.GatewayNews{
+		Instance: "a1", Proof: messenger.GatewayProof{RowVersion: 2, StoreMilliseconds: since + 10, SinceStoreMilliseconds: since},
+	})
+	s.measureLateness(s.lateness.takeDue(time.Now()))
+	text := func() string {
+		out := &strings.Builder{}
+		require.NoError(t, s.measurer.WriteText(out))
+		return out.String()
+	}
+	assert.NotContains(t, text(), "latemilliseconds", "peers may still tell that they have had it earlier")
+	s.measureLateness(s.lateness.takeDue(time.Now().Add(latenessSettleTime)))
+	assert.Regexp(t, `crocusring_manifest_latemilliseconds\{name="Direct",quantile="0.99"\} 15\d\d`, text())
+	s.measureLateness(s.lateness.takeDue(time.Now().Add(latenessSettleTime)))
+	assert.Contains(t, text(), `crocusring_manifest_latemilliseconds_count{name="Direct"} 1`, "once")
+}
--- a/internal/gateway/supervisor/peer_manifests.go
+++ b/internal/gateway/supervisor/peer_manifests.go
@@ -46,7 +46,7 @@
 	if status.Proof.RowVersion <= 0 {
 		return isLater
 	}
-	isNewer := s.confirmer.Receive(decodeProof(status.Proof), s.latestStoreTime())
+	isNewer := s.receivePeerProof(status.Proof)
 	return isLater || (isNewer && !known.IsZero())
 }
 
--- a/internal/gateway/supervisor/proofs.go
+++ b/internal/gateway/supervisor/proofs.go
@@ -93,24 +93,26 @@
 func (s *Supervisor) proof() messenger.GatewayProof {
 	proof := s.confirmer.Proof()
 	return messenger.GatewayProof{
-		RowEpoch: proof.Version.Epoch, RowVersion: proof.Version.Number, StoreMilliseconds: proof.StoreMilliseconds,
+		RowEpoch: proof.Version.Epoch, RowVersion: proof.Version.Number, StoreMilliseconds: proof.StoreMilliseconds, SinceStoreMilliseconds: s.confirmer.Since(proof.Version),
 	}
 }
 
-// decodeProof returns the proof in a message of a peer.
-func decodeProof(in messenger.GatewayProof) confirmer.Proof {
-	return confirmer.Proof{Version: in.StoreVersion(), StoreMilliseconds: in.StoreMilliseconds}
+// receivePeerProof records the proof in a message of a peer, and reports whether the manifest there is newer.
+func (s *Supervisor) receivePeerProof(in messenger.GatewayProof) (isNewer bool) {
+	latest := s.latestStoreTime()
+	isNewer = s.confirmer.Receive(confirmer.Proof{Version: in.StoreVersion(), StoreMilliseconds: in.StoreMilliseconds}, latest)
+	s.confirmer.NoteSince(in.StoreVersion(), in.SinceStoreMilliseconds, latest)
+	return isNewer
 }
 
 // receiveProof records the proof in an answer of the store, or of a peer, whose rows have been
 // applied.
 func (s *Supervisor) receiveProof(proof messenger.GatewayProof) {
-	latest := s.latestStoreTime()
 	if proof.RowVersion == 0 {
-		s.confirmer.Confirm(proof.RowEpoch, proof.StoreMilliseconds, latest)
+		s.confirmer.Confirm(proof.RowEpoch, proof.StoreMilliseconds, s.latestStoreTime())
 		return
 	}
-	s.confirmer.Receive(decodeProof(proof), latest)
+	s.receivePeerProof(proof)
 }
 
 // isRecent reports whether a route that the manifest does not have may be called unknown.
--- a/internal/gateway/supervisor/supervisor.go
+++ b/internal/gateway/supervisor/supervisor.go
@@ -119,6 +119,7 @@
 	poster       *poster.Client
 	slots        *slots
 	confirmer    *confirmer.Confirmer
+	lateness     lateness
 	epochs       epochs
 	peerFetches  *peerFetches
 	manifests    *follower.Follower
@@ -289,6 +290,7 @@
 		s.applyQuotas()
 		s.log.Info("manifest", "version", manifest.Version, "rowEpoch", row.Epoch, "rowVersion", row.Version, "routes", len(manifest.Routes), "taken", isApplied,
 			"proofAgeMilliseconds", s.proofAgeMilliseconds())
+		s.noteApplied(row.StoreVersion())
 		s.confirmer.SetApplied(row.StoreVersion())
 	}
 }
@@ -363,6 +365,7 @@
 		s.conductor.Prune()
 		s.prober.Prune()
 		s.observeSilences()
+		s.measureLateness(s.lateness.takeDue(time.Now()))
 		view := s.registry.View()
 		s.balancer.Prune(view)
 		s.limiter.Prune(func(target string) bool { return view.Targets[target] != nil })
--- a/internal/state/measurer/measurer.go
+++ b/internal/state/measurer/measurer.go
@@ -99,6 +99,11 @@
 	}
 }
 
+// ObserveLateness adds how late a manifest was in force that came from an origin. There are few origins.
+func (m *Measurer) ObserveLateness(origin string, late time.Duration) {
+	m.histogram("Manifest." + origin + ".LateMilliseconds").Update(late.Milliseconds())
+}
+
 // CountRequest counts a request towards the rate of a model, or of an adapter under
 // the name MODEL:ADAPTER.
 func (m *Measurer) CountRequest(model string) {
--- a/internal/wire/messenger/messages_gen.go
+++ b/internal/wire/messenger/messages_gen.go
@@ -514,6 +514,10 @@
 	// comes with.
 	RowVersion int64 `json:"RowVersion"`
 
+	// SinceStoreMilliseconds is the earliest such time that is known of the row; 0 if
+	// none is.
+	SinceStoreMilliseconds int64 `json:"SinceStoreMilliseconds"`
+
 	// StoreMilliseconds is the time by the store's clock; 0 for no proof.
 	StoreMilliseconds int64 `json:"StoreMilliseconds"`
 }
