--- a/internal/gateway/archivist/archivist.go
+++ b/internal/gateway/archivist/archivist.go
@@ -101,15 +101,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.forgetExpired(now)
-	present := make(map[string]int64, len(rows))
-	for _, row := range rows {
-		present[row.Key] = row.DeadlineMilliseconds
-	}
+	present := deadlinesOf(rows)
 	out := []Row{}
 	for key, v := range a.own {
 		row := rowOf(v, now, clock)
-		deadline, isPresent := present[key]
-		if isPresent && max(deadline, row.DeadlineMilliseconds)-min(deadline, row.DeadlineMilliseconds) < maxDeadlineErrorMilliseconds {
+		if present.has(row) {
 			continue
 		}
 		a.pending[key] = Change{Row: row}
@@ -118,6 +114,24 @@
 	return out
 }
 
+// deadlines maps the keys of the rows in the table to their deadlines, in milliseconds of the store's clock.
+type deadlines map[string]int64
+
+func deadlinesOf(rows []Row) deadlines {
+	out := make(deadlines, len(rows))
+	for _, row := range rows {
+		out[row.Key] = row.DeadlineMilliseconds
+	}
+	return out
+}
+
+// has reports whether the table has a row with the same deadline, which is not by another clock.
+func (d deadlines) has(row Row) bool {
+	deadline, isPresent := d[row.Key]
+	difference := max(deadline, row.DeadlineMilliseconds) - min(deadline, row.DeadlineMilliseconds)
+	return isPresent && difference < maxDeadlineErrorMilliseconds
+}
+
 // lift removes the row of a verdict that has ended, if there may be one.
 func (a *Archivist) lift(key string) {
 	if _, isKnown := a.known[key]; isKnown {
@@ -178,6 +192,23 @@
 	}
 }
 
+// Missing returns the rows to write that the table lacks, or has with a deadline by another clock, although their
+// convictions are in force, at the time clock of the store's clock: the instance that has reached one ended before it
+// wrote the row, or before the store lost it.
+func Missing(now time.Time, clock int64, rows []Row, verdicts []quarantiner.Verdict) []Change {
+	present := deadlinesOf(rows)
+	out := []Change{}
+	for _, v := range verdicts {
+		row := rowOf(v, now, clock)
+		if now.Before(v.ConvictedUntil) && !present.has(row) {
+			out = append(out, Change{Row: row})
+		}
+	}
+	slices.SortFunc(out, func(a, b Change) int { return cmp.Compare(b.Row.DeadlineMilliseconds, a.Row.DeadlineMilliseconds) })
+	room := max(MaxRows-len(rows), 0)
+	return out[:min(len(out), room, maxBatch)]
+}
+
 // Sweep returns the removals of the rows that have expired by the store's clock, that were lifted,
 // or that are too many.
 func Sweep(clock int64, rows []Row, isLifted func(quarantiner.Trait) bool) []Change {
--- a/internal/gateway/archivist/archivist_test.go
+++ b/internal/gateway/archivist/archivist_test.go
@@ -152,3 +152,30 @@
 		assert.Empty(t, a.Restore(later, 900, nil))
 	})
 }
+
+// TestVerdictOfLostInstanceIsMissing guards against a conviction that is forgotten, since the instance that reached it ended
+// before it wrote the row, or before the store lost it.
+func TestVerdictOfLostInstanceIsMissing(t *testing.T) {
+	const clock = 900
+	known := []quarantiner.Verdict{convicted(1, start.Add(time.Minute)), convicted(2, start.Add(time.Minute)), convicted(3, start)}
+	row := func(n int, deadline int64) archivist.Row {
+		return archivist.Row{Key: archivist.KeyOf(contentTrait(n)), Trait: contentTrait(n), DeadlineMilliseconds: deadline}
+	}
+	keys := func(rows ...archivist.Row) []string {
+		out := []string{}
+		for _, change := range archivist.Missing(start, clock, rows, known) {
+			assert.False(t, change.IsRemoval)
+			assert.EqualValues(t, 60_900, change.Row.DeadlineMilliseconds)
+			out = append(out, change.Row.Key)
+		}
+		return out
+	}
+	assert.Equal(t, []string{archivist.KeyOf(contentTrait(2))}, keys(row(1, 60_000)), "lacking")
+	assert.Equal(t, []string{archivist.KeyOf(contentTrait(2))}, keys(row(1, 60_000), row(2, 5)), "by another clock")
+	assert.Empty(t, keys(row(1, 60_000), row(2, 60_000)))
+	full := []archivist.Row{}
+	for n := range archivist.MaxRows {
+		full = append(full, row(100+n, 60_000))
+	}
+	assert.Empty(t, keys(full...), "the table is bounded")
+}
--- a/internal/gateway/supervisor/verdict_rows.go
+++ b/internal/gateway/supervisor/verdict_rows.go
@@ -72,6 +72,7 @@
 		case <-s.verdictRows.check:
 			s.awaitJitter()
 			s.retryVerdicts(ctx, s.rewriteVerdicts)
+			s.sweepVerdicts()
 		case <-time.After(verdictSweepInterval):
 			s.sweepVerdicts()
 		}
@@ -232,7 +233,8 @@
 	return err
 }
 
-// sweepVerdicts removes rows that are no longer needed, if that is up to this instance.
+// sweepVerdicts removes rows that are no longer needed, and writes those that are missing although their convictions are in
+// force, if that is up to this instance.
 func (s *Supervisor) sweepVerdicts() {
 	names := []string{s.settings.Instance}
 	for _, peer := range s.informer.Peers() {
@@ -252,12 +254,20 @@
 		known := s.quarantiner.VerdictsOn(now, []quarantiner.Trait{t})
 		return len(known) > 0 && !now.Before(known[0].ConvictedUntil)
 	})
+	s.writeSwept(changes, "rows of verdicts removed")
+	s.writeSwept(archivist.Missing(now, clock, rows, s.quarantiner.Shared(now)), "missing rows of verdicts written")
+}
+
+// writeSwept writes changes of a sweep. If that fails the next sweep finds them again.
+func (s *Supervisor) writeSwept(changes []archivist.Change, done string) {
 	if len(changes) == 0 {
 		return
 	}
 	if err := s.writeVerdictChanges(changes); err != nil {
-		s.log.V(1).Info("rows of verdicts not removed", "error", err.Error())
+		s.log.V(1).Info("rows of verdicts not swept", "error", err.Error())
+		return
 	}
+	s.log.Info(done, "rows", len(changes))
 }
 
 // errVerdictFormat reports that a row is in another format.
