Ask the store about the manifest only while no peer has told

Cause: proofs were kept young by more calls of every instance, though one answer of the store serves all.

Change: the call for changes is held as long as before. Calls beside it are spread over 0.3 s at least, so that the first answers reach most others in a status before they ask. An instance looks again when its proof can be old at the earliest, and each 0.1 s once it is. Calls after a failed one are not spread again.

Why it works: a proof ages by one second a second, so that a look after the rest of its time misses nothing. With a bound of 2 s a call begins 1.4 s after the last proof at the latest, and a second one 0.4 s after that.

--- a/internal/gateway/confirmer/schedule.go
+++ b/internal/gateway/confirmer/schedule.go
@@ -36,6 +36,14 @@
 
 func shareOf(share float64, d time.Duration) time.Duration { return time.Duration(share * float64(d)) }
 
+// UntilOld returns how long a proof of an age is at least young enough not to ask; 0 if it is not, or if there is none.
+func (s *Schedule) UntilOld(age time.Duration, isKnown bool) time.Duration {
+	if !isKnown {
+		return 0
+	}
+	return max(s.age-age, 0)
+}
+
 // IsDue reports whether to ask the store now. age is that of the proof; isKnown is false if there is none. spread is
 // the time over which all instances together may ask.
 func (s *Schedule) IsDue(now time.Time, age time.Duration, isKnown bool, spread time.Duration) bool {
@@ -50,7 +58,7 @@
 	if now.Before(s.due) {
 		return false
 	}
-	s.due = now.Add(s.interval + s.random(spread))
+	s.due = now.Add(s.interval) // still spread as the first call was
 	s.interval = min(2*s.interval, maxAskInterval)
 	return true
 }
--- a/internal/gateway/confirmer/schedule_test.go
+++ b/internal/gateway/confirmer/schedule_test.go
@@ -47,6 +47,12 @@
 		s := confirmer.NewSchedule(apply, time.Hour, whole)
 		assert.True(t, s.IsDue(began, 0, false, 0))
 	})
+	t.Run("looks again no later than it is due", func(t *testing.T) {
+		s := confirmer.NewSchedule(apply, time.Hour, whole)
+		assert.Equal(t, 400*time.Millisecond, s.UntilOld(600*time.Millisecond, true))
+		assert.Zero(t, s.UntilOld(time.Minute, true))
+		assert.Zero(t, s.UntilOld(0, false))
+	})
 	t.Run("anew after a proof", func(t *testing.T) {
 		s := confirmer.NewSchedule(apply, time.Hour, whole)
 		asks(s, 0, time.Minute)
--- a/internal/gateway/supervisor/arrival.go
+++ b/internal/gateway/supervisor/arrival.go
@@ -98,7 +98,7 @@
 }
 
 func (s *Supervisor) proofAgeMilliseconds() int64 {
-	age, ok := s.confirmer.Age(s.latestStoreTime())
+	age, ok := s.proofAge()
 	if !ok {
 		return -1
 	}
--- a/internal/gateway/supervisor/proofs.go
+++ b/internal/gateway/supervisor/proofs.go
@@ -15,25 +15,27 @@
 const (
 	// defaultApplyTime is how long after its acknowledgement a manifest must be in force, where the settings do not say.
 	defaultApplyTime = 2 * time.Second
-	// feedWaitShare is the share of that time for which the store may hold a call for changes of the manifest
-	// open: each answer is a proof. revokeWaitShare is the same share of the time in which a key is revoked.
-	feedWaitShare   = 0.3
+	// revokeWaitShare is the share of the time in which a key is revoked for which the store may hold a call for
+	// changes of the manifest open: each answer is a proof.
 	revokeWaitShare = 0.2
 	// revokeAgeShare is the share of the time in which a key is revoked from which a proof is old enough to ask
 	// the store directly for another one.
 	revokeAgeShare = 0.5
-	// confirmInterval is the time between two checks whether it is, and clockInterval is the time between two
+	// confirmInterval is the shortest time between two checks whether it is, and clockInterval is the time between two
 	// calls while only the reading of the store's clock is to be renewed.
-	confirmInterval = 200 * time.Millisecond
+	confirmInterval = 100 * time.Millisecond
 	clockInterval   = 5 * time.Second
-	// askSpread is the mean time between two such calls of all instances together.
-	askSpread = time.Millisecond
+	// askSpread is the mean time between two such calls of all instances together, and minAskSpread the shortest time
+	// over which they are spread: the first answers reach most others in a status before they ask.
+	askSpread    = time.Millisecond
+	minAskSpread = 300 * time.Millisecond
 	// maxDirectCalls is the largest number of such calls of this instance at once: one may hang.
 	maxDirectCalls = 2
 	// maxClockMilliseconds is the uncertainty of the store's clock, in milliseconds, from which its
 	// reading is renewed. It counts in full against each proof.
 	maxClockMilliseconds = 60
-	// maxManifestWait is the longest time that the store may hold a call for changes of the manifest open.
+	// maxManifestWait is the longest time that the store may hold a call for changes of the manifest
+	// open where proofs are required.
 	maxManifestWait = 1800 * time.Millisecond
 )
 
@@ -45,28 +47,18 @@
 	return milliseconds(bounds.ApplyMilliseconds)
 }
 
-// withProofs returns the option by which the follower of the manifest passes proofs on, and has the store
-// answer often enough to get them.
+// withProofs returns the option by which the follower of the manifest passes proofs on. Where a
+// proof is required, it also has the store answer more often.
 func (s *Supervisor) withProofs() follower.Option {
 	return func(f *follower.Follower) {
 		follower.WithProofs(s.proof, s.receiveProof)(f)
 		follower.WithReadable(s.isReadable)(f)
-		follower.WithMaxWait(s.manifestWait())(f)
-	}
-}
-
-// manifestWait returns how long the store may hold a call for changes of the manifest open.
-func (s *Supervisor) manifestWait() time.Duration {
-	bounds := s.settings.Bounds
-	wait := min(shareOf(feedWaitShare, applyTime(bounds)), maxManifestWait)
-	if s.confirmer.IsRequired() {
-		wait = min(wait, milliseconds(revokeWaitShare*bounds.RevokeMilliseconds))
+		if s.confirmer.IsRequired() {
+			follower.WithMaxWait(min(milliseconds(revokeWaitShare*s.settings.Bounds.RevokeMilliseconds), maxManifestWait))(f)
+		}
 	}
-	return wait
 }
 
-func shareOf(share float64, d time.Duration) time.Duration { return time.Duration(share * float64(d)) }
-
 // isReadable reports whether a row of the manifest's table can be decoded.
 func (s *Supervisor) isReadable(row messenger.StoreRow) bool {
 	if row.Key != s.platform.ManifestKey {
@@ -130,20 +122,29 @@
 	directCalls := semaphore.NewWeighted(maxDirectCalls)
 	var clockDue time.Time
 	wasUnconfirmed := false
-	every(ctx, confirmInterval, func() {
+	for ctx.Err() == nil {
 		wasUnconfirmed = s.logUnconfirmed(wasUnconfirmed)
 		now := time.Now()
-		if s.manifests.Version().IsZero() || !(s.isProofDue(schedule, now) || (!now.Before(clockDue) && s.isClockUncertain())) {
-			return
+		if s.isProofDue(schedule, now) || (!now.Before(clockDue) && s.isClockUncertain()) {
+			clockDue = now.Add(clockInterval)
+			s.confirmBeside(directCalls)
 		}
-		clockDue = now.Add(clockInterval)
-		if directCalls.TryAcquire(1) {
-			go func() {
-				defer directCalls.Release(1)
-				s.confirmManifest()
-			}()
+		select {
+		case <-ctx.Done():
+		case <-time.After(max(schedule.UntilOld(s.proofAge()), confirmInterval)):
 		}
-	})
+	}
+}
+
+// confirmBeside confirms the manifest in a goroutine of its own, unless as many calls are under way as there may be.
+func (s *Supervisor) confirmBeside(directCalls *semaphore.Weighted) {
+	if s.manifests.Version().IsZero() || !directCalls.TryAcquire(1) {
+		return
+	}
+	go func() {
+		defer directCalls.Release(1)
+		s.confirmManifest()
+	}()
 }
 
 // confirmManifest asks the store directly whether there is a newer manifest.
@@ -173,11 +174,13 @@
 	return milliseconds(revokeAgeShare * s.settings.Bounds.RevokeMilliseconds)
 }
 
+// proofAge returns the greatest possible age of the proof; false if there is none.
+func (s *Supervisor) proofAge() (time.Duration, bool) { return s.confirmer.Age(s.latestStoreTime()) }
+
 func (s *Supervisor) isProofDue(schedule *confirmer.Schedule, now time.Time) bool {
-	latest := s.latestStoreTime()
-	age, isKnown := s.confirmer.Age(latest)
-	spread := time.Duration(s.instanceCount.Load()) * askSpread
-	return schedule.IsDue(now, age, isKnown, spread) && s.confirmer.MayConfirm(latest)
+	age, isKnown := s.proofAge()
+	spread := max(time.Duration(s.instanceCount.Load())*askSpread, minAskSpread)
+	return schedule.IsDue(now, age, isKnown, spread) && s.confirmer.MayConfirm(s.latestStoreTime())
 }
 
 func (s *Supervisor) isClockUncertain() bool {
