--- a/internal/gateway/supervisor/peer_manifests.go
+++ b/internal/gateway/supervisor/peer_manifests.go
@@ -47,7 +47,8 @@
 		return isLater
 	}
 	isNewer := s.receivePeerProof(status.Proof)
-	return isLater || (isNewer && !known.IsZero())
+	mayAdopt := s.confirmer.IsRequired() || !known.IsZero() // without proofs the first manifest is that of the own read
+	return isLater || (isNewer && mayAdopt)
 }
 
 // peerFetches are the reads of manifests from peers: one at a time from each peer, maxFetches from
