Show how late manifests are at 30 to 790 instances whose readers hang

confirmer.TestManifestIsInForceAtScale: all instances follow the store through two that hang for 10 s, in virtual time.

--- a/internal/gateway/confirmer/history_late_test.go
+++ b/internal/gateway/confirmer/history_late_test.go
@@ -1,6 +1,9 @@
 package confirmer_test
 
 import (
+	"flag"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,8 +22,13 @@
 	answerLossInterval = contactTime
 	// maxChangeInterval is the longest time between two manifests.
 	maxChangeInterval = time.Second
+	// callWindow is the time in which calls to the store are counted.
+	callWindow = 100 * time.Millisecond
 )
 
+// scale is the number of instances of TestManifestIsInForceAtScale; CI plays the default.
+var scale = flag.Int("scale", 30, "the number of instances behind readers that hang")
+
 // change is a manifest and when the store acknowledged it.
 type change struct {
 	at       time.Time
@@ -90,12 +98,23 @@
 			continue
 		}
 		w.looks++
+		w.mostLate = max(w.mostLate, w.lateness(n))
 		if inForce(n) < must {
 			w.fail("node %d has manifest %d at %s, where %d must be in force", n.Index, inForce(n), w.Now().Sub(w.began), must)
 		}
 	}
 }
 
+// lateness returns how long ago the oldest change was acknowledged that is not in force at an instance; 0 if all are.
+func (w *world) lateness(n *node) time.Duration {
+	for _, c := range w.changes {
+		if c.manifest > inForce(n) {
+			return w.Now().Sub(c.at)
+		}
+	}
+	return 0
+}
+
 // mustBeInForce returns the newest manifest that was acknowledged at least applyTime ago; 0 if none was.
 func (w *world) mustBeInForce() (manifest int64) {
 	for _, c := range w.changes {
@@ -131,3 +150,34 @@
 	require.NotEmpty(t, violation, "not found in %d histories", maxSeeds)
 	t.Logf("seed %d: %s", seed, violation)
 }
+
+// TestManifestIsInForceAtScale guards against many instances that ask the store at the same moment, or too late, when the two
+// through which they all follow it hang.
+func TestManifestIsInForceAtScale(t *testing.T) {
+	const (
+		calm, frozen = 5 * time.Second, 10 * time.Second
+		// maxCallsPerInstance is how many calls an instance makes in a callWindow, at the mean of all: they are spread
+		// over three windows at least.
+		maxCallsPerInstance = 0.5
+	)
+	w := newEmptyWorld(1, noPlant, 0)
+	for len(w.nodes) < *scale {
+		w.addNode()
+	}
+	for _, n := range w.nodes[2:] {
+		n.reader = n.Index % 2
+	}
+	w.After(0, w.changeOften)
+	w.After(0, w.look)
+	w.play(calm)
+	before := maps.Clone(w.calls)
+	for _, n := range w.nodes[:2] {
+		n.FrozenUntil = w.Now().Add(frozen)
+	}
+	w.play(frozen)
+	require.Empty(t, w.violation)
+	most := slices.Max(slices.Collect(maps.Values(w.calls)))
+	t.Logf("%d instances: most late %s, %d calls in the busiest %s, %d before", *scale, w.mostLate, most, callWindow, slices.Max(slices.Collect(maps.Values(before))))
+	assert.Less(t, w.mostLate, applyTime)
+	assert.Less(t, float64(most), maxCallsPerInstance*float64(*scale))
+}
--- a/internal/gateway/confirmer/history_world_test.go
+++ b/internal/gateway/confirmer/history_world_test.go
@@ -24,6 +24,8 @@
 	healTime       = 8 * time.Second
 	statusInterval = 400 * time.Millisecond
 	pollWait       = time.Second
+	// statusIntervalPerNode is the same divided by the number of nodes where there are many.
+	statusIntervalPerNode = 25 * time.Millisecond
 	// confirmInterval is the time between two checks whether to ask the store, and askSpread that over which all do.
 	confirmInterval = 200 * time.Millisecond
 	askSpread       = 300 * time.Millisecond
@@ -109,6 +111,10 @@
 	isCalm bool
 
 	served, refused int
+	// mostLate is the longest time for which a change was not in force at an instance in touch, and calls counts those to
+	// the store in each callWindow.
+	mostLate time.Duration
+	calls    map[int64]int
 	// looks counts how often an instance in touch was looked at.
 	looks int
 	// excused counts the runs of instances that may know only what the store came back with.
@@ -121,7 +127,7 @@
 	began := time.Unix(1000, 0)
 	w := &world{
 		Network: disturber.New(began, rand.New(rand.NewPCG(seed, 11)), maxDelay, disturber.WithDoubles(20)), plant: p, began: began,
-		keys: map[string]bool{}, spans: spans{}, restores: newRestores(),
+		keys: map[string]bool{}, spans: spans{}, restores: newRestores(), calls: map[int64]int{},
 	}
 	w.changeKeys()
 	for range 2 + w.Random.IntN(maxNodes-2) {
@@ -313,7 +319,7 @@
 func (w *world) confirm(n *node) {
 	latest := w.latest(n)
 	age, ok := n.confirmer.Age(latest)
-	if n.schedule.IsDue(w.local(n), age, ok, askSpread) && n.confirmer.MayConfirm(latest) && w.plant != neverAsks {
+	if n.schedule.IsDue(w.local(n), age, ok, max(askSpread, time.Duration(len(w.nodes))*time.Millisecond)) && n.confirmer.MayConfirm(latest) && w.plant != neverAsks {
 		w.callStore(n, 0, func() {})
 	}
 	w.On(n.Machine, confirmInterval, func() { w.confirm(n) })
@@ -332,6 +338,7 @@
 
 // callStore reads the manifest, or its changes once there are any or wait has passed.
 func (w *world) callStore(n *node, wait time.Duration, end func()) {
+	w.calls[w.Now().UnixNano()/int64(callWindow)]++
 	sent, after, deliver := w.local(n), n.follower.Version(), toCaller(n)
 	w.Send(n.Index, disturber.Outside, func() {
 		epoch := w.restores.epoch
@@ -438,7 +445,7 @@
 			w.Send(n.Index, other.Index, func() { w.sendSnapshot(other, n) })
 		}
 	}
-	w.On(n.Machine, statusInterval, func() { w.sendStatuses(n) })
+	w.On(n.Machine, max(statusInterval, time.Duration(len(w.nodes))*statusIntervalPerNode), func() { w.sendStatuses(n) })
 }
 
 func (w *world) sendStatus(from, to *node, then func()) {
