Measure each manifest once, and only by times that the store has shown

What operators would have seen: a lateness that is too great, or none. Found by reading the change once more.

Cause: a peer's copy that brings the manifest in force again was measured as if it had just arrived; and a copy without a proof recorded 0 as the time since when the manifest is known, which stands for unknown.

Change: only a version after the one in force is measured; a time of 0, or one to come, is not recorded, whoever tells it.

Measured: the tests of supervisor and confirmer pass. Nothing but metrics and a log line depends on it.

--- a/internal/gateway/confirmer/confirmer.go
+++ b/internal/gateway/confirmer/confirmer.go
@@ -6,6 +6,8 @@
 // no proof for an earlier manifest names a later time, so each instance stops to accept the key
 // within the bound, also one that reaches neither the store nor its peers.
 //
+// Schedule decides when an instance asks the store itself for a proof.
+//
 // The store may come back from a copy without the manifest that removed a key; see epoch.go.
 package confirmer
 
@@ -115,7 +117,7 @@
 	if c.unreadable.IsAfter(c.applied) || c.substituted == c.applied || c.applied.Epoch != epoch {
 		return
 	}
-	c.since.note(c.applied, storeMilliseconds)
+	c.since.note(c.applied, storeMilliseconds, latest)
 	if isSettled {
 		c.proof.replace(Proof{Version: c.applied, StoreMilliseconds: storeMilliseconds}, latest)
 	}
--- a/internal/gateway/confirmer/since.go
+++ b/internal/gateway/confirmer/since.go
@@ -9,8 +9,11 @@
 	milliseconds int64
 }
 
-// note records that a version was the newest one at a time.
-func (s *since) note(version messenger.StoreVersion, milliseconds int64) {
+// note records that a version was the newest one at a time. A time that is not positive, or after latest, says nothing.
+func (s *since) note(version messenger.StoreVersion, milliseconds, latest int64) {
+	if milliseconds <= 0 || milliseconds > latest {
+		return
+	}
 	isEarlier := version == s.version && milliseconds < s.milliseconds
 	if version.IsAfter(s.version) || isEarlier {
 		*s = since{version: version, milliseconds: milliseconds}
@@ -18,12 +21,12 @@
 }
 
 // NoteSince records what a peer tells of since when a version of the row has been the newest one, if that is the applied
-// one. A time that is not positive, or after latest, says nothing.
+// one.
 func (c *Confirmer) NoteSince(version messenger.StoreVersion, milliseconds, latest int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if version == c.applied && milliseconds > 0 && milliseconds <= latest {
-		c.since.note(version, milliseconds)
+	if version == c.applied {
+		c.since.note(version, milliseconds, latest)
 	}
 }
 
--- a/internal/gateway/confirmer/since_test.go
+++ b/internal/gateway/confirmer/since_test.go
@@ -22,6 +22,7 @@
 	c.NoteSince(before, 4000, latest)
 	c.NoteSince(before, 4500, latest)
 	assert.EqualValues(t, 4000, c.Since(before), "a peer that has had it earlier")
+	c.Confirm(0, 0, latest)
 	c.NoteSince(before, 0, latest)
 	c.NoteSince(before, -1, latest)
 	c.NoteSince(now, 3000, latest)
--- a/internal/gateway/supervisor/late_manifest_test.go
+++ b/internal/gateway/supervisor/late_manifest_test.go
@@ -117,6 +117,10 @@
 	store.version.Store(2)
 	since := store.milliseconds() - 1500
 	require.NoError(t, s.manifests.Confirm(s.followStore(originDirect), s.readStore(originDirect)))
+	again := messenger.TableSnapshot{Version: 2, Rows: []messenger.StoreRow{store.row()}}
+	store.began = store.began.Add(-time.Minute)
+	s.manifests.Adopt(again) // in force already
+	store.began = store.began.Add(time.Minute)
 	s.receivePeerManifest(messenger.GatewayNews{
 		Instance: "a1", Proof: messenger.GatewayProof{RowVersion: 2, StoreMilliseconds: since + 10, SinceStoreMilliseconds: since},
 	})
--- a/internal/gateway/supervisor/lateness.go
+++ b/internal/gateway/supervisor/lateness.go
@@ -61,9 +61,12 @@
 	return due
 }
 
-// noteApplied measures the manifest before the one that is being put into force.
+// noteApplied measures the manifest before the one that is being put into force. A copy of a peer may bring one again that
+// is in force already.
 func (s *Supervisor) noteApplied(version messenger.StoreVersion) {
-	s.measureLateness(s.lateness.apply(version, s.latestStoreTime(), s.confirmer.Applied().IsZero()))
+	if applied := s.confirmer.Applied(); version.IsAfter(applied) {
+		s.measureLateness(s.lateness.apply(version, s.latestStoreTime(), applied.IsZero()))
+	}
 }
 
 // measureLateness adds a manifest to the metrics, unless nothing is known of when the store has had it.
